--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the crate's documentation.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the program documentation.
+
+fn main() {}
--- /dev/null
+++ b/crates/types/src/catalog.rs
@@ -0,0 +1,186 @@
+//! What the agreed log holds: its commands, their outcomes, and the items members learn.
+
+use crate::CatalogRevision;
+use crate::ContractChange;
+use crate::ContractVersion;
+use crate::DomainName;
+use crate::GroupName;
+use crate::GroupTerm;
+use crate::InstanceName;
+use crate::LogPosition;
+use crate::PlacementEpoch;
+use crate::VersionedContract;
+use crate::VmIncarnation;
+use crate::VmName;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+use std::net::SocketAddr;
+
+/// The standbys of a group; two are usual.
+pub type StandbyList = SmallVec<[VmName; 2]>;
+
+/// A change to the catalog, as an entry of the agreed log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CatalogCommand {
+    /// An operator changes a contract.
+    ApplyContract(ContractChange),
+    /// A VM joins, or returns with a new process.
+    AdmitMember(MemberRecord),
+    /// A VM's lease has ended, or it drained. Refused if another process has joined under the
+    /// name meanwhile.
+    RemoveMember(MemberId),
+    /// A group gets a leaseholder and standbys.
+    PlaceGroup(GroupPlacement),
+    /// An instance is counted in its group's majority from now on.
+    AddInstance(InstanceChange),
+    /// An instance is not counted in its group's majority any more.
+    RemoveInstance(InstanceChange),
+    /// A leaseholder begins a new term, before it fences and promotes.
+    BeginTerm(TermStart),
+    /// A leaseholder has promoted an instance.
+    RecordPrimary(PrimaryRecord),
+}
+
+/// Identifies one process of a VM, so that a restarted daemon isn't mistaken for its predecessor.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct MemberId {
+    /// The VM.
+    pub vm: VmName,
+    /// Raised by each start of the daemon: the start time in microseconds since the Unix epoch.
+    pub incarnation: VmIncarnation,
+}
+
+/// A VM that is a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Which VM, and which process of it.
+    pub id: MemberId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it answers other VMs and operators.
+    pub peer_address: SocketAddr,
+    /// Whether it is shutting down and takes no new groups.
+    pub draining: bool,
+}
+
+/// Which VMs serve a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupPlacement {
+    /// The group.
+    pub group: GroupName,
+    /// One above the placement that this one replaces.
+    pub epoch: PlacementEpoch,
+    /// The only VM that sends statements to the group's endpoints.
+    pub leaseholder: VmName,
+    /// VMs that hold the journal and take over.
+    pub standbys: StandbyList,
+}
+
+/// A change of a group's instance set, by its leaseholder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceChange {
+    /// The group.
+    pub group: GroupName,
+    /// The leaseholder's epoch; a former leaseholder's change is refused.
+    pub epoch: PlacementEpoch,
+    /// The term; a change that raced a promotion is refused.
+    pub term: GroupTerm,
+    /// The instance.
+    pub instance: InstanceName,
+}
+
+/// The start of a term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermStart {
+    /// The group.
+    pub group: GroupName,
+    /// The leaseholder's epoch.
+    pub epoch: PlacementEpoch,
+    /// The new term: one above the present one.
+    pub term: GroupTerm,
+}
+
+/// The primary of a term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrimaryRecord {
+    /// The group.
+    pub group: GroupName,
+    /// The leaseholder's epoch.
+    pub epoch: PlacementEpoch,
+    /// The term, which was begun before.
+    pub term: GroupTerm,
+    /// The promoted instance.
+    pub primary: InstanceName,
+    /// Where the promoted instance's log stood when the term began.
+    pub start: LogPosition,
+}
+
+/// What became of a [`CatalogCommand`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CatalogOutcome {
+    /// The contract is accepted under this version, at this revision.
+    ContractAccepted(ContractAcceptance),
+    /// Another change won; the present contract is shown.
+    ContractConflict(Box<VersionedContract>),
+    /// The change names a base version of a customer that has no contract.
+    ContractUnknown,
+    /// The contract is malformed; each fault in words.
+    ContractFaulty(Vec<String>),
+    /// The change id was used before for another content.
+    ChangeIdReused,
+    /// Done at this revision.
+    Done(CatalogRevision),
+    /// The command was built on a state that has changed since.
+    Stale,
+}
+
+/// An accepted contract change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContractAcceptance {
+    /// The new version.
+    pub version: ContractVersion,
+    /// The revision that every member must reach for the change to be in force.
+    pub revision: CatalogRevision,
+}
+
+/// A group as it stands in the catalog.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRecord {
+    /// Who serves it.
+    pub placement: GroupPlacement,
+    /// The present term; zero before the first.
+    pub term: GroupTerm,
+    /// The epoch in which the term began.
+    pub term_epoch: PlacementEpoch,
+    /// The primary, once the present term has one.
+    pub primary: Option<InstanceName>,
+    /// Where the present term began.
+    pub start: LogPosition,
+    /// The instances that count towards a majority.
+    pub instances: SmallVec<[InstanceName; 4]>,
+}
+
+/// One thing that changed in the catalog, as members learn it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CatalogItem {
+    /// A contract was put in force.
+    Contract(Box<VersionedContract>),
+    /// A member joined or changed.
+    Member(MemberRecord),
+    /// A member left.
+    MemberGone(VmName),
+    /// A group changed.
+    Group(Box<GroupRecord>),
+}
+
+/// The changes that take a member's copy from one revision to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogDelta {
+    /// The revision it builds on; `None` means that it is a whole snapshot.
+    pub from: Option<CatalogRevision>,
+    /// The revision it leads to.
+    pub to: CatalogRevision,
+    /// The changed items.
+    pub items: Vec<CatalogItem>,
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,45 @@
+//! Names, positions, verdicts, contracts and messages of ragwortgate.
+//!
+//! Every process of ragwortgate speaks in these types. They do no I/O: a caller's request becomes a
+//! [`StatementRequest`], its outcome a [`RequestVerdict`], and an operator's change a
+//! [`ContractChange`].
+//!
+//! # Examples
+//!
+//! A position of a later term covers every acknowledged position of an earlier one:
+//!
+//! ```
+//! use ragwort_types::GroupTerm;
+//! use ragwort_types::LogPosition;
+//!
+//! let written = LogPosition::new(GroupTerm(3), 40);
+//! let promoted = LogPosition::new(GroupTerm(4), 41);
+//! assert!(promoted.covers(written));
+//! assert!(!written.covers(promoted));
+//! ```
+//!
+//! A refusal says when to come back:
+//!
+//! ```
+//! use ragwort_types::RefusalCause;
+//! use ragwort_types::RequestVerdict;
+//!
+//! let verdict = RequestVerdict::refused(RefusalCause::Overload, 40);
+//! assert!(matches!(verdict, RequestVerdict::NotRun(refusal) if refusal.come_back_after_ms == 40));
+//! assert_eq!(RefusalCause::NoPrimary.to_string(), "no primary");
+//! ```
+
+mod catalog;
+mod contract;
+mod messages;
+mod names;
+mod position;
+pub mod rpc;
+mod verdict;
+
+pub use catalog::*;
+pub use contract::*;
+pub use messages::*;
+pub use names::*;
+pub use position::*;
+pub use verdict::*;
--- /dev/null
+++ b/crates/types/src/messages.rs
@@ -0,0 +1,355 @@
+//! Messages between gateways, leaseholders, standbys and control VMs.
+
+use crate::CatalogCommand;
+use crate::CatalogDelta;
+use crate::CatalogOutcome;
+use crate::CatalogRevision;
+use crate::ContractAcceptance;
+use crate::CustomerName;
+use crate::DomainName;
+use crate::GroupName;
+use crate::InstanceName;
+use crate::KindName;
+use crate::LogPosition;
+use crate::MemberRecord;
+use crate::PlacementEpoch;
+use crate::RequestKey;
+use crate::RequestVerdict;
+use crate::ServedBy;
+use crate::SessionName;
+use crate::StatementId;
+use crate::TransactionId;
+use crate::VmName;
+use serde::Deserialize;
+use serde::Serialize;
+use std::net::SocketAddr;
+
+/// A statement on its way from a gateway to a group's leaseholder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatementRequest {
+    /// Identifies the statement; its reply carries the same.
+    pub id: StatementId,
+    /// The customer.
+    pub customer: CustomerName,
+    /// The caller's session.
+    pub session: SessionName,
+    /// The database group.
+    pub group: GroupName,
+    /// The marks that the caller put on the statement.
+    pub marks: RequestMarks,
+    /// The statement's text.
+    pub text: String,
+    /// The parameters in text form, for the extended protocol.
+    pub parameters: Option<Vec<Option<String>>>,
+    /// How the statement belongs to a transaction.
+    pub step: TransactionStep,
+    /// The time that the gateway has already spent on it, in milliseconds.
+    pub spent_ms: u64,
+}
+
+/// What a caller may say about one statement.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestMarks {
+    /// The kind; the contract's default kind if none.
+    pub kind: Option<KindName>,
+    /// The request key, which a kind that is never repeated must have for its resends to be safe.
+    pub key: Option<RequestKey>,
+    /// A deadline tighter than the contract's, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Whether the request is urgent, if the contract allows urgency to the customer.
+    pub urgent: Option<bool>,
+    /// A tighter bound on the age of what is read, in milliseconds.
+    pub max_age_ms: Option<u64>,
+}
+
+/// How a statement belongs to a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TransactionStep {
+    /// The statement stands alone.
+    Single,
+    /// The statement opens the transaction.
+    Begin(TransactionId),
+    /// The statement runs within the transaction.
+    Within(TransactionId),
+    /// The statement commits the transaction.
+    Commit(TransactionId),
+    /// The statement rolls the transaction back.
+    Rollback(TransactionId),
+}
+
+impl TransactionStep {
+    /// Returns the transaction, if the statement belongs to one.
+    pub fn transaction(self) -> Option<TransactionId> {
+        match self {
+            Self::Single => None,
+            Self::Begin(id) | Self::Within(id) | Self::Commit(id) | Self::Rollback(id) => Some(id),
+        }
+    }
+}
+
+/// A leaseholder's reply to one statement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatementReply {
+    /// The statement that this replies to.
+    pub id: StatementId,
+    /// What became of it.
+    pub verdict: RequestVerdict,
+    /// Which instance served it, if one did.
+    pub served_by: Option<ServedBy>,
+}
+
+/// A member's heartbeat to a control VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatRequest {
+    /// The member as it wants to be known.
+    pub member: MemberRecord,
+    /// The revision that the member has in force.
+    pub revision: CatalogRevision,
+    /// Groups whose endpoints announce themselves here and that have no placement yet.
+    pub unplaced_groups: Vec<GroupName>,
+}
+
+/// The reply to a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HeartbeatReply {
+    /// The lease runs for this long from the moment the heartbeat was sent.
+    Granted(LeaseGrant),
+    /// The member isn't in the catalog yet, or control has no leader; ask again.
+    NotYet,
+    /// Another process has joined under this VM's name; this one must stop.
+    Superseded,
+}
+
+/// A granted lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseGrant {
+    /// The lease's length, in milliseconds.
+    pub lease_ms: u64,
+    /// The newest revision.
+    pub revision: CatalogRevision,
+    /// What the member lacks, if anything.
+    pub delta: Option<CatalogDelta>,
+}
+
+/// What a control follower passes on to the leader: heartbeats gathered in a short window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatBatch {
+    /// The heartbeats.
+    pub heartbeats: Vec<HeartbeatRequest>,
+}
+
+/// A command for the catalog, passed on to the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CommandRequest {
+    /// The command.
+    pub command: CatalogCommand,
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CommandReply {
+    /// The command was committed, with this outcome.
+    Committed(CatalogOutcome),
+    /// No leader is known here; the command was not proposed.
+    NoLeader,
+    /// The command may or may not be committed; resend it under the same id.
+    Unknown,
+}
+
+/// How far a contract change has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForceStatus {
+    /// The acceptance asked about.
+    pub acceptance: ContractAcceptance,
+    /// Whether every member with a live lease has confirmed the revision.
+    pub in_force: bool,
+    /// Members that have not confirmed it yet.
+    pub waiting_for: u32,
+}
+
+/// An entry of a group's journal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JournalEntry {
+    /// A request that must not repeat is about to be dispatched.
+    KeyDispatched(KeyRecord),
+    /// A request that must not repeat has its final verdict.
+    KeyDecided(KeyDecision),
+    /// A session's writes reach up to a position.
+    SessionPosition(SessionRecord),
+}
+
+/// A dispatched request key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyRecord {
+    /// The customer; keys of different customers never meet.
+    pub customer: CustomerName,
+    /// The key.
+    pub key: RequestKey,
+}
+
+/// The final verdict of a request key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyDecision {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The key.
+    pub key: RequestKey,
+    /// The first run's verdict.
+    pub verdict: RequestVerdict,
+}
+
+/// A session's last write.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionRecord {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The session.
+    pub session: SessionName,
+    /// The position that its reads must cover.
+    pub position: LogPosition,
+}
+
+/// Journal entries on their way to a standby.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JournalAppend {
+    /// The group.
+    pub group: GroupName,
+    /// The leaseholder's epoch; a standby that knows a later one refuses.
+    pub epoch: PlacementEpoch,
+    /// The number of the first entry, counted from the start of the epoch; zero is preceded by
+    /// `reset`.
+    pub sequence: u64,
+    /// Whether the entries replace all that the standby holds, as at the start of an epoch.
+    pub reset: bool,
+    /// The entries.
+    pub entries: Vec<JournalEntry>,
+}
+
+/// A standby's reply to a [`JournalAppend`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JournalReply {
+    /// The standby holds all entries up to this number (exclusive).
+    Held(u64),
+    /// The standby knows a later epoch.
+    StaleEpoch(PlacementEpoch),
+    /// The standby lacks earlier entries; send everything again with `reset`.
+    Gap,
+}
+
+/// All that a VM holds of a group's journal, for the next leaseholder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JournalCopy {
+    /// The epoch in which the entries were written; zero if the VM holds none.
+    pub epoch: PlacementEpoch,
+    /// Whether the VM received the whole journal of that epoch.
+    pub complete: bool,
+    /// The entries.
+    pub entries: Vec<JournalEntry>,
+}
+
+/// An endpoint's announcement of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointAnnouncement {
+    /// The group.
+    pub group: GroupName,
+    /// The instance.
+    pub instance: InstanceName,
+    /// The instance's failure domain.
+    pub domain: DomainName,
+    /// Where it takes statements.
+    pub data_address: SocketAddr,
+    /// Where its agent answers.
+    pub agent_address: SocketAddr,
+    /// How many statements it runs at once.
+    pub slots: u32,
+    /// How many connections it takes.
+    pub connections: u32,
+    /// What it knows of itself.
+    pub status: InstanceStatus,
+}
+
+/// What an endpoint's agent says of its instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// Its role.
+    pub role: InstanceRole,
+    /// The highest term it was fenced at or told of; it refuses earlier ones.
+    pub fenced_term: crate::GroupTerm,
+    /// Its position.
+    pub position: LogPosition,
+    /// Whether it is leaving and wants no new work.
+    pub leaving: bool,
+}
+
+/// The role of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum InstanceRole {
+    /// It takes writes.
+    Primary,
+    /// It follows a primary.
+    Replica,
+}
+
+/// The answer to an announcement: where to announce from now on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnnouncementReply {
+    /// The group's leaseholder and standbys; empty while the group has no placement.
+    pub announce_to: Vec<SocketAddr>,
+}
+
+/// The answer to a fence or promotion by an endpoint's agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FenceReply {
+    /// The instance refuses earlier terms from now on; its position is final for them.
+    Fenced(LogPosition),
+    /// The instance knows a later term.
+    Refused(crate::GroupTerm),
+}
+
+/// A journal request: which group's journal to hand over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JournalRequest {
+    /// The group.
+    pub group: GroupName,
+    /// The asker's epoch; the VM refuses appends of earlier epochs from then on.
+    pub epoch: PlacementEpoch,
+}
+
+/// An agreement message on its way between control VMs; its content belongs to the control crate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgreementEnvelope {
+    /// The sender.
+    pub from: VmName,
+    /// The receiver.
+    pub to: VmName,
+    /// The message, encoded by the control crate.
+    pub payload: String,
+}
+
+/// What a VM's daemon is doing, for operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// The VM.
+    pub vm: VmName,
+    /// The revision in force here.
+    pub revision: CatalogRevision,
+    /// Whether the VM takes work.
+    pub ready: bool,
+    /// Whether the VM is shutting down.
+    pub draining: bool,
+    /// The control leader, as far as known here.
+    pub control_leader: Option<VmName>,
+    /// The groups, with their terms and primaries.
+    pub groups: Vec<crate::GroupRecord>,
+    /// The members.
+    pub members: Vec<MemberRecord>,
+}
+
+/// Names an instance of a group.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct InstanceId {
+    /// The group.
+    pub group: GroupName,
+    /// The instance.
+    pub instance: InstanceName,
+}
--- /dev/null
+++ b/crates/types/src/rpc.rs
@@ -0,0 +1,149 @@
+//! The remote calls between processes: which process answers what.
+//!
+//! Each trait becomes a server and a client through `jsonrpsee`. A call that fails to connect has
+//! not run; a call that fails afterwards may have.
+
+use crate::AgreementEnvelope;
+use crate::AnnouncementReply;
+use crate::CommandReply;
+use crate::CommandRequest;
+use crate::ContractAcceptance;
+use crate::ContractChange;
+use crate::CustomerName;
+use crate::EndpointAnnouncement;
+use crate::FenceReply;
+use crate::ForceStatus;
+use crate::GroupTerm;
+use crate::HeartbeatBatch;
+use crate::HeartbeatReply;
+use crate::HeartbeatRequest;
+use crate::InstanceStatus;
+use crate::JournalAppend;
+use crate::JournalCopy;
+use crate::JournalReply;
+use crate::JournalRequest;
+use crate::LogPosition;
+use crate::NodeStatus;
+use crate::StatementReply;
+use crate::StatementRequest;
+use crate::VersionedContract;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use std::net::SocketAddr;
+
+/// Calls between VMs.
+#[rpc(server, client, namespace = "peer")]
+pub trait PeerApi {
+    /// Runs a statement at the group's leaseholder.
+    #[method(name = "execute")]
+    async fn execute(&self, request: StatementRequest) -> RpcResult<StatementReply>;
+
+    /// Runs a statement at the group's leaseholder on behalf of a gateway that can't reach it.
+    #[method(name = "relay")]
+    async fn relay(&self, request: StatementRequest) -> RpcResult<StatementReply>;
+
+    /// Holds journal entries as a standby.
+    #[method(name = "appendJournal")]
+    async fn append_journal(&self, append: JournalAppend) -> RpcResult<JournalReply>;
+
+    /// Hands the held journal over to a new leaseholder.
+    #[method(name = "readJournal")]
+    async fn read_journal(&self, request: JournalRequest) -> RpcResult<JournalCopy>;
+
+    /// Renews a member's lease.
+    #[method(name = "heartbeat")]
+    async fn heartbeat(&self, request: HeartbeatRequest) -> RpcResult<HeartbeatReply>;
+
+    /// Passes heartbeats on to the control leader.
+    #[method(name = "heartbeatBatch")]
+    async fn heartbeat_batch(&self, batch: HeartbeatBatch) -> RpcResult<Vec<HeartbeatReply>>;
+
+    /// Proposes a catalog command, passing it on to the control leader.
+    #[method(name = "propose")]
+    async fn propose(&self, request: CommandRequest) -> RpcResult<CommandReply>;
+
+    /// Takes an agreement message.
+    #[method(name = "agree")]
+    async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()>;
+
+    /// Says whether this VM can reach an endpoint's agent, for a second view from another domain.
+    #[method(name = "probeInstance")]
+    async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool>;
+
+    /// Answers at once, to tell a silent connection from a live one.
+    #[method(name = "ping")]
+    async fn ping(&self) -> RpcResult<()>;
+}
+
+/// Calls by operators, answered by every daemon.
+#[rpc(server, client, namespace = "operator")]
+pub trait OperatorApi {
+    /// Applies a contract change.
+    #[method(name = "applyContract")]
+    async fn apply_contract(&self, change: ContractChange) -> RpcResult<CommandReply>;
+
+    /// Says how far an accepted change has come.
+    #[method(name = "forceStatus")]
+    async fn force_status(&self, acceptance: ContractAcceptance) -> RpcResult<ForceStatus>;
+
+    /// Returns a customer's contract as it is in force on this VM.
+    #[method(name = "getContract")]
+    async fn get_contract(&self, customer: CustomerName) -> RpcResult<Option<VersionedContract>>;
+
+    /// Lists the contracts in force on this VM.
+    #[method(name = "listContracts")]
+    async fn list_contracts(&self) -> RpcResult<Vec<VersionedContract>>;
+
+    /// Returns what this VM knows of the system.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<NodeStatus>;
+
+    /// Returns the full state of this process as JSON text.
+    #[method(name = "dump")]
+    async fn dump(&self) -> RpcResult<String>;
+
+    /// Starts draining this VM.
+    #[method(name = "drain")]
+    async fn drain(&self) -> RpcResult<()>;
+}
+
+/// Calls by endpoints' agents, answered by every daemon.
+#[rpc(server, client, namespace = "endpoint")]
+pub trait AnnounceApi {
+    /// Takes an endpoint's announcement and says where to announce from now on.
+    #[method(name = "announce")]
+    async fn announce(&self, announcement: EndpointAnnouncement) -> RpcResult<AnnouncementReply>;
+}
+
+/// Calls answered by an endpoint's agent. It belongs to the platform, not to ragwortgate.
+#[rpc(server, client, namespace = "agent")]
+pub trait AgentApi {
+    /// Returns the instance's state.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<InstanceStatus>;
+
+    /// Waits until the instance's position or term differs from `known`, at most `timeout_ms`.
+    #[method(name = "waitChange")]
+    async fn wait_change(
+        &self,
+        known: InstanceStatus,
+        timeout_ms: u64,
+    ) -> RpcResult<InstanceStatus>;
+
+    /// Makes the instance refuse every term before `term`.
+    #[method(name = "fence")]
+    async fn fence(&self, term: GroupTerm) -> RpcResult<FenceReply>;
+
+    /// Makes the instance the primary of `term`, at which it was fenced before.
+    #[method(name = "promote")]
+    async fn promote(&self, term: GroupTerm) -> RpcResult<FenceReply>;
+
+    /// Makes the instance follow the primary of `term`, dropping what that primary lacks.
+    #[method(name = "follow")]
+    async fn follow(
+        &self,
+        term: GroupTerm,
+        start: LogPosition,
+        primary_agent: SocketAddr,
+    ) -> RpcResult<FenceReply>;
+}
