Add the endpoint stand-in: ragwort-lab endpoint

A database group's instance is an outside system, so the daemon meets a stand-in: PostgreSQL's protocol by pgwire on the data port, the agent's calls by jsonrpsee, a log with terms, asynchronous pulling replication, fences, promotion, truncation, announcements and faults on request.

One task owns the instance: fence, commit and promotion are single messages, so a fence cannot fall between a statement's check and its effect. A lock around the state was the other way; the task follows the house style and keeps check and effect in one place as well.

A connection opened before a fence gets only refusals afterwards. Otherwise a position asked for after the instance joined the next term would seem to cover a write that the truncation dropped.

--- /dev/null
+++ b/crates/lab/src/agent_port.rs
@@ -0,0 +1,130 @@
+//! The agent's port: the platform's calls and the lab's own.
+
+use crate::endpoint::EndpointShared;
+use crate::faults::FaultRequest;
+use crate::faults::FaultState;
+use crate::instance::FetchReply;
+use crate::instance::FetchRequest;
+use crate::instance::FollowTarget;
+use crate::instance::LogEntry;
+use crate::lab_rpc::LabApiServer;
+use jsonrpsee::Methods;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use ragwort_types::FenceReply;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceStatus;
+use ragwort_types::LogPosition;
+use ragwort_types::rpc::AgentApiServer;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// The longest that a long poll waits, in milliseconds; bounds what a vanished asker leaves behind.
+const LONGEST_POLL_MS: u64 = 60_000;
+
+/// Serves an agent's calls.
+#[derive(Clone, Debug)]
+pub struct AgentService {
+    shared: Arc<EndpointShared>,
+}
+
+impl AgentService {
+    /// Creates the service.
+    pub fn new(shared: Arc<EndpointShared>) -> Self {
+        Self { shared }
+    }
+
+    /// Returns the methods that the port answers.
+    pub fn into_methods(self) -> Methods {
+        let mut methods = Methods::new();
+        // The two namespaces share no name, so merging can't fail.
+        let merged = methods
+            .merge(AgentApiServer::into_rpc(self.clone()))
+            .and_then(|()| methods.merge(LabApiServer::into_rpc(self)));
+        debug_assert!(merged.is_ok());
+        methods
+    }
+
+    async fn wait_status_change(&self, known: InstanceStatus, timeout_ms: u64) {
+        let mut status = self.shared.instance.watch_status();
+        let patience = Duration::from_millis(timeout_ms.min(LONGEST_POLL_MS));
+        // Running out of time is an answer as well: the status is read afterwards in any case.
+        let _ = timeout(patience, status.wait_for(|present| *present != known)).await;
+    }
+}
+
+#[async_trait]
+impl AgentApiServer for AgentService {
+    async fn status(&self) -> RpcResult<InstanceStatus> {
+        self.shared.pass_freeze().await;
+        Ok(self.shared.instance.status())
+    }
+
+    async fn wait_change(
+        &self,
+        known: InstanceStatus,
+        timeout_ms: u64,
+    ) -> RpcResult<InstanceStatus> {
+        self.wait_status_change(known, timeout_ms).await;
+        self.shared.pass_freeze().await;
+        Ok(self.shared.instance.status())
+    }
+
+    async fn fence(&self, term: GroupTerm) -> RpcResult<FenceReply> {
+        self.shared.pass_freeze().await;
+        let reply = self.shared.instance.fence(term).await;
+        log::info!("event=fence term={term} reply={reply:?}");
+        Ok(reply)
+    }
+
+    async fn promote(&self, term: GroupTerm) -> RpcResult<FenceReply> {
+        self.shared.pass_freeze().await;
+        let lose_tail = self.shared.faults.borrow().lose_tail;
+        let reply = self.shared.instance.promote(term, lose_tail).await;
+        log::info!("event=promote term={term} reply={reply:?}");
+        Ok(reply)
+    }
+
+    async fn follow(
+        &self,
+        term: GroupTerm,
+        start: LogPosition,
+        primary_agent: SocketAddr,
+    ) -> RpcResult<FenceReply> {
+        self.shared.pass_freeze().await;
+        let target = FollowTarget {
+            term,
+            primary_agent,
+        };
+        let reply = self.shared.instance.follow(target).await;
+        log::info!("event=follow term={term} start={start} reply={reply:?}");
+        Ok(reply)
+    }
+}
+
+#[async_trait]
+impl LabApiServer for AgentService {
+    async fn fetch_log(&self, request: FetchRequest) -> RpcResult<FetchReply> {
+        self.shared.pass_freeze().await;
+        let known = self.shared.instance.status();
+        let reply = self.shared.instance.fetch(request).await;
+        let nothing_yet = matches!(&reply, FetchReply::Entries(entries) if entries.is_empty());
+        if !nothing_yet {
+            return Ok(reply);
+        }
+        self.wait_status_change(known, request.wait_ms).await;
+        self.shared.pass_freeze().await;
+        Ok(self.shared.instance.fetch(request).await)
+    }
+
+    async fn set_fault(&self, request: FaultRequest) -> RpcResult<FaultState> {
+        log::info!("event=fault request={request:?}");
+        Ok(self.shared.set_fault(request).await)
+    }
+
+    async fn read_log(&self) -> RpcResult<Vec<LogEntry>> {
+        Ok(self.shared.instance.read_log().await)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/statement.rs
@@ -0,0 +1,167 @@
+//! The stand-in's commands: how a statement's text becomes a command.
+
+use std::fmt;
+
+/// A command of the stand-in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LabCommand {
+    /// Sets a key's value.
+    Put {
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+    },
+    /// Appends a value to a key's list.
+    Append {
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+    },
+    /// Reads a key.
+    Get {
+        /// The key.
+        key: String,
+    },
+    /// Holds a slot for some milliseconds.
+    Sleep {
+        /// The time, in milliseconds.
+        millis: u64,
+    },
+    /// Opens a transaction.
+    Begin,
+    /// Commits the transaction.
+    Commit,
+    /// Rolls the transaction back.
+    Rollback,
+    /// Answers at once, for connection checks.
+    Ping,
+    /// Shows the instance's position, echoing the asker's identifier.
+    ShowPosition {
+        /// The identifier.
+        id: String,
+    },
+}
+
+/// A text that isn't a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownCommand {
+    /// The first word, or nothing.
+    pub word: String,
+}
+
+impl fmt::Display for UnknownCommand {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "unknown command or words missing: {}", self.word)
+    }
+}
+
+impl LabCommand {
+    /// Parses a statement's text; words `$1`, `$2`, … are replaced by `parameters`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ragwort_lab::statement::LabCommand;
+    ///
+    /// let command = LabCommand::parse("/*kind='status'*/ get $1", &["case-7".to_owned()]);
+    /// assert_eq!(command, Ok(LabCommand::Get { key: "case-7".to_owned() }));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UnknownCommand`] if the first word is no command or words are missing.
+    pub fn parse(text: &str, parameters: &[String]) -> Result<Self, UnknownCommand> {
+        let body = strip_comments(text).trim().trim_end_matches(';');
+        let words: Vec<&str> = body
+            .split_whitespace()
+            .map(|word| fill_parameter(word, parameters))
+            .collect();
+        let first = words.first().map(|word| word.to_ascii_lowercase());
+        let command = match (first.as_deref(), words.get(1..).unwrap_or_default()) {
+            (Some("put"), [key, value]) => Self::Put {
+                key: (*key).to_owned(),
+                value: (*value).to_owned(),
+            },
+            (Some("append"), [key, value]) => Self::Append {
+                key: (*key).to_owned(),
+                value: (*value).to_owned(),
+            },
+            (Some("get"), [key]) => Self::Get {
+                key: (*key).to_owned(),
+            },
+            (Some("sleep"), [millis]) => match millis.parse() {
+                Ok(millis) => Self::Sleep { millis },
+                Err(_) => return Err(unknown(&words)),
+            },
+            (Some("begin"), _) => Self::Begin,
+            (Some("commit"), _) => Self::Commit,
+            (Some("rollback"), _) => Self::Rollback,
+            (Some("select"), ["1"]) => Self::Ping,
+            (Some("show"), ["ragwort_position", id]) => Self::ShowPosition {
+                id: (*id).to_owned(),
+            },
+            _ => return Err(unknown(&words)),
+        };
+        Ok(command)
+    }
+
+    /// Returns the names of the columns that the command answers with.
+    pub fn columns(&self) -> &'static [&'static str] {
+        match self {
+            Self::Get { .. } => &["value"],
+            Self::Ping => &["?column?"],
+            Self::ShowPosition { .. } => &["id", "term", "index", "role"],
+            Self::Put { .. }
+            | Self::Append { .. }
+            | Self::Sleep { .. }
+            | Self::Begin
+            | Self::Commit
+            | Self::Rollback => &[],
+        }
+    }
+}
+
+/// Returns the number of parameters that a text refers to.
+pub fn count_parameters(text: &str) -> usize {
+    strip_comments(text)
+        .split_whitespace()
+        .filter_map(parameter_number)
+        .max()
+        .unwrap_or(0)
+}
+
+/// Returns the text without its leading comments.
+pub fn strip_comments(text: &str) -> &str {
+    let mut rest = text.trim_start();
+    while let Some(comment) = rest.strip_prefix("/*") {
+        match comment.split_once("*/") {
+            Some((_, after)) => rest = after.trim_start(),
+            None => return "",
+        }
+    }
+    rest
+}
+
+fn parameter_number(word: &str) -> Option<usize> {
+    let digits = word.strip_prefix('$')?;
+    digits.trim_end_matches(';').parse().ok()
+}
+
+fn fill_parameter<'a>(word: &'a str, parameters: &'a [String]) -> &'a str {
+    let number = parameter_number(word).unwrap_or(0);
+    match number
+        .checked_sub(1)
+        .and_then(|index| parameters.get(index))
+    {
+        Some(value) => value,
+        None => word,
+    }
+}
+
+fn unknown(words: &[&str]) -> UnknownCommand {
+    UnknownCommand {
+        word: words.first().copied().unwrap_or_default().to_owned(),
+    }
+}
