Add the load tool, its oracle, child processes and a relay that can be cut

The load is open-loop: arrivals are drawn from a seed and don't wait for answers, and latency counts from the intended start, so a system that makes its callers wait can't hide it by slowing them down.

The oracle holds what callers were told against what they read: own writes, age, doubles, losses, foreign values, refusals that ran. A cell whose put may have run is left alone afterwards, because that put may take effect at any later time; a weaker check of such cells was the other way.

A child's signals go out by its own id and only while it is unreaped, and a dropped child is killed and waited for. Picked ports lie below the range of outgoing connections, so that none of those can take one first.

--- a/crates/lab/src/endpoint.rs
+++ b/crates/lab/src/endpoint.rs
@@ -57,6 +57,27 @@
     pub primary: bool,
 }
 
+impl EndpointSettings {
+    /// Returns the settings of a quick endpoint of the group `cases` on free ports of 127.0.0.1.
+    pub fn quick(instance: &str, primary: bool) -> Self {
+        let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
+        Self {
+            group: "cases".into(),
+            instance: instance.into(),
+            domain: "windhoek-a".into(),
+            data_address: any_port,
+            agent_address: any_port,
+            announce: Vec::new(),
+            slots: 2,
+            connections: 16,
+            connect_time: Duration::ZERO,
+            service_time: Duration::from_millis(1),
+            lag_ms: 0,
+            primary,
+        }
+    }
+}
+
 /// What the endpoint's tasks share.
 #[derive(Debug)]
 pub struct EndpointShared {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,11 +22,19 @@
 
 pub mod agent_port;
 pub mod announcer;
+pub mod caller;
 pub mod data_port;
 pub mod endpoint;
 pub mod faults;
 pub mod instance;
 pub mod instance_task;
+pub mod lab_contract;
 pub mod lab_rpc;
+pub mod load;
+pub mod load_plan;
+pub mod load_report;
+pub mod oracle;
+pub mod process;
+pub mod relay;
 pub mod replication;
 pub mod statement;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,11 @@
 use log::LevelFilter;
 use ragwort_lab::endpoint::EndpointSettings;
 use ragwort_lab::endpoint::LabEndpoint;
+use ragwort_lab::load::LoadSettings;
+use ragwort_lab::load::StopFlag;
+use ragwort_lab::load::run_load;
+use ragwort_lab::load_plan::LoadMix;
+use ragwort_lab::load_plan::PlanSettings;
 use simplelog::ConfigBuilder;
 use simplelog::WriteLogger;
 use std::error::Error;
@@ -27,6 +32,7 @@
 #[argh(subcommand)]
 enum LabSubcommand {
     Endpoint(EndpointArguments),
+    Load(LoadArguments),
 }
 
 /// Run an endpoint stand-in, in memory.
@@ -71,6 +77,51 @@
     primary: bool,
 }
 
+/// Send a load through gateways, or to one endpoint, and check what callers were told.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadArguments {
+    /// gateways, separated by commas
+    #[argh(option, from_str_fn(parse_addresses))]
+    gateway: AddressList,
+    /// the database group
+    #[argh(option)]
+    group: String,
+    /// customers, separated by commas
+    #[argh(option)]
+    customer: String,
+    /// requests per second; 100 by default
+    #[argh(option, default = "100.0")]
+    rate: f64,
+    /// seconds; 10 by default
+    #[argh(option, default = "10.0")]
+    seconds: f64,
+    /// seed of the schedule; 1 by default
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// sessions per customer; 64 by default
+    #[argh(option, default = "64")]
+    sessions: usize,
+    /// requests after which a session moves to another gateway; 20 by default
+    #[argh(option, default = "20")]
+    move_every: u64,
+    /// how many times more the first customer sends than any other; 1 by default
+    #[argh(option, default = "1")]
+    hot_factor: u32,
+    /// lists in use at a time; 16 by default
+    #[argh(option, default = "16")]
+    lists: usize,
+    /// classes and weights, such as `urgent=3,grant=12,update=15,status=40,fresh=15,own=15,report=1`
+    #[argh(option, default = "LoadMix::default()")]
+    mix: LoadMix,
+    /// a word for this run's keys; the process id by default
+    #[argh(option, default = "format!(\"run{}\", std::process::id())")]
+    run: String,
+    /// print the report as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
 #[derive(Clone, Debug)]
 struct AddressList(Vec<SocketAddr>);
 
@@ -89,6 +140,7 @@
     let _ = WriteLogger::init(LevelFilter::Info, config, std::io::stderr());
     let outcome = match arguments.command {
         LabSubcommand::Endpoint(arguments) => run_endpoint(arguments).await,
+        LabSubcommand::Load(arguments) => send_load(arguments).await,
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -133,3 +185,33 @@
     endpoint.stop().await;
     Ok(())
 }
+
+async fn send_load(arguments: LoadArguments) -> Result<(), Box<dyn Error>> {
+    let customers: Vec<String> = arguments.customer.split(',').map(str::to_owned).collect();
+    let settings = LoadSettings {
+        gateways: arguments.gateway.0,
+        group: arguments.group,
+        plan: PlanSettings {
+            seed: arguments.seed,
+            rate: arguments.rate,
+            duration: Duration::from_secs_f64(arguments.seconds),
+            customers: customers.len(),
+            hot_factor: arguments.hot_factor,
+            lists: arguments.lists,
+            mix: arguments.mix,
+        },
+        customers,
+        sessions: arguments.sessions,
+        move_every: arguments.move_every,
+        run_name: arguments.run,
+    };
+    let report = run_load(&settings, &StopFlag::default()).await;
+    match arguments.json {
+        true => println!("{}", serde_json::to_string_pretty(&report)?),
+        false => print!("{report}"),
+    }
+    match report.violations.is_empty() {
+        true => Ok(()),
+        false => Err(format!("{} promises broken", report.violations.len()).into()),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/relay.rs
@@ -0,0 +1,158 @@
+//! A TCP relay that can lose track of its connections, as a middlebox does.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// The bytes forwarded at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What the relay does with bytes and new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayMode {
+    /// Everything is forwarded.
+    Open,
+    /// No byte passes; a new connection is accepted and hangs.
+    Hang,
+    /// No byte passes on open connections; a new connection is closed at once.
+    Refuse,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RelayState {
+    mode: RelayMode,
+    /// Raised each time open connections are lost track of.
+    forgotten: u64,
+}
+
+/// A relay to one address.
+#[derive(Debug)]
+pub struct CutRelay {
+    address: SocketAddr,
+    state: Arc<watch::Sender<RelayState>>,
+    tasks: JoinSet<()>,
+}
+
+impl CutRelay {
+    /// Starts a relay on a free port of 127.0.0.1.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`io::Error`] of the bind.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(crate::process::pick_address())?;
+        let listener = socket.listen(1024)?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(watch::Sender::new(RelayState {
+            mode: RelayMode::Open,
+            forgotten: 0,
+        }));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept_connections(listener, target, state.clone()));
+        Ok(Self {
+            address,
+            state,
+            tasks,
+        })
+    }
+
+    /// Returns the relay's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what the relay does. A connection on which bytes waited goes on when the relay is
+    /// opened again, as TCP does after a cut.
+    pub fn set_mode(&self, mode: RelayMode) {
+        self.state.send_modify(|state| state.mode = mode);
+    }
+
+    /// Silences the connections that are open now, for good; new ones work.
+    pub fn forget_connections(&self) {
+        self.state.send_modify(|state| state.forgotten += 1);
+    }
+
+    /// Ends the relay and its connections.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn accept_connections(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: Arc<watch::Sender<RelayState>>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((caller, _)) = accepted else { continue };
+                let watcher = state.subscribe();
+                if watcher.borrow().mode != RelayMode::Refuse {
+                    connections.spawn(relay_connection(caller, target, watcher));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn relay_connection(
+    caller: TcpStream,
+    target: SocketAddr,
+    mut state: watch::Receiver<RelayState>,
+) {
+    let forgotten = state.borrow().forgotten;
+    pass(&mut state, forgotten).await;
+    let Ok(callee) = TcpStream::connect(target).await else {
+        return;
+    };
+    // Without it the relay would add Nagle's delay to every small message.
+    let _ = caller.set_nodelay(true);
+    let _ = callee.set_nodelay(true);
+    let (caller_read, caller_write) = caller.into_split();
+    let (callee_read, callee_write) = callee.into_split();
+    tokio::join!(
+        forward(caller_read, callee_write, state.clone(), forgotten),
+        forward(callee_read, caller_write, state, forgotten),
+    );
+}
+
+/// Waits until the relay is open; never returns for a connection that was lost track of.
+async fn pass(state: &mut watch::Receiver<RelayState>, forgotten: u64) {
+    let open = |state: &RelayState| state.mode == RelayMode::Open && state.forgotten == forgotten;
+    if state.wait_for(open).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+async fn forward(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<RelayState>,
+    forgotten: u64,
+) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let count = from.read(&mut chunk).await.unwrap_or(0);
+        // The end of a connection is a message as well: a cut relay doesn't pass it on.
+        pass(&mut state, forgotten).await;
+        if count == 0 || to.write_all(&chunk[..count]).await.is_err() {
+            // The other side may be gone already; then there is nobody to tell.
+            let _ = to.shutdown().await;
+            return;
+        }
+    }
+}
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -4,34 +4,14 @@
 use ragwort_lab::endpoint::EndpointSettings;
 use ragwort_lab::endpoint::LabEndpoint;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio_postgres::Client;
 use tokio_postgres::Config;
 use tokio_postgres::NoTls;
 use tokio_postgres::SimpleQueryMessage;
 
-/// Settings of a quick endpoint on free ports.
-pub fn quick_settings(instance: &str, primary: bool) -> EndpointSettings {
-    let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
-    EndpointSettings {
-        group: "cases".into(),
-        instance: instance.into(),
-        domain: "windhoek-a".into(),
-        data_address: any_port,
-        agent_address: any_port,
-        announce: Vec::new(),
-        slots: 2,
-        connections: 16,
-        connect_time: Duration::ZERO,
-        service_time: Duration::from_millis(1),
-        lag_ms: 0,
-        primary,
-    }
-}
-
 /// Starts a quick endpoint.
 pub async fn start_quick(instance: &str, primary: bool) -> LabEndpoint {
-    LabEndpoint::start(&quick_settings(instance, primary))
+    LabEndpoint::start(&EndpointSettings::quick(instance, primary))
         .await
         .unwrap()
 }
--- a/crates/lab/tests/endpoint.rs
+++ b/crates/lab/tests/endpoint.rs
@@ -4,12 +4,12 @@
 
 use common::agent;
 use common::connect;
-use common::quick_settings;
 use common::read;
 use common::rows;
 use common::sqlstate;
 use common::start_quick;
 use common::try_connect;
+use ragwort_lab::endpoint::EndpointSettings;
 use ragwort_lab::endpoint::LabEndpoint;
 use ragwort_lab::faults::FaultRequest;
 use ragwort_lab::lab_rpc::LabApiClient;
@@ -141,7 +141,7 @@
 }
 
 async fn fence_running_case() {
-    let mut settings = quick_settings("a", true);
+    let mut settings = EndpointSettings::quick("a", true);
     settings.slots = 1;
     settings.service_time = Duration::from_millis(300);
     let endpoint = LabEndpoint::start(&settings).await.unwrap();
