--- /dev/null
+++ b/crates/daemon/src/connection.rs
@@ -0,0 +1,354 @@
+//! One connection to an endpoint: a task that owns the socket and runs one statement at a time.
+//!
+//! Behind each statement the task pipelines a second one that makes the endpoint echo the
+//! statement's id together with its log position. The echo proves that the answer belongs to the
+//! statement, and after a commit it is the position that a majority must hold.
+
+use futures::FutureExt;
+use ragwort_types::DatabaseError;
+use ragwort_types::GroupTerm;
+use ragwort_types::LogPosition;
+use ragwort_types::RowSet;
+use ragwort_types::StatementAnswer;
+use ragwort_types::StatementId;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio_postgres::Client;
+use tokio_postgres::Config;
+use tokio_postgres::NoTls;
+use tokio_postgres::SimpleQueryMessage;
+use tokio_postgres::types::Type;
+
+/// Unsent or unacknowledged bytes older than this end the connection, instead of the kernel's
+/// many minutes of retransmission.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Identifies a connection within one leaseholder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// Where and how to connect.
+#[derive(Clone, Debug)]
+pub struct ConnectionTarget {
+    /// Identifies the connection in its events.
+    pub id: ConnectionId,
+    /// The endpoint's address for statements.
+    pub address: SocketAddr,
+    /// The database name, which is the group's.
+    pub database: String,
+    /// The limit for connecting.
+    pub connect_timeout: Duration,
+    /// How long the connection may be idle before it is pinged.
+    pub idle_ping: Duration,
+}
+
+/// What the leaseholder asks of a connection.
+#[derive(Debug)]
+pub enum ConnectionOrder {
+    /// Runs a statement.
+    Run(RunOrder),
+    /// Asks the endpoint to cancel the running statement.
+    Cancel,
+    /// Checks that the endpoint still answers on this connection.
+    Ping,
+}
+
+/// A statement to run.
+#[derive(Debug)]
+pub struct RunOrder {
+    /// The statement's id.
+    pub id: StatementId,
+    /// The statement's text.
+    pub text: String,
+    /// Its parameters, for the extended protocol.
+    pub parameters: Option<Vec<Option<String>>>,
+    /// How long the answer may take.
+    pub limit: Duration,
+}
+
+/// What a connection tells the leaseholder.
+#[derive(Debug)]
+pub struct ConnectionEvent {
+    /// The connection.
+    pub id: ConnectionId,
+    /// What happened.
+    pub change: ConnectionChange,
+}
+
+/// What happened to a connection.
+#[derive(Debug)]
+pub enum ConnectionChange {
+    /// It is open and idle.
+    Opened,
+    /// A statement ended.
+    Finished(StatementId, RunOutcome),
+    /// It is closed; no further event follows.
+    Closed,
+}
+
+/// How a statement ended on its connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// The endpoint answered; the position is where its log stood right after.
+    Answered(StatementAnswer, Option<LogPosition>),
+    /// The endpoint said that it did not run the statement.
+    Refused(DatabaseError),
+    /// No byte of the statement was sent.
+    NotSent,
+    /// The connection was lost after the statement was sent.
+    Lost,
+    /// The endpoint did not answer in time.
+    Silent,
+    /// The echoed id was not the statement's.
+    Mismatch,
+}
+
+/// Starts a connection's task. The caller joins the handle after it has dropped the sender.
+pub fn spawn_connection(
+    target: ConnectionTarget,
+    events: mpsc::Sender<ConnectionEvent>,
+) -> (mpsc::Sender<ConnectionOrder>, JoinHandle<()>) {
+    let (sender, orders) = mpsc::channel(4);
+    let handle = tokio::spawn(async move {
+        let id = target.id;
+        run_connection(target, orders, &events).await;
+        let change = ConnectionChange::Closed;
+        let _ = events.send(ConnectionEvent { id, change }).await;
+    });
+    (sender, handle)
+}
+
+async fn run_connection(
+    target: ConnectionTarget,
+    orders: mpsc::Receiver<ConnectionOrder>,
+    events: &mpsc::Sender<ConnectionEvent>,
+) {
+    let Some((client, driver)) = open_client(&target).await else {
+        return;
+    };
+    let change = ConnectionChange::Opened;
+    let id = target.id;
+    if events.send(ConnectionEvent { id, change }).await.is_ok() {
+        serve_orders(&target, &client, orders, events).await;
+    }
+    drop(client);
+    driver.abort();
+    let _ = driver.await;
+}
+
+async fn open_client(target: &ConnectionTarget) -> Option<(Client, JoinHandle<()>)> {
+    let mut config = Config::new();
+    config
+        .host(target.address.ip().to_string())
+        .port(target.address.port())
+        .user("ragwortgate")
+        .dbname(&target.database)
+        .connect_timeout(target.connect_timeout)
+        .tcp_user_timeout(TCP_USER_TIMEOUT)
+        .keepalives(true);
+    let opening = timeout(target.connect_timeout, config.connect(NoTls)).await;
+    let (client, connection) = opening.ok()?.ok()?;
+    let driver = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Some((client, driver))
+}
+
+async fn serve_orders(
+    target: &ConnectionTarget,
+    client: &Client,
+    mut orders: mpsc::Receiver<ConnectionOrder>,
+    events: &mpsc::Sender<ConnectionEvent>,
+) {
+    loop {
+        let order = match timeout(target.idle_ping, orders.recv()).await {
+            Ok(Some(order)) => order,
+            Ok(None) => return,
+            Err(_) => ConnectionOrder::Ping,
+        };
+        match order {
+            ConnectionOrder::Run(run) => {
+                let id = run.id;
+                let (outcome, reusable) = run_statement(client, run, &mut orders).await;
+                let change = ConnectionChange::Finished(id, outcome);
+                let event = ConnectionEvent {
+                    id: target.id,
+                    change,
+                };
+                if events.send(event).await.is_err() || !reusable {
+                    return;
+                }
+            }
+            ConnectionOrder::Ping => {
+                // Something between the two ends may have forgotten an idle connection: it looks
+                // open and never answers. The ping finds that before a caller's statement does.
+                let ping = client.simple_query("select 1");
+                if !matches!(timeout(target.connect_timeout, ping).await, Ok(Ok(_))) {
+                    return;
+                }
+            }
+            ConnectionOrder::Cancel => {}
+        }
+    }
+}
+
+/// Runs one statement and says whether the connection can take another.
+///
+/// A connection that owes an answer is never reused: the late answer would be taken for the next
+/// statement's. The same goes for a connection on which a cancel was sent, which could arrive
+/// late and hit the next statement.
+async fn run_statement(
+    client: &Client,
+    run: RunOrder,
+    orders: &mut mpsc::Receiver<ConnectionOrder>,
+) -> (RunOutcome, bool) {
+    if client.is_closed() {
+        return (RunOutcome::NotSent, false);
+    }
+    let mut cancelled = false;
+    let answering = timeout(run.limit, answer_statement(client, &run)).fuse();
+    tokio::pin!(answering);
+    let outcome = loop {
+        tokio::select! {
+            answered = &mut answering => break answered.unwrap_or(RunOutcome::Silent),
+            order = orders.recv(), if !cancelled => match order {
+                Some(ConnectionOrder::Cancel) => {
+                    cancelled = true;
+                    let _ = client.cancel_token().cancel_query(NoTls).await;
+                }
+                Some(_) => {}
+                // The leaseholder has let go of the connection: nobody wants the answer.
+                None => return (RunOutcome::Lost, false),
+            },
+        }
+    };
+    let reusable = matches!(outcome, RunOutcome::Answered(..) | RunOutcome::Refused(_));
+    (outcome, reusable && !cancelled)
+}
+
+async fn answer_statement(client: &Client, run: &RunOrder) -> RunOutcome {
+    let echo_text = format!("show ragwort_position {}", run.id);
+    let (answer, echo) = match &run.parameters {
+        None => {
+            let answer = client.simple_query(&run.text);
+            let echo = client.simple_query(&echo_text);
+            let (answer, echo) = tokio::join!(answer, echo);
+            (answer.map(|messages| collect_answer(&messages)), echo)
+        }
+        Some(parameters) => {
+            let answer = run_extended(client, &run.text, parameters).await;
+            (answer, client.simple_query(&echo_text).await)
+        }
+    };
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => match as_database_error(&error) {
+            Some(reported) if is_refusal(&reported) => return RunOutcome::Refused(reported),
+            Some(reported) => StatementAnswer::Failed(reported),
+            None => return RunOutcome::Lost,
+        },
+    };
+    match echo {
+        Ok(messages) => match read_echo(&messages) {
+            Some((id, position)) if id == run.id.to_string() => {
+                RunOutcome::Answered(answer, Some(position))
+            }
+            _ => RunOutcome::Mismatch,
+        },
+        // Within a failed transaction a database refuses everything but a rollback.
+        Err(error) if as_database_error(&error).is_some() => RunOutcome::Answered(answer, None),
+        Err(_) => RunOutcome::Lost,
+    }
+}
+
+async fn run_extended(
+    client: &Client,
+    text: &str,
+    parameters: &[Option<String>],
+) -> Result<StatementAnswer, tokio_postgres::Error> {
+    let typed: Vec<_> = parameters
+        .iter()
+        .map(|value| {
+            (
+                value as &(dyn tokio_postgres::types::ToSql + Sync),
+                Type::TEXT,
+            )
+        })
+        .collect();
+    let rows = client.query_typed(text, &typed).await?;
+    let mut set = RowSet::default();
+    if let Some(first) = rows.first() {
+        set.columns = first
+            .columns()
+            .iter()
+            .map(|column| column.name().to_string())
+            .collect();
+    }
+    for row in &rows {
+        let values = (0..row.len()).map(|index| row.try_get::<_, Option<String>>(index));
+        set.rows.push(values.collect::<Result<_, _>>()?);
+    }
+    if set.columns.is_empty() {
+        return Ok(StatementAnswer::Done(0));
+    }
+    Ok(StatementAnswer::Rows(set))
+}
+
+fn collect_answer(messages: &[SimpleQueryMessage]) -> StatementAnswer {
+    let mut set = RowSet::default();
+    let mut described = false;
+    let mut affected = 0;
+    for message in messages {
+        match message {
+            SimpleQueryMessage::RowDescription(columns) => {
+                described = true;
+                set.columns = columns
+                    .iter()
+                    .map(|column| column.name().to_string())
+                    .collect();
+            }
+            SimpleQueryMessage::Row(row) => {
+                let values = (0..row.len()).map(|index| row.get(index).map(str::to_string));
+                set.rows.push(values.collect());
+            }
+            SimpleQueryMessage::CommandComplete(count) => affected = *count,
+            _ => {}
+        }
+    }
+    if described {
+        StatementAnswer::Rows(set)
+    } else {
+        StatementAnswer::Done(affected)
+    }
+}
+
+fn read_echo(messages: &[SimpleQueryMessage]) -> Option<(String, LogPosition)> {
+    let row = messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => Some(row),
+        _ => None,
+    })?;
+    let id = row.get(0)?.to_string();
+    let term = GroupTerm(row.get(1)?.parse().ok()?);
+    let index = row.get(2)?.parse().ok()?;
+    Some((id, LogPosition::new(term, index)))
+}
+
+fn as_database_error(error: &tokio_postgres::Error) -> Option<DatabaseError> {
+    let reported = error.as_db_error()?;
+    Some(DatabaseError {
+        sqlstate: reported.code().code().to_string(),
+        message: reported.message().to_string(),
+    })
+}
+
+/// Says whether the endpoint itself said that nothing ran: it shuts down or is fenced, takes no
+/// writes, or has no room.
+fn is_refusal(error: &DatabaseError) -> bool {
+    matches!(
+        error.sqlstate.as_str(),
+        "57P01" | "57P03" | "25006" | "53300"
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,5 @@
+//! The daemon of ragwortgate.
+
+pub mod connection;
+pub mod disk;
+pub mod peers;
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,169 @@
+//! Links to other VMs and to endpoints' agents.
+//!
+//! A link is opened on first use and kept. A call that can't connect has not run; a call that
+//! fails later may have, and [`LinkError`] says which.
+
+use jsonrpsee::core::client::Error as ClientError;
+use jsonrpsee::ws_client::PingConfig;
+use jsonrpsee::ws_client::WsClient;
+use jsonrpsee::ws_client::WsClientBuilder;
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::timeout;
+
+/// Requests that may wait on one link. A gateway multiplexes all its callers over one link to a
+/// leaseholder, so the library's default of 256 would refuse ordinary load.
+const LINK_REQUESTS: usize = 16_384;
+
+/// The largest message on a link, in bytes. A catalog snapshot of 710 groups and thousands of
+/// contracts takes a few megabytes.
+const LINK_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+
+/// How a call over a link failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkError {
+    /// No connection could be had: the call has not run.
+    Unreachable,
+    /// The connection was lost or silent after the call was handed to it: the call may have run.
+    Lost,
+    /// The other side answered with an error.
+    Rejected(String),
+}
+
+impl LinkError {
+    /// Says whether the call may have reached the other side.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, Self::Unreachable)
+    }
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable => formatter.write_str("peer unreachable"),
+            Self::Lost => formatter.write_str("link lost during the call"),
+            Self::Rejected(text) => write!(formatter, "call rejected: {text}"),
+        }
+    }
+}
+
+/// The links of one process, by address. Clones share the same links.
+#[derive(Clone)]
+pub struct PeerLinks {
+    slots: Arc<Mutex<HashMap<SocketAddr, Arc<LinkSlot>>>>,
+    connect_timeout: Duration,
+}
+
+#[derive(Default)]
+struct LinkSlot {
+    client: AsyncMutex<Option<Arc<WsClient>>>,
+}
+
+impl PeerLinks {
+    /// Creates an empty set of links; each connects within `connect_timeout` or not at all.
+    pub fn new(connect_timeout: Duration) -> Self {
+        Self {
+            slots: Arc::default(),
+            connect_timeout,
+        }
+    }
+
+    /// Makes one call over the link to `address`, answered within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError::Unreachable`] if no connection could be had, and [`LinkError::Lost`] if
+    /// the connection ended or the time ran out after the call was handed over.
+    pub async fn call<Reply, Call, Answer>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        call: Call,
+    ) -> Result<Reply, LinkError>
+    where
+        Call: FnOnce(Arc<WsClient>) -> Answer,
+        Answer: Future<Output = Result<Reply, ClientError>>,
+    {
+        let client = self.connect(address).await?;
+        match timeout(limit, call(Arc::clone(&client))).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(ClientError::Call(error))) => {
+                Err(LinkError::Rejected(error.message().to_string()))
+            }
+            // The path may have dropped the connection's state: it stays silent for good while new
+            // connections work, and every later call would time out too. A fresh connection on the
+            // next call ends that.
+            Ok(Err(_)) | Err(_) => {
+                self.discard(address, &client).await;
+                Err(LinkError::Lost)
+            }
+        }
+    }
+
+    /// Says whether a *new* connection to `address` can be had within `limit`.
+    pub async fn probe_fresh(&self, address: SocketAddr, limit: Duration) -> bool {
+        matches!(timeout(limit, open_client(address, limit)).await, Ok(Ok(_)))
+    }
+
+    /// Closes the link to `address`, so that the next call opens a new one.
+    pub async fn reopen(&self, address: SocketAddr) {
+        let slot = self.slot(address);
+        *slot.client.lock().await = None;
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Arc<WsClient>, LinkError> {
+        let slot = self.slot(address);
+        let mut client = slot.client.lock().await;
+        if let Some(open) = client.as_ref().filter(|open| open.is_connected()) {
+            return Ok(Arc::clone(open));
+        }
+        *client = None;
+        let opening = open_client(address, self.connect_timeout);
+        let fresh = timeout(self.connect_timeout, opening).await;
+        let fresh = fresh.map_err(|_| LinkError::Unreachable)?;
+        let fresh = Arc::new(fresh.map_err(|_| LinkError::Unreachable)?);
+        *client = Some(Arc::clone(&fresh));
+        Ok(fresh)
+    }
+
+    async fn discard(&self, address: SocketAddr, broken: &Arc<WsClient>) {
+        let slot = self.slot(address);
+        let mut client = slot.client.lock().await;
+        if client
+            .as_ref()
+            .is_some_and(|held| Arc::ptr_eq(held, broken))
+        {
+            *client = None;
+        }
+    }
+
+    fn slot(&self, address: SocketAddr) -> Arc<LinkSlot> {
+        let mut slots = self.slots.lock().expect("no holder of this lock panics");
+        Arc::clone(slots.entry(address).or_default())
+    }
+}
+
+async fn open_client(address: SocketAddr, limit: Duration) -> Result<WsClient, ClientError> {
+    WsClientBuilder::default()
+        .connection_timeout(limit)
+        .request_timeout(Duration::from_secs(600))
+        .max_concurrent_requests(LINK_REQUESTS)
+        .max_buffer_capacity_per_subscription(1)
+        .max_request_size(LINK_MESSAGE_BYTES)
+        .max_response_size(LINK_MESSAGE_BYTES)
+        .set_tcp_no_delay(true)
+        .enable_ws_ping(
+            PingConfig::new()
+                .ping_interval(Duration::from_millis(500))
+                .inactive_limit(Duration::from_millis(1_500))
+                .max_failures(1),
+        )
+        .build(format!("ws://{address}"))
+        .await
+}
