Let operators form the first voter set by a call

The control VMs of a new system hold nothing, and nothing else decides when they may elect: an automatic start could form two systems on both sides of a cut. The operator's call is explicit, and its reply tells a second call from the first.

--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -345,6 +345,17 @@
     pub members: Vec<MemberRecord>,
 }
 
+/// The answer to an operator's wish to form the first voter set of the control VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FormReply {
+    /// All control VMs were empty and reachable, and are now the voters.
+    Formed,
+    /// The control VMs hold an agreed log already; nothing was changed.
+    AlreadyFormed,
+    /// The voter set was not formed, for this reason in words; nothing was changed.
+    Refused(String),
+}
+
 /// Names an instance of a group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceId {
--- a/crates/types/src/rpc.rs
+++ b/crates/types/src/rpc.rs
@@ -13,6 +13,7 @@
 use crate::EndpointAnnouncement;
 use crate::FenceReply;
 use crate::ForceStatus;
+use crate::FormReply;
 use crate::GroupTerm;
 use crate::HeartbeatBatch;
 use crate::HeartbeatReply;
@@ -105,6 +106,10 @@
     /// Starts draining this VM.
     #[method(name = "drain")]
     async fn drain(&self) -> RpcResult<()>;
+
+    /// Forms the first voter set from the control VMs of this VM's settings.
+    #[method(name = "form")]
+    async fn form(&self) -> RpcResult<FormReply>;
 }
 
 /// Calls by endpoints' agents, answered by every daemon.
