Read the daemon's settings and report every fault at once

An operator who mends one fault per start of the daemon loses a start for each. The derived deserializer stops at its first fault, so it was ruled out; the library parses the text into a tree with places, and our reader takes typed values and notes every fault with line and column. Only text that isn't YAML is one fault, as the library can't go on after it.

--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,4 @@
+//! The daemon of ragwortgate.
+
+pub mod settings;
+mod settings_tree;
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,486 @@
+//! The daemon's settings, read from one YAML file at start.
+//!
+//! Unknown settings and bad values are refused, and all of them are reported at once. Only a text
+//! that isn't YAML at all is reported with a single fault, because the library stops there.
+
+use crate::settings_tree::SectionReader;
+use crate::settings_tree::TreeNode;
+use crate::settings_tree::parse_tree;
+use log::LevelFilter;
+use ragwort_types::DomainName;
+use ragwort_types::VmName;
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+pub use crate::settings_tree::SettingFault;
+
+/// The most control VMs that a system may have.
+pub const MOST_CONTROL_VMS: usize = 7;
+
+/// The least number of heartbeats in a lease.
+///
+/// With fewer, one lost packet and one late one in a row would end the lease of a healthy VM, and
+/// its groups would move for nothing.
+const LEAST_HEARTBEATS_IN_LEASE: u64 = 3;
+
+const HOUR_MS: u64 = 3_600_000;
+
+/// The settings of one daemon.
+///
+/// # Examples
+///
+/// ```
+/// use ragwortgated::settings::DaemonSettings;
+///
+/// let text = "
+/// vm: vm-1
+/// domain: windhoek-a
+/// roles: { gateway: true }
+/// listen: { callers: 127.0.0.1:6432, peers: 127.0.0.1:7432, platform: 127.0.0.1:8432 }
+/// control:
+///   - { vm: vm-2, address: 127.0.0.2:7432 }
+/// ";
+/// let settings = DaemonSettings::from_yaml(text).unwrap();
+/// assert_eq!(settings.timing.lease_ms, 1000);
+///
+/// let faults = DaemonSettings::from_yaml("vm: vm-1\nport: 5432").unwrap_err();
+/// assert!(faults.iter().any(|fault| fault.line == 2));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonSettings {
+    /// The VM's name, unique in the system.
+    pub vm: VmName,
+    /// The VM's failure domain.
+    pub domain: DomainName,
+    /// What the daemon does.
+    pub roles: RoleSettings,
+    /// Where the daemon listens.
+    pub listen: ListenSettings,
+    /// The control VMs.
+    pub control: Vec<ControlAddress>,
+    /// Where a control VM keeps its files.
+    pub data_folder: Option<PathBuf>,
+    /// Intervals and time-outs.
+    pub timing: TimingSettings,
+    /// Limits that protect the daemon itself.
+    pub limits: LimitSettings,
+    /// The log.
+    pub log: LogSettings,
+}
+
+/// What a daemon does; each daemon can be a leaseholder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoleSettings {
+    /// Whether it takes callers' connections.
+    pub gateway: bool,
+    /// Whether it holds the agreed log.
+    pub control: bool,
+}
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// For callers, by PostgreSQL's protocol.
+    pub callers: SocketAddr,
+    /// For other VMs, endpoints' agents and operators.
+    pub peers: SocketAddr,
+    /// For the platform: readiness, metrics, dump.
+    pub platform: SocketAddr,
+}
+
+/// A control VM and its address for other VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlAddress {
+    /// The VM.
+    pub vm: VmName,
+    /// Its address for other VMs.
+    pub address: SocketAddr,
+}
+
+/// Intervals and time-outs, in milliseconds or in ticks of `tick_ms`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimingSettings {
+    /// How often a member renews its lease.
+    pub heartbeat_ms: u64,
+    /// How long a lease runs from the moment its renewal was sent.
+    pub lease_ms: u64,
+    /// The step of the control VMs' clock.
+    pub tick_ms: u64,
+    /// The shortest silence of a control leader before another stands for election, in ticks.
+    pub election_ticks: u64,
+    /// How often the control leader sends to a silent follower, in ticks.
+    pub agreement_heartbeat_ticks: u64,
+    /// How often an endpoint is probed.
+    pub probe_every_ms: u64,
+    /// How long a probe waits for its answer.
+    pub probe_timeout_ms: u64,
+    /// How long an endpoint may be silent before it is taken out of use.
+    pub announce_lost_ms: u64,
+    /// How long a connection may be idle before it is pinged.
+    pub idle_ping_ms: u64,
+    /// How long work in flight may take at shutdown.
+    pub drain_ms: u64,
+    /// How long a connection may take to open.
+    pub connect_timeout_ms: u64,
+    /// How long request keys are remembered.
+    pub key_window_ms: u64,
+}
+
+impl Default for TimingSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 200,
+            lease_ms: 1_000,
+            tick_ms: 20,
+            election_ticks: 10,
+            agreement_heartbeat_ticks: 2,
+            probe_every_ms: 100,
+            probe_timeout_ms: 150,
+            announce_lost_ms: 1_500,
+            idle_ping_ms: 1_000,
+            drain_ms: 10_000,
+            connect_timeout_ms: 1_000,
+            key_window_ms: 600_000,
+        }
+    }
+}
+
+/// Limits that protect the daemon itself; callers' limits stand in their contracts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// The most connections of callers.
+    pub connections: u64,
+    /// The longest message of a caller, in bytes.
+    pub message_bytes: u64,
+    /// How long a caller's start-up may take, in milliseconds.
+    pub startup_ms: u64,
+    /// How long a message may take from its first byte to its last, in milliseconds; also how
+    /// long a caller may take to receive an answer.
+    pub statement_ms: u64,
+    /// The most statements that a gateway has in flight to one group.
+    pub in_flight_per_group: u64,
+    /// The connections of each endpoint that a leaseholder leaves for its successor.
+    pub reserve_connections: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            connections: 20_000,
+            message_bytes: 1_048_576,
+            startup_ms: 5_000,
+            statement_ms: 10_000,
+            in_flight_per_group: 2_000,
+            reserve_connections: 2,
+        }
+    }
+}
+
+/// The log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// The least level that is written.
+    pub level: LevelFilter,
+    /// The file; standard error if none.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            file: None,
+        }
+    }
+}
+
+impl DaemonSettings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault found; a file that can't be read is one fault without a place.
+    pub fn read_file(path: &Path) -> Result<Self, Vec<SettingFault>> {
+        let text = fs::read_to_string(path).map_err(|error| {
+            let message = format!("{}: {error}", path.display());
+            vec![SettingFault::without_place(message)]
+        })?;
+        Self::from_yaml(&text)
+    }
+
+    /// Reads settings from YAML text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault found, in the order of the file.
+    pub fn from_yaml(text: &str) -> Result<Self, Vec<SettingFault>> {
+        let tree = parse_tree(text).map_err(|fault| vec![fault])?;
+        let mut faults = Vec::new();
+        let settings = read_settings(tree, &mut faults);
+        faults.sort_by_key(|fault| (fault.line, fault.column));
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(faults),
+        }
+    }
+}
+
+fn read_settings(tree: TreeNode, faults: &mut Vec<SettingFault>) -> Option<DaemonSettings> {
+    let mut root = SectionReader::new("", tree);
+    let vm = take_name(&mut root, "vm", "a VM's name");
+    let domain = take_name(&mut root, "domain", "a failure domain's name");
+    let roles = read_roles(root.take_required_section("roles"), faults);
+    let listen = read_listen(root.take_required_section("listen"), faults);
+    let control = read_control(&mut root, faults);
+    let data_folder = take_path(&mut root, "data_folder");
+    let timing = read_timing(root.take_optional_section("timing"), faults);
+    let limits = read_limits(root.take_optional_section("limits"), faults);
+    let log = read_log(root.take_optional_section("log"), faults);
+    if roles.control && data_folder.is_none() {
+        let message = "data_folder: expected a folder, because roles.control is true".to_owned();
+        root.note(root.location(), message);
+    }
+    if let (Some(vm), Some(listen)) = (&vm, &listen) {
+        check_own_control_address(&mut root, vm, roles, listen, &control);
+    }
+    faults.extend(root.finish());
+    Some(DaemonSettings {
+        vm: VmName::from(vm?),
+        domain: DomainName::from(domain?),
+        roles,
+        listen: listen?,
+        control,
+        data_folder,
+        timing,
+        limits,
+        log,
+    })
+}
+
+fn take_name(section: &mut SectionReader, key: &'static str, expected: &str) -> Option<String> {
+    let plain = |letter: char| letter.is_ascii_alphanumeric() || matches!(letter, '-' | '_' | '.');
+    let name = section.take_required::<String>(key, expected)?;
+    if name.value.is_empty() || !name.value.chars().all(plain) {
+        let message =
+            format!("{key}: expected {expected} of letters, digits, `-`, `_` and `.` only");
+        section.note(name.referenced, message);
+        return None;
+    }
+    Some(name.value)
+}
+
+fn take_path(section: &mut SectionReader, key: &'static str) -> Option<PathBuf> {
+    let path = section.take_scalar::<PathBuf>(key, "a path")?;
+    Some(path.value)
+}
+
+fn take_flag(section: &mut SectionReader, key: &'static str) -> bool {
+    section
+        .take_scalar::<bool>(key, "true or false")
+        .is_some_and(|flag| flag.value)
+}
+
+fn read_roles(mut section: SectionReader, faults: &mut Vec<SettingFault>) -> RoleSettings {
+    let roles = RoleSettings {
+        gateway: take_flag(&mut section, "gateway"),
+        control: take_flag(&mut section, "control"),
+    };
+    faults.extend(section.finish());
+    roles
+}
+
+fn read_listen(
+    mut section: SectionReader,
+    faults: &mut Vec<SettingFault>,
+) -> Option<ListenSettings> {
+    const EXPECTED: &str = "an IP address and a port, such as 127.0.0.1:6432";
+    let callers = section.take_required::<SocketAddr>("callers", EXPECTED);
+    let peers = section.take_required::<SocketAddr>("peers", EXPECTED);
+    let platform = section.take_required::<SocketAddr>("platform", EXPECTED);
+    let mut seen = BTreeSet::new();
+    for (key, address) in [
+        ("callers", &callers),
+        ("peers", &peers),
+        ("platform", &platform),
+    ] {
+        let Some(address) = address else { continue };
+        if address.value.port() != 0 && !seen.insert(address.value) {
+            let message = format!("listen.{key}: expected an address that isn't used above");
+            section.note(address.referenced, message);
+        }
+    }
+    faults.extend(section.finish());
+    Some(ListenSettings {
+        callers: callers?.value,
+        peers: peers?.value,
+        platform: platform?.value,
+    })
+}
+
+fn read_control(root: &mut SectionReader, faults: &mut Vec<SettingFault>) -> Vec<ControlAddress> {
+    let nodes = root.take_list("control");
+    let count = nodes.len();
+    if count == 0 || count > MOST_CONTROL_VMS {
+        let message =
+            format!("control: expected 1 to {MOST_CONTROL_VMS} control VMs, found {count}");
+        root.note(root.location(), message);
+    }
+    let mut addresses: Vec<ControlAddress> = Vec::new();
+    for node in nodes {
+        let mut section = SectionReader::new("control", node);
+        let vm = section.take_required::<String>("vm", "a VM's name");
+        let address = section.take_required::<SocketAddr>("address", "an IP address and a port");
+        if let (Some(vm), Some(address)) = (vm, address) {
+            let vm_name = VmName::from(vm.value);
+            if addresses.iter().any(|other| other.vm == vm_name) {
+                let message = format!("control.vm: expected each VM once, found {vm_name} again");
+                section.note(vm.referenced, message);
+            }
+            if addresses.iter().any(|other| other.address == address.value) {
+                let message = "control.address: expected each address once".to_owned();
+                section.note(address.referenced, message);
+            }
+            addresses.push(ControlAddress {
+                vm: vm_name,
+                address: address.value,
+            });
+        }
+        faults.extend(section.finish());
+    }
+    addresses
+}
+
+fn check_own_control_address(
+    root: &mut SectionReader,
+    vm: &str,
+    roles: RoleSettings,
+    listen: &ListenSettings,
+    control: &[ControlAddress],
+) {
+    let listed = control.iter().find(|other| other.vm.as_str() == vm);
+    let message = match (roles.control, listed) {
+        (true, None) => {
+            format!("control: expected {vm} in the list, because roles.control is true")
+        }
+        (false, Some(_)) => {
+            format!("control: expected only control VMs, but roles.control is false on {vm}")
+        }
+        (true, Some(own)) if !reaches(own.address, listen.peers) => format!(
+            "control: expected {vm} under its listen.peers address {}, found {}",
+            listen.peers, own.address
+        ),
+        (true, Some(_)) | (false, None) => return,
+    };
+    root.note(root.location(), message);
+}
+
+/// Says whether a connection to `address` reaches a listener on `listener`.
+fn reaches(address: SocketAddr, listener: SocketAddr) -> bool {
+    address.port() == listener.port()
+        && (listener.ip().is_unspecified() || address.ip() == listener.ip())
+}
+
+fn read_timing(mut section: SectionReader, faults: &mut Vec<SettingFault>) -> TimingSettings {
+    let default = TimingSettings::default();
+    let minute = 1..=60_000;
+    let timing = TimingSettings {
+        heartbeat_ms: section.take_number("heartbeat_ms", default.heartbeat_ms, minute.clone()),
+        lease_ms: section.take_number("lease_ms", default.lease_ms, minute.clone()),
+        tick_ms: section.take_number("tick_ms", default.tick_ms, 1..=1_000),
+        election_ticks: section.take_number("election_ticks", default.election_ticks, 3..=1_000),
+        agreement_heartbeat_ticks: section.take_number(
+            "agreement_heartbeat_ticks",
+            default.agreement_heartbeat_ticks,
+            1..=1_000,
+        ),
+        probe_every_ms: section.take_number(
+            "probe_every_ms",
+            default.probe_every_ms,
+            minute.clone(),
+        ),
+        probe_timeout_ms: section.take_number(
+            "probe_timeout_ms",
+            default.probe_timeout_ms,
+            minute.clone(),
+        ),
+        announce_lost_ms: section.take_number(
+            "announce_lost_ms",
+            default.announce_lost_ms,
+            minute.clone(),
+        ),
+        idle_ping_ms: section.take_number("idle_ping_ms", default.idle_ping_ms, minute.clone()),
+        drain_ms: section.take_number("drain_ms", default.drain_ms, 1..=HOUR_MS),
+        connect_timeout_ms: section.take_number(
+            "connect_timeout_ms",
+            default.connect_timeout_ms,
+            minute,
+        ),
+        key_window_ms: section.take_number(
+            "key_window_ms",
+            default.key_window_ms,
+            ragwort_types::LONGEST_DEADLINE_MS..=24 * HOUR_MS,
+        ),
+    };
+    check_timing(&mut section, timing);
+    faults.extend(section.finish());
+    timing
+}
+
+fn check_timing(section: &mut SectionReader, timing: TimingSettings) {
+    let least_lease = timing.heartbeat_ms * LEAST_HEARTBEATS_IN_LEASE;
+    if timing.lease_ms < least_lease {
+        let message = format!(
+            "timing.lease_ms: expected at least {LEAST_HEARTBEATS_IN_LEASE} heartbeats \
+             ({least_lease}), found {}",
+            timing.lease_ms
+        );
+        section.note(section.location(), message);
+    }
+    if timing.agreement_heartbeat_ticks * 2 > timing.election_ticks {
+        let message = format!(
+            "timing.agreement_heartbeat_ticks: expected at most half of election_ticks ({}), \
+             found {}",
+            timing.election_ticks, timing.agreement_heartbeat_ticks
+        );
+        section.note(section.location(), message);
+    }
+}
+
+fn read_limits(mut section: SectionReader, faults: &mut Vec<SettingFault>) -> LimitSettings {
+    let default = LimitSettings::default();
+    let limits = LimitSettings {
+        connections: section.take_number("connections", default.connections, 1..=1_000_000),
+        message_bytes: section.take_number(
+            "message_bytes",
+            default.message_bytes,
+            1_024..=1_073_741_824,
+        ),
+        startup_ms: section.take_number("startup_ms", default.startup_ms, 1..=HOUR_MS),
+        statement_ms: section.take_number("statement_ms", default.statement_ms, 1..=HOUR_MS),
+        in_flight_per_group: section.take_number(
+            "in_flight_per_group",
+            default.in_flight_per_group,
+            1..=1_000_000,
+        ),
+        reserve_connections: section.take_number(
+            "reserve_connections",
+            default.reserve_connections,
+            0..=1_000,
+        ),
+    };
+    faults.extend(section.finish());
+    limits
+}
+
+fn read_log(mut section: SectionReader, faults: &mut Vec<SettingFault>) -> LogSettings {
+    let default = LogSettings::default();
+    let level = section
+        .take_scalar::<LevelFilter>("level", "off, error, warn, info, debug or trace")
+        .map_or(default.level, |level| level.value);
+    let file = take_path(&mut section, "file");
+    faults.extend(section.finish());
+    LogSettings { level, file }
+}
--- /dev/null
+++ b/crates/daemon/src/settings_tree.rs
@@ -0,0 +1,343 @@
+//! A YAML tree that remembers where each value stands, and a reader that gathers faults.
+//!
+//! A derived deserializer stops at its first fault, so an operator would mend a file fault by
+//! fault, with one start of the daemon between each two. Here the library parses the text into a
+//! tree, and a [`SectionReader`] takes typed values out of it and notes every fault on the way.
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::MapAccess;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
+use serde_saphyr::Location;
+use serde_saphyr::Spanned;
+use std::fmt;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+/// A fault in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingFault {
+    /// The line, counted from 1; zero when the fault has no place, as for a file that is missing.
+    pub line: u64,
+    /// The column, counted from 1.
+    pub column: u64,
+    /// What is wrong and what was expected.
+    pub message: String,
+}
+
+impl SettingFault {
+    /// Creates a fault that has no place in the file.
+    pub fn without_place(message: impl Into<String>) -> Self {
+        Self {
+            line: 0,
+            column: 0,
+            message: message.into(),
+        }
+    }
+
+    pub(crate) fn at(location: Location, message: impl Into<String>) -> Self {
+        Self {
+            line: location.line(),
+            column: location.column(),
+            message: message.into(),
+        }
+    }
+}
+
+impl fmt::Display for SettingFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line == 0 {
+            return formatter.write_str(&self.message);
+        }
+        write!(
+            formatter,
+            "line {} column {}: {}",
+            self.line, self.column, self.message
+        )
+    }
+}
+
+/// A value of the tree with its place.
+pub(crate) type TreeNode = Spanned<TreeValue>;
+
+/// A value of the tree.
+#[derive(Clone, Debug)]
+pub(crate) enum TreeValue {
+    Empty,
+    Scalar(String),
+    List(Vec<TreeNode>),
+    Map(Vec<TreeEntry>),
+}
+
+/// A key and its value.
+#[derive(Clone, Debug)]
+pub(crate) struct TreeEntry {
+    key: Spanned<String>,
+    value: TreeNode,
+}
+
+struct TreeVisitor;
+
+impl<'de> Visitor<'de> for TreeVisitor {
+    type Value = TreeValue;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a value, a list or a map")
+    }
+
+    fn visit_unit<E>(self) -> Result<TreeValue, E> {
+        Ok(TreeValue::Empty)
+    }
+
+    fn visit_none<E>(self) -> Result<TreeValue, E> {
+        Ok(TreeValue::Empty)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<TreeValue, E> {
+        Ok(TreeValue::Scalar(value.to_string()))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<TreeValue, E> {
+        Ok(TreeValue::Scalar(value.to_string()))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<TreeValue, E> {
+        Ok(TreeValue::Scalar(value.to_string()))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<TreeValue, E> {
+        Ok(TreeValue::Scalar(value.to_string()))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<TreeValue, E> {
+        Ok(TreeValue::Scalar(value.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<TreeValue, A::Error> {
+        let mut nodes = Vec::new();
+        while let Some(node) = list.next_element()? {
+            nodes.push(node);
+        }
+        Ok(TreeValue::List(nodes))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<TreeValue, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(key) = map.next_key()? {
+            let value = map.next_value()?;
+            entries.push(TreeEntry { key, value });
+        }
+        Ok(TreeValue::Map(entries))
+    }
+}
+
+impl<'de> Deserialize<'de> for TreeValue {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(TreeVisitor)
+    }
+}
+
+/// Parses a text into a tree.
+///
+/// # Errors
+///
+/// Returns the library's first fault when the text isn't YAML; the library can't go on after it.
+pub(crate) fn parse_tree(text: &str) -> Result<TreeNode, SettingFault> {
+    serde_saphyr::from_str(text).map_err(|error| {
+        let message = error.without_snippet().to_string();
+        match error.location() {
+            Some(location) => SettingFault::at(location, message),
+            None => SettingFault::without_place(message),
+        }
+    })
+}
+
+/// The place and the taken entries of one map.
+///
+/// Each `take_` method removes its key, so that [`SectionReader::finish`] can name the keys that
+/// nobody asked for.
+pub(crate) struct SectionReader {
+    path: String,
+    location: Location,
+    entries: Vec<TreeEntry>,
+    known: Vec<&'static str>,
+    faults: Vec<SettingFault>,
+}
+
+impl SectionReader {
+    /// Starts to read a map; anything else is a fault and reads as an empty map.
+    pub(crate) fn new(path: &str, node: TreeNode) -> Self {
+        let mut reader = Self {
+            path: path.to_owned(),
+            location: node.referenced,
+            entries: Vec::new(),
+            known: Vec::new(),
+            faults: Vec::new(),
+        };
+        match node.value {
+            TreeValue::Map(entries) => reader.entries = entries,
+            TreeValue::Empty => {}
+            TreeValue::Scalar(_) | TreeValue::List(_) => {
+                reader.note(
+                    reader.location,
+                    format!("{path}: expected a map of settings"),
+                );
+            }
+        }
+        reader
+    }
+
+    /// Returns the place of the whole section.
+    pub(crate) fn location(&self) -> Location {
+        self.location
+    }
+
+    /// Notes a fault at a place.
+    pub(crate) fn note(&mut self, location: Location, message: String) {
+        self.faults.push(SettingFault::at(location, message));
+    }
+
+    /// Takes a value of any shape; an empty value counts as absent.
+    pub(crate) fn take_node(&mut self, key: &'static str) -> Option<TreeNode> {
+        self.known.push(key);
+        let place = self
+            .entries
+            .iter()
+            .position(|entry| entry.key.value == key)?;
+        let node = self.entries.remove(place).value;
+        (!matches!(node.value, TreeValue::Empty)).then_some(node)
+    }
+
+    /// Takes a section.
+    pub(crate) fn take_section(&mut self, key: &'static str) -> Option<SectionReader> {
+        let path = self.path_of(key);
+        self.take_node(key)
+            .map(|node| SectionReader::new(&path, node))
+    }
+
+    /// Takes a section that must be there.
+    pub(crate) fn take_required_section(&mut self, key: &'static str) -> SectionReader {
+        match self.take_section(key) {
+            Some(section) => section,
+            None => {
+                self.note_missing(key);
+                self.empty_section(key)
+            }
+        }
+    }
+
+    /// Takes a section, or an empty one in its place, so that its defaults apply.
+    pub(crate) fn take_optional_section(&mut self, key: &'static str) -> SectionReader {
+        self.take_section(key)
+            .unwrap_or_else(|| self.empty_section(key))
+    }
+
+    /// Takes a list; an absent one is empty.
+    pub(crate) fn take_list(&mut self, key: &'static str) -> Vec<TreeNode> {
+        let path = self.path_of(key);
+        match self.take_node(key) {
+            None => Vec::new(),
+            Some(node) => match node.value {
+                TreeValue::List(nodes) => nodes,
+                TreeValue::Empty | TreeValue::Scalar(_) | TreeValue::Map(_) => {
+                    self.note(node.referenced, format!("{path}: expected a list"));
+                    Vec::new()
+                }
+            },
+        }
+    }
+
+    /// Takes a scalar that `T` can be made of; a scalar that it can't is a fault.
+    pub(crate) fn take_scalar<T: FromStr>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+    ) -> Option<Spanned<T>> {
+        let path = self.path_of(key);
+        let node = self.take_node(key)?;
+        let location = node.referenced;
+        let TreeValue::Scalar(text) = node.value else {
+            self.note(location, format!("{path}: expected {expected}"));
+            return None;
+        };
+        match text.parse() {
+            Ok(value) => Some(Spanned::new(value, location, location)),
+            Err(_) => {
+                self.note(
+                    location,
+                    format!("{path}: expected {expected}, found `{text}`"),
+                );
+                None
+            }
+        }
+    }
+
+    /// Takes a scalar that must be there; an absent or malformed one is a fault.
+    pub(crate) fn take_required<T: FromStr>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+    ) -> Option<Spanned<T>> {
+        let present = self
+            .entries
+            .iter()
+            .any(|entry| entry.key.value == key && !matches!(entry.value.value, TreeValue::Empty));
+        if !present {
+            self.note_missing(key);
+        }
+        self.take_scalar(key, expected)
+    }
+
+    /// Takes a whole number within a range, or the default when it is absent.
+    pub(crate) fn take_number(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> u64 {
+        let expected = format!("a whole number from {} to {}", range.start(), range.end());
+        let Some(number) = self.take_scalar::<u64>(key, &expected) else {
+            return default;
+        };
+        if !range.contains(&number.value) {
+            let path = self.path_of(key);
+            self.note(
+                number.referenced,
+                format!("{path}: expected {expected}, found `{}`", number.value),
+            );
+            return default;
+        }
+        number.value
+    }
+
+    /// Ends the section: names the keys that nobody asked for and returns all faults.
+    pub(crate) fn finish(mut self) -> Vec<SettingFault> {
+        let known = self.known.join(", ");
+        for entry in std::mem::take(&mut self.entries) {
+            let path = self.path_of(&entry.key.value);
+            self.note(
+                entry.key.referenced,
+                format!("{path}: unknown setting, expected one of {known}"),
+            );
+        }
+        self.faults
+    }
+
+    fn note_missing(&mut self, key: &'static str) {
+        let path = self.path_of(key);
+        self.note(self.location, format!("{path}: expected, but missing"));
+    }
+
+    fn empty_section(&self, key: &str) -> SectionReader {
+        let empty = Spanned::new(TreeValue::Empty, self.location, self.location);
+        SectionReader::new(&self.path_of(key), empty)
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            return key.to_owned();
+        }
+        format!("{}.{key}", self.path)
+    }
+}
