--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,3 +3,5 @@
 pub mod connection;
 pub mod disk;
 pub mod peers;
+pub mod settings;
+mod settings_tree;
--- a/crates/types/src/rpc.rs
+++ b/crates/types/src/rpc.rs
@@ -9,10 +9,12 @@
 use crate::CommandRequest;
 use crate::ContractAcceptance;
 use crate::ContractChange;
+use crate::ControlIdentity;
 use crate::CustomerName;
 use crate::EndpointAnnouncement;
 use crate::FenceReply;
 use crate::ForceStatus;
+use crate::FormReply;
 use crate::GroupTerm;
 use crate::HeartbeatBatch;
 use crate::HeartbeatReply;
@@ -23,6 +25,7 @@
 use crate::JournalReply;
 use crate::JournalRequest;
 use crate::LogPosition;
+use crate::MemberId;
 use crate::NodeStatus;
 use crate::StatementReply;
 use crate::StatementRequest;
@@ -66,6 +69,14 @@
     #[method(name = "agree")]
     async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()>;
 
+    /// Says which voter this control VM is, before the first voter set is formed.
+    #[method(name = "controlIdentity")]
+    async fn control_identity(&self) -> RpcResult<Option<ControlIdentity>>;
+
+    /// Writes the first voter set; false if the log isn't empty.
+    #[method(name = "formVoters")]
+    async fn form_voters(&self, voters: Vec<MemberId>) -> RpcResult<bool>;
+
     /// Says whether this VM can reach an endpoint's agent, for a second view from another domain.
     #[method(name = "probeInstance")]
     async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool>;
@@ -105,6 +116,10 @@
     /// Starts draining this VM.
     #[method(name = "drain")]
     async fn drain(&self) -> RpcResult<()>;
+
+    /// Forms the first voter set from the control VMs of this VM's settings.
+    #[method(name = "form")]
+    async fn form(&self) -> RpcResult<FormReply>;
 }
 
 /// Calls by endpoints' agents, answered by every daemon.
