--- /dev/null
+++ b/crates/daemon/src/gateway.rs
@@ -0,0 +1,327 @@
+//! The gateway: finds the leaseholder of a statement's group and brings back its one reply.
+//!
+//! A gateway holds no database connection. What it decides is whether a statement that could not
+//! be handed over is worth another attempt within its deadline, and what may be claimed of a
+//! statement whose reply was lost.
+
+use crate::clock::NodeClock;
+use crate::member::MemberView;
+use crate::peers::LinkError;
+use crate::peers::PeerLinks;
+use jsonrpsee::ws_client::WsClient;
+use ragwort_control::ClockTime;
+use ragwort_types::AccessMode;
+use ragwort_types::CustomerContract;
+use ragwort_types::DoubtCause;
+use ragwort_types::GroupName;
+use ragwort_types::GroupRecord;
+use ragwort_types::KindTerms;
+use ragwort_types::RefusalCause;
+use ragwort_types::RepeatRule;
+use ragwort_types::RequestMarks;
+use ragwort_types::RequestVerdict;
+use ragwort_types::StatementId;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+use ragwort_types::TransactionStep;
+use ragwort_types::VmName;
+use ragwort_types::rpc::PeerApiClient;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// The pause between two attempts to hand a statement over.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a leaseholder's reply may take beyond the statement's deadline. The leaseholder answers by
+/// the deadline itself; the grace covers the way back.
+const REPLY_GRACE: Duration = Duration::from_millis(250);
+
+/// How a group's leaseholder is replaced after it is lost: its lease must end, then the placement
+/// is committed and the successor collects the journal. Two heartbeats and a round of calls beyond
+/// the lease is what that takes when nothing else fails.
+const TAKEOVER_LEASES: f64 = 1.5;
+
+/// A statement's way through one gateway.
+pub struct Gateway {
+    clock: NodeClock,
+    links: PeerLinks,
+    view: watch::Receiver<MemberView>,
+    lease: Duration,
+    outages: Mutex<HashMap<GroupName, ClockTime>>,
+}
+
+/// How one attempt to hand a statement over ended.
+enum HandOver {
+    /// The leaseholder replied.
+    Replied(StatementReply),
+    /// The statement was not handed over, or the other side said that it did not take it.
+    NotTaken(RefusalCause),
+    /// The statement was handed over and the reply was lost.
+    ReplyLost,
+}
+
+/// Which VMs to hand a statement to.
+struct RouteTarget {
+    leaseholder: SocketAddr,
+    relays: Vec<SocketAddr>,
+}
+
+impl Gateway {
+    /// Creates a gateway that looks up contracts and placements in `view`.
+    ///
+    /// `lease` is the length of a member's lease: the time that a lost leaseholder's successor
+    /// must wait.
+    pub fn new(
+        clock: NodeClock,
+        links: PeerLinks,
+        view: watch::Receiver<MemberView>,
+        lease: Duration,
+    ) -> Self {
+        Self {
+            clock,
+            links,
+            view,
+            lease,
+            outages: Mutex::default(),
+        }
+    }
+
+    /// Brings a statement to its group's leaseholder and returns the reply.
+    pub async fn execute(&self, request: StatementRequest) -> StatementReply {
+        let started = self.clock.now();
+        let view = self.view.borrow().clone();
+        if !view.may_serve(started) {
+            return self.refuse(&request, RefusalCause::NoLease);
+        }
+        let contract = view.copy.contract(&request.customer);
+        let Some(terms) = contract.and_then(|held| find_terms(&held.contract, &request.marks))
+        else {
+            return reply_with(&request, RequestVerdict::refused(RefusalCause::Contract, 0));
+        };
+        let deadline = started + find_deadline(&terms, &request.marks);
+        self.attempt_until(request, &terms, started, deadline).await
+    }
+
+    /// Passes a statement on to its leaseholder for a gateway that can't reach it.
+    pub async fn relay(&self, request: StatementRequest) -> StatementReply {
+        let Some(target) = self.find_target(&request.group) else {
+            return self.refuse(&request, RefusalCause::NoLeaseholder);
+        };
+        let limit = Duration::from_millis(ragwort_types::LONGEST_DEADLINE_MS);
+        match self.hand_over(&request, target.leaseholder, limit, false).await {
+            HandOver::Replied(reply) => reply,
+            HandOver::NotTaken(cause) => self.refuse(&request, cause),
+            HandOver::ReplyLost => doubt(&request),
+        }
+    }
+
+    /// Cancels a statement at its group's leaseholder; the outcome arrives as its reply.
+    pub async fn cancel(&self, group: GroupName, id: StatementId) {
+        let Some(target) = self.find_target(&group) else {
+            return;
+        };
+        let call = |client: Arc<WsClient>| async move { client.cancel(group, id).await };
+        let _ = self.links.call(target.leaseholder, self.lease, call).await;
+    }
+
+    async fn attempt_until(
+        &self,
+        mut request: StatementRequest,
+        terms: &KindTerms,
+        started: ClockTime,
+        deadline: ClockTime,
+    ) -> StatementReply {
+        let mut sent_before = false;
+        loop {
+            let now = self.clock.now();
+            let limit = deadline.since(now) + REPLY_GRACE;
+            request.spent_ms = now.since(started).as_millis() as u64;
+            let cause = match self.try_once(&request, limit).await {
+                HandOver::Replied(reply) => {
+                    self.end_outage(&request.group);
+                    return settle_reply(&request, reply, terms, sent_before);
+                }
+                HandOver::NotTaken(cause) => cause,
+                HandOver::ReplyLost if is_resendable(&request, terms) => {
+                    sent_before = true;
+                    RefusalCause::NoLeaseholder
+                }
+                HandOver::ReplyLost => return doubt(&request),
+            };
+            if let Some(lost) = lose_transaction(&request) {
+                return lost;
+            }
+            let end = self.note_outage(&request.group);
+            if end >= deadline || end <= self.clock.now() {
+                // A read leaves nothing behind, and an idempotent write may have run by now.
+                if sent_before && terms.access == AccessMode::Write {
+                    return doubt(&request);
+                }
+                return self.refuse(&request, cause);
+            }
+            sleep(ATTEMPT_PAUSE).await;
+        }
+    }
+
+    async fn try_once(&self, request: &StatementRequest, limit: Duration) -> HandOver {
+        if !self.view.borrow().may_serve(self.clock.now()) {
+            return HandOver::NotTaken(RefusalCause::NoLease);
+        }
+        let Some(target) = self.find_target(&request.group) else {
+            return HandOver::NotTaken(RefusalCause::NoLeaseholder);
+        };
+        let direct = self.hand_over(request, target.leaseholder, limit, false).await;
+        let HandOver::NotTaken(RefusalCause::NoLeaseholder) = direct else {
+            return direct;
+        };
+        // The path between this VM and the leaseholder may be cut while both live: a standby in
+        // another failure domain usually still reaches it.
+        for relay in target.relays {
+            let relayed = self.hand_over(request, relay, limit, true).await;
+            if !matches!(relayed, HandOver::NotTaken(_)) {
+                return relayed;
+            }
+        }
+        direct
+    }
+
+    async fn hand_over(
+        &self,
+        request: &StatementRequest,
+        address: SocketAddr,
+        limit: Duration,
+        relayed: bool,
+    ) -> HandOver {
+        let sent = request.clone();
+        let call = |client: Arc<WsClient>| async move {
+            if relayed {
+                client.relay(sent).await
+            } else {
+                client.execute(sent).await
+            }
+        };
+        match self.links.call(address, limit, call).await {
+            Ok(reply) if reply.id != request.id => HandOver::ReplyLost,
+            Ok(reply) => match reply.verdict {
+                RequestVerdict::NotRun(refusal) if is_misrouted(refusal.cause) => {
+                    HandOver::NotTaken(refusal.cause)
+                }
+                _ => HandOver::Replied(reply),
+            },
+            Err(LinkError::Unreachable) => HandOver::NotTaken(RefusalCause::NoLeaseholder),
+            Err(LinkError::Lost | LinkError::Rejected(_)) => HandOver::ReplyLost,
+        }
+    }
+
+    fn find_target(&self, group: &GroupName) -> Option<RouteTarget> {
+        let view = self.view.borrow();
+        let record: &GroupRecord = view.copy.group(group)?;
+        let address = |vm: &VmName| view.copy.member(vm).map(|member| member.peer_address);
+        Some(RouteTarget {
+            leaseholder: address(&record.placement.leaseholder)?,
+            relays: record.placement.standbys.iter().filter_map(address).collect(),
+        })
+    }
+
+    /// Notes that a group has no reachable leaseholder and returns when that should be over.
+    fn note_outage(&self, group: &GroupName) -> ClockTime {
+        let mut outages = self.outages.lock().expect("no holder of this lock panics");
+        let since = *outages.entry(group.clone()).or_insert_with(|| self.clock.now());
+        since + self.lease.mul_f64(TAKEOVER_LEASES)
+    }
+
+    fn end_outage(&self, group: &GroupName) {
+        let mut outages = self.outages.lock().expect("no holder of this lock panics");
+        outages.remove(group);
+    }
+
+    /// Refuses a statement at once; the caller should be back when a takeover can be over.
+    fn refuse(&self, request: &StatementRequest, cause: RefusalCause) -> StatementReply {
+        let end = self.note_outage(&request.group);
+        let left = self.clock.until(end).max(self.lease / 4);
+        let verdict = RequestVerdict::refused(cause, left.as_millis() as u64);
+        reply_with(request, verdict)
+    }
+}
+
+/// Returns the terms of the kind that a statement's marks name, or of the default kind.
+pub fn find_terms(contract: &CustomerContract, marks: &RequestMarks) -> Option<KindTerms> {
+    let kind = marks.kind.as_ref().unwrap_or(&contract.default_kind);
+    contract.kind(kind).copied()
+}
+
+/// Returns a statement's deadline: the contract's, or the caller's if that is tighter.
+pub fn find_deadline(terms: &KindTerms, marks: &RequestMarks) -> Duration {
+    let asked = marks.deadline_ms.unwrap_or(u64::MAX);
+    Duration::from_millis(terms.deadline_ms.min(asked))
+}
+
+fn is_misrouted(cause: RefusalCause) -> bool {
+    matches!(cause, RefusalCause::NoLease | RefusalCause::NoLeaseholder)
+}
+
+/// Says whether a statement whose reply was lost may be handed over again: it changes nothing, has
+/// the same effect twice, or has a key by which the next leaseholder knows it.
+fn is_resendable(request: &StatementRequest, terms: &KindTerms) -> bool {
+    request.step == TransactionStep::Single
+        && (terms.access == AccessMode::Read
+            || terms.repeat == RepeatRule::Idempotent
+            || request.marks.key.is_some())
+}
+
+/// A transaction lives on one connection of one leaseholder: it can't move to another.
+///
+/// It was not committed, so its statements count as not run.
+fn lose_transaction(request: &StatementRequest) -> Option<StatementReply> {
+    match request.step {
+        TransactionStep::Single | TransactionStep::Begin(_) => None,
+        TransactionStep::Within(_) | TransactionStep::Commit(_) | TransactionStep::Rollback(_) => {
+            let verdict = RequestVerdict::refused(RefusalCause::TransactionLost, 0);
+            Some(reply_with(request, verdict))
+        }
+    }
+}
+
+fn doubt(request: &StatementRequest) -> StatementReply {
+    let verdict = match request.step {
+        // Nothing of a transaction lasts before its commit was asked for.
+        TransactionStep::Begin(_) | TransactionStep::Within(_) | TransactionStep::Rollback(_) => {
+            RequestVerdict::refused(RefusalCause::TransactionLost, 0)
+        }
+        TransactionStep::Single | TransactionStep::Commit(_) => {
+            RequestVerdict::MayHaveRun(DoubtCause::LeaseholderLost)
+        }
+    };
+    reply_with(request, verdict)
+}
+
+/// Returns the reply as it may be told to the caller.
+///
+/// A refusal covers only the attempt that it answers. An earlier attempt whose reply was lost can
+/// still be on its way and run, so a refused resend of a write says nothing about the write.
+fn settle_reply(
+    request: &StatementRequest,
+    reply: StatementReply,
+    terms: &KindTerms,
+    sent_before: bool,
+) -> StatementReply {
+    let refused = matches!(reply.verdict, RequestVerdict::NotRun(_));
+    if refused && sent_before && terms.access == AccessMode::Write {
+        return doubt(request);
+    }
+    reply
+}
+
+/// Creates the reply to a statement that no endpoint answered.
+pub fn reply_with(request: &StatementRequest, verdict: RequestVerdict) -> StatementReply {
+    StatementReply {
+        id: request.id,
+        verdict,
+        served_by: None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/member.rs
@@ -0,0 +1,217 @@
+//! Membership: keeps this VM's lease alive and its copy of the catalog up to date.
+//!
+//! One task sends heartbeats to one control VM and moves on to another when it gets no grant. The
+//! lease counts from the moment a heartbeat was *sent*, so this VM always believes its lease to be
+//! shorter than control does.
+
+use crate::clock::NodeClock;
+use crate::peers::PeerLinks;
+use crate::settings::DaemonSettings;
+use log::info;
+use log::warn;
+use ragwort_control::CatalogCopy;
+use ragwort_control::ClockTime;
+use ragwort_control::MemberLease;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CommandReply;
+use ragwort_types::CommandRequest;
+use ragwort_types::GroupName;
+use ragwort_types::HeartbeatReply;
+use ragwort_types::HeartbeatRequest;
+use ragwort_types::LeaseGrant;
+use ragwort_types::MemberId;
+use ragwort_types::MemberRecord;
+use ragwort_types::VmIncarnation;
+use ragwort_types::rpc::PeerApiClient;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// What this VM knows of the system.
+#[derive(Clone)]
+pub struct MemberView {
+    /// The copy of the catalog; revision zero before the first grant.
+    pub copy: Arc<CatalogCopy>,
+    /// The lease.
+    pub lease: MemberLease,
+    /// Whether this VM is shutting down.
+    pub draining: bool,
+}
+
+impl MemberView {
+    /// Says whether this VM may serve now: it has a live lease, and so a present catalog.
+    pub fn may_serve(&self, now: ClockTime) -> bool {
+        self.lease.is_valid(now)
+    }
+}
+
+/// What the heartbeat task works with.
+pub struct MemberTask {
+    /// The daemon's settings.
+    pub settings: Arc<DaemonSettings>,
+    /// The process's clock.
+    pub clock: NodeClock,
+    /// Links to the control VMs.
+    pub links: PeerLinks,
+    /// Where the view is published.
+    pub view: watch::Sender<MemberView>,
+    /// The groups whose endpoints announce here and that have no placement.
+    pub unplaced: watch::Receiver<Vec<GroupName>>,
+    /// Whether the daemon is shutting down.
+    pub draining: watch::Receiver<bool>,
+    /// Ends the task.
+    pub stop: watch::Receiver<bool>,
+}
+
+/// Creates the identity of this process: the VM's name and the start time.
+pub fn create_member_id(settings: &DaemonSettings) -> MemberId {
+    let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = started.unwrap_or_default().as_micros();
+    MemberId {
+        vm: settings.vm.clone(),
+        incarnation: VmIncarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
+    }
+}
+
+impl MemberTask {
+    /// Sends heartbeats until told to stop, then leaves the membership.
+    ///
+    /// Returns false if another process has joined under this VM's name.
+    pub async fn run(mut self, id: MemberId) -> bool {
+        let mut control = self.first_control(&id);
+        let mut attached = false;
+        loop {
+            let address = self.settings.control[control].address;
+            match self.send_heartbeat(&id, address).await {
+                Some(HeartbeatReply::Granted(_)) => {
+                    if !attached {
+                        info!("event=lease_granted vm={} control={address}", id.vm);
+                    }
+                    attached = true;
+                }
+                Some(HeartbeatReply::NotYet) => attached = false,
+                Some(HeartbeatReply::Superseded) => {
+                    warn!("event=superseded vm={} incarnation={}", id.vm, id.incarnation);
+                    self.view.send_modify(|view| view.lease.supersede());
+                    return false;
+                }
+                None => {
+                    if attached {
+                        warn!("event=heartbeat_lost vm={} control={address}", id.vm);
+                    }
+                    attached = false;
+                    control = (control + 1) % self.settings.control.len();
+                }
+            }
+            if !self.wait_next(attached).await {
+                self.leave(&id).await;
+                return true;
+            }
+        }
+    }
+
+    /// Spreads the members over the control VMs; a control VM speaks to itself.
+    fn first_control(&self, id: &MemberId) -> usize {
+        let own = self.settings.control.iter().position(|control| control.vm == id.vm);
+        own.unwrap_or_else(|| id.incarnation.0 as usize % self.settings.control.len())
+    }
+
+    fn describe_self(&self, id: &MemberId) -> MemberRecord {
+        MemberRecord {
+            id: id.clone(),
+            domain: self.settings.domain.clone(),
+            peer_address: self.settings.listen.peers,
+            draining: *self.draining.borrow(),
+        }
+    }
+
+    async fn send_heartbeat(
+        &mut self,
+        id: &MemberId,
+        address: SocketAddr,
+    ) -> Option<HeartbeatReply> {
+        let request = HeartbeatRequest {
+            member: self.describe_self(id),
+            revision: self.view.borrow().copy.revision(),
+            unplaced_groups: self.unplaced.borrow_and_update().clone(),
+        };
+        let sent = self.clock.now();
+        let limit = Duration::from_millis(self.settings.timing.lease_ms / 2);
+        let call = |client: Arc<jsonrpsee::ws_client::WsClient>| async move {
+            client.heartbeat(request).await
+        };
+        let reply = self.links.call(address, limit, call).await.ok()?;
+        if let HeartbeatReply::Granted(grant) = &reply {
+            self.take_grant(sent, grant);
+        }
+        Some(reply)
+    }
+
+    /// Publishes the new view: the delta always, the lease only with it.
+    ///
+    /// A VM that lacks a change which control has told an operator is in force everywhere would
+    /// serve under the replaced contract. It can lack one after its lease ended and it was not
+    /// counted, so a lease is only taken together with everything up to the grant's revision.
+    fn take_grant(&self, sent: ClockTime, grant: &LeaseGrant) {
+        let mut copy = Arc::clone(&self.view.borrow().copy);
+        if let Some(delta) = &grant.delta
+            && let Err(error) = Arc::make_mut(&mut copy).apply_delta(delta)
+        {
+            warn!("event=delta_refused error=\"{error}\"");
+            return;
+        }
+        let held = copy.revision();
+        self.view.send_modify(|view| {
+            view.copy = copy;
+            view.draining = *self.draining.borrow();
+            view.lease.renew(sent, grant, held);
+        });
+    }
+
+    async fn wait_next(&mut self, attached: bool) -> bool {
+        let timing = &self.settings.timing;
+        let pause = if attached {
+            Duration::from_millis(timing.heartbeat_ms)
+        } else {
+            Duration::from_millis(timing.heartbeat_ms / 4)
+        };
+        tokio::select! {
+            () = sleep(pause) => {}
+            changed = self.stop.changed() => {
+                if changed.is_err() || *self.stop.borrow() {
+                    return false;
+                }
+            }
+            _ = self.draining.changed() => {}
+            changed = self.unplaced.changed() => {
+                if changed.is_err() {
+                    sleep(pause).await;
+                }
+            }
+        }
+        !*self.stop.borrow()
+    }
+
+    /// Leaves the membership, so that nobody waits for this VM's lease to end.
+    async fn leave(&self, id: &MemberId) {
+        self.view.send_modify(|view| view.lease.supersede());
+        let command = CatalogCommand::RemoveMember(id.clone());
+        let limit = Duration::from_millis(self.settings.timing.lease_ms);
+        for control in &self.settings.control {
+            let request = CommandRequest {
+                forwarded: false,
+                command: command.clone(),
+            };
+            let call = |client: Arc<jsonrpsee::ws_client::WsClient>| async move {
+                client.propose(request).await
+            };
+            let reply = self.links.call(control.address, limit, call).await;
+            if matches!(reply, Ok(CommandReply::Committed(_))) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/server.rs
@@ -0,0 +1,360 @@
+//! The calls that this daemon answers: other VMs', endpoints' and operators'.
+//!
+//! Each call becomes a message to the task that owns the matter, and waits for its answer.
+
+use crate::control::ControlEvent;
+use crate::gateway::Gateway;
+use crate::gateway::reply_with;
+use crate::leaseholders::LeaseholderEvent;
+use crate::member::MemberView;
+use crate::node::NodeDump;
+use crate::peers::LinkError;
+use crate::peers::PeerLinks;
+use crate::settings::DaemonSettings;
+use crate::standby::StandbyEvent;
+use async_trait::async_trait;
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::ws_client::WsClient;
+use ragwort_types::AgreementEnvelope;
+use ragwort_types::AnnouncementReply;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CommandReply;
+use ragwort_types::CommandRequest;
+use ragwort_types::ContractAcceptance;
+use ragwort_types::ContractChange;
+use ragwort_types::ControlIdentity;
+use ragwort_types::CustomerName;
+use ragwort_types::EndpointAnnouncement;
+use ragwort_types::ForceStatus;
+use ragwort_types::FormReply;
+use ragwort_types::GroupName;
+use ragwort_types::HeartbeatBatch;
+use ragwort_types::HeartbeatReply;
+use ragwort_types::HeartbeatRequest;
+use ragwort_types::JournalAppend;
+use ragwort_types::JournalCopy;
+use ragwort_types::JournalReply;
+use ragwort_types::JournalRequest;
+use ragwort_types::MemberId;
+use ragwort_types::NodeStatus;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestVerdict;
+use ragwort_types::StatementId;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+use ragwort_types::VersionedContract;
+use ragwort_types::rpc::AgentApiClient;
+use ragwort_types::rpc::AnnounceApiServer;
+use ragwort_types::rpc::OperatorApiClient;
+use ragwort_types::rpc::OperatorApiServer;
+use ragwort_types::rpc::PeerApiClient;
+use ragwort_types::rpc::PeerApiServer;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+/// Connections that this VM answers: other VMs, endpoints' agents, operators. At 630 VMs every one
+/// may hold a link for statements and one for control, and an agent per instance one more.
+const SERVER_CONNECTIONS: u32 = 8_192;
+
+/// JSON-RPC's code for a call that this daemon can't answer now.
+const UNAVAILABLE: i32 = -32_000;
+
+/// How long a call of one task may take before the caller is told that it failed.
+const OPERATOR_LIMIT: Duration = Duration::from_secs(5);
+
+/// The ways from the server to the tasks of this daemon.
+#[derive(Clone)]
+pub struct ServerRoutes {
+    /// The daemon's settings.
+    pub settings: Arc<DaemonSettings>,
+    /// The control role, if this VM has it.
+    pub control: Option<mpsc::Sender<ControlEvent>>,
+    /// The leaseholders' manager.
+    pub leaseholders: mpsc::Sender<LeaseholderEvent>,
+    /// The journals held as a standby.
+    pub standby: mpsc::Sender<StandbyEvent>,
+    /// The gateway.
+    pub gateway: Arc<Gateway>,
+    /// Links to other VMs.
+    pub links: PeerLinks,
+    /// What this VM knows.
+    pub view: watch::Receiver<MemberView>,
+    /// Starts the drain.
+    pub drain: watch::Sender<bool>,
+    /// Collects the state of all tasks.
+    pub dump: NodeDump,
+}
+
+/// Starts to answer calls on the daemon's peers address.
+///
+/// # Errors
+///
+/// Returns the operating system's error if the address can't be listened on.
+pub async fn start_server(routes: ServerRoutes) -> io::Result<ServerHandle> {
+    let config = ServerConfig::builder()
+        .max_connections(SERVER_CONNECTIONS)
+        .max_request_body_size(64 * 1024 * 1024)
+        .max_response_body_size(64 * 1024 * 1024)
+        .build();
+    let address = routes.settings.listen.peers;
+    let server = Server::builder().set_config(config).build(address).await?;
+    let mut module = RpcModule::new(());
+    let merged = module
+        .merge(PeerApiServer::into_rpc(routes.clone()))
+        .and_then(|()| module.merge(OperatorApiServer::into_rpc(routes.clone())))
+        .and_then(|()| module.merge(AnnounceApiServer::into_rpc(routes)));
+    merged.map_err(io::Error::other)?;
+    Ok(server.start(module))
+}
+
+impl ServerRoutes {
+    async fn ask_control<Answer>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<Answer>) -> ControlEvent,
+    ) -> RpcResult<Answer> {
+        let control = self.control.as_ref().ok_or_else(not_control)?;
+        let (reply, answer) = oneshot::channel();
+        control.send(event(reply)).await.map_err(|_| stopping())?;
+        answer.await.map_err(|_| stopping())
+    }
+
+    async fn ask_leaseholders<Answer>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<Answer>) -> LeaseholderEvent,
+    ) -> RpcResult<Answer> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.leaseholders.send(event(reply)).await;
+        sent.map_err(|_| stopping())?;
+        answer.await.map_err(|_| stopping())
+    }
+
+    async fn ask_standby<Answer>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<Answer>) -> StandbyEvent,
+    ) -> RpcResult<Answer> {
+        let (reply, answer) = oneshot::channel();
+        self.standby.send(event(reply)).await.map_err(|_| stopping())?;
+        answer.await.map_err(|_| stopping())
+    }
+
+    /// Proposes a command at this VM's control role or at a control VM.
+    ///
+    /// An answer lost on the way is reported as unknown: the command may be committed, and a
+    /// resend under the same id gets the first answer.
+    pub async fn propose_anywhere(&self, command: &CatalogCommand) -> CommandReply {
+        let mut worst = CommandReply::NoLeader;
+        for control in &self.settings.control {
+            let request = CommandRequest {
+                forwarded: false,
+                command: command.clone(),
+            };
+            let call = |client: Arc<WsClient>| async move { client.propose(request).await };
+            match self.links.call(control.address, OPERATOR_LIMIT, call).await {
+                Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable) => {}
+                Ok(CommandReply::Committed(outcome)) => return CommandReply::Committed(outcome),
+                Ok(CommandReply::Unknown) | Err(LinkError::Lost | LinkError::Rejected(_)) => {
+                    worst = CommandReply::Unknown;
+                }
+            }
+        }
+        worst
+    }
+
+    async fn form_voters_everywhere(&self) -> FormReply {
+        let mut voters = Vec::new();
+        for control in &self.settings.control {
+            let call = |client: Arc<WsClient>| async move { client.control_identity().await };
+            match self.links.call(control.address, OPERATOR_LIMIT, call).await {
+                Ok(Some(identity)) if identity.empty => voters.push(identity.id),
+                Ok(Some(_)) => return FormReply::AlreadyFormed,
+                Ok(None) => {
+                    return FormReply::Refused(format!("{} is no control VM", control.vm));
+                }
+                Err(error) => return FormReply::Refused(format!("{}: {error}", control.vm)),
+            }
+        }
+        let mut formed = 0;
+        for control in &self.settings.control {
+            let voters = voters.clone();
+            let call = |client: Arc<WsClient>| async move { client.form_voters(voters).await };
+            let reply = self.links.call(control.address, OPERATOR_LIMIT, call).await;
+            formed += u32::from(matches!(reply, Ok(true)));
+        }
+        match formed {
+            0 => FormReply::Refused("no control VM wrote the first voter set".to_string()),
+            // One that was written reaches the others through the agreed log.
+            _ => FormReply::Formed,
+        }
+    }
+}
+
+#[async_trait]
+impl PeerApiServer for ServerRoutes {
+    async fn execute(&self, request: StatementRequest) -> RpcResult<StatementReply> {
+        let (reply, answer) = oneshot::channel();
+        let refused = reply_with(
+            &request,
+            RequestVerdict::refused(RefusalCause::NoLeaseholder, 0),
+        );
+        let event = LeaseholderEvent::Statement(Box::new(request), reply);
+        if self.leaseholders.send(event).await.is_err() {
+            return Ok(refused);
+        }
+        answer.await.map_err(|_| stopping())
+    }
+
+    async fn relay(&self, request: StatementRequest) -> RpcResult<StatementReply> {
+        Ok(self.gateway.relay(request).await)
+    }
+
+    async fn cancel(&self, group: GroupName, id: StatementId) -> RpcResult<()> {
+        let event = LeaseholderEvent::Cancel(group, id);
+        self.leaseholders.send(event).await.map_err(|_| stopping())
+    }
+
+    async fn append_journal(&self, append: JournalAppend) -> RpcResult<JournalReply> {
+        self.ask_standby(|reply| StandbyEvent::Append(append, reply)).await
+    }
+
+    async fn read_journal(&self, request: JournalRequest) -> RpcResult<JournalCopy> {
+        self.ask_standby(|reply| StandbyEvent::Read(request, reply)).await
+    }
+
+    async fn heartbeat(&self, request: HeartbeatRequest) -> RpcResult<HeartbeatReply> {
+        self.ask_control(|reply| ControlEvent::Heartbeat(request, reply)).await
+    }
+
+    async fn heartbeat_batch(&self, batch: HeartbeatBatch) -> RpcResult<Vec<HeartbeatReply>> {
+        self.ask_control(|reply| ControlEvent::Batch(batch, reply)).await
+    }
+
+    async fn propose(&self, request: CommandRequest) -> RpcResult<CommandReply> {
+        self.ask_control(|reply| ControlEvent::Propose(request, reply)).await
+    }
+
+    async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()> {
+        let control = self.control.as_ref().ok_or_else(not_control)?;
+        let sent = control.send(ControlEvent::Agree(envelope)).await;
+        sent.map_err(|_| stopping())
+    }
+
+    async fn control_identity(&self) -> RpcResult<Option<ControlIdentity>> {
+        if self.control.is_none() {
+            return Ok(None);
+        }
+        self.ask_control(ControlEvent::Identity).await.map(Some)
+    }
+
+    async fn form_voters(&self, voters: Vec<MemberId>) -> RpcResult<bool> {
+        self.ask_control(|reply| ControlEvent::Form(voters, reply)).await
+    }
+
+    async fn leader_force(&self, acceptance: ContractAcceptance) -> RpcResult<Option<ForceStatus>> {
+        self.ask_control(|reply| ControlEvent::Force(acceptance, reply)).await
+    }
+
+    async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool> {
+        let limit = Duration::from_millis(self.settings.timing.probe_timeout_ms);
+        let call = |client: Arc<WsClient>| async move { client.status().await };
+        Ok(self.links.call(agent_address, limit, call).await.is_ok())
+    }
+
+    async fn ping(&self) -> RpcResult<()> {
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl OperatorApiServer for ServerRoutes {
+    async fn apply_contract(&self, change: ContractChange) -> RpcResult<CommandReply> {
+        Ok(self.propose_anywhere(&CatalogCommand::ApplyContract(change)).await)
+    }
+
+    async fn force_status(&self, acceptance: ContractAcceptance) -> RpcResult<ForceStatus> {
+        if self.control.is_some()
+            && let Some(status) = self
+                .ask_control(|reply| ControlEvent::Force(acceptance, reply))
+                .await?
+        {
+            return Ok(status);
+        }
+        // Only the leader knows; it answers without asking on, so this can't go in a circle.
+        for control in self.settings.control.iter().filter(|one| one.vm != self.settings.vm) {
+            let call = |client: Arc<WsClient>| async move { client.leader_force(acceptance).await };
+            let reply = self.links.call(control.address, OPERATOR_LIMIT, call).await;
+            if let Ok(Some(status)) = reply {
+                return Ok(status);
+            }
+        }
+        Err(unavailable("no control leader is known; ask again"))
+    }
+
+    async fn get_contract(&self, customer: CustomerName) -> RpcResult<Option<VersionedContract>> {
+        Ok(self.view.borrow().copy.contract(&customer).cloned())
+    }
+
+    async fn list_contracts(&self) -> RpcResult<Vec<VersionedContract>> {
+        Ok(self.view.borrow().copy.contracts().cloned().collect())
+    }
+
+    async fn status(&self) -> RpcResult<NodeStatus> {
+        let leader = match &self.control {
+            Some(_) => self.ask_control(ControlEvent::Dump).await.ok(),
+            None => None,
+        };
+        let leader = leader.and_then(|dump| dump["leader"].as_str().map(Into::into));
+        let view = self.view.borrow().clone();
+        Ok(NodeStatus {
+            vm: self.settings.vm.clone(),
+            revision: view.copy.revision(),
+            ready: self.dump.is_ready(),
+            draining: *self.drain.borrow(),
+            control_leader: leader,
+            groups: view.copy.groups().cloned().collect(),
+            members: view.copy.members().cloned().collect(),
+        })
+    }
+
+    async fn dump(&self) -> RpcResult<String> {
+        Ok(self.dump.collect().await.to_string())
+    }
+
+    async fn drain(&self) -> RpcResult<()> {
+        self.drain.send_replace(true);
+        Ok(())
+    }
+
+    async fn form(&self) -> RpcResult<FormReply> {
+        Ok(self.form_voters_everywhere().await)
+    }
+}
+
+#[async_trait]
+impl AnnounceApiServer for ServerRoutes {
+    async fn announce(&self, announcement: EndpointAnnouncement) -> RpcResult<AnnouncementReply> {
+        self.ask_leaseholders(|reply| LeaseholderEvent::Announce(Box::new(announcement), reply))
+            .await
+    }
+}
+
+fn unavailable(text: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(UNAVAILABLE, text, None::<()>)
+}
+
+fn not_control() -> ErrorObjectOwned {
+    unavailable("this VM has no control role")
+}
+
+fn stopping() -> ErrorObjectOwned {
+    unavailable("this VM is stopping")
+}
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -141,6 +141,9 @@
 /// A command for the catalog, passed on to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommandRequest {
+    /// Whether a control VM passed it on already; it is not passed on twice.
+    #[serde(default)]
+    pub forwarded: bool,
     /// The command.
     pub command: CatalogCommand,
 }
--- a/crates/types/src/rpc.rs
+++ b/crates/types/src/rpc.rs
@@ -15,6 +15,7 @@
 use crate::FenceReply;
 use crate::ForceStatus;
 use crate::FormReply;
+use crate::GroupName;
 use crate::GroupTerm;
 use crate::HeartbeatBatch;
 use crate::HeartbeatReply;
@@ -27,6 +28,7 @@
 use crate::LogPosition;
 use crate::MemberId;
 use crate::NodeStatus;
+use crate::StatementId;
 use crate::StatementReply;
 use crate::StatementRequest;
 use crate::VersionedContract;
@@ -45,6 +47,10 @@
     #[method(name = "relay")]
     async fn relay(&self, request: StatementRequest) -> RpcResult<StatementReply>;
 
+    /// Cancels a statement that waits or runs at the group's leaseholder.
+    #[method(name = "cancel")]
+    async fn cancel(&self, group: GroupName, id: StatementId) -> RpcResult<()>;
+
     /// Holds journal entries as a standby.
     #[method(name = "appendJournal")]
     async fn append_journal(&self, append: JournalAppend) -> RpcResult<JournalReply>;
@@ -69,6 +75,10 @@
     #[method(name = "agree")]
     async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()>;
 
+    /// Says how far an accepted change has come, if the asked VM leads the control VMs.
+    #[method(name = "leaderForce")]
+    async fn leader_force(&self, acceptance: ContractAcceptance) -> RpcResult<Option<ForceStatus>>;
+
     /// Says which voter this control VM is, before the first voter set is formed.
     #[method(name = "controlIdentity")]
     async fn control_identity(&self) -> RpcResult<Option<ControlIdentity>>;
