Add the agreed log as a state machine without I/O, and its record file

This is the first working version of the interface that the daemon's driver builds on: ticks, messages and proposals in; disk writes, messages and committed entries out, in an order that the output's doc states.

--- /dev/null
+++ b/crates/control/src/agreement/mod.rs
@@ -0,0 +1,468 @@
+//! The agreed log: a replicated log with a leader, as a state machine without I/O.
+//!
+//! A driver feeds an [`AgreementNode`] with ticks, messages and proposals, and after each of these
+//! carries out its [`AgreementOutput`]. Time is counted in ticks of the driver's choice.
+//!
+//! The load it answers: few changes (contracts, members, placement, terms), which must survive the
+//! loss of any minority of the control VMs, of their disks one after the other, and cuts of any
+//! length between them. Without it, two VMs could each believe in another contract or primary, and
+//! a change that an operator was told is accepted could revert.
+//!
+//! The rules, each with the failure that it prevents, stand with the code: elections and pre-vote
+//! in `election`, the leader's batches and the commit rule in `replication`, confirmed reads in
+//! `reads`, snapshots in `snapshot`, lost disks and changes of voters in `membership`.
+
+mod durable;
+mod election;
+mod entry;
+mod log;
+mod membership;
+mod message;
+mod output;
+mod progress;
+mod reads;
+mod replication;
+mod role;
+mod settings;
+mod snapshot;
+
+pub use durable::DiskWrite;
+pub use durable::DurableState;
+pub use durable::HardState;
+pub use durable::WriteMismatch;
+pub use entry::ElectionTerm;
+pub use entry::EntryMark;
+pub use entry::EntryPayload;
+pub use entry::FormationId;
+pub use entry::LogEntry;
+pub use entry::LogIndex;
+pub use entry::SnapshotData;
+pub use entry::VoterConfiguration;
+pub use entry::VoterId;
+pub use entry::VoterList;
+pub use membership::MembershipError;
+pub use membership::PendingRepair;
+pub use membership::RepairStage;
+pub use message::AgreementMessage;
+pub use message::AppendAnswer;
+pub use message::AppendOutcome;
+pub use message::AppendRejection;
+pub use message::EntryBatch;
+pub use message::HeartbeatRound;
+pub use message::MessageBody;
+pub use message::MessageError;
+pub use message::MessageRecipient;
+pub use message::OutdatedNotice;
+pub use message::SnapshotAnswer;
+pub use message::SnapshotChunk;
+pub use message::VoteAnswer;
+pub use message::VoteQuestion;
+pub use output::AgreementOutput;
+pub use output::CommittedEntry;
+pub use output::OutboundMessage;
+pub use output::ReadTicket;
+pub use role::AgreementRole;
+pub use role::NotLeader;
+pub use settings::AgreementGuard;
+pub use settings::AgreementSettings;
+pub use settings::GuardSet;
+pub use snapshot::CompactError;
+
+use crate::invariant;
+use log::ReplicaLog;
+use ragwort_types::VmIncarnation;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use role::RoleState;
+use snapshot::IncomingSnapshot;
+use std::fmt;
+use std::mem;
+
+/// One node of the agreed log.
+///
+/// # Examples
+///
+/// A log of one voter needs nobody else:
+///
+/// ```
+/// use ragwort_control::AgreementNode;
+/// use ragwort_control::AgreementSettings;
+/// use ragwort_control::DurableState;
+/// use ragwort_control::VoterId;
+/// use ragwort_types::VmIncarnation;
+///
+/// let id = VoterId::new("vm-1".into(), VmIncarnation(1));
+/// let settings = AgreementSettings::new(id.clone(), Vec::new(), 7);
+/// let mut node = AgreementNode::start(settings, DurableState::default())?;
+/// node.form(vec![id])?;
+/// while !node.is_leader() {
+///     node.tick();
+/// }
+/// let mark = node.propose("a command".to_owned())?;
+/// let output = node.take_output();
+/// assert_eq!(output.committed.last().map(|entry| entry.mark), Some(mark));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct AgreementNode {
+    settings: AgreementSettings,
+    id: VoterId,
+    hard: HardState,
+    log: ReplicaLog,
+    role: RoleState,
+    leader: Option<VoterId>,
+    leader_heard_at: Option<u64>,
+    commit: LogIndex,
+    delivered: LogIndex,
+    tick: u64,
+    election_due_at: u64,
+    random: StdRng,
+    next_ticket: u64,
+    incoming: Option<IncomingSnapshot>,
+    outdated_by: Option<VmIncarnation>,
+    output: AgreementOutput,
+}
+
+/// Why a node can't start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StartError {
+    /// The disk belongs to another VM.
+    ForeignDisk(VoterId),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ForeignDisk(id) => write!(formatter, "the disk belongs to {id}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Why a log can't be formed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FormError {
+    /// The node holds a log already.
+    NotEmpty,
+    /// The node isn't among the voters.
+    NotAmongVoters,
+    /// Two voters have the same VM.
+    SameVmTwice,
+}
+
+impl fmt::Display for FormError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::NotEmpty => "this node holds a log already",
+            Self::NotAmongVoters => "this node isn't among the voters",
+            Self::SameVmTwice => "two voters have the same VM",
+        })
+    }
+}
+
+impl std::error::Error for FormError {}
+
+impl AgreementNode {
+    /// Starts a node from what its disk held.
+    ///
+    /// An empty disk gets the identity in the settings; otherwise the disk's own identity holds,
+    /// whatever incarnation the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] when the disk belongs to another VM.
+    pub fn start(settings: AgreementSettings, state: DurableState) -> Result<Self, StartError> {
+        let mut output = AgreementOutput::default();
+        let id = match state.id {
+            Some(id) if id.vm != settings.id.vm => return Err(StartError::ForeignDisk(id)),
+            Some(id) => id,
+            None => {
+                output.writes.push(DiskWrite::Identity(settings.id.clone()));
+                settings.id.clone()
+            }
+        };
+        let base = state.log.base().index;
+        output.install = state.log.snapshot().cloned();
+        let name_hash = u64::from(crc32fast::hash(id.to_string().as_bytes()));
+        let mut node = Self {
+            random: StdRng::seed_from_u64(settings.seed ^ name_hash),
+            settings,
+            id,
+            hard: state.hard,
+            log: state.log,
+            role: RoleState::Follower,
+            leader: None,
+            leader_heard_at: None,
+            commit: base,
+            delivered: base,
+            tick: 0,
+            election_due_at: 0,
+            next_ticket: 0,
+            incoming: None,
+            outdated_by: None,
+            output,
+        };
+        node.reset_election_timer();
+        Ok(node)
+    }
+
+    /// Forms a log: writes the first entry, which names the voters.
+    ///
+    /// This is the operator's one explicit act, done with the same list on each named voter. No
+    /// node ever does it by itself: a VM that has lost its disk would form a second log beside the
+    /// first. Repeating it with the same voters changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FormError`] when the node holds another log already or the list doesn't fit.
+    pub fn form(&mut self, voters: Vec<VoterId>) -> Result<(), FormError> {
+        let configuration = VoterConfiguration::form(voters);
+        if !configuration.is_voter(&self.id) {
+            return Err(FormError::NotAmongVoters);
+        }
+        let voters = &configuration.voters;
+        if voters.windows(2).any(|pair| pair[0].vm == pair[1].vm) {
+            return Err(FormError::SameVmTwice);
+        }
+        if self.formation() == Some(configuration.formation) {
+            return Ok(());
+        }
+        if !self.log.is_empty() || self.hard != HardState::default() {
+            return Err(FormError::NotEmpty);
+        }
+        let mark = EntryMark::new(ElectionTerm(1), LogIndex(1));
+        self.enter_term(mark.term);
+        self.append_entry(LogEntry {
+            mark,
+            payload: EntryPayload::Configuration(Box::new(configuration)),
+        });
+        Ok(())
+    }
+
+    /// Counts one tick of time.
+    pub fn tick(&mut self) {
+        self.tick += 1;
+        if self.is_leader() {
+            self.tick_leader();
+        } else if self.tick >= self.election_due_at {
+            self.end_leader_wait();
+        }
+    }
+
+    /// Takes a message.
+    ///
+    /// A message for another incarnation or of another formation is dropped.
+    pub fn receive(&mut self, message: AgreementMessage) {
+        if !self.accepts(&message) {
+            return;
+        }
+        let AgreementMessage {
+            from, term, body, ..
+        } = message;
+        match body {
+            MessageBody::PreVoteRequest(question) => self.answer_pre_vote(&from, question),
+            MessageBody::PreVoteReply(answer) => self.count_pre_vote(&from, term, answer),
+            MessageBody::VoteRequest(question) => self.answer_vote(&from, question),
+            MessageBody::VoteReply(answer) => self.count_vote(&from, term, answer),
+            MessageBody::Append(batch) => self.take_batch(&from, term, batch),
+            MessageBody::AppendReply(answer) => self.take_append_answer(&from, term, answer),
+            MessageBody::Snapshot(chunk) => self.take_chunk(&from, term, *chunk),
+            MessageBody::SnapshotReply(answer) => self.take_snapshot_answer(&from, term, answer),
+            MessageBody::Join => self.take_join(&from),
+            MessageBody::Outdated(notice) => self.take_outdated_notice(notice),
+        }
+    }
+
+    /// Proposes a command. It is accepted once its mark appears among the committed entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotLeader`], with the leader if one is known. The command was not appended.
+    pub fn propose(&mut self, data: String) -> Result<EntryMark, NotLeader> {
+        if !self.is_leader() {
+            return Err(self.not_leader());
+        }
+        Ok(self.append_own(EntryPayload::Data(data)))
+    }
+
+    /// Returns what the driver has to do; see [`AgreementOutput`] for the order.
+    pub fn take_output(&mut self) -> AgreementOutput {
+        if self.is_leader() {
+            self.advance_commit();
+            self.begin_read_round();
+            self.settle_reads();
+            self.send_due_messages();
+        }
+        self.deliver_committed();
+        mem::take(&mut self.output)
+    }
+
+    /// Returns the node's identity.
+    pub fn id(&self) -> &VoterId {
+        &self.id
+    }
+
+    /// Returns the leader of the present term, if known.
+    pub fn leader(&self) -> Option<&VoterId> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the present term.
+    pub fn term(&self) -> ElectionTerm {
+        self.hard.term
+    }
+
+    /// Returns the last index that is known to be committed.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Returns the last entry's place.
+    pub fn last_entry(&self) -> EntryMark {
+        self.log.last()
+    }
+
+    /// Returns the number of entries held after the snapshot.
+    pub fn entry_count(&self) -> usize {
+        self.log.entries().len()
+    }
+
+    /// Returns the voters of the latest configuration, committed or not.
+    pub fn voters(&self) -> &[VoterId] {
+        self.log
+            .configuration()
+            .map(|configuration| configuration.voters.as_slice())
+            .unwrap_or_default()
+    }
+
+    /// Returns the learners of the latest configuration, committed or not.
+    pub fn learners(&self) -> &[VoterId] {
+        self.log
+            .configuration()
+            .map(|configuration| configuration.learners.as_slice())
+            .unwrap_or_default()
+    }
+
+    /// Returns the state to write when the driver replaces the file that has grown long.
+    ///
+    /// It includes the writes of every output taken so far.
+    pub fn durable_state(&self) -> DurableState {
+        DurableState {
+            id: Some(self.id.clone()),
+            hard: self.hard.clone(),
+            log: self.log.clone(),
+        }
+    }
+
+    fn formation(&self) -> Option<FormationId> {
+        self.log
+            .configuration()
+            .map(|configuration| configuration.formation)
+    }
+
+    fn accepts(&self, message: &AgreementMessage) -> bool {
+        let addressed = match &message.to {
+            MessageRecipient::Voter(id) => *id == self.id,
+            MessageRecipient::Vm(vm) => *vm == self.id.vm,
+        };
+        let related = match (message.formation, self.formation()) {
+            (Some(theirs), Some(ours)) => theirs == ours,
+            (None, _) | (_, None) => true,
+        };
+        addressed && related && message.from != self.id
+    }
+
+    fn holds(&self, guard: AgreementGuard) -> bool {
+        self.settings.guards.holds(guard)
+    }
+
+    /// Enters a later term without a vote in it.
+    fn enter_term(&mut self, term: ElectionTerm) {
+        self.write_hard_state(HardState { term, vote: None });
+    }
+
+    fn write_hard_state(&mut self, hard: HardState) {
+        let same_term = hard.term == self.hard.term;
+        invariant!(
+            hard.term >= self.hard.term,
+            "{} went back from term {} to {}",
+            self.id,
+            self.hard.term,
+            hard.term
+        );
+        invariant!(
+            !same_term || self.hard.vote.is_none() || self.hard.vote == hard.vote,
+            "{} voted twice in term {}",
+            self.id,
+            hard.term
+        );
+        self.hard = hard.clone();
+        self.output.writes.push(DiskWrite::HardState(hard));
+    }
+
+    fn append_entry(&mut self, entry: LogEntry) {
+        invariant!(
+            entry.mark.index > self.commit,
+            "{} would replace the committed entry {}",
+            self.id,
+            entry.mark.index
+        );
+        invariant!(
+            !self.is_leader() || entry.mark.index > self.log.last().index,
+            "{} would replace its own entry {} as a leader",
+            self.id,
+            entry.mark.index
+        );
+        self.output.writes.push(DiskWrite::Entry(entry.clone()));
+        self.log.append(entry);
+    }
+
+    fn set_commit(&mut self, commit: LogIndex) {
+        invariant!(
+            commit >= self.commit,
+            "{} would take back its commit index {} to {commit}",
+            self.id,
+            self.commit
+        );
+        self.commit = commit;
+    }
+
+    fn deliver_committed(&mut self) {
+        let entries = self.log.range(self.delivered.next(), self.commit);
+        let committed = entries.iter().map(|entry| CommittedEntry {
+            mark: entry.mark,
+            data: match &entry.payload {
+                EntryPayload::Data(data) => Some(data.clone()),
+                EntryPayload::Empty | EntryPayload::Configuration(_) => None,
+            },
+        });
+        self.output.committed.extend(committed);
+        self.delivered = self.commit;
+    }
+
+    fn send(&mut self, to: MessageRecipient, body: MessageBody) {
+        let message = AgreementMessage {
+            from: self.id.clone(),
+            formation: self.formation(),
+            term: self.hard.term,
+            to,
+            body,
+        };
+        self.output.messages.push(OutboundMessage {
+            to: message.to.vm().clone(),
+            message,
+        });
+    }
+
+    fn send_to(&mut self, to: &VoterId, body: MessageBody) {
+        self.send(MessageRecipient::Voter(to.clone()), body);
+    }
+
+    fn reset_election_timer(&mut self) {
+        let least = u64::from(self.settings.election_ticks.max(1));
+        let wait = self.random.random_range(least..2 * least);
+        self.election_due_at = self.tick + wait;
+    }
+}
--- /dev/null
+++ b/crates/control/src/agreement/snapshot.rs
@@ -0,0 +1,232 @@
+//! Snapshots: compacting the log, and sending its state to followers that lack compacted entries.
+
+use super::AgreementNode;
+use super::durable::DiskWrite;
+use super::entry::ElectionTerm;
+use super::entry::EntryMark;
+use super::entry::LogIndex;
+use super::entry::SnapshotData;
+use super::entry::VoterId;
+use super::message::MessageBody;
+use super::message::SnapshotAnswer;
+use super::message::SnapshotChunk;
+use super::progress::PeerProgress;
+use super::progress::SendMode;
+use super::progress::SnapshotTransfer;
+use super::replication::BatchSender;
+use crate::invariant;
+use std::fmt;
+
+/// Why a log can't be compacted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CompactError {
+    /// The index lies beyond the last delivered entry.
+    NotDelivered,
+    /// The log was compacted there already.
+    AlreadyCompacted,
+}
+
+impl fmt::Display for CompactError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::NotDelivered => "the entry wasn't delivered yet",
+            Self::AlreadyCompacted => "the log was compacted there already",
+        })
+    }
+}
+
+impl std::error::Error for CompactError {}
+
+/// A snapshot that is arriving in parts.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    mark: EntryMark,
+    data: String,
+}
+
+impl AgreementNode {
+    /// Replaces the entries up to `up_to` by the state they led to.
+    ///
+    /// `data` must be the state with exactly the entries up to `up_to` applied.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CompactError`] when `up_to` isn't between the last snapshot and the last delivered
+    /// entry.
+    pub fn compact(&mut self, up_to: LogIndex, data: String) -> Result<(), CompactError> {
+        if up_to > self.delivered {
+            return Err(CompactError::NotDelivered);
+        }
+        if up_to <= self.log.base().index {
+            return Err(CompactError::AlreadyCompacted);
+        }
+        let term = self.log.term_at(up_to);
+        let configuration = self.log.configuration_at(up_to);
+        let (Some(term), Some(configuration)) = (term, configuration) else {
+            return Err(CompactError::AlreadyCompacted);
+        };
+        let snapshot = SnapshotData {
+            mark: EntryMark::new(term, up_to),
+            configuration: configuration.clone(),
+            data,
+        };
+        self.write_snapshot(snapshot);
+        Ok(())
+    }
+
+    fn write_snapshot(&mut self, snapshot: SnapshotData) {
+        let write = DiskWrite::Snapshot(Box::new(snapshot.clone()));
+        self.output.writes.push(write);
+        self.log.install(snapshot);
+    }
+
+    /// Takes a part of the leader's snapshot.
+    pub(super) fn take_chunk(&mut self, from: &VoterId, term: ElectionTerm, chunk: SnapshotChunk) {
+        let mark = chunk.mark;
+        let round = chunk.round;
+        let received = if !self.heed_leader(from, term) {
+            0
+        } else if mark.index <= self.commit {
+            chunk.total
+        } else {
+            self.add_chunk(chunk)
+        };
+        let answer = SnapshotAnswer {
+            mark,
+            received,
+            round,
+        };
+        self.send_to(from, MessageBody::SnapshotReply(answer));
+    }
+
+    /// Adds a part, and installs the snapshot when it is whole. Returns the bytes received.
+    fn add_chunk(&mut self, chunk: SnapshotChunk) -> usize {
+        let known = self.incoming.take();
+        let mut incoming = match known {
+            Some(incoming) if incoming.mark == chunk.mark => incoming,
+            Some(_) | None => IncomingSnapshot {
+                mark: chunk.mark,
+                data: String::new(),
+            },
+        };
+        if chunk.offset == incoming.data.len() {
+            incoming.data.push_str(&chunk.data);
+        }
+        let received = incoming.data.len();
+        if received < chunk.total {
+            self.incoming = Some(incoming);
+            return received;
+        }
+        let snapshot = SnapshotData {
+            mark: chunk.mark,
+            configuration: chunk.configuration,
+            data: incoming.data,
+        };
+        invariant!(
+            snapshot.mark.index > self.commit,
+            "{} would go back to snapshot {}",
+            self.id,
+            snapshot.mark
+        );
+        self.set_commit(snapshot.mark.index);
+        self.delivered = snapshot.mark.index;
+        // What was to be applied before lies within the snapshot.
+        self.output.committed.clear();
+        self.output.install = Some(snapshot.clone());
+        self.write_snapshot(snapshot);
+        received
+    }
+
+    /// Takes a follower's answer to a part of a snapshot.
+    pub(super) fn take_snapshot_answer(
+        &mut self,
+        from: &VoterId,
+        term: ElectionTerm,
+        answer: SnapshotAnswer,
+    ) {
+        if !self.heed_follower(from, term, answer.round) {
+            return;
+        }
+        let total = self
+            .log
+            .snapshot()
+            .map_or(0, |snapshot| snapshot.data.len());
+        let mark = self.log.base();
+        let Some(progress) = self.find_progress(from) else {
+            return;
+        };
+        let SendMode::Snapshot(transfer) = &mut progress.mode else {
+            return;
+        };
+        if answer.mark != mark || transfer.index != mark.index {
+            return;
+        }
+        if answer.received >= total {
+            progress.note_accepted(mark.index);
+        } else if answer.received != transfer.received {
+            transfer.received = answer.received;
+            transfer.sent_at = None;
+        }
+        self.drive_membership();
+    }
+}
+
+impl BatchSender<'_> {
+    /// Goes over to a snapshot when the follower needs an entry that was compacted away.
+    pub(super) fn choose_snapshot(&self, progress: &mut PeerProgress) {
+        let base = self.log.base().index;
+        let current = match progress.mode {
+            SendMode::Snapshot(transfer) => transfer.index == base,
+            SendMode::Probe | SendMode::Stream => progress.next > base,
+        };
+        if !current {
+            progress.mode = SendMode::Snapshot(SnapshotTransfer {
+                index: base,
+                received: 0,
+                sent_at: None,
+            });
+        }
+    }
+
+    /// Adds the next part of the snapshot, unless its answer is awaited.
+    pub(super) fn push_chunk(
+        &self,
+        transfer: SnapshotTransfer,
+        progress: &mut PeerProgress,
+        bodies: &mut Vec<MessageBody>,
+    ) {
+        let patience = u64::from(self.settings.election_ticks);
+        let awaited = transfer
+            .sent_at
+            .is_some_and(|sent_at| sent_at + patience > self.tick);
+        let Some(snapshot) = self.log.snapshot() else {
+            return;
+        };
+        if awaited {
+            return;
+        }
+        progress.mode = SendMode::Snapshot(SnapshotTransfer {
+            sent_at: Some(self.tick),
+            ..transfer
+        });
+        progress.message_due = false;
+        bodies.push(MessageBody::Snapshot(Box::new(SnapshotChunk {
+            mark: snapshot.mark,
+            configuration: snapshot.configuration.clone(),
+            total: snapshot.data.len(),
+            offset: transfer.received,
+            data: self.cut_chunk(&snapshot.data, transfer.received).to_owned(),
+            round: self.round,
+        })));
+    }
+
+    /// Returns the part of `data` at `offset` that fits into one message.
+    fn cut_chunk<'data>(&self, data: &'data str, offset: usize) -> &'data str {
+        let rest = data.get(offset..).unwrap_or_default();
+        let mut end = rest.len().min(self.settings.max_batch_bytes.max(4));
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        &rest[..end]
+    }
+}
