Control: the catalog as compare and set, and a member's copy of it

Operators race and resend, leaseholders are replaced midway, daemons restart. Every command names the state it builds on; every contract change's answer is kept by its change id. A restarted daemon is admitted only after its former process was removed, and its groups then get a new epoch: admitting it at once was ruled out, as two processes would serve one epoch. A term is recorded only by the epoch that began it, so a successor begins its own.

--- /dev/null
+++ b/crates/control/src/clock.rs
@@ -0,0 +1,74 @@
+//! The time that decisions take as input.
+
+use serde::Deserialize;
+use serde::Serialize;
+use std::fmt;
+use std::ops::Add;
+use std::time::Duration;
+
+/// A moment on a process's monotonic clock, in microseconds since an origin of its own.
+///
+/// Moments of different processes can't be compared.
+///
+/// # Examples
+///
+/// ```
+/// use ragwort_control::ClockTime;
+/// use std::time::Duration;
+///
+/// let sent = ClockTime::from_millis(10);
+/// let now = sent + Duration::from_millis(5);
+/// assert_eq!(now.since(sent), Duration::from_millis(5));
+/// assert_eq!(sent.since(now), Duration::ZERO);
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ClockTime(pub u64);
+
+impl ClockTime {
+    /// Creates a moment from microseconds.
+    pub fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Creates a moment from milliseconds.
+    pub fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns the time that has passed since an earlier moment, or zero if it is a later one.
+    pub fn since(self, earlier: ClockTime) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the moment as a duration since the clock's origin.
+    pub fn as_duration(self) -> Duration {
+        Duration::from_micros(self.0)
+    }
+}
+
+impl From<Duration> for ClockTime {
+    fn from(elapsed: Duration) -> Self {
+        Self(saturating_micros(elapsed))
+    }
+}
+
+impl Add<Duration> for ClockTime {
+    type Output = ClockTime;
+
+    fn add(self, span: Duration) -> ClockTime {
+        Self(self.0.saturating_add(saturating_micros(span)))
+    }
+}
+
+impl fmt::Display for ClockTime {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}us", self.0)
+    }
+}
+
+fn saturating_micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/contracts.rs
@@ -0,0 +1,158 @@
+//! Contracts and the answers to their changes.
+//!
+//! Operators race each other with changes on the same version, and resend a change after losing
+//! its answer. Without a record of each change id, a resend that arrives after another change would
+//! be told of a conflict with a change that was built on its own success, and the operator would
+//! apply it a second time. So every answer is kept, compactly, for good.
+
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::ChangeId;
+use ragwort_types::ContractAcceptance;
+use ragwort_types::ContractChange;
+use ragwort_types::ContractVersion;
+use ragwort_types::CustomerName;
+use ragwort_types::VersionedContract;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What is kept of one answered change.
+///
+/// The digest is compared under one change id only, so 64 bits are enough: two contents that an
+/// operator sends under one id collide by chance once in 2^64 such mistakes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRecord {
+    digest: u64,
+    answer: ChangeAnswer,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum ChangeAnswer {
+    Accepted(ContractVersion, CatalogRevision),
+    Conflict(ContractVersion),
+    Unknown,
+}
+
+/// The contracts, and the answer given to each change id.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeLedger {
+    contracts: BTreeMap<CustomerName, VersionedContract>,
+    answers: BTreeMap<ChangeId, ChangeRecord>,
+    /// Contracts that were shown as the winner of a conflict, for resends of the loser.
+    winners: BTreeMap<CustomerName, BTreeMap<ContractVersion, VersionedContract>>,
+}
+
+impl ChangeLedger {
+    /// Returns a customer's present contract.
+    pub fn contract(&self, customer: &CustomerName) -> Option<&VersionedContract> {
+        self.contracts.get(customer)
+    }
+
+    /// Iterates over the present contracts.
+    pub fn contracts(&self) -> impl Iterator<Item = &VersionedContract> {
+        self.contracts.values()
+    }
+
+    /// Returns the number of change ids whose answers are kept.
+    pub fn answered_changes(&self) -> usize {
+        self.answers.len()
+    }
+
+    /// Applies a change, or answers a resend as the first time.
+    pub(crate) fn apply_change(
+        &mut self,
+        revision: CatalogRevision,
+        change: &ContractChange,
+    ) -> CatalogOutcome {
+        // Faults depend on the content alone, so a resend gets the same answer without a record.
+        let faults = change.contract.find_faults();
+        if !faults.is_empty() {
+            let words = faults.iter().map(ToString::to_string).collect();
+            return CatalogOutcome::ContractFaulty(words);
+        }
+        let digest = digest_change(change);
+        if let Some(record) = self.answers.get(&change.change_id) {
+            return self.repeat_answer(record, digest, change);
+        }
+        let answer = self.decide_change(revision, change);
+        let record = ChangeRecord { digest, answer };
+        self.answers.insert(change.change_id, record);
+        self.outcome(&answer, &change.contract.customer)
+    }
+
+    fn repeat_answer(
+        &self,
+        record: &ChangeRecord,
+        digest: u64,
+        change: &ContractChange,
+    ) -> CatalogOutcome {
+        if record.digest != digest {
+            return CatalogOutcome::ChangeIdReused;
+        }
+        self.outcome(&record.answer, &change.contract.customer)
+    }
+
+    fn decide_change(
+        &mut self,
+        revision: CatalogRevision,
+        change: &ContractChange,
+    ) -> ChangeAnswer {
+        let customer = &change.contract.customer;
+        let present = self.contracts.get(customer);
+        let version = present.map_or(ContractVersion(0), |contract| contract.version);
+        if change.base_version == version {
+            return self.accept_change(revision, change);
+        }
+        match present {
+            None => ChangeAnswer::Unknown,
+            Some(winner) => {
+                let shown = self.winners.entry(customer.clone()).or_default();
+                shown.entry(version).or_insert_with(|| winner.clone());
+                ChangeAnswer::Conflict(version)
+            }
+        }
+    }
+
+    fn accept_change(
+        &mut self,
+        revision: CatalogRevision,
+        change: &ContractChange,
+    ) -> ChangeAnswer {
+        let version = change.base_version.next();
+        let contract = VersionedContract {
+            version,
+            change_id: change.change_id,
+            contract: change.contract.clone(),
+        };
+        self.contracts
+            .insert(change.contract.customer.clone(), contract);
+        ChangeAnswer::Accepted(version, revision)
+    }
+
+    fn outcome(&self, answer: &ChangeAnswer, customer: &CustomerName) -> CatalogOutcome {
+        match *answer {
+            ChangeAnswer::Accepted(version, revision) => {
+                CatalogOutcome::ContractAccepted(ContractAcceptance { version, revision })
+            }
+            ChangeAnswer::Conflict(version) => {
+                let shown = self.winners.get(customer);
+                match shown.and_then(|versions| versions.get(&version)) {
+                    Some(winner) => CatalogOutcome::ContractConflict(Box::new(winner.clone())),
+                    None => CatalogOutcome::ContractUnknown,
+                }
+            }
+            ChangeAnswer::Unknown => CatalogOutcome::ContractUnknown,
+        }
+    }
+}
+
+/// Returns the FNV-1a digest of a change's base version and contract.
+fn digest_change(change: &ContractChange) -> u64 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let content = (&change.base_version, &change.contract);
+    let text = serde_json::to_string(&content).expect("a contract has text keys only");
+    let mix = |digest: u64, byte: u8| (digest ^ u64::from(byte)).wrapping_mul(PRIME);
+    text.bytes().fold(OFFSET_BASIS, mix)
+}
--- /dev/null
+++ b/crates/control/src/copy.rs
@@ -0,0 +1,212 @@
+//! A member's copy of the catalog.
+//!
+//! A member that went back to an earlier revision would serve under a contract that operators were
+//! told is replaced. It would show as a limit that flaps after a restart or a change of control
+//! VM. So a copy takes a delta only if it leads onward from where the copy stands.
+
+use ragwort_types::CatalogDelta;
+use ragwort_types::CatalogItem;
+use ragwort_types::CatalogRevision;
+use ragwort_types::CustomerName;
+use ragwort_types::GroupName;
+use ragwort_types::GroupRecord;
+use ragwort_types::MemberRecord;
+use ragwort_types::VersionedContract;
+use ragwort_types::VmName;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// Why a delta was not applied; the copy is unchanged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeltaError {
+    /// The delta builds on a revision that the copy hasn't reached.
+    Gap {
+        /// The copy's revision.
+        held: CatalogRevision,
+        /// The revision that the delta builds on.
+        from: CatalogRevision,
+    },
+    /// The delta leads to a revision before the copy's.
+    Older {
+        /// The copy's revision.
+        held: CatalogRevision,
+        /// The revision that the delta leads to.
+        to: CatalogRevision,
+    },
+}
+
+impl fmt::Display for DeltaError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Gap { held, from } => {
+                write!(
+                    formatter,
+                    "delta builds on revision {from}, but {held} is held"
+                )
+            }
+            Self::Older { held, to } => {
+                write!(
+                    formatter,
+                    "delta leads to revision {to}, but {held} is held"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for DeltaError {}
+
+/// What a delta changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CopyChanges {
+    /// Groups whose records differ from before.
+    pub groups: Vec<GroupName>,
+    /// Customers whose contracts differ from before.
+    pub customers: Vec<CustomerName>,
+    /// VMs that joined, changed or left.
+    pub vms: Vec<VmName>,
+}
+
+/// A member's copy of the catalog.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CatalogCopy {
+    revision: CatalogRevision,
+    contracts: BTreeMap<CustomerName, VersionedContract>,
+    members: BTreeMap<VmName, MemberRecord>,
+    groups: BTreeMap<GroupName, GroupRecord>,
+}
+
+impl CatalogCopy {
+    /// Creates an empty copy at revision zero.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision that the copy holds.
+    pub fn revision(&self) -> CatalogRevision {
+        self.revision
+    }
+
+    /// Returns a customer's contract.
+    pub fn contract(&self, customer: &CustomerName) -> Option<&VersionedContract> {
+        self.contracts.get(customer)
+    }
+
+    /// Iterates over the contracts.
+    pub fn contracts(&self) -> impl Iterator<Item = &VersionedContract> {
+        self.contracts.values()
+    }
+
+    /// Returns a member.
+    pub fn member(&self, vm: &VmName) -> Option<&MemberRecord> {
+        self.members.get(vm)
+    }
+
+    /// Iterates over the members.
+    pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values()
+    }
+
+    /// Returns a group.
+    pub fn group(&self, group: &GroupName) -> Option<&GroupRecord> {
+        self.groups.get(group)
+    }
+
+    /// Iterates over the groups.
+    pub fn groups(&self) -> impl Iterator<Item = &GroupRecord> {
+        self.groups.values()
+    }
+
+    /// Applies a delta or a snapshot and says what it changed.
+    ///
+    /// A delta that builds on an earlier revision than the copy's is applied too: its items are
+    /// whole records, so those that the copy holds already are only set again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and changes nothing, if the delta leads back or leaves a gap.
+    pub fn apply_delta(&mut self, delta: &CatalogDelta) -> Result<CopyChanges, DeltaError> {
+        let held = self.revision;
+        if delta.to < held {
+            return Err(DeltaError::Older { held, to: delta.to });
+        }
+        if let Some(from) = delta.from
+            && from > held
+        {
+            return Err(DeltaError::Gap { held, from });
+        }
+        let mut changes = CopyChanges::default();
+        if delta.from.is_none() {
+            self.drop_unlisted(&delta.items, &mut changes);
+        }
+        for item in &delta.items {
+            self.apply_item(item, &mut changes);
+        }
+        invariant!(
+            delta.to >= self.revision,
+            "the copy's revision fell from {held} to {}",
+            delta.to
+        );
+        self.revision = delta.to;
+        Ok(changes)
+    }
+
+    /// Drops what a whole snapshot doesn't list: it left while this copy wasn't listening.
+    fn drop_unlisted(&mut self, items: &[CatalogItem], changes: &mut CopyChanges) {
+        let listed: BTreeSet<&VmName> = items
+            .iter()
+            .filter_map(|item| match item {
+                CatalogItem::Member(member) => Some(&member.id.vm),
+                _ => None,
+            })
+            .collect();
+        let unlisted = self.members.keys().filter(|vm| !listed.contains(vm));
+        let gone: Vec<VmName> = unlisted.cloned().collect();
+        for vm in gone {
+            self.members.remove(&vm);
+            changes.vms.push(vm);
+        }
+    }
+
+    fn apply_item(&mut self, item: &CatalogItem, changes: &mut CopyChanges) {
+        match item {
+            CatalogItem::Contract(contract) => {
+                let customer = contract.contract.customer.clone();
+                let former = self
+                    .contracts
+                    .insert(customer.clone(), (**contract).clone());
+                if former.as_ref() != Some(&**contract) {
+                    changes.customers.push(customer);
+                }
+            }
+            CatalogItem::Member(member) => {
+                let vm = member.id.vm.clone();
+                let former = self.members.insert(vm.clone(), member.clone());
+                if former.as_ref() != Some(member) {
+                    changes.vms.push(vm);
+                }
+            }
+            CatalogItem::MemberGone(vm) => {
+                if self.members.remove(vm).is_some() {
+                    changes.vms.push(vm.clone());
+                }
+            }
+            CatalogItem::Group(record) => self.apply_group(record, changes),
+        }
+    }
+
+    fn apply_group(&mut self, record: &GroupRecord, changes: &mut CopyChanges) {
+        let group = &record.placement.group;
+        let former = self.groups.insert(group.clone(), record.clone());
+        if let Some(former) = &former {
+            invariant!(
+                former.placement.epoch <= record.placement.epoch && former.term <= record.term,
+                "the epoch or term of {group} fell"
+            );
+        }
+        if former.as_ref() != Some(record) {
+            changes.groups.push(group.clone());
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,55 @@
-//! Placeholder of the crate's documentation.
+//! Agreement, catalog, leases, placement, promotion and journal of ragwortgate, without I/O.
+//!
+//! Each module is a state machine: events and the present time go in, decisions come out. The
+//! daemon owns sockets, disks and clocks, and drives these machines.
+//!
+//! # Examples
+//!
+//! A member's copy of the catalog follows the agreed state by deltas:
+//!
+//! ```
+//! use ragwort_control::CatalogCopy;
+//! use ragwort_control::CatalogState;
+//! use ragwort_types::CatalogCommand;
+//! use ragwort_types::CatalogRevision;
+//! use ragwort_types::MemberId;
+//! use ragwort_types::MemberRecord;
+//! use ragwort_types::VmIncarnation;
+//! use ragwort_types::VmName;
+//!
+//! let member = MemberRecord {
+//!     id: MemberId {
+//!         vm: VmName::from("vm-1"),
+//!         incarnation: VmIncarnation(1),
+//!     },
+//!     domain: "east".into(),
+//!     peer_address: "127.0.0.1:7000".parse().unwrap(),
+//!     draining: false,
+//! };
+//! let mut state = CatalogState::new();
+//! state.apply(CatalogRevision(1), &CatalogCommand::AdmitMember(member));
+//!
+//! let mut copy = CatalogCopy::new();
+//! copy.apply_delta(&state.delta_since(copy.revision())).unwrap();
+//! assert!(copy.member(&VmName::from("vm-1")).is_some());
+//! ```
+
+#[macro_use]
+mod invariant;
+
+mod catalog;
+mod clock;
+mod contracts;
+mod copy;
+
+pub use catalog::CatalogState;
+pub use catalog::SnapshotError;
+pub use clock::ClockTime;
+pub use contracts::ChangeLedger;
+pub use contracts::ChangeRecord;
+pub use copy::CatalogCopy;
+pub use copy::CopyChanges;
+pub use copy::DeltaError;
+pub use invariant::broken_invariants;
+#[doc(hidden)]
+pub use invariant::count_broken_invariant;
--- /dev/null
+++ b/crates/control/tests/catalog.rs
@@ -0,0 +1,258 @@
+//! Failure tests of the catalog: racing operators, resends, restarts and late commands.
+
+use ragwort_control::CatalogCopy;
+use ragwort_control::CatalogState;
+use ragwort_control::DeltaError;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::GroupName;
+use ragwort_types::InstanceChange;
+use ragwort_types::LogPosition;
+use ragwort_types::PlacementEpoch;
+use ragwort_types::PrimaryRecord;
+use ragwort_types::TermStart;
+use ragwort_types::VmName;
+
+mod common;
+
+use common::CatalogScript;
+use common::contract_change;
+use common::member;
+use common::placement;
+
+macro_rules! case {
+    ($(#[$doc:meta])* $name:ident $body:block) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() $body
+    };
+}
+
+fn instance_change(name: &str, epoch: u64, term: u64) -> InstanceChange {
+    InstanceChange {
+        group: "cases".into(),
+        epoch: PlacementEpoch(epoch),
+        term: ragwort_types::GroupTerm(term),
+        instance: name.into(),
+    }
+}
+
+fn term_start(epoch: u64, term: u64) -> CatalogCommand {
+    CatalogCommand::BeginTerm(TermStart {
+        group: "cases".into(),
+        epoch: PlacementEpoch(epoch),
+        term: ragwort_types::GroupTerm(term),
+    })
+}
+
+fn primary_record(name: &str, epoch: u64, term: u64) -> CatalogCommand {
+    CatalogCommand::RecordPrimary(PrimaryRecord {
+        group: "cases".into(),
+        epoch: PlacementEpoch(epoch),
+        term: ragwort_types::GroupTerm(term),
+        primary: name.into(),
+        start: LogPosition::new(ragwort_types::GroupTerm(term), 7),
+    })
+}
+
+/// Returns a catalog with three members and a group of two instances in term 1.
+fn formed_group() -> CatalogScript {
+    let mut script = CatalogScript::with_members(3);
+    script.expect_done(CatalogCommand::PlaceGroup(placement(
+        "cases",
+        1,
+        "vm-1",
+        &["vm-2", "vm-3"],
+    )));
+    script.expect_done(CatalogCommand::AddInstance(instance_change("a", 1, 0)));
+    script.expect_done(CatalogCommand::AddInstance(instance_change("b", 1, 0)));
+    script.expect_done(term_start(1, 1));
+    script.expect_done(primary_record("a", 1, 1));
+    script
+}
+
+case! {
+    /// An operator loses the answer to a change and resends it after a colleague has changed the
+    /// contract again. The operator must see the first acceptance, not a conflict with a change
+    /// that was built on it.
+    resend_after_later_change_repeats_first_acceptance {
+        let mut script = CatalogScript::with_members(1);
+        let first = CatalogCommand::ApplyContract(contract_change(1, 0, 10));
+        let accepted = script.apply(first.clone());
+        assert!(matches!(accepted, CatalogOutcome::ContractAccepted(_)));
+        script.apply(CatalogCommand::ApplyContract(contract_change(2, 1, 20)));
+        let before = script.state.revision();
+        assert_eq!(script.apply(first), accepted);
+        assert_eq!(script.state.revision(), before);
+    }
+}
+
+case! {
+    /// Two operators change the same version at once. One of them is told of the conflict and
+    /// shown the winner, and hears the same when asking again after further changes.
+    loser_of_a_race_is_shown_the_same_winner_again {
+        let mut script = CatalogScript::with_members(1);
+        script.apply(CatalogCommand::ApplyContract(contract_change(1, 0, 10)));
+        script.apply(CatalogCommand::ApplyContract(contract_change(2, 1, 20)));
+        let loser = CatalogCommand::ApplyContract(contract_change(3, 1, 30));
+        let shown = script.apply(loser.clone());
+        let CatalogOutcome::ContractConflict(winner) = &shown else {
+            panic!("expected a conflict, got {shown:?}");
+        };
+        assert_eq!(winner.contract.slot_share, 20);
+        script.apply(CatalogCommand::ApplyContract(contract_change(4, 2, 40)));
+        assert_eq!(script.apply(loser), shown);
+    }
+}
+
+case! {
+    /// An operator edits a change but keeps its id. Taking the old answer for the new content
+    /// would tell the operator that limits are in force that never were.
+    change_id_under_other_content_is_refused {
+        let mut script = CatalogScript::with_members(1);
+        script.apply(CatalogCommand::ApplyContract(contract_change(1, 0, 10)));
+        let edited = CatalogCommand::ApplyContract(contract_change(1, 0, 11));
+        assert_eq!(script.apply(edited), CatalogOutcome::ChangeIdReused);
+    }
+}
+
+case! {
+    /// A change names a version of a customer that has no contract yet, and is resent after the
+    /// customer got one. Its answer must not turn from a refusal into an acceptance.
+    refusal_of_unknown_customer_is_stable {
+        let mut script = CatalogScript::with_members(1);
+        let early = CatalogCommand::ApplyContract(contract_change(1, 1, 10));
+        assert_eq!(script.apply(early.clone()), CatalogOutcome::ContractUnknown);
+        script.apply(CatalogCommand::ApplyContract(contract_change(2, 0, 20)));
+        assert_eq!(script.apply(early), CatalogOutcome::ContractUnknown);
+    }
+}
+
+case! {
+    /// A VM's daemon restarts while its former process may still hold a lease. If the new process
+    /// were admitted at once, both would serve the VM's groups and double writes.
+    new_process_waits_for_removal_of_the_former {
+        let mut script = formed_group();
+        let successor = CatalogCommand::AdmitMember(member(1, 2));
+        script.expect_stale(successor.clone());
+        script.expect_done(CatalogCommand::RemoveMember(member(1, 1).id));
+        script.expect_done(successor);
+        script.expect_stale(CatalogCommand::RemoveMember(member(1, 1).id));
+        let group = script.state.group(&"cases".into()).unwrap();
+        assert_eq!(group.placement.epoch, PlacementEpoch(2));
+    }
+}
+
+case! {
+    /// The heartbeat of a process that was replaced arrives late. Admitting it would bring a dead
+    /// process back and give groups to it.
+    older_incarnation_is_never_admitted {
+        let mut script = CatalogScript::with_members(1);
+        script.expect_done(CatalogCommand::RemoveMember(member(1, 1).id));
+        script.expect_done(CatalogCommand::AdmitMember(member(1, 3)));
+        script.expect_stale(CatalogCommand::AdmitMember(member(1, 2)));
+        script.expect_done(CatalogCommand::RemoveMember(member(1, 3).id));
+        script.expect_stale(CatalogCommand::AdmitMember(member(1, 2)));
+    }
+}
+
+case! {
+    /// A leaseholder dies between the start of a term and its primary. The next one can't know
+    /// whom the first promoted, so a primary that it records in that term could be the second.
+    successor_begins_a_term_of_its_own {
+        let mut script = formed_group();
+        script.expect_done(term_start(1, 2));
+        let next = placement("cases", 2, "vm-2", &["vm-3"]);
+        script.expect_done(CatalogCommand::PlaceGroup(next));
+        script.expect_stale(primary_record("b", 1, 2));
+        script.expect_stale(primary_record("b", 2, 2));
+        script.expect_done(term_start(2, 3));
+        script.expect_done(primary_record("b", 2, 3));
+        script.expect_stale(primary_record("a", 2, 3));
+    }
+}
+
+case! {
+    /// A leaseholder loses the answers to its commands and sends them again. They must not count
+    /// as another's, or the promotion would start over each time an answer is lost.
+    resent_commands_are_answered_as_done {
+        let mut script = formed_group();
+        script.expect_done(term_start(1, 2));
+        let before = script.state.revision();
+        script.expect_done(term_start(1, 2));
+        assert_eq!(script.state.revision(), before);
+        script.expect_done(primary_record("b", 1, 2));
+        script.expect_done(primary_record("b", 1, 2));
+        script.expect_done(CatalogCommand::AddInstance(instance_change("c", 1, 2)));
+        script.expect_done(CatalogCommand::AddInstance(instance_change("c", 1, 2)));
+    }
+}
+
+case! {
+    /// Instances fail one after the other while nobody looks. If the set shrank to nothing, or
+    /// without its primary, the next majority would know nothing of acknowledged writes.
+    instance_set_keeps_its_primary_and_is_never_empty {
+        let mut script = formed_group();
+        script.expect_stale(CatalogCommand::RemoveInstance(instance_change("a", 1, 1)));
+        script.expect_done(CatalogCommand::RemoveInstance(instance_change("b", 1, 1)));
+        script.expect_stale(CatalogCommand::RemoveInstance(instance_change("a", 1, 1)));
+        script.expect_done(term_start(1, 2));
+        script.expect_stale(CatalogCommand::AddInstance(instance_change("b", 1, 2)));
+    }
+}
+
+case! {
+    /// A member that was down for hundreds of changes comes back. It must hold exactly the present
+    /// catalog, without the members that left meanwhile.
+    copy_follows_by_delta_and_by_snapshot {
+        let mut script = formed_group();
+        let mut copy = CatalogCopy::new();
+        copy.apply_delta(&script.state.delta_since(copy.revision())).unwrap();
+        for change in 0..600 {
+            script.apply(CatalogCommand::ApplyContract(contract_change(change + 1, change, 9)));
+        }
+        script.expect_done(CatalogCommand::RemoveMember(member(3, 1).id));
+        let delta = script.state.delta_since(copy.revision());
+        assert_eq!(delta.items.len(), 2);
+        copy.apply_delta(&delta).unwrap();
+        assert!(copy.member(&VmName::from("vm-3")).is_none());
+        let mut fresh = CatalogCopy::new();
+        fresh.apply_delta(&script.state.delta_since(fresh.revision())).unwrap();
+        assert_eq!(fresh, copy);
+        let restored = CatalogState::from_snapshot(&script.state.to_snapshot()).unwrap();
+        assert_eq!(restored, script.state);
+    }
+}
+
+case! {
+    /// A member asks a control VM that sat silent behind a cut for an hour. Taking its older state
+    /// would put replaced contracts back in force.
+    copy_never_goes_back {
+        let mut script = formed_group();
+        let stale = script.state.delta_since(CatalogRevision(0));
+        let behind = script.state.clone();
+        script.apply(CatalogCommand::ApplyContract(contract_change(1, 0, 10)));
+        let mut copy = CatalogCopy::new();
+        copy.apply_delta(&script.state.delta_since(copy.revision())).unwrap();
+        let held = copy.clone();
+        assert!(matches!(copy.apply_delta(&stale), Err(DeltaError::Older { .. })));
+        let empty = behind.delta_since(copy.revision());
+        copy.apply_delta(&empty).unwrap();
+        assert_eq!(copy, held);
+    }
+}
+
+case! {
+    /// Two control leaders in turn place the same group. The second must not overwrite the first's
+    /// placement unseen, nor place a group on a VM that has just left.
+    placement_is_compared_by_epoch_and_member {
+        let mut script = formed_group();
+        script.expect_stale(CatalogCommand::PlaceGroup(placement("cases", 1, "vm-2", &[])));
+        script.expect_stale(CatalogCommand::PlaceGroup(placement("cases", 2, "vm-9", &[])));
+        script.expect_stale(CatalogCommand::PlaceGroup(placement("cases", 2, "vm-1", &["vm-1"])));
+        script.expect_done(CatalogCommand::PlaceGroup(placement("cases", 2, "vm-2", &["vm-1"])));
+        let group = script.state.group(&GroupName::from("cases")).unwrap();
+        assert_eq!(group.placement.leaseholder, VmName::from("vm-2"));
+    }
+}
