Control: leases on both sides, and placement by rendezvous hashing

A member counts its lease from the sending of the heartbeat, control from its receipt plus a hundredth for drift, and a new leader waits a lease and an election before it declares anyone gone. A member whose removal was proposed gets no lease until it has rejoined. Control never moves a group off a leaseholder that is still in the catalog; a draining or overloaded one proposes the move itself. Ruled out: control moving groups of draining VMs, as only the leaseholder knows when nothing is in flight.

--- a/crates/control/src/contracts.rs
+++ b/crates/control/src/contracts.rs
@@ -5,6 +5,7 @@
 //! be told of a conflict with a change that was built on its own success, and the operator would
 //! apply it a second time. So every answer is kept, compactly, for good.
 
+use crate::digest::digest_bytes;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
 use ragwort_types::ChangeId;
@@ -147,12 +148,8 @@
     }
 }
 
-/// Returns the FNV-1a digest of a change's base version and contract.
 fn digest_change(change: &ContractChange) -> u64 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
     let content = (&change.base_version, &change.contract);
     let text = serde_json::to_string(&content).expect("a contract has text keys only");
-    let mix = |digest: u64, byte: u8| (digest ^ u64::from(byte)).wrapping_mul(PRIME);
-    text.bytes().fold(OFFSET_BASIS, mix)
+    digest_bytes(text.bytes())
 }
--- /dev/null
+++ b/crates/control/src/digest.rs
@@ -0,0 +1,10 @@
+//! A digest that is the same on every VM and in every build, unlike the standard library's.
+
+const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Returns the 64-bit FNV-1a digest of some bytes.
+pub(crate) fn digest_bytes(bytes: impl Iterator<Item = u8>) -> u64 {
+    let mix = |digest: u64, byte: u8| (digest ^ u64::from(byte)).wrapping_mul(PRIME);
+    bytes.fold(OFFSET_BASIS, mix)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -41,6 +41,9 @@
 mod clock;
 mod contracts;
 mod copy;
+mod digest;
+mod lease;
+mod placement;
 
 pub use catalog::CatalogState;
 pub use catalog::SnapshotError;
@@ -53,3 +56,12 @@
 pub use invariant::broken_invariants;
 #[doc(hidden)]
 pub use invariant::count_broken_invariant;
+pub use lease::DRIFT_DIVISOR;
+pub use lease::LeaseDecision;
+pub use lease::LeaseLedger;
+pub use lease::MemberLease;
+pub use placement::LOAD_PERCENT;
+pub use placement::STANDBY_COUNT;
+pub use placement::load_cap;
+pub use placement::plan_handovers;
+pub use placement::plan_placements;
--- a/crates/control/tests/catalog.rs
+++ b/crates/control/tests/state/catalog.rs
@@ -14,20 +14,10 @@
 use ragwort_types::TermStart;
 use ragwort_types::VmName;
 
-mod common;
-
-use common::CatalogScript;
-use common::contract_change;
-use common::member;
-use common::placement;
-
-macro_rules! case {
-    ($(#[$doc:meta])* $name:ident $body:block) => {
-        $(#[$doc])*
-        #[test]
-        fn $name() $body
-    };
-}
+use crate::common::CatalogScript;
+use crate::common::contract_change;
+use crate::common::member;
+use crate::common::placement;
 
 fn instance_change(name: &str, epoch: u64, term: u64) -> InstanceChange {
     InstanceChange {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/state/common.rs
@@ -23,6 +23,15 @@
 use std::collections::BTreeMap;
 use uuid::Uuid;
 
+/// Names one test case and tells, in its comment, how the failure comes about and what users notice.
+macro_rules! case {
+    ($(#[$doc:meta])* $name:ident $body:block) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() $body
+    };
+}
+
 /// A catalog with the index of the last command that it was given.
 pub struct CatalogScript {
     pub state: CatalogState,
--- /dev/null
+++ b/crates/control/tests/state/main.rs
@@ -0,0 +1,7 @@
+//! Failure tests and randomised runs of the catalog and of the machines around a group.
+
+#[macro_use]
+mod common;
+
+mod catalog;
+mod membership;
--- /dev/null
+++ b/crates/control/tests/state/membership.rs
@@ -0,0 +1,265 @@
+//! Failure tests of leases and placement: cuts, restarts, new leaders and lost VMs.
+
+use ragwort_control::CatalogCopy;
+use ragwort_control::ClockTime;
+use ragwort_control::LeaseDecision;
+use ragwort_control::LeaseLedger;
+use ragwort_control::MemberLease;
+use ragwort_control::load_cap;
+use ragwort_control::plan_handovers;
+use ragwort_control::plan_placements;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogRevision;
+use ragwort_types::ContractAcceptance;
+use ragwort_types::ContractVersion;
+use ragwort_types::GroupName;
+use ragwort_types::GroupPlacement;
+use ragwort_types::HeartbeatRequest;
+use ragwort_types::LeaseGrant;
+use ragwort_types::VmName;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::common::CatalogScript;
+use crate::common::contract_change;
+use crate::common::member;
+
+const LEASE: Duration = Duration::from_millis(2_000);
+const ELECTION: Duration = Duration::from_millis(500);
+
+fn heartbeat(number: u64, incarnation: u64, revision: u64) -> HeartbeatRequest {
+    HeartbeatRequest {
+        member: member(number, incarnation),
+        revision: CatalogRevision(revision),
+        unplaced_groups: Vec::new(),
+    }
+}
+
+fn ledger() -> LeaseLedger {
+    LeaseLedger::new(ClockTime::from_millis(0), LEASE, ELECTION)
+}
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+/// Places `groups` groups on `vms` VMs and applies the plan.
+fn placed_catalog(vms: u64, groups: u64) -> CatalogScript {
+    let mut script = CatalogScript::with_members(vms);
+    let names: Vec<GroupName> = (0..groups)
+        .map(|number| GroupName::from(format!("group-{number}")))
+        .collect();
+    let live = live_members(&script);
+    for plan in plan_placements(&script.state, &live, &names) {
+        script.expect_done(CatalogCommand::PlaceGroup(plan));
+    }
+    script
+}
+
+fn live_members(script: &CatalogScript) -> BTreeSet<VmName> {
+    let members = script.state.members();
+    members.map(|member| member.id.vm.clone()).collect()
+}
+
+fn leaseholders(script: &CatalogScript) -> BTreeMap<GroupName, GroupPlacement> {
+    let groups = script.state.groups();
+    groups
+        .map(|record| (record.placement.group.clone(), record.placement.clone()))
+        .collect()
+}
+
+fn most_led(script: &CatalogScript) -> usize {
+    let mut counts: BTreeMap<VmName, usize> = BTreeMap::new();
+    for placement in leaseholders(script).into_values() {
+        *counts.entry(placement.leaseholder).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or(0)
+}
+
+fn lose_vm_and_replan(vms: u64, groups: u64) {
+    let mut script = placed_catalog(vms, groups);
+    assert!(most_led(&script) <= load_cap(groups as usize, vms as usize));
+    let before = leaseholders(&script);
+    script.expect_done(CatalogCommand::RemoveMember(member(1, 1).id));
+    let live = live_members(&script);
+    for plan in plan_placements(&script.state, &live, &[]) {
+        script.expect_done(CatalogCommand::PlaceGroup(plan));
+    }
+    let lost = VmName::from("vm-1");
+    for (group, after) in leaseholders(&script) {
+        let former = &before[&group];
+        let held_by_lost = former.leaseholder == lost || former.standbys.contains(&lost);
+        assert_eq!(held_by_lost, *former != after, "{group}");
+        if former.leaseholder == lost {
+            assert!(former.standbys.contains(&after.leaseholder), "{group}");
+        } else {
+            assert_eq!(former.leaseholder, after.leaseholder, "{group}");
+        }
+    }
+    assert!(plan_placements(&script.state, &live, &[]).is_empty());
+}
+
+case! {
+    /// A heartbeat's answer is held up on its way. Counting the lease from its arrival would let
+    /// the member serve after control has given its groups away.
+    lease_counts_from_the_moment_of_sending {
+        let grant = LeaseGrant { lease_ms: 2_000, revision: CatalogRevision(3), delta: None };
+        let mut lease = MemberLease::new();
+        assert!(lease.renew(at(100), &grant, CatalogRevision(3)));
+        assert!(lease.is_valid(at(2_099)));
+        assert!(!lease.is_valid(at(2_100)));
+        assert!(lease.renew(at(50), &grant, CatalogRevision(3)));
+        assert_eq!(lease.remaining(at(2_000)), Duration::from_millis(100));
+    }
+}
+
+case! {
+    /// A member can't apply a delta but goes on sending heartbeats. If its lease were renewed, a
+    /// customer would be served under the replaced contract while operators read "in force".
+    member_behind_the_grant_is_not_renewed {
+        let grant = LeaseGrant { lease_ms: 2_000, revision: CatalogRevision(3), delta: None };
+        let mut lease = MemberLease::new();
+        assert!(!lease.renew(at(100), &grant, CatalogRevision(2)));
+        assert!(!lease.is_valid(at(101)));
+    }
+}
+
+case! {
+    /// The control leader changes while a member is behind a cut with its lease still running. The
+    /// new leader knows nothing of that lease and must not give the member's groups away yet.
+    new_leader_waits_for_unknown_leases {
+        let script = CatalogScript::with_members(1);
+        let mut ledger = ledger();
+        assert!(ledger.due_commands(at(2_519), &script.state).is_empty());
+        let due = ledger.due_commands(at(2_520), &script.state);
+        assert_eq!(due, vec![CatalogCommand::RemoveMember(member(1, 1).id)]);
+    }
+}
+
+case! {
+    /// A member is declared gone, and its heartbeat arrives before the removal is committed. A lease
+    /// granted then would overlap with that of its successor.
+    condemned_member_gets_no_lease_until_it_rejoins {
+        let mut script = CatalogScript::with_members(1);
+        let mut ledger = ledger();
+        let due = ledger.due_commands(at(3_000), &script.state);
+        let late = ledger.receive(at(3_001), &heartbeat(1, 1, 1), &script.state);
+        assert_eq!(late, LeaseDecision::NotYet);
+        assert_eq!(ledger.due_commands(at(3_002), &script.state), due);
+        script.expect_done(due[0].clone());
+        assert!(ledger.due_commands(at(3_003), &script.state).is_empty());
+        ledger.receive(at(3_004), &heartbeat(1, 1, 1), &script.state);
+        let due = ledger.due_commands(at(3_005), &script.state);
+        assert_eq!(due, vec![CatalogCommand::AdmitMember(member(1, 1))]);
+        script.expect_done(due[0].clone());
+        let granted = ledger.receive(at(3_006), &heartbeat(1, 1, 3), &script.state);
+        assert_eq!(granted, LeaseDecision::Grant(LEASE));
+    }
+}
+
+case! {
+    /// A daemon crashes and is started again at once. The new process must wait until the lease of
+    /// the old one has ended, and the old one must be told to stop if it still runs.
+    restarted_daemon_waits_for_its_former_lease {
+        let mut script = CatalogScript::with_members(1);
+        let mut ledger = ledger();
+        ledger.receive(at(2_600), &heartbeat(1, 1, 1), &script.state);
+        let successor = ledger.receive(at(2_700), &heartbeat(1, 2, 0), &script.state);
+        assert_eq!(successor, LeaseDecision::NotYet);
+        let former = ledger.receive(at(2_800), &heartbeat(1, 1, 1), &script.state);
+        assert_eq!(former, LeaseDecision::Superseded);
+        assert!(ledger.due_commands(at(4_619), &script.state).is_empty());
+        ledger.receive(at(4_620), &heartbeat(1, 2, 0), &script.state);
+        let due = ledger.due_commands(at(4_620), &script.state);
+        assert_eq!(due, vec![CatalogCommand::RemoveMember(member(1, 1).id)]);
+        script.expect_done(due[0].clone());
+        let due = ledger.due_commands(at(4_621), &script.state);
+        assert_eq!(due, vec![CatalogCommand::AdmitMember(member(1, 2))]);
+    }
+}
+
+case! {
+    /// A change is accepted while one member is silent and another can't apply deltas. The operator
+    /// must see "in force" once both leases have ended, and not before.
+    change_is_in_force_when_silent_leases_have_ended {
+        let mut script = CatalogScript::with_members(3);
+        let mut ledger = ledger();
+        for number in 1..=3 {
+            ledger.receive(at(2_600), &heartbeat(number, 1, 3), &script.state);
+        }
+        script.apply(CatalogCommand::ApplyContract(contract_change(1, 0, 10)));
+        let acceptance = ContractAcceptance {
+            version: ContractVersion(1),
+            revision: CatalogRevision(4),
+        };
+        ledger.receive(at(2_700), &heartbeat(1, 1, 4), &script.state);
+        ledger.receive(at(2_700), &heartbeat(2, 1, 3), &script.state);
+        let early = ledger.force_status(acceptance, at(4_619), &script.state);
+        assert_eq!((early.in_force, early.waiting_for), (false, 2));
+        let behind = ledger.receive(at(4_701), &heartbeat(2, 1, 3), &script.state);
+        assert_eq!(behind, LeaseDecision::Grant(Duration::ZERO));
+        ledger.receive(at(4_701), &heartbeat(1, 1, 4), &script.state);
+        let late = ledger.force_status(acceptance, at(4_720), &script.state);
+        assert!(late.in_force, "{late:?}");
+    }
+}
+
+case! {
+    /// One of today's eight VMs is lost. Only its groups may move, each to a standby that holds the
+    /// journal; any other move would pause callers for nothing.
+    loss_of_one_of_8_vms_moves_only_its_groups {
+        lose_vm_and_replan(8, 6);
+    }
+}
+
+case! {
+    /// One of 630 VMs is lost at the size that users expect in two years.
+    loss_of_one_of_630_vms_moves_only_its_groups {
+        lose_vm_and_replan(630, 710);
+    }
+}
+
+case! {
+    /// The first VM to join gets every group, because no other is there yet. When the others join,
+    /// it must shed all but its share, or one VM would carry the whole load.
+    overloaded_and_draining_leaseholders_hand_over {
+        let mut script = placed_catalog(1, 6);
+        for number in 2..=8 {
+            script.expect_done(CatalogCommand::AdmitMember(member(number, 1)));
+        }
+        let live = live_members(&script);
+        for plan in plan_placements(&script.state, &live, &[]) {
+            script.expect_done(CatalogCommand::PlaceGroup(plan));
+        }
+        let mut copy = CatalogCopy::new();
+        copy.apply_delta(&script.state.delta_since(copy.revision())).unwrap();
+        for plan in plan_handovers(&copy, &"vm-1".into()) {
+            script.expect_done(CatalogCommand::PlaceGroup(plan));
+        }
+        assert_eq!(most_led(&script), 1);
+
+        let leader = script.state.groups().next().unwrap().placement.leaseholder.clone();
+        let mut draining = script.state.member(&leader).unwrap().clone();
+        draining.draining = true;
+        script.expect_done(CatalogCommand::AdmitMember(draining));
+        copy.apply_delta(&script.state.delta_since(copy.revision())).unwrap();
+        let plans = plan_handovers(&copy, &leader);
+        assert_eq!(plans.len(), 1);
+        assert!(plans.iter().all(|plan| plan.leaseholder != leader));
+    }
+}
+
+case! {
+    /// Leaseholder and standbys in one failure domain would be lost together, and the journal with
+    /// them: callers would hear of doubtful outcomes that any standby elsewhere could settle.
+    group_is_spread_over_failure_domains {
+        let script = placed_catalog(8, 6);
+        for placement in leaseholders(&script).into_values() {
+            let mut domains = BTreeSet::new();
+            let vms = placement.standbys.iter().chain([&placement.leaseholder]);
+            domains.extend(vms.map(|vm| &script.state.member(vm).unwrap().domain));
+            assert_eq!(domains.len(), 3, "{placement:?}");
+        }
+    }
+}
