--- a/crates/control/src/invariant.rs
+++ b/crates/control/src/invariant.rs
@@ -1,39 +1,39 @@
-//! Checks that the program makes of itself while it runs.
+//! Checks of what must always hold, inside the running program.
+//!
+//! A broken invariant stops a debug build, so that randomised runs find it. A release build counts
+//! it and goes on: the daemon exports the count, and an operator sees that a promise may be broken
+//! without losing the process that still serves.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
+static BROKEN: AtomicU64 = AtomicU64::new(0);
 
 /// Returns how many invariants were found broken since the process started.
-///
-/// Anything but zero is a fault of the program. It is meant for the metrics page, because a release
-/// build goes on where a test or debug build panics.
-pub fn violation_count() -> u64 {
-    VIOLATIONS.load(Ordering::Relaxed)
+pub fn broken_invariants() -> u64 {
+    BROKEN.load(Ordering::Relaxed)
 }
 
-/// Counts a broken invariant, and panics in test and debug builds.
-///
-/// # Panics
-///
-/// Panics with `message` when the program was built with debug assertions.
-pub fn report_violation(message: &str) {
-    VIOLATIONS.fetch_add(1, Ordering::Relaxed);
-    if cfg!(debug_assertions) {
-        panic!("invariant broken: {message}");
-    }
+/// Counts one broken invariant; called by [`invariant!`](crate::invariant!).
+#[doc(hidden)]
+pub fn count_broken_invariant() {
+    BROKEN.fetch_add(1, Ordering::Relaxed);
 }
 
-/// Checks a condition that must hold whatever messages, losses and restarts came before.
+/// Checks that a condition holds.
+///
+/// # Panics
 ///
-/// A broken one panics in test and debug builds and is counted in release builds, where going on
-/// does less harm than losing every session of the process.
+/// Panics in a debug build if it doesn't; a release build counts it, see
+/// [`broken_invariants`](crate::broken_invariants).
 #[macro_export]
 macro_rules! invariant {
     ($condition:expr, $($message:tt)+) => {
         if !$condition {
-            $crate::invariant::report_violation(&format!($($message)+));
+            $crate::count_broken_invariant();
+            if cfg!(debug_assertions) {
+                panic!($($message)+);
+            }
         }
     };
 }
