Write logs and metrics, and show them to the platform

Log lines carry time and level as pairs of their own, so that a whole line is key=value; values with spaces or line breaks are quoted, since a caller's text could otherwise forge an event. Labels by customer, session or endpoint were ruled out: their number grows with the fleet.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,8 @@
 //! The daemon of ragwortgate.
 
+pub mod logs;
+pub mod metrics;
+pub mod platform;
 pub mod settings;
 mod settings_tree;
+pub mod sockets;
--- /dev/null
+++ b/crates/daemon/src/logs.rs
@@ -0,0 +1,133 @@
+//! The log: one line of key=value pairs for each event.
+//!
+//! Lines of libraries are left out, because they don't have this form.
+
+use crate::settings::LogSettings;
+use log::Level;
+use log::LevelFilter;
+use log::SetLoggerError;
+use simplelog::Config;
+use simplelog::ConfigBuilder;
+use simplelog::WriteLogger;
+use std::fmt;
+use std::fmt::Write;
+use std::fs::OpenOptions;
+use std::io;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// The target of the daemon's own lines.
+pub const LOG_TARGET: &str = "ragwortgated";
+
+/// Why the log could not be set up.
+#[derive(Debug)]
+pub enum LogFault {
+    /// The log file can't be opened for appending.
+    File(io::Error),
+    /// The process has a log already.
+    AlreadySet(SetLoggerError),
+}
+
+impl fmt::Display for LogFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File(error) => write!(formatter, "log file can't be opened: {error}"),
+            Self::AlreadySet(error) => write!(formatter, "log is set up already: {error}"),
+        }
+    }
+}
+
+/// Sets up the log of this process, once.
+///
+/// # Errors
+///
+/// Returns [`LogFault::File`] when the file can't be opened, and [`LogFault::AlreadySet`] on a
+/// second call.
+pub fn set_up_log(settings: &LogSettings) -> Result<(), LogFault> {
+    let config = line_config();
+    let set = match &settings.file {
+        None => WriteLogger::init(settings.level, config, io::stderr()),
+        Some(path) => {
+            let file = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(path)
+                .map_err(LogFault::File)?;
+            WriteLogger::init(settings.level, config, file)
+        }
+    };
+    set.map_err(LogFault::AlreadySet)
+}
+
+/// Returns a configuration that writes nothing before the line itself, which carries its own time
+/// and level as pairs.
+fn line_config() -> Config {
+    ConfigBuilder::new()
+        .set_max_level(LevelFilter::Off)
+        .set_time_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str(LOG_TARGET)
+        .build()
+}
+
+/// Logs one event as a line of key=value pairs.
+///
+/// # Examples
+///
+/// ```
+/// use log::Level;
+/// use ragwortgated::log_event;
+///
+/// log_event!(Level::Info, "lease_lost", vm = "vm-1", silent_ms = 1200);
+/// ```
+#[macro_export]
+macro_rules! log_event {
+    ($level:expr, $event:expr $(, $key:ident = $value:expr)* $(,)?) => {
+        if log::log_enabled!(target: $crate::logs::LOG_TARGET, $level) {
+            let line = $crate::logs::EventLine::new($level, $event)
+                $(.with(stringify!($key), &$value))*;
+            log::log!(target: $crate::logs::LOG_TARGET, $level, "{}", line.as_str());
+        }
+    };
+}
+
+/// One line of the log while it is put together; [`log_event!`](crate::log_event) uses it.
+#[derive(Debug)]
+pub struct EventLine {
+    text: String,
+}
+
+impl EventLine {
+    /// Starts a line with the time in milliseconds since the Unix epoch, the level and the event.
+    pub fn new(level: Level, event: &str) -> Self {
+        let time_ms = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis());
+        let line = Self {
+            text: format!("time_ms={time_ms}"),
+        };
+        line.with("level", &level.as_str().to_ascii_lowercase())
+            .with("event", &event)
+    }
+
+    /// Adds a pair; a value with spaces, quotes or line breaks is quoted.
+    pub fn with(mut self, key: &str, value: &dyn fmt::Display) -> Self {
+        let value = value.to_string();
+        // A caller's text in a value could otherwise end the line and forge an event of its own.
+        let plain = |letter: char| letter.is_ascii_graphic() && !matches!(letter, '"' | '=');
+        let written = if !value.is_empty() && value.chars().all(plain) {
+            write!(self.text, " {key}={value}")
+        } else {
+            write!(self.text, " {key}={value:?}")
+        };
+        debug_assert!(written.is_ok(), "writing to a string can't fail");
+        self
+    }
+
+    /// Returns the line as text.
+    pub fn as_str(&self) -> &str {
+        &self.text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,288 @@
+//! The daemon's metrics, for the platform's collector.
+//!
+//! No label holds a customer, session or endpoint: at the size to come, such labels would cost more
+//! memory on each VM than the daemon itself.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+use ragwort_types::CatalogRevision;
+use ragwort_types::GroupName;
+use ragwort_types::GroupTerm;
+use ragwort_types::RequestVerdict;
+use ragwort_types::ServedBy;
+use ragwort_types::StatementAnswer;
+use ragwort_types::UrgencyClass;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The first bucket of waiting times, in seconds; each next one is twice as wide.
+///
+/// Half a millisecond is below one hop between failure domains, and 16 doublings reach 16 s, above
+/// any deadline that a caller is likely to have.
+const FIRST_WAIT_BUCKET: f64 = 0.000_5;
+const WAIT_BUCKETS: u16 = 16;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    verdict: &'static str,
+    cause: String,
+    class: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SourceLabels {
+    source: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct GroupLabels {
+    group: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FaultLabels {
+    fault: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PointLabels {
+    point: String,
+}
+
+/// The metrics of one daemon; clones share the same values.
+///
+/// # Examples
+///
+/// ```
+/// use ragwortgated::metrics::DaemonMetrics;
+///
+/// let metrics = DaemonMetrics::new();
+/// metrics.count_invariant_failure("one answer per request");
+/// assert!(metrics.to_text().contains("ragwort_invariant_failures_total"));
+/// ```
+#[derive(Clone, Debug)]
+pub struct DaemonMetrics {
+    registry: Arc<Registry>,
+    requests: Family<RequestLabels, Counter>,
+    reads: Family<SourceLabels, Counter>,
+    queue_length: Family<GroupLabels, Gauge>,
+    queue_wait: Histogram,
+    caller_connections: Gauge,
+    caller_faults: Family<FaultLabels, Counter>,
+    endpoint_connections: Family<GroupLabels, Gauge>,
+    lease_held: Gauge,
+    groups_led: Gauge,
+    group_term: Family<GroupLabels, Gauge>,
+    catalog_revision: Gauge,
+    invariant_failures: Family<PointLabels, Counter>,
+}
+
+impl Default for DaemonMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl DaemonMetrics {
+    /// Creates metrics that are all zero.
+    pub fn new() -> Self {
+        let buckets = exponential_buckets(FIRST_WAIT_BUCKET, 2.0, WAIT_BUCKETS);
+        let mut metrics = Self {
+            registry: Arc::new(Registry::default()),
+            requests: Family::default(),
+            reads: Family::default(),
+            queue_length: Family::default(),
+            queue_wait: Histogram::new(buckets),
+            caller_connections: Gauge::default(),
+            caller_faults: Family::default(),
+            endpoint_connections: Family::default(),
+            lease_held: Gauge::default(),
+            groups_led: Gauge::default(),
+            group_term: Family::default(),
+            catalog_revision: Gauge::default(),
+            invariant_failures: Family::default(),
+        };
+        metrics.registry = Arc::new(metrics.register_all());
+        metrics
+    }
+
+    fn register_all(&self) -> Registry {
+        let mut registry = Registry::with_prefix("ragwort");
+        registry.register("requests", "Requests by verdict", self.requests.clone());
+        registry.register("reads", "Reads by who served them", self.reads.clone());
+        registry.register(
+            "queue_length",
+            "Requests that wait at this leaseholder",
+            self.queue_length.clone(),
+        );
+        registry.register(
+            "queue_wait_seconds",
+            "Time from arrival to dispatch at this leaseholder",
+            self.queue_wait.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+        registry.register(
+            "caller_faults",
+            "Callers' connections ended by a fault",
+            self.caller_faults.clone(),
+        );
+        registry.register(
+            "endpoint_connections",
+            "Open connections to endpoints",
+            self.endpoint_connections.clone(),
+        );
+        registry.register(
+            "lease_held",
+            "Whether this VM holds a lease",
+            self.lease_held.clone(),
+        );
+        registry.register(
+            "groups_led",
+            "Groups of which this VM is the leaseholder",
+            self.groups_led.clone(),
+        );
+        registry.register(
+            "group_term",
+            "Term of each group that this VM leads",
+            self.group_term.clone(),
+        );
+        registry.register(
+            "catalog_revision",
+            "Catalog revision in force on this VM",
+            self.catalog_revision.clone(),
+        );
+        registry.register(
+            "invariant_failures",
+            "Failed checks of what must always hold",
+            self.invariant_failures.clone(),
+        );
+        registry
+    }
+
+    /// Counts a request's final verdict.
+    pub fn count_request(&self, verdict: &RequestVerdict, class: UrgencyClass) {
+        let (verdict, cause) = match verdict {
+            RequestVerdict::Ran(StatementAnswer::Failed(_)) => ("failed", String::new()),
+            RequestVerdict::Ran(_) => ("ran", String::new()),
+            RequestVerdict::NotRun(refusal) => ("not_run", refusal.cause.to_string()),
+            RequestVerdict::MayHaveRun(cause) => ("may_have_run", cause.to_string()),
+        };
+        let class = match class {
+            UrgencyClass::Ordinary => "ordinary",
+            UrgencyClass::Urgent => "urgent",
+        };
+        let labels = RequestLabels {
+            verdict,
+            cause: cause.replace(' ', "_"),
+            class,
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a read by the instance that served it.
+    pub fn count_read(&self, served: &ServedBy) {
+        let source = if served.replica { "replica" } else { "primary" };
+        self.reads.get_or_create(&SourceLabels { source }).inc();
+    }
+
+    /// Sets how many requests wait in a group's queue.
+    pub fn set_queue_length(&self, group: &GroupName, length: usize) {
+        set_group_gauge(&self.queue_length, group, length as i64);
+    }
+
+    /// Records how long a request waited in a queue.
+    pub fn observe_queue_wait(&self, wait: Duration) {
+        self.queue_wait.observe(wait.as_secs_f64());
+    }
+
+    /// Counts a caller's connection as open until the returned guard is dropped.
+    pub fn open_caller_connection(&self) -> ConnectionCount {
+        self.caller_connections.inc();
+        ConnectionCount(self.caller_connections.clone())
+    }
+
+    /// Counts a caller's connection that a fault has ended.
+    pub fn count_caller_fault(&self, fault: &'static str) {
+        self.caller_faults
+            .get_or_create(&FaultLabels { fault })
+            .inc();
+    }
+
+    /// Sets how many connections are open to a group's endpoints.
+    pub fn set_endpoint_connections(&self, group: &GroupName, count: usize) {
+        set_group_gauge(&self.endpoint_connections, group, count as i64);
+    }
+
+    /// Sets whether this VM holds a lease.
+    pub fn set_lease_held(&self, held: bool) {
+        self.lease_held.set(i64::from(held));
+    }
+
+    /// Sets how many groups this VM leads.
+    pub fn set_groups_led(&self, count: usize) {
+        self.groups_led.set(count as i64);
+    }
+
+    /// Sets the term of a group that this VM leads.
+    pub fn set_group_term(&self, group: &GroupName, term: GroupTerm) {
+        set_group_gauge(&self.group_term, group, term.0 as i64);
+    }
+
+    /// Removes the values of a group that this VM doesn't lead any more.
+    pub fn forget_group(&self, group: &GroupName) {
+        let labels = GroupLabels {
+            group: group.to_string(),
+        };
+        self.queue_length.remove(&labels);
+        self.endpoint_connections.remove(&labels);
+        self.group_term.remove(&labels);
+    }
+
+    /// Sets the catalog revision that is in force on this VM.
+    pub fn set_catalog_revision(&self, revision: CatalogRevision) {
+        self.catalog_revision.set(revision.0 as i64);
+    }
+
+    /// Counts a failed check of what must always hold.
+    pub fn count_invariant_failure(&self, point: &str) {
+        let labels = PointLabels {
+            point: point.replace(' ', "_"),
+        };
+        self.invariant_failures.get_or_create(&labels).inc();
+    }
+
+    /// Returns all metrics in the OpenMetrics text format.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        let encoded = encode(&mut text, &self.registry);
+        debug_assert!(encoded.is_ok(), "writing to a string can't fail");
+        text
+    }
+}
+
+fn set_group_gauge(family: &Family<GroupLabels, Gauge>, group: &GroupName, value: i64) {
+    let labels = GroupLabels {
+        group: group.to_string(),
+    };
+    family.get_or_create(&labels).set(value);
+}
+
+/// Counts one open connection; dropping it counts the connection as closed.
+#[derive(Debug)]
+pub struct ConnectionCount(Gauge);
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
