--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -68,7 +68,6 @@
 pub use settings::GuardSet;
 pub use snapshot::CompactError;
 
-use crate::invariant;
 use log::ReplicaLog;
 use ragwort_types::VmIncarnation;
 use rand::RngExt;
--- a/crates/control/src/agreement/snapshot.rs
+++ b/crates/control/src/agreement/snapshot.rs
@@ -14,7 +14,6 @@
 use super::progress::SendMode;
 use super::progress::SnapshotTransfer;
 use super::replication::BatchSender;
-use crate::invariant;
 use std::fmt;
 
 /// Why a log can't be compacted.
