Decide under load: the group scheduler and its modules

The leaseholder needs one place that decides who gets an endpoint's slots and connections. Events and the present moment go in, decisions come out. One plan of the queue gives the dispatches of the moment and the refusals of what can't end in time, so that both rest on the same order.

Ruled out: a pool per gateway (630 gateways can't share 16 connections), and a separate estimate of waiting time for admission, which would judge by another order than the one that is served. Not measured yet; the doc example is the only run.

--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,141 @@
+//! Admission and early refusal.
+//!
+//! # The load it answers
+//!
+//! More work arrives than the group can do, for a moment or for hours.
+//!
+//! # Without it
+//!
+//! The queue grows until every request in it is answered after its deadline: all slots are busy and
+//! no caller is served. A caller whose request has no chance learns so only when its time is up,
+//! too late to do anything else.
+//!
+//! # Grounds for its figures
+//!
+//! The plan of the whole queue says when each request will start. One whose expected end lies
+//! beyond its deadline is refused at that moment, with the whole rest of its time left to the
+//! caller. The expected end includes one mean deviation of its kind's run, because an answer that
+//! comes a little late has cost a slot and helps nobody. Refused callers are told to come back when
+//! the work that is waiting now will have been done, spread over the time that the group needs to
+//! serve all that were refused within the last second: if all came back together, they would be
+//! refused together again.
+
+use crate::ClockTime;
+use crate::RequestTicket;
+use crate::time::to_micros;
+use ragwort_types::Refusal;
+use ragwort_types::RefusalCause;
+use std::time::Duration;
+
+/// The most requests that may wait in a group, over all customers; it bounds the memory.
+pub(crate) const GROUP_QUEUE_LIMIT: usize = 4_096;
+
+/// The part of a customer's queue limit that urgent requests have besides it.
+const URGENT_QUEUE_PART: u32 = 4;
+
+/// The shortest time after which a refused caller is told to come back.
+const SHORTEST_RETURN: Duration = Duration::from_millis(20);
+
+/// The longest time after which a refused caller is told to come back.
+const LONGEST_RETURN: Duration = Duration::from_secs(5);
+
+/// The window over which refusals are counted.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
+
+/// How long a group without a primary is expected to be so.
+///
+/// The target for a promotion is a median under one second.
+pub(crate) const PROMOTION_TIME: Duration = Duration::from_secs(1);
+
+/// A promotion that has outlasted its target is expected to last this much longer.
+pub(crate) const PROMOTION_REST: Duration = Duration::from_millis(250);
+
+/// Returns how many requests of one urgency a customer may have waiting.
+///
+/// Urgent requests have room of their own: a queue full of ordinary ones must not keep an urgent
+/// request out.
+pub(crate) fn queue_limit(limit: u32, urgent: bool) -> usize {
+    let room = if urgent { urgent_room(limit) } else { limit };
+    usize::try_from(room).unwrap_or(usize::MAX)
+}
+
+/// Returns how many urgent requests a customer may have waiting besides its ordinary ones.
+pub(crate) fn urgent_room(limit: u32) -> u32 {
+    limit.div_ceil(URGENT_QUEUE_PART)
+}
+
+/// Says whether a request that starts at `start` is expected to miss its deadline.
+pub(crate) fn misses_deadline(
+    start: ClockTime,
+    expected: Duration,
+    margin: Duration,
+    deadline: ClockTime,
+) -> bool {
+    start + expected + margin > deadline
+}
+
+/// Says when refused callers are to come back.
+#[derive(Clone, Debug)]
+pub(crate) struct ReturnPlanner {
+    seed: u64,
+    window_start: ClockTime,
+    refused_now: u64,
+    refused_before: u64,
+}
+
+impl ReturnPlanner {
+    /// Creates a planner whose spread depends on `seed`.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            window_start: ClockTime::default(),
+            refused_now: 0,
+            refused_before: 0,
+        }
+    }
+
+    /// Creates a refusal whose caller is to come back after `backlog` at the earliest.
+    ///
+    /// `run` is the time in which the group serves one request.
+    pub(crate) fn refuse(
+        &mut self,
+        now: ClockTime,
+        ticket: RequestTicket,
+        cause: RefusalCause,
+        backlog: Duration,
+        run: Duration,
+    ) -> Refusal {
+        self.count(now);
+        let refused = self.refused_now + self.refused_before;
+        let spread = to_micros(run).saturating_mul(refused);
+        let spread = spread.clamp(to_micros(SHORTEST_RETURN), to_micros(LONGEST_RETURN));
+        let offset = mix(self.seed ^ ticket.0) % spread;
+        let wait = backlog.max(SHORTEST_RETURN) + Duration::from_micros(offset);
+        let wait = wait.min(LONGEST_RETURN + Duration::from_micros(offset));
+        Refusal {
+            cause,
+            come_back_after_ms: to_micros(wait).div_ceil(1_000),
+        }
+    }
+
+    fn count(&mut self, now: ClockTime) {
+        let passed = now.since(self.window_start);
+        if passed >= REFUSAL_WINDOW * 2 {
+            self.refused_now = 0;
+        }
+        if passed >= REFUSAL_WINDOW {
+            self.refused_before = self.refused_now;
+            self.refused_now = 0;
+            self.window_start = now;
+        }
+        self.refused_now += 1;
+    }
+}
+
+/// Mixes the bits of a number, so that neighbouring tickets get unrelated results.
+fn mix(input: u64) -> u64 {
+    let mut state = input.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    state = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    state = (state ^ (state >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    state ^ (state >> 31)
+}
--- /dev/null
+++ b/crates/policy/src/board.rs
@@ -0,0 +1,157 @@
+//! The slots of all endpoints as a plan sees them: when each is expected to be free.
+
+use crate::ClockTime;
+use crate::EndpointRole;
+use crate::connections::pin_limit;
+use crate::endpoints::EndpointRecord;
+use crate::health::HealthLevel;
+use crate::long_jobs::may_start_long;
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// One slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotBoard {
+    /// When the slot is expected to be free.
+    pub(crate) free_at: ClockTime,
+    /// Whether a long job holds it until then.
+    pub(crate) long: bool,
+}
+
+/// One endpoint's slots and connections.
+#[derive(Clone, Debug)]
+pub(crate) struct InstanceBoard {
+    /// The slots.
+    pub(crate) slots: SmallVec<[SlotBoard; 4]>,
+    /// Idle connections at the start of the plan.
+    pub(crate) idle: u32,
+    /// Open connections that no transaction holds.
+    pub(crate) unpinned: u32,
+    /// How many more transactions may take a connection now.
+    pub(crate) pins_left: u32,
+    /// When further connections are expected to be open.
+    pub(crate) connected_at: ClockTime,
+    /// When a transaction may take a connection.
+    pub(crate) pin_at: ClockTime,
+    /// How many slots may be used for work that could go elsewhere.
+    pub(crate) usable: u32,
+    /// Whether a trial of this endpoint may start.
+    pub(crate) trial: bool,
+    /// Requests on pinned connections that went in a row while others waited.
+    pub(crate) pinned_run: u32,
+    /// The factor by which runs are longer here.
+    pub(crate) slowdown: f64,
+}
+
+impl InstanceBoard {
+    /// Reads an endpoint's present state.
+    pub(crate) fn from_record(
+        record: &EndpointRecord,
+        now: ClockTime,
+        connect_time: Duration,
+        pin_hold: Duration,
+        health: bool,
+    ) -> Self {
+        let slots = usize::try_from(record.state.slots).unwrap_or(0);
+        let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
+        let mut board = Self {
+            slots: SmallVec::new(),
+            idle: record.idle_connections(),
+            unpinned: record.open.saturating_sub(pinned),
+            pins_left: pin_limit(record.state.connections, record.state.slots)
+                .saturating_sub(pinned),
+            connected_at: now + connect_time,
+            pin_at: next_pin(record, now, pin_hold),
+            usable: record.state.slots,
+            trial: false,
+            pinned_run: 0,
+            slowdown: 1.0,
+        };
+        if health {
+            board.usable = record.health.usable_slots(record.state.slots);
+            board.trial = record.health.trial_due(now);
+            board.slowdown = record.health.slowdown();
+        }
+        if record.state.role == EndpointRole::Unusable {
+            return board;
+        }
+        for running in &record.running {
+            board.slots.push(SlotBoard {
+                free_at: running.expected_end(now),
+                long: running.long,
+            });
+        }
+        while board.slots.len() < slots {
+            board.slots.push(SlotBoard {
+                free_at: now,
+                long: false,
+            });
+        }
+        board
+    }
+
+    /// Returns the index of a slot that is free at a moment.
+    pub(crate) fn free_slot(&self, at: ClockTime) -> Option<usize> {
+        self.slots.iter().position(|slot| slot.free_at <= at)
+    }
+
+    /// Returns how many slots are held at a moment.
+    pub(crate) fn held(&self, at: ClockTime) -> u32 {
+        let held = self.slots.iter().filter(|slot| slot.free_at > at).count();
+        u32::try_from(held).unwrap_or(u32::MAX)
+    }
+
+    /// Says whether a connection is idle at a moment.
+    pub(crate) fn is_connected(&self, now: ClockTime, at: ClockTime) -> bool {
+        if at == now {
+            return self.idle > 0;
+        }
+        self.unpinned > 0 || at >= self.connected_at
+    }
+
+    /// Says whether a transaction may take a connection at a moment.
+    pub(crate) fn takes_pin(&self, at: ClockTime) -> bool {
+        self.pins_left > 0 || at >= self.pin_at
+    }
+
+    /// Returns how many long jobs run at a moment.
+    pub(crate) fn long_running(&self, at: ClockTime) -> u32 {
+        let long = self
+            .slots
+            .iter()
+            .filter(|slot| slot.long && slot.free_at > at);
+        u32::try_from(long.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Says whether a long job may start at a moment.
+    pub(crate) fn takes_long(&self, at: ClockTime, elsewhere_free: bool) -> bool {
+        let slots = u32::try_from(self.slots.len()).unwrap_or(u32::MAX);
+        may_start_long(slots, self.long_running(at), elsewhere_free)
+    }
+
+    /// Takes a slot and a connection.
+    pub(crate) fn take(&mut self, at: ClockTime, until: ClockTime, long: bool, pinned: bool) {
+        if let Some(index) = self.free_slot(at) {
+            self.slots[index] = SlotBoard {
+                free_at: until,
+                long,
+            };
+        }
+        if !pinned {
+            self.idle = self.idle.saturating_sub(1);
+        }
+    }
+}
+
+/// Returns when a transaction is expected to get a connection, if all are held now.
+fn next_pin(record: &EndpointRecord, now: ClockTime, pin_hold: Duration) -> ClockTime {
+    let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
+    let oldest = record.pins.iter().map(|pin| pin.since).min();
+    let end = oldest.map_or(now, |since| since + pin_hold);
+    end.max(now + pin_hold / pinned.max(1))
+}
+
+/// Says whether an endpoint of this health is given ordinary work.
+pub(crate) fn is_standing(record: &EndpointRecord) -> bool {
+    record.takes_fresh_work() && record.health.level() != HealthLevel::Cut
+}
--- /dev/null
+++ b/crates/policy/src/endpoints.rs
@@ -0,0 +1,232 @@
+//! The group's endpoints: their slots, connections, positions and running requests.
+
+use crate::ClockTime;
+use crate::EndpointRole;
+use crate::EndpointState;
+use crate::RequestTicket;
+use crate::health::EndpointHealth;
+use ragwort_types::InstanceName;
+use ragwort_types::LogPosition;
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// What is assumed at least of a run that goes on: a slot that is held never looks free.
+const LEAST_REST: Duration = Duration::from_micros(100);
+
+/// A request in a slot.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningRequest {
+    /// Its name.
+    pub(crate) ticket: RequestTicket,
+    /// When it was dispatched.
+    pub(crate) started: ClockTime,
+    /// How long it was expected to hold the slot.
+    pub(crate) expected: Duration,
+    /// Whether it counts as long.
+    pub(crate) long: bool,
+    /// The key on which it writes, made distinct between customers.
+    pub(crate) write_key: Option<u64>,
+    /// Whether it runs on a connection that a transaction holds.
+    pub(crate) pinned: bool,
+}
+
+impl RunningRequest {
+    /// Returns when the slot is expected to be free.
+    ///
+    /// A run that has outlasted its expectation is expected to go on for as long as it is over.
+    pub(crate) fn expected_end(&self, now: ClockTime) -> ClockTime {
+        let elapsed = now.since(self.started);
+        if elapsed < self.expected {
+            return self.started + self.expected;
+        }
+        let rest = (elapsed - self.expected).max(self.expected / 4);
+        now + rest.max(LEAST_REST)
+    }
+}
+
+/// A connection that a transaction holds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionPin {
+    /// The request that opened the transaction.
+    pub(crate) opener: RequestTicket,
+    /// The index of the customer.
+    pub(crate) customer: usize,
+    /// When the connection was taken.
+    pub(crate) since: ClockTime,
+}
+
+/// One endpoint and what the scheduler knows of it.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointRecord {
+    /// As the leaseholder reported it.
+    pub(crate) state: EndpointState,
+    /// The time of a message there and back.
+    pub(crate) round_trip: Duration,
+    /// What it holds.
+    pub(crate) position: LogPosition,
+    /// The bound of its data's age at `reported`.
+    pub(crate) age_bound: Option<Duration>,
+    /// When position and age were reported.
+    pub(crate) reported: ClockTime,
+    /// The requests in its slots.
+    pub(crate) running: SmallVec<[RunningRequest; 4]>,
+    /// Open connections.
+    pub(crate) open: u32,
+    /// Connections being opened.
+    pub(crate) opening: u32,
+    /// The transactions that hold a connection, by the ticket of the request that opened them.
+    pub(crate) pins: SmallVec<[ConnectionPin; 4]>,
+    /// Its speed.
+    pub(crate) health: EndpointHealth,
+    /// No connection is opened before this moment, after one failed to open.
+    pub(crate) connect_after: ClockTime,
+    /// Whether it was removed while requests were running on it.
+    ///
+    /// If it were forgotten at once and came back, its slots would be taken for free while the
+    /// old requests still run there.
+    pub(crate) removed: bool,
+}
+
+impl EndpointRecord {
+    fn new(state: EndpointState, round_trip: Duration) -> Self {
+        Self {
+            state,
+            round_trip,
+            position: LogPosition::default(),
+            age_bound: None,
+            reported: ClockTime::default(),
+            running: SmallVec::new(),
+            open: 0,
+            opening: 0,
+            pins: SmallVec::new(),
+            health: EndpointHealth::default(),
+            connect_after: ClockTime::default(),
+            removed: false,
+        }
+    }
+
+    /// Returns how many connections are neither pinned nor in use.
+    pub(crate) fn idle_connections(&self) -> u32 {
+        let unpinned = self.running.iter().filter(|running| !running.pinned);
+        let busy = unpinned.count() + self.pins.len();
+        self.open
+            .saturating_sub(u32::try_from(busy).unwrap_or(u32::MAX))
+    }
+
+    /// Returns how many slots are free.
+    pub(crate) fn free_slots(&self) -> u32 {
+        let busy = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        self.state.slots.saturating_sub(busy)
+    }
+
+    /// Says whether it takes requests that no transaction ties to it.
+    pub(crate) fn takes_fresh_work(&self) -> bool {
+        !self.state.leaving && self.state.role != EndpointRole::Unusable
+    }
+
+    /// Returns the bound of its data's age, if one is known.
+    pub(crate) fn age(&self, now: ClockTime) -> Option<Duration> {
+        self.age_bound.map(|bound| bound + now.since(self.reported))
+    }
+
+    /// Returns the least ratio of elapsed to expected run over all slots, if all are held.
+    pub(crate) fn held_ratio(&self, now: ClockTime) -> Option<f64> {
+        if self.free_slots() > 0 || self.running.iter().any(|running| running.long) {
+            return None;
+        }
+        let ratios = self.running.iter().map(|running| {
+            let expected = running.expected.as_secs_f64().max(1e-6);
+            now.since(running.started).as_secs_f64() / expected
+        });
+        ratios.min_by(f64::total_cmp)
+    }
+}
+
+/// The endpoints of one group.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndpointTable {
+    records: Vec<EndpointRecord>,
+}
+
+impl EndpointTable {
+    /// Returns all endpoints, ordered by name.
+    pub(crate) fn records(&self) -> &[EndpointRecord] {
+        &self.records
+    }
+
+    /// Returns all endpoints for changing.
+    pub(crate) fn records_mut(&mut self) -> &mut [EndpointRecord] {
+        &mut self.records
+    }
+
+    /// Adds an endpoint or replaces its state.
+    pub(crate) fn set(&mut self, state: EndpointState, round_trip: Duration) {
+        match self.position_of(&state.instance) {
+            Ok(index) => {
+                self.records[index].state = state;
+                self.records[index].round_trip = round_trip;
+                self.records[index].removed = false;
+            }
+            Err(index) => self
+                .records
+                .insert(index, EndpointRecord::new(state, round_trip)),
+        }
+    }
+
+    /// Removes an endpoint, at once or as soon as nothing runs on it.
+    pub(crate) fn remove(&mut self, instance: &InstanceName) {
+        if let Some(record) = self.get_mut(instance) {
+            record.state.role = EndpointRole::Unusable;
+            record.removed = true;
+            record.pins.clear();
+            record.open = 0;
+            record.opening = 0;
+        }
+        self.forget_removed();
+    }
+
+    /// Forgets removed endpoints on which nothing runs any more.
+    pub(crate) fn forget_removed(&mut self) {
+        self.records
+            .retain(|record| !record.removed || !record.running.is_empty());
+    }
+
+    /// Returns the index of an endpoint.
+    pub(crate) fn index_of(&self, instance: &InstanceName) -> Option<usize> {
+        self.position_of(instance).ok()
+    }
+
+    /// Returns an endpoint.
+    pub(crate) fn get(&self, instance: &InstanceName) -> Option<&EndpointRecord> {
+        self.position_of(instance)
+            .ok()
+            .map(|index| &self.records[index])
+    }
+
+    /// Returns an endpoint for changing.
+    pub(crate) fn get_mut(&mut self, instance: &InstanceName) -> Option<&mut EndpointRecord> {
+        match self.position_of(instance) {
+            Ok(index) => Some(&mut self.records[index]),
+            Err(_) => None,
+        }
+    }
+
+    /// Returns the endpoint on which a transaction holds a connection.
+    pub(crate) fn index_of_pin(&self, opener: RequestTicket) -> Option<usize> {
+        self.records
+            .iter()
+            .position(|record| record.pins.iter().any(|pin| pin.opener == opener))
+    }
+
+    /// Says whether some endpoint serves as primary.
+    pub(crate) fn has_primary(&self) -> bool {
+        self.records
+            .iter()
+            .any(|record| record.state.role == EndpointRole::Primary && record.takes_fresh_work())
+    }
+
+    fn position_of(&self, instance: &InstanceName) -> Result<usize, usize> {
+        self.records
+            .binary_search_by(|record| record.state.instance.cmp(instance))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/estimate.rs
@@ -0,0 +1,148 @@
+//! How long a request will run: its kind predicts, a running estimate corrects.
+//!
+//! # The load it answers
+//!
+//! Requests of very different length meet in one queue: lookups of milliseconds, reports of half a
+//! second. Every other module asks this one how long a request will hold a slot.
+//!
+//! # Without it
+//!
+//! A kind that a contract calls short and that runs for half a second would be let into every
+//! slot, and a deadline could be judged only after it had passed.
+//!
+//! # Grounds for its figures
+//!
+//! The gains of one eighth and one quarter are those of TCP's round-trip estimator: they follow a
+//! lasting change within about ten requests and ignore a single outlier. The limit between short
+//! and long lies at 100 ms: ten times the longest ordinary statement of the two users.
+
+use crate::time::to_micros;
+use ragwort_types::CustomerName;
+use ragwort_types::KindName;
+use ragwort_types::LengthClass;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Runs of this length or longer are long, whatever the contract says.
+pub(crate) const LONG_THRESHOLD: Duration = Duration::from_millis(100);
+
+/// A kind that was long is short again below this.
+const SHORT_THRESHOLD: Duration = Duration::from_millis(50);
+
+/// What is assumed of a short kind before its first run, in microseconds.
+const SHORT_PRIOR_MICROS: i64 = 8_000;
+
+/// What is assumed of a long kind before its first run, in microseconds.
+const LONG_PRIOR_MICROS: i64 = 350_000;
+
+/// The mean moves by one part in this many towards each new sample.
+const MEAN_GAIN: i64 = 8;
+
+/// The deviation moves by one part in this many towards each new sample.
+const DEVIATION_GAIN: i64 = 4;
+
+/// After this many runs the prior has no weight worth mentioning.
+const MATURE_SAMPLES: u32 = 16;
+
+/// The running estimate of one customer's kind.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KindEstimate {
+    mean_micros: i64,
+    deviation_micros: i64,
+    samples: u32,
+    long: bool,
+}
+
+impl KindEstimate {
+    fn from_length(length: LengthClass) -> Self {
+        let mean_micros = match length {
+            LengthClass::Short => SHORT_PRIOR_MICROS,
+            LengthClass::Long => LONG_PRIOR_MICROS,
+        };
+        Self {
+            mean_micros,
+            deviation_micros: mean_micros / 4,
+            samples: 0,
+            long: length == LengthClass::Long,
+        }
+    }
+
+    /// Returns the expected time in a slot.
+    pub(crate) fn expected(&self) -> Duration {
+        Duration::from_micros(self.mean_micros.max(1).unsigned_abs())
+    }
+
+    /// Returns the mean distance of a run from the expected time.
+    pub(crate) fn deviation(&self) -> Duration {
+        Duration::from_micros(self.deviation_micros.unsigned_abs())
+    }
+
+    /// Says whether enough runs were seen to compare endpoints by them.
+    pub(crate) fn is_mature(&self) -> bool {
+        self.samples >= MATURE_SAMPLES
+    }
+
+    /// Says whether the kind is treated as long.
+    pub(crate) fn is_long(&self) -> bool {
+        self.long
+    }
+
+    fn learn(&mut self, sample: Duration) {
+        let sample_micros = i64::try_from(to_micros(sample)).unwrap_or(i64::MAX / 16);
+        if self.samples == 0 {
+            self.mean_micros = (self.mean_micros + sample_micros) / 2;
+        }
+        let error = sample_micros - self.mean_micros;
+        self.mean_micros += error / MEAN_GAIN;
+        self.deviation_micros += (error.abs() - self.deviation_micros) / DEVIATION_GAIN;
+        self.samples = self.samples.saturating_add(1);
+        if self.expected() >= LONG_THRESHOLD {
+            self.long = true;
+        }
+        if self.expected() < SHORT_THRESHOLD {
+            self.long = false;
+        }
+    }
+}
+
+/// The estimates of all kinds that a group has seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EstimateTable {
+    by_name: BTreeMap<(CustomerName, KindName), usize>,
+    estimates: Vec<KindEstimate>,
+}
+
+impl EstimateTable {
+    /// Returns the index of a kind, which stays the same for good.
+    pub(crate) fn index_of(
+        &mut self,
+        customer: &CustomerName,
+        kind: &KindName,
+        length: LengthClass,
+    ) -> usize {
+        let name = (customer.clone(), kind.clone());
+        if let Some(index) = self.by_name.get(&name) {
+            return *index;
+        }
+        let index = self.estimates.len();
+        self.estimates.push(KindEstimate::from_length(length));
+        self.by_name.insert(name, index);
+        index
+    }
+
+    /// Returns the estimate of a kind.
+    pub(crate) fn get(&self, index: usize) -> KindEstimate {
+        self.estimates[index]
+    }
+
+    /// Returns the customer and kind of every estimate, with its index.
+    pub(crate) fn names(&self) -> impl Iterator<Item = (&CustomerName, &KindName, usize)> {
+        let names = self.by_name.iter();
+        names.map(|((customer, kind), index)| (customer, kind, *index))
+    }
+
+    /// Corrects the estimate of a kind by one run.
+    pub(crate) fn learn(&mut self, index: usize, sample: Duration) {
+        self.estimates[index].learn(sample);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/health.rs
@@ -0,0 +1,180 @@
+//! Endpoint health: an instance is slow only in comparison with its peers.
+//!
+//! # The load it answers
+//!
+//! One endpoint of three answers five or ten times slower than the others, or holds its slots and
+//! answers nothing, while it still counts as alive.
+//!
+//! # Without it
+//!
+//! Every third read waits for the slow endpoint. Its slots are busy for longer, so that a policy
+//! which counts connections notices, but each read that lands there is late.
+//!
+//! # Grounds for its figures
+//!
+//! Each run is compared with what its kind takes elsewhere, so that a mix of short and long kinds
+//! gives the same ratio. The middle of the last five ratios decides: three slow answers in a row
+//! are needed, which two slots at eight milliseconds give within a tenth of a second. An endpoint
+//! whose slots are all held for four times the expected run is slow without any answer.
+//! The comparison is with the best peer, so that the best is never cut off and a slowness that all
+//! share cuts off none. A trial costs at most one late answer; it comes after 100 ms, then after
+//! twice that, up to two seconds, so a lasting fault costs one answer in two seconds.
+
+use crate::ClockTime;
+use crate::RequestTicket;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// How many of the latest runs are judged.
+const RECENT_RUNS: usize = 5;
+
+/// The fewest runs that allow a judgement.
+const JUDGED_RUNS: usize = 3;
+
+/// Runs longer than the best peer's by this factor halve an endpoint's work.
+const HALF_FACTOR: f64 = 2.0;
+
+/// Runs longer than the best peer's by this factor cut an endpoint off.
+const CUT_FACTOR: f64 = 3.0;
+
+/// Slots that are all held for this multiple of the expected run are a sign of slowness.
+pub(crate) const OVERDUE_FACTOR: f64 = 4.0;
+
+/// The time to the first trial of an endpoint that was cut off.
+const FIRST_TRIAL_GAP: Duration = Duration::from_millis(100);
+
+/// The longest time between two trials.
+const LONGEST_TRIAL_GAP: Duration = Duration::from_secs(2);
+
+/// How much work an endpoint gets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HealthLevel {
+    /// All of its slots.
+    #[default]
+    Full,
+    /// Half of its slots.
+    Half,
+    /// None but for trials.
+    Cut,
+}
+
+/// What is known of one endpoint's speed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndpointHealth {
+    recent: SmallVec<[f64; RECENT_RUNS]>,
+    level: HealthLevel,
+    trial_gap: Duration,
+    next_trial: ClockTime,
+    trial: Option<RequestTicket>,
+}
+
+impl EndpointHealth {
+    /// Returns how much work the endpoint gets.
+    pub(crate) fn level(&self) -> HealthLevel {
+        self.level
+    }
+
+    /// Returns how many of its slots may be used for work that could go elsewhere.
+    pub(crate) fn usable_slots(&self, slots: u32) -> u32 {
+        match self.level {
+            HealthLevel::Full => slots,
+            HealthLevel::Half => slots.div_ceil(2),
+            HealthLevel::Cut => 0,
+        }
+    }
+
+    /// Says whether a trial may start.
+    pub(crate) fn trial_due(&self, now: ClockTime) -> bool {
+        self.level == HealthLevel::Cut && self.trial.is_none() && now >= self.next_trial
+    }
+
+    /// Notes that a request was sent as a trial.
+    pub(crate) fn begin_trial(&mut self, ticket: RequestTicket) {
+        self.trial = Some(ticket);
+    }
+
+    /// Returns the middle of the recent ratios of actual to expected run, if there are enough.
+    pub(crate) fn score(&self) -> Option<f64> {
+        if self.recent.len() < JUDGED_RUNS {
+            return None;
+        }
+        let mut sorted = self.recent.clone();
+        sorted.sort_by(f64::total_cmp);
+        Some(sorted[sorted.len() / 2])
+    }
+
+    /// Returns the factor by which a run is expected to be longer here than elsewhere.
+    pub(crate) fn slowdown(&self) -> f64 {
+        self.score().unwrap_or(1.0).max(1.0)
+    }
+
+    /// Takes the ratio of actual to expected run of a request that ended.
+    pub(crate) fn observe(&mut self, now: ClockTime, ticket: RequestTicket, ratio: f64, best: f64) {
+        if self.trial == Some(ticket) {
+            self.trial = None;
+            self.end_trial(now, ratio, best);
+            return;
+        }
+        if self.level == HealthLevel::Cut {
+            return;
+        }
+        if self.recent.len() == RECENT_RUNS {
+            self.recent.remove(0);
+        }
+        self.recent.push(ratio);
+    }
+
+    /// Forgets a trial that ended without an answer; the next one comes later.
+    pub(crate) fn drop_trial(&mut self, now: ClockTime, ticket: RequestTicket) {
+        if self.trial == Some(ticket) {
+            self.trial = None;
+            self.postpone_trial(now);
+        }
+    }
+
+    /// Adjusts the level to the comparison with the best peer.
+    ///
+    /// `held` is the least ratio of elapsed to expected run over all slots, if all are held.
+    pub(crate) fn judge(&mut self, now: ClockTime, best: f64, held: Option<f64>) {
+        if self.level == HealthLevel::Cut {
+            return;
+        }
+        let overdue = held.filter(|ratio| *ratio >= OVERDUE_FACTOR * best);
+        let score = match (self.score(), overdue) {
+            (Some(score), Some(ratio)) => score.max(ratio),
+            (Some(score), None) => score,
+            (None, Some(ratio)) => ratio,
+            (None, None) => return,
+        };
+        let factor = score / best;
+        if factor >= CUT_FACTOR {
+            self.cut_off(now);
+        } else if factor >= HALF_FACTOR {
+            self.level = HealthLevel::Half;
+        } else {
+            self.level = HealthLevel::Full;
+        }
+    }
+
+    fn cut_off(&mut self, now: ClockTime) {
+        self.level = HealthLevel::Cut;
+        self.trial_gap = FIRST_TRIAL_GAP;
+        self.next_trial = now + FIRST_TRIAL_GAP;
+    }
+
+    fn end_trial(&mut self, now: ClockTime, ratio: f64, best: f64) {
+        if ratio >= HALF_FACTOR * best {
+            self.postpone_trial(now);
+            return;
+        }
+        self.recent.clear();
+        self.level = HealthLevel::Half;
+    }
+
+    fn postpone_trial(&mut self, now: ClockTime) {
+        self.trial_gap = (self.trial_gap * 2).min(LONGEST_TRIAL_GAP);
+        self.next_trial = now + self.trial_gap;
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,123 @@
-//! Placeholder of the crate's documentation.
+//! Decisions under load of ragwortgate.
+//!
+//! The leaseholder of a database group owns its endpoints' slots and connections. This crate
+//! decides who gets them. It has no network, no clock and no locks: events and the present moment go
+//! in, decisions come out, and the leaseholder carries them out.
+//!
+//! # Examples
+//!
+//! A group with one endpoint. A connection is opened ahead; then a request arrives and is sent:
+//!
+//! ```
+//! use ragwort_policy::ArrivalDecision;
+//! use ragwort_policy::ClockTime;
+//! use ragwort_policy::CustomerTerms;
+//! use ragwort_policy::DispatchOrder;
+//! use ragwort_policy::EndpointRole;
+//! use ragwort_policy::EndpointState;
+//! use ragwort_policy::FinishDecision;
+//! use ragwort_policy::FinishOutcome;
+//! use ragwort_policy::GroupScheduler;
+//! use ragwort_policy::RequestProfile;
+//! use ragwort_policy::RequestStep;
+//! use ragwort_policy::RequestTicket;
+//! use ragwort_policy::SchedulerDecision;
+//! use ragwort_policy::SchedulerSettings;
+//! use ragwort_types::AccessMode;
+//! use ragwort_types::CustomerName;
+//! use ragwort_types::DomainName;
+//! use ragwort_types::InstanceName;
+//! use ragwort_types::KindName;
+//! use ragwort_types::LengthClass;
+//! use ragwort_types::LogPosition;
+//! use ragwort_types::RepeatRule;
+//! use ragwort_types::UrgencyClass;
+//! use std::time::Duration;
+//!
+//! let domain = DomainName::from("north");
+//! let instance = InstanceName::from("cases-1");
+//! let customer = CustomerName::from("directorate");
+//! let mut scheduler = GroupScheduler::new(SchedulerSettings::new(7, domain.clone()));
+//! scheduler.set_contracts(&[CustomerTerms {
+//!     customer: customer.clone(),
+//!     slot_share: 1,
+//!     queue_limit: 100,
+//!     connection_limit: 8,
+//! }]);
+//! scheduler.set_endpoint(
+//!     ClockTime(0),
+//!     EndpointState {
+//!         instance: instance.clone(),
+//!         domain,
+//!         slots: 2,
+//!         connections: 16,
+//!         role: EndpointRole::Primary,
+//!         leaving: false,
+//!     },
+//! );
+//!
+//! let decisions = scheduler.poll(ClockTime(0));
+//! assert!(decisions.contains(&SchedulerDecision::OpenConnection(instance.clone())));
+//! scheduler.connection_opened(&instance);
+//!
+//! let ticket = RequestTicket(1);
+//! let now = ClockTime::from_millis(20);
+//! let arrival = scheduler.arrive(
+//!     now,
+//!     RequestProfile {
+//!         ticket,
+//!         customer,
+//!         kind: KindName::from("grant"),
+//!         session: 99,
+//!         key: None,
+//!         access: AccessMode::Write,
+//!         repeat: RepeatRule::Never,
+//!         urgency: UrgencyClass::Ordinary,
+//!         length: LengthClass::Short,
+//!         needs_primary: true,
+//!         min_position: LogPosition::default(),
+//!         max_age: Duration::ZERO,
+//!         deadline: now + Duration::from_millis(500),
+//!         step: RequestStep::Single,
+//!     },
+//! );
+//! assert_eq!(arrival, ArrivalDecision::Queued);
+//! let decisions = scheduler.poll(now);
+//! let order = DispatchOrder { ticket, instance };
+//! assert!(decisions.contains(&SchedulerDecision::Dispatch(order)));
+//!
+//! let end = ClockTime::from_millis(26);
+//! let finish = scheduler.finished(end, ticket, FinishOutcome::Answered);
+//! assert_eq!(finish, FinishDecision::Settled);
+//! ```
+
+mod admission;
+mod board;
+mod connections;
+mod customers;
+mod endpoints;
+mod estimate;
+mod gateway_limit;
+mod health;
+mod hot;
+mod long_jobs;
+mod plan;
+mod queue;
+mod request;
+mod retry;
+mod routing;
+mod scheduler;
+mod settings;
+mod shares;
+mod snapshot;
+mod steps;
+mod time;
+
+pub use gateway_limit::FlightLimiter;
+pub use gateway_limit::GROUP_FLIGHT_LIMIT;
+pub use health::HealthLevel;
+pub use request::*;
+pub use scheduler::GroupScheduler;
+pub use settings::*;
+pub use snapshot::*;
+pub use time::ClockTime;
