--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon of ragwortgate.
+
+pub mod clock;
+pub mod connection;
+pub mod control;
+pub mod disk;
+pub mod gateway;
+pub mod leaseholders;
+pub mod logs;
+pub mod member;
+pub mod metrics;
+pub mod node;
+pub mod peers;
+pub mod platform;
+pub mod server;
+pub mod settings;
+mod settings_tree;
+pub mod sockets;
+pub mod standby;
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -141,6 +141,9 @@
 /// A command for the catalog, passed on to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommandRequest {
+    /// Whether a control VM passed it on already; it is not passed on twice.
+    #[serde(default)]
+    pub forwarded: bool,
     /// The command.
     pub command: CatalogCommand,
 }
@@ -345,6 +348,26 @@
     pub members: Vec<MemberRecord>,
 }
 
+/// Which process of a control VM's durable state answers, and whether it holds a log yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlIdentity {
+    /// The VM and the incarnation of its durable state.
+    pub id: crate::MemberId,
+    /// Whether its agreed log is empty.
+    pub empty: bool,
+}
+
+/// The answer to an operator's wish to form the first voter set of the control VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FormReply {
+    /// All control VMs were empty and reachable, and are now the voters.
+    Formed,
+    /// The control VMs hold an agreed log already; nothing was changed.
+    AlreadyFormed,
+    /// The voter set was not formed, for this reason in words; nothing was changed.
+    Refused(String),
+}
+
 /// Names an instance of a group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceId {
--- a/crates/types/src/rpc.rs
+++ b/crates/types/src/rpc.rs
@@ -9,10 +9,13 @@
 use crate::CommandRequest;
 use crate::ContractAcceptance;
 use crate::ContractChange;
+use crate::ControlIdentity;
 use crate::CustomerName;
 use crate::EndpointAnnouncement;
 use crate::FenceReply;
 use crate::ForceStatus;
+use crate::FormReply;
+use crate::GroupName;
 use crate::GroupTerm;
 use crate::HeartbeatBatch;
 use crate::HeartbeatReply;
@@ -23,7 +26,9 @@
 use crate::JournalReply;
 use crate::JournalRequest;
 use crate::LogPosition;
+use crate::MemberId;
 use crate::NodeStatus;
+use crate::StatementId;
 use crate::StatementReply;
 use crate::StatementRequest;
 use crate::VersionedContract;
@@ -42,6 +47,10 @@
     #[method(name = "relay")]
     async fn relay(&self, request: StatementRequest) -> RpcResult<StatementReply>;
 
+    /// Cancels a statement that waits or runs at the group's leaseholder.
+    #[method(name = "cancel")]
+    async fn cancel(&self, group: GroupName, id: StatementId) -> RpcResult<()>;
+
     /// Holds journal entries as a standby.
     #[method(name = "appendJournal")]
     async fn append_journal(&self, append: JournalAppend) -> RpcResult<JournalReply>;
@@ -66,6 +75,18 @@
     #[method(name = "agree")]
     async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()>;
 
+    /// Says how far an accepted change has come, if the asked VM leads the control VMs.
+    #[method(name = "leaderForce")]
+    async fn leader_force(&self, acceptance: ContractAcceptance) -> RpcResult<Option<ForceStatus>>;
+
+    /// Says which voter this control VM is, before the first voter set is formed.
+    #[method(name = "controlIdentity")]
+    async fn control_identity(&self) -> RpcResult<Option<ControlIdentity>>;
+
+    /// Writes the first voter set; false if the log isn't empty.
+    #[method(name = "formVoters")]
+    async fn form_voters(&self, voters: Vec<MemberId>) -> RpcResult<bool>;
+
     /// Says whether this VM can reach an endpoint's agent, for a second view from another domain.
     #[method(name = "probeInstance")]
     async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool>;
@@ -105,6 +126,10 @@
     /// Starts draining this VM.
     #[method(name = "drain")]
     async fn drain(&self) -> RpcResult<()>;
+
+    /// Forms the first voter set from the control VMs of this VM's settings.
+    #[method(name = "form")]
+    async fn form(&self) -> RpcResult<FormReply>;
 }
 
 /// Calls by endpoints' agents, answered by every daemon.
