Add sets of processes: sizes, demo, gap and soak

A set starts daemons and endpoints as child processes, each endpoint behind two relays that delay, cut and forget connections. The gap is measured as callers see it, from the old primary's last acknowledged write to its successor's first; measuring in the daemon was ruled out, as it would miss what lies before its first suspicion and after its last phase.

--- a/crates/lab/src/announcer.rs
+++ b/crates/lab/src/announcer.rs
@@ -50,7 +50,7 @@
         let mut status = shared.instance.watch_status();
         loop {
             let known = *status.borrow_and_update();
-            shared.pass_freeze().await;
+            shared.pass_isolation().await;
             self.announcement.status = known;
             self.announce().await;
             let changed = status.wait_for(|present| {
--- a/crates/lab/src/endpoint.rs
+++ b/crates/lab/src/endpoint.rs
@@ -41,6 +41,10 @@
     pub data_address: SocketAddr,
     /// Where the agent answers; port 0 picks a free one.
     pub agent_address: SocketAddr,
+    /// The data address to announce, if callers come by another way, such as a relay.
+    pub advertised_data: Option<SocketAddr>,
+    /// The agent's address to announce, if another.
+    pub advertised_agent: Option<SocketAddr>,
     /// Daemons to announce to.
     pub announce: Vec<SocketAddr>,
     /// How many statements run at once.
@@ -67,6 +71,8 @@
             domain: "windhoek-a".into(),
             data_address: any_port,
             agent_address: any_port,
+            advertised_data: None,
+            advertised_agent: None,
             announce: Vec::new(),
             slots: 2,
             connections: 16,
@@ -103,6 +109,15 @@
         let _ = faults.wait_for(|state| !state.frozen).await;
     }
 
+    /// Waits while the endpoint is frozen or cut off, for calls that it makes itself.
+    pub async fn pass_isolation(&self) {
+        let mut faults = self.faults.subscribe();
+        // The sender lives as long as `self`, so the wait can't fail.
+        let _ = faults
+            .wait_for(|state| !state.frozen && !state.isolated)
+            .await;
+    }
+
     /// Applies a fault and returns the faults then in force.
     pub async fn set_fault(&self, request: FaultRequest) -> FaultState {
         if let FaultRequest::Leaving(leaving) = request {
@@ -156,8 +171,8 @@
             group: settings.group.clone(),
             instance: settings.instance.clone(),
             domain: settings.domain.clone(),
-            data_address,
-            agent_address,
+            data_address: settings.advertised_data.unwrap_or(data_address),
+            agent_address: settings.advertised_agent.unwrap_or(agent_address),
             slots: settings.slots,
             connections: settings.connections,
             status: shared.instance.status(),
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -14,6 +14,9 @@
     SilenceConnections,
     /// The replica stops pulling from its primary, or pulls again.
     CutReplication(bool),
+    /// The endpoint makes no calls: it neither announces itself nor pulls. With relays in front of
+    /// its ports it is cut off from everybody while it goes on by itself.
+    Isolate(bool),
     /// At its next promotion the instance drops so many of its last entries.
     LoseTail(u64),
     /// The instance announces that it is leaving, or that it stays.
@@ -33,6 +36,8 @@
     pub silence_count: u64,
     /// Whether the replica doesn't pull.
     pub replication_cut: bool,
+    /// Whether the endpoint makes no calls.
+    pub isolated: bool,
     /// How many entries the next promotion drops.
     pub lose_tail: u64,
     /// The replica's lag, in milliseconds.
@@ -47,6 +52,7 @@
             slow_factor: 1,
             silence_count: 0,
             replication_cut: false,
+            isolated: false,
             lose_tail: 0,
             lag_ms,
         }
@@ -60,6 +66,7 @@
             FaultRequest::Slow(factor) => self.slow_factor = factor.max(1),
             FaultRequest::SilenceConnections => self.silence_count += 1,
             FaultRequest::CutReplication(cut) => self.replication_cut = cut,
+            FaultRequest::Isolate(isolated) => self.isolated = isolated,
             FaultRequest::LoseTail(entries) => self.lose_tail = entries,
             FaultRequest::Leaving(_) => {}
             FaultRequest::Lag(millis) => self.lag_ms = millis,
--- /dev/null
+++ b/crates/lab/src/lab_set.rs
@@ -0,0 +1,433 @@
+//! A whole set of processes: daemons, and endpoints behind relays.
+
+use crate::faults::FaultRequest;
+use crate::lab_contract::build_contract;
+use crate::lab_rpc::LabApiClient;
+use crate::process::ChildProcess;
+use crate::process::pick_address;
+use crate::relay::CutRelay;
+use crate::relay::RelayMode;
+use crate::set_calls::SetFault;
+use crate::set_calls::agent_client;
+use crate::set_calls::apply_contract;
+use crate::set_calls::form_control;
+use crate::set_calls::is_ready;
+use crate::sizes::SiteSize;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// How long one look at an agent or daemon may take.
+pub(crate) const LOOK_PATIENCE: Duration = Duration::from_millis(500);
+
+/// The pause between looks.
+pub(crate) const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long a process may take to end after SIGTERM.
+const END_PATIENCE: Duration = Duration::from_secs(20);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct SetSettings {
+    /// The site.
+    pub size: SiteSize,
+    /// How many of the site's groups to start.
+    pub groups: usize,
+    /// The folder of the binaries `ragwortgated`, `ragwortctl` and `ragwort-lab`.
+    pub binaries: PathBuf,
+    /// Keep the folder with logs when the set is dropped.
+    pub keep_folder: bool,
+}
+
+/// A daemon of the set.
+#[derive(Debug)]
+pub struct DaemonNode {
+    /// The VM's name.
+    pub vm: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other VMs and operators connect.
+    pub peers: SocketAddr,
+    /// Where the platform asks.
+    pub platform: SocketAddr,
+    /// Where the agreed log lies, on a control VM.
+    pub data_folder: Option<PathBuf>,
+    settings_file: PathBuf,
+    child: Option<ChildProcess>,
+}
+
+/// An endpoint of the set, behind two relays.
+#[derive(Debug)]
+pub struct EndpointNode {
+    /// The group.
+    pub group: String,
+    /// The instance's present name; a restarted instance has lost its data and is a new one.
+    pub instance: String,
+    /// The agent's true address, for the lab only.
+    pub agent: SocketAddr,
+    domain: &'static str,
+    data: SocketAddr,
+    data_relay: CutRelay,
+    agent_relay: CutRelay,
+    restarts: u32,
+    child: Option<ChildProcess>,
+}
+
+/// A running set; dropping it kills all its processes.
+#[derive(Debug)]
+pub struct LabSet {
+    settings: SetSettings,
+    folder: PathBuf,
+    /// The daemons; control VMs first.
+    pub daemons: Vec<DaemonNode>,
+    /// The endpoints, group by group.
+    pub endpoints: Vec<EndpointNode>,
+}
+
+impl LabSet {
+    /// Starts daemons and endpoints, forms control, applies the contract and waits until every
+    /// gateway is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`SetFault`].
+    pub async fn start(settings: SetSettings) -> Result<Self, SetFault> {
+        let mut set = Self::start_processes(settings).await?;
+        set.form().await?;
+        set.wait_until_ready(Duration::from_secs(30)).await?;
+        let contract = build_contract(
+            set.settings.size.customer.into(),
+            set.group_names().into_iter().map(Into::into).collect(),
+        );
+        apply_contract(set.daemons[0].peers, contract).await?;
+        Ok(set)
+    }
+
+    /// Starts daemons and endpoints only.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`SetFault`].
+    pub async fn start_processes(settings: SetSettings) -> Result<Self, SetFault> {
+        let mut set = Self {
+            folder: create_folder()?,
+            settings,
+            daemons: Vec::new(),
+            endpoints: Vec::new(),
+        };
+        set.lay_out_daemons()?;
+        for index in 0..set.daemons.len() {
+            set.start_daemon(index)?;
+        }
+        for group in set.group_names() {
+            for number in 0..set.settings.size.instances {
+                set.add_endpoint(group, number).await?;
+            }
+        }
+        Ok(set)
+    }
+
+    /// Returns the site.
+    pub fn size(&self) -> &SiteSize {
+        &self.settings.size
+    }
+
+    /// Returns the folder of logs, settings and data.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Returns the groups that were started.
+    pub fn group_names(&self) -> Vec<&'static str> {
+        let groups = &self.settings.size.groups;
+        groups.iter().copied().take(self.settings.groups).collect()
+    }
+
+    /// Returns where callers connect.
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.callers).collect()
+    }
+
+    /// Forms the control VMs' first voter set.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SetFault::Refused`] if it isn't formed in time.
+    pub async fn form(&mut self) -> Result<(), SetFault> {
+        form_control(self.daemons[0].peers, Duration::from_secs(20)).await
+    }
+
+    /// Waits until every running daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SetFault::NotReady`] with the VMs that aren't after `patience`.
+    pub async fn wait_until_ready(&mut self, patience: Duration) -> Result<(), SetFault> {
+        let end = Instant::now() + patience;
+        loop {
+            let mut waiting = Vec::new();
+            for daemon in self.daemons.iter().filter(|daemon| daemon.child.is_some()) {
+                if !matches!(
+                    timeout(LOOK_PATIENCE, is_ready(daemon.platform)).await,
+                    Ok(true)
+                ) {
+                    waiting.push(daemon.vm.clone());
+                }
+            }
+            if waiting.is_empty() {
+                return Ok(());
+            }
+            if Instant::now() >= end {
+                return Err(SetFault::NotReady(waiting));
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Starts a daemon that doesn't run.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SetFault::Io`] if the process can't be started.
+    pub fn start_daemon(&mut self, index: usize) -> Result<(), SetFault> {
+        let program = self.settings.binaries.join("ragwortgated");
+        let daemon = &mut self.daemons[index];
+        let settings_file = daemon.settings_file.display().to_string();
+        let arguments = ["--settings".to_owned(), settings_file];
+        let child = ChildProcess::spawn(&daemon.vm, &program, &arguments, &self.folder)?;
+        daemon.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns a daemon's process, if it runs.
+    pub fn daemon_child(&mut self, index: usize) -> Option<&mut ChildProcess> {
+        self.daemons[index].child.as_mut()
+    }
+
+    /// Kills a daemon.
+    pub fn kill_daemon(&mut self, index: usize) {
+        self.daemons[index].child = None;
+    }
+
+    /// Deletes a control VM's data folder; its daemon must not run.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SetFault::Io`] if the folder can't be deleted.
+    pub fn lose_data(&mut self, index: usize) -> Result<(), SetFault> {
+        let daemon = &self.daemons[index];
+        if let Some(folder) = &daemon.data_folder
+            && folder.exists()
+        {
+            fs::remove_dir_all(folder)?;
+        }
+        Ok(())
+    }
+
+    /// Returns an endpoint's process, if it runs.
+    pub fn endpoint_child(&mut self, index: usize) -> Option<&mut ChildProcess> {
+        self.endpoints[index].child.as_mut()
+    }
+
+    /// Kills an endpoint. What it held is lost, as its data is in memory.
+    pub fn kill_endpoint(&mut self, index: usize) {
+        self.endpoints[index].child = None;
+    }
+
+    /// Starts an empty instance under a new name in place of one that was killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SetFault::Io`] if the process can't be started.
+    pub async fn replace_endpoint(&mut self, index: usize) -> Result<(), SetFault> {
+        let delay = self.settings.size.domain_delay();
+        let node = &mut self.endpoints[index];
+        node.child = None;
+        node.restarts += 1;
+        let first_name = node
+            .instance
+            .split('.')
+            .next()
+            .unwrap_or_default()
+            .to_owned();
+        node.instance = format!("{first_name}.{}", node.restarts);
+        (node.data, node.agent) = (pick_address(), pick_address());
+        node.data_relay = CutRelay::start(node.data, delay).await?;
+        node.agent_relay = CutRelay::start(node.agent, delay).await?;
+        self.start_endpoint(index, false)
+    }
+
+    /// Cuts an endpoint off from everybody, or joins it again. It goes on by itself meanwhile.
+    pub async fn set_cut(&mut self, index: usize, cut: bool) {
+        let node = &self.endpoints[index];
+        let mode = match cut {
+            true => RelayMode::Hang,
+            false => RelayMode::Open,
+        };
+        node.data_relay.set_mode(mode);
+        node.agent_relay.set_mode(mode);
+        self.set_fault(index, FaultRequest::Isolate(cut)).await;
+    }
+
+    /// Makes the endpoint's open connections silent for good; new ones work.
+    pub fn forget_connections(&self, index: usize) {
+        self.endpoints[index].data_relay.forget_connections();
+        self.endpoints[index].agent_relay.forget_connections();
+    }
+
+    /// Asks an endpoint for a fault; one that doesn't run has worse ones.
+    pub async fn set_fault(&self, index: usize, fault: FaultRequest) {
+        if let Ok(client) = agent_client(self.endpoints[index].agent) {
+            let _ = timeout(LOOK_PATIENCE, client.set_fault(fault)).await;
+        }
+    }
+
+    /// Ends every process in good order.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SetFault::BadEnd`] with the processes that didn't exit with 0 in time.
+    pub async fn stop(mut self) -> Result<(), SetFault> {
+        let daemons = self.daemons.iter_mut().map(|daemon| &mut daemon.child);
+        let endpoints = self.endpoints.iter_mut().map(|node| &mut node.child);
+        let mut faults = Vec::new();
+        let mut children: Vec<ChildProcess> =
+            daemons.chain(endpoints).filter_map(Option::take).collect();
+        for child in &mut children {
+            // A frozen process would hold its SIGTERM back.
+            let _ = child.thaw();
+            if let Err(error) = child.terminate() {
+                faults.push(format!("{}: {error}", child.name()));
+            }
+        }
+        for child in &mut children {
+            match child.wait_for_end(END_PATIENCE).await? {
+                Some(status) if status.success() => {}
+                Some(status) => faults.push(format!("{}: {status}", child.name())),
+                None => faults.push(format!("{}: still running", child.name())),
+            }
+        }
+        match faults.is_empty() {
+            true => Ok(()),
+            false => Err(SetFault::BadEnd(faults)),
+        }
+    }
+
+    fn lay_out_daemons(&mut self) -> Result<(), SetFault> {
+        let size = &self.settings.size;
+        for number in 0..size.vms {
+            let vm = format!("vm-{}", number + 1);
+            let control = number < size.control_vms();
+            self.daemons.push(DaemonNode {
+                callers: pick_address(),
+                peers: pick_address(),
+                platform: pick_address(),
+                data_folder: control.then(|| self.folder.join(format!("{vm}-data"))),
+                settings_file: self.folder.join(format!("{vm}.yaml")),
+                vm,
+                child: None,
+            });
+        }
+        for (number, daemon) in self.daemons.iter().enumerate() {
+            let text = self.write_settings(daemon, size.domain(number));
+            fs::write(&daemon.settings_file, text)?;
+        }
+        Ok(())
+    }
+
+    fn write_settings(&self, daemon: &DaemonNode, domain: &str) -> String {
+        let control = daemon.data_folder.is_some();
+        let mut text = format!(
+            "vm: {}\ndomain: {domain}\nroles: {{ gateway: true, control: {control} }}\n\
+             listen: {{ callers: {}, peers: {}, platform: {} }}\ncontrol:\n",
+            daemon.vm, daemon.callers, daemon.peers, daemon.platform,
+        );
+        for voter in &self.daemons[..self.settings.size.control_vms()] {
+            text += &format!("  - {{ vm: {}, address: {} }}\n", voter.vm, voter.peers);
+        }
+        if let Some(folder) = &daemon.data_folder {
+            text += &format!("data_folder: {}\n", folder.display());
+        }
+        text
+    }
+
+    async fn add_endpoint(&mut self, group: &str, number: usize) -> Result<(), SetFault> {
+        let delay = self.settings.size.domain_delay();
+        let (data, agent) = (pick_address(), pick_address());
+        self.endpoints.push(EndpointNode {
+            group: group.to_owned(),
+            instance: format!("{group}-{}", number + 1),
+            agent,
+            domain: self.settings.size.domain(number),
+            data,
+            data_relay: CutRelay::start(data, delay).await?,
+            agent_relay: CutRelay::start(agent, delay).await?,
+            restarts: 0,
+            child: None,
+        });
+        self.start_endpoint(self.endpoints.len() - 1, number == 0)
+    }
+
+    fn start_endpoint(&mut self, index: usize, primary: bool) -> Result<(), SetFault> {
+        let size = &self.settings.size;
+        let announce: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|daemon| daemon.peers.to_string())
+            .collect();
+        let node = &mut self.endpoints[index];
+        let text = format!(
+            "endpoint --group {} --instance {} --domain {} --data {} --agent {} \
+             --advertise-data {} --advertise-agent {} --announce {} --slots {} --connections {} \
+             --connect-ms {} --service-ms {} --lag-ms {}",
+            node.group,
+            node.instance,
+            node.domain,
+            node.data,
+            node.agent,
+            node.data_relay.address(),
+            node.agent_relay.address(),
+            announce.join(","),
+            size.slots,
+            size.connections,
+            size.connect_ms,
+            size.service_ms,
+            size.replica_lag().as_millis(),
+        );
+        let mut arguments: Vec<String> = text.split_whitespace().map(str::to_owned).collect();
+        if primary {
+            arguments.push("--primary".to_owned());
+        }
+        let program = self.settings.binaries.join("ragwort-lab");
+        let child = ChildProcess::spawn(&node.instance, &program, &arguments, &self.folder)?;
+        node.child = Some(child);
+        Ok(())
+    }
+}
+
+impl Drop for LabSet {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        self.endpoints.clear();
+        if !self.settings.keep_folder {
+            // The folder may be gone already; what is left of it harms nobody.
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn create_folder() -> Result<PathBuf, SetFault> {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("ragwort-lab-{}-{count}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,17 +2,26 @@
 
 use argh::FromArgs;
 use log::LevelFilter;
+use ragwort_lab::demo::run_demo;
 use ragwort_lab::endpoint::EndpointSettings;
 use ragwort_lab::endpoint::LabEndpoint;
+use ragwort_lab::gap::PrimaryFault;
+use ragwort_lab::gap::measure_gaps;
+use ragwort_lab::lab_set::LabSet;
+use ragwort_lab::lab_set::SetSettings;
 use ragwort_lab::load::LoadSettings;
 use ragwort_lab::load::StopFlag;
 use ragwort_lab::load::run_load;
 use ragwort_lab::load_plan::LoadMix;
 use ragwort_lab::load_plan::PlanSettings;
+use ragwort_lab::sizes::SiteSize;
+use ragwort_lab::soak::SoakSettings;
+use ragwort_lab::soak::run_soak;
 use simplelog::ConfigBuilder;
 use simplelog::WriteLogger;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::signal::unix::SignalKind;
@@ -33,6 +42,10 @@
 enum LabSubcommand {
     Endpoint(EndpointArguments),
     Load(LoadArguments),
+    Sizes(SizesArguments),
+    Demo(DemoArguments),
+    Gap(GapArguments),
+    Soak(SoakArguments),
 }
 
 /// Run an endpoint stand-in, in memory.
@@ -54,6 +67,12 @@
     /// where the agent answers
     #[argh(option)]
     agent: SocketAddr,
+    /// the data address to announce, if another
+    #[argh(option)]
+    advertise_data: Option<SocketAddr>,
+    /// the agent's address to announce, if another
+    #[argh(option)]
+    advertise_agent: Option<SocketAddr>,
     /// daemons to announce to, separated by commas
     #[argh(option, from_str_fn(parse_addresses))]
     announce: AddressList,
@@ -122,6 +141,75 @@
     json: bool,
 }
 
+/// Print a site's size and delays.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "sizes")]
+struct SizesArguments {
+    /// omuti or sabarmati
+    #[argh(positional, from_str_fn(find_size))]
+    size: SiteSize,
+}
+
+/// Start a small set, send a write and some reads, print what each caller received.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoArguments {}
+
+/// Measure the failover gap.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gap")]
+struct GapArguments {
+    /// failovers to measure; 20 by default
+    #[argh(option, default = "20")]
+    runs: usize,
+    /// what happens to the primary: kill, freeze or cut
+    #[argh(option)]
+    fault: PrimaryFault,
+    /// omuti or sabarmati
+    #[argh(option, from_str_fn(find_size))]
+    size: SiteSize,
+    /// seed of the moments at which faults come; 1 by default
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// VMs to start instead of the site's number
+    #[argh(option)]
+    vms: Option<usize>,
+    /// print the report as JSON
+    #[argh(switch)]
+    json: bool,
+    /// keep the folder with settings and logs
+    #[argh(switch)]
+    keep: bool,
+}
+
+/// Let faults come at random against real processes while callers work.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArguments {
+    /// seed of load and faults; 1 by default
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// minutes; 5 by default
+    #[argh(option, default = "5.0")]
+    minutes: f64,
+    /// omuti or sabarmati; omuti by default
+    #[argh(option, from_str_fn(find_size), default = "SiteSize::omuti()")]
+    size: SiteSize,
+    /// VMs to start instead of the site's number
+    #[argh(option)]
+    vms: Option<usize>,
+    /// requests per second; 100 by default
+    #[argh(option, default = "100.0")]
+    rate: f64,
+    /// keep the folder with settings and logs
+    #[argh(switch)]
+    keep: bool,
+}
+
+fn find_size(name: &str) -> Result<SiteSize, String> {
+    SiteSize::find(name).ok_or_else(|| format!("expected omuti or sabarmati, found `{name}`"))
+}
+
 #[derive(Clone, Debug)]
 struct AddressList(Vec<SocketAddr>);
 
@@ -141,6 +229,10 @@
     let outcome = match arguments.command {
         LabSubcommand::Endpoint(arguments) => run_endpoint(arguments).await,
         LabSubcommand::Load(arguments) => send_load(arguments).await,
+        LabSubcommand::Sizes(arguments) => print_size(&arguments.size),
+        LabSubcommand::Demo(_) => show_demo().await,
+        LabSubcommand::Gap(arguments) => report_gap(arguments).await,
+        LabSubcommand::Soak(arguments) => report_soak(arguments).await,
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -158,6 +250,8 @@
         domain: arguments.domain.into(),
         data_address: arguments.data,
         agent_address: arguments.agent,
+        advertised_data: arguments.advertise_data,
+        advertised_agent: arguments.advertise_agent,
         announce: arguments.announce.0,
         slots: arguments.slots,
         connections: arguments.connections,
@@ -215,3 +309,72 @@
         false => Err(format!("{} promises broken", report.violations.len()).into()),
     }
 }
+
+fn print_size(size: &SiteSize) -> Result<(), Box<dyn Error>> {
+    print!("{}", serde_saphyr::to_string(size)?);
+    Ok(())
+}
+
+async fn show_demo() -> Result<(), Box<dyn Error>> {
+    run_demo(find_binaries()?).await?;
+    Ok(())
+}
+
+async fn report_gap(arguments: GapArguments) -> Result<(), Box<dyn Error>> {
+    let settings = set_settings(arguments.size, arguments.vms, arguments.keep)?;
+    let mut set = LabSet::start(settings).await?;
+    println!("folder: {}", set.folder().display());
+    let report = measure_gaps(&mut set, arguments.fault, arguments.runs, arguments.seed).await?;
+    match arguments.json {
+        true => println!("{}", serde_json::to_string_pretty(&report)?),
+        false => print!("{report}"),
+    }
+    set.stop().await?;
+    match report.failed.is_empty() {
+        true => Ok(()),
+        false => Err(format!("{} runs failed", report.failed.len()).into()),
+    }
+}
+
+async fn report_soak(arguments: SoakArguments) -> Result<(), Box<dyn Error>> {
+    let settings = set_settings(arguments.size, arguments.vms, arguments.keep)?;
+    let soak = SoakSettings {
+        seed: arguments.seed,
+        duration: Duration::from_secs_f64(arguments.minutes * 60.0),
+        rate: arguments.rate,
+    };
+    let mut set = LabSet::start(settings).await?;
+    println!("folder: {}", set.folder().display());
+    let report = run_soak(&mut set, &soak).await?;
+    print!("{}", report.load);
+    println!("{} faults: {:?}", report.faults.len(), report.faults);
+    for line in report.alarms.iter().chain(&report.not_healed) {
+        println!("{line}");
+    }
+    set.stop().await?;
+    match report.is_clean() {
+        true => Ok(()),
+        false => Err("the soak has found faults".into()),
+    }
+}
+
+fn set_settings(
+    mut size: SiteSize,
+    vms: Option<usize>,
+    keep_folder: bool,
+) -> Result<SetSettings, Box<dyn Error>> {
+    size.vms = vms.unwrap_or(size.vms);
+    Ok(SetSettings {
+        size,
+        groups: 1,
+        binaries: find_binaries()?,
+        keep_folder,
+    })
+}
+
+/// Returns the folder of this program, in which a build puts the others as well.
+fn find_binaries() -> Result<PathBuf, Box<dyn Error>> {
+    let program = std::env::current_exe()?;
+    let folder = program.parent().ok_or("the program lies in no folder")?;
+    Ok(folder.to_owned())
+}
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -1,8 +1,12 @@
-//! A TCP relay that can lose track of its connections, as a middlebox does.
+//! A TCP relay that delays bytes, can be cut, and can lose track of its connections, as a middlebox
+//! does.
+//!
+//! The timers of `tokio` tick by the millisecond, so a delay of 0.5 ms comes out as 1 to 2 ms.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -10,12 +14,18 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 /// The bytes forwarded at once.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// The chunks of one direction that may be under way; the sender waits then, as on a full link.
+const CHUNKS_UNDER_WAY: usize = 64;
+
 /// What the relay does with bytes and new connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayMode {
@@ -43,12 +53,12 @@
 }
 
 impl CutRelay {
-    /// Starts a relay on a free port of 127.0.0.1.
+    /// Starts a relay on a free port of 127.0.0.1 that passes bytes on after `delay` each way.
     ///
     /// # Errors
     ///
     /// Returns the [`io::Error`] of the bind.
-    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+    pub async fn start(target: SocketAddr, delay: Duration) -> io::Result<Self> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(crate::process::pick_address())?;
@@ -59,7 +69,7 @@
             forgotten: 0,
         }));
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept_connections(listener, target, state.clone()));
+        tasks.spawn(accept_connections(listener, target, delay, state.clone()));
         Ok(Self {
             address,
             state,
@@ -92,6 +102,7 @@
 async fn accept_connections(
     listener: TcpListener,
     target: SocketAddr,
+    delay: Duration,
     state: Arc<watch::Sender<RelayState>>,
 ) {
     let mut connections = JoinSet::new();
@@ -101,7 +112,7 @@
                 let Ok((caller, _)) = accepted else { continue };
                 let watcher = state.subscribe();
                 if watcher.borrow().mode != RelayMode::Refuse {
-                    connections.spawn(relay_connection(caller, target, watcher));
+                    connections.spawn(relay_connection(caller, target, delay, watcher));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -112,6 +123,7 @@
 async fn relay_connection(
     caller: TcpStream,
     target: SocketAddr,
+    delay: Duration,
     mut state: watch::Receiver<RelayState>,
 ) {
     let forgotten = state.borrow().forgotten;
@@ -124,12 +136,22 @@
     let _ = callee.set_nodelay(true);
     let (caller_read, caller_write) = caller.into_split();
     let (callee_read, callee_write) = callee.into_split();
+    let (to_callee, callee_chunks) = mpsc::channel(CHUNKS_UNDER_WAY);
+    let (to_caller, caller_chunks) = mpsc::channel(CHUNKS_UNDER_WAY);
     tokio::join!(
-        forward(caller_read, callee_write, state.clone(), forgotten),
-        forward(callee_read, caller_write, state, forgotten),
+        read_chunks(caller_read, delay, to_callee),
+        read_chunks(callee_read, delay, to_caller),
+        write_chunks(callee_write, callee_chunks, state.clone(), forgotten),
+        write_chunks(caller_write, caller_chunks, state, forgotten),
     );
 }
 
+/// Bytes under way; an empty chunk is the end of the connection, a message as well.
+struct DelayedChunk {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
 /// Waits until the relay is open; never returns for a connection that was lost track of.
 async fn pass(state: &mut watch::Receiver<RelayState>, forgotten: u64) {
     let open = |state: &RelayState| state.mode == RelayMode::Open && state.forgotten == forgotten;
@@ -138,21 +160,31 @@
     }
 }
 
-async fn forward(
-    mut from: OwnedReadHalf,
+async fn read_chunks(mut from: OwnedReadHalf, delay: Duration, chunks: mpsc::Sender<DelayedChunk>) {
+    loop {
+        let mut bytes = vec![0; CHUNK_BYTES];
+        let count = from.read(&mut bytes).await.unwrap_or(0);
+        bytes.truncate(count);
+        let due = Instant::now() + delay;
+        if chunks.send(DelayedChunk { due, bytes }).await.is_err() || count == 0 {
+            return;
+        }
+    }
+}
+
+async fn write_chunks(
     mut to: OwnedWriteHalf,
+    mut chunks: mpsc::Receiver<DelayedChunk>,
     mut state: watch::Receiver<RelayState>,
     forgotten: u64,
 ) {
-    let mut chunk = vec![0; CHUNK_BYTES];
-    loop {
-        let count = from.read(&mut chunk).await.unwrap_or(0);
-        // The end of a connection is a message as well: a cut relay doesn't pass it on.
+    while let Some(chunk) = chunks.recv().await {
+        sleep_until(chunk.due).await;
         pass(&mut state, forgotten).await;
-        if count == 0 || to.write_all(&chunk[..count]).await.is_err() {
-            // The other side may be gone already; then there is nobody to tell.
-            let _ = to.shutdown().await;
-            return;
+        if chunk.bytes.is_empty() || to.write_all(&chunk.bytes).await.is_err() {
+            break;
         }
     }
+    // The other side may be gone already; then there is nobody to tell.
+    let _ = to.shutdown().await;
 }
--- a/crates/lab/src/replication.rs
+++ b/crates/lab/src/replication.rs
@@ -49,7 +49,7 @@
         }
     };
     loop {
-        shared.pass_freeze().await;
+        shared.pass_isolation().await;
         let progressed = pull_once(shared, target, &client).await;
         if !progressed {
             sleep(RETRY_PAUSE).await;
@@ -96,7 +96,7 @@
     if wait_us > 0 {
         sleep(Duration::from_micros(wait_us)).await;
     }
-    shared.pass_freeze().await;
+    shared.pass_isolation().await;
     if shared.faults.borrow().replication_cut {
         return;
     }
--- a/crates/lab/tests/process.rs
+++ b/crates/lab/tests/process.rs
@@ -12,6 +12,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -106,9 +107,13 @@
 #[tokio::test]
 async fn relay_forgets_and_cuts() {
     let endpoint = EndpointProcess::start("relay").await;
-    let relay = CutRelay::start(endpoint.data).await.unwrap();
+    let relay = CutRelay::start(endpoint.data, Duration::from_millis(3))
+        .await
+        .unwrap();
     let mut open_before = open(relay.address()).await;
+    let start = Instant::now();
     assert!(is_answered(&open_before.run("put k v", LONG).await));
+    assert!(start.elapsed() >= Duration::from_millis(6));
     relay.forget_connections();
     let silent = open_before.run("get k", SHORT).await;
     assert_eq!(silent, CallerVerdict::Unanswered);
