Try the stand-in's log by random failovers

The stand-in judges the proxy, so it must not lose writes by itself. 1000 random histories of 120 steps under a fixed seed: writes at replaced primaries, lagging pulls, failovers without one instance, returns. What a majority held stays, and all logs end up equal.

--- /dev/null
+++ b/crates/lab/tests/instance.rs
@@ -0,0 +1,188 @@
+//! Three instances under random writes, pulls and failovers keep what a group's log promises.
+//!
+//! The stand-in judges the proxy, so it must not lose writes by itself.
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use ragwort_lab::instance::FetchReply;
+use ragwort_lab::instance::FetchRequest;
+use ragwort_lab::instance::FollowTarget;
+use ragwort_lab::instance::InstanceCore;
+use ragwort_lab::instance::KeyWrite;
+use ragwort_lab::instance::LogEntry;
+use ragwort_types::FenceReply;
+use ragwort_types::GroupTerm;
+use std::net::SocketAddr;
+
+const INSTANCES: usize = 3;
+const SEED: u64 = 20_261_202;
+
+#[derive(Clone, Copy, Debug)]
+enum GroupStep {
+    /// Writes at every instance that takes writes, replaced primaries included.
+    Write,
+    /// One instance pulls once.
+    Pull(usize),
+    /// All but one instance are fenced, the one with the highest position is promoted.
+    FailOver { absent: usize },
+    /// An instance joins the present term.
+    Join(usize),
+}
+
+impl Arbitrary for GroupStep {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let instance = usize::arbitrary(source) % INSTANCES;
+        match u8::arbitrary(source) % 8 {
+            0..=2 => Self::Write,
+            3..=4 => Self::Pull(instance),
+            5 => Self::FailOver { absent: instance },
+            _ => Self::Join(instance),
+        }
+    }
+}
+
+struct TestGroup {
+    cores: Vec<InstanceCore>,
+    primary: usize,
+    term: GroupTerm,
+    writes: u64,
+    acknowledged: Vec<LogEntry>,
+}
+
+impl TestGroup {
+    fn new() -> Self {
+        Self {
+            cores: (0..INSTANCES).map(|n| InstanceCore::new(n == 0)).collect(),
+            primary: 0,
+            term: GroupTerm(0),
+            writes: 0,
+            acknowledged: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, step: GroupStep) {
+        match step {
+            GroupStep::Write => self.write(),
+            GroupStep::Pull(instance) => self.pull(instance),
+            GroupStep::FailOver { absent } => self.fail_over(absent),
+            GroupStep::Join(instance) => {
+                let target = self.target();
+                if instance != self.primary {
+                    self.cores[instance].follow(target);
+                }
+            }
+        }
+        self.acknowledge();
+    }
+
+    fn write(&mut self) {
+        for core in &mut self.cores {
+            self.writes += 1;
+            let write = KeyWrite::Append {
+                key: "list".to_owned(),
+                value: self.writes.to_string(),
+            };
+            let generation = core.generation();
+            // Replicas and fenced instances refuse; that is what the step is for.
+            let _ = core.commit(generation, vec![write], self.writes);
+        }
+    }
+
+    fn pull(&mut self, instance: usize) {
+        let Some(target) = self.cores[instance].target() else {
+            return;
+        };
+        let request = FetchRequest {
+            term: target.term,
+            after: self.cores[instance].position(),
+            wait_ms: 0,
+        };
+        let source = target.primary_agent.port() as usize;
+        let reply = self.cores[source].fetch(request);
+        let core = &mut self.cores[instance];
+        match reply {
+            FetchReply::Entries(entries) => {
+                core.append(target.term, request.after.index, entries);
+            }
+            FetchReply::Mismatch(index) => {
+                assert!(index < request.after.index, "the follower never gets on");
+                core.drop_after(target.term, index);
+            }
+            FetchReply::NotPrimary => {}
+        }
+    }
+
+    fn fail_over(&mut self, absent: usize) {
+        self.term = self.term.next();
+        let present = (0..INSTANCES).filter(|instance| *instance != absent);
+        let fenced = present.map(|instance| match self.cores[instance].fence(self.term) {
+            FenceReply::Fenced(position) => (position, instance),
+            FenceReply::Refused(term) => panic!("refused at {term}"),
+        });
+        let fenced: Vec<_> = fenced.collect();
+        let (_, best) = fenced.into_iter().max().unwrap();
+        let promoted = self.cores[best].promote(self.term, 0, 0);
+        assert!(matches!(promoted, FenceReply::Fenced(position) if position.term == self.term));
+        self.primary = best;
+    }
+
+    fn target(&self) -> FollowTarget {
+        FollowTarget {
+            term: self.term,
+            primary_agent: SocketAddr::from(([127, 0, 0, 1], self.primary as u16)),
+        }
+    }
+
+    /// Counts as acknowledged what a majority holds in the present term, and checks that nothing
+    /// acknowledged before is missing in the primary's log.
+    fn acknowledge(&mut self) {
+        let log = self.cores[self.primary].log();
+        assert!(
+            log.starts_with(&self.acknowledged),
+            "acknowledged entries are gone"
+        );
+        let mut held: Vec<u64> = self.cores.iter().map(|core| self.held_by(core)).collect();
+        held.sort_unstable();
+        let majority = held[INSTANCES / 2] as usize;
+        if majority > self.acknowledged.len() {
+            self.acknowledged = log[..majority].to_vec();
+        }
+    }
+
+    fn held_by(&self, core: &InstanceCore) -> u64 {
+        match core.position().term == self.term {
+            true => core.position().index,
+            false => 0,
+        }
+    }
+
+    fn settle(&mut self) {
+        for instance in 0..INSTANCES {
+            self.take(GroupStep::Join(instance));
+            for _ in 0..=self.cores[instance].log().len() + 1 {
+                self.take(GroupStep::Pull(instance));
+            }
+        }
+    }
+}
+
+fn group_keeps_its_promises(steps: Vec<GroupStep>) -> bool {
+    let mut group = TestGroup::new();
+    for step in steps {
+        group.take(step);
+    }
+    group.settle();
+    let primary = group.cores[group.primary].log();
+    group.cores.iter().all(|core| core.log() == primary)
+}
+
+/// Replicas lag, primaries are replaced while they still take writes, former primaries come back
+/// with entries that nobody else has. What a majority held stays, and all logs end up equal.
+#[test]
+fn acknowledged_entries_survive_failovers() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, SEED))
+        .tests(1_000)
+        .quickcheck(group_keeps_its_promises as fn(Vec<GroupStep>) -> bool);
+}
