--- /dev/null
+++ b/crates/daemon/src/group/intake.rs
@@ -0,0 +1,247 @@
+//! Takes statements in: contract, deadline, request key, then the scheduler's decision.
+
+use super::GroupTask;
+use super::request::ActiveRequest;
+use super::request::KeyedRequest;
+use super::request::RequestStage;
+use super::request::ResendWaiter;
+use crate::gateway::find_deadline;
+use crate::gateway::find_terms;
+use crate::gateway::reply_with;
+use ragwort_control::ClockTime;
+use ragwort_control::KeyAdmission;
+use ragwort_policy::ArrivalDecision;
+use ragwort_policy::RequestProfile;
+use ragwort_policy::RequestStep;
+use ragwort_policy::RequestTicket;
+use ragwort_types::AccessMode;
+use ragwort_types::CustomerContract;
+use ragwort_types::DoubtCause;
+use ragwort_types::KindTerms;
+use ragwort_types::LogPosition;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestVerdict;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+use ragwort_types::TransactionStep;
+use ragwort_types::UrgencyClass;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+use std::time::SystemTime;
+use tokio::sync::oneshot;
+
+/// When a caller should come back that met a leaseholder which is still collecting its journal.
+const RECOVERY_RETURN_MS: u64 = 100;
+
+/// What stands in the way of taking a statement in.
+struct IntakeRefusal {
+    cause: RefusalCause,
+    come_back_after_ms: u64,
+}
+
+impl IntakeRefusal {
+    fn new(cause: RefusalCause) -> Self {
+        Self {
+            cause,
+            come_back_after_ms: 0,
+        }
+    }
+}
+
+impl GroupTask {
+    /// Takes a statement in, or answers it at once.
+    pub(super) fn take_statement(
+        &mut self,
+        request: Box<StatementRequest>,
+        reply: oneshot::Sender<StatementReply>,
+    ) {
+        let now = self.context.clock.now();
+        let terms = match self.check_statement(&request, now) {
+            Ok(terms) => terms,
+            Err(refusal) => {
+                let after = refusal.come_back_after_ms;
+                let verdict = RequestVerdict::refused(refusal.cause, after);
+                self.context
+                    .metrics
+                    .count_request(&verdict, UrgencyClass::Ordinary);
+                let _ = reply.send(reply_with(&request, verdict));
+                return;
+            }
+        };
+        let full = find_deadline(&terms, &request.marks);
+        let left = full.saturating_sub(Duration::from_millis(request.spent_ms));
+        let active = ActiveRequest {
+            request,
+            reply,
+            terms,
+            arrived: now,
+            deadline: now + left,
+            stage: RequestStage::Waiting,
+            key_entry: None,
+            round: None,
+            dispatched: now,
+            answer: None,
+        };
+        if let Some(active) = self.admit_key(active) {
+            self.enqueue(active, now);
+        }
+    }
+
+    fn check_statement(
+        &self,
+        request: &StatementRequest,
+        now: ClockTime,
+    ) -> Result<KindTerms, IntakeRefusal> {
+        let view = self.view.borrow();
+        // A leaseholder whose lease has ended may have a successor that dispatches already.
+        if !view.may_serve(now) || self.handing_over || self.journal_is_deposed() {
+            return Err(IntakeRefusal::new(RefusalCause::NoLease));
+        }
+        let contract = view.copy.contract(&request.customer);
+        let contract = contract.map(|held| &held.contract);
+        let allowed = contract.filter(|contract| contract.groups.contains(&self.group));
+        let terms = allowed.and_then(|contract| apply_marks(contract, request));
+        let terms = terms.ok_or(IntakeRefusal::new(RefusalCause::Contract))?;
+        if self.journal.is_none() {
+            return Err(IntakeRefusal {
+                cause: RefusalCause::NoLeaseholder,
+                come_back_after_ms: RECOVERY_RETURN_MS,
+            });
+        }
+        match request.step {
+            TransactionStep::Single | TransactionStep::Begin(_) => {}
+            TransactionStep::Within(id)
+            | TransactionStep::Commit(id)
+            | TransactionStep::Rollback(id) => {
+                if !self.transactions.contains_key(&id) {
+                    return Err(IntakeRefusal::new(RefusalCause::TransactionLost));
+                }
+            }
+        }
+        // A key names one statement; within a transaction it could not say which of them ran.
+        if request.marks.key.is_some() && request.step != TransactionStep::Single {
+            return Err(IntakeRefusal::new(RefusalCause::RequestKey));
+        }
+        Ok(terms)
+    }
+
+    /// Looks a request's key up; returns the request if it is to run.
+    ///
+    /// A key that is known was sent before: running the request again would do its work twice.
+    fn admit_key(&mut self, mut active: ActiveRequest) -> Option<ActiveRequest> {
+        let key = active.request.marks.key;
+        let (Some(key), AccessMode::Write) = (key, active.terms.access) else {
+            return Some(active);
+        };
+        let customer = active.request.customer.clone();
+        let journal = self.journal.as_mut()?;
+        let verdict = match journal.begin(&customer, key, unix_millis()) {
+            KeyAdmission::Fresh(entry) => {
+                active.key_entry = Some(entry);
+                return Some(active);
+            }
+            KeyAdmission::Running => {
+                let keyed = KeyedRequest { customer, key };
+                self.resends.entry(keyed).or_default().push(ResendWaiter {
+                    id: active.request.id,
+                    reply: active.reply,
+                    deadline: active.deadline,
+                });
+                return None;
+            }
+            KeyAdmission::Decided(verdict) => verdict,
+            KeyAdmission::MayHaveRun => RequestVerdict::MayHaveRun(DoubtCause::EarlierAttempt),
+            KeyAdmission::Expired | KeyAdmission::Malformed => {
+                RequestVerdict::refused(RefusalCause::RequestKey, 0)
+            }
+        };
+        self.context
+            .metrics
+            .count_request(&verdict, active.terms.urgency);
+        let _ = active.reply.send(reply_with(&active.request, verdict));
+        None
+    }
+
+    fn enqueue(&mut self, active: ActiveRequest, now: ClockTime) {
+        self.last_ticket += 1;
+        let ticket = RequestTicket(self.last_ticket);
+        let profile = self.describe_request(ticket, &active);
+        self.tickets.insert(active.request.id, ticket);
+        self.requests.insert(ticket, active);
+        if let ArrivalDecision::Refused(refusal) = self.scheduler.arrive(to_policy(now), profile) {
+            self.settle(ticket, RequestVerdict::NotRun(refusal));
+        }
+    }
+
+    fn describe_request(&self, ticket: RequestTicket, active: &ActiveRequest) -> RequestProfile {
+        let request = &active.request;
+        let step = match request.step {
+            TransactionStep::Single => RequestStep::Single,
+            TransactionStep::Begin(_) => RequestStep::Opens,
+            TransactionStep::Within(id)
+            | TransactionStep::Commit(id)
+            | TransactionStep::Rollback(id) => match self.transactions.get(&id) {
+                Some(open) => RequestStep::Within(open.opener),
+                None => RequestStep::Single,
+            },
+        };
+        let required = self
+            .journal
+            .as_ref()
+            .and_then(|journal| journal.sessions().required(&request.customer, &request.session));
+        let kind = request.marks.kind.clone();
+        RequestProfile {
+            ticket,
+            customer: request.customer.clone(),
+            kind: kind.unwrap_or_else(|| self.default_kind(&request.customer)),
+            session: hash_text(request.session.as_str()),
+            key: None,
+            access: match step {
+                RequestStep::Single => active.terms.access,
+                RequestStep::Opens | RequestStep::Within(_) => AccessMode::Write,
+            },
+            repeat: active.terms.repeat,
+            urgency: active.terms.urgency,
+            length: active.terms.length,
+            // A session whose last write isn't known is only safe at the primary.
+            needs_primary: step != RequestStep::Single || required.is_none(),
+            min_position: required.unwrap_or(LogPosition::default()),
+            max_age: Duration::from_millis(active.terms.max_age_ms),
+            deadline: to_policy(active.deadline),
+            step,
+        }
+    }
+}
+
+/// Returns the terms of a statement's kind, tightened by what the caller marked.
+fn apply_marks(contract: &CustomerContract, request: &StatementRequest) -> Option<KindTerms> {
+    let marks = &request.marks;
+    let mut terms = find_terms(contract, marks)?;
+    if let Some(asked) = marks.max_age_ms {
+        terms.max_age_ms = terms.max_age_ms.min(asked);
+    }
+    // Urgency is the contract's to give: a caller may waive it, but not take it.
+    if marks.urgent == Some(false) {
+        terms.urgency = UrgencyClass::Ordinary;
+    }
+    Some(terms)
+}
+
+/// Converts a moment to the scheduler's clock, which has the same origin.
+pub(super) fn to_policy(moment: ClockTime) -> ragwort_policy::ClockTime {
+    ragwort_policy::ClockTime(moment.0)
+}
+
+fn hash_text(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the wall clock, in milliseconds since the Unix epoch.
+pub(super) fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/group/mod.rs
@@ -0,0 +1,515 @@
+//! The leaseholder of one database group.
+//!
+//! One task is the only owner of the group's connections, queue, journal and session positions.
+//! Callers' statements, endpoints' announcements and the reports of its child tasks reach it as
+//! messages; after each it lets the scheduler, the journal and the promotion say what is due.
+
+mod dispatch;
+mod intake;
+mod journaling;
+mod notice;
+mod pool;
+mod promoting;
+mod request;
+
+use crate::clock::NodeClock;
+use crate::connection::ConnectionEvent;
+use crate::log_event;
+use crate::member::MemberView;
+use crate::metrics::DaemonMetrics;
+use crate::peers::PeerLinks;
+use crate::settings::DaemonSettings;
+use crate::standby::StandbyEvent;
+use intake::to_policy;
+use intake::unix_millis;
+use journaling::JournalRecovery;
+use log::Level;
+use notice::GroupNotice;
+use pool::EndpointPool;
+use promoting::PromotionDriver;
+use ragwort_control::ClockTime;
+use ragwort_control::GroupJournal;
+use ragwort_control::PositionQuorum;
+use ragwort_control::RoundId;
+use ragwort_control::WriteTicket;
+use ragwort_policy::CustomerTerms;
+use ragwort_policy::EndpointRole;
+use ragwort_policy::EndpointState;
+use ragwort_policy::GroupScheduler;
+use ragwort_policy::RequestTicket;
+use ragwort_policy::SchedulerSettings;
+use ragwort_types::CustomerName;
+use ragwort_types::EndpointAnnouncement;
+use ragwort_types::GroupName;
+use ragwort_types::GroupPlacement;
+use ragwort_types::GroupRecord;
+use ragwort_types::InstanceName;
+use ragwort_types::KindName;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestVerdict;
+use ragwort_types::StatementId;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+use ragwort_types::TransactionId;
+use ragwort_types::VmName;
+use request::ActiveRequest;
+use request::KeyedRequest;
+use request::OpenTransaction;
+use request::RequestStage;
+use request::ResendWaiter;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+/// The step in which waits, ages and silent endpoints are looked at.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A transaction that has run no statement for so long is ended: its caller has gone without a
+/// word, and it holds one of the endpoint's few connections.
+const IDLE_TRANSACTION: Duration = Duration::from_secs(60);
+
+/// How often the journal forgets what is no longer needed.
+const PRUNE_TICKS: u64 = 100;
+
+/// Events taken in before the scheduler is asked once for all of them.
+const EVENTS_AT_ONCE: usize = 64;
+
+/// What all leaseholders of a VM work with.
+pub struct GroupContext {
+    /// The daemon's settings.
+    pub settings: Arc<DaemonSettings>,
+    /// The process's clock.
+    pub clock: NodeClock,
+    /// Links to other VMs and to agents.
+    pub links: PeerLinks,
+    /// The journals that this VM holds as a standby.
+    pub standby: mpsc::Sender<StandbyEvent>,
+    /// The metrics.
+    pub metrics: DaemonMetrics,
+}
+
+/// What a group's task is asked or told from outside.
+#[derive(Debug)]
+pub enum GroupEvent {
+    /// A statement.
+    Statement(Box<StatementRequest>, oneshot::Sender<StatementReply>),
+    /// Cancels a statement.
+    Cancel(StatementId),
+    /// An endpoint announces itself.
+    Announced(Box<EndpointAnnouncement>),
+    /// The state, for operators.
+    Dump(oneshot::Sender<serde_json::Value>),
+}
+
+/// A group's task.
+pub(crate) struct GroupTask {
+    context: Arc<GroupContext>,
+    group: GroupName,
+    record: GroupRecord,
+    previous: Option<GroupPlacement>,
+    view: watch::Receiver<MemberView>,
+    handing_over: bool,
+    scheduler: GroupScheduler,
+    quorum: PositionQuorum,
+    journal: Option<GroupJournal>,
+    recovery: JournalRecovery,
+    appending: BTreeSet<VmName>,
+    pool: EndpointPool,
+    promotion: PromotionDriver,
+    requests: HashMap<RequestTicket, ActiveRequest>,
+    tickets: HashMap<StatementId, RequestTicket>,
+    transactions: HashMap<TransactionId, OpenTransaction>,
+    resends: HashMap<KeyedRequest, Vec<ResendWaiter>>,
+    writes: HashMap<WriteTicket, RequestTicket>,
+    round_running: Option<(RoundId, ClockTime)>,
+    confirmed_round: RoundId,
+    last_ticket: u64,
+    ticks: u64,
+    notices: mpsc::Sender<GroupNotice>,
+    children: JoinSet<()>,
+}
+
+/// Starts a group's task; it ends when the group is placed elsewhere or `events` is closed.
+pub fn spawn_group(
+    context: Arc<GroupContext>,
+    record: GroupRecord,
+    previous: Option<GroupPlacement>,
+    view: watch::Receiver<MemberView>,
+    events: mpsc::Receiver<GroupEvent>,
+) -> JoinHandle<()> {
+    let (notices, notice_queue) = mpsc::channel(4_096);
+    let (connection_events, connection_queue) = mpsc::channel(1_024);
+    let group = record.placement.group.clone();
+    let seed = record.placement.epoch.0;
+    let scheduler =
+        GroupScheduler::new(SchedulerSettings::new(seed, context.settings.domain.clone()));
+    let pool = EndpointPool::new(
+        Arc::clone(&context),
+        group.clone(),
+        notices.clone(),
+        connection_events,
+    );
+    let task = GroupTask {
+        promotion: PromotionDriver::new(&context, &record),
+        context,
+        quorum: PositionQuorum::new(&record),
+        group,
+        record,
+        previous,
+        view,
+        handing_over: false,
+        scheduler,
+        journal: None,
+        recovery: JournalRecovery::default(),
+        appending: BTreeSet::new(),
+        pool,
+        requests: HashMap::new(),
+        tickets: HashMap::new(),
+        transactions: HashMap::new(),
+        resends: HashMap::new(),
+        writes: HashMap::new(),
+        round_running: None,
+        confirmed_round: RoundId(0),
+        last_ticket: 0,
+        ticks: 0,
+        notices,
+        children: JoinSet::new(),
+    };
+    tokio::spawn(task.run(events, notice_queue, connection_queue))
+}
+
+impl GroupTask {
+    async fn run(
+        mut self,
+        mut events: mpsc::Receiver<GroupEvent>,
+        mut notices: mpsc::Receiver<GroupNotice>,
+        mut connections: mpsc::Receiver<ConnectionEvent>,
+    ) {
+        self.follow_contracts();
+        self.begin_recovery();
+        let mut ticker = interval(TICK);
+        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(EVENTS_AT_ONCE);
+        loop {
+            let wake = self.time_to_wake();
+            tokio::select! {
+                count = events.recv_many(&mut batch, EVENTS_AT_ONCE) => {
+                    if count == 0 {
+                        break;
+                    }
+                    for event in batch.drain(..) {
+                        self.take_event(event);
+                    }
+                }
+                Some(event) = connections.recv() => {
+                    self.take_connection_event(event);
+                    while let Ok(event) = connections.try_recv() {
+                        self.take_connection_event(event);
+                    }
+                }
+                Some(notice) = notices.recv() => {
+                    self.take_notice(notice);
+                    while let Ok(notice) = notices.try_recv() {
+                        self.take_notice(notice);
+                    }
+                }
+                changed = self.view.changed() => {
+                    if changed.is_err() || !self.follow_view() {
+                        break;
+                    }
+                }
+                _ = ticker.tick() => self.take_tick(),
+                () = sleep(wake) => {}
+            }
+            self.follow_scheduler();
+            self.begin_read_round();
+            self.replicate_journal();
+            self.pool.reap();
+            while self.children.try_join_next().is_some() {}
+        }
+        self.end().await;
+    }
+
+    fn take_event(&mut self, event: GroupEvent) {
+        match event {
+            GroupEvent::Statement(request, reply) => self.take_statement(request, reply),
+            GroupEvent::Cancel(id) => self.cancel(id),
+            GroupEvent::Announced(announcement) => self.take_announcement(*announcement),
+            GroupEvent::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
+        }
+    }
+
+    fn take_notice(&mut self, notice: GroupNotice) {
+        match notice {
+            GroupNotice::Agent(report) => match report.status {
+                Some(status) => self.take_status(&report.instance, report.asked, status),
+                None => self.quorum.forget(&report.instance),
+            },
+            GroupNotice::ReadRound(report) => self.take_round_report(report),
+            GroupNotice::Journal(report) => self.take_journal_report(&report),
+            GroupNotice::JournalCopy(vm, source) => self.take_journal_copy(&vm, source),
+            GroupNotice::Command(command, reply) => self.take_command_reply(*command, reply),
+            GroupNotice::Order(report) => self.take_order_report(report),
+            GroupNotice::Probe(report) => self.take_probe_report(report),
+        }
+    }
+
+    fn take_announcement(&mut self, announcement: EndpointAnnouncement) {
+        let instance = announcement.instance.clone();
+        let leaving = announcement.status.leaving;
+        let known = self.pool.endpoint(&instance);
+        let left = known.is_some_and(|entry| entry.announcement.status.leaving != leaving);
+        if self.pool.take_announcement(announcement) || left {
+            log_event!(
+                Level::Info,
+                "endpoint_announced",
+                group = self.group,
+                instance = instance,
+                leaving = leaving,
+            );
+            self.refresh_endpoint(&instance);
+        }
+    }
+
+    /// Tells the scheduler what an endpoint may be used for now.
+    fn refresh_endpoint(&mut self, instance: &InstanceName) {
+        let now = to_policy(self.context.clock.now());
+        let Some(entry) = self.pool.endpoint(instance) else {
+            self.scheduler.remove_endpoint(now, instance);
+            return;
+        };
+        let announcement = &entry.announcement;
+        let reserve = self.context.settings.limits.reserve_connections as u32;
+        let state = EndpointState {
+            instance: instance.clone(),
+            domain: announcement.domain.clone(),
+            slots: announcement.slots,
+            // A former leaseholder's connections may linger; the successor needs some of its own.
+            connections: announcement.connections.saturating_sub(reserve).max(1),
+            role: self.role_of(instance),
+            leaving: announcement.status.leaving,
+        };
+        self.scheduler.set_endpoint(now, state);
+        self.report_position(instance);
+    }
+
+    fn role_of(&self, instance: &InstanceName) -> EndpointRole {
+        if !self.is_serving() {
+            return EndpointRole::Unusable;
+        }
+        match self.record.primary.as_ref() == Some(instance) {
+            true => EndpointRole::Primary,
+            false if self.quorum.counted_position(instance).is_some() => EndpointRole::Replica,
+            false => EndpointRole::Unusable,
+        }
+    }
+
+    fn refresh_all_endpoints(&mut self) {
+        let names = self.pool.endpoints().map(|entry| &entry.announcement.instance);
+        for instance in names.cloned().collect::<Vec<_>>() {
+            self.refresh_endpoint(&instance);
+        }
+    }
+
+    /// Follows a change of this VM's view; false if the group is placed elsewhere.
+    fn follow_view(&mut self) -> bool {
+        self.follow_contracts();
+        let view = self.view.borrow_and_update().clone();
+        let Some(record) = view.copy.group(&self.group).cloned() else {
+            return true;
+        };
+        if record.placement.leaseholder != self.context.settings.vm {
+            log_event!(
+                Level::Info,
+                "group_left",
+                group = self.group,
+                epoch = record.placement.epoch,
+            );
+            return false;
+        }
+        if record.placement.epoch > self.record.placement.epoch {
+            self.previous = Some(self.record.placement.clone());
+            if let Some(journal) = &mut self.journal {
+                journal.adopt_placement(&record.placement);
+            }
+        }
+        self.adopt_record(record);
+        true
+    }
+
+    fn follow_contracts(&mut self) {
+        let view = self.view.borrow();
+        let here = view.copy.contracts().map(|held| &held.contract);
+        let here = here.filter(|contract| contract.groups.contains(&self.group));
+        let terms: Vec<CustomerTerms> = here.map(CustomerTerms::from).collect();
+        drop(view);
+        self.scheduler.set_contracts(&terms);
+    }
+
+    fn default_kind(&self, customer: &CustomerName) -> KindName {
+        let view = self.view.borrow();
+        let contract = view.copy.contract(customer);
+        contract.map_or_else(|| KindName::from(""), |held| held.contract.default_kind.clone())
+    }
+
+    fn take_tick(&mut self) {
+        self.ticks += 1;
+        self.end_overdue();
+        self.end_idle_transactions();
+        let lost = Duration::from_millis(self.context.settings.timing.announce_lost_ms);
+        for instance in self.pool.remove_silent(lost) {
+            log_event!(
+                Level::Warn,
+                "endpoint_silent",
+                group = self.group,
+                instance = instance,
+            );
+            self.refresh_endpoint(&instance);
+        }
+        self.observe_quiet_primary();
+        for instance in self.record.instances.clone() {
+            self.refresh_endpoint(&instance);
+        }
+        self.tick_promotion();
+        self.restart_lost_round();
+        if self.ticks.is_multiple_of(PRUNE_TICKS) {
+            self.prune_journal();
+            self.show_metrics();
+        }
+    }
+
+    /// Notes that the primary stands where it stood, while no write runs.
+    ///
+    /// This leaseholder is the only one that writes, so an idle group's replicas are as fresh as
+    /// its primary; without this their age would seem to grow until the next report.
+    fn observe_quiet_primary(&mut self) {
+        let now = self.context.clock.now();
+        let writing = self.requests.values().any(|active| {
+            !matches!(active.stage, RequestStage::Waiting) && !active.is_fresh_read()
+                && active.terms.access == ragwort_types::AccessMode::Write
+        });
+        if writing || !self.is_serving() || !self.view.borrow().may_serve(now) {
+            return;
+        }
+        let Some(primary) = self.record.primary.clone() else {
+            return;
+        };
+        if let Some(status) = self.quorum.status(&primary).copied() {
+            self.take_status(&primary, now, status);
+        }
+    }
+
+    /// Lets a round of reads that got no majority begin again.
+    fn restart_lost_round(&mut self) {
+        let now = self.context.clock.now();
+        let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms);
+        let Some((_, begun)) = self.round_running else {
+            return;
+        };
+        if now.since(begun) > limit {
+            self.round_running = None;
+            let waits = |active: &ActiveRequest| {
+                matches!(active.stage, RequestStage::AwaitingRound(_)) || active.round.is_some()
+            };
+            if self.requests.values().any(waits) {
+                // A confirmation of a later round also covers the reads of the lost one.
+                self.quorum.join_read();
+            }
+        }
+    }
+
+    fn end_idle_transactions(&mut self) {
+        let now = self.context.clock.now();
+        let idle = self.transactions.iter().filter(|(_, open)| {
+            now.since(open.last_used) > IDLE_TRANSACTION
+        });
+        let idle: Vec<TransactionId> = idle.map(|(id, _)| *id).collect();
+        for id in idle {
+            self.end_transaction(id);
+        }
+    }
+
+    fn prune_journal(&mut self) {
+        let Some(journal) = &mut self.journal else {
+            return;
+        };
+        if let Some(passed) = self.quorum.passed_by_all() {
+            journal.prune(unix_millis(), passed);
+        }
+    }
+
+    fn show_metrics(&self) {
+        let metrics = &self.context.metrics;
+        let now = to_policy(self.context.clock.now());
+        let state = self.scheduler.snapshot(now);
+        let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
+        metrics.set_queue_length(&self.group, waiting);
+        metrics.set_endpoint_connections(&self.group, self.pool.connection_count());
+        metrics.set_group_term(&self.group, self.record.term);
+    }
+
+    fn time_to_wake(&self) -> Duration {
+        let now = self.context.clock.now();
+        let wake = self.scheduler.next_wakeup(to_policy(now));
+        wake.map_or(TICK, |wake| wake.since(to_policy(now)))
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let now = self.context.clock.now();
+        let statuses = self.record.instances.iter().map(|instance| {
+            let status = self.quorum.status(instance);
+            (instance.to_string(), serde_json::json!(status))
+        });
+        serde_json::json!({
+            "record": self.record,
+            "serving": self.is_serving(),
+            "handing_over": self.handing_over,
+            "journal": self.journal.as_ref().map(|journal| serde_json::json!({
+                "epoch": journal.epoch().0,
+                "keys": journal.key_count(),
+                "sessions": journal.sessions().len(),
+                "deposed": journal.is_deposed(),
+            })),
+            "scheduler": self.scheduler.snapshot(to_policy(now)),
+            "requests": self.requests.len(),
+            "transactions": self.transactions.len(),
+            "writes_waiting": self.writes.len(),
+            "connections": self.pool.count_by_instance(),
+            "instances": statuses.collect::<serde_json::Map<_, _>>(),
+        })
+    }
+
+    /// Answers what is left, closes the connections and joins all children.
+    async fn end(mut self) {
+        let tickets: Vec<RequestTicket> = self.requests.keys().copied().collect();
+        for ticket in tickets {
+            let verdict = self.verdict_at_end(ticket);
+            self.settle(ticket, verdict);
+        }
+        self.context.metrics.forget_group(&self.group);
+        self.children.shutdown().await;
+        self.pool.shut_down().await;
+    }
+
+    fn verdict_at_end(&self, ticket: RequestTicket) -> RequestVerdict {
+        let stage = self.requests.get(&ticket).map(|active| &active.stage);
+        match stage {
+            Some(RequestStage::Waiting | RequestStage::Journaling(_)) | None => {
+                RequestVerdict::refused(RefusalCause::NoLeaseholder, 0)
+            }
+            Some(_) => RequestVerdict::MayHaveRun(ragwort_types::DoubtCause::LeaseLost),
+        }
+    }
+}
+
--- /dev/null
+++ b/crates/daemon/src/group/pool.rs
@@ -0,0 +1,289 @@
+//! A group's endpoints as its leaseholder uses them: announcements, agents and connections.
+
+use super::GroupContext;
+use super::notice::AgentReport;
+use super::notice::GroupNotice;
+use crate::connection::ConnectionEvent;
+use crate::connection::ConnectionId;
+use crate::connection::ConnectionOrder;
+use crate::connection::ConnectionTarget;
+use crate::connection::spawn_connection;
+use jsonrpsee::ws_client::WsClient;
+use ragwort_control::ClockTime;
+use ragwort_policy::RequestTicket;
+use ragwort_types::EndpointAnnouncement;
+use ragwort_types::GroupName;
+use ragwort_types::InstanceName;
+use ragwort_types::InstanceStatus;
+use ragwort_types::TransactionId;
+use ragwort_types::rpc::AgentApiClient;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// How long an agent holds a call that waits for a change. Each return is also a sign of life.
+const WATCH_HOLD: Duration = Duration::from_millis(400);
+
+/// The pause after an agent did not answer.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// An endpoint that announces itself.
+#[derive(Debug)]
+pub struct EndpointEntry {
+    /// What it last said of itself.
+    pub announcement: EndpointAnnouncement,
+    /// When it said so.
+    pub heard: ClockTime,
+    watcher: AbortHandle,
+}
+
+/// A connection in the pool.
+#[derive(Debug)]
+pub struct PoolConnection {
+    /// The instance it leads to.
+    pub instance: InstanceName,
+    /// Whether it is open yet.
+    pub open: bool,
+    /// The request that runs on it.
+    pub running: Option<RequestTicket>,
+    /// The transaction that holds it.
+    pub pinned: Option<TransactionId>,
+    /// Whether it takes no further statement: it owes an answer, or a cancel was sent on it.
+    pub spent: bool,
+    orders: mpsc::Sender<ConnectionOrder>,
+}
+
+impl PoolConnection {
+    fn is_idle(&self) -> bool {
+        self.open && !self.spent && self.running.is_none() && self.pinned.is_none()
+    }
+
+    /// Hands an order to the connection's task and says whether it was taken.
+    pub fn send(&self, order: ConnectionOrder) -> bool {
+        self.orders.try_send(order).is_ok()
+    }
+}
+
+/// The endpoints and connections of one group.
+pub struct EndpointPool {
+    context: Arc<GroupContext>,
+    group: GroupName,
+    notices: mpsc::Sender<GroupNotice>,
+    events: mpsc::Sender<ConnectionEvent>,
+    endpoints: BTreeMap<InstanceName, EndpointEntry>,
+    connections: BTreeMap<ConnectionId, PoolConnection>,
+    next_id: u64,
+    children: JoinSet<()>,
+}
+
+impl EndpointPool {
+    /// Creates an empty pool that reports to the group's task.
+    pub fn new(
+        context: Arc<GroupContext>,
+        group: GroupName,
+        notices: mpsc::Sender<GroupNotice>,
+        events: mpsc::Sender<ConnectionEvent>,
+    ) -> Self {
+        Self {
+            context,
+            group,
+            notices,
+            events,
+            endpoints: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            next_id: 0,
+            children: JoinSet::new(),
+        }
+    }
+
+    /// Takes an announcement and says whether the endpoint is new or has moved.
+    pub fn take_announcement(&mut self, announcement: EndpointAnnouncement) -> bool {
+        let heard = self.context.clock.now();
+        let instance = announcement.instance.clone();
+        if let Some(entry) = self.endpoints.get_mut(&instance)
+            && entry.announcement.agent_address == announcement.agent_address
+            && entry.announcement.data_address == announcement.data_address
+        {
+            entry.announcement = announcement;
+            entry.heard = heard;
+            return false;
+        }
+        self.remove_endpoint(&instance);
+        let watch = watch_agent(
+            Arc::clone(&self.context),
+            instance.clone(),
+            announcement.agent_address,
+            announcement.status,
+            self.notices.clone(),
+        );
+        let watcher = self.children.spawn(watch);
+        let entry = EndpointEntry {
+            announcement,
+            heard,
+            watcher,
+        };
+        self.endpoints.insert(instance, entry);
+        true
+    }
+
+    /// Returns an endpoint.
+    pub fn endpoint(&self, instance: &InstanceName) -> Option<&EndpointEntry> {
+        self.endpoints.get(instance)
+    }
+
+    /// Iterates over the endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.endpoints.values()
+    }
+
+    /// Removes endpoints that have not announced themselves for `limit`.
+    pub fn remove_silent(&mut self, limit: Duration) -> Vec<InstanceName> {
+        let now = self.context.clock.now();
+        let silent = self.endpoints.iter().filter(|(_, entry)| now.since(entry.heard) >= limit);
+        let silent: Vec<InstanceName> = silent.map(|(instance, _)| instance.clone()).collect();
+        for instance in &silent {
+            self.remove_endpoint(instance);
+        }
+        silent
+    }
+
+    fn remove_endpoint(&mut self, instance: &InstanceName) {
+        if let Some(entry) = self.endpoints.remove(instance) {
+            entry.watcher.abort();
+        }
+    }
+
+    /// Starts to open a connection to an instance; its event tells how that ended.
+    pub fn open_connection(&mut self, instance: &InstanceName) -> bool {
+        let Some(entry) = self.endpoints.get(instance) else {
+            return false;
+        };
+        let timing = &self.context.settings.timing;
+        self.next_id += 1;
+        let id = ConnectionId(self.next_id);
+        let target = ConnectionTarget {
+            id,
+            address: entry.announcement.data_address,
+            database: self.group.to_string(),
+            connect_timeout: Duration::from_millis(timing.connect_timeout_ms),
+            idle_ping: Duration::from_millis(timing.idle_ping_ms),
+        };
+        let (orders, task) = spawn_connection(target, self.events.clone());
+        self.children.spawn(async move {
+            let _ = task.await;
+        });
+        let connection = PoolConnection {
+            instance: instance.clone(),
+            open: false,
+            running: None,
+            pinned: None,
+            spent: false,
+            orders,
+        };
+        self.connections.insert(id, connection);
+        true
+    }
+
+    /// Finds an idle connection to an instance: the one used last, so that the others can idle out.
+    pub fn find_idle(&self, instance: &InstanceName) -> Option<ConnectionId> {
+        let mut newest_first = self.connections.iter().rev();
+        let found = newest_first.find(|(_, one)| one.instance == *instance && one.is_idle());
+        found.map(|(id, _)| *id)
+    }
+
+    /// Finds the connection that a transaction holds.
+    pub fn find_pinned(&self, transaction: TransactionId) -> Option<ConnectionId> {
+        let mut connections = self.connections.iter();
+        let found = connections.find(|(_, one)| one.pinned == Some(transaction));
+        found.map(|(id, _)| *id)
+    }
+
+    /// Returns a connection.
+    pub fn connection(&mut self, id: ConnectionId) -> Option<&mut PoolConnection> {
+        self.connections.get_mut(&id)
+    }
+
+    /// Forgets a connection; its task ends once its statement has ended.
+    pub fn remove_connection(&mut self, id: ConnectionId) -> Option<PoolConnection> {
+        self.connections.remove(&id)
+    }
+
+    /// Forgets all connections to an instance and returns what held them.
+    pub fn close_instance(&mut self, instance: &InstanceName) -> Vec<PoolConnection> {
+        let closed = self.connections.extract_if(.., |_, one| one.instance == *instance);
+        closed.map(|(_, connection)| connection).collect()
+    }
+
+    /// Makes every idle connection to an instance prove that it still answers.
+    ///
+    /// One silent connection suggests that something on the path has forgotten them all; the
+    /// caller's next statements would otherwise find that out one by one.
+    pub fn ping_idle(&self, instance: &InstanceName) {
+        let all = self.connections.values();
+        for connection in all.filter(|one| one.instance == *instance && one.is_idle()) {
+            connection.send(ConnectionOrder::Ping);
+        }
+    }
+
+    /// Returns the number of connections, open or opening.
+    pub fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Counts connections by instance, for dumps.
+    pub fn count_by_instance(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for connection in self.connections.values() {
+            *counts.entry(connection.instance.to_string()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Joins children that have ended.
+    pub fn reap(&mut self) {
+        while self.children.try_join_next().is_some() {}
+    }
+
+    /// Closes everything and joins all children.
+    pub async fn shut_down(&mut self) {
+        self.connections.clear();
+        self.endpoints.clear();
+        self.children.shutdown().await;
+    }
+}
+
+/// Reports an agent's every change, and its silence, until the task is ended.
+async fn watch_agent(
+    context: Arc<GroupContext>,
+    instance: InstanceName,
+    address: SocketAddr,
+    announced: InstanceStatus,
+    notices: mpsc::Sender<GroupNotice>,
+) {
+    let mut known = announced;
+    let hold_ms = WATCH_HOLD.as_millis() as u64;
+    let grace = Duration::from_millis(context.settings.timing.probe_timeout_ms);
+    loop {
+        let asked = context.clock.now();
+        let call =
+            |client: Arc<WsClient>| async move { client.wait_change(known, hold_ms).await };
+        let status = context.links.call(address, WATCH_HOLD + grace, call).await.ok();
+        let report = AgentReport {
+            instance: instance.clone(),
+            asked,
+            status,
+        };
+        if notices.send(GroupNotice::Agent(report)).await.is_err() {
+            return;
+        }
+        match status {
+            Some(status) => known = status,
+            None => sleep(WATCH_PAUSE).await,
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,60 @@
-//! Placeholder of the program documentation.
+//! `ragwortgated`: the daemon of ragwortgate.
 
-fn main() {}
+use argh::FromArgs;
+use ragwortgated::logs::set_up_log;
+use ragwortgated::node::run_node;
+use ragwortgated::settings::DaemonSettings;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// A database proxy with session consistency: gateway, leaseholder and control in one daemon.
+#[derive(FromArgs)]
+struct DaemonArguments {
+    /// the settings file (YAML)
+    #[argh(option)]
+    settings: PathBuf,
+
+    /// only check the settings and print every fault
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: DaemonArguments = argh::from_env();
+    let settings = match DaemonSettings::read_file(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{}: {fault}", arguments.settings.display());
+            }
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        println!("{}: settings are in order", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(fault) = set_up_log(&settings.log) {
+        eprintln!("ragwortgated: {fault}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("ragwortgated: can't start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run_node(Arc::new(settings))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            log::error!("event=failed fault=\"{fault}\"");
+            eprintln!("ragwortgated: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
