Run load patterns in virtual time against a plain policy

One event loop draws arrivals and run times from the seed, so that the scheduler and first come first served with least connections meet the same load. Two faults came out at once: a run's expected end could be rounded down to the present moment, so that a held slot looked free (an assertion guards it now).

--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -36,10 +36,10 @@
     /// A run that has outlasted its expectation is expected to go on for as long as it is over.
     pub(crate) fn expected_end(&self, now: ClockTime) -> ClockTime {
         let elapsed = now.since(self.started);
-        if elapsed < self.expected {
-            return self.started + self.expected;
-        }
-        let rest = (elapsed - self.expected).max(self.expected / 4);
+        let rest = match self.expected.checked_sub(elapsed) {
+            Some(rest) => rest,
+            None => (elapsed - self.expected).max(self.expected / 4),
+        };
         now + rest.max(LEAST_REST)
     }
 }
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -423,6 +423,7 @@
         self.ledger.charge(request.customer, start.expected);
         self.count_dispatch(now, &request, start);
         let record = &mut self.endpoints.records_mut()[start.instance];
+        debug_assert!(record.free_slots() > 0, "a statement without a slot");
         record.running.push(RunningRequest {
             ticket,
             started: now,
--- /dev/null
+++ b/crates/policy/tests/support/mod.rs
@@ -0,0 +1,15 @@
+//! A runner of load patterns in virtual time, for the tests and the table of the load page.
+
+mod outcome;
+mod patterns;
+mod plain;
+mod runner;
+
+pub use outcome::LoadOutcome;
+pub use outcome::SourceOutcome;
+pub use patterns::LoadPattern;
+pub use patterns::LoadSource;
+pub use patterns::PatternName;
+pub use patterns::UserSize;
+pub use runner::PolicyChoice;
+pub use runner::run_pattern;
--- /dev/null
+++ b/crates/policy/tests/support/outcome.rs
@@ -0,0 +1,121 @@
+//! What callers received in a run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What the callers of one source received.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SourceOutcome {
+    pub offered: u64,
+    pub in_time: u64,
+    pub late: u64,
+    pub refused: u64,
+    /// The sum of the time that refused callers had left.
+    pub warning: Duration,
+    /// The shortest time that a refused caller had left.
+    pub least_warning: Option<Duration>,
+    /// The times to an answer, in time or not.
+    pub waits: Vec<Duration>,
+}
+
+impl SourceOutcome {
+    pub fn in_time_share(&self) -> f64 {
+        ratio(self.in_time, self.offered)
+    }
+
+    pub fn late_share(&self) -> f64 {
+        ratio(self.late, self.offered)
+    }
+
+    pub fn refused_share(&self) -> f64 {
+        ratio(self.refused, self.offered)
+    }
+
+    pub fn mean_warning(&self) -> Duration {
+        let refused = u32::try_from(self.refused).unwrap_or(u32::MAX).max(1);
+        self.warning / refused
+    }
+
+    /// Returns the wait that this share of the answers did not exceed.
+    pub fn wait_quantile(&self, share: f64) -> Duration {
+        let mut waits = self.waits.clone();
+        waits.sort_unstable();
+        if waits.is_empty() {
+            return Duration::ZERO;
+        }
+        let last = waits.len() - 1;
+        let index = (last as f64 * share).round() as usize;
+        waits[index]
+    }
+
+    pub fn add(&mut self, other: &SourceOutcome) {
+        self.offered += other.offered;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.warning += other.warning;
+        self.least_warning = match (self.least_warning, other.least_warning) {
+            (Some(mine), Some(theirs)) => Some(mine.min(theirs)),
+            (mine, theirs) => mine.or(theirs),
+        };
+        self.waits.extend_from_slice(&other.waits);
+    }
+}
+
+/// Names a source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SourceName {
+    pub customer: &'static str,
+    pub kind: &'static str,
+}
+
+/// What all callers received in a run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoadOutcome {
+    pub sources: BTreeMap<SourceName, SourceOutcome>,
+    /// Answered reads of kinds that replicas may serve.
+    pub permitted_reads: u64,
+    /// Those that a replica answered.
+    pub replica_reads: u64,
+    /// The most slots and connections that were held at once on one instance.
+    pub most_slots: u32,
+    pub most_connections: u32,
+    /// Late answers that came from a slow instance.
+    pub late_from_slow: u64,
+    /// Dispatches to a slow instance, by tenths of a second since the spell began.
+    pub slow_dispatches: Vec<u64>,
+    /// Moments at which long jobs held every slot of the group while a short request waited.
+    pub all_long: u64,
+}
+
+impl LoadOutcome {
+    /// Sums up the sources that are chosen.
+    pub fn sum(&self, chosen: impl Fn(&SourceName) -> bool) -> SourceOutcome {
+        let mut sum = SourceOutcome::default();
+        for (name, outcome) in &self.sources {
+            if chosen(name) {
+                sum.add(outcome);
+            }
+        }
+        sum
+    }
+
+    pub fn all(&self) -> SourceOutcome {
+        self.sum(|_| true)
+    }
+
+    pub fn kind(&self, kind: &str) -> SourceOutcome {
+        self.sum(|name| name.kind == kind)
+    }
+
+    pub fn replica_share(&self) -> f64 {
+        ratio(self.replica_reads, self.permitted_reads)
+    }
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    part as f64 / whole as f64
+}
--- /dev/null
+++ b/crates/policy/tests/support/patterns.rs
@@ -0,0 +1,308 @@
+//! The load patterns and the sizes of the two users.
+
+use ragwort_policy::ClockTime;
+use ragwort_policy::CustomerTerms;
+use ragwort_types::AccessMode;
+use ragwort_types::CustomerName;
+use ragwort_types::LengthClass;
+use ragwort_types::UrgencyClass;
+use std::time::Duration;
+
+/// The sizes of a user's group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UserSize {
+    /// 0.5 ms between failure domains, 16 connections for each instance.
+    Omuti,
+    /// 1.5 ms between failure domains, 30 connections for each instance.
+    Sabarmati,
+}
+
+impl UserSize {
+    pub fn domain_delay(self) -> Duration {
+        match self {
+            Self::Omuti => Duration::from_micros(500),
+            Self::Sabarmati => Duration::from_micros(1_500),
+        }
+    }
+
+    pub fn connections(self) -> u32 {
+        match self {
+            Self::Omuti => 16,
+            Self::Sabarmati => 30,
+        }
+    }
+
+    /// Returns the requests a second of the plain mix that keep all six slots busy.
+    ///
+    /// The mix takes 6.36 ms in a slot; four of the slots are one round trip away.
+    pub fn capacity(self) -> f64 {
+        let near = 6.36;
+        let far = near + self.domain_delay().as_secs_f64() * 2_000.0;
+        2_000.0 / near + 4_000.0 / far
+    }
+}
+
+/// A stream of requests of one customer and kind.
+#[derive(Clone, Debug)]
+pub struct LoadSource {
+    pub customer: &'static str,
+    pub kind: &'static str,
+    pub rate: f64,
+    pub from: Duration,
+    pub until: Duration,
+    pub sessions: u64,
+    pub keys: Option<u64>,
+    pub access: AccessMode,
+    pub urgency: UrgencyClass,
+    pub length: LengthClass,
+    pub max_age: Duration,
+    pub deadline: Duration,
+    pub shortest: Duration,
+    pub longest: Duration,
+    /// The number of further statements in the transaction that each request opens.
+    pub statements: u32,
+}
+
+/// A time in which an instance is slower by a factor.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowSpell {
+    pub instance: usize,
+    pub from: ClockTime,
+    pub until: ClockTime,
+    pub factor: u32,
+}
+
+/// All that happens in a run.
+#[derive(Clone, Debug)]
+pub struct LoadPattern {
+    pub user: UserSize,
+    pub sources: Vec<LoadSource>,
+    pub spells: Vec<SlowSpell>,
+    pub terms: Vec<CustomerTerms>,
+    pub length: Duration,
+    /// Whether connections are open at the start.
+    pub warm: bool,
+    /// The time by which replicas are behind.
+    pub lag: Duration,
+}
+
+/// The patterns by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PatternName {
+    /// The plain mix at a hundredth of capacity times this number.
+    Mix(u32),
+    /// Half of capacity, and twice capacity for half a second, with no connection open.
+    Burst,
+    /// One session sends as much as the group can do, besides seven tenths of capacity.
+    HotCaller,
+    /// Writes to one record, as many as its endpoint can do one by one, besides half of capacity.
+    HotKey,
+    /// One replica ten times slower for four seconds, at seven tenths of capacity.
+    SlowReplica,
+    /// The primary ten times slower for four seconds, at half of capacity.
+    SlowPrimary,
+    /// All instances five times slower for four seconds, at a tenth of capacity.
+    AllSlow,
+    /// Reports of 200 to 500 ms, six a second, besides half of capacity.
+    LongJobs,
+    /// Reports that their contract calls short.
+    Mislabelled,
+    /// One customer sends twice what the group can do; the others stay within their shares.
+    Abuse,
+    /// Urgent requests alone exceed the primary.
+    UrgentFlood,
+    /// Transactions of four statements besides half of capacity.
+    Transactions,
+    /// Twice capacity, reports, a hot caller and a slow replica at once.
+    Everything,
+}
+
+impl PatternName {
+    /// Creates the pattern for a user.
+    pub fn create(self, user: UserSize) -> LoadPattern {
+        let mut pattern = match self {
+            Self::Mix(percent) => plain_mix(user, f64::from(percent) / 100.0),
+            Self::Burst => plain_mix(user, 0.5),
+            Self::HotCaller | Self::SlowReplica => plain_mix(user, 0.7),
+            Self::AllSlow => plain_mix(user, 0.1),
+            Self::HotKey | Self::SlowPrimary | Self::LongJobs | Self::Mislabelled => {
+                plain_mix(user, 0.5)
+            }
+            Self::Abuse | Self::UrgentFlood | Self::Transactions => plain_mix(user, 0.5),
+            Self::Everything => plain_mix(user, 2.0),
+        };
+        self.add_trouble(&mut pattern);
+        pattern
+    }
+
+    fn add_trouble(self, pattern: &mut LoadPattern) {
+        let capacity = pattern.user.capacity();
+        match self {
+            Self::Mix(_) => {}
+            Self::Burst => {
+                pattern.warm = false;
+                let burst = LoadSource {
+                    from: Duration::from_secs(2),
+                    until: Duration::from_millis(2_500),
+                    ..status_reads("clinics", capacity * 2.0)
+                };
+                pattern.sources.push(burst);
+            }
+            Self::HotCaller => pattern.sources.push(LoadSource {
+                kind: "loop",
+                sessions: 1,
+                ..status_reads("intake", capacity)
+            }),
+            Self::HotKey => pattern.sources.push(LoadSource {
+                kind: "counter",
+                keys: Some(1),
+                ..updates("clinics", 120.0)
+            }),
+            Self::SlowReplica => pattern.spells.push(spell(2, 10)),
+            Self::SlowPrimary => pattern.spells.push(spell(0, 10)),
+            Self::AllSlow => {
+                let spells = (0..3).map(|instance| spell(instance, 5));
+                pattern.spells.extend(spells);
+            }
+            Self::LongJobs => pattern.sources.push(reports("directorate", 6.0)),
+            Self::Mislabelled => pattern.sources.push(LoadSource {
+                length: LengthClass::Short,
+                ..reports("directorate", 6.0)
+            }),
+            Self::Abuse => {
+                pattern.sources.push(LoadSource {
+                    kind: "scrape",
+                    ..status_reads("abuser", capacity * 1.6)
+                });
+                pattern.sources.push(LoadSource {
+                    kind: "hammer",
+                    ..updates("abuser", capacity * 0.4)
+                });
+            }
+            Self::UrgentFlood => pattern.sources.push(LoadSource {
+                kind: "flood",
+                urgency: UrgencyClass::Urgent,
+                ..updates("directorate", 400.0)
+            }),
+            Self::Transactions => pattern.sources.push(LoadSource {
+                kind: "transfer",
+                statements: 3,
+                ..updates("directorate", 15.0)
+            }),
+            Self::Everything => {
+                pattern.spells.push(spell(2, 10));
+                pattern.sources.push(reports("directorate", 6.0));
+                pattern.sources.push(LoadSource {
+                    kind: "loop",
+                    sessions: 1,
+                    ..status_reads("intake", capacity)
+                });
+            }
+        }
+    }
+}
+
+fn plain_mix(user: UserSize, load: f64) -> LoadPattern {
+    let rate = user.capacity() * load;
+    LoadPattern {
+        user,
+        sources: vec![
+            status_reads("directorate", rate * 0.37),
+            status_reads("clinics", rate * 0.15),
+            status_reads("intake", rate * 0.25),
+            fresh_reads("clinics", rate * 0.05),
+            updates("directorate", rate * 0.10),
+            updates("intake", rate * 0.05),
+            determinations("directorate", rate * 0.03),
+        ],
+        spells: Vec::new(),
+        terms: vec![
+            terms("directorate", 3),
+            terms("clinics", 1),
+            terms("intake", 2),
+            terms("abuser", 1),
+        ],
+        length: Duration::from_secs(8),
+        warm: true,
+        lag: Duration::from_millis(30),
+    }
+}
+
+fn spell(instance: usize, factor: u32) -> SlowSpell {
+    SlowSpell {
+        instance,
+        from: ClockTime::from_millis(2_000),
+        until: ClockTime::from_millis(6_000),
+        factor,
+    }
+}
+
+fn terms(customer: &str, slot_share: u32) -> CustomerTerms {
+    CustomerTerms {
+        customer: CustomerName::from(customer),
+        slot_share,
+        queue_limit: 400,
+        connection_limit: 8,
+    }
+}
+
+fn status_reads(customer: &'static str, rate: f64) -> LoadSource {
+    LoadSource {
+        customer,
+        kind: "status",
+        rate,
+        from: Duration::ZERO,
+        until: Duration::from_secs(8),
+        sessions: 200,
+        keys: None,
+        access: AccessMode::Read,
+        urgency: UrgencyClass::Ordinary,
+        length: LengthClass::Short,
+        max_age: Duration::from_millis(500),
+        deadline: Duration::from_millis(300),
+        shortest: Duration::from_millis(4),
+        longest: Duration::from_millis(8),
+        statements: 0,
+    }
+}
+
+fn fresh_reads(customer: &'static str, rate: f64) -> LoadSource {
+    LoadSource {
+        kind: "balance",
+        max_age: Duration::ZERO,
+        ..status_reads(customer, rate)
+    }
+}
+
+fn updates(customer: &'static str, rate: f64) -> LoadSource {
+    LoadSource {
+        kind: "update",
+        access: AccessMode::Write,
+        max_age: Duration::ZERO,
+        deadline: Duration::from_millis(400),
+        shortest: Duration::from_millis(6),
+        longest: Duration::from_millis(10),
+        ..status_reads(customer, rate)
+    }
+}
+
+fn determinations(customer: &'static str, rate: f64) -> LoadSource {
+    LoadSource {
+        kind: "urgent",
+        urgency: UrgencyClass::Urgent,
+        deadline: Duration::from_millis(200),
+        ..updates(customer, rate)
+    }
+}
+
+fn reports(customer: &'static str, rate: f64) -> LoadSource {
+    LoadSource {
+        kind: "report",
+        length: LengthClass::Long,
+        max_age: Duration::from_secs(5),
+        deadline: Duration::from_secs(5),
+        shortest: Duration::from_millis(200),
+        longest: Duration::from_millis(500),
+        ..status_reads(customer, rate)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/support/runner.rs
@@ -0,0 +1,596 @@
+//! The event loop in virtual time.
+//!
+//! Arrivals, run times and positions are drawn from the seed before the policy sees anything, so
+//! that two policies meet the same load.
+
+use super::outcome::LoadOutcome;
+use super::outcome::SourceName;
+use super::patterns::LoadPattern;
+use super::patterns::LoadSource;
+use super::plain::PlainEndpoint;
+use super::plain::PlainScheduler;
+use ragwort_policy::ArrivalDecision;
+use ragwort_policy::ClockTime;
+use ragwort_policy::EndpointRole;
+use ragwort_policy::EndpointState;
+use ragwort_policy::FinishOutcome;
+use ragwort_policy::GroupScheduler;
+use ragwort_policy::ModuleSwitches;
+use ragwort_policy::RequestProfile;
+use ragwort_policy::RequestStep;
+use ragwort_policy::RequestTicket;
+use ragwort_policy::SchedulerDecision;
+use ragwort_policy::SchedulerSettings;
+use ragwort_types::AccessMode;
+use ragwort_types::CustomerName;
+use ragwort_types::DomainName;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceName;
+use ragwort_types::KindName;
+use ragwort_types::LengthClass;
+use ragwort_types::LogPosition;
+use ragwort_types::RepeatRule;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const INSTANCES: usize = 3;
+const SLOTS: u32 = 2;
+const CONNECT_TIME: Duration = Duration::from_millis(12);
+const REPORT_GAP: Duration = Duration::from_millis(10);
+const INSTANCE_NAMES: [&str; INSTANCES] = ["cases-1", "cases-2", "cases-3"];
+const DOMAIN_NAMES: [&str; INSTANCES] = ["north", "east", "west"];
+
+/// The policy of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyChoice {
+    /// First come first served, least connections.
+    Plain,
+    /// The crate's scheduler with these modules at work.
+    Scheduler(ModuleSwitches),
+}
+
+/// Runs a pattern and returns what the callers received.
+pub fn run_pattern(pattern: &LoadPattern, policy: PolicyChoice, seed: u64) -> LoadOutcome {
+    let mut runner = LoadRunner::new(pattern, policy, seed);
+    runner.run();
+    runner.outcome
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum RunnerEvent {
+    Arrive(usize),
+    Reach(RequestTicket, usize),
+    End(RequestTicket, usize),
+    Answer(RequestTicket, usize),
+    Connected(usize),
+    Report,
+    Wake,
+}
+
+/// A request as it was drawn from the seed.
+struct DrawnRequest {
+    source: usize,
+    session: u64,
+    key: Option<u64>,
+    run: Duration,
+    at: ClockTime,
+    /// The request that opened the transaction, and what is left of it.
+    opener: Option<RequestTicket>,
+    statements: u32,
+}
+
+struct EndpointModel {
+    held: u32,
+    waiting: VecDeque<RequestTicket>,
+    running: Vec<RequestTicket>,
+    key_free: HashMap<u64, ClockTime>,
+    open: u32,
+}
+
+enum PolicyModel {
+    Plain(PlainScheduler),
+    Scheduler(Box<GroupScheduler>),
+}
+
+struct LoadRunner<'a> {
+    pattern: &'a LoadPattern,
+    requests: Vec<DrawnRequest>,
+    profiles: BTreeMap<RequestTicket, RequestProfile>,
+    endpoints: Vec<EndpointModel>,
+    policy: PolicyModel,
+    events: BinaryHeap<Reverse<(ClockTime, u64, RunnerEvent)>>,
+    sequence: u64,
+    now: ClockTime,
+    /// When each write was done, in order: the primary's log.
+    log: Vec<ClockTime>,
+    sessions: HashMap<(usize, u64), u64>,
+    reported: (ClockTime, u64),
+    next_wake: Option<ClockTime>,
+    outcome: LoadOutcome,
+}
+
+impl<'a> LoadRunner<'a> {
+    fn new(pattern: &'a LoadPattern, choice: PolicyChoice, seed: u64) -> Self {
+        let open = if pattern.warm { SLOTS + 1 } else { 0 };
+        let endpoints = (0..INSTANCES).map(|_| EndpointModel {
+            held: 0,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            key_free: HashMap::new(),
+            open,
+        });
+        let policy = match choice {
+            PolicyChoice::Plain => PolicyModel::Plain(create_plain(pattern, open)),
+            PolicyChoice::Scheduler(modules) => {
+                let scheduler = create_scheduler(pattern, modules, seed, open);
+                PolicyModel::Scheduler(Box::new(scheduler))
+            }
+        };
+        let mut runner = Self {
+            pattern,
+            requests: draw_requests(pattern, seed),
+            profiles: BTreeMap::new(),
+            endpoints: endpoints.collect(),
+            policy,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            now: ClockTime::default(),
+            log: Vec::new(),
+            sessions: HashMap::new(),
+            reported: (ClockTime::default(), 0),
+            next_wake: None,
+            outcome: LoadOutcome::default(),
+        };
+        runner.schedule(ClockTime::default(), RunnerEvent::Report);
+        for index in 0..runner.requests.len() {
+            runner.schedule(runner.requests[index].at, RunnerEvent::Arrive(index));
+        }
+        runner
+    }
+
+    fn schedule(&mut self, at: ClockTime, event: RunnerEvent) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn run(&mut self) {
+        let end = ClockTime::default() + self.pattern.length + Duration::from_secs(6);
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+            self.poll();
+        }
+        for ticket in self.profiles.keys().copied().collect::<Vec<_>>() {
+            self.settle_late(ticket);
+        }
+    }
+
+    fn handle(&mut self, event: RunnerEvent) {
+        match event {
+            RunnerEvent::Arrive(index) => self.arrive(index),
+            RunnerEvent::Reach(ticket, instance) => {
+                self.endpoints[instance].waiting.push_back(ticket);
+                self.start_runs(instance);
+            }
+            RunnerEvent::End(ticket, instance) => self.end_run(ticket, instance),
+            RunnerEvent::Answer(ticket, instance) => self.answer(ticket, instance),
+            RunnerEvent::Connected(instance) => {
+                self.endpoints[instance].open += 1;
+                if let PolicyModel::Scheduler(scheduler) = &mut self.policy {
+                    scheduler.connection_opened(&InstanceName::from(INSTANCE_NAMES[instance]));
+                }
+            }
+            RunnerEvent::Report => self.report(),
+            RunnerEvent::Wake => self.next_wake = None,
+        }
+    }
+
+    fn source(&self, ticket: RequestTicket) -> &LoadSource {
+        &self.pattern.sources[self.requests[ticket.0 as usize].source]
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let drawn = &self.requests[index];
+        let source = &self.pattern.sources[drawn.source];
+        let ticket = RequestTicket(index as u64);
+        let customer = CustomerName::from(source.customer);
+        let session = (drawn.source, drawn.session);
+        let position = self.sessions.get(&session).copied().unwrap_or(0);
+        let step = match drawn.opener {
+            Some(opener) => RequestStep::Within(opener),
+            None if drawn.statements > 0 => RequestStep::Opens,
+            None => RequestStep::Single,
+        };
+        let profile = RequestProfile {
+            ticket,
+            customer,
+            kind: KindName::from(source.kind),
+            session: drawn.session,
+            key: drawn.key,
+            access: source.access,
+            repeat: RepeatRule::Idempotent,
+            urgency: source.urgency,
+            length: source.length,
+            needs_primary: source.max_age.is_zero(),
+            min_position: LogPosition::new(GroupTerm(1), position),
+            max_age: source.max_age,
+            deadline: self.now + source.deadline,
+            step,
+        };
+        let name = SourceName {
+            customer: source.customer,
+            kind: source.kind,
+        };
+        self.outcome.sources.entry(name).or_default().offered += 1;
+        self.profiles.insert(ticket, profile.clone());
+        match &mut self.policy {
+            PolicyModel::Plain(plain) => plain.arrive(profile),
+            PolicyModel::Scheduler(scheduler) => {
+                if let ArrivalDecision::Refused(_) = scheduler.arrive(self.now, profile) {
+                    self.settle_refused(ticket);
+                }
+            }
+        }
+    }
+
+    fn poll(&mut self) {
+        let now = self.now;
+        let (reported, index) = self.reported;
+        let age = self.pattern.lag + now.since(reported);
+        let position = LogPosition::new(GroupTerm(1), index);
+        let decisions = match &mut self.policy {
+            PolicyModel::Plain(plain) => {
+                let expired = plain.drop_expired(now);
+                let dispatches = plain.poll(|profile, instance| {
+                    instance == 0
+                        || profile.allows_replica()
+                            && age <= profile.max_age
+                            && position.covers(profile.min_position)
+                });
+                for ticket in expired {
+                    self.settle_late(ticket);
+                }
+                for dispatch in dispatches {
+                    let connect = if dispatch.connect {
+                        CONNECT_TIME
+                    } else {
+                        Duration::ZERO
+                    };
+                    self.send(dispatch.ticket, dispatch.instance, connect);
+                }
+                return;
+            }
+            PolicyModel::Scheduler(scheduler) => scheduler.poll(now),
+        };
+        for decision in decisions {
+            self.carry_out(decision);
+        }
+        self.check_long_jobs();
+        self.plan_wake();
+    }
+
+    fn carry_out(&mut self, decision: SchedulerDecision) {
+        match decision {
+            SchedulerDecision::Dispatch(order) => {
+                let instance = find_instance(&order.instance);
+                self.check_dispatch(order.ticket, instance);
+                self.send(order.ticket, instance, Duration::ZERO);
+            }
+            SchedulerDecision::Refuse(order) => self.settle_refused(order.ticket),
+            SchedulerDecision::OpenConnection(name) => {
+                let instance = find_instance(&name);
+                self.schedule(self.now + CONNECT_TIME, RunnerEvent::Connected(instance));
+            }
+        }
+    }
+
+    /// Checks what no policy may do, whatever the load.
+    fn check_dispatch(&mut self, ticket: RequestTicket, instance: usize) {
+        let Some(profile) = self.profiles.get(&ticket) else {
+            panic!("a request that was settled is dispatched");
+        };
+        assert!(profile.deadline > self.now, "dispatched after its deadline");
+        if instance == 0 {
+            return;
+        }
+        let lagged = self.now.before(self.pattern.lag);
+        let held = self.log.partition_point(|done| *done <= lagged) as u64;
+        assert!(
+            held >= profile.min_position.index,
+            "misses its session's write"
+        );
+        assert!(
+            profile.max_age >= self.pattern.lag,
+            "older than the contract allows"
+        );
+    }
+
+    fn plan_wake(&mut self) {
+        let PolicyModel::Scheduler(scheduler) = &self.policy else {
+            return;
+        };
+        let Some(wake) = scheduler.next_wakeup(self.now) else {
+            return;
+        };
+        if self.next_wake.is_none_or(|planned| wake < planned) {
+            self.next_wake = Some(wake);
+            self.schedule(wake, RunnerEvent::Wake);
+        }
+    }
+
+    fn delay_to(&self, instance: usize) -> Duration {
+        if instance == 0 {
+            return Duration::ZERO;
+        }
+        self.pattern.user.domain_delay()
+    }
+
+    fn send(&mut self, ticket: RequestTicket, instance: usize, connect: Duration) {
+        let reach = self.now + connect + self.delay_to(instance);
+        self.schedule(reach, RunnerEvent::Reach(ticket, instance));
+        for spell in &self.pattern.spells {
+            if spell.instance == instance && (spell.from..spell.until).contains(&self.now) {
+                let tenth = self.now.since(spell.from).as_millis() as usize / 100;
+                let counts = &mut self.outcome.slow_dispatches;
+                counts.resize(counts.len().max(tenth + 1), 0);
+                counts[tenth] += 1;
+            }
+        }
+    }
+
+    fn slow_factor(&self, instance: usize) -> u32 {
+        let spells = self.pattern.spells.iter();
+        let present = spells.filter(|spell| {
+            spell.instance == instance && (spell.from..spell.until).contains(&self.now)
+        });
+        present.map(|spell| spell.factor).max().unwrap_or(1)
+    }
+
+    fn start_runs(&mut self, instance: usize) {
+        let factor = self.slow_factor(instance);
+        while self.endpoints[instance].held < SLOTS {
+            let Some(ticket) = self.endpoints[instance].waiting.pop_front() else {
+                return;
+            };
+            let drawn = &self.requests[ticket.0 as usize];
+            let endpoint = &mut self.endpoints[instance];
+            endpoint.held += 1;
+            endpoint.running.push(ticket);
+            let mut end = self.now + drawn.run * factor;
+            if let Some(key) = drawn.key {
+                let free = endpoint.key_free.entry(key).or_default();
+                end = (*free).max(self.now) + drawn.run * factor;
+                *free = end;
+            }
+            self.outcome.most_slots = self.outcome.most_slots.max(self.endpoints[instance].held);
+            self.schedule(end, RunnerEvent::End(ticket, instance));
+        }
+        if matches!(self.policy, PolicyModel::Scheduler(_)) {
+            assert!(
+                self.endpoints[instance].waiting.is_empty(),
+                "more statements than slots"
+            );
+        }
+    }
+
+    fn end_run(&mut self, ticket: RequestTicket, instance: usize) {
+        let endpoint = &mut self.endpoints[instance];
+        endpoint.held -= 1;
+        endpoint.running.retain(|running| *running != ticket);
+        if self.source(ticket).access == AccessMode::Write {
+            self.log.push(self.now);
+        }
+        let back = self.now + self.delay_to(instance);
+        self.schedule(back, RunnerEvent::Answer(ticket, instance));
+        self.start_runs(instance);
+    }
+
+    fn answer(&mut self, ticket: RequestTicket, instance: usize) {
+        match &mut self.policy {
+            PolicyModel::Plain(plain) => plain.finished(instance),
+            PolicyModel::Scheduler(scheduler) => {
+                scheduler.finished(self.now, ticket, FinishOutcome::Answered);
+            }
+        }
+        let drawn = &self.requests[ticket.0 as usize];
+        if self.source(ticket).access == AccessMode::Write {
+            let session = (drawn.source, drawn.session);
+            self.sessions.insert(session, self.log.len() as u64);
+        }
+        self.continue_transaction(ticket);
+        self.settle_answer(ticket, instance);
+    }
+
+    fn continue_transaction(&mut self, ticket: RequestTicket) {
+        let drawn = &self.requests[ticket.0 as usize];
+        let opener = drawn.opener.unwrap_or(ticket);
+        if drawn.statements == 0 {
+            self.end_transaction(ticket);
+            return;
+        }
+        let next = DrawnRequest {
+            source: drawn.source,
+            session: drawn.session,
+            key: drawn.key,
+            run: drawn.run,
+            at: self.now + Duration::from_millis(3),
+            opener: Some(opener),
+            statements: drawn.statements - 1,
+        };
+        let at = next.at;
+        self.requests.push(next);
+        self.schedule(at, RunnerEvent::Arrive(self.requests.len() - 1));
+    }
+
+    fn end_transaction(&mut self, ticket: RequestTicket) {
+        let opener = self.requests[ticket.0 as usize].opener;
+        if let (Some(opener), PolicyModel::Scheduler(scheduler)) = (opener, &mut self.policy) {
+            scheduler.unpin(self.now, opener);
+        }
+    }
+
+    fn settle_answer(&mut self, ticket: RequestTicket, instance: usize) {
+        let slow = self.slow_factor(instance) > 1;
+        let Some(profile) = self.profiles.remove(&ticket) else {
+            return;
+        };
+        if profile.allows_replica() {
+            self.outcome.permitted_reads += 1;
+            self.outcome.replica_reads += u64::from(instance != 0);
+        }
+        let late = self.now > profile.deadline;
+        self.outcome.late_from_slow += u64::from(late && slow);
+        let wait = self.now.since(self.requests[ticket.0 as usize].at);
+        let outcome = self.outcome_of(ticket);
+        outcome.waits.push(wait);
+        if late {
+            outcome.late += 1;
+        } else {
+            outcome.in_time += 1;
+        }
+    }
+
+    fn settle_late(&mut self, ticket: RequestTicket) {
+        if self.profiles.remove(&ticket).is_some() {
+            self.outcome_of(ticket).late += 1;
+        }
+    }
+
+    fn settle_refused(&mut self, ticket: RequestTicket) {
+        let Some(profile) = self.profiles.remove(&ticket) else {
+            panic!("a request is settled twice");
+        };
+        let warning = profile.deadline.since(self.now);
+        let outcome = self.outcome_of(ticket);
+        outcome.refused += 1;
+        outcome.warning += warning;
+        let least = outcome.least_warning.unwrap_or(warning);
+        outcome.least_warning = Some(least.min(warning));
+        self.end_transaction(ticket);
+    }
+
+    fn outcome_of(&mut self, ticket: RequestTicket) -> &mut super::SourceOutcome {
+        let source = self.source(ticket);
+        let name = SourceName {
+            customer: source.customer,
+            kind: source.kind,
+        };
+        self.outcome.sources.entry(name).or_default()
+    }
+
+    fn report(&mut self) {
+        let lagged = self.now.before(self.pattern.lag);
+        let held = self.log.partition_point(|done| *done <= lagged) as u64;
+        self.reported = (self.now, held);
+        if let PolicyModel::Scheduler(scheduler) = &mut self.policy {
+            let position = LogPosition::new(GroupTerm(1), held);
+            for name in &INSTANCE_NAMES[1..] {
+                let instance = InstanceName::from(*name);
+                scheduler.report_position(self.now, &instance, position, self.pattern.lag);
+            }
+        }
+        self.schedule(self.now + REPORT_GAP, RunnerEvent::Report);
+    }
+
+    fn check_long_jobs(&mut self) {
+        let long = |ticket: &RequestTicket| self.source(*ticket).length == LengthClass::Long;
+        let running = self.endpoints.iter().flat_map(|endpoint| &endpoint.running);
+        let long_running = running.filter(|ticket| long(ticket)).count();
+        if long_running < INSTANCES * SLOTS as usize {
+            return;
+        }
+        let waits = self.profiles.keys().any(|ticket| !long(ticket));
+        self.outcome.all_long += u64::from(waits);
+    }
+}
+
+fn find_instance(name: &InstanceName) -> usize {
+    match INSTANCE_NAMES
+        .iter()
+        .position(|known| *known == name.as_str())
+    {
+        Some(index) => index,
+        None => panic!("an unknown instance"),
+    }
+}
+
+fn create_plain(pattern: &LoadPattern, open: u32) -> PlainScheduler {
+    let endpoint = PlainEndpoint {
+        connections: pattern.user.connections(),
+        open,
+        used: 0,
+    };
+    PlainScheduler::new(vec![endpoint; INSTANCES])
+}
+
+fn create_scheduler(
+    pattern: &LoadPattern,
+    modules: ModuleSwitches,
+    seed: u64,
+    open: u32,
+) -> GroupScheduler {
+    let home = DomainName::from(DOMAIN_NAMES[0]);
+    let mut scheduler = GroupScheduler::new(SchedulerSettings {
+        domain_delay: pattern.user.domain_delay(),
+        connect_time: CONNECT_TIME,
+        modules,
+        ..SchedulerSettings::new(seed, home)
+    });
+    scheduler.set_contracts(&pattern.terms);
+    for index in 0..INSTANCES {
+        let instance = InstanceName::from(INSTANCE_NAMES[index]);
+        let role = match index {
+            0 => EndpointRole::Primary,
+            _ => EndpointRole::Replica,
+        };
+        let state = EndpointState {
+            instance: instance.clone(),
+            domain: DomainName::from(DOMAIN_NAMES[index]),
+            slots: SLOTS,
+            connections: pattern.user.connections(),
+            role,
+            leaving: false,
+        };
+        scheduler.set_endpoint(ClockTime::default(), state);
+        for _ in 0..open {
+            scheduler.connection_opened(&instance);
+        }
+    }
+    scheduler
+}
+
+fn draw_requests(pattern: &LoadPattern, seed: u64) -> Vec<DrawnRequest> {
+    let mut requests = Vec::new();
+    for (index, source) in pattern.sources.iter().enumerate() {
+        let mut random = StdRng::seed_from_u64(seed ^ (index as u64) << 32);
+        let mut at = source.from;
+        loop {
+            let part: f64 = random.random_range(1e-9..1.0);
+            at += Duration::from_secs_f64(-part.ln() / source.rate);
+            if at >= source.until.min(pattern.length) {
+                break;
+            }
+            let run = random.random_range(source.shortest..source.longest);
+            requests.push(DrawnRequest {
+                source: index,
+                session: random.random_range(0..source.sessions),
+                key: source.keys.map(|keys| random.random_range(0..keys)),
+                run,
+                at: ClockTime::default() + at,
+                opener: None,
+                statements: source.statements,
+            });
+        }
+    }
+    requests
+}
