--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -282,7 +282,7 @@
             _ => {}
         }
         if former.is_none() {
-            self.raise_led_epochs(revision, vm);
+            self.raise_held_epochs(revision, vm);
         }
         let former = self.members.get(vm).map(|former| former.stamp);
         self.members.insert(
@@ -297,18 +297,22 @@
         CatalogOutcome::Done(revision)
     }
 
-    /// Raises the epochs of the groups that a returning VM led when it was removed.
+    /// Raises the epochs of the groups that still name a returning VM.
     ///
     /// The process that joins lacks the journal of the one before it. If it went on under the old
-    /// epoch, a resent request would run a second time. A new epoch makes it recover the journal
-    /// from the standbys first.
-    fn raise_led_epochs(&mut self, revision: CatalogRevision, vm: &VmName) {
-        let led: Vec<GroupName> = self
+    /// epoch, a resent request would run a second time. A new epoch makes a leaseholder recover the
+    /// journal from the standbys first, and makes a standby refuse appends that were meant for the
+    /// former process.
+    fn raise_held_epochs(&mut self, revision: CatalogRevision, vm: &VmName) {
+        let names = |placement: &GroupPlacement| {
+            placement.leaseholder == *vm || placement.standbys.contains(vm)
+        };
+        let held: Vec<GroupName> = self
             .groups()
-            .filter(|record| record.placement.leaseholder == *vm)
+            .filter(|record| names(&record.placement))
             .map(|record| record.placement.group.clone())
             .collect();
-        for group in led {
+        for group in held {
             self.change_group(revision, &group, |record| {
                 record.placement.epoch = record.placement.epoch.next();
             });
--- a/crates/control/tests/state/catalog.rs
+++ b/crates/control/tests/state/catalog.rs
@@ -7,60 +7,17 @@
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
 use ragwort_types::GroupName;
-use ragwort_types::InstanceChange;
-use ragwort_types::LogPosition;
 use ragwort_types::PlacementEpoch;
-use ragwort_types::PrimaryRecord;
-use ragwort_types::TermStart;
 use ragwort_types::VmName;
 
 use crate::common::CatalogScript;
 use crate::common::contract_change;
+use crate::common::formed_group;
+use crate::common::instance_change;
 use crate::common::member;
 use crate::common::placement;
-
-fn instance_change(name: &str, epoch: u64, term: u64) -> InstanceChange {
-    InstanceChange {
-        group: "cases".into(),
-        epoch: PlacementEpoch(epoch),
-        term: ragwort_types::GroupTerm(term),
-        instance: name.into(),
-    }
-}
-
-fn term_start(epoch: u64, term: u64) -> CatalogCommand {
-    CatalogCommand::BeginTerm(TermStart {
-        group: "cases".into(),
-        epoch: PlacementEpoch(epoch),
-        term: ragwort_types::GroupTerm(term),
-    })
-}
-
-fn primary_record(name: &str, epoch: u64, term: u64) -> CatalogCommand {
-    CatalogCommand::RecordPrimary(PrimaryRecord {
-        group: "cases".into(),
-        epoch: PlacementEpoch(epoch),
-        term: ragwort_types::GroupTerm(term),
-        primary: name.into(),
-        start: LogPosition::new(ragwort_types::GroupTerm(term), 7),
-    })
-}
-
-/// Returns a catalog with three members and a group of two instances in term 1.
-fn formed_group() -> CatalogScript {
-    let mut script = CatalogScript::with_members(3);
-    script.expect_done(CatalogCommand::PlaceGroup(placement(
-        "cases",
-        1,
-        "vm-1",
-        &["vm-2", "vm-3"],
-    )));
-    script.expect_done(CatalogCommand::AddInstance(instance_change("a", 1, 0)));
-    script.expect_done(CatalogCommand::AddInstance(instance_change("b", 1, 0)));
-    script.expect_done(term_start(1, 1));
-    script.expect_done(primary_record("a", 1, 1));
-    script
-}
+use crate::common::primary_record;
+use crate::common::term_start;
 
 case! {
     /// An operator loses the answer to a change and resends it after a colleague has changed the
@@ -123,7 +80,7 @@
     /// A VM's daemon restarts while its former process may still hold a lease. If the new process
     /// were admitted at once, both would serve the VM's groups and double writes.
     new_process_waits_for_removal_of_the_former {
-        let mut script = formed_group();
+        let mut script = formed_group(&["a", "b"]);
         let successor = CatalogCommand::AdmitMember(member(1, 2));
         script.expect_stale(successor.clone());
         script.expect_done(CatalogCommand::RemoveMember(member(1, 1).id));
@@ -151,7 +108,7 @@
     /// A leaseholder dies between the start of a term and its primary. The next one can't know
     /// whom the first promoted, so a primary that it records in that term could be the second.
     successor_begins_a_term_of_its_own {
-        let mut script = formed_group();
+        let mut script = formed_group(&["a", "b"]);
         script.expect_done(term_start(1, 2));
         let next = placement("cases", 2, "vm-2", &["vm-3"]);
         script.expect_done(CatalogCommand::PlaceGroup(next));
@@ -167,7 +124,7 @@
     /// A leaseholder loses the answers to its commands and sends them again. They must not count
     /// as another's, or the promotion would start over each time an answer is lost.
     resent_commands_are_answered_as_done {
-        let mut script = formed_group();
+        let mut script = formed_group(&["a", "b"]);
         script.expect_done(term_start(1, 2));
         let before = script.state.revision();
         script.expect_done(term_start(1, 2));
@@ -183,7 +140,7 @@
     /// Instances fail one after the other while nobody looks. If the set shrank to nothing, or
     /// without its primary, the next majority would know nothing of acknowledged writes.
     instance_set_keeps_its_primary_and_is_never_empty {
-        let mut script = formed_group();
+        let mut script = formed_group(&["a", "b"]);
         script.expect_stale(CatalogCommand::RemoveInstance(instance_change("a", 1, 1)));
         script.expect_done(CatalogCommand::RemoveInstance(instance_change("b", 1, 1)));
         script.expect_stale(CatalogCommand::RemoveInstance(instance_change("a", 1, 1)));
@@ -196,7 +153,7 @@
     /// A member that was down for hundreds of changes comes back. It must hold exactly the present
     /// catalog, without the members that left meanwhile.
     copy_follows_by_delta_and_by_snapshot {
-        let mut script = formed_group();
+        let mut script = formed_group(&["a", "b"]);
         let mut copy = CatalogCopy::new();
         copy.apply_delta(&script.state.delta_since(copy.revision())).unwrap();
         for change in 0..600 {
@@ -219,7 +176,7 @@
     /// A member asks a control VM that sat silent behind a cut for an hour. Taking its older state
     /// would put replaced contracts back in force.
     copy_never_goes_back {
-        let mut script = formed_group();
+        let mut script = formed_group(&["a", "b"]);
         let stale = script.state.delta_since(CatalogRevision(0));
         let behind = script.state.clone();
         script.apply(CatalogCommand::ApplyContract(contract_change(1, 0, 10)));
@@ -237,7 +194,7 @@
     /// Two control leaders in turn place the same group. The second must not overwrite the first's
     /// placement unseen, nor place a group on a VM that has just left.
     placement_is_compared_by_epoch_and_member {
-        let mut script = formed_group();
+        let mut script = formed_group(&["a", "b"]);
         script.expect_stale(CatalogCommand::PlaceGroup(placement("cases", 1, "vm-2", &[])));
         script.expect_stale(CatalogCommand::PlaceGroup(placement("cases", 2, "vm-9", &[])));
         script.expect_stale(CatalogCommand::PlaceGroup(placement("cases", 2, "vm-1", &["vm-1"])));
--- a/crates/control/tests/state/common.rs
+++ b/crates/control/tests/state/common.rs
@@ -1,5 +1,7 @@
 //! Builders that the tests of this crate share.
 
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
 use ragwort_control::CatalogState;
 use ragwort_types::AccessMode;
 use ragwort_types::CatalogCommand;
@@ -10,13 +12,19 @@
 use ragwort_types::ContractVersion;
 use ragwort_types::CustomerContract;
 use ragwort_types::GroupPlacement;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceChange;
 use ragwort_types::KindName;
 use ragwort_types::KindTerms;
 use ragwort_types::LengthClass;
+use ragwort_types::LogPosition;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
 use ragwort_types::PlacementEpoch;
+use ragwort_types::PrimaryRecord;
 use ragwort_types::RepeatRule;
+use ragwort_types::RequestKey;
+use ragwort_types::TermStart;
 use ragwort_types::UrgencyClass;
 use ragwort_types::VmIncarnation;
 use ragwort_types::VmName;
@@ -64,6 +72,11 @@
         );
     }
 
+    /// Begins a term of the group `cases`.
+    pub fn begin_term(&mut self, epoch: u64, term: u64) {
+        self.expect_done(term_start(epoch, term));
+    }
+
     /// Applies a command that must be refused as stale.
     pub fn expect_stale(&mut self, command: CatalogCommand) {
         assert_eq!(
@@ -74,6 +87,49 @@
     }
 }
 
+/// Returns a change of the group `cases`.
+pub fn instance_change(name: &str, epoch: u64, term: u64) -> InstanceChange {
+    InstanceChange {
+        group: "cases".into(),
+        epoch: PlacementEpoch(epoch),
+        term: GroupTerm(term),
+        instance: name.into(),
+    }
+}
+
+/// Returns the start of a term of the group `cases`.
+pub fn term_start(epoch: u64, term: u64) -> CatalogCommand {
+    CatalogCommand::BeginTerm(TermStart {
+        group: "cases".into(),
+        epoch: PlacementEpoch(epoch),
+        term: GroupTerm(term),
+    })
+}
+
+/// Returns the record of a primary of the group `cases`.
+pub fn primary_record(name: &str, epoch: u64, term: u64) -> CatalogCommand {
+    CatalogCommand::RecordPrimary(PrimaryRecord {
+        group: "cases".into(),
+        epoch: PlacementEpoch(epoch),
+        term: GroupTerm(term),
+        primary: name.into(),
+        start: LogPosition::new(GroupTerm(term), 7),
+    })
+}
+
+/// Returns a catalog with three members and the group `cases` in term 1 under its first instance.
+pub fn formed_group(instances: &[&str]) -> CatalogScript {
+    let mut script = CatalogScript::with_members(3);
+    let place = placement("cases", 1, "vm-1", &["vm-2", "vm-3"]);
+    script.expect_done(CatalogCommand::PlaceGroup(place));
+    for name in instances {
+        script.expect_done(CatalogCommand::AddInstance(instance_change(name, 1, 0)));
+    }
+    script.begin_term(1, 1);
+    script.expect_done(primary_record(instances[0], 1, 1));
+    script
+}
+
 /// Returns the member `vm-<number>`, in one of three failure domains.
 pub fn member(number: u64, incarnation: u64) -> MemberRecord {
     MemberRecord {
@@ -132,3 +188,47 @@
         session_limit: 100,
     }
 }
+
+/// Returns a request key with a time, in milliseconds since the Unix epoch.
+pub fn key_made_at(unix_ms: u64, number: u64) -> RequestKey {
+    let seconds = unix_ms / 1_000;
+    let nanos = u32::try_from(unix_ms % 1_000).unwrap() * 1_000_000;
+    let context = uuid::NoContext;
+    let time = uuid::Timestamp::from_unix(context, seconds, nanos);
+    let mut bytes = *Uuid::new_v7(time).as_bytes();
+    bytes[8..].copy_from_slice(&number.to_be_bytes());
+    bytes[6] = 0x70;
+    bytes[7] = 0;
+    bytes[8] = 0x80;
+    RequestKey(Uuid::from_bytes(bytes))
+}
+
+/// Runs a model on random steps, one run for each seed from `base` on, and sums what it returns.
+///
+/// A failing run prints its seed.
+pub fn run_seeds<S: Arbitrary>(
+    base: u64,
+    runs: u64,
+    size: usize,
+    model: impl Fn(Vec<S>) -> usize,
+) -> usize {
+    let mut sum = 0;
+    for seed in base..base + runs {
+        let report = SeedReport(seed);
+        let mut generator = Gen::from_size_and_seed(size, seed);
+        let steps = (0..size).map(|_| S::arbitrary(&mut generator));
+        sum += model(steps.collect());
+        drop(report);
+    }
+    sum
+}
+
+struct SeedReport(u64);
+
+impl Drop for SeedReport {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("seed={:#x}", self.0);
+        }
+    }
+}
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -4,4 +4,6 @@
 mod common;
 
 mod catalog;
+mod journal;
 mod membership;
+mod quorum;
--- /dev/null
+++ b/crates/control/tests/state/quorum.rs
@@ -0,0 +1,176 @@
+//! Failure tests of majorities: cut-off primaries, lagging replicas and changes of the set.
+
+use ragwort_control::CatalogState;
+use ragwort_control::ClockTime;
+use ragwort_control::PositionQuorum;
+use ragwort_control::ReadProgress;
+use ragwort_types::GroupRecord;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceName;
+use ragwort_types::InstanceRole;
+use ragwort_types::InstanceStatus;
+use ragwort_types::LogPosition;
+use std::time::Duration;
+
+use crate::common::formed_group;
+
+fn name(text: &str) -> InstanceName {
+    InstanceName::from(text)
+}
+
+fn status(fenced: u64, term: u64, index: u64) -> InstanceStatus {
+    InstanceStatus {
+        role: InstanceRole::Replica,
+        fenced_term: GroupTerm(fenced),
+        position: LogPosition::new(GroupTerm(term), index),
+        leaving: false,
+    }
+}
+
+fn position(index: u64) -> LogPosition {
+    LogPosition::new(GroupTerm(1), index)
+}
+
+fn record(state: &CatalogState) -> GroupRecord {
+    state.group(&"cases".into()).unwrap().clone()
+}
+
+/// Returns the quorum of the instances `a` (primary), `b` and `c` in term 1.
+fn quorum() -> PositionQuorum {
+    let script = formed_group(&["a", "b", "c"]);
+    PositionQuorum::new(&record(&script.state))
+}
+
+fn now() -> ClockTime {
+    ClockTime::from_millis(1_000)
+}
+
+case! {
+    /// The primary answers a commit and is cut off before a replica has it. Acknowledging it there
+    /// and then would lose the write with the primary; the caller would have to find that out.
+    write_waits_for_a_majority {
+        let mut quorum = quorum();
+        quorum.report(now(), &name("a"), status(1, 1, 20));
+        let (ticket, progress) = quorum.await_majority(position(20));
+        assert!(progress.released.is_empty());
+        let progress = quorum.report(now(), &name("b"), status(1, 1, 19));
+        assert!(progress.released.is_empty());
+        let progress = quorum.report(now(), &name("c"), status(1, 1, 20));
+        assert_eq!(progress.released, vec![ticket]);
+    }
+}
+
+case! {
+    /// A replica was fenced for the next term by another leaseholder. It must not help the former
+    /// primary to an acknowledgement, and its answer tells that the term is over.
+    replica_of_a_later_term_isnt_counted {
+        let mut quorum = quorum();
+        quorum.await_majority(position(20));
+        quorum.report(now(), &name("a"), status(1, 1, 20));
+        let progress = quorum.report(now(), &name("b"), status(2, 1, 20));
+        assert!(progress.released.is_empty());
+        assert_eq!(progress.later_term, Some(GroupTerm(2)));
+    }
+}
+
+case! {
+    /// A replica still holds a tail of an earlier term with a higher index. Counting it would
+    /// acknowledge a write that it doesn't hold.
+    tail_of_an_earlier_term_isnt_counted {
+        let mut quorum = quorum();
+        quorum.report(now(), &name("a"), status(1, 1, 8));
+        let (_, progress) = quorum.await_majority(position(8));
+        assert!(progress.released.is_empty());
+        let progress = quorum.report(now(), &name("b"), status(1, 0, 90));
+        assert!(progress.released.is_empty());
+    }
+}
+
+case! {
+    /// A promotion ends the term while writes wait. They must be answered as doubtful at once, not
+    /// left to their deadlines.
+    waiting_writes_end_with_their_term {
+        let mut script = formed_group(&["a", "b", "c"]);
+        let mut quorum = PositionQuorum::new(&record(&script.state));
+        let (ticket, _) = quorum.await_majority(position(20));
+        script.begin_term(1, 2);
+        assert_eq!(quorum.adopt_record(&record(&script.state)), vec![ticket]);
+        assert_eq!(quorum.waiting_writes(), 0);
+    }
+}
+
+case! {
+    /// A cut-off primary still answers reads that allow no age. The read is answered only if a
+    /// majority was asked after it began; an older answer proves nothing about it.
+    read_is_confirmed_by_answers_asked_for_after_it_began {
+        let mut quorum = quorum();
+        let first = quorum.join_read();
+        assert_eq!(quorum.begin_read_round(), Some(first));
+        let second = quorum.join_read();
+        assert_ne!(first, second);
+        assert_eq!(quorum.confirm(first, &name("a"), GroupTerm(1)), ReadProgress::Pending);
+        assert_eq!(quorum.begin_read_round(), Some(second));
+        assert_eq!(quorum.begin_read_round(), None);
+        assert_eq!(quorum.confirm(first, &name("b"), GroupTerm(1)), ReadProgress::Confirmed(first));
+        assert_eq!(quorum.confirm(second, &name("a"), GroupTerm(1)), ReadProgress::Pending);
+        let over = quorum.confirm(second, &name("c"), GroupTerm(2));
+        assert_eq!(over, ReadProgress::TermOver(GroupTerm(2)));
+    }
+}
+
+case! {
+    /// A new instance joins empty, or two leave in turn, while only some hold the latest writes. A
+    /// majority of the new set might hold none of them, and a promotion would lose them.
+    set_changes_only_while_acknowledged_writes_stay_covered {
+        let mut quorum = quorum();
+        quorum.await_majority(position(20));
+        quorum.report(now(), &name("a"), status(1, 1, 20));
+        quorum.report(now(), &name("b"), status(1, 1, 20));
+        quorum.report(now(), &name("c"), status(1, 1, 5));
+        quorum.report(now(), &name("d"), status(1, 1, 4));
+        assert_eq!(quorum.acknowledged(), position(20));
+        assert!(!quorum.may_add(&name("d")));
+        assert!(!quorum.may_remove(&name("b")));
+        assert!(quorum.may_remove(&name("c")));
+        assert!(!quorum.may_remove(&name("a")), "the primary stays");
+        quorum.report(now(), &name("d"), status(1, 1, 20));
+        assert!(quorum.may_add(&name("d")));
+    }
+}
+
+case! {
+    /// The answer to a set change is lost, so it may be committed or not. Writes must be held by a
+    /// majority of both sets until it is known.
+    unknown_set_change_needs_both_majorities {
+        let mut quorum = quorum();
+        quorum.report(now(), &name("d"), status(1, 1, 0));
+        quorum.propose_add(&name("d"));
+        quorum.await_majority(position(20));
+        quorum.report(now(), &name("a"), status(1, 1, 20));
+        let progress = quorum.report(now(), &name("b"), status(1, 1, 20));
+        assert!(progress.released.is_empty(), "two of four are no majority");
+        let progress = quorum.report(now(), &name("d"), status(1, 1, 20));
+        assert_eq!(progress.released.len(), 1);
+    }
+}
+
+case! {
+    /// A replica stops following while the primary takes writes. Its data grows older by the
+    /// leaseholder's own clock, and a read with an allowed age must not be sent there for long.
+    age_of_a_replica_grows_from_the_primarys_next_write {
+        let mut quorum = quorum();
+        let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
+        quorum.report(at(0), &name("b"), status(1, 1, 5));
+        assert_eq!(quorum.age_bound(&name("b"), at(0)), None);
+        quorum.report(at(0), &name("a"), status(1, 1, 5));
+        quorum.report(at(100), &name("a"), status(1, 1, 5));
+        assert_eq!(quorum.age_bound(&name("b"), at(110)), Some(Duration::from_millis(10)));
+        quorum.report(at(200), &name("a"), status(1, 1, 6));
+        quorum.report(at(300), &name("a"), status(1, 1, 7));
+        assert_eq!(quorum.age_bound(&name("b"), at(310)), Some(Duration::from_millis(210)));
+        quorum.report(at(320), &name("b"), status(1, 1, 7));
+        assert_eq!(quorum.age_bound(&name("b"), at(330)), Some(Duration::from_millis(30)));
+        quorum.report(at(330), &name("b"), status(2, 1, 7));
+        assert_eq!(quorum.age_bound(&name("b"), at(340)), None);
+    }
+}
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -176,6 +176,11 @@
     KeyDecided(KeyDecision),
     /// A session's writes reach up to a position.
     SessionPosition(SessionRecord),
+    /// All replicas have passed this position; sessions that are not listed start from it.
+    SessionFloor(LogPosition),
+    /// Keys made before this time, in milliseconds since the Unix epoch, may have been dispatched
+    /// without being listed: the whole set that held them was lost.
+    KeysLost(u64),
 }
 
 /// A dispatched request key.
@@ -216,8 +221,8 @@
     pub group: GroupName,
     /// The leaseholder's epoch; a standby that knows a later one refuses.
     pub epoch: PlacementEpoch,
-    /// The number of the first entry, counted from the start of the epoch; zero is preceded by
-    /// `reset`.
+    /// The number of the first entry. With `reset` the entries stand for all that have a lower
+    /// number, and have none themselves.
     pub sequence: u64,
     /// Whether the entries replace all that the standby holds, as at the start of an epoch.
     pub reset: bool,
