Serve callers by PostgreSQL's protocol

Each connection has one task, which owns its socket and its place in the transaction, and hands statements to a service behind a trait. pgwire's own server loop was ruled out: it has no limit on message length or on the time a message takes, reads nothing while a statement runs (so a caller that left keeps its slot), and can't be told to stop between two transactions. Its codec is used message by message; its decoders trust inner counts and would read on into the next message or panic, so each message is cut out by its length first and must be used up.

A statement that leaves something on a shared connection (settings, prepared statements by SQL, a second statement after a semicolon) is refused before it runs: another customer would find it. A cancel counts only against a statement that started before the cancel's connection was accepted.

--- /dev/null
+++ b/crates/daemon/src/callers/session.rs
@@ -0,0 +1,224 @@
+//! One caller's connection, from its first byte to its last.
+
+use crate::callers::CallerLimits;
+use crate::callers::DrainOrder;
+use crate::callers::SessionOpening;
+use crate::callers::SessionRefusal;
+use crate::callers::StatementService;
+use crate::callers::answers::CallerError;
+use crate::callers::answers::ErrorScope;
+use crate::callers::conversation::Conversation;
+use crate::callers::conversation::SessionEnd;
+use crate::callers::edge::CancelKey;
+use crate::callers::edge::CancelOrder;
+use crate::callers::extended::PreparedStore;
+use crate::callers::running::StatementRunner;
+use crate::callers::startup::Opening;
+use crate::callers::startup::SessionOptions;
+use crate::callers::startup::read_opening;
+use crate::callers::wire::CallerStream;
+use crate::callers::wire::StreamFault;
+use crate::log_event;
+use crate::metrics::DaemonMetrics;
+use log::Level;
+use pgwire::messages::response::ReadyForQuery;
+use pgwire::messages::response::TransactionStatus;
+use pgwire::messages::startup::Authentication;
+use pgwire::messages::startup::BackendKeyData;
+use pgwire::messages::startup::ParameterStatus;
+use pgwire::messages::startup::SecretKey;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+/// What a caller's driver wants to know of its server; sessions can't change any of it.
+const SERVER_PARAMETERS: [(&str, &str); 6] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// All that one connection's task owns.
+pub(crate) struct ConnectionTask {
+    pub(crate) stream: CallerStream,
+    pub(crate) limits: CallerLimits,
+    pub(crate) service: Arc<dyn StatementService>,
+    pub(crate) metrics: DaemonMetrics,
+    pub(crate) key: CancelKey,
+    pub(crate) accepted: Instant,
+    pub(crate) cancelled: watch::Receiver<Option<Instant>>,
+    pub(crate) cancels: mpsc::Sender<CancelOrder>,
+    pub(crate) order: watch::Receiver<DrainOrder>,
+}
+
+impl ConnectionTask {
+    /// Serves the connection to its end.
+    pub(crate) async fn run(mut self) {
+        let _count = self.metrics.open_caller_connection();
+        let opening = timeout(self.limits.startup, read_opening(&mut self.stream)).await;
+        match opening {
+            Ok(Ok(Opening::Session(options))) => self.run_session(options).await,
+            Ok(Ok(Opening::Cancel(request))) => {
+                let accepted = self.accepted;
+                // An edge that has ended has no statement left to cancel.
+                let _ = self.cancels.send(CancelOrder { request, accepted }).await;
+                self.stream.close().await;
+            }
+            Ok(Ok(Opening::Refused(error))) => self.end_with(error).await,
+            Ok(Err(fault)) => self.end_with_fault(fault).await,
+            Err(_) => {
+                self.metrics.count_caller_fault("slow_startup");
+                self.stream.close().await;
+            }
+        }
+    }
+
+    async fn run_session(self, options: SessionOptions) {
+        let opening = SessionOpening {
+            customer: options.customer,
+            group: options.group,
+            session: options.session,
+        };
+        let admitted = match AdmittedSession::open(&self.service, opening) {
+            Ok(admitted) => admitted,
+            Err(refusal) => {
+                self.metrics.count_caller_fault("refused");
+                return self.end_with(CallerError::from(refusal)).await;
+            }
+        };
+        let opening = admitted.opening.clone();
+        let metrics = self.metrics.clone();
+        let mut stream = self.stream;
+        if let Err(fault) = greet(&mut stream, self.key).await {
+            return finish(stream, &metrics, &opening, SessionEnd::Fault(fault), true).await;
+        }
+        let runner = StatementRunner::new(
+            self.service,
+            opening.clone(),
+            self.cancelled,
+            metrics.clone(),
+        );
+        let store = PreparedStore::new(self.limits.message_bytes);
+        let mut conversation = Conversation::new(stream, runner, store, self.order, options.notice);
+        let end = conversation.run().await;
+        let (stream, all_told) = conversation.into_stream();
+        finish(stream, &metrics, &opening, end, all_told).await;
+    }
+
+    async fn end_with(self, error: CallerError) {
+        end_stream(self.stream, error, true).await;
+    }
+
+    async fn end_with_fault(self, fault: StreamFault) {
+        if let Some(name) = fault.name() {
+            self.metrics.count_caller_fault(name);
+        }
+        if let Some(error) = error_of(&fault) {
+            end_stream(self.stream, error, true).await;
+        }
+    }
+}
+
+async fn finish(
+    stream: CallerStream,
+    metrics: &DaemonMetrics,
+    opening: &SessionOpening,
+    end: SessionEnd,
+    all_told: bool,
+) {
+    match end {
+        SessionEnd::Terminated => stream.close().await,
+        SessionEnd::Drained => {
+            let error = CallerError::from(SessionRefusal::Draining);
+            end_stream(stream, error, all_told).await;
+        }
+        SessionEnd::Fault(fault) => {
+            if let Some(name) = fault.name() {
+                metrics.count_caller_fault(name);
+                log_event!(
+                    Level::Info,
+                    "caller_fault",
+                    customer = opening.customer,
+                    group = opening.group,
+                    fault = fault,
+                );
+            }
+            if let Some(error) = error_of(&fault) {
+                end_stream(stream, error, all_told).await;
+            }
+        }
+    }
+}
+
+/// Returns what a caller is told of a fault, if it can still be told.
+fn error_of(fault: &StreamFault) -> Option<CallerError> {
+    let sqlstate = match fault {
+        StreamFault::Closed | StreamFault::Lost(_) | StreamFault::SlowReceiver => return None,
+        StreamFault::TooLong(_) => "54000",
+        StreamFault::SlowSender | StreamFault::Malformed(_) => "08P01",
+        StreamFault::NotText => "22021",
+    };
+    Some(CallerError::not_run(sqlstate, fault.to_string()))
+}
+
+/// Sends a last error and closes.
+///
+/// With an answer sent whose end the caller hasn't seen, the error says nothing of having run: the
+/// caller would take it for the outcome of the statement that was answered.
+async fn end_stream(mut stream: CallerStream, mut error: CallerError, all_told: bool) {
+    if !all_told {
+        error.detail = None;
+    }
+    let response = error.to_response(ErrorScope::Connection);
+    if stream.send(response).await.is_ok() {
+        stream.close().await;
+    }
+}
+
+/// A session that the service has admitted; dropping it tells the service that it has ended, even
+/// when the task fails. Otherwise the customer's sessions would seem open for good, and in the end
+/// the customer would be refused.
+struct AdmittedSession {
+    service: Arc<dyn StatementService>,
+    opening: SessionOpening,
+}
+
+impl AdmittedSession {
+    fn open(
+        service: &Arc<dyn StatementService>,
+        opening: SessionOpening,
+    ) -> Result<Self, SessionRefusal> {
+        service.open_session(&opening)?;
+        Ok(Self {
+            service: Arc::clone(service),
+            opening,
+        })
+    }
+}
+
+impl Drop for AdmittedSession {
+    fn drop(&mut self) {
+        self.service.close_session(&self.opening);
+    }
+}
+
+/// Ends the start-up. Callers are known by their network: there is no password yet.
+async fn greet(stream: &mut CallerStream, key: CancelKey) -> Result<(), StreamFault> {
+    stream.finish_startup();
+    stream.send(Authentication::Ok).await?;
+    for (name, value) in SERVER_PARAMETERS {
+        let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+        stream.send(status).await?;
+    }
+    let data = BackendKeyData::new(key.pid, SecretKey::I32(key.secret));
+    stream.send(data).await?;
+    stream
+        .send(ReadyForQuery::new(TransactionStatus::Idle))
+        .await?;
+    stream.flush().await
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon of ragwortgate.
 
+pub mod callers;
 pub mod logs;
 pub mod metrics;
 pub mod platform;
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -2,6 +2,7 @@
 //!
 //! Lines of libraries are left out, because they don't have this form.
 
+use crate::log_event;
 use crate::settings::LogSettings;
 use log::Level;
 use log::LevelFilter;
@@ -13,6 +14,7 @@
 use std::fmt::Write;
 use std::fs::OpenOptions;
 use std::io;
+use std::panic;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -59,6 +61,21 @@
     set.map_err(LogFault::AlreadySet)
 }
 
+/// Makes panics write one line of the log in place of the language's own report.
+///
+/// A caller with malformed messages can make the codec panic; each such panic is caught, but would
+/// otherwise write many lines to standard error.
+pub fn log_panics() {
+    panic::set_hook(Box::new(|panic| {
+        let place = panic
+            .location()
+            .map(|location| format!("{}:{}", location.file(), location.line()))
+            .unwrap_or_default();
+        let message = panic.payload_as_str().unwrap_or_default();
+        log_event!(Level::Error, "panic", place = place, message = message);
+    }));
+}
+
 /// Returns a configuration that writes nothing before the line itself, which carries its own time
 /// and level as pairs.
 fn line_config() -> Config {
--- /dev/null
+++ b/crates/daemon/tests/callers/faults.rs
@@ -0,0 +1,229 @@
+//! Callers that misbehave, cancel requests at odd times, and the drain.
+
+use crate::fake::Bench;
+use crate::fake::limits;
+use crate::fake::message;
+use crate::fake::read_to_end;
+use ragwortgated::callers::CallerLimits;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio_postgres::NoTls;
+
+fn quick() -> CallerLimits {
+    CallerLimits {
+        statement: Duration::from_millis(50),
+        ..limits()
+    }
+}
+
+/// A caller cancels the statement that it waits for.
+#[tokio::test]
+async fn cancel_reaches_the_running_statement() {
+    let bench = Bench::start(limits()).await;
+    let client = bench.connect().await;
+    let token = client.cancel_token();
+    let running = tokio::spawn(async move { client.simple_query("select held").await });
+    bench
+        .service
+        .wait_seen(|seen| seen.requests.len() == 1)
+        .await;
+    token.cancel_query(NoTls).await.unwrap();
+    let error = running.await.unwrap().unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "57014");
+}
+
+/// A cancel request crosses the answer of the statement that it was meant for. If it were kept, the
+/// session's next statement would be cancelled, and a caller would lose a request that nobody
+/// wanted to stop.
+#[tokio::test]
+async fn late_cancel_does_not_hit_the_next_statement() {
+    let bench = Bench::start(limits()).await;
+    let client = bench.connect().await;
+    client.simple_query("select 1").await.unwrap();
+    client.cancel_token().cancel_query(NoTls).await.unwrap();
+    // A cancel on a connection of its own passes the same edge in order, so the one above is done.
+    let other = bench.connect().await;
+    let token = other.cancel_token();
+    let running = tokio::spawn(async move { other.simple_query("select held 1").await });
+    bench
+        .service
+        .wait_seen(|seen| seen.requests.len() == 2)
+        .await;
+    token.cancel_query(NoTls).await.unwrap();
+    running.await.unwrap().unwrap_err();
+
+    let running = tokio::spawn(async move { client.simple_query("select held 2").await });
+    bench
+        .service
+        .wait_seen(|seen| seen.requests.len() == 3)
+        .await;
+    bench.service.released.send_replace(true);
+    running.await.unwrap().unwrap();
+    assert_eq!(bench.service.seen.borrow().cancelled.len(), 1);
+}
+
+/// Somebody guesses at another session's key.
+#[tokio::test]
+async fn cancel_with_a_wrong_key_does_nothing() {
+    let bench = Bench::start(limits()).await;
+    let client = bench.connect().await;
+    let running = tokio::spawn(async move { client.simple_query("select held").await });
+    bench
+        .service
+        .wait_seen(|seen| seen.requests.len() == 1)
+        .await;
+    let mut stream = TcpStream::connect(bench.address).await.unwrap();
+    let mut request = 16_i32.to_be_bytes().to_vec();
+    request.extend(80_877_102_i32.to_be_bytes());
+    request.extend(1_i32.to_be_bytes());
+    request.extend(0_i32.to_be_bytes());
+    stream.write_all(&request).await.unwrap();
+    read_to_end(&mut stream).await;
+    bench.service.released.send_replace(true);
+    running.await.unwrap().unwrap();
+    assert!(bench.service.seen.borrow().cancelled.is_empty());
+}
+
+/// A caller's program ends while its statement waits. Its place in the queue is given up.
+#[tokio::test]
+async fn caller_that_leaves_cancels_its_statement() {
+    let bench = Bench::start(limits()).await;
+    let mut stream = bench.connect_raw().await;
+    let query = message(b'Q', b"select held\0");
+    stream.write_all(&query).await.unwrap();
+    bench
+        .service
+        .wait_seen(|seen| seen.requests.len() == 1)
+        .await;
+    drop(stream);
+    bench.service.wait_seen(|seen| seen.closed.len() == 1).await;
+    assert_eq!(bench.service.seen.borrow().cancelled.len(), 1);
+}
+
+/// Names bytes that end the connection that sent them, the SQLSTATE that the sender reads, and
+/// that another caller is served meanwhile.
+macro_rules! bad_bytes {
+    ($($name:ident: $limits:expr, $bytes:expr => $sqlstate:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let bench = Bench::start($limits).await;
+            let mut stream = bench.connect_raw().await;
+            let bytes: Vec<u8> = $bytes;
+            stream.write_all(&bytes).await.unwrap();
+            let reply = read_to_end(&mut stream).await;
+            assert!(reply.contains(concat!("\0C", $sqlstate, "\0")), "{reply:?}");
+            assert!(reply.contains("the request was not run"), "{reply:?}");
+            assert!(bench.service.texts().is_empty());
+            let client = bench.connect().await;
+            client.simple_query("select 1").await.unwrap();
+        }
+    )*};
+}
+
+bad_bytes! {
+    unknown_message: limits(), message(b'?', b"") => "08P01";
+    length_below_four: limits(), vec![b'Q', 0, 0, 0, 3] => "08P01";
+    oversized_message: limits(), vec![b'Q', 0, 1, 0, 1] => "54000";
+    parse_that_ends_early: limits(), message(b'P', b"s\0select 1\0") => "08P01";
+    parameter_beyond_its_message: limits(),
+        [message(b'P', b"\0select 1\0\0\0"), message(b'B', b"\0\0\0\0\0\x01\0\0\0\x63x\0\0")].concat()
+        => "08P01";
+    message_with_bytes_left: limits(), message(b'Q', b"select 1\0select 2\0") => "08P01";
+    text_that_is_not_utf8: limits(), message(b'Q', b"select '\xff'\0") => "22021";
+    slow_sender: quick(), message(b'Q', b"select 1\0")[..6].to_vec() => "08P01";
+}
+
+/// A caller opens a connection and says nothing, as a scanner does.
+#[tokio::test]
+async fn silent_start_is_ended() {
+    let silent = CallerLimits {
+        startup: Duration::from_millis(50),
+        ..limits()
+    };
+    let bench = Bench::start(silent).await;
+    let mut stream = TcpStream::connect(bench.address).await.unwrap();
+    assert_eq!(read_to_end(&mut stream).await, "");
+}
+
+/// A caller asks for more than it reads. Its answer would fill the gateway's memory for good.
+#[tokio::test]
+async fn slow_receiver_loses_its_connection() {
+    let bench = Bench::start(quick()).await;
+    let mut stream = bench.connect_raw().await;
+    let large = "x".repeat(32 << 20);
+    bench.service.next_verdict(crate::fake::one_row(&large));
+    let query = message(b'Q', b"select large\0");
+    stream.write_all(&query).await.unwrap();
+    bench.service.wait_seen(|seen| seen.closed.len() == 1).await;
+    let fault = r#"ragwort_caller_faults_total{fault="slow_receiver"} 1"#;
+    assert!(bench.metrics.to_text().contains(fault));
+}
+
+#[tokio::test]
+async fn connections_over_the_limit_are_told_so() {
+    let one = CallerLimits {
+        connections: 1,
+        ..limits()
+    };
+    let bench = Bench::start(one).await;
+    let client = bench.connect().await;
+    let error = bench.config().connect(NoTls).await.err().unwrap();
+    assert_eq!(error.code().unwrap().code(), "53300");
+    client.simple_query("select 1").await.unwrap();
+}
+
+/// The gateway is shut down while one caller waits for an answer, one is in a transaction and one
+/// is idle. The first two get what they wait for, the third is told to go elsewhere at once.
+#[tokio::test]
+async fn drain_cuts_nothing_in_flight() {
+    let bench = Bench::start(limits()).await;
+    let waiting = bench.connect().await;
+    let within = bench.connect().await;
+    let idle = bench.connect().await;
+    within.batch_execute("begin").await.unwrap();
+    let running = tokio::spawn(async move { waiting.simple_query("select held").await });
+    bench
+        .service
+        .wait_seen(|seen| seen.requests.len() == 2)
+        .await;
+
+    bench.drain.send_replace(true);
+    bench.service.wait_seen(|seen| seen.closed.len() == 1).await;
+    assert!(idle.simple_query("select 1").await.is_err());
+    within.batch_execute("update a set b = 1").await.unwrap();
+    within.batch_execute("commit").await.unwrap();
+    bench.service.wait_seen(|seen| seen.closed.len() == 2).await;
+    assert!(!bench.edge.is_finished());
+    bench.service.released.send_replace(true);
+    running.await.unwrap().unwrap();
+    bench.finish().await;
+}
+
+/// An idle caller sees why its connection ends, so that its pool opens another elsewhere.
+#[tokio::test]
+async fn drained_session_is_told_the_reason() {
+    let bench = Bench::start(limits()).await;
+    let mut stream = bench.connect_raw().await;
+    bench.drain.send_replace(true);
+    let farewell = read_to_end(&mut stream).await;
+    assert!(farewell.contains("\0C57P01\0"), "{farewell:?}");
+    drop(stream);
+    bench.finish().await;
+}
+
+/// A caller leaves its transaction open while the gateway is shut down. It can't hold the shutdown
+/// up for good: after the limit the transaction is rolled back.
+#[tokio::test]
+async fn open_transaction_ends_with_the_drain_limit() {
+    let short = CallerLimits {
+        drain: Duration::from_millis(50),
+        ..limits()
+    };
+    let bench = Bench::start(short).await;
+    let client = bench.connect().await;
+    client.batch_execute("begin").await.unwrap();
+    let service = bench.service.clone();
+    bench.finish().await;
+    assert_eq!(service.texts(), ["begin", "ROLLBACK"]);
+}
