--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,10 +1,12 @@
 //! The daemon of ragwortgate.
 
+pub mod callers;
 pub mod clock;
 pub mod connection;
 pub mod control;
 pub mod disk;
 pub mod gateway;
+pub mod group;
 pub mod leaseholders;
 pub mod logs;
 pub mod member;
