--- a/crates/daemon/src/callers/answers.rs
+++ b/crates/daemon/src/callers/answers.rs
@@ -109,7 +109,9 @@
     match cause {
         RefusalCause::Overload => "53300",
         RefusalCause::Limit => "53400",
-        RefusalCause::DeadlineOutOfReach | RefusalCause::DeadlinePassed => "57014",
+        RefusalCause::DeadlineOutOfReach
+        | RefusalCause::DeadlinePassed
+        | RefusalCause::Cancelled => "57014",
         RefusalCause::NoPrimary
         | RefusalCause::ReplicasBehind
         | RefusalCause::NoLeaseholder
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -288,7 +288,8 @@
                 self.gathered.push(WaitingHeartbeat { request, reply });
             }
             ControlEvent::Batch(batch, reply) => {
-                self.unconfirmed.push(UnconfirmedBatch::Passed(batch, reply));
+                self.unconfirmed
+                    .push(UnconfirmedBatch::Passed(batch, reply));
             }
             ControlEvent::Force(acceptance, reply) => {
                 let _ = reply.send(self.force_status(acceptance));
@@ -339,7 +340,8 @@
                 if reply.is_none() {
                     self.own_proposals.insert(mark.index.0);
                 }
-                self.commands.insert(mark.index.0, WaitingCommand { mark, reply });
+                self.commands
+                    .insert(mark.index.0, WaitingCommand { mark, reply });
             }
             Err(_) => {
                 if let Some(reply) = reply {
@@ -370,8 +372,11 @@
         if output.writes.is_empty() {
             return Ok(());
         }
-        self.file.append(&encode_record(&output.writes))?;
-        self.file.sync()
+        // The sync blocks this thread; the runtime moves its other tasks to another one meanwhile.
+        tokio::task::block_in_place(|| {
+            self.file.append(&encode_record(&output.writes))?;
+            self.file.sync()
+        })
     }
 
     fn take_output(&mut self, output: AgreementOutput) {
@@ -469,7 +474,8 @@
         let Some(ledger) = &mut self.ledger else {
             return HeartbeatReply::NotYet;
         };
-        self.unplaced.extend(request.unplaced_groups.iter().cloned());
+        self.unplaced
+            .extend(request.unplaced_groups.iter().cloned());
         match ledger.receive(self.clock.now(), request, &self.catalog) {
             LeaseDecision::Grant(lease) => HeartbeatReply::Granted(LeaseGrant {
                 lease_ms: lease.as_millis() as u64,
@@ -500,7 +506,9 @@
         self.children.spawn(async move {
             let call = |client: Arc<WsClient>| async move { client.heartbeat_batch(batch).await };
             let replies = links.call(address, limit, call).await.ok();
-            let _ = events.send(ControlEvent::BatchAnswered(waiting, replies)).await;
+            let _ = events
+                .send(ControlEvent::BatchAnswered(waiting, replies))
+                .await;
         });
     }
 
@@ -526,7 +534,9 @@
     /// Sends granted replies once this VM's catalog holds what the leader's held at the grant.
     fn pay_owed_replies(&mut self) {
         let revision = self.catalog.revision();
-        let ready = self.owed.extract_if(.., |owed| owed.grant.revision <= revision);
+        let ready = self
+            .owed
+            .extract_if(.., |owed| owed.grant.revision <= revision);
         for owed in ready {
             let mut grant = owed.grant;
             let held = owed.waiting.request.revision;
@@ -548,7 +558,8 @@
         };
         let mut commands = ledger.due_commands(now, &self.catalog);
         let live = ledger.live_members(now, &self.catalog);
-        self.unplaced.retain(|group| self.catalog.group(group).is_none());
+        self.unplaced
+            .retain(|group| self.catalog.group(group).is_none());
         let unplaced: Vec<GroupName> = self.unplaced.iter().cloned().collect();
         let plans = plan_placements(&self.catalog, &live, &unplaced);
         commands.extend(plans.into_iter().map(CatalogCommand::PlaceGroup));
@@ -562,14 +573,24 @@
         let timing = &self.settings.timing;
         if self.node.is_leader() {
             if self.ledger.is_none() {
-                log_event!(Level::Info, "leader_elected", vm = self.settings.vm, term = self.node.term());
+                log_event!(
+                    Level::Info,
+                    "leader_elected",
+                    vm = self.settings.vm,
+                    term = self.node.term()
+                );
                 let lease = Duration::from_millis(timing.lease_ms);
                 let election = timing.tick_ms * timing.election_ticks * 2;
                 let election = Duration::from_millis(election);
                 self.ledger = Some(LeaseLedger::new(self.clock.now(), lease, election));
             }
         } else if self.ledger.take().is_some() {
-            log_event!(Level::Info, "leader_stepped_down", vm = self.settings.vm, term = self.node.term());
+            log_event!(
+                Level::Info,
+                "leader_stepped_down",
+                vm = self.settings.vm,
+                term = self.node.term()
+            );
             self.own_proposals.clear();
             for (_, waiting) in std::mem::take(&mut self.commands) {
                 if let Some(reply) = waiting.reply {
@@ -583,7 +604,12 @@
         if self.node.entry_count() < COMPACT_ENTRIES {
             return Ok(());
         }
-        self.node.compact(self.node.commit_index(), self.catalog.to_snapshot());
+        let applied = self.node.commit_index();
+        let compacted = self.node.compact(applied, self.catalog.to_snapshot());
+        if let Err(error) = compacted {
+            log_event!(Level::Error, "compaction_refused", error = error);
+            return Ok(());
+        }
         let output = self.node.take_output();
         self.file.rewrite(&self.node.durable_state().to_records())?;
         self.take_output(output);
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -113,7 +113,10 @@
             return self.refuse(&request, RefusalCause::NoLeaseholder);
         };
         let limit = Duration::from_millis(ragwort_types::LONGEST_DEADLINE_MS);
-        match self.hand_over(&request, target.leaseholder, limit, false).await {
+        match self
+            .hand_over(&request, target.leaseholder, limit, false)
+            .await
+        {
             HandOver::Replied(reply) => reply,
             HandOver::NotTaken(cause) => self.refuse(&request, cause),
             HandOver::ReplyLost => doubt(&request),
@@ -175,7 +178,9 @@
         let Some(target) = self.find_target(&request.group) else {
             return HandOver::NotTaken(RefusalCause::NoLeaseholder);
         };
-        let direct = self.hand_over(request, target.leaseholder, limit, false).await;
+        let direct = self
+            .hand_over(request, target.leaseholder, limit, false)
+            .await;
         let HandOver::NotTaken(RefusalCause::NoLeaseholder) = direct else {
             return direct;
         };
@@ -224,14 +229,21 @@
         let address = |vm: &VmName| view.copy.member(vm).map(|member| member.peer_address);
         Some(RouteTarget {
             leaseholder: address(&record.placement.leaseholder)?,
-            relays: record.placement.standbys.iter().filter_map(address).collect(),
+            relays: record
+                .placement
+                .standbys
+                .iter()
+                .filter_map(address)
+                .collect(),
         })
     }
 
     /// Notes that a group has no reachable leaseholder and returns when that should be over.
     fn note_outage(&self, group: &GroupName) -> ClockTime {
         let mut outages = self.outages.lock().expect("no holder of this lock panics");
-        let since = *outages.entry(group.clone()).or_insert_with(|| self.clock.now());
+        let since = *outages
+            .entry(group.clone())
+            .or_insert_with(|| self.clock.now());
         since + self.lease.mul_f64(TAKEOVER_LEASES)
     }
 
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -230,9 +230,7 @@
     }
 
     fn step_of(&self, ticket: RequestTicket) -> Option<TransactionStep> {
-        self.requests
-            .get(&ticket)
-            .map(|active| active.request.step)
+        self.requests.get(&ticket).map(|active| active.request.step)
     }
 
     /// Deals with a request whose answer was lost after it was sent.
@@ -459,13 +457,17 @@
         let Some(journal) = &self.journal else {
             return;
         };
-        let recorded = self.requests.iter().filter(|(_, active)| match active.stage {
-            RequestStage::Recording(entry) => journal.is_replicated(entry),
-            _ => false,
-        });
+        let recorded = self
+            .requests
+            .iter()
+            .filter(|(_, active)| match active.stage {
+                RequestStage::Recording(entry) => journal.is_replicated(entry),
+                _ => false,
+            });
         let recorded: Vec<RequestTicket> = recorded.map(|(ticket, _)| *ticket).collect();
         for ticket in recorded {
             self.answer_now(ticket);
+            self.note_write_landed();
         }
     }
 
@@ -513,7 +515,10 @@
         match progress {
             ReadProgress::Confirmed(round) => {
                 self.confirmed_round = self.confirmed_round.max(round);
-                if self.round_running.is_some_and(|(running, _)| running <= round) {
+                if self
+                    .round_running
+                    .is_some_and(|(running, _)| running <= round)
+                {
                     self.round_running = None;
                 }
                 self.release_reads();
@@ -537,6 +542,7 @@
 
     /// Sends the answer that a request holds, if the lease still runs.
     fn answer_now(&mut self, ticket: RequestTicket) {
+        let deposed = self.journal_is_deposed();
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
@@ -546,7 +552,7 @@
         let now = self.context.clock.now();
         // A leaseholder that was frozen wakes up with answers of a time when it led. Meanwhile a
         // successor may have promoted another instance that lacks what the answer says.
-        if !self.view.borrow().may_serve(now) || self.journal_is_deposed() {
+        if !self.view.borrow().may_serve(now) || deposed {
             self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::LeaseLost));
             return;
         }
@@ -656,20 +662,21 @@
         let Some(ticket) = self.tickets.get(&id).copied() else {
             return;
         };
-        let stage = self.requests.get(&ticket).map(|active| active.stage.clone());
+        let stage = self
+            .requests
+            .get(&ticket)
+            .map(|active| active.stage.clone());
         match stage {
             Some(RequestStage::Running(connection)) => {
                 if let Some(held) = self.pool.connection(connection) {
                     held.spent |= held.send(ConnectionOrder::Cancel);
                 }
             }
-            Some(RequestStage::Waiting) => {
-                if self.scheduler.abandon(ticket) == AbandonEffect::Removed {
-                    self.settle(
-                        ticket,
-                        RequestVerdict::refused(RefusalCause::DeadlinePassed, 0),
-                    );
-                }
+            Some(RequestStage::Waiting)
+                if self.scheduler.abandon(ticket) == AbandonEffect::Removed =>
+            {
+                let verdict = RequestVerdict::refused(RefusalCause::Cancelled, 0);
+                self.settle(ticket, verdict);
             }
             _ => {}
         }
--- /dev/null
+++ b/crates/daemon/src/group/handover.rs
@@ -0,0 +1,86 @@
+//! Hands the group over to another VM: when this one drains, or leads more than its share.
+//!
+//! The leaseholder first takes nothing in, lets what runs end, and then proposes the new placement
+//! itself. Nobody else could know when nothing is in flight.
+
+use super::GroupTask;
+use crate::log_event;
+use log::Level;
+use ragwort_control::ClockTime;
+use ragwort_control::plan_handovers;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CommandReply;
+use ragwort_types::GroupPlacement;
+use std::time::Duration;
+
+/// How often the leaseholder looks whether the group should move.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// How long statements and transactions may go on before they are cut by the handover. It leaves
+/// the rest of the drain time for the handover itself.
+const DRAIN_PART: u32 = 2;
+
+/// The course of a handover.
+#[derive(Debug, Default)]
+pub(super) struct HandoverState {
+    plan: Option<GroupPlacement>,
+    begun: ClockTime,
+    looked: ClockTime,
+    proposed: bool,
+}
+
+impl GroupTask {
+    /// Begins, continues or proposes a handover.
+    pub(super) fn tick_handover(&mut self) {
+        let now = self.context.clock.now();
+        if self.handover.plan.is_none() {
+            self.look_for_handover(now);
+        }
+        let drain = Duration::from_millis(self.context.settings.timing.drain_ms);
+        let waited = now.since(self.handover.begun) >= drain / DRAIN_PART;
+        let idle = self.requests.is_empty() && self.transactions.is_empty();
+        if self.handover.proposed || !(idle || waited) {
+            return;
+        }
+        if let Some(plan) = self.handover.plan.clone() {
+            self.handover.proposed = true;
+            self.propose(CatalogCommand::PlaceGroup(plan), Duration::ZERO);
+        }
+    }
+
+    fn look_for_handover(&mut self, now: ClockTime) {
+        if now.since(self.handover.looked) < LOOK_EVERY || !self.may_act() {
+            return;
+        }
+        self.handover.looked = now;
+        let copy = self.view.borrow().copy.clone();
+        let plans = plan_handovers(&copy, &self.context.settings.vm);
+        let Some(plan) = plans.into_iter().find(|plan| plan.group == self.group) else {
+            return;
+        };
+        log_event!(
+            Level::Info,
+            "handover_begun",
+            group = self.group,
+            successor = plan.leaseholder,
+        );
+        self.handover.plan = Some(plan);
+        self.handover.begun = now;
+        self.handing_over = true;
+    }
+
+    /// Takes the answer to the proposed placement.
+    pub(super) fn take_handover_reply(&mut self, reply: &CommandReply) {
+        match reply {
+            // The view shows the new placement soon, which ends this task.
+            CommandReply::Committed(CatalogOutcome::Done(_)) => {}
+            CommandReply::Committed(_) => {
+                self.handover = HandoverState::default();
+                self.handing_over = false;
+                self.refresh_all_endpoints();
+            }
+            CommandReply::NoLeader | CommandReply::Unknown => self.handover.proposed = false,
+        }
+    }
+}
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -18,7 +18,6 @@
 use ragwort_types::CustomerContract;
 use ragwort_types::DoubtCause;
 use ragwort_types::KindTerms;
-use ragwort_types::LogPosition;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::StatementReply;
@@ -96,7 +95,13 @@
     ) -> Result<KindTerms, IntakeRefusal> {
         let view = self.view.borrow();
         // A leaseholder whose lease has ended may have a successor that dispatches already.
-        if !view.may_serve(now) || self.handing_over || self.journal_is_deposed() {
+        // One that hands over lets open transactions end, and takes nothing else in.
+        let opens = matches!(
+            request.step,
+            TransactionStep::Single | TransactionStep::Begin(_)
+        );
+        let leaves = self.handing_over && opens;
+        if !view.may_serve(now) || leaves || self.journal_is_deposed() {
             return Err(IntakeRefusal::new(RefusalCause::NoLease));
         }
         let contract = view.copy.contract(&request.customer);
@@ -187,10 +192,11 @@
                 None => RequestStep::Single,
             },
         };
-        let required = self
-            .journal
-            .as_ref()
-            .and_then(|journal| journal.sessions().required(&request.customer, &request.session));
+        let required = self.journal.as_ref().and_then(|journal| {
+            journal
+                .sessions()
+                .required(&request.customer, &request.session)
+        });
         let kind = request.marks.kind.clone();
         RequestProfile {
             ticket,
@@ -207,7 +213,7 @@
             length: active.terms.length,
             // A session whose last write isn't known is only safe at the primary.
             needs_primary: step != RequestStep::Single || required.is_none(),
-            min_position: required.unwrap_or(LogPosition::default()),
+            min_position: required.unwrap_or_default(),
             max_age: Duration::from_millis(active.terms.max_age_ms),
             deadline: to_policy(active.deadline),
             step,
--- a/crates/daemon/src/group/journaling.rs
+++ b/crates/daemon/src/group/journaling.rs
@@ -97,8 +97,7 @@
         self.recovery.sources.extend(source);
         let previous = self.previous.as_ref();
         let present = &self.record.placement;
-        let recovered =
-            recover_journal(&self.recovery.sources, previous, present, unix_millis());
+        let recovered = recover_journal(&self.recovery.sources, previous, present, unix_millis());
         if !recovered.is_complete() && !self.recovery.asked.is_empty() {
             return;
         }
@@ -116,7 +115,7 @@
 
     /// Sends each standby what it lacks, one append at a time.
     pub(super) fn replicate_journal(&mut self) {
-        let Some(journal) = &self.journal else {
+        let Some(journal) = &mut self.journal else {
             return;
         };
         for vm in &self.record.placement.standbys {
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -5,10 +5,12 @@
 //! messages; after each it lets the scheduler, the journal and the promotion say what is due.
 
 mod dispatch;
+mod handover;
 mod intake;
 mod journaling;
 mod notice;
 mod pool;
+mod probing;
 mod promoting;
 mod request;
 
@@ -20,6 +22,7 @@
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
+use handover::HandoverState;
 use intake::to_policy;
 use intake::unix_millis;
 use journaling::JournalRecovery;
@@ -118,6 +121,7 @@
     previous: Option<GroupPlacement>,
     view: watch::Receiver<MemberView>,
     handing_over: bool,
+    handover: HandoverState,
     scheduler: GroupScheduler,
     quorum: PositionQuorum,
     journal: Option<GroupJournal>,
@@ -130,6 +134,7 @@
     transactions: HashMap<TransactionId, OpenTransaction>,
     resends: HashMap<KeyedRequest, Vec<ResendWaiter>>,
     writes: HashMap<WriteTicket, RequestTicket>,
+    primary_heard: ClockTime,
     round_running: Option<(RoundId, ClockTime)>,
     confirmed_round: RoundId,
     last_ticket: u64,
@@ -150,8 +155,10 @@
     let (connection_events, connection_queue) = mpsc::channel(1_024);
     let group = record.placement.group.clone();
     let seed = record.placement.epoch.0;
-    let scheduler =
-        GroupScheduler::new(SchedulerSettings::new(seed, context.settings.domain.clone()));
+    let scheduler = GroupScheduler::new(SchedulerSettings::new(
+        seed,
+        context.settings.domain.clone(),
+    ));
     let pool = EndpointPool::new(
         Arc::clone(&context),
         group.clone(),
@@ -167,6 +174,7 @@
         previous,
         view,
         handing_over: false,
+        handover: HandoverState::default(),
         scheduler,
         journal: None,
         recovery: JournalRecovery::default(),
@@ -177,6 +185,7 @@
         transactions: HashMap::new(),
         resends: HashMap::new(),
         writes: HashMap::new(),
+        primary_heard: ClockTime::default(),
         round_running: None,
         confirmed_round: RoundId(0),
         last_ticket: 0,
@@ -252,10 +261,7 @@
 
     fn take_notice(&mut self, notice: GroupNotice) {
         match notice {
-            GroupNotice::Agent(report) => match report.status {
-                Some(status) => self.take_status(&report.instance, report.asked, status),
-                None => self.quorum.forget(&report.instance),
-            },
+            GroupNotice::Agent(report) => self.take_agent_report(report),
             GroupNotice::ReadRound(report) => self.take_round_report(report),
             GroupNotice::Journal(report) => self.take_journal_report(&report),
             GroupNotice::JournalCopy(vm, source) => self.take_journal_copy(&vm, source),
@@ -316,7 +322,10 @@
     }
 
     fn refresh_all_endpoints(&mut self) {
-        let names = self.pool.endpoints().map(|entry| &entry.announcement.instance);
+        let names = self
+            .pool
+            .endpoints()
+            .map(|entry| &entry.announcement.instance);
         for instance in names.cloned().collect::<Vec<_>>() {
             self.refresh_endpoint(&instance);
         }
@@ -344,7 +353,7 @@
                 journal.adopt_placement(&record.placement);
             }
         }
-        self.adopt_record(record);
+        self.adopt_record(record, view.copy.revision());
         true
     }
 
@@ -360,7 +369,10 @@
     fn default_kind(&self, customer: &CustomerName) -> KindName {
         let view = self.view.borrow();
         let contract = view.copy.contract(customer);
-        contract.map_or_else(|| KindName::from(""), |held| held.contract.default_kind.clone())
+        contract.map_or_else(
+            || KindName::from(""),
+            |held| held.contract.default_kind.clone(),
+        )
     }
 
     fn take_tick(&mut self) {
@@ -382,6 +394,7 @@
             self.refresh_endpoint(&instance);
         }
         self.tick_promotion();
+        self.tick_handover();
         self.restart_lost_round();
         if self.ticks.is_multiple_of(PRUNE_TICKS) {
             self.prune_journal();
@@ -396,7 +409,8 @@
     fn observe_quiet_primary(&mut self) {
         let now = self.context.clock.now();
         let writing = self.requests.values().any(|active| {
-            !matches!(active.stage, RequestStage::Waiting) && !active.is_fresh_read()
+            !matches!(active.stage, RequestStage::Waiting)
+                && !active.is_fresh_read()
                 && active.terms.access == ragwort_types::AccessMode::Write
         });
         if writing || !self.is_serving() || !self.view.borrow().may_serve(now) {
@@ -431,9 +445,10 @@
 
     fn end_idle_transactions(&mut self) {
         let now = self.context.clock.now();
-        let idle = self.transactions.iter().filter(|(_, open)| {
-            now.since(open.last_used) > IDLE_TRANSACTION
-        });
+        let idle = self
+            .transactions
+            .iter()
+            .filter(|(_, open)| now.since(open.last_used) > IDLE_TRANSACTION);
         let idle: Vec<TransactionId> = idle.map(|(id, _)| *id).collect();
         for id in idle {
             self.end_transaction(id);
@@ -512,4 +527,3 @@
         }
     }
 }
-
--- a/crates/daemon/src/group/notice.rs
+++ b/crates/daemon/src/group/notice.rs
@@ -1,11 +1,11 @@
 //! What a group's child tasks report to its leaseholder.
 
+use ragwort_control::AgentOutcome;
 use ragwort_control::ClockTime;
 use ragwort_control::JournalSource;
 use ragwort_control::RoundId;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CommandReply;
-use ragwort_types::FenceReply;
 use ragwort_types::GroupTerm;
 use ragwort_types::InstanceName;
 use ragwort_types::InstanceStatus;
@@ -87,8 +87,8 @@
     pub instance: InstanceName,
     /// The term of the order.
     pub term: GroupTerm,
-    /// The answer; `None` if there was none in time.
-    pub reply: Option<FenceReply>,
+    /// What became of it.
+    pub outcome: AgentOutcome,
 }
 
 /// Who probed the primary, and how.
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -144,7 +144,10 @@
     /// Removes endpoints that have not announced themselves for `limit`.
     pub fn remove_silent(&mut self, limit: Duration) -> Vec<InstanceName> {
         let now = self.context.clock.now();
-        let silent = self.endpoints.iter().filter(|(_, entry)| now.since(entry.heard) >= limit);
+        let silent = self
+            .endpoints
+            .iter()
+            .filter(|(_, entry)| now.since(entry.heard) >= limit);
         let silent: Vec<InstanceName> = silent.map(|(instance, _)| instance.clone()).collect();
         for instance in &silent {
             self.remove_endpoint(instance);
@@ -215,7 +218,9 @@
 
     /// Forgets all connections to an instance and returns what held them.
     pub fn close_instance(&mut self, instance: &InstanceName) -> Vec<PoolConnection> {
-        let closed = self.connections.extract_if(.., |_, one| one.instance == *instance);
+        let closed = self
+            .connections
+            .extract_if(.., |_, one| one.instance == *instance);
         closed.map(|(_, connection)| connection).collect()
     }
 
@@ -270,9 +275,12 @@
     let grace = Duration::from_millis(context.settings.timing.probe_timeout_ms);
     loop {
         let asked = context.clock.now();
-        let call =
-            |client: Arc<WsClient>| async move { client.wait_change(known, hold_ms).await };
-        let status = context.links.call(address, WATCH_HOLD + grace, call).await.ok();
+        let call = |client: Arc<WsClient>| async move { client.wait_change(known, hold_ms).await };
+        let status = context
+            .links
+            .call(address, WATCH_HOLD + grace, call)
+            .await
+            .ok();
         let report = AgentReport {
             instance: instance.clone(),
             asked,
--- a/crates/daemon/src/leaseholders.rs
+++ b/crates/daemon/src/leaseholders.rs
@@ -8,13 +8,14 @@
 use crate::group::GroupContext;
 use crate::group::GroupEvent;
 use crate::group::spawn_group;
+use crate::log_event;
 use crate::member::MemberView;
 use log::Level;
-use crate::log_event;
 use ragwort_control::ClockTime;
 use ragwort_types::AnnouncementReply;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupName;
+use ragwort_types::GroupPlacement;
 use ragwort_types::GroupRecord;
 use ragwort_types::InstanceName;
 use ragwort_types::RefusalCause;
@@ -50,7 +51,10 @@
     /// Cancels a statement.
     Cancel(GroupName, StatementId),
     /// An endpoint announces itself.
-    Announce(Box<EndpointAnnouncement>, oneshot::Sender<AnnouncementReply>),
+    Announce(
+        Box<EndpointAnnouncement>,
+        oneshot::Sender<AnnouncementReply>,
+    ),
     /// The state, for operators.
     Dump(oneshot::Sender<serde_json::Value>),
 }
@@ -78,6 +82,7 @@
     heard: BTreeMap<GroupName, BTreeMap<InstanceName, HeardAnnouncement>>,
     first_heard: BTreeMap<GroupName, ClockTime>,
     groups: BTreeMap<GroupName, GroupHandle>,
+    placements: BTreeMap<GroupName, GroupPlacement>,
 }
 
 impl LeaseholderManager {
@@ -95,6 +100,7 @@
             heard: BTreeMap::new(),
             first_heard: BTreeMap::new(),
             groups: BTreeMap::new(),
+            placements: BTreeMap::new(),
         }
     }
 
@@ -205,7 +211,8 @@
             instances.retain(|_, one| now.since(one.heard) < lost);
         }
         self.heard.retain(|_, instances| !instances.is_empty());
-        self.first_heard.retain(|group, _| self.heard.contains_key(group));
+        self.first_heard
+            .retain(|group, _| self.heard.contains_key(group));
         let view = self.view.borrow();
         let settled = self.first_heard.iter().filter(|(group, first)| {
             now.since(**first) >= SETTLE_TIME && view.copy.group(group).is_none()
@@ -221,13 +228,18 @@
 
     /// Starts a task for each group placed here; a task ends by itself when its group moves away.
     async fn follow_view(&mut self) {
-        let ended = self.groups.extract_if(.., |_, handle| handle.task.is_finished());
+        let ended = self
+            .groups
+            .extract_if(.., |_, handle| handle.task.is_finished());
         for (_, handle) in ended.collect::<Vec<_>>() {
             let _ = handle.task.await;
         }
         let view = self.view.borrow_and_update().clone();
         let own = &self.context.settings.vm;
-        let led = view.copy.groups().filter(|record| record.placement.leaseholder == *own);
+        let led = view
+            .copy
+            .groups()
+            .filter(|record| record.placement.leaseholder == *own);
         for record in led {
             let group = &record.placement.group;
             if self.groups.contains_key(group) {
@@ -245,10 +257,16 @@
                 let _ = inbox.try_send(GroupEvent::Announced(announcement));
             }
             let context = Arc::clone(&self.context);
-            let task = spawn_group(context, record.clone(), self.view.clone(), events);
-            self.groups.insert(group.clone(), GroupHandle { inbox, task });
+            let previous = self.placements.get(group).cloned();
+            let task = spawn_group(context, record.clone(), previous, self.view.clone(), events);
+            self.groups
+                .insert(group.clone(), GroupHandle { inbox, task });
         }
         self.context.metrics.set_groups_led(self.groups.len());
+        let placements = view.copy.groups().map(|record| &record.placement);
+        self.placements = placements
+            .map(|one| (one.group.clone(), one.clone()))
+            .collect();
     }
 
     async fn dump(&self) -> serde_json::Value {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod platform;
 pub mod server;
+pub mod service;
 pub mod settings;
 mod settings_tree;
 pub mod sockets;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -94,7 +94,10 @@
                 }
                 Some(HeartbeatReply::NotYet) => attached = false,
                 Some(HeartbeatReply::Superseded) => {
-                    warn!("event=superseded vm={} incarnation={}", id.vm, id.incarnation);
+                    warn!(
+                        "event=superseded vm={} incarnation={}",
+                        id.vm, id.incarnation
+                    );
                     self.view.send_modify(|view| view.lease.supersede());
                     return false;
                 }
@@ -115,7 +118,11 @@
 
     /// Spreads the members over the control VMs; a control VM speaks to itself.
     fn first_control(&self, id: &MemberId) -> usize {
-        let own = self.settings.control.iter().position(|control| control.vm == id.vm);
+        let own = self
+            .settings
+            .control
+            .iter()
+            .position(|control| control.vm == id.vm);
         own.unwrap_or_else(|| id.incarnation.0 as usize % self.settings.control.len())
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,5 +1,7 @@
 //! The whole daemon: starts every task, and joins them all at the end.
 
+use crate::callers::CallerEdge;
+use crate::callers::CallerLimits;
 use crate::clock::NodeClock;
 use crate::control::ControlEvent;
 use crate::control::ControlFault;
@@ -19,6 +21,7 @@
 use crate::platform::start_platform;
 use crate::server::ServerRoutes;
 use crate::server::start_server;
+use crate::service::GatewayService;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use crate::standby::spawn_standby;
@@ -173,14 +176,8 @@
         None => (None, None),
     };
     let lease = Duration::from_millis(settings.timing.lease_ms);
-    let gateway = Arc::new(Gateway::new(
-        clock,
-        links.clone(),
-        view.clone(),
-        lease,
-        metrics.clone(),
-    ));
-    let (standby, standby_task) = spawn_standby();
+    let gateway = Arc::new(Gateway::new(clock, links.clone(), view.clone(), lease));
+    let (standby, standby_task) = spawn_standby(view.clone());
     let (leaseholders, leaseholder_events) = mpsc::channel(8_192);
     let dump = NodeDump {
         settings: Arc::clone(&settings),
@@ -241,9 +238,22 @@
     };
     let platform = start_platform(platform, platform_view, switches.rest.subscribe());
     let callers = callers.map(|listener| {
-        start_callers(&settings, listener, gateway, metrics, &switches.drain)
+        start_callers(
+            &settings,
+            clock,
+            listener,
+            gateway,
+            &view,
+            metrics,
+            &switches.drain,
+        )
     });
-    log_event!(Level::Info, "started", vm = settings.vm, peers = settings.listen.peers);
+    log_event!(
+        Level::Info,
+        "started",
+        vm = settings.vm,
+        peers = settings.listen.peers
+    );
 
     let ended = wait_for_end(&switches.drain, &mut member).await;
     if let EndCause::Drain = ended {
@@ -285,10 +295,7 @@
     Superseded,
 }
 
-async fn bind(
-    what: &'static str,
-    address: std::net::SocketAddr,
-) -> Result<TcpListener, NodeFault> {
+async fn bind(what: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, NodeFault> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|error| NodeFault::Listen(what, error))
 }
@@ -305,7 +312,11 @@
     switches: &StopSwitches,
     fresh: ragwort_types::VmIncarnation,
 ) -> Result<Option<ControlHandle>, NodeFault> {
-    let Some(folder) = settings.data_folder.as_ref().filter(|_| settings.roles.control) else {
+    let Some(folder) = settings
+        .data_folder
+        .as_ref()
+        .filter(|_| settings.roles.control)
+    else {
         return Ok(None);
     };
     let opened = ControlTask::open(Arc::clone(settings), clock, links.clone(), folder, fresh);
@@ -315,18 +326,22 @@
 }
 
 fn start_callers(
-    settings: &Arc<DaemonSettings>,
+    settings: &DaemonSettings,
+    clock: NodeClock,
     listener: TcpListener,
     gateway: Arc<Gateway>,
+    view: &watch::Receiver<MemberView>,
     metrics: DaemonMetrics,
     drain: &watch::Sender<bool>,
 ) -> JoinHandle<()> {
-    let limits = crate::callers::CallerLimits::from_settings(
-        &settings.limits,
-        settings.timing.drain_ms,
-    );
-    let edge = crate::callers::CallerEdge::new(listener, limits, gateway, metrics);
-    tokio::spawn(edge.run(drain.subscribe()))
+    let limits = CallerLimits::from_settings(&settings.limits, settings.timing.drain_ms);
+    let (service, cancels) = GatewayService::start(gateway, clock, view.clone());
+    let edge = CallerEdge::new(listener, limits, Arc::new(service), metrics);
+    let drain = drain.subscribe();
+    tokio::spawn(async move {
+        edge.run(drain).await;
+        let _ = cancels.await;
+    })
 }
 
 /// Waits for a signal or an operator's drain, or for the membership to end by itself.
@@ -364,7 +379,10 @@
     let limit = Duration::from_millis(settings.timing.drain_ms);
     let moved = view.wait_for(|view| {
         let mut groups = view.copy.groups();
-        let others = view.copy.members().any(|one| one.id.vm != settings.vm && !one.draining);
+        let others = view
+            .copy
+            .members()
+            .any(|one| one.id.vm != settings.vm && !one.draining);
         !others || groups.all(|record| record.placement.leaseholder != settings.vm)
     });
     let _ = timeout(limit, moved).await;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -50,7 +50,6 @@
 use ragwort_types::VersionedContract;
 use ragwort_types::rpc::AgentApiClient;
 use ragwort_types::rpc::AnnounceApiServer;
-use ragwort_types::rpc::OperatorApiClient;
 use ragwort_types::rpc::OperatorApiServer;
 use ragwort_types::rpc::PeerApiClient;
 use ragwort_types::rpc::PeerApiServer;
@@ -143,7 +142,10 @@
         event: impl FnOnce(oneshot::Sender<Answer>) -> StandbyEvent,
     ) -> RpcResult<Answer> {
         let (reply, answer) = oneshot::channel();
-        self.standby.send(event(reply)).await.map_err(|_| stopping())?;
+        self.standby
+            .send(event(reply))
+            .await
+            .map_err(|_| stopping())?;
         answer.await.map_err(|_| stopping())
     }
 
@@ -223,23 +225,28 @@
     }
 
     async fn append_journal(&self, append: JournalAppend) -> RpcResult<JournalReply> {
-        self.ask_standby(|reply| StandbyEvent::Append(append, reply)).await
+        self.ask_standby(|reply| StandbyEvent::Append(append, reply))
+            .await
     }
 
     async fn read_journal(&self, request: JournalRequest) -> RpcResult<JournalCopy> {
-        self.ask_standby(|reply| StandbyEvent::Read(request, reply)).await
+        self.ask_standby(|reply| StandbyEvent::Read(request, reply))
+            .await
     }
 
     async fn heartbeat(&self, request: HeartbeatRequest) -> RpcResult<HeartbeatReply> {
-        self.ask_control(|reply| ControlEvent::Heartbeat(request, reply)).await
+        self.ask_control(|reply| ControlEvent::Heartbeat(request, reply))
+            .await
     }
 
     async fn heartbeat_batch(&self, batch: HeartbeatBatch) -> RpcResult<Vec<HeartbeatReply>> {
-        self.ask_control(|reply| ControlEvent::Batch(batch, reply)).await
+        self.ask_control(|reply| ControlEvent::Batch(batch, reply))
+            .await
     }
 
     async fn propose(&self, request: CommandRequest) -> RpcResult<CommandReply> {
-        self.ask_control(|reply| ControlEvent::Propose(request, reply)).await
+        self.ask_control(|reply| ControlEvent::Propose(request, reply))
+            .await
     }
 
     async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()> {
@@ -256,16 +263,18 @@
     }
 
     async fn form_voters(&self, voters: Vec<MemberId>) -> RpcResult<bool> {
-        self.ask_control(|reply| ControlEvent::Form(voters, reply)).await
+        self.ask_control(|reply| ControlEvent::Form(voters, reply))
+            .await
     }
 
     async fn leader_force(&self, acceptance: ContractAcceptance) -> RpcResult<Option<ForceStatus>> {
-        self.ask_control(|reply| ControlEvent::Force(acceptance, reply)).await
+        self.ask_control(|reply| ControlEvent::Force(acceptance, reply))
+            .await
     }
 
     async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool> {
         let limit = Duration::from_millis(self.settings.timing.probe_timeout_ms);
-        let call = |client: Arc<WsClient>| async move { client.status().await };
+        let call = |client: Arc<WsClient>| async move { AgentApiClient::status(&*client).await };
         Ok(self.links.call(agent_address, limit, call).await.is_ok())
     }
 
@@ -277,7 +286,9 @@
 #[async_trait]
 impl OperatorApiServer for ServerRoutes {
     async fn apply_contract(&self, change: ContractChange) -> RpcResult<CommandReply> {
-        Ok(self.propose_anywhere(&CatalogCommand::ApplyContract(change)).await)
+        Ok(self
+            .propose_anywhere(&CatalogCommand::ApplyContract(change))
+            .await)
     }
 
     async fn force_status(&self, acceptance: ContractAcceptance) -> RpcResult<ForceStatus> {
@@ -289,7 +300,12 @@
             return Ok(status);
         }
         // Only the leader knows; it answers without asking on, so this can't go in a circle.
-        for control in self.settings.control.iter().filter(|one| one.vm != self.settings.vm) {
+        for control in self
+            .settings
+            .control
+            .iter()
+            .filter(|one| one.vm != self.settings.vm)
+        {
             let call = |client: Arc<WsClient>| async move { client.leader_force(acceptance).await };
             let reply = self.links.call(control.address, OPERATOR_LIMIT, call).await;
             if let Ok(Some(status)) = reply {
--- /dev/null
+++ b/crates/daemon/src/service.rs
@@ -0,0 +1,160 @@
+//! The gateway as the caller edge sees it: sessions, limits, statements and cancels.
+
+use crate::callers::SessionOpening;
+use crate::callers::SessionRefusal;
+use crate::callers::StatementService;
+use crate::clock::NodeClock;
+use crate::gateway::Gateway;
+use crate::gateway::find_terms;
+use crate::gateway::reply_with;
+use crate::member::MemberView;
+use async_trait::async_trait;
+use ragwort_policy::CustomerTerms;
+use ragwort_policy::FlightLimiter;
+use ragwort_types::CustomerName;
+use ragwort_types::GroupName;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestVerdict;
+use ragwort_types::StatementId;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Cancels that may wait to be passed on; a cancel that finds no room is lost, as it may always be.
+const CANCEL_QUEUE: usize = 256;
+
+/// When a caller should come back that found this VM without a lease.
+const LEASE_RETURN_MS: u64 = 500;
+
+/// When a caller should come back that found all its customer's sessions taken.
+const SESSION_RETURN_MS: u64 = 1_000;
+
+/// The caller edge's way into the gateway.
+pub struct GatewayService {
+    gateway: Arc<Gateway>,
+    clock: NodeClock,
+    view: watch::Receiver<MemberView>,
+    tables: Mutex<ServiceTables>,
+    cancels: mpsc::Sender<CancelOrder>,
+}
+
+/// What the service counts.
+#[derive(Default)]
+struct ServiceTables {
+    sessions: HashMap<CustomerName, u32>,
+    running: HashMap<StatementId, GroupName>,
+    flights: FlightLimiter,
+}
+
+/// A cancel on its way to a leaseholder.
+struct CancelOrder {
+    group: GroupName,
+    id: StatementId,
+}
+
+impl GatewayService {
+    /// Creates the service and the task that passes cancels on, which the caller joins.
+    pub fn start(
+        gateway: Arc<Gateway>,
+        clock: NodeClock,
+        view: watch::Receiver<MemberView>,
+    ) -> (Self, JoinHandle<()>) {
+        let (cancels, mut orders) = mpsc::channel::<CancelOrder>(CANCEL_QUEUE);
+        let carrier = Arc::clone(&gateway);
+        let task = tokio::spawn(async move {
+            while let Some(order) = orders.recv().await {
+                carrier.cancel(order.group, order.id).await;
+            }
+        });
+        let service = Self {
+            gateway,
+            clock,
+            view,
+            tables: Mutex::default(),
+            cancels,
+        };
+        (service, task)
+    }
+
+    fn tables(&self) -> std::sync::MutexGuard<'_, ServiceTables> {
+        self.tables.lock().expect("no holder of this lock panics")
+    }
+
+    /// Takes a statement in against the limits of this gateway.
+    fn admit(&self, request: &StatementRequest) -> Result<(), RequestVerdict> {
+        let view = self.view.borrow();
+        let contract = view.copy.contract(&request.customer);
+        let Some(contract) = contract.map(|held| &held.contract) else {
+            return Err(RequestVerdict::refused(RefusalCause::Contract, 0));
+        };
+        let Some(kind) = find_terms(contract, &request.marks) else {
+            return Err(RequestVerdict::refused(RefusalCause::Contract, 0));
+        };
+        let terms = CustomerTerms::from(contract);
+        let mut tables = self.tables();
+        let admitted = tables.flights.admit(&request.group, &terms, kind.urgency);
+        admitted.map_err(RequestVerdict::NotRun)?;
+        tables.running.insert(request.id, request.group.clone());
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl StatementService for GatewayService {
+    fn open_session(&self, opening: &SessionOpening) -> Result<(), SessionRefusal> {
+        let view = self.view.borrow();
+        if view.draining {
+            return Err(SessionRefusal::Draining);
+        }
+        if !view.may_serve(self.clock.now()) {
+            return Err(SessionRefusal::NotReady {
+                come_back_after_ms: LEASE_RETURN_MS,
+            });
+        }
+        let contract = view.copy.contract(&opening.customer);
+        let contract = &contract.ok_or(SessionRefusal::NoContract)?.contract;
+        if !contract.groups.contains(&opening.group) {
+            return Err(SessionRefusal::UnknownGroup);
+        }
+        let mut tables = self.tables();
+        let open = tables.sessions.entry(opening.customer.clone()).or_default();
+        if *open >= contract.session_limit {
+            return Err(SessionRefusal::TooManySessions {
+                come_back_after_ms: SESSION_RETURN_MS,
+            });
+        }
+        *open += 1;
+        Ok(())
+    }
+
+    fn close_session(&self, opening: &SessionOpening) {
+        let mut tables = self.tables();
+        if let Some(open) = tables.sessions.get_mut(&opening.customer) {
+            *open = open.saturating_sub(1);
+        }
+    }
+
+    async fn execute(&self, request: StatementRequest) -> StatementReply {
+        if let Err(verdict) = self.admit(&request) {
+            return reply_with(&request, verdict);
+        }
+        let (id, group, customer) = (request.id, request.group.clone(), request.customer.clone());
+        let reply = self.gateway.execute(request).await;
+        let mut tables = self.tables();
+        tables.running.remove(&id);
+        tables.flights.release(&group, &customer);
+        reply
+    }
+
+    fn cancel(&self, id: StatementId) {
+        let group = self.tables().running.get(&id).cloned();
+        if let Some(group) = group {
+            let _ = self.cancels.try_send(CancelOrder { group, id });
+        }
+    }
+}
--- a/crates/types/src/verdict.rs
+++ b/crates/types/src/verdict.rs
@@ -66,6 +66,8 @@
     EndpointRefused,
     /// The transaction is not open any more.
     TransactionLost,
+    /// The caller cancelled the request before it was dispatched.
+    Cancelled,
     /// A limit on sessions, connections or message sizes was met.
     Limit,
 }
