--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,483 @@
+//! The command line against a daemon that answers as told: exit codes and output.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerHandle;
+use jsonrpsee::types::ErrorObjectOwned;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::ChangeId;
+use ragwort_types::CommandReply;
+use ragwort_types::ContractAcceptance;
+use ragwort_types::ContractChange;
+use ragwort_types::ContractVersion;
+use ragwort_types::CustomerContract;
+use ragwort_types::CustomerName;
+use ragwort_types::ForceStatus;
+use ragwort_types::FormReply;
+use ragwort_types::NodeStatus;
+use ragwort_types::VersionedContract;
+use ragwort_types::VmName;
+use ragwort_types::rpc::OperatorApiServer;
+use serde_json::Value;
+use std::collections::VecDeque;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use tokio::process::Command;
+use uuid::Uuid;
+
+const CONTRACT: &str = "\
+customer: omuti
+groups: [cases]
+kinds:
+  status: { access: read, max_age_ms: 2000, deadline_ms: 300 }
+  grant: { access: write, urgency: urgent, deadline_ms: 500 }
+default_kind: grant
+slot_share: 4
+connection_limit: 4
+queue_limit: 100
+session_limit: 50
+";
+
+fn contract() -> CustomerContract {
+    serde_saphyr::from_str(CONTRACT).unwrap()
+}
+
+fn versioned(version: u64) -> VersionedContract {
+    VersionedContract {
+        version: ContractVersion(version),
+        change_id: ChangeId(Uuid::nil()),
+        contract: contract(),
+    }
+}
+
+fn acceptance() -> ContractAcceptance {
+    ContractAcceptance {
+        version: ContractVersion(5),
+        revision: CatalogRevision(90),
+    }
+}
+
+#[derive(Clone)]
+enum ApplyAnswer {
+    Reply(CommandReply),
+    Broken,
+}
+
+#[derive(Default)]
+struct Script {
+    applies: VecDeque<ApplyAnswer>,
+    changes: Vec<ContractChange>,
+    present: Option<VersionedContract>,
+    asked_in_force: u32,
+    in_force_after: u32,
+    form: Option<FormReply>,
+    drained: bool,
+}
+
+#[derive(Clone, Default)]
+struct FakeDaemon(Arc<Mutex<Script>>);
+
+impl FakeDaemon {
+    fn set(&self, change: impl FnOnce(&mut Script)) {
+        change(&mut self.0.lock().unwrap());
+    }
+
+    fn answer(&self, answer: ApplyAnswer) {
+        self.set(|script| script.applies.push_back(answer));
+    }
+
+    fn decide(&self, outcome: CatalogOutcome) {
+        self.answer(ApplyAnswer::Reply(CommandReply::Committed(outcome)));
+    }
+
+    fn changes(&self) -> Vec<ContractChange> {
+        self.0.lock().unwrap().changes.clone()
+    }
+}
+
+#[async_trait]
+impl OperatorApiServer for FakeDaemon {
+    async fn apply_contract(&self, change: ContractChange) -> RpcResult<CommandReply> {
+        let mut script = self.0.lock().unwrap();
+        script.changes.push(change);
+        match script.applies.pop_front() {
+            Some(ApplyAnswer::Reply(reply)) => Ok(reply),
+            _ => Err(ErrorObjectOwned::owned(-32_000, "lost", None::<()>)),
+        }
+    }
+
+    async fn force_status(&self, acceptance: ContractAcceptance) -> RpcResult<ForceStatus> {
+        let mut script = self.0.lock().unwrap();
+        script.asked_in_force += 1;
+        let in_force = script.asked_in_force > script.in_force_after;
+        Ok(ForceStatus {
+            acceptance,
+            in_force,
+            waiting_for: if in_force { 0 } else { 3 },
+        })
+    }
+
+    async fn get_contract(&self, _customer: CustomerName) -> RpcResult<Option<VersionedContract>> {
+        Ok(self.0.lock().unwrap().present.clone())
+    }
+
+    async fn list_contracts(&self) -> RpcResult<Vec<VersionedContract>> {
+        Ok(self.0.lock().unwrap().present.clone().into_iter().collect())
+    }
+
+    async fn status(&self) -> RpcResult<NodeStatus> {
+        Ok(NodeStatus {
+            vm: VmName::from("vm-1"),
+            revision: CatalogRevision(90),
+            ready: true,
+            draining: false,
+            control_leader: None,
+            groups: Vec::new(),
+            members: Vec::new(),
+        })
+    }
+
+    async fn dump(&self) -> RpcResult<String> {
+        Ok(r#"{"vm":"vm-1"}"#.to_owned())
+    }
+
+    async fn drain(&self) -> RpcResult<()> {
+        self.set(|script| script.drained = true);
+        Ok(())
+    }
+
+    async fn form(&self) -> RpcResult<FormReply> {
+        Ok(self.0.lock().unwrap().form.clone().unwrap())
+    }
+}
+
+async fn serve(daemon: &FakeDaemon) -> (SocketAddr, ServerHandle) {
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let address = server.local_addr().unwrap();
+    (address, server.start(daemon.clone().into_rpc()))
+}
+
+/// What a run of the command line came to.
+struct Run {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+async fn run(address: &str, arguments: &[&str]) -> Run {
+    let output = Command::new(env!("CARGO_BIN_EXE_ragwortctl"))
+        .args(["--address", address])
+        .args(arguments)
+        .output()
+        .await
+        .unwrap();
+    Run {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// A contract file that is removed at the end of the test.
+struct ContractFile(PathBuf);
+
+impl ContractFile {
+    fn new(text: &str) -> Self {
+        let name = format!("ragwort-contract-{}.yaml", Uuid::now_v7());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for ContractFile {
+    fn drop(&mut self) {
+        fs::remove_file(&self.0).unwrap();
+    }
+}
+
+#[tokio::test]
+async fn apply_builds_on_the_present_version() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    daemon.set(|script| script.present = Some(versioned(4)));
+    daemon.decide(CatalogOutcome::ContractAccepted(acceptance()));
+    let file = ContractFile::new(CONTRACT);
+    let run = run(&address.to_string(), &["contract", "apply", file.path()]).await;
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(
+        run.out
+            .contains("accepted: customer=omuti version=5 revision=90")
+    );
+    assert!(run.out.contains("in force: on every member"));
+    let changes = daemon.changes();
+    assert_eq!(changes[0].base_version, ContractVersion(4));
+    assert_eq!(changes[0].contract, contract());
+    assert!(run.err.contains(&changes[0].change_id.to_string()));
+}
+
+#[tokio::test]
+async fn apply_without_wait_says_that_it_is_not_in_force_yet() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    daemon.set(|script| script.in_force_after = u32::MAX);
+    daemon.decide(CatalogOutcome::ContractAccepted(acceptance()));
+    let file = ContractFile::new(CONTRACT);
+    let arguments = [
+        "--json",
+        "contract",
+        "apply",
+        "--base-version",
+        "0",
+        file.path(),
+    ];
+    let run = run(&address.to_string(), &arguments).await;
+    assert_eq!(run.code, 0, "{}", run.err);
+    let value: Value = serde_json::from_str(&run.out).unwrap();
+    assert_eq!(value["accepted"]["version"], 5);
+    assert_eq!(value["in_force"], false);
+    assert_eq!(value["waiting_for"], 3);
+}
+
+#[tokio::test]
+async fn wait_returns_when_the_change_is_in_force() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    daemon.set(|script| script.in_force_after = 3);
+    daemon.decide(CatalogOutcome::ContractAccepted(acceptance()));
+    let file = ContractFile::new(CONTRACT);
+    let run = run(
+        &address.to_string(),
+        &["contract", "apply", "--wait", file.path()],
+    )
+    .await;
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(run.out.contains("in force: on every member"));
+    assert_eq!(daemon.0.lock().unwrap().asked_in_force, 4);
+}
+
+/// A member can't confirm the change. The operator must not take an accepted change for one that
+/// holds everywhere.
+#[tokio::test]
+async fn wait_that_ends_too_early_is_not_done() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    daemon.set(|script| script.in_force_after = u32::MAX);
+    daemon.decide(CatalogOutcome::ContractAccepted(acceptance()));
+    let file = ContractFile::new(CONTRACT);
+    let arguments = ["contract", "apply", "--wait", "--wait-ms", "1", file.path()];
+    let run = run(&address.to_string(), &arguments).await;
+    assert_eq!(run.code, 3);
+    assert!(
+        run.err.contains("not yet, waiting for 3 members"),
+        "{}",
+        run.err
+    );
+}
+
+/// Two operators change a contract at once. The one that lost sees what won.
+#[tokio::test]
+async fn conflict_shows_the_winner() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    daemon.decide(CatalogOutcome::ContractConflict(Box::new(versioned(6))));
+    let file = ContractFile::new(CONTRACT);
+    let run = run(&address.to_string(), &["contract", "apply", file.path()]).await;
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("# version: 6"), "{}", run.err);
+    assert!(run.err.contains("customer: omuti"), "{}", run.err);
+}
+
+/// The answer to a change is lost. The tool resends it under the same id, and the answer that comes
+/// then is that of the first attempt.
+#[tokio::test]
+async fn lost_answer_is_asked_for_again_under_the_same_id() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    daemon.answer(ApplyAnswer::Broken);
+    daemon.answer(ApplyAnswer::Reply(CommandReply::Unknown));
+    daemon.answer(ApplyAnswer::Reply(CommandReply::NoLeader));
+    daemon.decide(CatalogOutcome::ContractAccepted(acceptance()));
+    let file = ContractFile::new(CONTRACT);
+    let run = run(&address.to_string(), &["contract", "apply", file.path()]).await;
+    assert_eq!(run.code, 0, "{}", run.err);
+    let changes = daemon.changes();
+    assert_eq!(changes.len(), 4);
+    assert!(changes.iter().all(|change| change == &changes[0]));
+}
+
+/// No answer ever comes. The operator reads which id to resend with.
+#[tokio::test]
+async fn unknown_outcome_names_the_change_id() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    let file = ContractFile::new(CONTRACT);
+    let id = Uuid::now_v7().to_string();
+    let arguments = [
+        "contract",
+        "apply",
+        "--change-id",
+        &id,
+        "--base-version",
+        "2",
+        file.path(),
+    ];
+    let run = run(&address.to_string(), &arguments).await;
+    assert_eq!(run.code, 3);
+    let advice = format!("resend with the same change id: --change-id {id} --base-version 2");
+    assert!(run.err.contains(&advice), "{}", run.err);
+    assert_eq!(daemon.changes()[0].change_id.to_string(), id);
+}
+
+/// The first daemon of the list is down.
+#[tokio::test]
+async fn next_address_is_tried() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    let run = run(&format!("127.0.0.1:1,{address}"), &["status"]).await;
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(run.out.starts_with("vm=vm-1 ready=true"));
+}
+
+#[tokio::test]
+async fn no_daemon_at_all_is_refused_and_not_unknown() {
+    let run = run("127.0.0.1:1", &["form"]).await;
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("not sent: 127.0.0.1:1"), "{}", run.err);
+}
+
+#[tokio::test]
+async fn faulty_contract_is_not_sent() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    let text = CONTRACT
+        .replace("slot_share: 4", "slot_share: 0")
+        .replace("default_kind: grant", "default_kind: other");
+    let file = ContractFile::new(&text);
+    let run = run(&address.to_string(), &["contract", "apply", file.path()]).await;
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("default_kind: expected"), "{}", run.err);
+    assert!(run.err.contains("slot_share: expected"), "{}", run.err);
+    assert!(daemon.changes().is_empty());
+}
+
+/// Names an outcome that refuses a change, and words of the report.
+macro_rules! refused {
+    ($($name:ident: $outcome:expr => $words:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let daemon = FakeDaemon::default();
+            let (address, _server) = serve(&daemon).await;
+            daemon.decide($outcome);
+            let file = ContractFile::new(CONTRACT);
+            let run = run(&address.to_string(), &["contract", "apply", file.path()]).await;
+            assert_eq!(run.code, 1);
+            assert!(run.err.contains($words), "{}", run.err);
+        }
+    )*};
+}
+
+refused! {
+    unknown_contract: CatalogOutcome::ContractUnknown => "has no contract of version 0";
+    reused_change_id: CatalogOutcome::ChangeIdReused => "used before for another content";
+    contract_that_control_finds_faulty:
+        CatalogOutcome::ContractFaulty(vec!["groups: unknown".to_owned()]) => "groups: unknown";
+}
+
+/// Names a reply to `form`, the exit code and words of the report.
+macro_rules! formed {
+    ($($name:ident: $reply:expr => $code:expr, $words:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let daemon = FakeDaemon::default();
+            let (address, _server) = serve(&daemon).await;
+            daemon.set(|script| script.form = Some($reply));
+            let run = run(&address.to_string(), &["form"]).await;
+            assert_eq!(run.code, $code);
+            assert!((run.out + &run.err).contains($words));
+        }
+    )*};
+}
+
+formed! {
+    first_form: FormReply::Formed => 0, "formed";
+    second_form: FormReply::AlreadyFormed => 0, "formed before";
+    refused_form: FormReply::Refused("vm-3 is silent".to_owned()) => 1, "vm-3 is silent";
+}
+
+#[tokio::test]
+async fn drain_takes_one_address_only() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    let both = run(&format!("{address},127.0.0.1:1"), &["drain"]).await;
+    assert_eq!(both.code, 2);
+    assert!(!daemon.0.lock().unwrap().drained);
+    let one = run(&address.to_string(), &["drain"]).await;
+    assert_eq!(one.code, 0);
+    assert!(daemon.0.lock().unwrap().drained);
+}
+
+#[tokio::test]
+async fn contract_that_is_shown_can_be_applied_again() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    let missing = run(&address.to_string(), &["contract", "get", "omuti"]).await;
+    assert_eq!(missing.code, 1);
+    daemon.set(|script| script.present = Some(versioned(4)));
+    let shown = run(&address.to_string(), &["contract", "get", "omuti"]).await;
+    assert_eq!(shown.code, 0);
+    let again: CustomerContract = serde_saphyr::from_str(&shown.out).unwrap();
+    assert_eq!(again, contract());
+    let list = run(&address.to_string(), &["contract", "list"]).await;
+    assert!(list.out.starts_with("customer=omuti version=4"));
+}
+
+#[tokio::test]
+async fn dump_is_json() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    let run = run(&address.to_string(), &["dump"]).await;
+    let value: Value = serde_json::from_str(&run.out).unwrap();
+    assert_eq!(value["vm"], "vm-1");
+}
+
+/// Names a command line that can't be understood.
+macro_rules! usage {
+    ($($name:ident: $arguments:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            assert_eq!(run("127.0.0.1:1", &$arguments).await.code, 2);
+        }
+    )*};
+}
+
+usage! {
+    no_command: [];
+    unknown_command: ["reload"];
+    missing_file: ["contract", "apply", "/nonexistent/contract.yaml"];
+    bad_change_id: ["contract", "apply", "--change-id", "7", "x.yaml"];
+    bad_version: ["contract", "apply", "--base-version", "new", "x.yaml"];
+}
+
+#[tokio::test]
+async fn host_name_is_no_address() {
+    let run = run("localhost:7432", &["status"]).await;
+    assert_eq!(run.code, 2);
+    assert!(run.err.contains("expected IP:PORT"), "{}", run.err);
+}
+
+#[tokio::test]
+async fn help_is_no_fault() {
+    let run = run("127.0.0.1:1", &["--help"]).await;
+    assert_eq!(run.code, 0);
+    assert!(run.out.contains("Exit codes"));
+}
