--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -475,6 +475,13 @@
     assert!(run.err.contains("expected IP:PORT"), "{}", run.err);
 }
 
+#[test]
+fn sample_contract_has_no_faults() {
+    let text = include_str!("../../../docs/operators/contract.yaml");
+    let sample: CustomerContract = serde_saphyr::from_str(text).unwrap();
+    assert_eq!(sample.find_faults(), []);
+}
+
 #[tokio::test]
 async fn help_is_no_fault() {
     let run = run("127.0.0.1:1", &["--help"]).await;
