--- a/crates/daemon/src/group/notice.rs
+++ b/crates/daemon/src/group/notice.rs
@@ -91,26 +91,11 @@
     pub outcome: AgentOutcome,
 }
 
-/// Who probed the primary, and how.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ProbeSource {
-    /// This VM, over its open link.
-    OpenLink,
-    /// This VM, over a new connection.
-    NewLink,
-    /// A standby in another failure domain.
-    Standby(VmName),
-}
-
-/// The end of a probe.
+/// The end of a probe over a new connection.
 #[derive(Debug)]
 pub struct ProbeReport {
     /// The probed instance.
     pub instance: InstanceName,
-    /// Who probed.
-    pub source: ProbeSource,
-    /// When the probe was sent.
-    pub sent: ClockTime,
-    /// Whether the instance answered; `None` if the prober itself could not be asked.
-    pub answered: Option<bool>,
+    /// Whether it answered.
+    pub answered: bool,
 }
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -216,14 +216,6 @@
         self.connections.remove(&id)
     }
 
-    /// Forgets all connections to an instance and returns what held them.
-    pub fn close_instance(&mut self, instance: &InstanceName) -> Vec<PoolConnection> {
-        let closed = self
-            .connections
-            .extract_if(.., |_, one| one.instance == *instance);
-        closed.map(|(_, connection)| connection).collect()
-    }
-
     /// Makes every idle connection to an instance prove that it still answers.
     ///
     /// One silent connection suggests that something on the path has forgotten them all; the
--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -4,7 +4,6 @@
 use super::notice::AgentReport;
 use super::notice::GroupNotice;
 use super::notice::ProbeReport;
-use super::notice::ProbeSource;
 use std::time::Duration;
 
 impl GroupTask {
@@ -37,15 +36,9 @@
         let links = self.context.links.clone();
         let notices = self.notices.clone();
         let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms);
-        let sent = self.context.clock.now();
         self.children.spawn(async move {
             let answered = links.probe_fresh(address, limit).await;
-            let report = ProbeReport {
-                instance,
-                source: ProbeSource::NewLink,
-                sent,
-                answered: Some(answered),
-            };
+            let report = ProbeReport { instance, answered };
             let _ = notices.send(GroupNotice::Probe(report)).await;
         });
     }
@@ -53,7 +46,7 @@
     /// Takes the end of a probe.
     pub(super) fn take_probe_report(&mut self, report: ProbeReport) {
         let primary = self.record.primary.as_ref() == Some(&report.instance);
-        if primary && report.answered == Some(false) {
+        if primary && !report.answered {
             self.suspect_primary(self.primary_heard);
         }
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,9 @@
 //! `ragwortgated`: the daemon of ragwortgate.
 
 use argh::FromArgs;
+use log::Level;
+use ragwortgated::log_event;
+use ragwortgated::logs::log_panics;
 use ragwortgated::logs::set_up_log;
 use ragwortgated::node::run_node;
 use ragwortgated::settings::DaemonSettings;
@@ -39,6 +42,7 @@
         eprintln!("ragwortgated: {fault}");
         return ExitCode::FAILURE;
     }
+    log_panics();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -52,7 +56,7 @@
     match runtime.block_on(run_node(Arc::new(settings))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            log::error!("event=failed fault=\"{fault}\"");
+            log_event!(Level::Error, "failed", fault = fault);
             eprintln!("ragwortgated: {fault}");
             ExitCode::FAILURE
         }
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -5,10 +5,10 @@
 //! shorter than control does.
 
 use crate::clock::NodeClock;
+use crate::log_event;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
-use log::info;
-use log::warn;
+use log::Level;
 use ragwort_control::CatalogCopy;
 use ragwort_control::ClockTime;
 use ragwort_control::MemberLease;
@@ -88,22 +88,24 @@
             match self.send_heartbeat(&id, address).await {
                 Some(HeartbeatReply::Granted(_)) => {
                     if !attached {
-                        info!("event=lease_granted vm={} control={address}", id.vm);
+                        log_event!(Level::Info, "lease_granted", vm = id.vm, control = address);
                     }
                     attached = true;
                 }
                 Some(HeartbeatReply::NotYet) => attached = false,
                 Some(HeartbeatReply::Superseded) => {
-                    warn!(
-                        "event=superseded vm={} incarnation={}",
-                        id.vm, id.incarnation
+                    log_event!(
+                        Level::Warn,
+                        "superseded",
+                        vm = id.vm,
+                        incarnation = id.incarnation
                     );
                     self.view.send_modify(|view| view.lease.supersede());
                     return false;
                 }
                 None => {
                     if attached {
-                        warn!("event=heartbeat_lost vm={} control={address}", id.vm);
+                        log_event!(Level::Warn, "heartbeat_lost", vm = id.vm, control = address);
                     }
                     attached = false;
                     control = (control + 1) % self.settings.control.len();
@@ -167,7 +169,7 @@
         if let Some(delta) = &grant.delta
             && let Err(error) = Arc::make_mut(&mut copy).apply_delta(delta)
         {
-            warn!("event=delta_refused error=\"{error}\"");
+            log_event!(Level::Warn, "delta_refused", error = error);
             return;
         }
         let held = copy.revision();
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -146,7 +146,10 @@
             .port(settings.gateway.port())
             .user(&settings.customer)
             .dbname(&settings.group)
-            .options(format!("-c ragwort.session={}", settings.session));
+            .options(format!(
+                "-c ragwort.notice=on -c ragwort.session={}",
+                settings.session
+            ));
         match timeout(CONNECT_PATIENCE, config.connect(NoTls)).await {
             Ok(Ok((client, connection))) => {
                 let (sender, notices) = mpsc::unbounded_channel();
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -71,7 +71,7 @@
     async fn form(&self) -> Result<(), SetFault> {
         let end = Instant::now() + UP_PATIENCE;
         loop {
-            match self.run(&["form", "--address", &self.peers]) {
+            match self.run(&["--address", &self.peers, "form"]) {
                 Err(SetFault::Refused(_)) if Instant::now() < end => {
                     sleep(Duration::from_millis(200)).await;
                 }
@@ -89,11 +89,11 @@
         fs::write(&file, text)?;
         let file = file.display().to_string();
         self.run(&[
+            "--address",
+            &self.peers,
             "contract",
             "apply",
             "--wait",
-            "--address",
-            &self.peers,
             &file,
         ])
     }
