--- a/crates/policy/examples/load_table.rs
+++ b/crates/policy/examples/load_table.rs
@@ -72,13 +72,13 @@
 
 fn print_line(label: &str, source: &str, part: &SourceOutcome) {
     println!(
-        "  {label:9} {source:24} {:6} in time {:5.1} % late {:5.1} % refused {:5.1} % warning {:6.1} ms (least {:6.1}) p50 {:6.1} p99 {:6.1}",
+        "  {label:9} {source:24} {:6} in time {:5.1} % late {:5.1} % refused {:5.1} % warning {:6.1} ms (short {:4}) p50 {:6.1} p99 {:6.1}",
         part.offered,
         part.in_time_share() * 100.0,
         part.late_share() * 100.0,
         part.refused_share() * 100.0,
         part.mean_warning().as_secs_f64() * 1e3,
-        part.least_warning.unwrap_or_default().as_secs_f64() * 1e3,
+        part.short_warnings,
         part.wait_quantile(0.5).as_secs_f64() * 1e3,
         part.wait_quantile(0.99).as_secs_f64() * 1e3,
     );
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -39,6 +39,8 @@
     pub(crate) trial: bool,
     /// Requests on pinned connections that went in a row while others waited.
     pub(crate) pinned_run: u32,
+    /// Urgent requests that went in a row while others waited.
+    pub(crate) urgent_run: u32,
     /// The factor by which runs are longer here.
     pub(crate) slowdown: f64,
 }
@@ -65,6 +67,7 @@
             usable: record.state.slots,
             trial: false,
             pinned_run: 0,
+            urgent_run: record.urgent_run,
             slowdown: 1.0,
         };
         if health {
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -76,6 +76,8 @@
     pub(crate) opening: u32,
     /// The transactions that hold a connection, by the ticket of the request that opened them.
     pub(crate) pins: SmallVec<[ConnectionPin; 4]>,
+    /// Urgent requests that went in a row while ordinary ones waited.
+    pub(crate) urgent_run: u32,
     /// Its speed.
     pub(crate) health: EndpointHealth,
     /// No connection is opened before this moment, after one failed to open.
@@ -99,6 +101,7 @@
             open: 0,
             opening: 0,
             pins: SmallVec::new(),
+            urgent_run: 0,
             health: EndpointHealth::default(),
             connect_after: ClockTime::default(),
             removed: false,
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -53,8 +53,6 @@
     pub(crate) estimates: &'a EstimateTable,
     /// Who goes next.
     pub(crate) ledger: &'a ShareLedger,
-    /// Urgent requests that went in a row.
-    pub(crate) urgent_run: u32,
     /// How long opening a connection takes.
     pub(crate) connect_time: Duration,
     /// How long transactions hold a connection.
@@ -102,12 +100,24 @@
     action: PlanAction,
 }
 
+/// What is looked for in one pass over the queue.
+#[derive(Clone, Copy)]
+struct ChoicePass {
+    /// The moment for which the pass is made.
+    at: ClockTime,
+    /// Whether urgent requests are looked for, or ordinary ones.
+    urgent: bool,
+    /// Whether instances that served many urgent requests in a row are left to ordinary ones.
+    bounded: bool,
+    /// Whether reads may take the primary's slots although replicas could serve them.
+    spill: bool,
+}
+
 /// A walk over the queue in the order of service.
 pub(crate) struct DispatchPlan<'a> {
     input: PlanInput<'a>,
     boards: SmallVec<[InstanceBoard; 4]>,
     ledger: ShareLedger,
-    urgent_run: u32,
     taken: Vec<bool>,
     cursors: Vec<[usize; LANES]>,
     write_keys: SmallVec<[WriteHold; 4]>,
@@ -139,7 +149,6 @@
             input,
             boards: boards.collect(),
             ledger: input.ledger.clone(),
-            urgent_run: input.urgent_run,
             taken: vec![false; input.queue.capacity()],
             cursors: vec![[0; LANES]; input.queue.customers().len()],
             write_keys: running_keys(records, input.now),
@@ -249,18 +258,20 @@
         None
     }
 
+    /// Chooses among requests that no transaction ties: urgent ones first, within bounds.
     fn choose_fresh(&mut self, at: ClockTime, spill: bool) -> Option<PlanCandidate> {
-        let urgent_first = self.urgent_run < URGENT_RUN;
-        self.choose_urgency(at, urgent_first, spill)
-            .or_else(|| self.choose_urgency(at, !urgent_first, spill))
+        let pass = |urgent, bounded| ChoicePass {
+            at,
+            urgent,
+            bounded,
+            spill,
+        };
+        self.choose_urgency(pass(true, true))
+            .or_else(|| self.choose_urgency(pass(false, true)))
+            .or_else(|| self.choose_urgency(pass(true, false)))
     }
 
-    fn choose_urgency(
-        &mut self,
-        at: ClockTime,
-        urgent: bool,
-        spill: bool,
-    ) -> Option<PlanCandidate> {
+    fn choose_urgency(&mut self, pass: ChoicePass) -> Option<PlanCandidate> {
         let mut best: Option<PlanCandidate> = None;
         for customer in 0..self.cursors.len() {
             let account = if self.input.switches.shares {
@@ -273,11 +284,10 @@
             }
             for lane in 0..LANES {
                 let kind = LaneKind::from_index(lane);
-                if kind.urgent != urgent || (spill && !self.may_spill(kind)) {
+                if kind.urgent != pass.urgent || (pass.spill && !self.may_spill(kind)) {
                     continue;
                 }
-                let Some(candidate) = self.choose_in_lane(customer, lane, account, at, spill)
-                else {
+                let Some(candidate) = self.choose_in_lane(customer, lane, account, pass) else {
                     continue;
                 };
                 if best.is_none_or(|other| goes_before(&candidate, &other)) {
@@ -293,8 +303,7 @@
         customer: usize,
         lane: usize,
         account: u64,
-        at: ClockTime,
-        spill: bool,
+        pass: ChoicePass,
     ) -> Option<PlanCandidate> {
         let entries = self.input.queue.customers()[customer].lane(lane);
         let mut cursor = self.cursors[customer][lane];
@@ -307,14 +316,14 @@
             .filter(|entry| !self.taken[entry.slot]);
         for entry in waiting.take(LOOK_AHEAD) {
             let request = self.input.queue.at(entry.slot);
-            if self.is_hopeless(request, at) {
+            if self.is_hopeless(request, pass.at) {
                 return Some(PlanCandidate {
                     entry: *entry,
                     account,
                     action: PlanAction::Hopeless,
                 });
             }
-            if let Some(action) = self.place(request, at, spill) {
+            if let Some(action) = self.place(request, pass) {
                 return Some(PlanCandidate {
                     entry: *entry,
                     account,
@@ -326,13 +335,14 @@
     }
 
     /// Finds the instance on which a request that no transaction ties would end first.
-    fn place(&self, request: &WaitingRequest, at: ClockTime, spill: bool) -> Option<PlanAction> {
+    fn place(&self, request: &WaitingRequest, pass: ChoicePass) -> Option<PlanAction> {
+        let at = pass.at;
         if self.is_key_held(request, at) {
             return None;
         }
         let mut best: Option<PlannedStart> = None;
         for instance in 0..self.boards.len() {
-            let Some(trial) = self.accepts(request, instance, at, spill) else {
+            let Some(trial) = self.accepts(request, instance, pass) else {
                 continue;
             };
             let PlanAction::Start(start) = self.judge_start(request, instance, at, trial) else {
@@ -349,13 +359,8 @@
     }
 
     /// Says whether an instance takes a request now, and if so whether as a trial.
-    fn accepts(
-        &self,
-        request: &WaitingRequest,
-        instance: usize,
-        at: ClockTime,
-        spill: bool,
-    ) -> Option<bool> {
+    fn accepts(&self, request: &WaitingRequest, instance: usize, pass: ChoicePass) -> Option<bool> {
+        let at = pass.at;
         let board = &self.boards[instance];
         let record = &self.input.endpoints.records()[instance];
         if board.free_slot(at).is_none() || !board.is_connected(self.input.now, at) {
@@ -364,6 +369,9 @@
         if !self.is_fit(record, request, at) || !self.length_fits(request, instance, at) {
             return None;
         }
+        if pass.urgent && pass.bounded && board.urgent_run >= URGENT_RUN {
+            return None;
+        }
         let opens = request.profile.step == crate::RequestStep::Opens;
         if opens && !board.takes_pin(at) {
             return None;
@@ -372,7 +380,7 @@
             return Some(false);
         }
         let primary = record.state.role == EndpointRole::Primary;
-        if primary && !spill && self.input.switches.routing && self.replica_soon(request) {
+        if primary && !pass.spill && self.input.switches.routing && self.replica_soon(request) {
             return None;
         }
         if board.held(at) < board.usable {
@@ -540,7 +548,8 @@
         }
         if !pinned {
             let ordinary_waits = self.ordinary_left > 0;
-            self.urgent_run = next_urgent_run(self.urgent_run, request.lane, ordinary_waits);
+            let board = &mut self.boards[start.instance];
+            board.urgent_run = next_urgent_run(board.urgent_run, request.lane, ordinary_waits);
         }
         self.ledger.charge(request.customer, start.expected);
         if let Some(key) = write_key(request) {
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -182,7 +182,6 @@
             endpoints: &self.endpoints,
             estimates: &self.estimates,
             ledger: &self.ledger,
-            urgent_run: self.urgent_run,
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
             switches: self.settings.modules,
@@ -417,13 +416,13 @@
         request.attempts += 1;
         let estimate = self.estimates.get(request.kind);
         let ordinary_waits = self.queue.count_lanes(|lane| !lane.urgent) > 0;
-        if request.pinned_to.is_none() {
-            self.urgent_run = next_urgent_run(self.urgent_run, request.lane, ordinary_waits);
-        }
         self.ledger.charge(request.customer, start.expected);
         self.count_dispatch(now, &request, start);
         let record = &mut self.endpoints.records_mut()[start.instance];
         debug_assert!(record.free_slots() > 0, "a statement without a slot");
+        if request.pinned_to.is_none() {
+            record.urgent_run = next_urgent_run(record.urgent_run, request.lane, ordinary_waits);
+        }
         record.running.push(RunningRequest {
             ticket,
             started: now,
--- a/crates/policy/tests/support/outcome.rs
+++ b/crates/policy/tests/support/outcome.rs
@@ -14,6 +14,8 @@
     pub warning: Duration,
     /// The shortest time that a refused caller had left.
     pub least_warning: Option<Duration>,
+    /// Refusals that left the caller less than a quarter of its time.
+    pub short_warnings: u64,
     /// The times to an answer, in time or not.
     pub waits: Vec<Duration>,
 }
@@ -54,6 +56,7 @@
         self.late += other.late;
         self.refused += other.refused;
         self.warning += other.warning;
+        self.short_warnings += other.short_warnings;
         self.least_warning = match (self.least_warning, other.least_warning) {
             (Some(mine), Some(theirs)) => Some(mine.min(theirs)),
             (mine, theirs) => mine.or(theirs),
--- a/crates/policy/tests/support/runner.rs
+++ b/crates/policy/tests/support/runner.rs
@@ -471,9 +471,11 @@
             panic!("a request is settled twice");
         };
         let warning = profile.deadline.since(self.now);
+        let short = warning * 4 < self.source(ticket).deadline;
         let outcome = self.outcome_of(ticket);
         outcome.refused += 1;
         outcome.warning += warning;
+        outcome.short_warnings += u64::from(short);
         let least = outcome.least_warning.unwrap_or(warning);
         outcome.least_warning = Some(least.min(warning));
         self.end_transaction(ticket);
