Look at reads that no replica can serve soon in the primary's lanes

A plan looked through all waiting reads for one that no replica covers each time the primary had a free slot. Each request's lane now says whether a replica can serve it soon, and is set anew at each review.

--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -9,7 +9,6 @@
 use crate::EndpointRole;
 use crate::admission::misses_deadline;
 use crate::board::InstanceBoard;
-use crate::board::is_standing;
 use crate::endpoints::EndpointRecord;
 use crate::endpoints::EndpointTable;
 use crate::estimate::EstimateTable;
@@ -19,7 +18,6 @@
 use crate::queue::URGENT_RUN;
 use crate::queue::WaitingQueue;
 use crate::queue::WaitingRequest;
-use crate::routing::CATCH_UP_WAIT;
 use crate::routing::ServingFitness;
 use crate::routing::judge_fitness;
 use crate::settings::ModuleSwitches;
@@ -111,6 +109,21 @@
     bounded: bool,
     /// Whether reads may take the primary's slots although replicas could serve them.
     spill: bool,
+    /// Whether a slot is open to reads that replicas may serve.
+    reads: bool,
+    /// Whether a slot is open to requests that need the primary.
+    writes: bool,
+}
+
+impl ChoicePass {
+    fn looks_at(&self, lane: LaneKind) -> bool {
+        let open = if lane.replica {
+            self.reads
+        } else {
+            self.writes
+        };
+        lane.urgent == self.urgent && open
+    }
 }
 
 /// A walk over the queue in the order of service.
@@ -260,17 +273,31 @@
 
     /// Chooses among requests that no transaction ties: urgent ones first, within bounds.
     fn choose_fresh(&mut self, at: ClockTime, spill: bool) -> Option<PlanCandidate> {
+        let primary = self.has_opening(EndpointRole::Primary, at);
+        let replica = self.has_opening(EndpointRole::Replica, at);
+        let routing = self.input.switches.routing;
         let pass = |urgent, bounded| ChoicePass {
             at,
             urgent,
             bounded,
             spill,
+            reads: replica || (primary && (spill || !routing)),
+            writes: primary,
         };
         self.choose_urgency(pass(true, true))
             .or_else(|| self.choose_urgency(pass(false, true)))
             .or_else(|| self.choose_urgency(pass(true, false)))
     }
 
+    /// Says whether an endpoint of this role has a slot for fresh work.
+    fn has_opening(&self, role: EndpointRole, at: ClockTime) -> bool {
+        let records = self.input.endpoints.records().iter().zip(&self.boards);
+        let mut boards = records.filter(|(record, _)| record.state.role == role);
+        boards.any(|(_, board)| {
+            board.free_slot(at).is_some() && board.is_connected(self.input.now, at)
+        })
+    }
+
     fn choose_urgency(&mut self, pass: ChoicePass) -> Option<PlanCandidate> {
         let mut best: Option<PlanCandidate> = None;
         for customer in 0..self.cursors.len() {
@@ -284,7 +311,7 @@
             }
             for lane in 0..LANES {
                 let kind = LaneKind::from_index(lane);
-                if kind.urgent != pass.urgent || (pass.spill && !self.may_spill(kind)) {
+                if !pass.looks_at(kind) || (pass.spill && !self.may_spill(kind)) {
                     continue;
                 }
                 let Some(candidate) = self.choose_in_lane(customer, lane, account, pass) else {
@@ -376,11 +403,11 @@
         if opens && !board.takes_pin(at) {
             return None;
         }
-        if !request.lane.replica {
+        let primary = record.state.role == EndpointRole::Primary;
+        if primary && !request.lane.replica {
             return Some(false);
         }
-        let primary = record.state.role == EndpointRole::Primary;
-        if primary && !pass.spill && self.input.switches.routing && self.replica_soon(request) {
+        if primary && !pass.spill && self.input.switches.routing {
             return None;
         }
         if board.held(at) < board.usable {
@@ -410,21 +437,6 @@
         }
     }
 
-    /// Says whether a replica that gets ordinary work may serve the request now or very soon.
-    fn replica_soon(&self, request: &WaitingRequest) -> bool {
-        let now = self.input.now;
-        let records = self.input.endpoints.records();
-        records.iter().any(|record| {
-            record.state.role == EndpointRole::Replica
-                && (is_standing(record) || !self.input.switches.health)
-                && match judge_fitness(record, &request.profile, now) {
-                    ServingFitness::Ready => true,
-                    ServingFitness::ReadyAt(moment) => moment <= now + CATCH_UP_WAIT,
-                    ServingFitness::Unfit => false,
-                }
-        })
-    }
-
     /// Says whether reads of a lane may take slots of the primary while replicas could serve them.
     fn may_spill(&self, lane: LaneKind) -> bool {
         if !lane.replica || lane.long || !self.input.switches.routing {
@@ -471,7 +483,7 @@
     /// Says whether a request would miss its deadline on every instance that may serve it.
     fn is_hopeless(&self, request: &WaitingRequest, at: ClockTime) -> bool {
         if !self.input.switches.early_refusal {
-            return false;
+            return request.profile.deadline <= at;
         }
         let runs = (0..self.boards.len())
             .filter(|instance| self.could_serve(request, *instance))
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -21,7 +21,6 @@
 use crate::RequestStep;
 use crate::RequestTicket;
 use ragwort_types::InstanceName;
-use ragwort_types::UrgencyClass;
 use smallvec::SmallVec;
 use std::collections::HashMap;
 
@@ -41,7 +40,7 @@
     pub(crate) urgent: bool,
     /// Whether its requests count as long.
     pub(crate) long: bool,
-    /// Whether its requests may be served by replicas.
+    /// Whether a replica may serve its requests, now or very soon.
     pub(crate) replica: bool,
 }
 
@@ -247,6 +246,14 @@
         Some(request)
     }
 
+    /// Moves a request to another lane.
+    pub(crate) fn change_lane(&mut self, ticket: RequestTicket, lane: LaneKind) {
+        if let Some(mut request) = self.remove(ticket) {
+            request.lane = lane;
+            self.insert(request);
+        }
+    }
+
     fn lane_mut(&mut self, request: &WaitingRequest) -> LaneRef<'_> {
         match request.profile.step {
             RequestStep::Within(_) => LaneRef::Pinned(&mut self.pinned),
@@ -299,12 +306,3 @@
         }
     }
 }
-
-/// Returns the lane of a request, given whether it counts as long.
-pub(crate) fn lane_of(profile: &RequestProfile, long: bool) -> LaneKind {
-    LaneKind {
-        urgent: profile.urgency == UrgencyClass::Urgent,
-        long,
-        replica: profile.allows_replica(),
-    }
-}
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -23,11 +23,12 @@
 use crate::ClockTime;
 use crate::EndpointRole;
 use crate::RequestProfile;
+use crate::board::is_standing;
 use crate::endpoints::EndpointRecord;
 use std::time::Duration;
 
 /// A read waits this long for a replica to catch up before it takes a free slot of the primary.
-pub(crate) const CATCH_UP_WAIT: Duration = Duration::from_millis(3);
+const CATCH_UP_WAIT: Duration = Duration::from_millis(3);
 
 /// How an instance stands to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,3 +79,21 @@
     }
     ServingFitness::ReadyAt(now + age)
 }
+
+/// Says whether a replica that gets ordinary work may serve a request now or very soon.
+pub(crate) fn has_replica_soon(
+    records: &[EndpointRecord],
+    profile: &RequestProfile,
+    now: ClockTime,
+    health: bool,
+) -> bool {
+    let replicas = records
+        .iter()
+        .filter(|record| record.state.role == EndpointRole::Replica);
+    let mut standing = replicas.filter(|record| is_standing(record) || !health);
+    standing.any(|record| match judge_fitness(record, profile, now) {
+        ServingFitness::Ready => true,
+        ServingFitness::ReadyAt(moment) => moment <= now + CATCH_UP_WAIT,
+        ServingFitness::Unfit => false,
+    })
+}
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -165,7 +165,6 @@
         self.mark_long_runs(now);
         self.judge_health(now);
         let mut decisions = std::mem::take(&mut self.pending);
-        self.refuse_stranded(now, &mut decisions);
         self.follow_plan(now, &mut decisions);
         self.open_connections(now, &mut decisions);
         decisions
@@ -179,7 +178,10 @@
         if self.queue.is_empty() {
             return None;
         }
-        Some(self.next_review.max(now + REVIEW_GAP))
+        if self.next_review > now {
+            return Some(self.next_review);
+        }
+        Some(now + REVIEW_GAP)
     }
 
     /// Notes that a dispatched request has ended.
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -26,14 +26,16 @@
 use crate::plan::PlannedStart;
 use crate::plan::next_urgent_run;
 use crate::plan::write_key;
+use crate::queue::LaneKind;
 use crate::queue::WaitingRequest;
-use crate::queue::lane_of;
 use crate::retry::may_repeat;
+use crate::routing::has_replica_soon;
 use crate::scheduler::DispatchedRequest;
 use crate::time::to_micros;
 use ragwort_types::InstanceName;
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
+use ragwort_types::UrgencyClass;
 use std::time::Duration;
 
 /// With this many waiting requests or fewer, each poll plans the whole queue.
@@ -152,23 +154,36 @@
         }
     }
 
-    /// Refuses what waits for something that will not come in time.
-    pub(crate) fn refuse_stranded(
+    /// Refuses what waits for something that will not come in time, and moves reads between the
+    /// replicas' lanes and the primary's as replicas catch up or fall behind.
+    pub(crate) fn review_waiting(
         &mut self,
         now: ClockTime,
         decisions: &mut Vec<SchedulerDecision>,
     ) {
-        let stranded: Vec<(RequestTicket, RefusalCause)> = self
-            .queue
-            .iter()
-            .filter_map(|request| {
-                let cause = self.find_stranding(now, request)?;
-                Some((request.profile.ticket, cause))
-            })
-            .collect();
+        let mut stranded = Vec::new();
+        let mut moved = Vec::new();
+        for request in self.queue.iter() {
+            let ticket = request.profile.ticket;
+            if let Some(cause) = self.find_stranding(now, request) {
+                stranded.push((ticket, cause));
+                continue;
+            }
+            let replica = self.leaves_to_replicas(now, &request.profile);
+            if replica != request.lane.replica {
+                let lane = LaneKind {
+                    replica,
+                    ..request.lane
+                };
+                moved.push((ticket, lane));
+            }
+        }
         for (ticket, cause) in stranded {
             self.refuse_waiting(now, ticket, cause, decisions);
         }
+        for (ticket, lane) in moved {
+            self.queue.change_lane(ticket, lane);
+        }
     }
 
     /// Plans, and carries out what the plan says of the present.
@@ -176,6 +191,11 @@
         if self.queue.is_empty() {
             return;
         }
+        let review = self.queue.len() <= SMALL_QUEUE || now >= self.next_review;
+        if review {
+            self.next_review = now + REVIEW_GAP;
+            self.review_waiting(now, decisions);
+        }
         let plan = DispatchPlan::new(PlanInput {
             now,
             queue: &self.queue,
@@ -186,9 +206,7 @@
             pin_hold: self.pin_hold,
             switches: self.settings.modules,
         });
-        let review = self.queue.len() <= SMALL_QUEUE || now >= self.next_review;
         let steps = if review && self.settings.modules.early_refusal {
-            self.next_review = now + REVIEW_GAP;
             plan.walk_all()
         } else {
             plan.walk_present()
@@ -298,7 +316,11 @@
             RequestStep::Within(opener) => Some(self.find_pin(opener)?),
             RequestStep::Single | RequestStep::Opens => None,
         };
-        let mut lane = lane_of(&profile, estimate.is_long());
+        let mut lane = LaneKind {
+            urgent: profile.urgency == UrgencyClass::Urgent,
+            long: estimate.is_long(),
+            replica: self.leaves_to_replicas(now, &profile),
+        };
         let mut order = profile.deadline.before(estimate.expected());
         if self.settings.modules.hot_callers && pinned_to.is_none() {
             let slots = self.usable_slots();
@@ -322,6 +344,15 @@
         })
     }
 
+    /// Says whether a request is left to the replicas rather than given to the primary.
+    fn leaves_to_replicas(&self, now: ClockTime, profile: &RequestProfile) -> bool {
+        if !profile.allows_replica() || !self.settings.modules.routing {
+            return profile.allows_replica();
+        }
+        let health = self.settings.modules.health;
+        has_replica_soon(self.endpoints.records(), profile, now, health)
+    }
+
     fn find_pin(&self, opener: RequestTicket) -> Result<InstanceName, RefusalCause> {
         match self.endpoints.index_of_pin(opener) {
             Some(index) => Ok(self.endpoints.records()[index].state.instance.clone()),
@@ -387,7 +418,7 @@
             };
         }
         let lost = self.primary_lost?;
-        if request.lane.replica && self.has_replica() {
+        if request.lane.replica {
             return None;
         }
         let back = (lost + PROMOTION_TIME).max(now + PROMOTION_REST);
@@ -397,12 +428,6 @@
         (late && self.settings.modules.early_refusal).then_some(RefusalCause::NoPrimary)
     }
 
-    fn has_replica(&self) -> bool {
-        let mut records = self.endpoints.records().iter();
-        records
-            .any(|record| record.state.role == EndpointRole::Replica && record.takes_fresh_work())
-    }
-
     fn dispatch(
         &mut self,
         now: ClockTime,
@@ -460,7 +485,7 @@
         self.counts.dispatched += 1;
         self.counts.waited_micros += to_micros(now.since(request.arrived));
         self.counts.trials += u64::from(start.trial);
-        if request.lane.replica {
+        if request.profile.allows_replica() {
             self.counts.permitted_reads += 1;
             let replica = record.state.role == EndpointRole::Replica;
             self.counts.replica_reads += u64::from(replica);
