--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -33,6 +33,9 @@
 /// The part of a customer's queue limit that urgent requests have besides it.
 const URGENT_QUEUE_PART: u32 = 4;
 
+/// The wait for which a new request must have time, in percent of the planned wait.
+pub(crate) const NEWCOMER_WAIT_PERCENT: u64 = 125;
+
 /// The shortest time after which a refused caller is told to come back.
 const SHORTEST_RETURN: Duration = Duration::from_millis(20);
 
@@ -74,6 +77,11 @@
     start + expected + margin > deadline
 }
 
+/// Returns when a request is to be expected to start that is planned to wait for `wait`.
+pub(crate) fn stretch_start(now: ClockTime, wait: Duration, percent: u64) -> ClockTime {
+    now + Duration::from_micros(to_micros(wait).saturating_mul(percent) / 100)
+}
+
 /// Says when refused callers are to come back.
 #[derive(Clone, Debug)]
 pub(crate) struct ReturnPlanner {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -23,6 +23,7 @@
 use ragwort_types::InstanceName;
 use smallvec::SmallVec;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// Urgent requests that may go in a row while ordinary ones wait.
 pub(crate) const URGENT_RUN: u32 = 3;
@@ -77,6 +78,8 @@
     pub(crate) arrived: ClockTime,
     /// The instance on which its transaction holds a connection.
     pub(crate) pinned_to: Option<InstanceName>,
+    /// How long it was to wait when it was first planned; none before that.
+    pub(crate) planned_wait: Option<Duration>,
     /// How often it was dispatched before.
     pub(crate) attempts: u32,
 }
@@ -203,6 +206,13 @@
         }
     }
 
+    /// Notes how long the request stored in a slot is to wait.
+    pub(crate) fn note_plan(&mut self, slot: usize, wait: Duration) {
+        if let Some(request) = &mut self.slab[slot] {
+            request.planned_wait.get_or_insert(wait);
+        }
+    }
+
     /// Returns the waiting requests in the order of their store.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
         self.slab.iter().flatten()
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -12,10 +12,12 @@
 use crate::RequestTicket;
 use crate::SchedulerDecision;
 use crate::admission::GROUP_QUEUE_LIMIT;
+use crate::admission::NEWCOMER_WAIT_PERCENT;
 use crate::admission::PROMOTION_REST;
 use crate::admission::PROMOTION_TIME;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
+use crate::admission::stretch_start;
 use crate::connections::connections_to_open;
 use crate::endpoints::ConnectionPin;
 use crate::endpoints::RunningRequest;
@@ -217,7 +219,9 @@
                 PlanAction::Start(start) if start.at == now => {
                     self.dispatch(now, ticket, start, decisions);
                 }
-                PlanAction::Start(_) => {}
+                PlanAction::Start(start) => {
+                    self.judge_newcomer(now, step.slot, start, decisions);
+                }
                 PlanAction::Hopeless => {
                     let cause = RefusalCause::DeadlineOutOfReach;
                     self.refuse_waiting(now, ticket, cause, decisions);
@@ -226,6 +230,33 @@
         }
     }
 
+    /// Refuses a request at its first plan unless there is time for more than the planned wait.
+    ///
+    /// A request that is let in on the edge of its deadline is refused later, with little of its
+    /// time left, as soon as a run before it takes longer than expected.
+    fn judge_newcomer(
+        &mut self,
+        now: ClockTime,
+        slot: usize,
+        start: PlannedStart,
+        decisions: &mut Vec<SchedulerDecision>,
+    ) {
+        let request = self.queue.at(slot);
+        if request.planned_wait.is_some() {
+            return;
+        }
+        let wait = start.at.since(now);
+        let at = stretch_start(now, wait, NEWCOMER_WAIT_PERCENT);
+        let margin = self.estimates.get(request.kind).deviation();
+        if misses_deadline(at, start.expected, margin, request.profile.deadline) {
+            let ticket = request.profile.ticket;
+            let cause = RefusalCause::DeadlineOutOfReach;
+            self.refuse_waiting(now, ticket, cause, decisions);
+            return;
+        }
+        self.queue.note_plan(slot, wait);
+    }
+
     /// Opens connections ahead of need.
     pub(crate) fn open_connections(
         &mut self,
@@ -340,6 +371,7 @@
             order,
             arrived: now,
             pinned_to,
+            planned_wait: None,
             attempts: 0,
         })
     }
