Learn how far waits are stretched by those who overtake

A plan knows only what waits now; others arrive later and overtake. Each customer and sort of request now learns how much longer its requests wait than planned (one in fifty may wait longer still), and a new request needs time for that.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -14,7 +14,9 @@
 //!
 //! The plan of the whole queue says when each request will start. One whose expected end lies
 //! beyond its deadline is refused at that moment, with the whole rest of its time left to the
-//! caller. The expected end includes one mean deviation of its kind's run, because an answer that
+//! caller. Others that arrive later will overtake it, so a new request is let in only if there is
+//! time for a longer wait than the planned one: by a quarter at least, and for each customer and
+//! sort of request by as much as experience says. The expected end includes one mean deviation of its kind's run, because an answer that
 //! comes a little late has cost a slot and helps nobody. Refused callers are told to come back when
 //! the work that is waiting now will have been done, spread over the time that the group needs to
 //! serve all that were refused within the last second: if all came back together, they would be
@@ -33,8 +35,63 @@
 /// The part of a customer's queue limit that urgent requests have besides it.
 const URGENT_QUEUE_PART: u32 = 4;
 
-/// The wait for which a new request must have time, in percent of the planned wait.
-pub(crate) const NEWCOMER_WAIT_PERCENT: u64 = 125;
+/// The wait for which a new request must have time at least, in percent of the planned wait.
+const LEAST_STRETCH_PERCENT: f64 = 125.0;
+
+/// The most for which a new request must have time, in percent of the planned wait.
+const MOST_STRETCH_PERCENT: f64 = 800.0;
+
+/// How far the stretch grows when a request waited longer, in percent of the planned wait.
+const STRETCH_GROWTH: f64 = 10.0;
+
+/// How far the stretch shrinks when a request waited no longer.
+///
+/// The ratio of the two steps lets one request in fifty wait longer than was foreseen.
+const STRETCH_DECAY: f64 = 0.2;
+
+/// Shorter waits teach nothing of how far waits are stretched.
+const LEAST_TEACHING_WAIT: Duration = Duration::from_millis(5);
+
+/// How much longer requests wait than their first plan says, because others overtake them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WaitStretch {
+    percent: f64,
+}
+
+impl Default for WaitStretch {
+    fn default() -> Self {
+        Self {
+            percent: LEAST_STRETCH_PERCENT,
+        }
+    }
+}
+
+impl WaitStretch {
+    /// Returns the wait for which a new request must have time, in percent of the planned wait.
+    pub(crate) fn percent(&self) -> u64 {
+        self.percent as u64
+    }
+
+    /// Learns from a request that waited for `actual` and was planned to wait for `planned`.
+    pub(crate) fn learn(&mut self, planned: Duration, actual: Duration) {
+        if planned < LEAST_TEACHING_WAIT {
+            return;
+        }
+        let percent = actual.as_secs_f64() / planned.as_secs_f64() * 100.0;
+        if percent > self.percent {
+            self.percent = (self.percent + STRETCH_GROWTH).min(MOST_STRETCH_PERCENT);
+        } else {
+            self.relax();
+        }
+    }
+
+    /// Shrinks the stretch a little.
+    ///
+    /// Without this a stretch that refuses every new request would never learn that it is too long.
+    pub(crate) fn relax(&mut self) {
+        self.percent = (self.percent - STRETCH_DECAY).max(LEAST_STRETCH_PERCENT);
+    }
+}
 
 /// The shortest time after which a refused caller is told to come back.
 const SHORTEST_RETURN: Duration = Duration::from_millis(20);
--- a/crates/policy/src/customers.rs
+++ b/crates/policy/src/customers.rs
@@ -3,7 +3,10 @@
 use crate::ClockTime;
 use crate::CustomerTerms;
 use crate::RequestProfile;
+use crate::admission::WaitStretch;
 use crate::hot::HotMarks;
+use crate::queue::LANES;
+use crate::queue::WaitingRequest;
 use ragwort_types::CustomerName;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +24,7 @@
     pub(crate) slot_micros: u64,
     sessions: HotMarks,
     keys: HotMarks,
+    stretches: [WaitStretch; LANES * 2],
 }
 
 impl CustomerRecord {
@@ -38,6 +42,12 @@
         };
         session.max(self.keys.note(now, key, cost, slots))
     }
+
+    /// Returns how far the waits of requests like this one are stretched.
+    pub(crate) fn stretch_mut(&mut self, request: &WaitingRequest) -> &mut WaitStretch {
+        let index = request.lane.index() + if request.delayed { LANES } else { 0 };
+        &mut self.stretches[index]
+    }
 }
 
 /// All customers that a group has seen; an index stays the same for good.
@@ -116,6 +126,7 @@
             slot_micros: 0,
             sessions: HotMarks::default(),
             keys: HotMarks::default(),
+            stretches: [WaitStretch::default(); LANES * 2],
         });
     }
 }
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -12,7 +12,6 @@
 use crate::RequestTicket;
 use crate::SchedulerDecision;
 use crate::admission::GROUP_QUEUE_LIMIT;
-use crate::admission::NEWCOMER_WAIT_PERCENT;
 use crate::admission::PROMOTION_REST;
 use crate::admission::PROMOTION_TIME;
 use crate::admission::misses_deadline;
@@ -223,6 +222,7 @@
                     self.judge_newcomer(now, step.slot, start, decisions);
                 }
                 PlanAction::Hopeless => {
+                    self.learn_hopeless(step.slot);
                     let cause = RefusalCause::DeadlineOutOfReach;
                     self.refuse_waiting(now, ticket, cause, decisions);
                 }
@@ -246,9 +246,14 @@
             return;
         }
         let wait = start.at.since(now);
-        let at = stretch_start(now, wait, NEWCOMER_WAIT_PERCENT);
         let margin = self.estimates.get(request.kind).deviation();
+        let stretch = self
+            .customers
+            .get_mut(request.customer)
+            .stretch_mut(request);
+        let at = stretch_start(now, wait, stretch.percent());
         if misses_deadline(at, start.expected, margin, request.profile.deadline) {
+            stretch.relax();
             let ticket = request.profile.ticket;
             let cause = RefusalCause::DeadlineOutOfReach;
             self.refuse_waiting(now, ticket, cause, decisions);
@@ -257,6 +262,16 @@
         self.queue.note_plan(slot, wait);
     }
 
+    /// Learns that a request was let in and would have waited until it was too late.
+    fn learn_hopeless(&mut self, slot: usize) {
+        let request = self.queue.at(slot);
+        if let Some(planned) = request.planned_wait {
+            let actual = request.profile.deadline.since(request.arrived);
+            let customer = self.customers.get_mut(request.customer);
+            customer.stretch_mut(request).learn(planned, actual);
+        }
+    }
+
     /// Opens connections ahead of need.
     pub(crate) fn open_connections(
         &mut self,
@@ -353,11 +368,13 @@
             replica: self.leaves_to_replicas(now, &profile),
         };
         let mut order = profile.deadline.before(estimate.expected());
+        let mut delayed = false;
         if self.settings.modules.hot_callers && pinned_to.is_none() {
             let slots = self.usable_slots();
             let record = self.customers.get_mut(customer);
             let delay = record.note_request(now, &profile, estimate.expected(), slots);
             order = order + delay;
+            delayed = !delay.is_zero();
         }
         if !self.settings.modules.order {
             lane.urgent = false;
@@ -371,6 +388,7 @@
             order,
             arrived: now,
             pinned_to,
+            delayed,
             planned_wait: None,
             attempts: 0,
         })
@@ -471,6 +489,11 @@
             return;
         };
         request.attempts += 1;
+        if let Some(planned) = request.planned_wait {
+            let customer = self.customers.get_mut(request.customer);
+            let actual = now.since(request.arrived);
+            customer.stretch_mut(&request).learn(planned, actual);
+        }
         let estimate = self.estimates.get(request.kind);
         let ordinary_waits = self.queue.count_lanes(|lane| !lane.urgent) > 0;
         self.ledger.charge(request.customer, start.expected);
