--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -368,9 +368,6 @@
             replica: self.leaves_to_replicas(now, &profile),
         };
         let mut order = profile.deadline.before(estimate.expected());
-        if !estimate.is_long() {
-            order = ClockTime::default() + estimate.expected();
-        }
         let mut delayed = false;
         if self.settings.modules.hot_callers && pinned_to.is_none() {
             let slots = self.usable_slots();
