--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -36,7 +36,7 @@
 const URGENT_QUEUE_PART: u32 = 4;
 
 /// The wait for which a new request must have time at least, in percent of the planned wait.
-const LEAST_STRETCH_PERCENT: f64 = 125.0;
+const LEAST_STRETCH_PERCENT: f64 = 200.0;
 
 /// The most for which a new request must have time, in percent of the planned wait.
 const MOST_STRETCH_PERCENT: f64 = 800.0;
