--- a/crates/policy/examples/load_table.rs
+++ b/crates/policy/examples/load_table.rs
@@ -1,6 +1,7 @@
 //! Prints what callers receive under each load pattern, for the load page.
 //!
-//! Usage: `load_table [SEED]`; without one the seed of the page is used.
+//! Usage: `load_table [SEED [PATTERN]]`; without a seed that of the page is used, and without a
+//! part of a pattern's name all patterns are run.
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -38,10 +39,14 @@
     let argument = env::args().nth(1);
     let seed = argument.and_then(|text| text.parse().ok());
     let seed = seed.unwrap_or(PAGE_SEED);
+    let chosen = env::args().nth(2).unwrap_or_default();
     println!("seed {seed}");
     for user in [UserSize::Omuti, UserSize::Sabarmati] {
         for name in PATTERNS {
             let pattern = name.create(user);
+            if !format!("{user:?} {name:?}").contains(&chosen) {
+                continue;
+            }
             println!("\n{user:?} {name:?}");
             let scheduler = PolicyChoice::Scheduler(ModuleSwitches::default());
             for policy in [PolicyChoice::Plain, scheduler] {
@@ -72,13 +77,13 @@
 
 fn print_line(label: &str, source: &str, part: &SourceOutcome) {
     println!(
-        "  {label:9} {source:24} {:6} in time {:5.1} % late {:5.1} % refused {:5.1} % warning {:6.1} ms (least {:6.1}) p50 {:6.1} p99 {:6.1}",
+        "  {label:9} {source:24} {:6} in time {:5.1} % late {:5.1} % refused {:5.1} % warning {:6.1} ms (short {:4}) p50 {:6.1} p99 {:6.1}",
         part.offered,
         part.in_time_share() * 100.0,
         part.late_share() * 100.0,
         part.refused_share() * 100.0,
         part.mean_warning().as_secs_f64() * 1e3,
-        part.least_warning.unwrap_or_default().as_secs_f64() * 1e3,
+        part.short_warnings,
         part.wait_quantile(0.5).as_secs_f64() * 1e3,
         part.wait_quantile(0.99).as_secs_f64() * 1e3,
     );
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -39,8 +39,10 @@
     pub(crate) trial: bool,
     /// Requests on pinned connections that went in a row while others waited.
     pub(crate) pinned_run: u32,
-    /// The factor by which runs are longer here.
-    pub(crate) slowdown: f64,
+    /// Urgent requests that went in a row while others waited.
+    pub(crate) urgent_run: u32,
+    /// How long runs take here, in percent of what they take elsewhere.
+    pub(crate) slowdown_percent: u64,
 }
 
 impl InstanceBoard {
@@ -65,12 +67,13 @@
             usable: record.state.slots,
             trial: false,
             pinned_run: 0,
-            slowdown: 1.0,
+            urgent_run: record.urgent_run,
+            slowdown_percent: 100,
         };
         if health {
             board.usable = record.health.usable_slots(record.state.slots);
             board.trial = record.health.trial_due(now);
-            board.slowdown = record.health.slowdown();
+            board.slowdown_percent = (record.health.slowdown() * 100.0) as u64;
         }
         if record.state.role == EndpointRole::Unusable {
             return board;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -52,7 +52,6 @@
     pub(crate) counts: SchedulerCounts,
     pub(crate) running: HashMap<RequestTicket, DispatchedRequest>,
     pub(crate) returns: ReturnPlanner,
-    pub(crate) urgent_run: u32,
     pub(crate) next_review: ClockTime,
     pub(crate) primary_lost: Option<ClockTime>,
     pub(crate) pin_hold: Duration,
@@ -91,7 +90,6 @@
             counts: SchedulerCounts::default(),
             running: HashMap::new(),
             returns,
-            urgent_run: 0,
             next_review: ClockTime::default(),
             primary_lost: Some(ClockTime::default()),
             pin_hold: PIN_HOLD_PRIOR,
@@ -167,7 +165,6 @@
         self.mark_long_runs(now);
         self.judge_health(now);
         let mut decisions = std::mem::take(&mut self.pending);
-        self.refuse_stranded(now, &mut decisions);
         self.follow_plan(now, &mut decisions);
         self.open_connections(now, &mut decisions);
         decisions
@@ -181,7 +178,10 @@
         if self.queue.is_empty() {
             return None;
         }
-        Some(self.next_review.max(now + REVIEW_GAP))
+        if self.next_review > now {
+            return Some(self.next_review);
+        }
+        Some(now + REVIEW_GAP)
     }
 
     /// Notes that a dispatched request has ended.
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -16,6 +16,7 @@
 use crate::admission::PROMOTION_TIME;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
+use crate::admission::stretch_start;
 use crate::connections::connections_to_open;
 use crate::endpoints::ConnectionPin;
 use crate::endpoints::RunningRequest;
@@ -26,14 +27,16 @@
 use crate::plan::PlannedStart;
 use crate::plan::next_urgent_run;
 use crate::plan::write_key;
+use crate::queue::LaneKind;
 use crate::queue::WaitingRequest;
-use crate::queue::lane_of;
 use crate::retry::may_repeat;
+use crate::routing::has_replica_soon;
 use crate::scheduler::DispatchedRequest;
 use crate::time::to_micros;
 use ragwort_types::InstanceName;
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
+use ragwort_types::UrgencyClass;
 use std::time::Duration;
 
 /// With this many waiting requests or fewer, each poll plans the whole queue.
@@ -152,23 +155,36 @@
         }
     }
 
-    /// Refuses what waits for something that will not come in time.
-    pub(crate) fn refuse_stranded(
+    /// Refuses what waits for something that will not come in time, and moves reads between the
+    /// replicas' lanes and the primary's as replicas catch up or fall behind.
+    pub(crate) fn review_waiting(
         &mut self,
         now: ClockTime,
         decisions: &mut Vec<SchedulerDecision>,
     ) {
-        let stranded: Vec<(RequestTicket, RefusalCause)> = self
-            .queue
-            .iter()
-            .filter_map(|request| {
-                let cause = self.find_stranding(now, request)?;
-                Some((request.profile.ticket, cause))
-            })
-            .collect();
+        let mut stranded = Vec::new();
+        let mut moved = Vec::new();
+        for request in self.queue.iter() {
+            let ticket = request.profile.ticket;
+            if let Some(cause) = self.find_stranding(now, request) {
+                stranded.push((ticket, cause));
+                continue;
+            }
+            let replica = self.leaves_to_replicas(now, &request.profile);
+            if replica != request.lane.replica {
+                let lane = LaneKind {
+                    replica,
+                    ..request.lane
+                };
+                moved.push((ticket, lane));
+            }
+        }
         for (ticket, cause) in stranded {
             self.refuse_waiting(now, ticket, cause, decisions);
         }
+        for (ticket, lane) in moved {
+            self.queue.change_lane(ticket, lane);
+        }
     }
 
     /// Plans, and carries out what the plan says of the present.
@@ -176,20 +192,22 @@
         if self.queue.is_empty() {
             return;
         }
+        let review = self.queue.len() <= SMALL_QUEUE || now >= self.next_review;
+        if review {
+            self.next_review = now + REVIEW_GAP;
+            self.review_waiting(now, decisions);
+        }
         let plan = DispatchPlan::new(PlanInput {
             now,
             queue: &self.queue,
             endpoints: &self.endpoints,
             estimates: &self.estimates,
             ledger: &self.ledger,
-            urgent_run: self.urgent_run,
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
             switches: self.settings.modules,
         });
-        let review = self.queue.len() <= SMALL_QUEUE || now >= self.next_review;
         let steps = if review && self.settings.modules.early_refusal {
-            self.next_review = now + REVIEW_GAP;
             plan.walk_all()
         } else {
             plan.walk_present()
@@ -200,8 +218,11 @@
                 PlanAction::Start(start) if start.at == now => {
                     self.dispatch(now, ticket, start, decisions);
                 }
-                PlanAction::Start(_) => {}
+                PlanAction::Start(start) => {
+                    self.judge_newcomer(now, step.slot, start, decisions);
+                }
                 PlanAction::Hopeless => {
+                    self.learn_hopeless(step.slot);
                     let cause = RefusalCause::DeadlineOutOfReach;
                     self.refuse_waiting(now, ticket, cause, decisions);
                 }
@@ -209,6 +230,48 @@
         }
     }
 
+    /// Refuses a request at its first plan unless there is time for more than the planned wait.
+    ///
+    /// A request that is let in on the edge of its deadline is refused later, with little of its
+    /// time left, as soon as a run before it takes longer than expected.
+    fn judge_newcomer(
+        &mut self,
+        now: ClockTime,
+        slot: usize,
+        start: PlannedStart,
+        decisions: &mut Vec<SchedulerDecision>,
+    ) {
+        let request = self.queue.at(slot);
+        if request.planned_wait.is_some() {
+            return;
+        }
+        let wait = start.at.since(now);
+        let margin = self.estimates.get(request.kind).deviation();
+        let stretch = self
+            .customers
+            .get_mut(request.customer)
+            .stretch_mut(request);
+        let at = stretch_start(now, wait, stretch.percent());
+        if misses_deadline(at, start.expected, margin, request.profile.deadline) {
+            stretch.relax();
+            let ticket = request.profile.ticket;
+            let cause = RefusalCause::DeadlineOutOfReach;
+            self.refuse_waiting(now, ticket, cause, decisions);
+            return;
+        }
+        self.queue.note_plan(slot, wait);
+    }
+
+    /// Learns that a request was let in and would have waited until it was too late.
+    fn learn_hopeless(&mut self, slot: usize) {
+        let request = self.queue.at(slot);
+        if let Some(planned) = request.planned_wait {
+            let actual = request.profile.deadline.since(request.arrived);
+            let customer = self.customers.get_mut(request.customer);
+            customer.stretch_mut(request).learn(planned, actual);
+        }
+    }
+
     /// Opens connections ahead of need.
     pub(crate) fn open_connections(
         &mut self,
@@ -299,13 +362,19 @@
             RequestStep::Within(opener) => Some(self.find_pin(opener)?),
             RequestStep::Single | RequestStep::Opens => None,
         };
-        let mut lane = lane_of(&profile, estimate.is_long());
+        let mut lane = LaneKind {
+            urgent: profile.urgency == UrgencyClass::Urgent,
+            long: estimate.is_long(),
+            replica: self.leaves_to_replicas(now, &profile),
+        };
         let mut order = profile.deadline.before(estimate.expected());
+        let mut delayed = false;
         if self.settings.modules.hot_callers && pinned_to.is_none() {
             let slots = self.usable_slots();
             let record = self.customers.get_mut(customer);
             let delay = record.note_request(now, &profile, estimate.expected(), slots);
             order = order + delay;
+            delayed = !delay.is_zero();
         }
         if !self.settings.modules.order {
             lane.urgent = false;
@@ -319,10 +388,21 @@
             order,
             arrived: now,
             pinned_to,
+            delayed,
+            planned_wait: None,
             attempts: 0,
         })
     }
 
+    /// Says whether a request is left to the replicas rather than given to the primary.
+    fn leaves_to_replicas(&self, now: ClockTime, profile: &RequestProfile) -> bool {
+        if !profile.allows_replica() || !self.settings.modules.routing {
+            return profile.allows_replica();
+        }
+        let health = self.settings.modules.health;
+        has_replica_soon(self.endpoints.records(), profile, now, health)
+    }
+
     fn find_pin(&self, opener: RequestTicket) -> Result<InstanceName, RefusalCause> {
         match self.endpoints.index_of_pin(opener) {
             Some(index) => Ok(self.endpoints.records()[index].state.instance.clone()),
@@ -388,7 +468,7 @@
             };
         }
         let lost = self.primary_lost?;
-        if request.lane.replica && self.has_replica() {
+        if request.lane.replica {
             return None;
         }
         let back = (lost + PROMOTION_TIME).max(now + PROMOTION_REST);
@@ -398,12 +478,6 @@
         (late && self.settings.modules.early_refusal).then_some(RefusalCause::NoPrimary)
     }
 
-    fn has_replica(&self) -> bool {
-        let mut records = self.endpoints.records().iter();
-        records
-            .any(|record| record.state.role == EndpointRole::Replica && record.takes_fresh_work())
-    }
-
     fn dispatch(
         &mut self,
         now: ClockTime,
@@ -415,15 +489,20 @@
             return;
         };
         request.attempts += 1;
+        if let Some(planned) = request.planned_wait {
+            let customer = self.customers.get_mut(request.customer);
+            let actual = now.since(request.arrived);
+            customer.stretch_mut(&request).learn(planned, actual);
+        }
         let estimate = self.estimates.get(request.kind);
         let ordinary_waits = self.queue.count_lanes(|lane| !lane.urgent) > 0;
-        if request.pinned_to.is_none() {
-            self.urgent_run = next_urgent_run(self.urgent_run, request.lane, ordinary_waits);
-        }
         self.ledger.charge(request.customer, start.expected);
         self.count_dispatch(now, &request, start);
         let record = &mut self.endpoints.records_mut()[start.instance];
         debug_assert!(record.free_slots() > 0, "a statement without a slot");
+        if request.pinned_to.is_none() {
+            record.urgent_run = next_urgent_run(record.urgent_run, request.lane, ordinary_waits);
+        }
         record.running.push(RunningRequest {
             ticket,
             started: now,
@@ -461,7 +540,7 @@
         self.counts.dispatched += 1;
         self.counts.waited_micros += to_micros(now.since(request.arrived));
         self.counts.trials += u64::from(start.trial);
-        if request.lane.replica {
+        if request.profile.allows_replica() {
             self.counts.permitted_reads += 1;
             let replica = record.state.role == EndpointRole::Replica;
             self.counts.replica_reads += u64::from(replica);
