--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,10 +1,12 @@
 //! The daemon of ragwortgate.
 
+pub mod callers;
 pub mod clock;
 pub mod connection;
 pub mod control;
 pub mod disk;
 pub mod gateway;
+pub mod group;
 pub mod leaseholders;
 pub mod logs;
 pub mod member;
@@ -13,6 +15,7 @@
 pub mod peers;
 pub mod platform;
 pub mod server;
+pub mod service;
 pub mod settings;
 mod settings_tree;
 pub mod sockets;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -21,9 +21,9 @@
 use crate::RequestStep;
 use crate::RequestTicket;
 use ragwort_types::InstanceName;
-use ragwort_types::UrgencyClass;
 use smallvec::SmallVec;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// Urgent requests that may go in a row while ordinary ones wait.
 pub(crate) const URGENT_RUN: u32 = 3;
@@ -41,7 +41,7 @@
     pub(crate) urgent: bool,
     /// Whether its requests count as long.
     pub(crate) long: bool,
-    /// Whether its requests may be served by replicas.
+    /// Whether a replica may serve its requests, now or very soon.
     pub(crate) replica: bool,
 }
 
@@ -78,6 +78,10 @@
     pub(crate) arrived: ClockTime,
     /// The instance on which its transaction holds a connection.
     pub(crate) pinned_to: Option<InstanceName>,
+    /// Whether it was ordered later because its session or key is hot.
+    pub(crate) delayed: bool,
+    /// How long it was to wait when it was first planned; none before that.
+    pub(crate) planned_wait: Option<Duration>,
     /// How often it was dispatched before.
     pub(crate) attempts: u32,
 }
@@ -204,6 +208,13 @@
         }
     }
 
+    /// Notes how long the request stored in a slot is to wait.
+    pub(crate) fn note_plan(&mut self, slot: usize, wait: Duration) {
+        if let Some(request) = &mut self.slab[slot] {
+            request.planned_wait.get_or_insert(wait);
+        }
+    }
+
     /// Returns the waiting requests in the order of their store.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
         self.slab.iter().flatten()
@@ -247,6 +258,14 @@
         Some(request)
     }
 
+    /// Moves a request to another lane.
+    pub(crate) fn change_lane(&mut self, ticket: RequestTicket, lane: LaneKind) {
+        if let Some(mut request) = self.remove(ticket) {
+            request.lane = lane;
+            self.insert(request);
+        }
+    }
+
     fn lane_mut(&mut self, request: &WaitingRequest) -> LaneRef<'_> {
         match request.profile.step {
             RequestStep::Within(_) => LaneRef::Pinned(&mut self.pinned),
@@ -299,12 +318,3 @@
         }
     }
 }
-
-/// Returns the lane of a request, given whether it counts as long.
-pub(crate) fn lane_of(profile: &RequestProfile, long: bool) -> LaneKind {
-    LaneKind {
-        urgent: profile.urgency == UrgencyClass::Urgent,
-        long,
-        replica: profile.allows_replica(),
-    }
-}
