Try the whole system under faults of primary and leaseholder

Seven cases with real processes, load and oracle.

Callers read 'not run' from the error's detail, because gateways refuse by other SQLSTATEs than 53xxx and 57P0x as well.

--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -20,6 +20,9 @@
 /// The SQLSTATE of a request that may have run.
 const MAY_HAVE_RUN_STATE: &str = "08007";
 
+/// The detail with which a gateway says that a request was not run, whatever the SQLSTATE.
+const NOT_RUN_DETAIL: &str = "the request was not run";
+
 /// How long opening a connection may take.
 const CONNECT_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -253,11 +256,13 @@
     }
 }
 
-/// Reads a verdict from an error: only a refusal that says when to come back, or that the server
-/// itself is full or leaving, promises that the request did not run.
+/// Reads a verdict from an error: a gateway says in the detail that the request was not run, an
+/// endpoint by its SQLSTATE that it is full, leaving or fenced.
 fn read_error(error: &DbError) -> CallerVerdict {
     let sqlstate = error.code().code();
-    let refused = sqlstate.starts_with("53") || sqlstate.starts_with("57P0");
+    let refused = error.detail() == Some(NOT_RUN_DETAIL)
+        || sqlstate.starts_with("53")
+        || sqlstate.starts_with("57P0");
     match sqlstate {
         MAY_HAVE_RUN_STATE => CallerVerdict::MayHaveRun {
             message: error.message().to_owned(),
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -4,6 +4,7 @@
 use crate::caller::CallerVerdict;
 use crate::caller::GatewayCaller;
 use crate::caller::StatementMarks;
+use crate::caller::is_listening;
 use crate::lab_contract::FRESH_KIND;
 use crate::lab_contract::GRANT_KIND;
 use crate::lab_contract::STATUS_KIND;
@@ -14,6 +15,7 @@
 use crate::sizes::SiteSize;
 use ragwort_types::RequestKey;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
 use std::time::Duration;
@@ -23,6 +25,9 @@
 /// How long the demo's processes may take to be up.
 const UP_PATIENCE: Duration = Duration::from_secs(30);
 
+/// The pause between attempts to form control.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
 /// How long one request of the demo may take.
 const REQUEST_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -46,7 +51,7 @@
     };
     println!("Starting {DEMO_VMS} daemons and 3 endpoints of one database group.");
     let mut set = LabSet::start_processes(settings).await?;
-    let peers = set.daemons[0].peers.to_string();
+    let peers = set.daemons[0].peers;
     let control = DemoControl { binaries, peers };
     control.form().await?;
     set.wait_until_ready(UP_PATIENCE).await?;
@@ -64,16 +69,19 @@
 /// Runs `ragwortctl`.
 struct DemoControl {
     binaries: PathBuf,
-    peers: String,
+    peers: SocketAddr,
 }
 
 impl DemoControl {
     async fn form(&self) -> Result<(), SetFault> {
         let end = Instant::now() + UP_PATIENCE;
+        while !is_listening(self.peers).await && Instant::now() < end {
+            sleep(RETRY_PAUSE).await;
+        }
         loop {
-            match self.run(&["--address", &self.peers, "form"]) {
+            match self.run(&["--address", &self.peers.to_string(), "form"]) {
                 Err(SetFault::Refused(_)) if Instant::now() < end => {
-                    sleep(Duration::from_millis(200)).await;
+                    sleep(RETRY_PAUSE).await;
                 }
                 outcome => return outcome,
             }
@@ -90,7 +98,7 @@
         let file = file.display().to_string();
         self.run(&[
             "--address",
-            &self.peers,
+            &self.peers.to_string(),
             "contract",
             "apply",
             "--wait",
@@ -197,7 +205,7 @@
                     };
                     format!("{role} {} at {}", served.instance, served.position)
                 }
-                None => "an endpoint that was not named".to_owned(),
+                None => "nobody anew: the first run's answer".to_owned(),
             };
             format!(
                 "ran: [{}], served by {server} (term/position)",
--- /dev/null
+++ b/crates/lab/tests/whole.rs
@@ -0,0 +1,253 @@
+//! The whole system as real processes: faults of the primary and of daemons, while callers work and
+//! the oracle watches.
+//!
+//! Each case is bounded in time and ends only the processes that it started.
+
+use ragwort_lab::lab_set::LabSet;
+use ragwort_lab::lab_set::SetSettings;
+use ragwort_lab::load::LoadSettings;
+use ragwort_lab::load::StopFlag;
+use ragwort_lab::load::run_load;
+use ragwort_lab::load_plan::LoadMix;
+use ragwort_lab::load_plan::PlanSettings;
+use ragwort_lab::load_report::LoadReport;
+use ragwort_lab::sizes::SiteSize;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// How long one case may take, its processes' start included.
+const CASE_PATIENCE: Duration = Duration::from_secs(150);
+
+/// How long the group may take to have a successor or to be whole.
+const HEAL_PATIENCE: Duration = Duration::from_secs(45);
+
+/// How long callers work before the fault and after it.
+const WORK_TIME: Duration = Duration::from_millis(1_500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WholeFault {
+    KillPrimary,
+    FreezePrimary,
+    CutPrimary,
+    ForgetConnections,
+    KillLeaseholder,
+    FreezeLeaseholder,
+    DrainLeaseholder,
+}
+
+macro_rules! whole_cases {
+    ($($(#[$doc:meta])* $name:ident => ($fault:ident, $seed:literal);)*) => {$(
+        $(#[$doc])*
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let _alone = TURN.lock().await;
+            let case = run_case(WholeFault::$fault, $seed);
+            timeout(CASE_PATIENCE, case).await.expect("the case never ends");
+        }
+    )*};
+}
+
+whole_cases! {
+    /// The primary's process dies under load. Callers are refused or in doubt for a moment; then a
+    /// successor answers, and nothing acknowledged is gone.
+    primary_is_killed => (KillPrimary, 101);
+    /// The primary stands still and comes back a while later, when another one has replaced it.
+    /// What it still answers must not count.
+    primary_is_frozen_and_thawed => (FreezePrimary, 102);
+    /// The primary is cut off from everybody, goes on by itself, and joins again as a replica.
+    primary_is_cut_off => (CutPrimary, 103);
+    /// Something between proxy and primary loses track of the open connections. They never answer
+    /// again; new ones work, so the primary stays and service goes on.
+    connections_are_forgotten => (ForgetConnections, 104);
+    /// The VM that owns the group's connections dies. Its standby takes over and knows which
+    /// requests ran.
+    leaseholder_is_killed => (KillLeaseholder, 105);
+    /// The leaseholder stands still until it has been replaced. Thawed, it must not answer from
+    /// its old view.
+    leaseholder_is_frozen_and_thawed => (FreezeLeaseholder, 106);
+    /// The leaseholder is asked to end. It hands its groups over and cuts no request in flight.
+    leaseholder_drains => (DrainLeaseholder, 107);
+}
+
+/// The cases run one after the other: each starts nine processes.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+async fn run_case(fault: WholeFault, seed: u64) {
+    let settings = SetSettings {
+        size: SiteSize {
+            vms: 5,
+            ..SiteSize::omuti()
+        },
+        groups: 1,
+        binaries: build_binaries(),
+        keep_folder: false,
+    };
+    let mut set = LabSet::start(settings).await.unwrap();
+    let group = set.group_names()[0];
+    set.wait_until_whole(group, HEAL_PATIENCE).await.unwrap();
+    let load = load_settings(&set, seed);
+    let stop = StopFlag::default();
+    let (report, ()) = tokio::join!(run_load(&load, &stop), async {
+        sleep(WORK_TIME).await;
+        run_fault(&mut set, group, fault).await;
+        sleep(WORK_TIME).await;
+        stop.set();
+    });
+    assert_eq!(report.violations, Vec::<String>::new(), "{report}");
+    assert!(report.checked_appends > 0, "{report}");
+    if fault == WholeFault::DrainLeaseholder {
+        assert!(!is_any_in_doubt(&report), "{report}");
+    }
+    set.stop().await.unwrap();
+}
+
+async fn run_fault(set: &mut LabSet, group: &str, fault: WholeFault) {
+    let primary = set.find_primary(group).await.unwrap();
+    let leaseholder = find_leaseholder(set, group).await;
+    match fault {
+        WholeFault::KillPrimary => {
+            set.kill_endpoint(primary);
+            wait_for_successor(set, group, primary).await;
+            set.replace_endpoint(primary).await.unwrap();
+        }
+        WholeFault::FreezePrimary => {
+            set.endpoint_child(primary).unwrap().freeze().unwrap();
+            wait_for_successor(set, group, primary).await;
+            set.endpoint_child(primary).unwrap().thaw().unwrap();
+        }
+        WholeFault::CutPrimary => {
+            set.set_cut(primary, true).await;
+            wait_for_successor(set, group, primary).await;
+            set.set_cut(primary, false).await;
+        }
+        WholeFault::ForgetConnections => set.forget_connections(primary),
+        WholeFault::KillLeaseholder => {
+            set.kill_daemon(leaseholder);
+            wait_for_other_leaseholder(set, group, leaseholder).await;
+            set.start_daemon(leaseholder).unwrap();
+        }
+        WholeFault::FreezeLeaseholder => {
+            set.daemon_child(leaseholder).unwrap().freeze().unwrap();
+            wait_for_other_leaseholder(set, group, leaseholder).await;
+            set.daemon_child(leaseholder).unwrap().thaw().unwrap();
+        }
+        WholeFault::DrainLeaseholder => {
+            let child = set.daemon_child(leaseholder).unwrap();
+            child.terminate().unwrap();
+            let status = child.wait_for_end(HEAL_PATIENCE).await.unwrap();
+            assert!(status.is_some_and(|status| status.success()), "{status:?}");
+            set.start_daemon(leaseholder).unwrap();
+        }
+    }
+    set.wait_until_ready(HEAL_PATIENCE).await.unwrap();
+    set.wait_until_whole(group, HEAL_PATIENCE).await.unwrap();
+}
+
+async fn wait_for_successor(set: &LabSet, group: &str, old: usize) {
+    let found = timeout(HEAL_PATIENCE, async {
+        while set
+            .find_primary(group)
+            .await
+            .is_none_or(|primary| primary == old)
+        {
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    found.await.expect("no successor");
+}
+
+async fn find_leaseholder(set: &LabSet, group: &str) -> usize {
+    for index in 0..set.daemons.len() {
+        let Some(status) = set.daemon_status(index).await else {
+            continue;
+        };
+        let record = status
+            .groups
+            .iter()
+            .find(|record| record.placement.group.as_str() == group);
+        let holder = record.and_then(|record| {
+            let vm = record.placement.leaseholder.as_str();
+            set.daemons.iter().position(|daemon| daemon.vm == vm)
+        });
+        if let Some(holder) = holder {
+            return holder;
+        }
+    }
+    panic!("no daemon knows the leaseholder");
+}
+
+async fn wait_for_other_leaseholder(set: &LabSet, group: &str, old: usize) {
+    let found = timeout(HEAL_PATIENCE, async {
+        let mut others = (0..set.daemons.len()).filter(|index| *index != old).cycle();
+        loop {
+            let index = others.next().unwrap();
+            let status = set.daemon_status(index).await;
+            let old_vm = &set.daemons[old].vm;
+            let moved = status.is_some_and(|status| {
+                status.groups.iter().any(|record| {
+                    record.placement.group.as_str() == group
+                        && record.placement.leaseholder.as_str() != old_vm
+                })
+            });
+            if moved {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    found.await.expect("the group stays where it was");
+}
+
+fn load_settings(set: &LabSet, seed: u64) -> LoadSettings {
+    LoadSettings {
+        gateways: set.gateways(),
+        group: set.group_names()[0].to_owned(),
+        customers: vec![set.size().customer.to_owned()],
+        plan: PlanSettings {
+            seed,
+            rate: 60.0,
+            duration: CASE_PATIENCE,
+            customers: 1,
+            hot_factor: 1,
+            lists: 4,
+            mix: LoadMix::default(),
+        },
+        sessions: 24,
+        move_every: 15,
+        run_name: format!("whole{seed}"),
+    }
+}
+
+fn is_any_in_doubt(report: &LoadReport) -> bool {
+    let counts = report.classes.values().map(|class| class.counts);
+    counts
+        .map(|counts| counts.maybe_run + counts.unanswered)
+        .any(|count| count > 0)
+}
+
+/// Builds the daemon's program, which a test of this crate alone would not bring up to date, and
+/// returns the folder of all programs.
+fn build_binaries() -> PathBuf {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command.args([
+        "build",
+        "--quiet",
+        "--offline",
+        "-p",
+        "ragwortgated",
+        "-p",
+        "ragwortctl",
+    ]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    assert!(command.status().unwrap().success());
+    let lab = Path::new(env!("CARGO_BIN_EXE_ragwort-lab"));
+    lab.parent().unwrap().to_owned()
+}
