Remove a lost instance from an even set once it was replaced

Cause: the gap runs replace each killed instance; the dead one stayed in the set, which grew to four with a majority of three, so that one more loss would have stopped writes. Ruled out: removing from odd sets, where the majority doesn't get smaller.

--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -76,6 +76,8 @@
     notices: mpsc::Sender<GroupNotice>,
     events: mpsc::Sender<ConnectionEvent>,
     endpoints: BTreeMap<InstanceName, EndpointEntry>,
+    last_heard: BTreeMap<InstanceName, ClockTime>,
+    born: ClockTime,
     connections: BTreeMap<ConnectionId, PoolConnection>,
     next_id: u64,
     children: JoinSet<()>,
@@ -90,11 +92,13 @@
         events: mpsc::Sender<ConnectionEvent>,
     ) -> Self {
         Self {
+            born: context.clock.now(),
             context,
             group,
             notices,
             events,
             endpoints: BTreeMap::new(),
+            last_heard: BTreeMap::new(),
             connections: BTreeMap::new(),
             next_id: 0,
             children: JoinSet::new(),
@@ -105,6 +109,7 @@
     pub fn take_announcement(&mut self, announcement: EndpointAnnouncement) -> bool {
         let heard = self.context.clock.now();
         let instance = announcement.instance.clone();
+        self.last_heard.insert(instance.clone(), heard);
         if let Some(entry) = self.endpoints.get_mut(&instance)
             && entry.announcement.agent_address == announcement.agent_address
             && entry.announcement.data_address == announcement.data_address
@@ -141,6 +146,12 @@
         self.endpoints.values()
     }
 
+    /// Returns how long an instance has not announced itself to this leaseholder.
+    pub fn silent_for(&self, instance: &InstanceName, now: ClockTime) -> Duration {
+        let last = self.last_heard.get(instance).copied();
+        now.since(last.unwrap_or(self.born))
+    }
+
     /// Removes endpoints that have not announced themselves for `limit`.
     pub fn remove_silent(&mut self, limit: Duration) -> Vec<InstanceName> {
         let now = self.context.clock.now();
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -51,6 +51,13 @@
 /// How long a new group's endpoints are gathered before the first one is chosen.
 const GATHER_TIME: Duration = Duration::from_millis(300);
 
+/// How long an instance must be silent before it is taken for lost. A restart of an endpoint takes
+/// less; a longer wait would leave the group with a majority that one more loss breaks.
+const LOST_INSTANCE: Duration = Duration::from_secs(5);
+
+/// The smallest set that a lost instance is removed from: what is left must still be three.
+const SMALLEST_SHRINKING_SET: usize = 4;
+
 /// When the phases of the running promotion ended.
 #[derive(Debug, Default)]
 struct PhaseTimes {
@@ -439,11 +446,21 @@
         joiner.map(|announcement| announcement.instance.clone())
     }
 
+    /// Finds an instance that leaves, or one that is lost and has been replaced.
+    ///
+    /// A lost instance in a set of even size makes the majority larger than it need be: with four
+    /// instances and one lost, the loss of a second would stop all writes. In a set of odd size its
+    /// removal would not make the majority smaller, so it may as well come back.
     fn find_leaver(&self) -> Option<InstanceName> {
+        let now = self.context.clock.now();
+        let count = self.record.instances.len();
+        let replaced = count >= SMALLEST_SHRINKING_SET && count.is_multiple_of(2);
         let mut members = self.record.instances.iter();
         let leaver = members.find(|instance| {
-            let entry = self.pool.endpoint(instance);
-            let leaves = entry.is_some_and(|entry| entry.announcement.status.leaving);
+            let leaves = match self.pool.endpoint(instance) {
+                Some(entry) => entry.announcement.status.leaving,
+                None => replaced && self.pool.silent_for(instance, now) >= LOST_INSTANCE,
+            };
             leaves && self.quorum.may_remove(instance)
         });
         leaver.cloned()
