Control: promotion by a state chart, interpreted and checked

A primary dies or is cut off at any moment of its successor's promotion. The chart charts/promotion.yaml holds the course; a promotion is sent to one instance in a term only, and a lost answer or a refused record leads to the next term. The former primary is passed over only if the others hold all that may have been acknowledged. Writes of a term end as doubtful when its replacement begins.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -37,7 +37,9 @@
 #[macro_use]
 mod invariant;
 
+mod candidate;
 mod catalog;
+mod chart;
 mod clock;
 mod contracts;
 mod copy;
@@ -47,6 +49,7 @@
 mod keys;
 mod lease;
 mod placement;
+mod promotion;
 mod quorum;
 mod recovery;
 mod replica;
@@ -54,6 +57,10 @@
 
 pub use catalog::CatalogState;
 pub use catalog::SnapshotError;
+pub use chart::ChartName;
+pub use chart::ChartStep;
+pub use chart::ChartVocabulary;
+pub use chart::StateChart;
 pub use clock::ClockTime;
 pub use contracts::ChangeLedger;
 pub use contracts::ChangeRecord;
@@ -77,6 +84,18 @@
 pub use placement::load_cap;
 pub use placement::plan_handovers;
 pub use placement::plan_placements;
+pub use promotion::AgentOutcome;
+pub use promotion::FollowOrder;
+pub use promotion::GroupPromotion;
+pub use promotion::PromotionAction;
+pub use promotion::PromotionActions;
+pub use promotion::PromotionEvent;
+pub use promotion::PromotionGuard;
+pub use promotion::PromotionInput;
+pub use promotion::PromotionState;
+pub use promotion::PromotionStep;
+pub use promotion::PromotionVocabulary;
+pub use promotion::promotion_chart;
 pub use quorum::InstanceSet;
 pub use quorum::PositionQuorum;
 pub use quorum::QuorumProgress;
--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -55,12 +55,19 @@
 pub struct PositionQuorum {
     term: GroupTerm,
     primary: Option<InstanceName>,
+    /// Where the term began.
+    start: LogPosition,
     instances: InstanceSet,
     /// A change of the set whose outcome isn't known; both sets have to agree meanwhile.
     proposed: Option<InstanceSet>,
     reports: BTreeMap<InstanceName, InstanceStatus>,
     acknowledged: LogPosition,
-    waiting: BTreeMap<(LogPosition, WriteTicket), ()>,
+    /// The primary's first position that this process saw: a former leaseholder may have
+    /// acknowledged writes up to it. `None` before that.
+    baseline: Option<LogPosition>,
+    waiting: BTreeSet<(LogPosition, WriteTicket)>,
+    /// Whether a promotion has begun; the present term acknowledges nothing any more.
+    suspended: bool,
     last_ticket: u64,
     history: PositionHistory,
     /// The round that reads join; it hasn't begun.
@@ -76,11 +83,14 @@
         Self {
             term: record.term,
             primary: record.primary.clone(),
+            start: record.start,
             instances: record.instances.clone(),
             proposed: None,
             reports: BTreeMap::new(),
             acknowledged: LogPosition::default(),
-            waiting: BTreeMap::new(),
+            baseline: None,
+            waiting: BTreeSet::new(),
+            suspended: false,
             last_ticket: 0,
             history: PositionHistory::default(),
             next_round: RoundId(1),
@@ -102,14 +112,30 @@
         }
         self.instances = record.instances.clone();
         self.primary = record.primary.clone();
+        self.start = record.start;
         if record.term == self.term {
             return Vec::new();
         }
         invariant!(record.term > self.term, "the term fell to {}", record.term);
         self.term = record.term;
         self.confirmations.clear();
+        self.suspended = false;
+        self.abandon_writes()
+    }
+
+    /// Ends the present term, as a promotion begins, and returns the writes that can't be
+    /// acknowledged any more.
+    ///
+    /// A status that was on its way while instances were fenced would otherwise release a write
+    /// after the next primary was recorded.
+    pub fn suspend(&mut self) -> Vec<WriteTicket> {
+        self.suspended = true;
+        self.abandon_writes()
+    }
+
+    fn abandon_writes(&mut self) -> Vec<WriteTicket> {
         let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_keys().map(|(_, ticket)| ticket).collect()
+        waiting.into_iter().map(|(_, ticket)| ticket).collect()
     }
 
     /// Returns the present term.
@@ -142,13 +168,13 @@
     pub fn await_majority(&mut self, position: LogPosition) -> (WriteTicket, QuorumProgress) {
         self.last_ticket += 1;
         let ticket = WriteTicket(self.last_ticket);
-        self.waiting.insert((position, ticket), ());
+        self.waiting.insert((position, ticket));
         (ticket, self.progress())
     }
 
     /// Stops waiting for a write, as when its deadline has passed.
     pub fn give_up(&mut self, ticket: WriteTicket) {
-        self.waiting.retain(|(_, waiting), ()| *waiting != ticket);
+        self.waiting.retain(|(_, waiting)| *waiting != ticket);
     }
 
     /// Returns the number of writes that wait.
@@ -169,6 +195,7 @@
         let counts = self.counts(&status);
         self.reports.insert(instance.clone(), status);
         if counts && self.primary.as_ref() == Some(instance) {
+            self.baseline.get_or_insert(status.position);
             self.history.observe(sent, status.position);
         }
         self.progress()
@@ -182,11 +209,8 @@
     /// Says whether an instance may join the set now: it and a majority hold all that was
     /// acknowledged. An instance that joins empty could help to outvote those that hold it.
     pub fn may_add(&self, instance: &InstanceName) -> bool {
-        let caught_up = self.counted_position(instance);
-        let settled = self
-            .majority_position()
-            .is_some_and(|position| position.covers(self.acknowledged));
-        let caught_up = caught_up.is_some_and(|position| position.covers(self.acknowledged));
+        let settled = self.is_settled(self.majority_position());
+        let caught_up = self.is_settled(self.counted_position(instance));
         self.proposed.is_none() && settled && caught_up && !self.instances.contains(instance)
     }
 
@@ -194,12 +218,19 @@
     /// that was acknowledged.
     pub fn may_remove(&self, instance: &InstanceName) -> bool {
         let rest = self.without(instance);
-        let kept = self.set_position(&rest);
-        let settled = kept.is_some_and(|position| position.covers(self.acknowledged));
+        let settled = self.is_settled(self.set_position(&rest));
         let known = rest.len() < self.instances.len();
         self.proposed.is_none() && settled && known && self.primary.as_ref() != Some(instance)
     }
 
+    /// Says whether a position covers all that this or a former leaseholder acknowledged.
+    fn is_settled(&self, position: Option<LogPosition>) -> bool {
+        let Some((position, baseline)) = position.zip(self.baseline) else {
+            return false;
+        };
+        position.covers(self.acknowledged) && position.covers(baseline)
+    }
+
     /// Notes that an addition was proposed. Until its outcome is known, writes need a majority of
     /// the set with and without the instance.
     pub fn propose_add(&mut self, instance: &InstanceName) {
@@ -296,8 +327,12 @@
         positions.min().flatten()
     }
 
+    /// Says whether an instance holds the present term's log.
+    ///
+    /// One that follows the term but hasn't reached its start yet lacks writes of earlier terms.
     fn counts(&self, status: &InstanceStatus) -> bool {
-        status.fenced_term == self.term && status.position.term == self.term
+        let reached = status.position.index >= self.start.index;
+        status.fenced_term == self.term && status.position.term == self.term && reached
     }
 
     fn without(&self, instance: &InstanceName) -> InstanceSet {
@@ -324,18 +359,18 @@
         let fenced = self.reports.values().map(|status| status.fenced_term);
         let later_term = fenced.max().filter(|fenced| *fenced > self.term);
         let mut released = Vec::new();
-        let Some(majority) = self.majority_position() else {
+        let majority = self.majority_position().filter(|_| !self.suspended);
+        let Some(majority) = majority else {
             return QuorumProgress {
                 released,
                 later_term,
             };
         };
-        while let Some(first) = self.waiting.first_entry() {
-            let (position, ticket) = *first.key();
+        while let Some((position, ticket)) = self.waiting.first().copied() {
             if !majority.covers(position) {
                 break;
             }
-            first.remove();
+            self.waiting.pop_first();
             self.check_release(position);
             self.acknowledged = self.acknowledged.max(position);
             released.push(ticket);
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -4,6 +4,8 @@
 mod common;
 
 mod catalog;
+mod instances;
 mod journal;
 mod membership;
+mod promotion;
 mod quorum;
