--- a/crates/control/tests/state/promotion.rs
+++ b/crates/control/tests/state/promotion.rs
@@ -16,6 +16,7 @@
 use ragwort_control::PromotionAction;
 use ragwort_control::PromotionActions;
 use ragwort_control::PromotionInput;
+use ragwort_control::PromotionState;
 use ragwort_control::QuorumProgress;
 use ragwort_control::WriteTicket;
 use ragwort_control::promotion_chart;
@@ -470,6 +471,31 @@
     }
 }
 
+case! {
+    /// The record of a primary is refused because its instance left the set meanwhile, and the
+    /// delta that shows the begun term arrives afterwards. Promoting again in that term would give
+    /// it two primaries; the next term has to be begun.
+    refused_record_leads_to_the_next_term {
+        let mut model = PromotionModel::new(3);
+        model.expect_recovery();
+        model.actions.clear();
+        let term = model.promotion.term();
+        model.step(RunStep::Suspect);
+        for _ in 0..20 {
+            if model.promotion.state() == PromotionState::Recording {
+                break;
+            }
+            model.step(RunStep::Act { choice: 0, answer_lost: false });
+        }
+        let begun = term.next();
+        let refused = CommandReply::Committed(CatalogOutcome::Stale);
+        model.handle(PromotionInput::RecordAnswered(begun, refused));
+        model.step(RunStep::Learn);
+        assert_eq!(model.promotion.state(), PromotionState::Beginning);
+        assert_eq!(model.promotion.term(), begun.next());
+    }
+}
+
 case! {
     /// A state that forgets an event would leave a group without a primary when failures meet.
     promotion_chart_is_complete {
