Control: random runs of the catalog; split catalog and promotion by concern

1000 runs (seeds from 0x63610000, 120 steps) of racing changes, resends, late admissions, restores and catching copies: each change keeps its first answer, acceptances are linear, each copy equals the agreed state.

--- a/crates/control/src/contracts.rs
+++ b/crates/control/src/contracts.rs
@@ -23,7 +23,7 @@
 /// The digest is compared under one change id only, so 64 bits are enough: two contents that an
 /// operator sends under one id collide by chance once in 2^64 such mistakes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChangeRecord {
+pub(crate) struct ChangeRecord {
     digest: u64,
     answer: ChangeAnswer,
 }
@@ -37,7 +37,7 @@
 
 /// The contracts, and the answer given to each change id.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChangeLedger {
+pub(crate) struct ChangeLedger {
     contracts: BTreeMap<CustomerName, VersionedContract>,
     answers: BTreeMap<ChangeId, ChangeRecord>,
     /// Contracts that were shown as the winner of a conflict, for resends of the loser.
@@ -46,17 +46,17 @@
 
 impl ChangeLedger {
     /// Returns a customer's present contract.
-    pub fn contract(&self, customer: &CustomerName) -> Option<&VersionedContract> {
+    pub(crate) fn contract(&self, customer: &CustomerName) -> Option<&VersionedContract> {
         self.contracts.get(customer)
     }
 
     /// Iterates over the present contracts.
-    pub fn contracts(&self) -> impl Iterator<Item = &VersionedContract> {
+    pub(crate) fn contracts(&self) -> impl Iterator<Item = &VersionedContract> {
         self.contracts.values()
     }
 
     /// Returns the number of change ids whose answers are kept.
-    pub fn answered_changes(&self) -> usize {
+    pub(crate) fn answered_changes(&self) -> usize {
         self.answers.len()
     }
 
--- /dev/null
+++ b/crates/control/src/groups.rs
@@ -0,0 +1,191 @@
+//! How the catalog places groups, changes their instance sets and moves their terms on.
+
+use crate::catalog::CatalogState;
+use crate::catalog::StampedItem;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::GroupPlacement;
+use ragwort_types::GroupRecord;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceChange;
+use ragwort_types::LogPosition;
+use ragwort_types::PlacementEpoch;
+use ragwort_types::PrimaryRecord;
+use ragwort_types::TermStart;
+use smallvec::SmallVec;
+
+impl CatalogState {
+    pub(crate) fn place_group(
+        &mut self,
+        revision: CatalogRevision,
+        placement: &GroupPlacement,
+    ) -> CatalogOutcome {
+        let former = self.groups.get(&placement.group);
+        if let Some(former) = former
+            && former.item.placement == *placement
+        {
+            return CatalogOutcome::Done(former.stamp);
+        }
+        let epoch = former.map_or(PlacementEpoch(0), |former| former.item.placement.epoch);
+        if placement.epoch != epoch.next() || !self.can_serve(placement) {
+            return CatalogOutcome::Stale;
+        }
+        if former.is_none() {
+            self.form_group(placement);
+        }
+        self.change_group(revision, &placement.group, |record| {
+            record.placement = placement.clone();
+        });
+        CatalogOutcome::Done(revision)
+    }
+
+    /// Says whether the placement names distinct present members only.
+    fn can_serve(&self, placement: &GroupPlacement) -> bool {
+        let mut named = vec![&placement.leaseholder];
+        named.extend(&placement.standbys);
+        let present = named.iter().all(|vm| self.members.contains_key(*vm));
+        let count = named.len();
+        named.sort();
+        named.dedup();
+        present && named.len() == count
+    }
+
+    fn form_group(&mut self, placement: &GroupPlacement) {
+        let record = GroupRecord {
+            placement: placement.clone(),
+            term: GroupTerm(0),
+            term_epoch: PlacementEpoch(0),
+            primary: None,
+            start: LogPosition::default(),
+            instances: SmallVec::new(),
+        };
+        self.groups.insert(
+            placement.group.clone(),
+            StampedItem {
+                stamp: CatalogRevision(0),
+                item: record,
+            },
+        );
+    }
+
+    pub(crate) fn add_instance(
+        &mut self,
+        revision: CatalogRevision,
+        change: &InstanceChange,
+    ) -> CatalogOutcome {
+        let Some(former) = self.changeable_group(change) else {
+            return CatalogOutcome::Stale;
+        };
+        if former.item.instances.contains(&change.instance) {
+            return CatalogOutcome::Done(former.stamp);
+        }
+        self.change_group(revision, &change.group, |record| {
+            record.instances.push(change.instance.clone());
+        });
+        CatalogOutcome::Done(revision)
+    }
+
+    pub(crate) fn remove_instance(
+        &mut self,
+        revision: CatalogRevision,
+        change: &InstanceChange,
+    ) -> CatalogOutcome {
+        let Some(former) = self.changeable_group(change) else {
+            return CatalogOutcome::Stale;
+        };
+        if !former.item.instances.contains(&change.instance) {
+            return CatalogOutcome::Done(former.stamp);
+        }
+        // Without its primary or its last instance the set could promise nothing.
+        let is_primary = former.item.primary.as_ref() == Some(&change.instance);
+        if is_primary || former.item.instances.len() == 1 {
+            return CatalogOutcome::Stale;
+        }
+        self.change_group(revision, &change.group, |record| {
+            record.instances.retain(|name| *name != change.instance);
+        });
+        CatalogOutcome::Done(revision)
+    }
+
+    /// Returns the group if its instance set may change under the change's epoch and term.
+    ///
+    /// Between the start of a term and its primary the set stays as it is, so that the majority
+    /// that is being fenced is the majority that acknowledged. A group that never had a primary has
+    /// acknowledged nothing yet.
+    fn changeable_group(&self, change: &InstanceChange) -> Option<&StampedItem<GroupRecord>> {
+        let former = self.groups.get(&change.group)?;
+        let record = &former.item;
+        let current = record.placement.epoch == change.epoch && record.term == change.term;
+        let settled = record.primary.is_some() || !has_had_primary(record);
+        (current && settled).then_some(former)
+    }
+
+    pub(crate) fn begin_term(
+        &mut self,
+        revision: CatalogRevision,
+        start: &TermStart,
+    ) -> CatalogOutcome {
+        let Some(former) = self.groups.get(&start.group) else {
+            return CatalogOutcome::Stale;
+        };
+        let record = &former.item;
+        if record.placement.epoch != start.epoch || record.instances.is_empty() {
+            return CatalogOutcome::Stale;
+        }
+        // Only one leaseholder speaks for an epoch, so this is its own command, sent again.
+        let resent = record.term == start.term && record.term_epoch == start.epoch;
+        if resent && record.primary.is_none() {
+            return CatalogOutcome::Done(former.stamp);
+        }
+        if start.term != record.term.next() {
+            return CatalogOutcome::Stale;
+        }
+        self.change_group(revision, &start.group, |record| {
+            record.term = start.term;
+            record.term_epoch = start.epoch;
+            record.primary = None;
+        });
+        CatalogOutcome::Done(revision)
+    }
+
+    pub(crate) fn record_primary(
+        &mut self,
+        revision: CatalogRevision,
+        primary: &PrimaryRecord,
+    ) -> CatalogOutcome {
+        let Some(former) = self.groups.get(&primary.group) else {
+            return CatalogOutcome::Stale;
+        };
+        let record = &former.item;
+        // A leaseholder of a later epoch can't know which instance its predecessor promoted in
+        // this term. If it recorded another one, the term would have two primaries. It has to
+        // begin a term of its own.
+        let own_term = record.term == primary.term
+            && record.term_epoch == primary.epoch
+            && record.placement.epoch == primary.epoch;
+        let known = record.instances.contains(&primary.primary);
+        let in_term = primary.start.term == primary.term;
+        if !own_term || !known || !in_term {
+            return CatalogOutcome::Stale;
+        }
+        if let Some(recorded) = &record.primary {
+            let same = *recorded == primary.primary && record.start == primary.start;
+            return match same {
+                true => CatalogOutcome::Done(former.stamp),
+                false => CatalogOutcome::Stale,
+            };
+        }
+        self.change_group(revision, &primary.group, |record| {
+            record.primary = Some(primary.primary.clone());
+            record.start = primary.start;
+        });
+        CatalogOutcome::Done(revision)
+    }
+}
+
+/// Says whether a primary was ever recorded for the group.
+///
+/// A term's start carries the term's number, so it is zero only before the first.
+pub(crate) fn has_had_primary(record: &GroupRecord) -> bool {
+    record.start.term > GroupTerm(0)
+}
--- /dev/null
+++ b/crates/control/src/members.rs
@@ -0,0 +1,135 @@
+//! How the catalog takes up and drops members.
+
+use crate::catalog::CatalogState;
+use crate::catalog::ItemKey;
+use crate::catalog::StampedItem;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::GroupName;
+use ragwort_types::GroupPlacement;
+use ragwort_types::MemberId;
+use ragwort_types::MemberRecord;
+use ragwort_types::VmName;
+
+/// The most departed members that are remembered for deltas.
+///
+/// A member that missed more departures than this gets a whole snapshot. With 630 VMs it takes
+/// more than one departure of each to get there.
+const MOST_DEPARTURES: usize = 1_024;
+
+impl CatalogState {
+    pub(crate) fn admit_member(
+        &mut self,
+        revision: CatalogRevision,
+        member: &MemberRecord,
+    ) -> CatalogOutcome {
+        let vm = &member.id.vm;
+        let former = self.members.get(vm);
+        let departed = self.departures.get(vm);
+        match (former, departed) {
+            (Some(former), _) if former.item == *member => {
+                return CatalogOutcome::Done(former.stamp);
+            }
+            // The former process may still hold a lease and lead groups. Admitting its successor
+            // now would let two processes serve a group in one epoch, and both would acknowledge
+            // writes. The former process must be removed first, which waits for its lease's end.
+            (Some(former), _) if former.item.id.incarnation != member.id.incarnation => {
+                return CatalogOutcome::Stale;
+            }
+            // A heartbeat from before the drain, delayed on its way, must not undo the drain.
+            (Some(former), _) if former.item.draining => return CatalogOutcome::Stale,
+            (None, Some(departed)) if departed.item > member.id.incarnation => {
+                return CatalogOutcome::Stale;
+            }
+            _ => {}
+        }
+        if former.is_none() {
+            self.raise_held_epochs(revision, vm);
+        }
+        let former = self.members.get(vm).map(|former| former.stamp);
+        self.members.insert(
+            vm.clone(),
+            StampedItem {
+                stamp: revision,
+                item: member.clone(),
+            },
+        );
+        self.note_change(revision, former, ItemKey::Member(vm.clone()));
+        self.forget_departure(vm);
+        CatalogOutcome::Done(revision)
+    }
+
+    /// Raises the epochs of the groups that still name a returning VM.
+    ///
+    /// The process that joins lacks the journal of the one before it. If it went on under the old
+    /// epoch, a resent request would run a second time. A new epoch makes a leaseholder recover the
+    /// journal from the standbys first, and makes a standby refuse appends that were meant for the
+    /// former process.
+    fn raise_held_epochs(&mut self, revision: CatalogRevision, vm: &VmName) {
+        let names = |placement: &GroupPlacement| {
+            placement.leaseholder == *vm || placement.standbys.contains(vm)
+        };
+        let held: Vec<GroupName> = self
+            .groups()
+            .filter(|record| names(&record.placement))
+            .map(|record| record.placement.group.clone())
+            .collect();
+        for group in held {
+            self.change_group(revision, &group, |record| {
+                record.placement.epoch = record.placement.epoch.next();
+            });
+        }
+    }
+
+    pub(crate) fn remove_member(
+        &mut self,
+        revision: CatalogRevision,
+        id: &MemberId,
+    ) -> CatalogOutcome {
+        let Some(member) = self.members.get(&id.vm) else {
+            return match self.departures.get(&id.vm) {
+                Some(departed) if departed.item == id.incarnation => {
+                    CatalogOutcome::Done(departed.stamp)
+                }
+                _ => CatalogOutcome::Stale,
+            };
+        };
+        if member.item.id != *id {
+            return CatalogOutcome::Stale;
+        }
+        let former = member.stamp;
+        self.members.remove(&id.vm);
+        self.departures.insert(
+            id.vm.clone(),
+            StampedItem {
+                stamp: revision,
+                item: id.incarnation,
+            },
+        );
+        self.forget_change(former, &ItemKey::Member(id.vm.clone()));
+        self.note_change(revision, None, ItemKey::Departure(id.vm.clone()));
+        self.limit_departures();
+        CatalogOutcome::Done(revision)
+    }
+
+    fn forget_departure(&mut self, vm: &VmName) {
+        if let Some(departed) = self.departures.remove(vm) {
+            self.forget_change(departed.stamp, &ItemKey::Departure(vm.clone()));
+        }
+    }
+
+    fn limit_departures(&mut self) {
+        while self.departures.len() > MOST_DEPARTURES {
+            let oldest = self
+                .departures
+                .iter()
+                .min_by_key(|(_, departed)| departed.stamp);
+            let Some((vm, departed)) = oldest else {
+                return;
+            };
+            self.delta_floor = departed.stamp;
+            let vm = vm.clone();
+            self.forget_departure(&vm);
+        }
+    }
+}
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -11,10 +11,17 @@
 
 use crate::ClockTime;
 use crate::candidate::FencedInstances;
-use crate::catalog::has_had_primary;
-use crate::chart::ChartVocabulary;
-use crate::chart::StateChart;
-use crate::chart::chart_names;
+use crate::groups::has_had_primary;
+use crate::promotion_chart::PromotionEvent;
+use crate::promotion_chart::PromotionGuard;
+use crate::promotion_chart::PromotionState;
+use crate::promotion_chart::PromotionStep;
+use crate::promotion_chart::promotion_chart;
+use crate::promotion_message::AgentOutcome;
+use crate::promotion_message::FollowOrder;
+use crate::promotion_message::PromotionAction;
+use crate::promotion_message::PromotionActions;
+use crate::promotion_message::PromotionInput;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CommandReply;
 use ragwort_types::FenceReply;
@@ -27,9 +34,7 @@
 use ragwort_types::PlacementEpoch;
 use ragwort_types::PrimaryRecord;
 use ragwort_types::TermStart;
-use smallvec::SmallVec;
 use std::collections::BTreeMap;
-use std::sync::LazyLock;
 use std::time::Duration;
 
 /// The first wait before an unanswered request is sent again.
@@ -44,202 +49,6 @@
 /// The shortest time between two requests to follow, to one instance.
 pub const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
 
-chart_names! {
-    /// Where a promotion stands.
-    PromotionState {
-        /// The group never had a primary; its instances are being gathered.
-        Forming,
-        /// The present term has its primary.
-        Serving,
-        /// A new term is proposed.
-        Beginning,
-        /// A majority is being fenced.
-        Fencing,
-        /// The candidate is being promoted.
-        Promoting,
-        /// The primary is being recorded.
-        Recording,
-        /// This process doesn't lead the group any more.
-        Stopped,
-    }
-}
-
-chart_names! {
-    /// What happens to a promotion.
-    PromotionEvent {
-        /// The primary is taken for dead.
-        Suspected,
-        /// The group's first instances are gathered.
-        FormationReady,
-        /// The term was committed.
-        TermCommitted,
-        /// The term was refused, as the catalog had changed.
-        TermRefused,
-        /// Whether the term was committed isn't known.
-        TermUnknown,
-        /// An instance was fenced.
-        Fenced,
-        /// An instance didn't answer the fence.
-        FenceFailed,
-        /// An instance knows a later term.
-        LaterTermSeen,
-        /// The candidate was promoted.
-        Promoted,
-        /// The promotion can't have reached the candidate.
-        PromoteNotSent,
-        /// Whether the candidate was promoted isn't known.
-        PromoteUnknown,
-        /// The primary was recorded.
-        PrimaryRecorded,
-        /// The record was refused, as the catalog had changed.
-        RecordRefused,
-        /// Whether the primary was recorded isn't known.
-        RecordUnknown,
-        /// The group's placement has a new epoch, under the same leaseholder.
-        EpochChanged,
-        /// An instance doesn't follow the present term.
-        InstanceBehind,
-        /// The time for a retry has come.
-        RetryDue,
-        /// This process doesn't lead the group any more.
-        LeaseLost,
-    }
-}
-
-chart_names! {
-    /// What a promotion's course depends on.
-    PromotionGuard {
-        /// A majority is fenced; for a group's first primary, all instances.
-        EnoughFenced,
-        /// The instance that knows a later term is the primary.
-        PrimaryRefuses,
-    }
-}
-
-chart_names! {
-    /// What a promotion does; most become a [`PromotionAction`].
-    PromotionStep {
-        /// Proposes the next term.
-        ProposeTerm,
-        /// Fences every instance.
-        FenceAll,
-        /// Fences the instances that haven't answered.
-        FenceRest,
-        /// Chooses a fenced instance and promotes it.
-        PromoteCandidate,
-        /// Counts the candidate as not fenced.
-        DropCandidate,
-        /// Proposes the record of the primary.
-        ProposePrimary,
-        /// Lets the group be served.
-        Serve,
-        /// Stops dispatching, as there is no primary.
-        Suspend,
-        /// Tells all other instances to follow.
-        FollowOthers,
-        /// Tells one instance to follow.
-        FollowInstance,
-        /// Waits for the next retry.
-        ScheduleRetry,
-        /// Ends the machine.
-        Stop,
-    }
-}
-
-/// The names in the promotion chart.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PromotionVocabulary;
-
-impl ChartVocabulary for PromotionVocabulary {
-    type State = PromotionState;
-    type Event = PromotionEvent;
-    type Guard = PromotionGuard;
-    type Action = PromotionStep;
-}
-
-/// Returns the promotion chart.
-pub fn promotion_chart() -> &'static StateChart<PromotionVocabulary> {
-    static CHART: LazyLock<StateChart<PromotionVocabulary>> =
-        LazyLock::new(|| StateChart::from_yaml(include_str!("../charts/promotion.yaml")));
-    &CHART
-}
-
-/// What became of a request to an endpoint's agent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AgentOutcome {
-    /// The agent answered.
-    Answered(FenceReply),
-    /// No connection could be opened: the request can't have reached the agent.
-    NotSent,
-    /// The request was sent and its answer is lost.
-    Unknown,
-}
-
-/// What a promotion is told. Answers carry the term that they were asked for, so that a late one
-/// isn't taken for another's.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PromotionInput {
-    /// The primary of this term is taken for dead.
-    Suspected(GroupTerm),
-    /// The group's first instances are in its set; the first term may begin.
-    FormationReady,
-    /// The answer to [`PromotionAction::ProposeTerm`].
-    TermAnswered(GroupTerm, CommandReply),
-    /// The answer to [`PromotionAction::Fence`].
-    FenceAnswered(InstanceName, GroupTerm, AgentOutcome),
-    /// The answer to [`PromotionAction::Promote`].
-    PromoteAnswered(InstanceName, GroupTerm, AgentOutcome),
-    /// The answer to [`PromotionAction::ProposePrimary`].
-    RecordAnswered(GroupTerm, CommandReply),
-    /// The answer to [`PromotionAction::Follow`].
-    FollowAnswered(InstanceName, GroupTerm, AgentOutcome),
-    /// An instance of the group, in its set or not, reported its status.
-    StatusReported(InstanceName, InstanceStatus),
-    /// The group's record changed in this process's copy of the catalog.
-    RecordChanged(Box<GroupRecord>),
-    /// This process's lease ended, or the group was placed elsewhere.
-    LeaseLost,
-    /// Time has passed; see [`GroupPromotion::retry_at`].
-    Tick,
-}
-
-/// What the caller does for a promotion.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PromotionAction {
-    /// Propose this command to control.
-    ProposeTerm(TermStart),
-    /// Fence an instance at a term.
-    Fence(InstanceName, GroupTerm),
-    /// Promote an instance in a term.
-    Promote(InstanceName, GroupTerm),
-    /// Propose this command to control.
-    ProposePrimary(PrimaryRecord),
-    /// Tell an instance to follow the primary.
-    Follow(FollowOrder),
-    /// Serve the group: this instance is its primary in this term.
-    Serve(InstanceName, GroupTerm),
-    /// Dispatch nothing to the group until it is served again.
-    Suspend,
-    /// Drop the group: this process doesn't lead it any more.
-    Stop,
-}
-
-/// Whom an instance is to follow.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct FollowOrder {
-    /// The instance.
-    pub instance: InstanceName,
-    /// The primary's term.
-    pub term: GroupTerm,
-    /// Where the term began: the instance drops what it has past it from earlier terms.
-    pub start: LogPosition,
-    /// The primary.
-    pub primary: InstanceName,
-}
-
-/// The actions of one input.
-pub type PromotionActions = SmallVec<[PromotionAction; 4]>;
-
 /// The promotion machine of one group, at its leaseholder.
 #[derive(Clone, Debug)]
 pub struct GroupPromotion {
--- a/crates/control/tests/state/catalog.rs
+++ b/crates/control/tests/state/catalog.rs
@@ -1,14 +1,18 @@
 //! Failure tests of the catalog: racing operators, resends, restarts and late commands.
 
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
 use ragwort_control::CatalogCopy;
 use ragwort_control::CatalogState;
 use ragwort_control::DeltaError;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
+use ragwort_types::ContractChange;
 use ragwort_types::GroupName;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::VmName;
+use std::collections::BTreeMap;
 
 use crate::common::CatalogScript;
 use crate::common::contract_change;
@@ -17,6 +21,7 @@
 use crate::common::member;
 use crate::common::placement;
 use crate::common::primary_record;
+use crate::common::run_seeds;
 use crate::common::term_start;
 
 case! {
@@ -203,3 +208,162 @@
         assert_eq!(group.placement.leaseholder, VmName::from("vm-2"));
     }
 }
+
+#[derive(Clone, Copy, Debug)]
+enum CatalogStep {
+    /// An operator sends a change, perhaps again.
+    Change { id: u8, base: u8, share: u8 },
+    /// A process of a VM asks for admission.
+    Admit { vm: u8, incarnation: u8 },
+    /// A process of a VM is removed.
+    Remove { vm: u8, incarnation: u8 },
+    /// A group is placed.
+    Place {
+        epoch: u8,
+        leaseholder: u8,
+        standby: u8,
+    },
+    /// A leaseholder begins a term.
+    Begin { epoch: u8, term: u8 },
+    /// The control VM restarts from its snapshot.
+    Restore,
+    /// The member's copy catches up.
+    Learn,
+}
+
+impl Arbitrary for CatalogStep {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let mut below = |limit: u8| u8::arbitrary(generator) % limit;
+        match below(16) {
+            0..=7 => Self::Change {
+                id: below(40),
+                base: below(6),
+                share: below(2),
+            },
+            8 => Self::Admit {
+                vm: below(4),
+                incarnation: below(4),
+            },
+            9 => Self::Remove {
+                vm: below(4),
+                incarnation: below(4),
+            },
+            10..=11 => Self::Place {
+                epoch: below(8),
+                leaseholder: below(4),
+                standby: below(4),
+            },
+            12 => Self::Begin {
+                epoch: below(8),
+                term: below(4),
+            },
+            13 => Self::Restore,
+            _ => Self::Learn,
+        }
+    }
+}
+
+/// The first answers, as operators would note them.
+#[derive(Default)]
+struct OperatorNotes {
+    answers: BTreeMap<u64, (ContractChange, CatalogOutcome)>,
+    version: u64,
+}
+
+impl OperatorNotes {
+    fn check(&mut self, change: &ContractChange, id: u64, outcome: &CatalogOutcome) {
+        if let Some((first, answer)) = self.answers.get(&id) {
+            match first == change {
+                true => assert_eq!(outcome, answer, "change {id} was answered anew"),
+                false => assert_eq!(*outcome, CatalogOutcome::ChangeIdReused),
+            }
+            return;
+        }
+        let noted = (change.clone(), outcome.clone());
+        self.answers.insert(id, noted);
+        let wins = change.base_version.0 == self.version;
+        match outcome {
+            CatalogOutcome::ContractAccepted(acceptance) => {
+                assert!(wins && acceptance.version.0 == self.version + 1);
+                self.version += 1;
+            }
+            CatalogOutcome::ContractConflict(winner) => {
+                assert!(!wins && winner.version.0 == self.version);
+            }
+            CatalogOutcome::ContractUnknown => assert!(!wins && self.version == 0),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+case! {
+    /// Operators race and resend, daemons restart, late commands arrive, and members and control
+    /// VMs come back from old states. Each change must have one answer for good, and each copy must
+    /// end up equal to the agreed state.
+    random_commands_are_linear_and_copies_agree {
+        let changes = run_seeds(0x6361_0000, 1_000, 120, |steps: Vec<CatalogStep>| {
+            let mut script = CatalogScript::with_members(2);
+            let mut notes = OperatorNotes::default();
+            let mut copy = CatalogCopy::new();
+            for step in steps {
+                run_catalog_step(&mut script, &mut notes, &mut copy, step);
+            }
+            notes.version as usize
+        });
+        assert!(changes > 2_000, "only {changes} changes were accepted");
+    }
+}
+
+fn run_catalog_step(
+    script: &mut CatalogScript,
+    notes: &mut OperatorNotes,
+    copy: &mut CatalogCopy,
+    step: CatalogStep,
+) {
+    match step {
+        CatalogStep::Change { id, base, share } => {
+            let (id, base) = (u64::from(id), u64::from(base));
+            let change = contract_change(id, base, 1 + u32::from(share));
+            let outcome = script.apply(CatalogCommand::ApplyContract(change.clone()));
+            notes.check(&change, id, &outcome);
+        }
+        CatalogStep::Admit { vm, incarnation } => {
+            let member = member(u64::from(vm), u64::from(incarnation));
+            script.apply(CatalogCommand::AdmitMember(member));
+        }
+        CatalogStep::Remove { vm, incarnation } => {
+            let id = member(u64::from(vm), u64::from(incarnation)).id;
+            script.apply(CatalogCommand::RemoveMember(id));
+        }
+        CatalogStep::Place {
+            epoch,
+            leaseholder,
+            standby,
+        } => {
+            let (leader, other) = (format!("vm-{leaseholder}"), format!("vm-{standby}"));
+            let place = placement("cases", u64::from(epoch), &leader, &[&other]);
+            script.apply(CatalogCommand::PlaceGroup(place));
+        }
+        CatalogStep::Begin { epoch, term } => {
+            let (epoch, term) = (u64::from(epoch), u64::from(term));
+            script.apply(CatalogCommand::AddInstance(instance_change(
+                "a", epoch, term,
+            )));
+            script.apply(term_start(epoch, term));
+        }
+        CatalogStep::Restore => {
+            let restored = CatalogState::from_snapshot(&script.state.to_snapshot()).unwrap();
+            assert_eq!(restored, script.state);
+            script.state = restored;
+        }
+        CatalogStep::Learn => {
+            copy.apply_delta(&script.state.delta_since(copy.revision()))
+                .unwrap();
+            let mut whole = CatalogCopy::new();
+            whole
+                .apply_delta(&script.state.delta_since(whole.revision()))
+                .unwrap();
+            assert_eq!(*copy, whole);
+        }
+    }
+}
--- a/crates/control/tests/state/charts.rs
+++ b/crates/control/tests/state/charts.rs
@@ -1,16 +1,16 @@
 //! Checks that the state charts are complete.
 
 use ragwort_control::ChartName;
-use ragwort_control::ConnectionAction;
-use ragwort_control::ConnectionEvent;
-use ragwort_control::ConnectionGuard;
-use ragwort_control::ConnectionState;
-use ragwort_control::ConnectionVocabulary;
 use ragwort_control::StateChart;
-use ragwort_control::connection_chart;
-use ragwort_control::drain_chart;
-use ragwort_control::membership_chart;
 use ragwort_control::promotion_chart;
+use ragwort_control::vocabulary::ConnectionAction;
+use ragwort_control::vocabulary::ConnectionEvent;
+use ragwort_control::vocabulary::ConnectionGuard;
+use ragwort_control::vocabulary::ConnectionState;
+use ragwort_control::vocabulary::ConnectionVocabulary;
+use ragwort_control::vocabulary::connection_chart;
+use ragwort_control::vocabulary::drain_chart;
+use ragwort_control::vocabulary::membership_chart;
 
 case! {
     /// A state that forgets an event leaves a group without a primary, a shutdown that never ends
