--- a/crates/control/src/contracts.rs
+++ b/crates/control/src/contracts.rs
@@ -5,10 +5,11 @@
 //! be told of a conflict with a change that was built on its own success, and the operator would
 //! apply it a second time. So every answer is kept, compactly, for good.
 
-use crate::digest::digest_bytes;
+use crate::answers::AnswerTable;
+use crate::answers::ChangeAnswer;
+use crate::answers::FoundAnswer;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
-use ragwort_types::ChangeId;
 use ragwort_types::ContractAcceptance;
 use ragwort_types::ContractChange;
 use ragwort_types::ContractVersion;
@@ -18,28 +19,11 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
-/// What is kept of one answered change.
-///
-/// The digest is compared under one change id only, so 64 bits are enough: two contents that an
-/// operator sends under one id collide by chance once in 2^64 such mistakes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ChangeRecord {
-    digest: u64,
-    answer: ChangeAnswer,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-enum ChangeAnswer {
-    Accepted(ContractVersion, CatalogRevision),
-    Conflict(ContractVersion),
-    Unknown,
-}
-
 /// The contracts, and the answer given to each change id.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ChangeLedger {
     contracts: BTreeMap<CustomerName, VersionedContract>,
-    answers: BTreeMap<ChangeId, ChangeRecord>,
+    answers: AnswerTable,
     /// Contracts that were shown as the winner of a conflict, for resends of the loser.
     winners: BTreeMap<CustomerName, BTreeMap<ContractVersion, VersionedContract>>,
 }
@@ -72,28 +56,19 @@
             let words = faults.iter().map(ToString::to_string).collect();
             return CatalogOutcome::ContractFaulty(words);
         }
-        let digest = digest_change(change);
-        if let Some(record) = self.answers.get(&change.change_id) {
-            return self.repeat_answer(record, digest, change);
-        }
-        let answer = self.decide_change(revision, change);
-        let record = ChangeRecord { digest, answer };
-        self.answers.insert(change.change_id, record);
+        let content = content_text(change);
+        let answer = match self.answers.find(change.change_id, &content) {
+            Some(FoundAnswer::OtherContent) => return CatalogOutcome::ChangeIdReused,
+            Some(FoundAnswer::Same(answer)) => answer,
+            None => {
+                let answer = self.decide_change(revision, change);
+                self.answers.insert(change.change_id, &content, answer);
+                answer
+            }
+        };
         self.outcome(&answer, &change.contract.customer)
     }
 
-    fn repeat_answer(
-        &self,
-        record: &ChangeRecord,
-        digest: u64,
-        change: &ContractChange,
-    ) -> CatalogOutcome {
-        if record.digest != digest {
-            return CatalogOutcome::ChangeIdReused;
-        }
-        self.outcome(&record.answer, &change.contract.customer)
-    }
-
     fn decide_change(
         &mut self,
         revision: CatalogRevision,
@@ -148,8 +123,8 @@
     }
 }
 
-fn digest_change(change: &ContractChange) -> u64 {
+/// Returns what has to be the same in each resend of a change.
+fn content_text(change: &ContractChange) -> String {
     let content = (&change.base_version, &change.contract);
-    let text = serde_json::to_string(&content).expect("a contract has text keys only");
-    digest_bytes(text.bytes())
+    serde_json::to_string(&content).expect("a contract has text keys only")
 }
--- a/crates/control/src/digest.rs
+++ b/crates/control/src/digest.rs
@@ -8,3 +8,10 @@
     let mix = |digest: u64, byte: u8| (digest ^ u64::from(byte)).wrapping_mul(PRIME);
     bytes.fold(OFFSET_BASIS, mix)
 }
+
+/// Spreads a digest's differences over all of its bits.
+pub(crate) fn mix_bits(digest: u64) -> u64 {
+    let digest = (digest ^ (digest >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let digest = (digest ^ (digest >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    digest ^ (digest >> 31)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -37,6 +37,7 @@
 #[macro_use]
 mod invariant;
 
+mod answers;
 mod candidate;
 mod catalog;
 mod chart;
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -11,6 +11,8 @@
 
 use crate::CatalogCopy;
 use crate::CatalogState;
+use crate::digest::digest_bytes;
+use crate::digest::mix_bits;
 use ragwort_types::DomainName;
 use ragwort_types::GroupName;
 use ragwort_types::GroupPlacement;
@@ -267,12 +269,5 @@
 /// Returns a VM's rendezvous score for a group; the same on every VM and in every build.
 fn score(group: &GroupName, vm: &VmName) -> u64 {
     let name = group.as_str().bytes().chain([0]).chain(vm.as_str().bytes());
-    mix_bits(crate::digest::digest_bytes(name))
-}
-
-/// Spreads a digest's differences over all bits, as the order of scores needs the high ones.
-fn mix_bits(digest: u64) -> u64 {
-    let digest = (digest ^ (digest >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let digest = (digest ^ (digest >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    digest ^ (digest >> 31)
+    mix_bits(digest_bytes(name))
 }
--- a/crates/control/tests/state/catalog.rs
+++ b/crates/control/tests/state/catalog.rs
@@ -16,6 +16,7 @@
 
 use crate::common::CatalogScript;
 use crate::common::contract_change;
+use crate::common::customer_change;
 use crate::common::formed_group;
 use crate::common::instance_change;
 use crate::common::member;
@@ -58,6 +59,29 @@
     }
 }
 
+case! {
+    /// Years of changes have been made when an operator resends an old one. It still gets its first
+    /// answer, also from a control VM that restarted from a snapshot in between.
+    resend_after_thousands_of_changes_repeats_its_answer {
+        let mut script = CatalogScript::with_members(1);
+        let mut answers = Vec::new();
+        for number in 0..9_000 {
+            let base = number - number % 3;
+            let change = customer_change("omuti", number, base / 3, 1);
+            let command = CatalogCommand::ApplyContract(change);
+            answers.push((command.clone(), script.apply(command)));
+        }
+        assert_eq!(script.state.answered_changes(), 9_000);
+        let mut restored = CatalogScript::with_members(1);
+        restored.state = CatalogState::from_snapshot(&script.state.to_snapshot()).unwrap();
+        for (command, answer) in answers.iter().step_by(7) {
+            let revision = CatalogRevision(100_000);
+            assert_eq!(script.state.apply(revision, command), *answer);
+            assert_eq!(restored.state.apply(revision, command), *answer);
+        }
+    }
+}
+
 case! {
     /// An operator edits a change but keeps its id. Taking the old answer for the new content
     /// would tell the operator that limits are in force that never were.
