--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -4,6 +4,10 @@
 mod common;
 
 mod catalog;
+mod charts;
+mod detector;
+mod instances;
 mod journal;
 mod membership;
+mod promotion;
 mod quorum;
