Let the detector say when the primary is dead

Before: one failed call and one refused connection were enough, whoever else reached the primary. Now probes over the open link, over new connections and from the standbys go to the detector.

--- a/crates/daemon/src/group/handover.rs
+++ b/crates/daemon/src/group/handover.rs
@@ -12,6 +12,7 @@
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CommandReply;
 use ragwort_types::GroupPlacement;
+use ragwort_types::VmName;
 use std::time::Duration;
 
 /// How often the leaseholder looks whether the group should move.
@@ -59,6 +60,27 @@
         let Some(plan) = plans.into_iter().find(|plan| plan.group == self.group) else {
             return;
         };
+        self.begin_handover(plan);
+    }
+
+    /// Hands the group over to a standby that reaches the primary, which this VM doesn't.
+    pub(super) fn hand_over_to(&mut self, standby: &VmName) {
+        if self.handover.plan.is_some() || !self.may_act() {
+            return;
+        }
+        let present = &self.record.placement;
+        let others = present.standbys.iter().filter(|vm| *vm != standby);
+        let own = std::iter::once(&present.leaseholder);
+        let plan = GroupPlacement {
+            group: self.group.clone(),
+            epoch: present.epoch.next(),
+            leaseholder: standby.clone(),
+            standbys: others.chain(own).cloned().collect(),
+        };
+        self.begin_handover(plan);
+    }
+
+    fn begin_handover(&mut self, plan: GroupPlacement) {
         log_event!(
             Level::Info,
             "handover_begun",
@@ -66,7 +88,7 @@
             successor = plan.leaseholder,
         );
         self.handover.plan = Some(plan);
-        self.handover.begun = now;
+        self.handover.begun = self.context.clock.now();
         self.handing_over = true;
     }
 
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -29,6 +29,7 @@
 use log::Level;
 use notice::GroupNotice;
 use pool::EndpointPool;
+use probing::PrimaryWatch;
 use promoting::PromotionDriver;
 use ragwort_control::ClockTime;
 use ragwort_control::GroupJournal;
@@ -134,7 +135,7 @@
     transactions: HashMap<TransactionId, OpenTransaction>,
     resends: HashMap<KeyedRequest, Vec<ResendWaiter>>,
     writes: HashMap<WriteTicket, RequestTicket>,
-    primary_heard: ClockTime,
+    watch: Option<PrimaryWatch>,
     round_running: Option<(RoundId, ClockTime)>,
     confirmed_round: RoundId,
     last_ticket: u64,
@@ -185,7 +186,7 @@
         transactions: HashMap::new(),
         resends: HashMap::new(),
         writes: HashMap::new(),
-        primary_heard: ClockTime::default(),
+        watch: None,
         round_running: None,
         confirmed_round: RoundId(0),
         last_ticket: 0,
@@ -267,7 +268,8 @@
             GroupNotice::JournalCopy(vm, source) => self.take_journal_copy(&vm, source),
             GroupNotice::Command(command, reply) => self.take_command_reply(*command, reply),
             GroupNotice::Order(report) => self.take_order_report(report),
-            GroupNotice::Probe(report) => self.take_probe_report(report),
+            GroupNotice::Probe(report) => self.take_probe_report(&report),
+            GroupNotice::StandbyProbe(probe) => self.take_standby_probe(&probe),
         }
     }
 
@@ -394,6 +396,7 @@
             self.refresh_endpoint(&instance);
         }
         self.tick_promotion();
+        self.tick_detector();
         self.tick_handover();
         self.restart_lost_round();
         if self.ticks.is_multiple_of(PRUNE_TICKS) {
--- a/crates/daemon/src/group/notice.rs
+++ b/crates/daemon/src/group/notice.rs
@@ -3,6 +3,8 @@
 use ragwort_control::AgentOutcome;
 use ragwort_control::ClockTime;
 use ragwort_control::JournalSource;
+use ragwort_control::ProbeOutcome;
+use ragwort_control::ProbeView;
 use ragwort_control::RoundId;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CommandReply;
@@ -30,6 +32,8 @@
     Order(OrderReport),
     /// A probe of the primary ended.
     Probe(ProbeReport),
+    /// A standby says whether it reaches the primary.
+    StandbyProbe(StandbyProbe),
 }
 
 /// An agent's answer to a request for its status.
@@ -91,11 +95,26 @@
     pub outcome: AgentOutcome,
 }
 
-/// The end of a probe over a new connection.
+/// What became of a probe of the primary.
 #[derive(Debug)]
 pub struct ProbeReport {
     /// The probed instance.
     pub instance: InstanceName,
-    /// Whether it answered.
-    pub answered: bool,
+    /// Which connection the probe went through.
+    pub view: ProbeView,
+    /// What became of it so far.
+    pub outcome: ProbeOutcome,
+}
+
+/// A standby's view of the primary.
+#[derive(Debug)]
+pub struct StandbyProbe {
+    /// The probed instance.
+    pub instance: InstanceName,
+    /// The standby.
+    pub vm: VmName,
+    /// When it was asked.
+    pub asked: ClockTime,
+    /// Whether it reaches the instance.
+    pub reachable: bool,
 }
--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -1,53 +1,241 @@
 //! Tells a dead primary from a slow one, or from a connection that has gone silent.
+//!
+//! The detector decides; this module sends its probes and brings the answers back.
 
 use super::GroupTask;
 use super::notice::AgentReport;
 use super::notice::GroupNotice;
 use super::notice::ProbeReport;
+use super::notice::StandbyProbe;
+use crate::log_event;
+use crate::peers::LinkError;
+use crate::peers::probe_accept;
+use crate::peers::probe_answer;
+use jsonrpsee::ws_client::WsClient;
+use log::Level;
+use ragwort_control::ClockTime;
+use ragwort_control::DetectorAction;
+use ragwort_control::PrimaryDetector;
+use ragwort_control::PrimaryVerdict;
+use ragwort_control::ProbeOutcome;
+use ragwort_control::ProbeView;
+use ragwort_types::InstanceName;
+use ragwort_types::rpc::AgentApiClient;
+use ragwort_types::rpc::PeerApiClient;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+/// How long the answer to a probe is waited for at most. A late answer still shows that the primary
+/// lives, so the wait is longer than the detector's patience with a hung one.
+const LATE_ANSWER: Duration = Duration::from_millis(1_200);
+
+/// The detector of the present primary.
+#[derive(Debug)]
+pub(super) struct PrimaryWatch {
+    instance: InstanceName,
+    detector: PrimaryDetector,
+}
+
 impl GroupTask {
-    /// Takes an agent's report; silence of the primary begins a probe over a new connection.
+    /// Takes an agent's report.
     pub(super) fn take_agent_report(&mut self, report: AgentReport) {
         match report.status {
             Some(status) => {
                 if self.record.primary.as_ref() == Some(&report.instance) {
-                    self.primary_heard = self.context.clock.now();
+                    self.note_probe(
+                        &report.instance,
+                        ProbeView::OpenConnection,
+                        ProbeOutcome::Answered,
+                    );
                 }
                 self.take_status(&report.instance, report.asked, status);
             }
-            None => {
-                self.quorum.forget(&report.instance);
-                if self.record.primary.as_ref() == Some(&report.instance) {
-                    self.probe_primary();
-                }
-            }
+            None => self.quorum.forget(&report.instance),
         }
     }
 
-    fn probe_primary(&mut self) {
-        let Some(instance) = self.record.primary.clone() else {
+    /// Probes the primary as the detector asks, and follows its verdict.
+    pub(super) fn tick_detector(&mut self) {
+        if !self.is_serving() || !self.may_act() {
+            self.watch = None;
+            return;
+        }
+        let Some(primary) = self.record.primary.clone() else {
             return;
         };
-        let Some(entry) = self.pool.endpoint(&instance) else {
+        let now = self.context.clock.now();
+        let known = self
+            .watch
+            .as_ref()
+            .is_some_and(|watch| watch.instance == primary);
+        if !known {
+            let detector = PrimaryDetector::new(now, &self.record.placement.standbys);
+            self.watch = Some(PrimaryWatch {
+                instance: primary.clone(),
+                detector,
+            });
+        }
+        let actions = match &mut self.watch {
+            Some(watch) => watch.detector.tick(now),
+            None => return,
+        };
+        for action in actions {
+            self.send_probe(&primary, action);
+        }
+        self.follow_verdict(&primary);
+    }
+
+    fn follow_verdict(&mut self, primary: &InstanceName) {
+        let now = self.context.clock.now();
+        let Some(watch) = &self.watch else {
+            return;
+        };
+        match watch.detector.verdict(now) {
+            PrimaryVerdict::Alive | PrimaryVerdict::Doubtful => {}
+            PrimaryVerdict::OpenConnectionsDead => self.reopen_connections(primary),
+            PrimaryVerdict::ReachableFrom(vm) => self.hand_over_to(&vm),
+            PrimaryVerdict::Suspected(grounds) => {
+                log_event!(
+                    Level::Warn,
+                    "primary_suspected",
+                    group = self.group,
+                    instance = primary,
+                    silent_ms = grounds.silent_for.as_millis(),
+                    new_connection = format!("{:?}", grounds.new_connection),
+                    agreeing = grounds.agreeing.len(),
+                    unheard = grounds.unheard.len(),
+                );
+                let micros = now.0.saturating_sub(grounds.silent_for.as_micros() as u64);
+                self.watch = None;
+                self.suspect_primary(ClockTime(micros));
+            }
+        }
+    }
+
+    /// Replaces everything that is open to the primary: something on the path has forgotten it.
+    fn reopen_connections(&mut self, primary: &InstanceName) {
+        log_event!(
+            Level::Warn,
+            "connections_silent",
+            group = self.group,
+            instance = primary,
+        );
+        self.pool.ping_idle(primary);
+        if let Some(entry) = self.pool.endpoint(primary) {
+            let address = entry.announcement.agent_address;
+            let links = self.context.links.clone();
+            self.children
+                .spawn(async move { links.reopen(address).await });
+        }
+        self.watch = None;
+    }
+
+    fn send_probe(&mut self, primary: &InstanceName, action: DetectorAction) {
+        let Some(entry) = self.pool.endpoint(primary) else {
             return;
         };
         let address = entry.announcement.agent_address;
+        match action {
+            DetectorAction::ProbeOpen => self.probe_open(primary, address),
+            DetectorAction::ProbeNew => self.probe_new(primary, address),
+            DetectorAction::AskStandbys => self.ask_standbys(primary, address),
+        }
+    }
+
+    fn probe_open(&mut self, primary: &InstanceName, address: SocketAddr) {
         let links = self.context.links.clone();
         let notices = self.notices.clone();
-        let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms);
+        let instance = primary.clone();
         self.children.spawn(async move {
-            let answered = links.probe_fresh(address, limit).await;
-            let report = ProbeReport { instance, answered };
+            let call = |client: Arc<WsClient>| async move { client.status().await };
+            let outcome = match links.call(address, LATE_ANSWER, call).await {
+                Ok(_) => ProbeOutcome::Answered,
+                Err(LinkError::Unreachable) => ProbeOutcome::Refused,
+                Err(_) => ProbeOutcome::Silent,
+            };
+            let report = ProbeReport {
+                instance,
+                view: ProbeView::OpenConnection,
+                outcome,
+            };
             let _ = notices.send(GroupNotice::Probe(report)).await;
         });
     }
 
+    fn probe_new(&mut self, primary: &InstanceName, address: SocketAddr) {
+        let notices = self.notices.clone();
+        let instance = primary.clone();
+        let timing = &self.context.settings.timing;
+        let accept = Duration::from_millis(timing.probe_timeout_ms);
+        self.children.spawn(async move {
+            let report = |outcome| {
+                GroupNotice::Probe(ProbeReport {
+                    instance: instance.clone(),
+                    view: ProbeView::NewConnection,
+                    outcome,
+                })
+            };
+            if let Err(outcome) = probe_accept(address, accept).await {
+                let _ = notices.send(report(outcome)).await;
+                return;
+            }
+            let _ = notices.send(report(ProbeOutcome::Accepted)).await;
+            if probe_answer(address, LATE_ANSWER).await {
+                let _ = notices.send(report(ProbeOutcome::Answered)).await;
+            }
+        });
+    }
+
+    fn ask_standbys(&mut self, primary: &InstanceName, address: SocketAddr) {
+        let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms * 2);
+        for vm in self.record.placement.standbys.clone() {
+            let member = self.view.borrow().copy.member(&vm).cloned();
+            let Some(member) = member else {
+                continue;
+            };
+            let links = self.context.links.clone();
+            let notices = self.notices.clone();
+            let instance = primary.clone();
+            let asked = self.context.clock.now();
+            self.children.spawn(async move {
+                let call =
+                    |client: Arc<WsClient>| async move { client.probe_instance(address).await };
+                if let Ok(reachable) = links.call(member.peer_address, limit, call).await {
+                    let probe = StandbyProbe {
+                        instance,
+                        vm,
+                        asked,
+                        reachable,
+                    };
+                    let _ = notices.send(GroupNotice::StandbyProbe(probe)).await;
+                }
+            });
+        }
+    }
+
     /// Takes the end of a probe.
-    pub(super) fn take_probe_report(&mut self, report: ProbeReport) {
-        let primary = self.record.primary.as_ref() == Some(&report.instance);
-        if primary && !report.answered {
-            self.suspect_primary(self.primary_heard);
+    pub(super) fn take_probe_report(&mut self, report: &ProbeReport) {
+        self.note_probe(&report.instance, report.view, report.outcome);
+    }
+
+    /// Takes a standby's view of the primary.
+    pub(super) fn take_standby_probe(&mut self, probe: &StandbyProbe) {
+        if let Some(watch) = &mut self.watch
+            && watch.instance == probe.instance
+        {
+            watch
+                .detector
+                .note_standby(probe.asked, &probe.vm, probe.reachable);
+        }
+    }
+
+    fn note_probe(&mut self, instance: &InstanceName, view: ProbeView, outcome: ProbeOutcome) {
+        let now = self.context.clock.now();
+        if let Some(watch) = &mut self.watch
+            && watch.instance == *instance
+        {
+            watch.detector.note_probe(now, view, outcome);
         }
     }
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,6 +7,7 @@
 use jsonrpsee::ws_client::PingConfig;
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
+use ragwort_control::ProbeOutcome;
 use std::collections::HashMap;
 use std::fmt;
 use std::future::Future;
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::timeout;
 
@@ -106,11 +108,6 @@
         }
     }
 
-    /// Says whether a *new* connection to `address` can be had within `limit`.
-    pub async fn probe_fresh(&self, address: SocketAddr, limit: Duration) -> bool {
-        matches!(timeout(limit, open_client(address, limit)).await, Ok(Ok(_)))
-    }
-
     /// Closes the link to `address`, so that the next call opens a new one.
     pub async fn reopen(&self, address: SocketAddr) {
         let slot = self.slot(address);
@@ -149,6 +146,24 @@
     }
 }
 
+/// Says how a *new* connection to `address` ends that may take `limit` to be accepted.
+///
+/// # Errors
+///
+/// Returns how the attempt ended: refused by a live system, or silent.
+pub async fn probe_accept(address: SocketAddr, limit: Duration) -> Result<(), ProbeOutcome> {
+    match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(_)) => Err(ProbeOutcome::Refused),
+        Err(_) => Err(ProbeOutcome::Silent),
+    }
+}
+
+/// Says whether the other side answers a handshake on a *new* connection within `limit`.
+pub async fn probe_answer(address: SocketAddr, limit: Duration) -> bool {
+    matches!(timeout(limit, open_client(address, limit)).await, Ok(Ok(_)))
+}
+
 async fn open_client(address: SocketAddr, limit: Duration) -> Result<WsClient, ClientError> {
     WsClientBuilder::default()
         .connection_timeout(limit)
