Control: late answers of a replaced primary, restarted instances

A write's answer that was held up until the next primary served would have been released at once, as any position of the new term covers it: it is abandoned now. A restarted primary that only answers as a replica is suspected, and followers are told again every two seconds, as they may have restarted and forgotten whom to follow.

--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -49,6 +49,10 @@
 /// The shortest time between two requests to follow, to one instance.
 pub const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The time after which an instance that follows is told again, as it may have restarted and
+/// forgotten. Seconds don't matter here: the group is served meanwhile.
+pub const FOLLOW_REFRESH: Duration = Duration::from_secs(2);
+
 /// The promotion machine of one group, at its leaseholder.
 #[derive(Clone, Debug)]
 pub struct GroupPromotion {
@@ -438,15 +442,36 @@
         if status.fenced_term > self.term {
             return self.take_later_term(now, instance, status.fenced_term, actions);
         }
-        let progress = self.followers.get(instance);
-        let confirmed = progress.is_some_and(|progress| progress.confirmed);
         let is_primary = self.record.primary.as_ref() == Some(instance);
+        if is_primary {
+            return self.take_primary_status(now, status, actions);
+        }
+        let progress = self.followers.get(instance);
+        let followed = progress.is_some_and(|progress| {
+            progress.confirmed && now.since(progress.asked) < FOLLOW_REFRESH
+        });
         let rival = status.role == InstanceRole::Primary;
-        if !is_primary && (!confirmed || rival || status.fenced_term < self.term) {
+        if !followed || rival || status.fenced_term < self.term {
             self.step(now, PromotionEvent::InstanceBehind, Some(instance), actions);
         }
     }
 
+    /// Suspects a primary that answers, but isn't a primary any more: it has restarted.
+    ///
+    /// Its position must be of the present term. A status from before its promotion, which arrives
+    /// late, shows a replica too.
+    fn take_primary_status(
+        &mut self,
+        now: ClockTime,
+        status: &InstanceStatus,
+        actions: &mut PromotionActions,
+    ) {
+        let demoted = status.role == InstanceRole::Replica;
+        if demoted && status.position.term == self.term {
+            self.step(now, PromotionEvent::Suspected, None, actions);
+        }
+    }
+
     fn take_later_term(
         &mut self,
         now: ClockTime,
--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -35,6 +35,8 @@
 pub struct QuorumProgress {
     /// Writes that may be acknowledged now.
     pub released: Vec<WriteTicket>,
+    /// Writes that can't be acknowledged any more: their answer is that they may have run.
+    pub abandoned: Vec<WriteTicket>,
     /// A later term that an instance was fenced at: the present term is over.
     pub later_term: Option<GroupTerm>,
 }
@@ -165,9 +167,17 @@
     /// Lets a write wait until a majority holds its position.
     ///
     /// The write is among the released ones of this call's progress if a majority holds it already.
+    /// It is among the abandoned ones if its position is of another term: the answer of a replaced
+    /// primary may arrive when its successor serves, and any position of the new term would cover
+    /// it, though the successor may lack the write.
     pub fn await_majority(&mut self, position: LogPosition) -> (WriteTicket, QuorumProgress) {
         self.last_ticket += 1;
         let ticket = WriteTicket(self.last_ticket);
+        if position.term != self.term || self.suspended {
+            let mut progress = self.progress();
+            progress.abandoned.push(ticket);
+            return (ticket, progress);
+        }
         self.waiting.insert((position, ticket));
         (ticket, self.progress())
     }
@@ -292,8 +302,9 @@
         for (_, names) in self.confirmations.range_mut(..=round) {
             names.insert(instance.clone());
         }
+        // The rounds of an earlier term were dropped with it.
         let Some(names) = self.confirmations.get(&round) else {
-            return ReadProgress::Pending;
+            return ReadProgress::TermOver(self.term);
         };
         if !self.is_majority(names) {
             return ReadProgress::Pending;
@@ -357,14 +368,13 @@
 
     fn progress(&mut self) -> QuorumProgress {
         let fenced = self.reports.values().map(|status| status.fenced_term);
-        let later_term = fenced.max().filter(|fenced| *fenced > self.term);
-        let mut released = Vec::new();
+        let mut progress = QuorumProgress {
+            later_term: fenced.max().filter(|fenced| *fenced > self.term),
+            ..QuorumProgress::default()
+        };
         let majority = self.majority_position().filter(|_| !self.suspended);
         let Some(majority) = majority else {
-            return QuorumProgress {
-                released,
-                later_term,
-            };
+            return progress;
         };
         while let Some((position, ticket)) = self.waiting.first().copied() {
             if !majority.covers(position) {
@@ -373,12 +383,9 @@
             self.waiting.pop_first();
             self.check_release(position);
             self.acknowledged = self.acknowledged.max(position);
-            released.push(ticket);
-        }
-        QuorumProgress {
-            released,
-            later_term,
+            progress.released.push(ticket);
         }
+        progress
     }
 
     /// Counts anew, in another way, that a write is held by a majority before it is released.
--- a/crates/control/tests/state/instances.rs
+++ b/crates/control/tests/state/instances.rs
@@ -96,6 +96,13 @@
         FenceReply::Fenced(instance.position())
     }
 
+    /// Restarts an instance: it keeps its log and its fence, and forgets its role.
+    pub fn restart(&mut self, name: &InstanceName) {
+        let instance = self.instances.get_mut(name).unwrap();
+        instance.leads = None;
+        instance.follows = None;
+    }
+
     /// Writes a value; the instance must be a primary.
     pub fn write(&mut self, name: &InstanceName, value: u64) -> Option<LogPosition> {
         let instance = self.instances.get_mut(name)?;
--- a/crates/control/tests/state/promotion.rs
+++ b/crates/control/tests/state/promotion.rs
@@ -26,14 +26,19 @@
 use ragwort_types::GroupTerm;
 use ragwort_types::InstanceName;
 use ragwort_types::InstanceStatus;
+use ragwort_types::LogPosition;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 #[derive(Clone, Copy, Debug)]
 enum RunStep {
-    /// The leaseholder sends a write to the primary; its answer may be lost.
-    Write { answer_lost: bool },
+    /// The leaseholder sends a write to the primary; its answer may be held up.
+    Write { late: bool },
+    /// The answer to a write arrives after others, or never.
+    LateAnswer(u8),
+    /// An instance restarts.
+    Restart(u8),
     /// A replica takes entries from the primary.
     Replicate(u8),
     /// An instance's status is asked for; the answer may arrive later.
@@ -65,9 +70,7 @@
         let byte = u8::arbitrary(generator);
         let rarely = u8::arbitrary(generator).is_multiple_of(6);
         match u8::arbitrary(generator) % 60 {
-            0..=7 => Self::Write {
-                answer_lost: rarely,
-            },
+            0..=7 => Self::Write { late: rarely },
             8..=20 => Self::Replicate(byte),
             21..=33 => Self::Report {
                 instance: byte,
@@ -83,6 +86,8 @@
             49 => Self::Cut(byte),
             50 if rarely => Self::TakeOver,
             51 if rarely => Self::ChangeEpoch,
+            52 => Self::LateAnswer(byte),
+            53 if rarely => Self::Restart(byte),
             50..=53 => Self::Learn,
             54..=55 => Self::ChangeSet {
                 instance: byte,
@@ -102,6 +107,7 @@
     serving: Option<(InstanceName, GroupTerm)>,
     actions: Vec<PromotionAction>,
     late_requests: Vec<PromotionAction>,
+    late_answers: Vec<(u64, LogPosition)>,
     late_reports: Vec<(ClockTime, InstanceName, InstanceStatus)>,
     waiting: BTreeMap<WriteTicket, (u64, GroupTerm)>,
     acknowledged: BTreeMap<u64, GroupTerm>,
@@ -132,6 +138,7 @@
             serving: None,
             actions: Vec::new(),
             late_requests: Vec::new(),
+            late_answers: Vec::new(),
             late_reports: Vec::new(),
             waiting: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
@@ -150,7 +157,13 @@
     fn step(&mut self, step: RunStep) {
         self.now = self.now + Duration::from_millis(10);
         match step {
-            RunStep::Write { answer_lost } => self.write(answer_lost),
+            RunStep::Write { late } => self.write(late),
+            RunStep::LateAnswer(byte) => {
+                if let Some((value, position)) = take_any(&mut self.late_answers, byte) {
+                    self.take_answer(value, position);
+                }
+            }
+            RunStep::Restart(byte) => self.endpoints.restart(&self.endpoints.pick(byte)),
             RunStep::Replicate(byte) => self.replicate(byte),
             RunStep::Report { instance, late } => self.ask_status(instance, late),
             RunStep::LateReport(byte) => {
@@ -295,22 +308,29 @@
         }
     }
 
-    fn write(&mut self, answer_lost: bool) {
-        let Some((primary, term)) = self.serving.clone() else {
+    fn write(&mut self, late: bool) {
+        let Some((primary, _)) = self.serving.clone() else {
             return;
         };
         if self.cut.contains(&primary) {
             return;
         }
         self.written += 1;
-        let Some(position) = self.endpoints.write(&primary, self.written) else {
+        let value = self.written;
+        let Some(position) = self.endpoints.write(&primary, value) else {
             return;
         };
-        if answer_lost {
-            return;
+        match late {
+            true => self.late_answers.push((value, position)),
+            false => self.take_answer(value, position),
         }
+    }
+
+    fn take_answer(&mut self, value: u64, position: LogPosition) {
         let (ticket, progress) = self.quorum.await_majority(position);
-        self.waiting.insert(ticket, (self.written, term));
+        if !progress.abandoned.contains(&ticket) {
+            self.waiting.insert(ticket, (value, position.term));
+        }
         self.acknowledge(progress);
     }
 
@@ -365,6 +385,7 @@
         self.raise_epoch();
         self.late_requests.append(&mut self.actions);
         self.late_reports.clear();
+        self.late_answers.clear();
         self.waiting.clear();
         self.serving = None;
         let record = self.record();
@@ -421,7 +442,7 @@
                     late: false,
                 });
             }
-            self.step(RunStep::Write { answer_lost: false });
+            self.step(RunStep::Write { late: false });
             if self.acknowledged.len() > before && self.record().primary.is_some() {
                 return self.check_primary();
             }
--- a/crates/control/tests/state/quorum.rs
+++ b/crates/control/tests/state/quorum.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crate::common::formed_group;
+use crate::common::primary_record;
 
 fn name(text: &str) -> InstanceName {
     InstanceName::from(text)
@@ -201,3 +202,24 @@
         assert!(progress.released.is_empty());
     }
 }
+
+case! {
+    /// The answer to a commit is held up until the next primary serves. Every position of the new
+    /// term is higher, but the new primary may lack the write, so it must not be released.
+    answer_of_a_replaced_primary_is_abandoned {
+        let mut script = formed_group(&["a", "b", "c"]);
+        let mut quorum = PositionQuorum::new(&record(&script.state));
+        let round = quorum.join_read();
+        quorum.begin_read_round();
+        script.begin_term(1, 2);
+        script.expect_done(primary_record("b", 1, 2));
+        quorum.adopt_record(&record(&script.state));
+        quorum.report(now(), &name("b"), status(2, 2, 30));
+        quorum.report(now(), &name("c"), status(2, 2, 30));
+        let (ticket, progress) = quorum.await_majority(position(25));
+        assert_eq!(progress.abandoned, vec![ticket]);
+        assert!(progress.released.is_empty());
+        let read = quorum.confirm(round, &name("b"), GroupTerm(2));
+        assert_eq!(read, ReadProgress::TermOver(GroupTerm(2)));
+    }
+}
