--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -46,6 +46,7 @@
 mod copy;
 mod detector;
 mod digest;
+mod followers;
 mod groups;
 mod history;
 mod journal;
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -11,6 +11,7 @@
 
 use crate::ClockTime;
 use crate::candidate::FencedInstances;
+use crate::followers::FollowerTable;
 use crate::groups::has_had_primary;
 use crate::promotion_chart::PromotionEvent;
 use crate::promotion_chart::PromotionGuard;
@@ -34,7 +35,6 @@
 use ragwort_types::PlacementEpoch;
 use ragwort_types::PrimaryRecord;
 use ragwort_types::TermStart;
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The first wait before an unanswered request is sent again.
@@ -46,13 +46,6 @@
 /// The longest wait between retries, so that a group whose majority returns is served soon after.
 pub const LONGEST_RETRY: Duration = Duration::from_millis(400);
 
-/// The shortest time between two requests to follow, to one instance.
-pub const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
-
-/// The time after which an instance that follows is told again, as it may have restarted and
-/// forgotten. Seconds don't matter here: the group is served meanwhile.
-pub const FOLLOW_REFRESH: Duration = Duration::from_secs(2);
-
 /// The promotion machine of one group, at its leaseholder.
 #[derive(Clone, Debug)]
 pub struct GroupPromotion {
@@ -68,17 +61,11 @@
     /// The last term in which a promotion was sent, and to whom.
     sent_promotion: Option<(GroupTerm, InstanceName)>,
     start: LogPosition,
-    followers: BTreeMap<InstanceName, FollowProgress>,
+    followers: FollowerTable,
     retry_at: Option<ClockTime>,
     retry_wait: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct FollowProgress {
-    asked: ClockTime,
-    confirmed: bool,
-}
-
 impl GroupPromotion {
     /// Resumes from the catalog, when this process takes over the group or renews a lost lease.
     ///
@@ -101,7 +88,7 @@
             former: record.primary.clone(),
             sent_promotion: None,
             start: record.start,
-            followers: BTreeMap::new(),
+            followers: FollowerTable::default(),
             retry_at: None,
             retry_wait: FIRST_RETRY,
         };
@@ -337,16 +324,9 @@
         let Some(primary) = self.record.primary.clone() else {
             return;
         };
-        let progress = self.followers.get(instance);
-        let recent = progress.is_some_and(|asked| now.since(asked.asked) < FOLLOW_INTERVAL);
-        if recent || primary == *instance {
+        if primary == *instance || !self.followers.ask(now, instance) {
             return;
         }
-        let asked = FollowProgress {
-            asked: now,
-            confirmed: false,
-        };
-        self.followers.insert(instance.clone(), asked);
         actions.push(PromotionAction::Follow(FollowOrder {
             instance: instance.clone(),
             term: self.term,
@@ -421,9 +401,7 @@
     ) {
         match outcome {
             AgentOutcome::Answered(FenceReply::Fenced(_)) => {
-                if let Some(progress) = self.followers.get_mut(instance) {
-                    progress.confirmed = true;
-                }
+                self.followers.confirm(instance);
             }
             AgentOutcome::Answered(FenceReply::Refused(term)) => {
                 self.take_later_term(now, instance, term, actions);
@@ -446,10 +424,7 @@
         if is_primary {
             return self.take_primary_status(now, status, actions);
         }
-        let progress = self.followers.get(instance);
-        let followed = progress.is_some_and(|progress| {
-            progress.confirmed && now.since(progress.asked) < FOLLOW_REFRESH
-        });
+        let followed = self.followers.is_confirmed(now, instance);
         let rival = status.role == InstanceRole::Primary;
         if !followed || rival || status.fenced_term < self.term {
             self.step(now, PromotionEvent::InstanceBehind, Some(instance), actions);
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -8,6 +8,7 @@
 mod detector;
 mod instances;
 mod journal;
+mod leases;
 mod membership;
 mod promotion;
 mod quorum;
