--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -23,7 +23,8 @@
 use crate::promotion_message::PromotionAction;
 use crate::promotion_message::PromotionActions;
 use crate::promotion_message::PromotionInput;
-use ragwort_types::CatalogOutcome;
+use crate::promotion_message::read_record_reply;
+use crate::promotion_message::read_term_reply;
 use ragwort_types::CommandReply;
 use ragwort_types::FenceReply;
 use ragwort_types::GroupRecord;
@@ -493,19 +494,3 @@
         }
     }
 }
-
-fn read_term_reply(reply: &CommandReply) -> PromotionEvent {
-    match reply {
-        CommandReply::Committed(CatalogOutcome::Done(_)) => PromotionEvent::TermCommitted,
-        CommandReply::Committed(_) => PromotionEvent::TermRefused,
-        CommandReply::NoLeader | CommandReply::Unknown => PromotionEvent::TermUnknown,
-    }
-}
-
-fn read_record_reply(reply: &CommandReply) -> PromotionEvent {
-    match reply {
-        CommandReply::Committed(CatalogOutcome::Done(_)) => PromotionEvent::PrimaryRecorded,
-        CommandReply::Committed(_) => PromotionEvent::RecordRefused,
-        CommandReply::NoLeader | CommandReply::Unknown => PromotionEvent::RecordUnknown,
-    }
-}
--- a/crates/control/src/promotion_message.rs
+++ b/crates/control/src/promotion_message.rs
@@ -1,5 +1,7 @@
 //! What a promotion is told, and what it asks its caller to do.
 
+use crate::promotion_chart::PromotionEvent;
+use ragwort_types::CatalogOutcome;
 use ragwort_types::CommandReply;
 use ragwort_types::FenceReply;
 use ragwort_types::GroupRecord;
@@ -86,3 +88,19 @@
 
 /// The actions of one input.
 pub type PromotionActions = SmallVec<[PromotionAction; 4]>;
+
+pub(crate) fn read_term_reply(reply: &CommandReply) -> PromotionEvent {
+    match reply {
+        CommandReply::Committed(CatalogOutcome::Done(_)) => PromotionEvent::TermCommitted,
+        CommandReply::Committed(_) => PromotionEvent::TermRefused,
+        CommandReply::NoLeader | CommandReply::Unknown => PromotionEvent::TermUnknown,
+    }
+}
+
+pub(crate) fn read_record_reply(reply: &CommandReply) -> PromotionEvent {
+    match reply {
+        CommandReply::Committed(CatalogOutcome::Done(_)) => PromotionEvent::PrimaryRecorded,
+        CommandReply::Committed(_) => PromotionEvent::RecordRefused,
+        CommandReply::NoLeader | CommandReply::Unknown => PromotionEvent::RecordUnknown,
+    }
+}
