--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -11,6 +11,7 @@
 
 use crate::ClockTime;
 use crate::candidate::FencedInstances;
+use crate::followers::FollowerTable;
 use crate::groups::has_had_primary;
 use crate::promotion_chart::PromotionEvent;
 use crate::promotion_chart::PromotionGuard;
@@ -22,7 +23,8 @@
 use crate::promotion_message::PromotionAction;
 use crate::promotion_message::PromotionActions;
 use crate::promotion_message::PromotionInput;
-use ragwort_types::CatalogOutcome;
+use crate::promotion_message::read_record_reply;
+use crate::promotion_message::read_term_reply;
 use ragwort_types::CommandReply;
 use ragwort_types::FenceReply;
 use ragwort_types::GroupRecord;
@@ -34,7 +36,6 @@
 use ragwort_types::PlacementEpoch;
 use ragwort_types::PrimaryRecord;
 use ragwort_types::TermStart;
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The first wait before an unanswered request is sent again.
@@ -46,9 +47,6 @@
 /// The longest wait between retries, so that a group whose majority returns is served soon after.
 pub const LONGEST_RETRY: Duration = Duration::from_millis(400);
 
-/// The shortest time between two requests to follow, to one instance.
-pub const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
-
 /// The promotion machine of one group, at its leaseholder.
 #[derive(Clone, Debug)]
 pub struct GroupPromotion {
@@ -64,17 +62,11 @@
     /// The last term in which a promotion was sent, and to whom.
     sent_promotion: Option<(GroupTerm, InstanceName)>,
     start: LogPosition,
-    followers: BTreeMap<InstanceName, FollowProgress>,
+    followers: FollowerTable,
     retry_at: Option<ClockTime>,
     retry_wait: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct FollowProgress {
-    asked: ClockTime,
-    confirmed: bool,
-}
-
 impl GroupPromotion {
     /// Resumes from the catalog, when this process takes over the group or renews a lost lease.
     ///
@@ -97,7 +89,7 @@
             former: record.primary.clone(),
             sent_promotion: None,
             start: record.start,
-            followers: BTreeMap::new(),
+            followers: FollowerTable::default(),
             retry_at: None,
             retry_wait: FIRST_RETRY,
         };
@@ -333,16 +325,9 @@
         let Some(primary) = self.record.primary.clone() else {
             return;
         };
-        let progress = self.followers.get(instance);
-        let recent = progress.is_some_and(|asked| now.since(asked.asked) < FOLLOW_INTERVAL);
-        if recent || primary == *instance {
+        if primary == *instance || !self.followers.ask(now, instance) {
             return;
         }
-        let asked = FollowProgress {
-            asked: now,
-            confirmed: false,
-        };
-        self.followers.insert(instance.clone(), asked);
         actions.push(PromotionAction::Follow(FollowOrder {
             instance: instance.clone(),
             term: self.term,
@@ -417,9 +402,7 @@
     ) {
         match outcome {
             AgentOutcome::Answered(FenceReply::Fenced(_)) => {
-                if let Some(progress) = self.followers.get_mut(instance) {
-                    progress.confirmed = true;
-                }
+                self.followers.confirm(instance);
             }
             AgentOutcome::Answered(FenceReply::Refused(term)) => {
                 self.take_later_term(now, instance, term, actions);
@@ -438,15 +421,33 @@
         if status.fenced_term > self.term {
             return self.take_later_term(now, instance, status.fenced_term, actions);
         }
-        let progress = self.followers.get(instance);
-        let confirmed = progress.is_some_and(|progress| progress.confirmed);
         let is_primary = self.record.primary.as_ref() == Some(instance);
+        if is_primary {
+            return self.take_primary_status(now, status, actions);
+        }
+        let followed = self.followers.is_confirmed(now, instance);
         let rival = status.role == InstanceRole::Primary;
-        if !is_primary && (!confirmed || rival || status.fenced_term < self.term) {
+        if !followed || rival || status.fenced_term < self.term {
             self.step(now, PromotionEvent::InstanceBehind, Some(instance), actions);
         }
     }
 
+    /// Suspects a primary that answers, but isn't a primary any more: it has restarted.
+    ///
+    /// Its position must be of the present term. A status from before its promotion, which arrives
+    /// late, shows a replica too.
+    fn take_primary_status(
+        &mut self,
+        now: ClockTime,
+        status: &InstanceStatus,
+        actions: &mut PromotionActions,
+    ) {
+        let demoted = status.role == InstanceRole::Replica;
+        if demoted && status.position.term == self.term {
+            self.step(now, PromotionEvent::Suspected, None, actions);
+        }
+    }
+
     fn take_later_term(
         &mut self,
         now: ClockTime,
@@ -493,19 +494,3 @@
         }
     }
 }
-
-fn read_term_reply(reply: &CommandReply) -> PromotionEvent {
-    match reply {
-        CommandReply::Committed(CatalogOutcome::Done(_)) => PromotionEvent::TermCommitted,
-        CommandReply::Committed(_) => PromotionEvent::TermRefused,
-        CommandReply::NoLeader | CommandReply::Unknown => PromotionEvent::TermUnknown,
-    }
-}
-
-fn read_record_reply(reply: &CommandReply) -> PromotionEvent {
-    match reply {
-        CommandReply::Committed(CatalogOutcome::Done(_)) => PromotionEvent::PrimaryRecorded,
-        CommandReply::Committed(_) => PromotionEvent::RecordRefused,
-        CommandReply::NoLeader | CommandReply::Unknown => PromotionEvent::RecordUnknown,
-    }
-}
