--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -404,6 +404,21 @@
         let progress = self.quorum.report(asked, instance, status);
         self.take_progress(progress);
         self.report_position(instance);
+        self.set_lost_floor(instance, asked);
+    }
+
+    /// Sets the position that sessions of a lost journal must read from: the primary's, asked for
+    /// after this leaseholder took over. Whatever they wrote before lies below it.
+    fn set_lost_floor(&mut self, instance: &InstanceName, asked: ClockTime) {
+        let primary = self.record.primary.as_ref() == Some(instance);
+        let position = self.quorum.counted_position(instance);
+        let (Some(journal), Some(position)) = (&mut self.journal, position) else {
+            return;
+        };
+        let lost = journal.sessions().floor().is_none();
+        if lost && primary && asked > self.journal_since && self.promotion.is_settled() {
+            journal.raise_session_floor(position);
+        }
     }
 
     /// Tells the scheduler what an instance holds and how old it can be.
@@ -423,6 +438,7 @@
     }
 
     fn take_progress(&mut self, progress: QuorumProgress) {
+        self.abandon_writes(&progress.abandoned);
         for waiting in progress.released {
             self.release_write(waiting);
         }
--- a/crates/daemon/src/group/journaling.rs
+++ b/crates/daemon/src/group/journaling.rs
@@ -110,6 +110,7 @@
             copies = self.recovery.sources.len(),
         );
         self.journal = Some(GroupJournal::resume(recovered, present));
+        self.journal_since = self.context.clock.now();
         self.recovery = JournalRecovery::default();
     }
 
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -20,6 +20,7 @@
 use ragwort_control::PromotionActions;
 use ragwort_control::PromotionInput;
 use ragwort_control::PromotionState;
+use ragwort_control::WriteTicket;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
@@ -95,12 +96,17 @@
     }
 }
 
+impl PromotionDriver {
+    /// Says whether the present term has its primary.
+    pub(super) fn is_settled(&self) -> bool {
+        self.machine.state() == PromotionState::Serving
+    }
+}
+
 impl GroupTask {
     /// Says whether the group has a primary that may be dispatched to.
     pub(super) fn is_serving(&self) -> bool {
-        self.promotion.machine.state() == PromotionState::Serving
-            && self.record.primary.is_some()
-            && self.journal.is_some()
+        self.promotion.is_settled() && self.record.primary.is_some() && self.journal.is_some()
     }
 
     /// Takes over the catalog's record, unless it's older than what this task knows itself.
@@ -121,12 +127,44 @@
             return;
         }
         self.record = record;
-        for write in self.quorum.adopt_record(&self.record) {
-            if let Some(ticket) = self.writes.remove(&write) {
+        let abandoned = self.quorum.adopt_record(&self.record);
+        self.abandon_writes(&abandoned);
+        self.refresh_all_endpoints();
+    }
+
+    fn take_own_record(&mut self, record: GroupRecord) {
+        self.take_record(record.clone());
+        self.step_promotion(PromotionInput::RecordChanged(Box::new(record)));
+    }
+
+    /// Takes over what the machine knows of the term, which may be ahead of the catalog's copy.
+    fn adopt_machine_record(&mut self) {
+        let known = self.promotion.machine.record();
+        let record = GroupRecord {
+            term: known.term,
+            term_epoch: known.term_epoch,
+            primary: known.primary.clone(),
+            start: known.start,
+            ..self.record.clone()
+        };
+        self.take_record(record);
+        self.refresh_all_endpoints();
+    }
+
+    /// Ends the present term: nothing is dispatched, and no write of it is acknowledged any more.
+    fn suspend_term(&mut self) {
+        let abandoned = self.quorum.suspend();
+        self.abandon_writes(&abandoned);
+        self.refresh_all_endpoints();
+    }
+
+    /// Tells the callers of writes that no majority is known to hold that they are in doubt.
+    pub(super) fn abandon_writes(&mut self, abandoned: &[WriteTicket]) {
+        for write in abandoned {
+            if let Some(ticket) = self.writes.remove(write) {
                 self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed));
             }
         }
-        self.refresh_all_endpoints();
     }
 
     pub(super) fn note_later_term(&mut self, later: GroupTerm) {
@@ -284,10 +322,13 @@
                         primary = instance,
                         term = term,
                     );
-                    self.refresh_all_endpoints();
+                    self.adopt_machine_record();
+                }
+                PromotionAction::Suspend => self.suspend_term(),
+                PromotionAction::Stop => {
+                    self.suspend_term();
+                    self.handing_over = true;
                 }
-                PromotionAction::Suspend => self.refresh_all_endpoints(),
-                PromotionAction::Stop => self.handing_over = true,
             }
         }
     }
@@ -358,14 +399,14 @@
             CatalogCommand::AddInstance(change) => {
                 if done.is_some() && !record.instances.contains(&change.instance) {
                     record.instances.push(change.instance.clone());
-                    self.take_record(record);
+                    self.take_own_record(record);
                 }
                 self.end_set_change(CatalogCommand::AddInstance(change), &reply);
             }
             CatalogCommand::RemoveInstance(change) => {
                 if done.is_some() {
                     record.instances.retain(|name| *name != change.instance);
-                    self.take_record(record);
+                    self.take_own_record(record);
                 }
                 self.end_set_change(CatalogCommand::RemoveInstance(change), &reply);
             }
