Judge the load patterns in tests, and compare endpoints over the same time

They showed three faults, each mended here: - At low load one endpoint was cut off when all became slow at once, because the last fast answers of its peers were from before (all_slow::omuti). Peers' runs count only if they started no earlier than the slow ones. Long jobs have a mark of their own. - A stretch of waits that was held at 8 times the planned wait could not learn that a hot caller's requests are overtaken for good. It grows by 15 % and shrinks by 0.14 %, up to 64 times.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -39,15 +39,19 @@
 const LEAST_STRETCH_PERCENT: f64 = 200.0;
 
 /// The most for which a new request must have time, in percent of the planned wait.
-const MOST_STRETCH_PERCENT: f64 = 800.0;
+const MOST_STRETCH_PERCENT: f64 = 6_400.0;
 
-/// How far the stretch grows when a request waited longer, in percent of the planned wait.
-const STRETCH_GROWTH: f64 = 10.0;
+/// The factor by which the stretch grows when a request waited longer.
+const STRETCH_GROWTH: f64 = 1.15;
 
-/// How far the stretch shrinks when a request waited no longer.
+/// The factor by which the stretch shrinks when a request waited no longer.
 ///
-/// The ratio of the two steps lets one request in fifty wait longer than was foreseen.
-const STRETCH_DECAY: f64 = 0.2;
+/// It takes a hundred such steps to undo one growth, so about one request in a hundred waits longer
+/// than was foreseen.
+const STRETCH_DECAY: f64 = 0.998_6;
+
+/// The factor by which the stretch shrinks with each request that it refuses.
+const REFUSAL_DECAY: f64 = 0.999_86;
 
 /// Shorter waits teach nothing of how far waits are stretched.
 const LEAST_TEACHING_WAIT: Duration = Duration::from_millis(5);
@@ -79,17 +83,21 @@
         }
         let percent = actual.as_secs_f64() / planned.as_secs_f64() * 100.0;
         if percent > self.percent {
-            self.percent = (self.percent + STRETCH_GROWTH).min(MOST_STRETCH_PERCENT);
+            self.percent = (self.percent * STRETCH_GROWTH).min(MOST_STRETCH_PERCENT);
         } else {
-            self.relax();
+            self.shrink(STRETCH_DECAY);
         }
     }
 
-    /// Shrinks the stretch a little.
+    /// Shrinks the stretch a little because it refused a request.
     ///
     /// Without this a stretch that refuses every new request would never learn that it is too long.
     pub(crate) fn relax(&mut self) {
-        self.percent = (self.percent - STRETCH_DECAY).max(LEAST_STRETCH_PERCENT);
+        self.shrink(REFUSAL_DECAY);
+    }
+
+    fn shrink(&mut self, factor: f64) {
+        self.percent = (self.percent * factor).max(LEAST_STRETCH_PERCENT);
     }
 }
 
--- a/crates/policy/src/customers.rs
+++ b/crates/policy/src/customers.rs
@@ -8,6 +8,7 @@
 use crate::queue::LANES;
 use crate::queue::WaitingRequest;
 use ragwort_types::CustomerName;
+use ragwort_types::LengthClass;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -36,7 +37,13 @@
         cost: Duration,
         slots: u32,
     ) -> Duration {
-        let session = self.sessions.note(now, profile.session, cost, slots);
+        // A session's long jobs have a mark of their own: one report costs as much as fifty lookups,
+        // and the lookups that follow it would be taken for a flood.
+        let session = match profile.length {
+            LengthClass::Short => profile.session,
+            LengthClass::Long => !profile.session,
+        };
+        let session = self.sessions.note(now, session, cost, slots);
         let Some(key) = profile.key else {
             return session;
         };
@@ -45,7 +52,8 @@
 
     /// Returns how far the waits of requests like this one are stretched.
     pub(crate) fn stretch_mut(&mut self, request: &WaitingRequest) -> &mut WaitStretch {
-        let index = request.lane.index() + if request.delayed { LANES } else { 0 };
+        let delayed = if request.delay.is_zero() { 0 } else { LANES };
+        let index = request.lane.index() + delayed;
         &mut self.stretches[index]
     }
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -5,6 +5,7 @@
 use crate::EndpointState;
 use crate::RequestTicket;
 use crate::health::EndpointHealth;
+use crate::health::OVERDUE_FACTOR;
 use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use smallvec::SmallVec;
@@ -132,6 +133,13 @@
         self.age_bound.map(|bound| bound + now.since(self.reported))
     }
 
+    /// Returns when the oldest running request started, if all slots are held for too long.
+    pub(crate) fn held_since(&self, now: ClockTime) -> Option<ClockTime> {
+        self.held_ratio(now)
+            .filter(|ratio| *ratio >= OVERDUE_FACTOR)?;
+        self.running.iter().map(|running| running.started).min()
+    }
+
     /// Returns the least ratio of elapsed to expected run over all slots, if all are held.
     pub(crate) fn held_ratio(&self, now: ClockTime) -> Option<f64> {
         if self.free_slots() > 0 || self.running.iter().any(|running| running.long) {
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -17,7 +17,8 @@
 //! are needed, which two slots at eight milliseconds give within a tenth of a second. An endpoint
 //! whose slots are all held for four times the expected run is slow without any answer.
 //! The comparison is with the best peer, so that the best is never cut off and a slowness that all
-//! share cuts off none. A trial costs at most one late answer; it comes after 100 ms, then after
+//! share cuts off none; a peer's runs count only if they started no earlier than the slow ones,
+//! because at low load its last fast answers may be from before the slowness began. A trial costs at most one late answer; it comes after 100 ms, then after
 //! twice that, up to two seconds, so a lasting fault costs one answer in two seconds.
 
 use crate::ClockTime;
@@ -60,10 +61,19 @@
     Cut,
 }
 
+/// One run, compared with what its kind takes elsewhere.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunSample {
+    /// When the run started.
+    pub(crate) started: ClockTime,
+    /// The ratio of the actual to the expected run.
+    pub(crate) ratio: f64,
+}
+
 /// What is known of one endpoint's speed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EndpointHealth {
-    recent: SmallVec<[f64; RECENT_RUNS]>,
+    recent: SmallVec<[RunSample; RECENT_RUNS]>,
     level: HealthLevel,
     trial_gap: Duration,
     next_trial: ClockTime,
@@ -100,9 +110,23 @@
         if self.recent.len() < JUDGED_RUNS {
             return None;
         }
-        let mut sorted = self.recent.clone();
-        sorted.sort_by(f64::total_cmp);
-        Some(sorted[sorted.len() / 2])
+        middle_ratio(&self.recent)
+    }
+
+    /// Returns the middle of the ratios of runs that started at a moment or later.
+    pub(crate) fn score_since(&self, since: ClockTime) -> Option<f64> {
+        let later = self.recent.iter().filter(|sample| sample.started >= since);
+        let later: SmallVec<[RunSample; RECENT_RUNS]> = later.copied().collect();
+        middle_ratio(&later)
+    }
+
+    /// Returns when the oldest of the runs started that are enough to judge by.
+    pub(crate) fn judged_since(&self) -> Option<ClockTime> {
+        let first = self.recent.len().checked_sub(JUDGED_RUNS)?;
+        self.recent[first..]
+            .iter()
+            .map(|sample| sample.started)
+            .min()
     }
 
     /// Returns the factor by which a run is expected to be longer here than elsewhere.
@@ -110,11 +134,17 @@
         self.score().unwrap_or(1.0).max(1.0)
     }
 
-    /// Takes the ratio of actual to expected run of a request that ended.
-    pub(crate) fn observe(&mut self, now: ClockTime, ticket: RequestTicket, ratio: f64, best: f64) {
+    /// Takes the run of a request that ended.
+    pub(crate) fn observe(
+        &mut self,
+        now: ClockTime,
+        ticket: RequestTicket,
+        sample: RunSample,
+        best: f64,
+    ) {
         if self.trial == Some(ticket) {
             self.trial = None;
-            self.end_trial(now, ratio, best);
+            self.end_trial(now, sample.ratio, best);
             return;
         }
         if self.level == HealthLevel::Cut {
@@ -123,7 +153,7 @@
         if self.recent.len() == RECENT_RUNS {
             self.recent.remove(0);
         }
-        self.recent.push(ratio);
+        self.recent.push(sample);
     }
 
     /// Forgets a trial that ended without an answer; the next one comes later.
@@ -178,3 +208,11 @@
         self.next_trial = now + self.trial_gap;
     }
 }
+
+/// Returns the middle of the ratios of some runs.
+fn middle_ratio(samples: &[RunSample]) -> Option<f64> {
+    let ratios = samples.iter().map(|sample| sample.ratio);
+    let mut sorted: SmallVec<[f64; RECENT_RUNS]> = ratios.collect();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(sorted.len() / 2).copied()
+}
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -78,8 +78,8 @@
     pub(crate) arrived: ClockTime,
     /// The instance on which its transaction holds a connection.
     pub(crate) pinned_to: Option<InstanceName>,
-    /// Whether it was ordered later because its session or key is hot.
-    pub(crate) delayed: bool,
+    /// By how much it was ordered later because its session or key is hot.
+    pub(crate) delay: Duration,
     /// How long it was to wait when it was first planned; none before that.
     pub(crate) planned_wait: Option<Duration>,
     /// How often it was dispatched before.
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -21,6 +21,7 @@
 use crate::endpoints::ConnectionPin;
 use crate::endpoints::RunningRequest;
 use crate::estimate::LONG_THRESHOLD;
+use crate::health::RunSample;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlanInput;
@@ -48,6 +49,9 @@
 /// that to a few percent of a core, and a refusal still comes within the time of one message.
 pub(crate) const REVIEW_GAP: Duration = Duration::from_millis(2);
 
+/// A trial is compared with what peers did within this time.
+const TRIAL_COMPARISON: Duration = Duration::from_secs(1);
+
 impl GroupScheduler {
     /// Takes a request into the queue, if its contract and the queue's limits allow.
     pub(crate) fn admit(
@@ -368,13 +372,12 @@
             replica: self.leaves_to_replicas(now, &profile),
         };
         let mut order = profile.deadline.before(estimate.expected());
-        let mut delayed = false;
+        let mut delay = Duration::ZERO;
         if self.settings.modules.hot_callers && pinned_to.is_none() {
             let slots = self.usable_slots();
             let record = self.customers.get_mut(customer);
-            let delay = record.note_request(now, &profile, estimate.expected(), slots);
+            delay = record.note_request(now, &profile, estimate.expected(), slots);
             order = order + delay;
-            delayed = !delay.is_zero();
         }
         if !self.settings.modules.order {
             lane.urgent = false;
@@ -388,7 +391,7 @@
             order,
             arrived: now,
             pinned_to,
-            delayed,
+            delay,
             planned_wait: None,
             attempts: 0,
         })
@@ -551,14 +554,17 @@
         let Some(index) = self.endpoints.index_of(&dispatched.instance) else {
             return;
         };
-        let best = self.best_peer(now, index).unwrap_or(1.0);
+        let since = now.before(TRIAL_COMPARISON);
+        let best = self.best_score(now, index, since).unwrap_or(1.0);
         let record = &mut self.endpoints.records_mut()[index];
         let run = actual.saturating_sub(record.round_trip);
         let healthy = record.health.level() == HealthLevel::Full;
         if dispatched.mature || !healthy {
             let ratio = run.as_secs_f64() / dispatched.base.as_secs_f64().max(1e-6);
             let ticket = dispatched.request.profile.ticket;
-            record.health.observe(now, ticket, ratio, best);
+            let started = now.before(actual);
+            let sample = RunSample { started, ratio };
+            record.health.observe(now, ticket, sample, best);
         }
         if healthy {
             self.estimates.learn(dispatched.request.kind, run);
@@ -566,18 +572,21 @@
         }
     }
 
-    /// Returns the score of the fastest other endpoint, if one is known.
+    /// Returns the score of the fastest other endpoint since the runs by which this one is judged.
     fn best_peer(&self, now: ClockTime, index: usize) -> Option<f64> {
+        let record = &self.endpoints.records()[index];
+        let held = record.held_since(now);
+        let since = held.or_else(|| record.health.judged_since())?;
+        self.best_score(now, index, since)
+    }
+
+    /// Returns the score of the fastest other endpoint over runs that started since a moment.
+    fn best_score(&self, now: ClockTime, index: usize, since: ClockTime) -> Option<f64> {
         let records = self.endpoints.records().iter().enumerate();
         let peers = records.filter(|(peer, record)| *peer != index && record.takes_fresh_work());
         let scores = peers.filter_map(|(_, record)| {
-            let score = record.health.score();
-            let held = record.held_ratio(now);
-            match (score, held) {
-                (Some(score), Some(held)) => Some(score.max(held)),
-                (Some(score), None) => Some(score),
-                (None, _) => None,
-            }
+            let score = record.health.score_since(since)?;
+            Some(score.max(record.held_ratio(now).unwrap_or(score)))
         });
         scores.min_by(f64::total_cmp).map(|score| score.max(1.0))
     }
--- a/crates/policy/tests/support/runner.rs
+++ b/crates/policy/tests/support/runner.rs
@@ -173,6 +173,9 @@
         for ticket in self.profiles.keys().copied().collect::<Vec<_>>() {
             self.settle_late(ticket);
         }
+        if let PolicyModel::Scheduler(scheduler) = &self.policy {
+            self.outcome.trials = scheduler.snapshot(self.now).counts.trials;
+        }
     }
 
     fn handle(&mut self, event: RunnerEvent) {
@@ -186,6 +189,8 @@
             RunnerEvent::Answer(ticket, instance) => self.answer(ticket, instance),
             RunnerEvent::Connected(instance) => {
                 self.endpoints[instance].open += 1;
+                let open = self.endpoints[instance].open;
+                self.outcome.most_connections = self.outcome.most_connections.max(open);
                 if let PolicyModel::Scheduler(scheduler) = &mut self.policy {
                     scheduler.connection_opened(&InstanceName::from(INSTANCE_NAMES[instance]));
                 }
@@ -338,6 +343,9 @@
     fn send(&mut self, ticket: RequestTicket, instance: usize, connect: Duration) {
         let reach = self.now + connect + self.delay_to(instance);
         self.schedule(reach, RunnerEvent::Reach(ticket, instance));
+        if self.now + Duration::from_secs(1) > ClockTime::default() + self.pattern.length {
+            self.outcome.dispatched_at_end[instance] += 1;
+        }
         for spell in &self.pattern.spells {
             if spell.instance == instance && (spell.from..spell.until).contains(&self.now) {
                 let tenth = self.now.since(spell.from).as_millis() as usize / 100;
