--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -16,6 +16,8 @@
     pub(crate) free_at: ClockTime,
     /// Whether a long job holds it until then.
     pub(crate) long: bool,
+    /// Whether the run uses a connection that a transaction holds.
+    pub(crate) pinned: bool,
 }
 
 /// One endpoint's slots and connections.
@@ -23,8 +25,6 @@
 pub(crate) struct InstanceBoard {
     /// The slots.
     pub(crate) slots: SmallVec<[SlotBoard; 4]>,
-    /// Idle connections at the start of the plan.
-    pub(crate) idle: u32,
     /// Open connections that no transaction holds.
     pub(crate) unpinned: u32,
     /// How many more transactions may take a connection now.
@@ -58,7 +58,6 @@
         let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
         let mut board = Self {
             slots: SmallVec::new(),
-            idle: record.idle_connections(),
             unpinned: record.open.saturating_sub(pinned),
             pins_left: pin_limit(record.state.connections, record.state.slots)
                 .saturating_sub(pinned),
@@ -82,12 +81,14 @@
             board.slots.push(SlotBoard {
                 free_at: running.expected_end(now),
                 long: running.long,
+                pinned: running.pinned,
             });
         }
         while board.slots.len() < slots {
             board.slots.push(SlotBoard {
                 free_at: now,
                 long: false,
+                pinned: false,
             });
         }
         board
@@ -105,11 +106,11 @@
     }
 
     /// Says whether a connection is idle at a moment.
-    pub(crate) fn is_connected(&self, now: ClockTime, at: ClockTime) -> bool {
-        if at == now {
-            return self.idle > 0;
-        }
-        self.unpinned > 0 || at >= self.connected_at
+    pub(crate) fn is_connected(&self, at: ClockTime) -> bool {
+        let held = self.slots.iter().filter(|slot| slot.free_at > at);
+        let used = held.filter(|slot| !slot.pinned).count();
+        let used = u32::try_from(used).unwrap_or(u32::MAX);
+        self.unpinned > used || at >= self.connected_at
     }
 
     /// Says whether a transaction may take a connection at a moment.
@@ -132,18 +133,18 @@
         may_start_long(slots, self.long_running(at), elsewhere_free)
     }
 
-    /// Takes a slot and a connection.
-    pub(crate) fn take(&mut self, at: ClockTime, until: ClockTime, long: bool, pinned: bool) {
+    /// Takes a slot that is free at a moment.
+    pub(crate) fn take(&mut self, at: ClockTime, run: SlotBoard) {
         if let Some(index) = self.free_slot(at) {
-            self.slots[index] = SlotBoard {
-                free_at: until,
-                long,
-            };
-        }
-        if !pinned {
-            self.idle = self.idle.saturating_sub(1);
+            self.slots[index] = run;
         }
     }
+
+    /// Takes a connection for a transaction.
+    pub(crate) fn pin(&mut self) {
+        self.pins_left = self.pins_left.saturating_sub(1);
+        self.unpinned = self.unpinned.saturating_sub(1);
+    }
 }
 
 /// Returns when a transaction is expected to get a connection, if all are held now.
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -189,6 +189,9 @@
         if let Some(record) = self.get_mut(instance) {
             record.state.role = EndpointRole::Unusable;
             record.removed = true;
+            // What it held may be gone when it comes back, so that a read would miss its write.
+            record.position = LogPosition::default();
+            record.age_bound = None;
             record.pins.clear();
             record.open = 0;
             record.opening = 0;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -7,8 +7,10 @@
 
 use crate::ClockTime;
 use crate::EndpointRole;
+use crate::RequestStep;
 use crate::admission::misses_deadline;
 use crate::board::InstanceBoard;
+use crate::board::SlotBoard;
 use crate::endpoints::EndpointRecord;
 use crate::endpoints::EndpointTable;
 use crate::estimate::EstimateTable;
@@ -297,7 +299,7 @@
             let usable = role == EndpointRole::Primary
                 || board.held(at) < board.usable
                 || (board.trial && at == self.input.now);
-            usable && board.free_slot(at).is_some() && board.is_connected(self.input.now, at)
+            usable && board.free_slot(at).is_some() && board.is_connected(at)
         })
     }
 
@@ -393,7 +395,7 @@
         let at = pass.at;
         let board = &self.boards[instance];
         let record = &self.input.endpoints.records()[instance];
-        if board.free_slot(at).is_none() || !board.is_connected(self.input.now, at) {
+        if board.free_slot(at).is_none() || !board.is_connected(at) {
             return None;
         }
         if !self.is_fit(record, request, at) || !self.length_fits(request, instance, at) {
@@ -402,7 +404,7 @@
         if pass.urgent && pass.bounded && board.urgent_run >= URGENT_RUN {
             return None;
         }
-        let opens = request.profile.step == crate::RequestStep::Opens;
+        let opens = request.profile.step == RequestStep::Opens;
         if opens && !board.takes_pin(at) {
             return None;
         }
@@ -553,13 +555,19 @@
         let until = at + start.expected;
         let pinned = request.pinned_to.is_some();
         let board = &mut self.boards[start.instance];
-        board.take(at, until, request.lane.long, pinned);
+        let opens = request.profile.step == RequestStep::Opens;
+        let run = SlotBoard {
+            free_at: until,
+            long: request.lane.long,
+            pinned: pinned || opens,
+        };
+        board.take(at, run);
         board.pinned_run = if pinned { board.pinned_run + 1 } else { 0 };
         if start.trial {
             board.trial = false;
         }
-        if request.profile.step == crate::RequestStep::Opens {
-            board.pins_left = board.pins_left.saturating_sub(1);
+        if opens {
+            board.pin();
         }
         if !pinned {
             let ordinary_waits = self.ordinary_left > 0;
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -170,11 +170,11 @@
         let mut moved = Vec::new();
         for request in self.queue.iter() {
             let ticket = request.profile.ticket;
-            if let Some(cause) = self.find_stranding(now, request) {
+            let replica = self.leaves_to_replicas(now, &request.profile);
+            if let Some(cause) = self.find_stranding(now, request, replica) {
                 stranded.push((ticket, cause));
                 continue;
             }
-            let replica = self.leaves_to_replicas(now, &request.profile);
             if replica != request.lane.replica {
                 let lane = LaneKind {
                     replica,
@@ -460,7 +460,13 @@
         decisions.push(SchedulerDecision::Refuse(RefusalOrder { ticket, refusal }));
     }
 
-    fn find_stranding(&self, now: ClockTime, request: &WaitingRequest) -> Option<RefusalCause> {
+    /// Returns why a request has nothing to wait for, if so.
+    fn find_stranding(
+        &self,
+        now: ClockTime,
+        request: &WaitingRequest,
+        replica: bool,
+    ) -> Option<RefusalCause> {
         if request.profile.deadline <= now {
             return Some(RefusalCause::DeadlinePassed);
         }
@@ -471,7 +477,7 @@
             };
         }
         let lost = self.primary_lost?;
-        if request.lane.replica {
+        if replica {
             return None;
         }
         let back = (lost + PROMOTION_TIME).max(now + PROMOTION_REST);
--- /dev/null
+++ b/crates/policy/tests/scheduler.rs
@@ -0,0 +1,414 @@
+//! Single decisions of the scheduler.
+
+mod fixture;
+
+use fixture::OTHER_REPLICA;
+use fixture::PRIMARY;
+use fixture::REPLICA;
+use fixture::create_group;
+use fixture::endpoint;
+use fixture::read;
+use fixture::write;
+use ragwort_policy::AbandonEffect;
+use ragwort_policy::ArrivalDecision;
+use ragwort_policy::ClockTime;
+use ragwort_policy::CustomerTerms;
+use ragwort_policy::EndpointRole;
+use ragwort_policy::EndpointState;
+use ragwort_policy::FinishDecision;
+use ragwort_policy::FinishOutcome;
+use ragwort_policy::FlightLimiter;
+use ragwort_policy::GROUP_FLIGHT_LIMIT;
+use ragwort_policy::GroupScheduler;
+use ragwort_policy::RequestProfile;
+use ragwort_policy::RequestStep;
+use ragwort_policy::RequestTicket;
+use ragwort_policy::SchedulerDecision;
+use ragwort_types::CustomerName;
+use ragwort_types::GroupName;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceName;
+use ragwort_types::LogPosition;
+use ragwort_types::RefusalCause;
+use ragwort_types::RepeatRule;
+use ragwort_types::UrgencyClass;
+use std::time::Duration;
+
+const START: ClockTime = ClockTime(1_000_000);
+
+fn open_connections(scheduler: &mut GroupScheduler) {
+    for name in [PRIMARY, REPLICA, OTHER_REPLICA] {
+        for _ in 0..3 {
+            scheduler.connection_opened(&InstanceName::from(name));
+        }
+    }
+}
+
+fn ready_group(queue_limit: u32) -> GroupScheduler {
+    let mut scheduler = create_group(queue_limit);
+    open_connections(&mut scheduler);
+    scheduler
+}
+
+fn dispatches(decisions: &[SchedulerDecision]) -> Vec<(u64, &str)> {
+    let orders = decisions.iter().filter_map(|decision| match decision {
+        SchedulerDecision::Dispatch(order) => Some((order.ticket.0, order.instance.as_str())),
+        SchedulerDecision::Refuse(_) | SchedulerDecision::OpenConnection(_) => None,
+    });
+    orders.collect()
+}
+
+fn refusals(decisions: &[SchedulerDecision]) -> Vec<(u64, RefusalCause, u64)> {
+    let orders = decisions.iter().filter_map(|decision| match decision {
+        SchedulerDecision::Refuse(order) => {
+            let refusal = order.refusal;
+            Some((order.ticket.0, refusal.cause, refusal.come_back_after_ms))
+        }
+        SchedulerDecision::Dispatch(_) | SchedulerDecision::OpenConnection(_) => None,
+    });
+    orders.collect()
+}
+
+fn urgent(ticket: u64) -> RequestProfile {
+    RequestProfile {
+        urgency: UrgencyClass::Urgent,
+        ..write(ticket, START)
+    }
+}
+
+/// A duty officer's request arrives when the queue is full of ordinary ones. If it waited its turn or
+/// were refused, an applicant would face a hearing without counsel.
+#[test]
+fn urgent_goes_before_a_full_queue() {
+    let mut scheduler = ready_group(30);
+    for ticket in 0..40 {
+        scheduler.arrive(START, write(ticket, START));
+    }
+    let first = scheduler.poll(START);
+    assert_eq!(dispatches(&first).len(), 2);
+    assert_eq!(
+        scheduler.arrive(START, urgent(100)),
+        ArrivalDecision::Queued
+    );
+    scheduler.poll(START);
+    let end = START + Duration::from_millis(8);
+    scheduler.finished(
+        end,
+        RequestTicket(dispatches(&first)[0].0),
+        FinishOutcome::Answered,
+    );
+    assert_eq!(dispatches(&scheduler.poll(end)), [(100, PRIMARY)]);
+}
+
+/// Urgent requests never stop coming. Of every four, one ordinary request is served.
+#[test]
+fn urgent_does_not_starve_the_rest() {
+    let mut scheduler = ready_group(100);
+    for ticket in 0..20 {
+        scheduler.arrive(START, urgent(ticket));
+        scheduler.arrive(START, write(100 + ticket, START));
+    }
+    let mut now = START;
+    let mut running = dispatches(&scheduler.poll(now))
+        .iter()
+        .map(|order| order.0)
+        .collect::<Vec<_>>();
+    let mut served = running.clone();
+    while served.len() < 16 {
+        now = now + Duration::from_millis(4);
+        scheduler.finished(
+            now,
+            RequestTicket(running.remove(0)),
+            FinishOutcome::Answered,
+        );
+        let decisions = scheduler.poll(now);
+        let orders = dispatches(&decisions);
+        running.extend(orders.iter().map(|order| order.0));
+        served.extend(orders.iter().map(|order| order.0));
+    }
+    assert_eq!(served.iter().filter(|ticket| **ticket >= 100).count(), 4);
+}
+
+/// A write with 5 ms left takes 8 ms. Held back until its time is up, its caller could do nothing
+/// else; it learns so at once.
+#[test]
+fn hopeless_request_is_refused_at_once() {
+    let mut scheduler = ready_group(30);
+    let profile = RequestProfile {
+        deadline: START + Duration::from_millis(5),
+        ..write(1, START)
+    };
+    assert_eq!(scheduler.arrive(START, profile), ArrivalDecision::Queued);
+    let decisions = scheduler.poll(START);
+    let refused = refusals(&decisions);
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1, RefusalCause::DeadlineOutOfReach);
+    assert!(refused[0].2 > 0);
+}
+
+/// Three hundred callers are refused within a moment. If all came back at the same time, they would
+/// be refused together again.
+#[test]
+fn refused_callers_come_back_spread_out() {
+    let mut scheduler = ready_group(400);
+    let mut times = Vec::new();
+    for ticket in 0..400 {
+        scheduler.arrive(START, write(ticket, START));
+    }
+    for (_, _, come_back_after_ms) in refusals(&scheduler.poll(START)) {
+        times.push(come_back_after_ms);
+    }
+    assert!(times.len() > 250);
+    let first = times.iter().min().copied().unwrap_or_default();
+    let last = times.iter().max().copied().unwrap_or_default();
+    assert!(last - first > 250, "from {first} to {last} ms");
+    for moment in first..last {
+        let together = times
+            .iter()
+            .filter(|time| (moment..moment + 20).contains(*time));
+        assert!(together.count() < times.len() / 5);
+    }
+}
+
+/// A session has written and reads on a replica that has not caught up. It would miss its own write.
+#[test]
+fn read_waits_for_no_replica_that_lacks_its_write() {
+    let mut scheduler = ready_group(30);
+    let position = LogPosition::new(GroupTerm(1), 10);
+    let age = Duration::from_millis(200);
+    for name in [REPLICA, OTHER_REPLICA] {
+        scheduler.report_position(START, &InstanceName::from(name), position, age);
+    }
+    scheduler.arrive(START, read(1, START, 11));
+    scheduler.arrive(START, read(2, START, 10));
+    let decisions = scheduler.poll(START);
+    assert_eq!(dispatches(&decisions), [(1, PRIMARY), (2, REPLICA)]);
+}
+
+/// The replicas' last report is too old to know that their data is recent enough.
+#[test]
+fn age_grows_between_reports() {
+    let mut scheduler = ready_group(30);
+    let position = LogPosition::new(GroupTerm(1), 10);
+    let age = Duration::from_millis(200);
+    scheduler.report_position(START, &InstanceName::from(REPLICA), position, age);
+    let later = START + Duration::from_millis(900);
+    scheduler.arrive(later, read(1, later, 0));
+    assert_eq!(dispatches(&scheduler.poll(later)), [(1, PRIMARY)]);
+}
+
+/// An endpoint announces that it leaves. Fresh work there would be cut off.
+#[test]
+fn leaving_endpoint_gets_no_fresh_work() {
+    let mut scheduler = ready_group(30);
+    let leaving = EndpointState {
+        leaving: true,
+        ..endpoint(PRIMARY, EndpointRole::Primary)
+    };
+    scheduler.set_endpoint(START, leaving);
+    scheduler.arrive(START, write(1, START));
+    let decisions = scheduler.poll(START);
+    assert_eq!(dispatches(&decisions), []);
+    assert_eq!(refusals(&decisions)[0].1, RefusalCause::NoPrimary);
+}
+
+/// The primary is gone and a promotion takes a second. A request with half a second left has no
+/// chance; one with three seconds waits for the successor.
+#[test]
+fn promotion_is_waited_for_only_with_time_left() {
+    let mut scheduler = ready_group(30);
+    scheduler.remove_endpoint(START, &InstanceName::from(PRIMARY));
+    scheduler.arrive(START, write(1, START));
+    let patient = RequestProfile {
+        deadline: START + Duration::from_secs(3),
+        ..write(2, START)
+    };
+    scheduler.arrive(START, patient);
+    let decisions = scheduler.poll(START);
+    assert_eq!(refusals(&decisions).len(), 1);
+    let later = START + Duration::from_millis(800);
+    scheduler.set_endpoint(later, endpoint(REPLICA, EndpointRole::Primary));
+    assert_eq!(dispatches(&scheduler.poll(later)), [(2, REPLICA)]);
+}
+
+fn open_transaction(scheduler: &mut GroupScheduler, ticket: u64) {
+    let begin = RequestProfile {
+        step: RequestStep::Opens,
+        ..write(ticket, START)
+    };
+    scheduler.arrive(START, begin);
+    assert_eq!(dispatches(&scheduler.poll(START)), [(ticket, PRIMARY)]);
+    scheduler.finished(START, RequestTicket(ticket), FinishOutcome::Answered);
+}
+
+fn within(ticket: u64, opener: u64) -> RequestProfile {
+    RequestProfile {
+        step: RequestStep::Within(RequestTicket(opener)),
+        ..write(ticket, START)
+    }
+}
+
+/// A transaction holds one of few connections while its next statement waits behind fresh work.
+#[test]
+fn transaction_goes_on_before_fresh_work() {
+    let mut scheduler = ready_group(30);
+    open_transaction(&mut scheduler, 1);
+    scheduler.arrive(START, write(2, START));
+    scheduler.arrive(START, within(3, 1));
+    let decisions = scheduler.poll(START);
+    assert_eq!(dispatches(&decisions), [(3, PRIMARY), (2, PRIMARY)]);
+    assert_eq!(scheduler.snapshot(START).endpoints[0].pinned, 1);
+    scheduler.unpin(START, RequestTicket(1));
+    assert_eq!(scheduler.snapshot(START).endpoints[0].pinned, 0);
+}
+
+/// The endpoint is lost in the middle of a transaction. Its next statement on another endpoint would
+/// run outside of the transaction.
+#[test]
+fn transaction_ends_with_its_endpoint() {
+    let mut scheduler = ready_group(30);
+    open_transaction(&mut scheduler, 1);
+    scheduler.arrive(START, within(2, 1));
+    scheduler.remove_endpoint(START, &InstanceName::from(PRIMARY));
+    let decisions = scheduler.poll(START);
+    assert_eq!(
+        refusals(&decisions),
+        [(2, RefusalCause::TransactionLost, 0)]
+    );
+    let late = scheduler.arrive(START, within(3, 1));
+    assert!(matches!(late, ArrivalDecision::Refused(refusal)
+        if refusal.cause == RefusalCause::TransactionLost));
+}
+
+/// A customer opens more transactions than its contract allows. It must not take the connections of
+/// the others.
+#[test]
+fn transactions_are_limited_by_contract() {
+    let mut scheduler = ready_group(30);
+    for ticket in 0..4 {
+        open_transaction(&mut scheduler, ticket);
+        scheduler.connection_opened(&InstanceName::from(PRIMARY));
+    }
+    let fifth = RequestProfile {
+        step: RequestStep::Opens,
+        ..write(4, START)
+    };
+    let decision = scheduler.arrive(START, fifth);
+    assert!(matches!(decision, ArrivalDecision::Refused(refusal)
+        if refusal.cause == RefusalCause::Limit));
+}
+
+/// Sixty requests find no connection open. One connection for each of them would use up the
+/// endpoints' connections, and leave none for a successor.
+#[test]
+fn burst_opens_few_connections() {
+    let mut scheduler = create_group(100);
+    for ticket in 0..60 {
+        scheduler.arrive(START, write(ticket, START));
+    }
+    let opened = |decisions: &[SchedulerDecision]| {
+        let opens = |decision: &&SchedulerDecision| {
+            **decision == SchedulerDecision::OpenConnection(InstanceName::from(PRIMARY))
+        };
+        decisions.iter().filter(opens).count()
+    };
+    assert_eq!(opened(&scheduler.poll(START)), 2);
+    assert_eq!(opened(&scheduler.poll(START)), 0);
+    scheduler.connection_opened(&InstanceName::from(PRIMARY));
+    scheduler.connection_opened(&InstanceName::from(PRIMARY));
+    assert_eq!(
+        opened(&scheduler.poll(START + Duration::from_millis(12))),
+        1
+    );
+}
+
+fn fail_all(repeat: RepeatRule, outcome: FinishOutcome) -> u64 {
+    let mut scheduler = ready_group(1_000);
+    let mut now = START;
+    for ticket in 0..300 {
+        let profile = RequestProfile {
+            repeat,
+            ..write(ticket, now)
+        };
+        scheduler.arrive(now, profile);
+        for (dispatched, _) in dispatches(&scheduler.poll(now)) {
+            scheduler.finished(now, RequestTicket(dispatched), outcome);
+        }
+        now = now + Duration::from_millis(10);
+    }
+    scheduler.snapshot(now).counts.retried
+}
+
+/// Every statement fails without having run. Retried without limit, failures would double the load.
+#[test]
+fn retries_stay_within_a_tenth() {
+    let retried = fail_all(RepeatRule::Never, FinishOutcome::NotRun);
+    assert!((30..=40).contains(&retried), "{retried} retries");
+}
+
+/// A grant was sent and its connection lost. Sent again, there could be two grants on one case.
+#[test]
+fn lost_request_that_must_not_repeat_is_settled() {
+    assert_eq!(fail_all(RepeatRule::Never, FinishOutcome::Lost), 0);
+    assert!(fail_all(RepeatRule::Idempotent, FinishOutcome::Lost) > 0);
+}
+
+/// A statement fails when its time is nearly up. A second run could not end in time.
+#[test]
+fn no_retry_after_the_deadline() {
+    let mut scheduler = ready_group(30);
+    scheduler.arrive(START, write(1, START));
+    scheduler.poll(START);
+    let late = START + Duration::from_millis(499);
+    let finish = scheduler.finished(late, RequestTicket(1), FinishOutcome::NotRun);
+    assert!(matches!(finish, FinishDecision::Refused(refusal)
+        if refusal.cause == RefusalCause::EndpointRefused));
+}
+
+/// A caller hangs up. Its waiting request is forgotten; its running one holds the slot until the
+/// endpoint has ended it.
+#[test]
+fn abandoned_request_keeps_its_slot() {
+    let mut scheduler = ready_group(30);
+    for ticket in 0..3 {
+        scheduler.arrive(START, write(ticket, START));
+    }
+    scheduler.poll(START);
+    assert_eq!(scheduler.abandon(RequestTicket(2)), AbandonEffect::Removed);
+    assert_eq!(scheduler.abandon(RequestTicket(0)), AbandonEffect::Running);
+    assert_eq!(scheduler.snapshot(START).endpoints[0].slots_held, 2);
+    let finish = scheduler.finished(START, RequestTicket(0), FinishOutcome::Lost);
+    assert_eq!(finish, FinishDecision::Settled);
+    assert_eq!(scheduler.abandon(RequestTicket(0)), AbandonEffect::Unknown);
+}
+
+/// One group's leaseholder hangs. Its requests must not fill the gateway's memory, and urgent ones
+/// still find room.
+#[test]
+fn gateway_limits_what_is_in_flight() {
+    let customers = [1, 2, 3].map(|number| CustomerTerms {
+        customer: CustomerName::from(format!("customer-{number}")),
+        slot_share: 1,
+        queue_limit: 1_000,
+        connection_limit: 8,
+    });
+    let group = GroupName::from("cases");
+    let mut limiter = FlightLimiter::default();
+    let mut refused = 0;
+    for terms in &customers {
+        for _ in 0..1_200 {
+            let admitted = limiter.admit(&group, terms, UrgencyClass::Ordinary);
+            refused += u32::from(admitted.is_err());
+        }
+    }
+    assert!(limiter.in_flight(&group) < GROUP_FLIGHT_LIMIT);
+    assert_eq!(limiter.in_flight(&group) + refused, 3_600);
+    let last = limiter.admit(&group, &customers[2], UrgencyClass::Urgent);
+    assert!(last.is_ok());
+    let other = GroupName::from("stock");
+    assert!(
+        limiter
+            .admit(&other, &customers[0], UrgencyClass::Ordinary)
+            .is_ok()
+    );
+}
