Judge new requests within the plan

A new request was judged after the plan had been made with it. Without it the plan could give another request no chance, which then learned so at the next poll only (found by random events, kept as a test). The plan itself now asks whether a new request has time for the wait that experience foresees.

--- a/crates/policy/src/customers.rs
+++ b/crates/policy/src/customers.rs
@@ -51,13 +51,22 @@
     }
 
     /// Returns how far the waits of requests like this one are stretched.
+    pub(crate) fn stretch(&self, request: &WaitingRequest) -> &WaitStretch {
+        &self.stretches[stretch_index(request)]
+    }
+
+    /// Returns how far the waits of requests like this one are stretched, for learning.
     pub(crate) fn stretch_mut(&mut self, request: &WaitingRequest) -> &mut WaitStretch {
-        let delayed = if request.delay.is_zero() { 0 } else { LANES };
-        let index = request.lane.index() + delayed;
-        &mut self.stretches[index]
+        &mut self.stretches[stretch_index(request)]
     }
 }
 
+/// Returns the index of a request's sort: its lane, and whether it was delayed.
+fn stretch_index(request: &WaitingRequest) -> usize {
+    let delayed = if request.delay.is_zero() { 0 } else { LANES };
+    request.lane.index() + delayed
+}
+
 /// All customers that a group has seen; an index stays the same for good.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CustomerTable {
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -9,8 +9,10 @@
 use crate::EndpointRole;
 use crate::RequestStep;
 use crate::admission::misses_deadline;
+use crate::admission::stretch_start;
 use crate::board::InstanceBoard;
 use crate::board::SlotBoard;
+use crate::customers::CustomerTable;
 use crate::endpoints::EndpointRecord;
 use crate::endpoints::EndpointTable;
 use crate::estimate::EstimateTable;
@@ -51,6 +53,8 @@
     pub(crate) endpoints: &'a EndpointTable,
     /// How long it will run.
     pub(crate) estimates: &'a EstimateTable,
+    /// How far their customers' waits are stretched.
+    pub(crate) customers: &'a CustomerTable,
     /// Who goes next.
     pub(crate) ledger: &'a ShareLedger,
     /// How long opening a connection takes.
@@ -497,7 +501,23 @@
             return false;
         };
         let margin = self.input.estimates.get(request.kind).deviation();
-        misses_deadline(at, run, margin, request.profile.deadline)
+        let start = self.foresee_start(request, at);
+        misses_deadline(start, run, margin, request.profile.deadline)
+    }
+
+    /// Returns when a request is to be expected to start that is planned to start at `at`.
+    ///
+    /// A request that was let in keeps its place as long as the plan gives it a chance. A new one
+    /// needs time for the wait that experience foresees: let in on the edge of its deadline, it
+    /// would be refused later, with little of its time left, when a run before it takes longer than
+    /// expected or another request overtakes it.
+    fn foresee_start(&self, request: &WaitingRequest, at: ClockTime) -> ClockTime {
+        if request.planned_wait.is_some() {
+            return at;
+        }
+        let now = self.input.now;
+        let stretch = self.input.customers.get(request.customer).stretch(request);
+        stretch_start(now, at.since(now), stretch.percent())
     }
 
     /// Says whether an instance is one of those that serve requests like this one.
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -16,7 +16,6 @@
 use crate::admission::PROMOTION_TIME;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
-use crate::admission::stretch_start;
 use crate::connections::connections_to_open;
 use crate::endpoints::ConnectionPin;
 use crate::endpoints::RunningRequest;
@@ -206,6 +205,7 @@
             queue: &self.queue,
             endpoints: &self.endpoints,
             estimates: &self.estimates,
+            customers: &self.customers,
             ledger: &self.ledger,
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
@@ -223,7 +223,7 @@
                     self.dispatch(now, ticket, start, decisions);
                 }
                 PlanAction::Start(start) => {
-                    self.judge_newcomer(now, step.slot, start, decisions);
+                    self.queue.note_plan(step.slot, start.at.since(now));
                 }
                 PlanAction::Hopeless => {
                     self.learn_hopeless(step.slot);
@@ -234,45 +234,17 @@
         }
     }
 
-    /// Refuses a request at its first plan unless there is time for more than the planned wait.
-    ///
-    /// A request that is let in on the edge of its deadline is refused later, with little of its
-    /// time left, as soon as a run before it takes longer than expected.
-    fn judge_newcomer(
-        &mut self,
-        now: ClockTime,
-        slot: usize,
-        start: PlannedStart,
-        decisions: &mut Vec<SchedulerDecision>,
-    ) {
-        let request = self.queue.at(slot);
-        if request.planned_wait.is_some() {
-            return;
-        }
-        let wait = start.at.since(now);
-        let margin = self.estimates.get(request.kind).deviation();
-        let stretch = self
-            .customers
-            .get_mut(request.customer)
-            .stretch_mut(request);
-        let at = stretch_start(now, wait, stretch.percent());
-        if misses_deadline(at, start.expected, margin, request.profile.deadline) {
-            stretch.relax();
-            let ticket = request.profile.ticket;
-            let cause = RefusalCause::DeadlineOutOfReach;
-            self.refuse_waiting(now, ticket, cause, decisions);
-            return;
-        }
-        self.queue.note_plan(slot, wait);
-    }
-
-    /// Learns that a request was let in and would have waited until it was too late.
+    /// Learns that a request was let in and would have waited until it was too late, or that a new
+    /// one was refused.
     fn learn_hopeless(&mut self, slot: usize) {
         let request = self.queue.at(slot);
-        if let Some(planned) = request.planned_wait {
-            let actual = request.profile.deadline.since(request.arrived);
-            let customer = self.customers.get_mut(request.customer);
-            customer.stretch_mut(request).learn(planned, actual);
+        let customer = self.customers.get_mut(request.customer);
+        let stretch = customer.stretch_mut(request);
+        match request.planned_wait {
+            Some(planned) => {
+                stretch.learn(planned, request.profile.deadline.since(request.arrived));
+            }
+            None => stretch.relax(),
         }
     }
 
--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -477,4 +477,23 @@
         Arrive(98, 14553), Pass(5535), Arrive(49, 45915), Pass(13212), Pass(5535), Connect(0),
         Begin(), Finish(206, 161), Pass(10521), Finish(115, 20), Finish(232, 0),
     );
+
+    /// A new request was refused after the plan had been made with it. The plan without it gave another
+    /// request no chance, which learned so one poll too late.
+    refused_newcomer_is_not_planned(
+        FailConnect(2), Connect(0), Connect(0), Arrive(203, 260), Arrive(115, 13753),
+        Arrive(221, 46236), Arrive(210, 57715), Pass(9965), Pass(9977), Pass(3656),
+        Finish(137, 170), Finish(48, 255), Finish(147, 245), Begin(), Change(2, 2, true),
+        Pass(14526), Finish(168, 226), Arrive(45, 52386), Pass(8587), Pass(15678), Pass(10675),
+        Arrive(9, 50878), Pass(7475), Finish(90, 20), Remove(0), Connect(1), Report(1, 7, 141),
+        Finish(60, 144), Arrive(133, 55825), Arrive(135, 12398), Pass(16372), Remove(1),
+        Arrive(20, 17089), Begin(), Arrive(33, 4261), Pass(12221), Arrive(224, 8665),
+        Arrive(144, 5006), Finish(218, 93), Arrive(113, 22997), Change(2, 0, false),
+        Arrive(1, 11921), Arrive(240, 22486), Pass(12278), Arrive(29, 49467), Pass(18267),
+        Pass(4788), Pass(10223), Pass(5535), Pass(5535), Pass(13981), Pass(11197),
+        Arrive(194, 9500), Pass(7249), Pass(7950), Pass(9116), Pass(13408), Arrive(43, 458),
+        Pass(10362), Pass(5992), Pass(3969), Pass(8417), Pass(8727), Connect(2), Pass(2468),
+        Pass(10368), Pass(4448), Finish(45, 80), Arrive(160, 28289), Pass(3133), Pass(5222),
+        Arrive(208, 54805), Pass(12781), Arrive(97, 18441), Finish(40, 200),
+    );
 }
