--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -391,35 +391,9 @@
                 best = Some(start);
             }
         }
-        let best = best.filter(|start| !self.ends_sooner_elsewhere(request, start, at));
         best.map(PlanAction::Start)
     }
 
-    /// Says whether another instance would end the request sooner once its next slot is free.
-    fn ends_sooner_elsewhere(
-        &self,
-        request: &WaitingRequest,
-        start: &PlannedStart,
-        at: ClockTime,
-    ) -> bool {
-        let records = self.input.endpoints.records();
-        let others = (0..records.len()).filter(|index| *index != start.instance);
-        let fit = others.filter(|index| {
-            records[*index].state.role == EndpointRole::Replica
-                && self.boards[*index].usable > 0
-                && self.is_fit(&records[*index], request, at)
-        });
-        let mut ends = fit.filter_map(|index| {
-            let free = self.boards[index]
-                .slots
-                .iter()
-                .map(|slot| slot.free_at)
-                .min()?;
-            Some(free.max(at) + self.expected_on(request, index))
-        });
-        request.lane.replica && ends.any(|end| end < at + start.expected)
-    }
-
     /// Says whether an instance takes a request now, and if so whether as a trial.
     fn accepts(&self, request: &WaitingRequest, instance: usize, pass: ChoicePass) -> Option<bool> {
         let at = pass.at;
