--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -181,8 +181,9 @@
                 return;
             }
             let _ = notices.send(report(ProbeOutcome::Accepted)).await;
-            if probe_answer(address, LATE_ANSWER).await {
-                let _ = notices.send(report(ProbeOutcome::Answered)).await;
+            let answer = probe_answer(address, LATE_ANSWER).await;
+            if answer != ProbeOutcome::Silent {
+                let _ = notices.send(report(answer)).await;
             }
         });
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -159,9 +159,16 @@
     }
 }
 
-/// Says whether the other side answers a handshake on a *new* connection within `limit`.
-pub async fn probe_answer(address: SocketAddr, limit: Duration) -> bool {
-    matches!(timeout(limit, open_client(address, limit)).await, Ok(Ok(_)))
+/// Says how a handshake on a *new* connection to `address` ends within `limit`.
+///
+/// A connection that is accepted and then closed at once comes from a live system whose process is
+/// gone: that counts as refused.
+pub async fn probe_answer(address: SocketAddr, limit: Duration) -> ProbeOutcome {
+    match timeout(limit, open_client(address, limit)).await {
+        Ok(Ok(_)) => ProbeOutcome::Answered,
+        Ok(Err(ClientError::RequestTimeout)) | Err(_) => ProbeOutcome::Silent,
+        Ok(Err(_)) => ProbeOutcome::Refused,
+    }
 }
 
 async fn open_client(address: SocketAddr, limit: Duration) -> Result<WsClient, ClientError> {
