Run the agreed log at random over three and five VMs

Checked throughout: one leader per term, equal entries at equal marks, committed entries that never change, applied indices that only grow, reads that cover all that was committed before them, bounded messages; and at the end a log that is whole again.

--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -345,9 +345,10 @@
             .unwrap_or_default()
     }
 
-    /// Returns the state to write when the driver replaces the file that has grown long.
+    /// Returns the whole durable state, to replace a file that has grown long.
     ///
-    /// It includes the writes of every output taken so far.
+    /// Taken right after an output, it includes that output's writes: a new file with this state,
+    /// synced and put in place of the old one, stands for appending them.
     pub fn durable_state(&self) -> DurableState {
         DurableState {
             id: Some(self.id.clone()),
--- /dev/null
+++ b/crates/control/tests/agreement_network/mod.rs
@@ -0,0 +1,439 @@
+//! A small network of agreement nodes in one thread, with faults, and the checks on all of them.
+
+#![expect(dead_code, reason = "each test file uses a part of the network")]
+
+pub mod checker;
+pub mod scenario;
+pub mod vm;
+
+use checker::LogChecker;
+use ragwort_control::agreement::AgreementMessage;
+use ragwort_control::agreement::EntryMark;
+use ragwort_control::agreement::GuardSet;
+use ragwort_control::agreement::VoterId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::collections::BTreeSet;
+use vm::BatchLimits;
+use vm::CrashPoint;
+use vm::TestVm;
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NetworkNoise {
+    /// Messages lost, of a hundred.
+    pub lost: u32,
+    /// Messages sent twice, of a hundred.
+    pub doubled: u32,
+    /// The most ticks that a message takes beyond the first.
+    pub delay: u64,
+}
+
+/// A message on its way.
+struct MessageInFlight {
+    due_at: u64,
+    from: usize,
+    to: usize,
+    message: AgreementMessage,
+}
+
+/// VMs with disks, and the network between them.
+pub struct TestNetwork {
+    pub vms: Vec<TestVm>,
+    pub checker: LogChecker,
+    pub noise: NetworkNoise,
+    pub clock: u64,
+    cuts: BTreeSet<(usize, usize)>,
+    in_flight: Vec<MessageInFlight>,
+    random: StdRng,
+    proposals: u64,
+}
+
+impl TestNetwork {
+    /// Creates VMs with empty disks and no log.
+    pub fn unformed(count: usize, seed: u64, guards: &GuardSet) -> Self {
+        let names: Vec<String> = (1..=count).map(|number| format!("vm-{number}")).collect();
+        let vms = names
+            .iter()
+            .map(|name| TestVm::new(name, &names, seed, guards.clone()))
+            .collect();
+        Self {
+            vms,
+            checker: LogChecker::default(),
+            noise: NetworkNoise::default(),
+            clock: 0,
+            cuts: BTreeSet::new(),
+            in_flight: Vec::new(),
+            random: StdRng::seed_from_u64(seed),
+            proposals: 0,
+        }
+    }
+
+    /// Creates VMs that share a log.
+    pub fn formed(count: usize, seed: u64, guards: &GuardSet) -> Self {
+        let mut network = Self::unformed(count, seed, guards);
+        let voters: Vec<VoterId> = network
+            .vms
+            .iter()
+            .map(|vm| vm.node().id().clone())
+            .collect();
+        for number in 0..count {
+            let node = network.vms[number].node_mut();
+            node.form(voters.clone()).expect("an empty node forms");
+            network.settle(number);
+        }
+        network
+    }
+
+    /// Sets the bounds of all VMs' messages, from their next start on.
+    pub fn limit_batches(&mut self, limits: BatchLimits) {
+        for number in 0..self.vms.len() {
+            self.vms[number].limits = limits;
+            self.crash(number);
+            self.restart(number);
+        }
+    }
+
+    /// Creates VMs that share a log and have a leader; returns the leader's number too.
+    pub fn led(count: usize, seed: u64) -> (Self, usize) {
+        let mut network = Self::formed(count, seed, &GuardSet::all());
+        let leader = network.wait_for_leader();
+        (network, leader)
+    }
+
+    /// Runs some ticks.
+    pub fn run(&mut self, ticks: u64) {
+        for _ in 0..ticks {
+            self.step();
+        }
+    }
+
+    /// Runs until `done` says so; panics after `limit` ticks.
+    pub fn run_until(&mut self, limit: u64, wanted: &str, done: impl Fn(&Self) -> bool) {
+        for _ in 0..limit {
+            if done(self) {
+                return;
+            }
+            self.step();
+        }
+        panic!("not within {limit} ticks: {wanted}");
+    }
+
+    /// Makes a VM the leader with the votes of `voters`, while all others are cut off.
+    ///
+    /// The voters are restarted, which makes them forget the former leader, and only the
+    /// candidate's clock goes on. Links stay cut afterwards.
+    pub fn elect(&mut self, number: usize, voters: &[usize]) {
+        self.drop_messages();
+        self.mend_cuts();
+        for other in 0..self.vms.len() {
+            if other == number || voters.contains(&other) {
+                self.crash(other);
+                self.restart(other);
+            } else {
+                self.isolate(other);
+            }
+        }
+        for _ in 0..200 {
+            if self.vms[number].node().is_leader() {
+                return;
+            }
+            self.clock += 1;
+            self.vms[number].node_mut().tick();
+            self.settle(number);
+            self.deliver_due();
+        }
+        panic!("VM {number} isn't elected:\n{}", self.describe());
+    }
+
+    /// Delivers messages for some rounds without a tick on any VM.
+    pub fn deliver(&mut self, rounds: u64) {
+        for _ in 0..rounds {
+            self.clock += 1;
+            self.deliver_due();
+        }
+    }
+
+    /// Runs one tick: clocks go on, then the messages that are due arrive in any order.
+    fn step(&mut self) {
+        self.clock += 1;
+        for number in 0..self.vms.len() {
+            if self.vms[number].is_running() {
+                self.vms[number].node_mut().tick();
+                self.settle(number);
+            }
+        }
+        self.deliver_due();
+    }
+
+    fn deliver_due(&mut self) {
+        let (due, later): (Vec<_>, Vec<_>) = self
+            .in_flight
+            .drain(..)
+            .partition(|message| message.due_at <= self.clock);
+        self.in_flight = later;
+        self.arrive(due);
+    }
+
+    fn arrive(&mut self, mut due: Vec<MessageInFlight>) {
+        while !due.is_empty() {
+            let place = self.random.random_range(0..due.len());
+            let message = due.swap_remove(place);
+            if self.cuts.contains(&(message.from, message.to)) {
+                continue;
+            }
+            if self.vms[message.to].is_frozen() {
+                self.in_flight.push(message);
+            } else if self.vms[message.to].is_running() {
+                let to = message.to;
+                self.vms[to].node_mut().receive(message.message);
+                self.settle(to);
+            }
+        }
+    }
+
+    /// Carries out what a node asks for.
+    pub fn settle(&mut self, number: usize) {
+        let sent = self.vms[number].settle(&mut self.checker);
+        for outbound in sent {
+            let receiver = self.vms.iter().position(|vm| vm.name == outbound.to);
+            if let Some(to) = receiver {
+                self.put_in_flight(number, to, outbound.message);
+            }
+        }
+    }
+
+    fn put_in_flight(&mut self, from: usize, to: usize, message: AgreementMessage) {
+        let copies = if self.chance(self.noise.doubled) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            if self.chance(self.noise.lost) {
+                continue;
+            }
+            let due_at = self.clock + self.random.random_range(0..=self.noise.delay);
+            self.in_flight.push(MessageInFlight {
+                due_at: due_at + 1,
+                from,
+                to,
+                message: message.clone(),
+            });
+        }
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        percent > 0 && self.random.random_range(0..100) < percent
+    }
+
+    /// Proposes a fresh command at every node that takes itself for the leader.
+    pub fn propose_everywhere(&mut self) -> Vec<EntryMark> {
+        let mut marks = Vec::new();
+        for number in 0..self.vms.len() {
+            if self.vms[number].is_running() && self.vms[number].node().is_leader() {
+                marks.push(self.propose_at(number));
+            }
+        }
+        marks
+    }
+
+    /// Proposes a fresh command at a leader.
+    pub fn propose_at(&mut self, number: usize) -> EntryMark {
+        self.proposals += 1;
+        let data = format!("command {}", self.proposals);
+        let mark = self.vms[number].node_mut().propose(data);
+        let mark = mark.expect("the node is the leader");
+        self.settle(number);
+        mark
+    }
+
+    /// Proposes `count` commands at a leader and waits until it knows them to be committed.
+    pub fn commit_at(&mut self, number: usize, count: usize) {
+        for _ in 0..count {
+            let mark = self.propose_at(number);
+            self.run_until(200, "a command is committed", |network| {
+                network.checker.is_committed(mark)
+            });
+        }
+    }
+
+    /// Asks for a read at every node that takes itself for the leader.
+    pub fn read_everywhere(&mut self) {
+        for number in 0..self.vms.len() {
+            if self.vms[number].is_running() && self.vms[number].node().is_leader() {
+                self.vms[number].begin_read(&self.checker);
+                self.settle(number);
+            }
+        }
+    }
+
+    /// Cuts both directions between a VM and all others.
+    pub fn isolate(&mut self, number: usize) {
+        for other in 0..self.vms.len() {
+            if other != number {
+                self.cut_link(number, other);
+                self.cut_link(other, number);
+            }
+        }
+    }
+
+    /// Cuts one direction between two VMs.
+    pub fn cut_link(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Cuts the VMs whose bit is set in `sides` from the others.
+    pub fn split(&mut self, sides: u8) {
+        let side = |number: usize| sides >> number & 1;
+        for from in 0..self.vms.len() {
+            for to in 0..self.vms.len() {
+                if side(from) != side(to) {
+                    self.cut_link(from, to);
+                }
+            }
+        }
+    }
+
+    /// Mends all cuts of a VM.
+    pub fn reconnect(&mut self, number: usize) {
+        self.cuts
+            .retain(|(from, to)| *from != number && *to != number);
+    }
+
+    /// Mends all cuts.
+    pub fn mend_cuts(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Forgets all messages on their way.
+    pub fn drop_messages(&mut self) {
+        self.in_flight.clear();
+    }
+
+    /// Stops a VM's process at once.
+    pub fn crash(&mut self, number: usize) {
+        self.vms[number].stop();
+    }
+
+    /// Starts a stopped VM's process from its disk.
+    pub fn restart(&mut self, number: usize) {
+        self.vms[number].start();
+        self.settle(number);
+    }
+
+    /// Stops a VM's process, empties its disk and starts it again.
+    pub fn lose_disk(&mut self, number: usize) {
+        self.vms[number].stop();
+        self.vms[number].disk.clear();
+        self.restart(number);
+    }
+
+    /// Arms a crash at the VM's next sync.
+    pub fn crash_at_sync(&mut self, number: usize, point: CrashPoint) {
+        self.vms[number].crash_at = Some(point);
+    }
+
+    /// Returns the number of the leader that a majority follows, if there is one.
+    pub fn find_leader(&self) -> Option<usize> {
+        let latest = self.find_latest_leader()?;
+        let firm = self.vms[latest].node().majority_heard_within(5);
+        firm.then_some(latest)
+    }
+
+    /// Returns the number of the leader with the highest term, if there is one.
+    pub fn find_latest_leader(&self) -> Option<usize> {
+        let leads = |vm: &TestVm| vm.is_running() && vm.node().is_leader();
+        let leaders = (0..self.vms.len()).filter(|number| leads(&self.vms[*number]));
+        leaders.max_by_key(|number| self.vms[*number].node().term())
+    }
+
+    /// Runs until there is a leader that has committed an entry of its own term.
+    pub fn wait_for_leader(&mut self) -> usize {
+        self.run_until(
+            500,
+            "a leader that has committed its own entry",
+            |network| {
+                let leader = network.find_leader();
+                let node = leader.map(|number| network.vms[number].node());
+                node.is_some_and(|node| node.commit_index() >= node.last_entry().index)
+            },
+        );
+        self.find_leader().expect("the wait ended with a leader")
+    }
+
+    /// Returns the VM's number, from its node's identity.
+    pub fn number_of(&self, id: &VoterId) -> Option<usize> {
+        self.vms.iter().position(|vm| vm.name == id.vm)
+    }
+
+    /// Says whether the leader reports no repair and every voter's disk is the one that voted.
+    pub fn is_whole(&self) -> bool {
+        let Some(leader) = self.find_leader() else {
+            return false;
+        };
+        let node = self.vms[leader].node();
+        let intact = |voter: &VoterId| {
+            let number = self.number_of(voter);
+            number.is_some_and(|number| self.vms[number].disk_id().as_ref() == Some(voter))
+        };
+        node.repairs_pending().is_empty()
+            && node.voters().len() == self.vms.len()
+            && node.voters().iter().all(intact)
+    }
+
+    /// Says whether any log names this identity as a voter.
+    pub fn is_voter_anywhere(&self, id: &VoterId) -> bool {
+        let names = |vm: &TestVm| {
+            let state = vm.read_disk();
+            let node = state.snapshot().map(|snapshot| &snapshot.configuration);
+            let held = state.entries().iter().filter_map(checker::configuration_of);
+            node.into_iter().chain(held).any(|known| known.is_voter(id))
+        };
+        self.vms.iter().any(names)
+    }
+
+    /// Ends all faults and expects the log to come back whole, with nothing lost.
+    pub fn expect_recovery(&mut self) {
+        self.noise = NetworkNoise::default();
+        self.mend_cuts();
+        for number in 0..self.vms.len() {
+            self.vms[number].crash_at = None;
+            self.vms[number].thaw();
+            if !self.vms[number].is_running() {
+                self.restart(number);
+            }
+        }
+        // An operator empties a disk that its node calls out of date.
+        for _ in 0..200 {
+            self.run(10);
+            for number in 0..self.vms.len() {
+                if self.vms[number].node().outdated_by().is_some() {
+                    self.lose_disk(number);
+                }
+            }
+            if self.is_whole() {
+                break;
+            }
+        }
+        assert!(
+            self.is_whole(),
+            "the log isn't whole again: {}",
+            self.describe()
+        );
+        let leader = self.wait_for_leader();
+        let mark = self.propose_at(leader);
+        self.run_until(300, "all VMs hold the last command", |network| {
+            let applied = |vm: &TestVm| vm.state.applied >= mark.index;
+            network.vms.iter().all(applied)
+        });
+        self.checker.expect_reached(&self.vms);
+    }
+
+    /// Describes all nodes in a few lines.
+    pub fn describe(&self) -> String {
+        let lines = self.vms.iter().map(TestVm::describe);
+        lines.collect::<Vec<_>>().join("\n")
+    }
+}
