--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -249,13 +249,16 @@
 
     /// Makes the next step of a repair, if one is due.
     pub(super) fn drive_membership(&mut self) {
+        if self.learners().is_empty() {
+            return;
+        }
         let Ok(configuration) = self.changeable_configuration() else {
             return;
         };
-        let learners = configuration.learners.iter();
-        let next = learners.filter_map(|learner| self.plan_step(&configuration, learner));
-        if let Some(configuration) = next.take(1).last() {
-            self.append_configuration(configuration);
+        let mut learners = configuration.learners.iter();
+        let next = learners.find_map(|learner| self.plan_step(&configuration, learner));
+        if let Some(next) = next {
+            self.append_configuration(next);
         }
     }
 
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -216,5 +216,8 @@
         return None;
     }
     let text = std::str::from_utf8(digits).ok()?;
-    u32::from_str_radix(text, 16).ok()
+    // The checksum in a header covers the other numbers but not itself, so that its own digits
+    // must be exactly those that were written.
+    let number = u32::from_str_radix(text, 16).ok()?;
+    (format!("{number:08x}") == text).then_some(number)
 }
