--- /dev/null
+++ b/crates/control/examples/agreement_slopes.rs
@@ -0,0 +1,260 @@
+//! Prints what the agreed log costs, for the page on capacity.
+//!
+//! Three nodes exchange their messages as text, as the daemon does, but within one thread and
+//! without a network or a disk. Build it in release mode; the figures are of the machine it runs on.
+
+use ragwort_control::agreement::AgreementMessage;
+use ragwort_control::agreement::AgreementNode;
+use ragwort_control::agreement::AgreementSettings;
+use ragwort_control::agreement::DiskWrite;
+use ragwort_control::agreement::DurableState;
+use ragwort_control::agreement::OutboundMessage;
+use ragwort_control::agreement::VoterId;
+use ragwort_control::encode_record;
+use ragwort_types::VmIncarnation;
+use ragwort_types::VmName;
+use std::fs;
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The nodes that vote.
+const VOTERS: usize = 3;
+/// The entries of one measurement.
+const ENTRIES: usize = 4_000;
+/// The heartbeats of one measurement.
+const HEARTBEATS: usize = 2_000;
+/// The entries whose memory is measured.
+const HELD_ENTRIES: usize = 200_000;
+/// The size of a page in the kernel's account of a process's memory.
+const PAGE_BYTES: usize = 4_096;
+/// The size of the snapshot that is measured.
+const SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
+/// A megabyte, as a unit of the figures.
+const MEGABYTE: f64 = 1_048_576.0;
+
+/// What one node has cost.
+#[derive(Clone, Copy, Debug, Default)]
+struct NodeCost {
+    /// Time within the node, its message texts and its records.
+    busy: Duration,
+    /// Bytes of the messages that it sent.
+    sent_bytes: usize,
+    /// Bytes of the records that it made.
+    record_bytes: usize,
+}
+
+/// One node and what it has cost.
+struct MeasuredNode {
+    name: VmName,
+    node: AgreementNode,
+    cost: NodeCost,
+}
+
+/// Nodes that share a log; the first is the leader.
+struct MeasuredLog {
+    nodes: Vec<MeasuredNode>,
+}
+
+impl MeasuredLog {
+    fn start() -> Self {
+        let ids: Vec<VoterId> = (1..=VOTERS)
+            .map(|number| VoterId::new(format!("vm-{number}").into(), VmIncarnation(1)))
+            .collect();
+        let nodes = ids.iter().map(|id| start_node(id, &ids)).collect();
+        let mut log = Self { nodes };
+        while !log.nodes[0].node.is_leader() {
+            log.nodes[0].node.tick();
+            log.exchange();
+        }
+        log.clear_costs();
+        log
+    }
+
+    fn clear_costs(&mut self) {
+        for node in &mut self.nodes {
+            node.cost = NodeCost::default();
+        }
+    }
+
+    /// Delivers messages until none is left.
+    fn exchange(&mut self) {
+        loop {
+            let mut texts = Vec::new();
+            for node in &mut self.nodes {
+                texts.extend(node.take_texts());
+            }
+            if texts.is_empty() {
+                return;
+            }
+            for (to, text) in texts {
+                let receiver = self.nodes.iter_mut().find(|node| node.name == to);
+                if let Some(receiver) = receiver {
+                    receiver.receive(&text);
+                }
+            }
+        }
+    }
+
+    fn propose(&mut self, data: &str) {
+        let leader = &mut self.nodes[0];
+        let data = data.to_owned();
+        let begin = Instant::now();
+        leader.node.propose(data).expect("the first node leads");
+        leader.cost.busy += begin.elapsed();
+    }
+
+    /// Commits entries in batches and prints their cost.
+    fn measure_entries(&mut self, size: usize, batch: usize) {
+        let data = "x".repeat(size);
+        self.clear_costs();
+        for _ in 0..ENTRIES / batch {
+            for _ in 0..batch {
+                self.propose(&data);
+            }
+            self.exchange();
+        }
+        let count = (ENTRIES / batch * batch) as f64;
+        let leader = self.nodes[0].cost;
+        let follower = self.nodes[1].cost;
+        let followers = (VOTERS - 1) as f64;
+        println!(
+            "entry data_bytes={size} batch={batch} wire_bytes_per_follower={:.0} \
+             record_bytes={:.0} leader_us={:.2} follower_us={:.2}",
+            leader.sent_bytes as f64 / followers / count + follower.sent_bytes as f64 / count,
+            leader.record_bytes as f64 / count,
+            leader.busy.as_secs_f64() * 1e6 / count,
+            follower.busy.as_secs_f64() * 1e6 / count,
+        );
+    }
+
+    /// Lets time pass without entries and prints the cost.
+    fn measure_heartbeats(&mut self) {
+        self.clear_costs();
+        for _ in 0..HEARTBEATS {
+            for node in &mut self.nodes {
+                node.node.tick();
+            }
+            self.exchange();
+        }
+        let count = HEARTBEATS as f64;
+        let leader = self.nodes[0].cost;
+        let follower = self.nodes[1].cost;
+        println!(
+            "heartbeat leader_bytes_per_follower={:.0} answer_bytes={:.0} leader_us={:.2} \
+             follower_us={:.2}",
+            leader.sent_bytes as f64 / (VOTERS - 1) as f64 / count,
+            follower.sent_bytes as f64 / count,
+            leader.busy.as_secs_f64() * 1e6 / count,
+            follower.busy.as_secs_f64() * 1e6 / count,
+        );
+    }
+}
+
+impl MeasuredNode {
+    fn take_texts(&mut self) -> Vec<(VmName, String)> {
+        let begin = Instant::now();
+        let output = self.node.take_output();
+        let encode = |outbound: OutboundMessage| (outbound.to, outbound.message.to_text());
+        let texts: Vec<_> = output.messages.into_iter().map(encode).collect();
+        if !output.writes.is_empty() {
+            self.cost.record_bytes += encode_record(&output.writes).len();
+        }
+        self.cost.busy += begin.elapsed();
+        self.cost.sent_bytes += texts.iter().map(|(_, text)| text.len()).sum::<usize>();
+        texts
+    }
+
+    fn receive(&mut self, text: &str) {
+        let begin = Instant::now();
+        let message = AgreementMessage::from_text(text).expect("the text is a message");
+        self.node.receive(message);
+        self.cost.busy += begin.elapsed();
+    }
+}
+
+fn start_node(id: &VoterId, ids: &[VoterId]) -> MeasuredNode {
+    let settings = AgreementSettings::new(id.clone(), Vec::new(), 1);
+    let node = AgreementNode::start(settings, DurableState::default());
+    let mut node = node.expect("an empty node starts");
+    node.form(ids.to_vec()).expect("an empty node forms");
+    MeasuredNode {
+        name: id.vm.clone(),
+        node,
+        cost: NodeCost::default(),
+    }
+}
+
+fn start_single() -> AgreementNode {
+    let id = VoterId::new("vm-1".into(), VmIncarnation(1));
+    let mut node = start_node(&id, std::slice::from_ref(&id)).node;
+    while !node.is_leader() {
+        node.tick();
+    }
+    node.take_output();
+    node
+}
+
+/// Returns the memory that the process holds, in bytes.
+fn read_resident_bytes() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|field| field.parse().ok());
+    pages.unwrap_or(0_usize) * PAGE_BYTES
+}
+
+fn measure_memory(size: usize) {
+    let mut node = start_single();
+    let before = read_resident_bytes();
+    for _ in 0..HELD_ENTRIES {
+        node.propose("x".repeat(size)).expect("the node leads");
+        black_box(node.take_output());
+    }
+    let held = read_resident_bytes().saturating_sub(before);
+    println!(
+        "memory data_bytes={size} bytes_per_entry={:.0}",
+        held as f64 / HELD_ENTRIES as f64
+    );
+}
+
+fn measure_snapshot() {
+    let mut node = start_single();
+    node.propose("last".to_owned()).expect("the node leads");
+    node.take_output();
+    let part = "{\"customer\":\"c-1\",\"share\":4}";
+    let data = part.repeat(SNAPSHOT_BYTES / part.len());
+    let megabytes = data.len() as f64 / MEGABYTE;
+    let index = node.commit_index();
+    node.compact(index, data).expect("the entry is delivered");
+    let output = node.take_output();
+    let begin = Instant::now();
+    let record = encode_record(&output.writes);
+    let encoded = begin.elapsed();
+    let file = [node_identity_record(&node), record].concat();
+    let begin = Instant::now();
+    let restored = DurableState::from_records(&file).expect("the file is whole");
+    let decoded = begin.elapsed();
+    black_box(restored);
+    println!(
+        "snapshot record_bytes_per_data_byte={:.2} encode_ms_per_mb={:.2} decode_ms_per_mb={:.2}",
+        file.len() as f64 / (megabytes * MEGABYTE),
+        encoded.as_secs_f64() * 1e3 / megabytes,
+        decoded.as_secs_f64() * 1e3 / megabytes,
+    );
+}
+
+fn node_identity_record(node: &AgreementNode) -> Vec<u8> {
+    let identity = DiskWrite::Identity(node.id().clone());
+    encode_record(&[identity])
+}
+
+fn main() {
+    // First, while the process holds no freed memory that entries could take up.
+    measure_memory(300);
+    let mut log = MeasuredLog::start();
+    log.measure_heartbeats();
+    for size in [0, 300, 1_000, 10_000] {
+        log.measure_entries(size, 1);
+    }
+    log.measure_entries(300, 64);
+    measure_snapshot();
+}
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -24,6 +24,9 @@
     ///
     /// It is false on any node but the leader. Time counts from the sending of the round and not
     /// from its answer, because an answer may have lain about in between.
+    ///
+    /// Ticks stand still while the process is frozen, so this says nothing to rely on right after
+    /// a thaw. What must hold needs [`confirm_read`](Self::confirm_read) or a committed entry.
     pub fn majority_heard_within(&self, ticks: u64) -> bool {
         let Some(state) = self.view_leader_state() else {
             return false;
--- a/crates/control/src/agreement/role.rs
+++ b/crates/control/src/agreement/role.rs
@@ -28,6 +28,17 @@
     Leader,
 }
 
+/// How far a member has come, as its leader knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberProgress {
+    /// The member.
+    pub id: VoterId,
+    /// The last entry that it is known to hold.
+    pub matched: LogIndex,
+    /// The ticks since the latest round that it has answered began.
+    pub silent_ticks: u64,
+}
+
 /// An answer that only the leader can give.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NotLeader {
@@ -123,6 +134,19 @@
         matches!(self.role, RoleState::Leader(_))
     }
 
+    /// Lists how far the other members have come; empty on any node but the leader.
+    pub fn member_progress(&self) -> Vec<MemberProgress> {
+        let Some(state) = self.view_leader_state() else {
+            return Vec::new();
+        };
+        let peers = state.peers.iter().map(|(id, progress)| MemberProgress {
+            id: id.clone(),
+            matched: progress.matched,
+            silent_ticks: self.tick.saturating_sub(progress.round.tick),
+        });
+        peers.collect()
+    }
+
     fn passive_role(&self) -> AgreementRole {
         match self.log.configuration() {
             Some(configuration) if configuration.is_voter(&self.id) => AgreementRole::Follower,
--- a/crates/control/tests/agreement_network/scenario.rs
+++ b/crates/control/tests/agreement_network/scenario.rs
@@ -40,6 +40,8 @@
     LoseDiskAfterRepair(VmChoice),
     UnmountDisk(VmChoice),
     RemountDisk(VmChoice),
+    RemoveVm(VmChoice),
+    AdmitVm(VmChoice),
     Compact(VmChoice),
     SetNoise(NetworkNoise),
 }
@@ -101,7 +103,9 @@
             56 => Self::LoseDiskAfterRepair(vm),
             57 => Self::UnmountDisk(vm),
             58 => Self::RemountDisk(vm),
-            59..=61 => Self::Compact(vm),
+            59..=60 => Self::Compact(vm),
+            61 => Self::RemoveVm(vm),
+            62 => Self::AdmitVm(vm),
             _ => Self::SetNoise(NetworkNoise::arbitrary(gen_)),
         }
     }
@@ -166,6 +170,16 @@
                     self.remount_disk(number);
                 }
             }
+            NetworkAction::RemoveVm(vm) => {
+                if limit == LossLimit::Unlimited {
+                    self.remove_everywhere(self.choose(vm));
+                }
+            }
+            NetworkAction::AdmitVm(vm) => {
+                if limit == LossLimit::Unlimited {
+                    self.admit_everywhere(self.choose(vm));
+                }
+            }
             NetworkAction::Compact(vm) => {
                 let number = self.choose(vm);
                 let rewrite = self.clock.is_multiple_of(2);
@@ -188,6 +202,28 @@
         &mut self.vms[number]
     }
 
+    /// Asks every node that takes itself for the leader to remove a VM; it may refuse.
+    fn remove_everywhere(&mut self, removed: usize) {
+        let vm = self.vms[removed].name.clone();
+        for number in 0..self.vms.len() {
+            if self.vms[number].is_running() {
+                let _ = self.vms[number].node_mut().remove_vm(&vm);
+                self.settle(number);
+            }
+        }
+    }
+
+    /// Asks every node that takes itself for the leader to admit a VM; it may refuse.
+    fn admit_everywhere(&mut self, admitted: usize) {
+        let vm = self.vms[admitted].name.clone();
+        for number in 0..self.vms.len() {
+            if self.vms[number].is_running() {
+                let _ = self.vms[number].node_mut().admit_vm(vm.clone());
+                self.settle(number);
+            }
+        }
+    }
+
     /// Loses a disk, and another one at the first tick at which the repair is reported as done.
     fn lose_two_disks(&mut self, number: usize) {
         if !self.is_whole() {
@@ -248,13 +284,30 @@
     pub seed: u64,
     pub limit: LossLimit,
     pub guards: GuardSet,
+    /// Whether an empty disk gets the former incarnation again, which is a fault.
+    pub repeats_incarnation: bool,
 }
 
 impl RandomRun {
+    /// Creates a run that keeps to the rules.
+    pub fn new(vms: usize, steps: usize, seed: u64, limit: LossLimit) -> Self {
+        Self {
+            vms,
+            steps,
+            seed,
+            limit,
+            guards: GuardSet::all(),
+            repeats_incarnation: false,
+        }
+    }
+
     /// Carries the run out, and expects the log to recover if the losses were repairable.
     pub fn execute(&self) -> TestNetwork {
         let mut source = Gen::from_size_and_seed(self.steps, self.seed);
         let mut network = TestNetwork::formed(self.vms, self.seed, &self.guards);
+        if self.repeats_incarnation {
+            network.vms.iter_mut().for_each(TestVm::repeat_incarnation);
+        }
         network.limit_batches(self.choose_limits());
         network.run(30);
         for _ in 0..self.steps {
--- a/crates/control/tests/agreement_network/vm.rs
+++ b/crates/control/tests/agreement_network/vm.rs
@@ -56,8 +56,10 @@
     pub disk_away: Option<Vec<u8>>,
     pub state: AppliedState,
     pub crash_at: Option<CrashPoint>,
-    /// Which incarnation an empty disk gets; a fault is to give it the former one again.
+    /// Which incarnation the next empty disk gets.
     pub next_incarnation: VmIncarnation,
+    /// Whether an empty disk gets the former incarnation again, which is a fault.
+    repeats_incarnation: bool,
     pub confirmed_reads: usize,
     pub lost_reads: usize,
     node: Option<AgreementNode>,
@@ -79,6 +81,7 @@
             state: AppliedState::default(),
             crash_at: None,
             next_incarnation: VmIncarnation(1),
+            repeats_incarnation: false,
             confirmed_reads: 0,
             lost_reads: 0,
             node: None,
@@ -134,7 +137,7 @@
         let restored = DurableState::from_records(&self.disk).expect("the disk is intact");
         self.disk.truncate(restored.valid_length);
         let id = VoterId::new(self.name.clone(), self.next_incarnation);
-        if restored.state.id().is_none() {
+        if restored.state.id().is_none() && !self.repeats_incarnation {
             self.next_incarnation = self.next_incarnation.next();
         }
         let mut settings = AgreementSettings::new(id, self.peers.clone(), self.seed);
@@ -146,6 +149,12 @@
         self.node = Some(AgreementNode::start(settings, restored.state).expect("the disk is ours"));
     }
 
+    /// Lets every empty disk get the first incarnation again.
+    pub fn repeat_incarnation(&mut self) {
+        self.repeats_incarnation = true;
+        self.next_incarnation = VmIncarnation(1);
+    }
+
     /// Returns what the disk holds.
     pub fn read_disk(&self) -> DurableState {
         let restored = DurableState::from_records(&self.disk);
