--- a/crates/policy/examples/load_table.rs
+++ b/crates/policy/examples/load_table.rs
@@ -3,7 +3,6 @@
 //! Usage: `load_table [SEED [PATTERN]]`; without a seed that of the page is used, and without a
 //! part of a pattern's name all patterns are run.
 
-#[expect(dead_code, unused_imports, reason = "the tests use all of it")]
 #[path = "../tests/support/mod.rs"]
 mod support;
 
