--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -14,7 +14,6 @@
 use super::role::RoleState;
 use super::role::VoteTally;
 use super::settings::AgreementGuard;
-use crate::invariant;
 use smallvec::smallvec;
 use std::collections::BTreeMap;
 use std::mem;
--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -72,7 +72,6 @@
 pub use start::FormError;
 pub use start::StartError;
 
-use crate::invariant;
 use log::ReplicaLog;
 use ragwort_types::VmIncarnation;
 use rand::RngExt;
--- /dev/null
+++ b/crates/control/src/catalog.rs
@@ -0,0 +1,335 @@
+//! The catalog: what the agreed log's commands add up to.
+//!
+//! Every control VM applies the same commands in the same order and so holds the same catalog.
+//! Each command names the state it builds on and is refused if that state has changed, because
+//! its sender may act on an old view: a former leaseholder, a delayed message, a restarted daemon.
+
+use crate::contracts::ChangeLedger;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogDelta;
+use ragwort_types::CatalogItem;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::CustomerName;
+use ragwort_types::GroupName;
+use ragwort_types::GroupRecord;
+use ragwort_types::MemberRecord;
+use ragwort_types::VersionedContract;
+use ragwort_types::VmIncarnation;
+use ragwort_types::VmName;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::ops::Bound;
+
+/// The catalog, as every control VM holds it.
+///
+/// # Examples
+///
+/// ```
+/// use ragwort_control::CatalogState;
+///
+/// let state = CatalogState::new();
+/// let restored = CatalogState::from_snapshot(&state.to_snapshot()).unwrap();
+/// assert_eq!(restored, state);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "CatalogImage")]
+pub struct CatalogState {
+    revision: CatalogRevision,
+    /// Deltas from before this revision lack departures that were forgotten.
+    pub(crate) delta_floor: CatalogRevision,
+    ledger: ChangeLedger,
+    contract_stamps: BTreeMap<CustomerName, CatalogRevision>,
+    pub(crate) members: BTreeMap<VmName, StampedItem<MemberRecord>>,
+    pub(crate) departures: BTreeMap<VmName, StampedItem<VmIncarnation>>,
+    pub(crate) groups: BTreeMap<GroupName, StampedItem<GroupRecord>>,
+    /// Which items last changed at which revision; derived from the above.
+    #[serde(skip)]
+    changes: BTreeMap<CatalogRevision, SmallVec<[ItemKey; 1]>>,
+}
+
+/// The stored form of a [`CatalogState`], without what is derived.
+#[derive(Deserialize)]
+struct CatalogImage {
+    revision: CatalogRevision,
+    delta_floor: CatalogRevision,
+    ledger: ChangeLedger,
+    contract_stamps: BTreeMap<CustomerName, CatalogRevision>,
+    members: BTreeMap<VmName, StampedItem<MemberRecord>>,
+    departures: BTreeMap<VmName, StampedItem<VmIncarnation>>,
+    groups: BTreeMap<GroupName, StampedItem<GroupRecord>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StampedItem<T> {
+    pub(crate) stamp: CatalogRevision,
+    pub(crate) item: T,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ItemKey {
+    Contract(CustomerName),
+    Member(VmName),
+    Departure(VmName),
+    Group(GroupName),
+}
+
+/// A snapshot that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SnapshotError {
+    reason: String,
+}
+
+impl fmt::Display for SnapshotError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "malformed catalog snapshot: {}", self.reason)
+    }
+}
+
+impl std::error::Error for SnapshotError {}
+
+impl CatalogState {
+    /// Creates an empty catalog at revision zero.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision: the index of the log entry that last changed an item.
+    pub fn revision(&self) -> CatalogRevision {
+        self.revision
+    }
+
+    /// Returns a customer's present contract.
+    pub fn contract(&self, customer: &CustomerName) -> Option<&VersionedContract> {
+        self.ledger.contract(customer)
+    }
+
+    /// Iterates over the present contracts.
+    pub fn contracts(&self) -> impl Iterator<Item = &VersionedContract> {
+        self.ledger.contracts()
+    }
+
+    /// Returns the number of contract changes whose answers are kept.
+    pub fn answered_changes(&self) -> usize {
+        self.ledger.answered_changes()
+    }
+
+    /// Returns a member.
+    pub fn member(&self, vm: &VmName) -> Option<&MemberRecord> {
+        self.members.get(vm).map(|member| &member.item)
+    }
+
+    /// Iterates over the members.
+    pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values().map(|member| &member.item)
+    }
+
+    /// Returns a group.
+    pub fn group(&self, group: &GroupName) -> Option<&GroupRecord> {
+        self.groups.get(group).map(|record| &record.item)
+    }
+
+    /// Iterates over the groups.
+    pub fn groups(&self) -> impl Iterator<Item = &GroupRecord> {
+        self.groups.values().map(|record| &record.item)
+    }
+
+    /// Writes the catalog as text, for a snapshot of the log.
+    pub fn to_snapshot(&self) -> String {
+        serde_json::to_string(self).expect("a catalog has text keys only")
+    }
+
+    /// Reads a catalog that [`to_snapshot`](Self::to_snapshot) wrote.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text isn't a catalog.
+    pub fn from_snapshot(text: &str) -> Result<Self, SnapshotError> {
+        serde_json::from_str(text).map_err(|error| SnapshotError {
+            reason: error.to_string(),
+        })
+    }
+
+    /// Applies one command of the log at its index.
+    ///
+    /// The revision moves only if an item changed.
+    ///
+    /// # Panics
+    ///
+    /// Panics in a debug build if `revision` isn't above the present one.
+    pub fn apply(&mut self, revision: CatalogRevision, command: &CatalogCommand) -> CatalogOutcome {
+        invariant!(
+            revision > self.revision,
+            "revision {revision} applied after {}",
+            self.revision
+        );
+        match command {
+            CatalogCommand::ApplyContract(change) => {
+                let outcome = self.ledger.apply_change(revision, change);
+                self.stamp_contract(revision, &change.contract.customer, &outcome);
+                outcome
+            }
+            CatalogCommand::AdmitMember(member) => self.admit_member(revision, member),
+            CatalogCommand::RemoveMember(id) => self.remove_member(revision, id),
+            CatalogCommand::PlaceGroup(placement) => self.place_group(revision, placement),
+            CatalogCommand::AddInstance(change) => self.add_instance(revision, change),
+            CatalogCommand::RemoveInstance(change) => self.remove_instance(revision, change),
+            CatalogCommand::BeginTerm(start) => self.begin_term(revision, start),
+            CatalogCommand::RecordPrimary(record) => self.record_primary(revision, record),
+        }
+    }
+
+    /// Returns what changed after `from`, or everything if `from` is zero or too old for a delta.
+    ///
+    /// An asker that is ahead of this catalog gets an empty delta that leaves it where it is.
+    pub fn delta_since(&self, from: CatalogRevision) -> CatalogDelta {
+        if from == CatalogRevision(0) || from < self.delta_floor {
+            return CatalogDelta {
+                from: None,
+                to: self.revision,
+                items: self.all_items(),
+            };
+        }
+        let later = (Bound::Excluded(from), Bound::Unbounded);
+        let changed = self.changes.range(later);
+        CatalogDelta {
+            from: Some(from),
+            to: self.revision.max(from),
+            items: changed
+                .flat_map(|(_, keys)| keys)
+                .filter_map(|key| self.item(key))
+                .collect(),
+        }
+    }
+
+    fn all_items(&self) -> Vec<CatalogItem> {
+        self.changes
+            .values()
+            .flatten()
+            .filter(|key| !matches!(key, ItemKey::Departure(_)))
+            .filter_map(|key| self.item(key))
+            .collect()
+    }
+
+    fn item(&self, key: &ItemKey) -> Option<CatalogItem> {
+        match key {
+            ItemKey::Contract(customer) => {
+                let contract = self.ledger.contract(customer)?;
+                Some(CatalogItem::Contract(Box::new(contract.clone())))
+            }
+            ItemKey::Member(vm) => Some(CatalogItem::Member(self.member(vm)?.clone())),
+            ItemKey::Departure(vm) => Some(CatalogItem::MemberGone(vm.clone())),
+            ItemKey::Group(group) => {
+                let record = self.group(group)?;
+                Some(CatalogItem::Group(Box::new(record.clone())))
+            }
+        }
+    }
+
+    fn stamp_contract(
+        &mut self,
+        revision: CatalogRevision,
+        customer: &CustomerName,
+        outcome: &CatalogOutcome,
+    ) {
+        // A resend shows the revision of its first acceptance, which is an earlier one.
+        let CatalogOutcome::ContractAccepted(acceptance) = outcome else {
+            return;
+        };
+        if acceptance.revision != revision {
+            return;
+        }
+        let former = self.contract_stamps.insert(customer.clone(), revision);
+        self.note_change(revision, former, ItemKey::Contract(customer.clone()));
+    }
+
+    pub(crate) fn change_group(
+        &mut self,
+        revision: CatalogRevision,
+        group: &GroupName,
+        change: impl FnOnce(&mut GroupRecord),
+    ) {
+        let Some(stamped) = self.groups.get_mut(group) else {
+            return;
+        };
+        let (epoch, term) = (stamped.item.placement.epoch, stamped.item.term);
+        change(&mut stamped.item);
+        invariant!(
+            stamped.item.placement.epoch >= epoch,
+            "the epoch of {group} fell"
+        );
+        invariant!(stamped.item.term >= term, "the term of {group} fell");
+        let former = stamped.stamp;
+        stamped.stamp = revision;
+        self.note_change(revision, Some(former), ItemKey::Group(group.clone()));
+    }
+
+    pub(crate) fn note_change(
+        &mut self,
+        revision: CatalogRevision,
+        former: Option<CatalogRevision>,
+        key: ItemKey,
+    ) {
+        if let Some(former) = former {
+            self.forget_change(former, &key);
+        }
+        self.index_change(revision, key);
+        self.revision = revision;
+    }
+
+    /// Keeps the keys of a revision in order, so that control VMs that restored the catalog from a
+    /// snapshot send the same deltas as those that applied every command.
+    fn index_change(&mut self, revision: CatalogRevision, key: ItemKey) {
+        let keys = self.changes.entry(revision).or_default();
+        keys.push(key);
+        keys.sort_unstable();
+    }
+
+    pub(crate) fn forget_change(&mut self, revision: CatalogRevision, key: &ItemKey) {
+        let Some(keys) = self.changes.get_mut(&revision) else {
+            return;
+        };
+        keys.retain(|changed| changed != key);
+        if keys.is_empty() {
+            self.changes.remove(&revision);
+        }
+    }
+}
+
+impl From<CatalogImage> for CatalogState {
+    fn from(image: CatalogImage) -> Self {
+        let mut state = Self {
+            revision: image.revision,
+            delta_floor: image.delta_floor,
+            ledger: image.ledger,
+            contract_stamps: image.contract_stamps,
+            members: image.members,
+            departures: image.departures,
+            groups: image.groups,
+            changes: BTreeMap::new(),
+        };
+        state.index_changes();
+        state
+    }
+}
+
+impl CatalogState {
+    fn index_changes(&mut self) {
+        let contracts = self.contract_stamps.iter();
+        let contracts = contracts.map(|(name, stamp)| (*stamp, ItemKey::Contract(name.clone())));
+        let members = self.members.iter();
+        let members = members.map(|(vm, member)| (member.stamp, ItemKey::Member(vm.clone())));
+        let departures = self.departures.iter();
+        let departures = departures.map(|(vm, gone)| (gone.stamp, ItemKey::Departure(vm.clone())));
+        let groups = self.groups.iter();
+        let groups = groups.map(|(name, group)| (group.stamp, ItemKey::Group(name.clone())));
+        let items = contracts.chain(members).chain(departures).chain(groups);
+        let items: Vec<(CatalogRevision, ItemKey)> = items.collect();
+        for (stamp, key) in items {
+            self.index_change(stamp, key);
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,16 +1,143 @@
-//! Placeholder of the crate's documentation.
+//! Agreement, catalog, leases, placement, promotion and journal of ragwortgate, without I/O.
+//!
+//! Each module is a state machine: events and the present time go in, decisions come out. The
+//! daemon owns sockets, disks and clocks, and drives these machines.
+//!
+//! # Examples
+//!
+//! A member's copy of the catalog follows the agreed state by deltas:
+//!
+//! ```
+//! use ragwort_control::CatalogCopy;
+//! use ragwort_control::CatalogState;
+//! use ragwort_types::CatalogCommand;
+//! use ragwort_types::CatalogRevision;
+//! use ragwort_types::MemberId;
+//! use ragwort_types::MemberRecord;
+//! use ragwort_types::VmIncarnation;
+//! use ragwort_types::VmName;
+//!
+//! let member = MemberRecord {
+//!     id: MemberId {
+//!         vm: VmName::from("vm-1"),
+//!         incarnation: VmIncarnation(1),
+//!     },
+//!     domain: "east".into(),
+//!     peer_address: "127.0.0.1:7000".parse().unwrap(),
+//!     draining: false,
+//! };
+//! let mut state = CatalogState::new();
+//! state.apply(CatalogRevision(1), &CatalogCommand::AdmitMember(member));
+//!
+//! let mut copy = CatalogCopy::new();
+//! copy.apply_delta(&state.delta_since(copy.revision())).unwrap();
+//! assert!(copy.member(&VmName::from("vm-1")).is_some());
+//! ```
+
+#[macro_use]
+mod invariant;
 
 pub mod agreement;
-pub mod invariant;
+mod answers;
+mod candidate;
+mod catalog;
+mod chart;
+mod clock;
+mod contracts;
+mod copy;
+mod detector;
+mod digest;
+mod groups;
+mod history;
+mod journal;
+mod keys;
+mod lease;
+mod members;
+mod placement;
+mod promotion;
+mod promotion_chart;
+mod promotion_message;
+mod quorum;
 mod record;
+mod recovery;
+mod replica;
+mod sessions;
+pub mod vocabulary;
 
+pub use agreement::AgreementMessage;
 pub use agreement::AgreementNode;
 pub use agreement::AgreementOutput;
 pub use agreement::AgreementSettings;
 pub use agreement::DiskWrite;
 pub use agreement::DurableState;
+pub use agreement::EntryMark;
 pub use agreement::HardState;
+pub use agreement::ReadTicket;
 pub use agreement::VoterId;
+pub use catalog::CatalogState;
+pub use catalog::SnapshotError;
+pub use chart::ChartName;
+pub use chart::ChartStep;
+pub use chart::ChartVocabulary;
+pub use chart::StateChart;
+pub use clock::ClockTime;
+pub use copy::CatalogCopy;
+pub use copy::CopyChanges;
+pub use copy::DeltaError;
+pub use detector::DEAD_SILENCE;
+pub use detector::DetectorAction;
+pub use detector::HUNG_SILENCE;
+pub use detector::PROBE_INTERVAL;
+pub use detector::PROBE_TIMEOUT;
+pub use detector::PrimaryDetector;
+pub use detector::PrimaryVerdict;
+pub use detector::ProbeOutcome;
+pub use detector::ProbeView;
+pub use detector::REFUSALS_NEEDED;
+pub use detector::STALL_LIMIT;
+pub use detector::STANDBY_PATIENCE;
+pub use detector::SuspicionGrounds;
+pub use invariant::broken_invariants;
+#[doc(hidden)]
+pub use invariant::count_broken_invariant;
+pub use journal::GroupJournal;
+pub use journal::KeyAdmission;
+pub use keys::CLOCK_TOLERANCE_MS;
+pub use keys::KEY_WINDOW_MS;
+pub use keys::LARGEST_KEPT_ANSWER;
+pub use lease::DRIFT_DIVISOR;
+pub use lease::LeaseDecision;
+pub use lease::LeaseLedger;
+pub use lease::MemberLease;
+pub use placement::LOAD_PERCENT;
+pub use placement::STANDBY_COUNT;
+pub use placement::load_cap;
+pub use placement::plan_handovers;
+pub use placement::plan_placements;
+pub use promotion::GroupPromotion;
+pub use promotion_chart::PromotionEvent;
+pub use promotion_chart::PromotionGuard;
+pub use promotion_chart::PromotionState;
+pub use promotion_chart::PromotionStep;
+pub use promotion_chart::PromotionVocabulary;
+pub use promotion_chart::promotion_chart;
+pub use promotion_message::AgentOutcome;
+pub use promotion_message::FollowOrder;
+pub use promotion_message::PromotionAction;
+pub use promotion_message::PromotionActions;
+pub use promotion_message::PromotionInput;
+pub use quorum::InstanceSet;
+pub use quorum::PositionQuorum;
+pub use quorum::QuorumProgress;
+pub use quorum::ReadProgress;
+pub use quorum::RoundId;
+pub use quorum::WriteTicket;
+pub use quorum::majority;
 pub use record::RecordError;
 pub use record::RestoredState;
 pub use record::encode_record;
+pub use recovery::JournalSource;
+pub use recovery::RecoveredJournal;
+pub use recovery::recover_journal;
+pub use replica::JournalReplica;
+pub use sessions::SessionPositions;
--- /dev/null
+++ b/crates/control/tests/state/main.rs
@@ -0,0 +1,13 @@
+//! Failure tests and randomised runs of the catalog and of the machines around a group.
+
+#[macro_use]
+mod common;
+
+mod catalog;
+mod charts;
+mod detector;
+mod instances;
+mod journal;
+mod membership;
+mod promotion;
+mod quorum;
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -141,6 +141,9 @@
 /// A command for the catalog, passed on to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommandRequest {
+    /// Whether a control VM passed it on already; it is not passed on twice.
+    #[serde(default)]
+    pub forwarded: bool,
     /// The command.
     pub command: CatalogCommand,
 }
@@ -176,6 +179,11 @@
     KeyDecided(KeyDecision),
     /// A session's writes reach up to a position.
     SessionPosition(SessionRecord),
+    /// All replicas have passed this position; sessions that are not listed start from it.
+    SessionFloor(LogPosition),
+    /// Keys made before this time, in milliseconds since the Unix epoch, may have been dispatched
+    /// without being listed: the whole set that held them was lost.
+    KeysLost(u64),
 }
 
 /// A dispatched request key.
@@ -216,8 +224,8 @@
     pub group: GroupName,
     /// The leaseholder's epoch; a standby that knows a later one refuses.
     pub epoch: PlacementEpoch,
-    /// The number of the first entry, counted from the start of the epoch; zero is preceded by
-    /// `reset`.
+    /// The number of the first entry. With `reset` the entries stand for all that have a lower
+    /// number, and have none themselves.
     pub sequence: u64,
     /// Whether the entries replace all that the standby holds, as at the start of an epoch.
     pub reset: bool,
@@ -345,6 +353,26 @@
     pub members: Vec<MemberRecord>,
 }
 
+/// Which process of a control VM's durable state answers, and whether it holds a log yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlIdentity {
+    /// The VM and the incarnation of its durable state.
+    pub id: crate::MemberId,
+    /// Whether its agreed log is empty.
+    pub empty: bool,
+}
+
+/// The answer to an operator's wish to form the first voter set of the control VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FormReply {
+    /// All control VMs were empty and reachable, and are now the voters.
+    Formed,
+    /// The control VMs hold an agreed log already; nothing was changed.
+    AlreadyFormed,
+    /// The voter set was not formed, for this reason in words; nothing was changed.
+    Refused(String),
+}
+
 /// Names an instance of a group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceId {
