Say that the record file is synced once before a node starts from it

A process that ends between a write and its sync leaves a record that the next process reads back whole, though it may not be on the disk yet. Found by reading the driver; nothing in this crate can check it.

--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -22,6 +22,10 @@
 const HEADER_LENGTH: usize = 3 * (NUMBER_DIGITS + 1);
 
 /// A state read back from records.
+///
+/// The driver must sync the file once before it starts a node from this. A process that ended
+/// between a write and its sync leaves a record that reads back whole but may not be on the disk
+/// yet; a vote or acknowledgement that builds on it would be forgotten if the VM failed next.
 #[derive(Clone, Debug)]
 pub struct RestoredState {
     /// The state.
