Send statements ahead to endpoints that let them wait

It needs endpoints that let a statement wait for a slot, which nobody has promised, so it is a setting, and off.

--- a/crates/policy/examples/load_table.rs
+++ b/crates/policy/examples/load_table.rs
@@ -1,7 +1,7 @@
 //! Prints what callers receive under each load pattern, for the load page.
 //!
 //! Usage: `load_table [SEED [PATTERN]]`; without a seed that of the page is used, and without a
-//! part of a pattern's name all patterns are run.
+//! part of a pattern's name all patterns are run. The pattern `modules` prints the table of modules.
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -11,6 +11,7 @@
 use support::LoadOutcome;
 use support::PatternName;
 use support::PolicyChoice;
+use support::SourceName;
 use support::SourceOutcome;
 use support::UserSize;
 use support::run_pattern;
@@ -42,6 +43,10 @@
     let seed = seed.unwrap_or(PAGE_SEED);
     let chosen = env::args().nth(2).unwrap_or_default();
     println!("seed {seed}");
+    if chosen == "modules" {
+        print_modules(seed);
+        return;
+    }
     for user in [UserSize::Omuti, UserSize::Sabarmati] {
         for name in PATTERNS {
             let pattern = name.create(user);
@@ -52,6 +57,128 @@
             let scheduler = PolicyChoice::Scheduler(ModuleSwitches::default());
             print_outcome("plain", &run_pattern(&pattern, PolicyChoice::Plain, seed));
             print_outcome("scheduler", &run_pattern(&pattern, scheduler, seed));
+            print_outcome("ahead", &run_pattern(&pattern, PolicyChoice::Ahead, seed));
+        }
+    }
+}
+
+/// A module, the pattern that it answers, and whose answers show its worth.
+struct ModuleRow {
+    module: &'static str,
+    pattern: PatternName,
+    callers: &'static str,
+    off: fn(&mut ModuleSwitches),
+    chooses: fn(&SourceName) -> bool,
+}
+
+const MODULE_ROWS: [ModuleRow; 11] = [
+    ModuleRow {
+        module: "early refusal",
+        pattern: PatternName::Mix(200),
+        callers: "all",
+        off: |modules| modules.early_refusal = false,
+        chooses: |_| true,
+    },
+    ModuleRow {
+        module: "queue order",
+        pattern: PatternName::Mix(200),
+        callers: "urgent",
+        off: |modules| modules.order = false,
+        chooses: |name| name.kind == "urgent",
+    },
+    ModuleRow {
+        module: "shares",
+        pattern: PatternName::Abuse,
+        callers: "other customers",
+        off: |modules| modules.shares = false,
+        chooses: |name| name.customer != "abuser",
+    },
+    ModuleRow {
+        module: "hot callers",
+        pattern: PatternName::HotCaller,
+        callers: "same customer's others",
+        off: |modules| modules.hot_callers = false,
+        chooses: |name| name.customer == "intake" && name.kind != "loop",
+    },
+    ModuleRow {
+        module: "hot keys",
+        pattern: PatternName::HotKey,
+        callers: "writes to other keys",
+        off: |modules| modules.hot_callers = false,
+        chooses: |name| matches!(name.kind, "update" | "urgent" | "balance"),
+    },
+    ModuleRow {
+        module: "long jobs",
+        pattern: PatternName::LongJobs,
+        callers: "short requests",
+        off: |modules| modules.long_jobs = false,
+        chooses: |name| name.kind != "report",
+    },
+    ModuleRow {
+        module: "health",
+        pattern: PatternName::SlowReplica,
+        callers: "all",
+        off: |modules| modules.health = false,
+        chooses: |_| true,
+    },
+    ModuleRow {
+        module: "health",
+        pattern: PatternName::Everything,
+        callers: "reads",
+        off: |modules| modules.health = false,
+        chooses: |name| name.kind == "status",
+    },
+    ModuleRow {
+        module: "routing",
+        pattern: PatternName::Mix(50),
+        callers: "needing the primary",
+        off: |modules| modules.routing = false,
+        chooses: |name| name.kind != "status",
+    },
+    ModuleRow {
+        module: "routing",
+        pattern: PatternName::Mix(100),
+        callers: "needing the primary",
+        off: |modules| modules.routing = false,
+        chooses: |name| name.kind != "status",
+    },
+    ModuleRow {
+        module: "connections ahead",
+        pattern: PatternName::Burst,
+        callers: "other customers",
+        off: |modules| modules.connections_ahead = false,
+        chooses: |name| name.customer != "clinics",
+    },
+];
+
+/// Prints what the callers of each module's pattern receive without and with it.
+fn print_modules(seed: u64) {
+    for row in MODULE_ROWS {
+        for user in [UserSize::Omuti, UserSize::Sabarmati] {
+            let mut modules = ModuleSwitches::default();
+            (row.off)(&mut modules);
+            let choices = [
+                PolicyChoice::Plain,
+                PolicyChoice::Scheduler(modules),
+                PolicyChoice::Scheduler(ModuleSwitches::default()),
+            ];
+            print!(
+                "| {} | {:?} | {user:?} | {} ",
+                row.module, row.pattern, row.callers
+            );
+            for choice in choices {
+                let outcome = run_pattern(&row.pattern.create(user), choice, seed);
+                let part = outcome.sum(row.chooses);
+                print!(
+                    "| {:.1} / {:.1} / {:.0} / {:.2} / {} ",
+                    part.in_time_share() * 100.0,
+                    part.late_share() * 100.0,
+                    wait_millis(&part, 0.99),
+                    outcome.replica_share(),
+                    outcome.most_connections,
+                );
+            }
+            println!("|");
         }
     }
 }
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -2,8 +2,11 @@
 
 use crate::ClockTime;
 use crate::EndpointRole;
+use crate::ExcessRule;
 use crate::connections::pin_limit;
 use crate::endpoints::EndpointRecord;
+use crate::endpoints::LEAST_REST;
+use crate::endpoints::RunningRequest;
 use crate::health::HealthLevel;
 use crate::long_jobs::may_start_long;
 use smallvec::SmallVec;
@@ -16,8 +19,15 @@
     pub(crate) free_at: ClockTime,
     /// Whether a long job holds it until then.
     pub(crate) long: bool,
-    /// Whether the run uses a connection that a transaction holds.
-    pub(crate) pinned: bool,
+}
+
+/// What a board depends on besides the endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BoardSwitches {
+    /// Whether slow endpoints lose work.
+    pub(crate) health: bool,
+    /// Whether statements may be sent ahead.
+    pub(crate) excess: ExcessRule,
 }
 
 /// One endpoint's slots and connections.
@@ -27,6 +37,8 @@
     pub(crate) slots: SmallVec<[SlotBoard; 4]>,
     /// Open connections that no transaction holds.
     pub(crate) unpinned: u32,
+    /// When each run on one of these is expected to give it back.
+    uses: SmallVec<[ClockTime; 4]>,
     /// How many more transactions may take a connection now.
     pub(crate) pins_left: u32,
     /// When further connections are expected to be open.
@@ -52,13 +64,15 @@
         now: ClockTime,
         connect_time: Duration,
         pin_hold: Duration,
-        health: bool,
+        switches: BoardSwitches,
     ) -> Self {
+        let BoardSwitches { health, excess } = switches;
         let slots = usize::try_from(record.state.slots).unwrap_or(0);
         let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
         let mut board = Self {
             slots: SmallVec::new(),
             unpinned: record.open.saturating_sub(pinned),
+            uses: SmallVec::new(),
             pins_left: pin_limit(record.state.connections, record.state.slots)
                 .saturating_sub(pinned),
             connected_at: now + connect_time,
@@ -78,17 +92,22 @@
             return board;
         }
         for running in &record.running {
-            board.slots.push(SlotBoard {
-                free_at: running.expected_end(now),
+            let slot = SlotBoard {
+                free_at: open_again(record, running, now, excess),
                 long: running.long,
-                pinned: running.pinned,
-            });
+            };
+            board.hold(slot, slots);
+            if !running.pinned {
+                board.uses.push(running.expected_end(now));
+            }
+        }
+        if record.running.len() >= slots * 2 {
+            board.keep_closed(now);
         }
         while board.slots.len() < slots {
             board.slots.push(SlotBoard {
                 free_at: now,
                 long: false,
-                pinned: false,
             });
         }
         board
@@ -107,8 +126,7 @@
 
     /// Says whether a connection is idle at a moment.
     pub(crate) fn is_connected(&self, at: ClockTime) -> bool {
-        let held = self.slots.iter().filter(|slot| slot.free_at > at);
-        let used = held.filter(|slot| !slot.pinned).count();
+        let used = self.uses.iter().filter(|end| **end > at).count();
         let used = u32::try_from(used).unwrap_or(u32::MAX);
         self.unpinned > used || at >= self.connected_at
     }
@@ -133,6 +151,25 @@
         may_start_long(slots, self.long_running(at), elsewhere_free)
     }
 
+    /// Adds a running request; one that was sent ahead follows in the slot that is free first.
+    fn hold(&mut self, run: SlotBoard, slots: usize) {
+        if self.slots.len() < slots {
+            self.slots.push(run);
+            return;
+        }
+        if let Some(first) = self.slots.iter_mut().min_by_key(|slot| slot.free_at) {
+            first.free_at = first.free_at.max(run.free_at);
+            first.long |= run.long;
+        }
+    }
+
+    /// Opens no slot at present: one statement for each slot has been sent ahead already.
+    fn keep_closed(&mut self, now: ClockTime) {
+        for slot in &mut self.slots {
+            slot.free_at = slot.free_at.max(now + LEAST_REST);
+        }
+    }
+
     /// Takes a slot that is free at a moment.
     pub(crate) fn take(&mut self, at: ClockTime, run: SlotBoard) {
         if let Some(index) = self.free_slot(at) {
@@ -140,6 +177,14 @@
         }
     }
 
+    /// Takes an idle connection until a run on it ends.
+    pub(crate) fn connect(&mut self, at: ClockTime, until: ClockTime) {
+        match self.uses.iter_mut().find(|end| **end <= at) {
+            Some(ended) => *ended = until,
+            None => self.uses.push(until),
+        }
+    }
+
     /// Takes a connection for a transaction.
     pub(crate) fn pin(&mut self) {
         self.pins_left = self.pins_left.saturating_sub(1);
@@ -147,6 +192,23 @@
     }
 }
 
+/// Returns when the next statement may be sent for the slot of a running request.
+///
+/// A statement that is sent ahead waits at the endpoint if the run before it takes longer, so
+/// nothing is sent ahead for the slot of a long job or of one that is overdue already.
+fn open_again(
+    record: &EndpointRecord,
+    running: &RunningRequest,
+    now: ClockTime,
+    excess: ExcessRule,
+) -> ClockTime {
+    let end = running.expected_end(now);
+    if excess == ExcessRule::Forbidden || running.long || running.is_overdue(now) {
+        return end;
+    }
+    end.before(record.round_trip)
+}
+
 /// Returns when a transaction is expected to get a connection, if all are held now.
 fn next_pin(record: &EndpointRecord, now: ClockTime, pin_hold: Duration) -> ClockTime {
     let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -12,7 +12,8 @@
 //! # Grounds for its figures
 //!
 //! An endpoint runs two statements at once, so statements outside of transactions never need more
-//! connections than slots: these are kept open always. Each open transaction holds one more. One is
+//! connections than slots, or twice as many where statements are sent ahead: these are kept open
+//! always. Each open transaction holds one more. One is
 //! kept open beyond that, and one for each transaction that waits to be opened. Three connections
 //! stay unused for a successor: two slots' worth and one for its probe. At most two are opened at a
 //! time for one endpoint, which at 12 ms gives 160 in a second.
@@ -33,6 +34,17 @@
 /// No connection is opened for this long after one failed to open.
 pub(crate) const FAILED_OPEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// What an endpoint's connections are needed for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionNeed {
+    /// The statements that may be sent to it at once.
+    pub(crate) sent: u32,
+    /// The waiting requests that may need a connection there.
+    pub(crate) waiting: u32,
+    /// Those of them that will open a transaction.
+    pub(crate) openers: u32,
+}
+
 /// Returns the most connections that one leaseholder opens to an endpoint.
 pub(crate) fn connection_budget(connections: u32) -> u32 {
     let reserve = SUCCESSOR_RESERVE.min(connections.saturating_sub(1));
@@ -48,27 +60,26 @@
 
 /// Returns how many connections to open to an endpoint now.
 ///
-/// `waiting` is the number of waiting requests that need a connection there, `openers` the number
-/// of those that will open a transaction; `ahead` says whether connections are opened ahead.
+/// `ahead` says whether connections are opened ahead.
 pub(crate) fn connections_to_open(
     record: &EndpointRecord,
     now: ClockTime,
-    waiting: u32,
-    openers: u32,
+    need: ConnectionNeed,
     ahead: bool,
 ) -> u32 {
     if !record.takes_fresh_work() || now < record.connect_after {
         return 0;
     }
     let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
-    let slots = record.state.slots;
     let budget = connection_budget(record.state.connections);
     let held = record.open + record.opening;
     if !ahead {
-        let wanted = waiting.saturating_sub(record.idle_connections() + record.opening);
+        let wanted = need
+            .waiting
+            .saturating_sub(record.idle_connections() + record.opening);
         return wanted.min(budget.saturating_sub(held));
     }
-    let wanted = pinned + slots + SPARE_CONNECTIONS + openers;
+    let wanted = pinned + need.sent + SPARE_CONNECTIONS + need.openers;
     let missing = wanted.min(budget).saturating_sub(held);
     missing.min(OPENING_LIMIT.saturating_sub(record.opening))
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// What is assumed at least of a run that goes on: a slot that is held never looks free.
-const LEAST_REST: Duration = Duration::from_micros(100);
+pub(crate) const LEAST_REST: Duration = Duration::from_micros(100);
 
 /// A request in a slot.
 #[derive(Clone, Debug)]
@@ -23,6 +23,10 @@
     pub(crate) started: ClockTime,
     /// How long it was expected to hold the slot.
     pub(crate) expected: Duration,
+    /// How many requests must end before it gets a slot, if it was sent ahead.
+    pub(crate) behind: u32,
+    /// When it got a slot, if it was sent ahead.
+    pub(crate) slot_since: ClockTime,
     /// Whether it counts as long.
     pub(crate) long: bool,
     /// The key on which it writes, made distinct between customers.
@@ -32,6 +36,17 @@
 }
 
 impl RunningRequest {
+    /// Returns how long it has run at the endpoint, without the way there and back.
+    pub(crate) fn run_until(&self, now: ClockTime, round_trip: Duration) -> Duration {
+        let whole = now.since(self.started).saturating_sub(round_trip);
+        whole.min(now.since(self.slot_since))
+    }
+
+    /// Says whether it has lasted longer than expected.
+    pub(crate) fn is_overdue(&self, now: ClockTime) -> bool {
+        now.since(self.started) > self.expected
+    }
+
     /// Returns when the slot is expected to be free.
     ///
     /// A run that has outlasted its expectation is expected to go on for as long as it is over.
@@ -123,6 +138,24 @@
         self.state.slots.saturating_sub(busy)
     }
 
+    /// Takes a request out of its slot, which goes to the next one that was sent ahead.
+    pub(crate) fn end_run(
+        &mut self,
+        now: ClockTime,
+        ticket: RequestTicket,
+    ) -> Option<RunningRequest> {
+        let mut running = self.running.iter();
+        let place = running.position(|running| running.ticket == ticket)?;
+        let ended = self.running.remove(place);
+        for running in &mut self.running {
+            if running.behind > 0 {
+                running.behind -= 1;
+                running.slot_since = now;
+            }
+        }
+        Some(ended)
+    }
+
     /// Says whether it takes requests that no transaction ties to it.
     pub(crate) fn takes_fresh_work(&self) -> bool {
         !self.state.leaving && self.state.role != EndpointRole::Unusable
@@ -145,7 +178,8 @@
         if self.free_slots() > 0 || self.running.iter().any(|running| running.long) {
             return None;
         }
-        let ratios = self.running.iter().map(|running| {
+        let in_slots = self.running.iter().filter(|running| running.behind == 0);
+        let ratios = in_slots.map(|running| {
             let expected = running.expected.as_secs_f64().max(1e-6);
             now.since(running.started).as_secs_f64() / expected
         });
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -7,9 +7,11 @@
 
 use crate::ClockTime;
 use crate::EndpointRole;
+use crate::ExcessRule;
 use crate::RequestStep;
 use crate::admission::misses_deadline;
 use crate::admission::stretch_start;
+use crate::board::BoardSwitches;
 use crate::board::InstanceBoard;
 use crate::board::SlotBoard;
 use crate::customers::CustomerTable;
@@ -61,6 +63,8 @@
     pub(crate) connect_time: Duration,
     /// How long transactions hold a connection.
     pub(crate) pin_hold: Duration,
+    /// What endpoints do with statements beyond their slots.
+    pub(crate) excess: ExcessRule,
     /// Which modules are at work.
     pub(crate) switches: ModuleSwitches,
 }
@@ -161,7 +165,10 @@
                 input.now,
                 input.connect_time,
                 input.pin_hold,
-                input.switches.health,
+                BoardSwitches {
+                    health: input.switches.health,
+                    excess: input.excess,
+                },
             )
         });
         Self {
@@ -560,6 +567,16 @@
         (start.expected, held) < (other.expected, other_held)
     }
 
+    /// Returns when the next statement may be sent for the slot that a request takes.
+    fn open_after(&self, request: &WaitingRequest, start: PlannedStart) -> ClockTime {
+        let end = start.at + start.expected;
+        if self.input.excess == ExcessRule::Forbidden || request.lane.long {
+            return end;
+        }
+        let record = &self.input.endpoints.records()[start.instance];
+        end.before(record.round_trip)
+    }
+
     fn apply(&mut self, candidate: PlanCandidate, at: ClockTime) {
         let request = self.input.queue.at(candidate.entry.slot);
         self.taken[candidate.entry.slot] = true;
@@ -572,16 +589,18 @@
         let PlanAction::Start(start) = candidate.action else {
             return;
         };
-        let until = at + start.expected;
+        let until = self.open_after(request, start);
         let pinned = request.pinned_to.is_some();
         let board = &mut self.boards[start.instance];
         let opens = request.profile.step == RequestStep::Opens;
         let run = SlotBoard {
             free_at: until,
             long: request.lane.long,
-            pinned: pinned || opens,
         };
         board.take(at, run);
+        if !pinned && !opens {
+            board.connect(at, at + start.expected);
+        }
         board.pinned_run = if pinned { board.pinned_run + 1 } else { 0 };
         if start.trial {
             board.trial = false;
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -12,6 +12,8 @@
     pub home_domain: DomainName,
     /// The time that a message takes from one failure domain to another, one way.
     pub domain_delay: Duration,
+    /// What endpoints do with a statement that arrives while all of their slots are in use.
+    pub excess: ExcessRule,
     /// The time that opening a connection takes.
     pub connect_time: Duration,
     /// Which modules are at work.
@@ -25,12 +27,24 @@
             seed,
             home_domain,
             domain_delay: Duration::from_micros(500),
+            excess: ExcessRule::Forbidden,
             connect_time: Duration::from_millis(12),
             modules: ModuleSwitches::default(),
         }
     }
 }
 
+/// What endpoints do with a statement that arrives while all of their slots are in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ExcessRule {
+    /// Unknown, or nothing good: no more statements are sent than there are slots.
+    #[default]
+    Forbidden,
+    /// The endpoint lets it wait for the next free slot: a statement is sent one way ahead of the
+    /// moment at which a slot is expected to be free.
+    Waits,
+}
+
 /// Which modules are at work; all of them outside of measurements.
 ///
 /// A measurement switches one off to show what callers receive without it. No switch lets a
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -3,6 +3,7 @@
 use crate::ClockTime;
 use crate::DispatchOrder;
 use crate::EndpointRole;
+use crate::ExcessRule;
 use crate::FinishOutcome;
 use crate::GroupScheduler;
 use crate::HealthLevel;
@@ -16,8 +17,10 @@
 use crate::admission::PROMOTION_TIME;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
+use crate::connections::ConnectionNeed;
 use crate::connections::connections_to_open;
 use crate::endpoints::ConnectionPin;
+use crate::endpoints::EndpointRecord;
 use crate::endpoints::RunningRequest;
 use crate::estimate::LONG_THRESHOLD;
 use crate::health::RunSample;
@@ -209,6 +212,7 @@
             ledger: &self.ledger,
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
+            excess: self.settings.excess,
             switches: self.settings.modules,
         });
         let steps = if review && self.settings.modules.early_refusal {
@@ -264,7 +268,12 @@
                 EndpointRole::Primary => openers,
                 EndpointRole::Replica | EndpointRole::Unusable => 0,
             };
-            let missing = connections_to_open(record, now, waiting, openers, ahead);
+            let need = ConnectionNeed {
+                sent: record.state.slots + sent_ahead(record, self.settings.excess),
+                waiting,
+                openers,
+            };
+            let missing = connections_to_open(record, now, need, ahead);
             record.opening += missing;
             for _ in 0..missing {
                 let instance = record.state.instance.clone();
@@ -285,19 +294,15 @@
         let Some(record) = self.endpoints.get_mut(&dispatched.instance) else {
             return;
         };
-        let place = record
-            .running
-            .iter()
-            .position(|running| running.ticket == ticket);
-        let Some(place) = place else {
+        let Some(running) = record.end_run(now, ticket) else {
             return;
         };
-        let running = record.running.remove(place);
         let actual = now.since(running.started);
+        let run = running.run_until(now, record.round_trip);
         self.ledger.correct(customer, dispatched.charged, actual);
         self.customers.get_mut(customer).slot_micros += to_micros(actual);
         if outcome == FinishOutcome::Answered {
-            self.learn_run(now, dispatched, actual);
+            self.learn_run(now, dispatched, run);
         } else {
             record.health.drop_trial(now, ticket);
         }
@@ -480,7 +485,12 @@
         self.ledger.charge(request.customer, start.expected);
         self.count_dispatch(now, &request, start);
         let record = &mut self.endpoints.records_mut()[start.instance];
-        debug_assert!(record.free_slots() > 0, "a statement without a slot");
+        let ahead = sent_ahead(record, self.settings.excess);
+        let sent = u32::try_from(record.running.len()).unwrap_or(u32::MAX);
+        debug_assert!(
+            sent < record.state.slots + ahead,
+            "a statement without a slot"
+        );
         if request.pinned_to.is_none() {
             record.urgent_run = next_urgent_run(record.urgent_run, request.lane, ordinary_waits);
         }
@@ -488,6 +498,8 @@
             ticket,
             started: now,
             expected: start.expected,
+            behind: (sent + 1).saturating_sub(record.state.slots),
+            slot_since: now,
             long: request.lane.long,
             write_key: write_key(&request),
             pinned: request.profile.step != RequestStep::Single,
@@ -528,19 +540,18 @@
         }
     }
 
-    fn learn_run(&mut self, now: ClockTime, dispatched: &DispatchedRequest, actual: Duration) {
+    fn learn_run(&mut self, now: ClockTime, dispatched: &DispatchedRequest, run: Duration) {
         let Some(index) = self.endpoints.index_of(&dispatched.instance) else {
             return;
         };
         let since = now.before(TRIAL_COMPARISON);
         let best = self.best_score(now, index, since).unwrap_or(1.0);
         let record = &mut self.endpoints.records_mut()[index];
-        let run = actual.saturating_sub(record.round_trip);
         let healthy = record.health.level() == HealthLevel::Full;
         if dispatched.mature || !healthy {
             let ratio = run.as_secs_f64() / dispatched.base.as_secs_f64().max(1e-6);
             let ticket = dispatched.request.profile.ticket;
-            let started = now.before(actual);
+            let started = now.before(run);
             let sample = RunSample { started, ratio };
             record.health.observe(now, ticket, sample, best);
         }
@@ -576,6 +587,14 @@
     }
 }
 
+/// Returns how many statements may be sent to an endpoint beyond its slots.
+fn sent_ahead(record: &EndpointRecord, excess: ExcessRule) -> u32 {
+    match excess {
+        ExcessRule::Waits if !record.round_trip.is_zero() => record.state.slots,
+        ExcessRule::Waits | ExcessRule::Forbidden => 0,
+    }
+}
+
 /// Says whether a refusal stands until the request or its contract changes.
 fn is_lasting(cause: RefusalCause) -> bool {
     matches!(
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod runner;
 
 pub use outcome::LoadOutcome;
+pub use outcome::SourceName;
 pub use outcome::SourceOutcome;
 pub use patterns::PatternName;
 pub use patterns::UserSize;
