Let slow endpoints serve what they can still serve in time

An endpoint whose slow run still meets deadlines lost all its work, and trials came up to two seconds apart, so that the group was without it for a second after it had recovered. While reads pile up, an endpoint that is cut off now gets those that have time for twice its slow run, any fast run brings it back, and trials come 400 ms apart at most. Urgent requests need time for a tenth more than their planned wait, not for twice as much: with the primary slow, one in ten of them had been refused at arrival.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -15,12 +15,13 @@
 //! The plan of the whole queue says when each request will start. One whose expected end lies
 //! beyond its deadline is refused at that moment, with the whole rest of its time left to the
 //! caller. Others that arrive later will overtake it, so a new request is let in only if there is
-//! time for a longer wait than the planned one: by a quarter at least, and for each customer and
-//! sort of request by as much as experience says. The expected end includes one mean deviation of its kind's run, because an answer that
-//! comes a little late has cost a slot and helps nobody. Refused callers are told to come back when
-//! the work that is waiting now will have been done, spread over the time that the group needs to
-//! serve all that were refused within the last second: if all came back together, they would be
-//! refused together again.
+//! time for a longer wait than the planned one: twice as long at least, a tenth longer if it is
+//! urgent, and for each customer and sort of request as much longer as experience says. The
+//! expected end includes one mean deviation of its kind's run, because an answer that comes a
+//! little late has cost a slot and helps nobody. Refused callers are told to come back when the
+//! work that is waiting now will have been done, spread over the time that the group needs to serve
+//! all that were refused within the last second: if all came back together, they would be refused
+//! together again.
 
 use crate::ClockTime;
 use crate::RequestTicket;
@@ -35,8 +36,12 @@
 /// The part of a customer's queue limit that urgent requests have besides it.
 const URGENT_QUEUE_PART: u32 = 4;
 
-/// The wait for which a new request must have time at least, in percent of the planned wait.
-const LEAST_STRETCH_PERCENT: f64 = 200.0;
+/// The wait for which a new ordinary request must have time at least, in percent of the planned
+/// wait.
+const ORDINARY_STRETCH_PERCENT: f64 = 200.0;
+
+/// The same for an urgent request, which few can overtake.
+const URGENT_STRETCH_PERCENT: f64 = 110.0;
 
 /// The most for which a new request must have time, in percent of the planned wait.
 const MOST_STRETCH_PERCENT: f64 = 6_400.0;
@@ -60,17 +65,23 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitStretch {
     percent: f64,
+    least: f64,
 }
 
-impl Default for WaitStretch {
-    fn default() -> Self {
+impl WaitStretch {
+    /// Creates the stretch of requests of which nothing is known yet.
+    pub(crate) fn new(urgent: bool) -> Self {
+        let least = if urgent {
+            URGENT_STRETCH_PERCENT
+        } else {
+            ORDINARY_STRETCH_PERCENT
+        };
         Self {
-            percent: LEAST_STRETCH_PERCENT,
+            percent: least,
+            least,
         }
     }
-}
 
-impl WaitStretch {
     /// Returns the wait for which a new request must have time, in percent of the planned wait.
     pub(crate) fn percent(&self) -> u64 {
         self.percent as u64
@@ -97,7 +108,7 @@
     }
 
     fn shrink(&mut self, factor: f64) {
-        self.percent = (self.percent * factor).max(LEAST_STRETCH_PERCENT);
+        self.percent = (self.percent * factor).max(self.least);
     }
 }
 
--- a/crates/policy/src/customers.rs
+++ b/crates/policy/src/customers.rs
@@ -6,6 +6,7 @@
 use crate::admission::WaitStretch;
 use crate::hot::HotMarks;
 use crate::queue::LANES;
+use crate::queue::LaneKind;
 use crate::queue::WaitingRequest;
 use ragwort_types::CustomerName;
 use ragwort_types::LengthClass;
@@ -143,7 +144,9 @@
             slot_micros: 0,
             sessions: HotMarks::default(),
             keys: HotMarks::default(),
-            stretches: [WaitStretch::default(); LANES * 2],
+            stretches: std::array::from_fn(|index| {
+                WaitStretch::new(LaneKind::from_index(index % LANES).urgent)
+            }),
         });
     }
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -47,7 +47,7 @@
 const FIRST_TRIAL_GAP: Duration = Duration::from_millis(100);
 
 /// The longest time between two trials.
-const LONGEST_TRIAL_GAP: Duration = Duration::from_secs(2);
+const LONGEST_TRIAL_GAP: Duration = Duration::from_millis(400);
 
 /// How much work an endpoint gets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,6 +78,7 @@
     trial_gap: Duration,
     next_trial: ClockTime,
     trial: Option<RequestTicket>,
+    cut_factor: f64,
 }
 
 impl EndpointHealth {
@@ -131,7 +132,11 @@
 
     /// Returns the factor by which a run is expected to be longer here than elsewhere.
     pub(crate) fn slowdown(&self) -> f64 {
-        self.score().unwrap_or(1.0).max(1.0)
+        let score = self.score().unwrap_or(1.0).max(1.0);
+        match self.level {
+            HealthLevel::Cut => score.max(self.cut_factor),
+            HealthLevel::Full | HealthLevel::Half => score,
+        }
     }
 
     /// Takes the run of a request that ended.
@@ -142,14 +147,31 @@
         sample: RunSample,
         best: f64,
     ) {
-        if self.trial == Some(ticket) {
+        let trial = self.trial == Some(ticket);
+        if trial {
             self.trial = None;
-            self.end_trial(now, sample.ratio, best);
-            return;
         }
         if self.level == HealthLevel::Cut {
+            self.observe_cut(now, trial, sample, best);
+            return;
+        }
+        self.keep(sample);
+    }
+
+    /// Takes a run of an endpoint that is cut off: a trial, or work that had nowhere else to go.
+    fn observe_cut(&mut self, now: ClockTime, trial: bool, sample: RunSample, best: f64) {
+        if sample.ratio < HALF_FACTOR * best {
+            self.recent.clear();
+            self.level = HealthLevel::Half;
             return;
         }
+        self.keep(sample);
+        if trial {
+            self.postpone_trial(now);
+        }
+    }
+
+    fn keep(&mut self, sample: RunSample) {
         if self.recent.len() == RECENT_RUNS {
             self.recent.remove(0);
         }
@@ -180,7 +202,7 @@
         };
         let factor = score / best;
         if factor >= CUT_FACTOR {
-            self.cut_off(now);
+            self.cut_off(now, factor);
         } else if factor >= HALF_FACTOR {
             self.level = HealthLevel::Half;
         } else {
@@ -188,21 +210,13 @@
         }
     }
 
-    fn cut_off(&mut self, now: ClockTime) {
+    fn cut_off(&mut self, now: ClockTime, factor: f64) {
+        self.cut_factor = factor;
         self.level = HealthLevel::Cut;
         self.trial_gap = FIRST_TRIAL_GAP;
         self.next_trial = now + FIRST_TRIAL_GAP;
     }
 
-    fn end_trial(&mut self, now: ClockTime, ratio: f64, best: f64) {
-        if ratio >= HALF_FACTOR * best {
-            self.postpone_trial(now);
-            return;
-        }
-        self.recent.clear();
-        self.level = HealthLevel::Half;
-    }
-
     fn postpone_trial(&mut self, now: ClockTime) {
         self.trial_gap = (self.trial_gap * 2).min(LONGEST_TRIAL_GAP);
         self.next_trial = now + self.trial_gap;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -42,7 +42,7 @@
 const PINNED_RUN: u32 = 3;
 
 /// A trial goes without regard to the request's slack after it was due for this long.
-const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
+const TRIAL_PATIENCE: Duration = Duration::from_millis(200);
 
 /// What a plan is made from.
 #[derive(Clone, Copy)]
@@ -294,7 +294,7 @@
             urgent,
             bounded,
             spill,
-            reads: replica || (primary && (spill || !routing)),
+            reads: replica || spill || (primary && !routing),
             writes: primary,
         };
         self.choose_urgency(pass(true, true))
@@ -429,9 +429,24 @@
         if board.held(at) < board.usable {
             return Some(false);
         }
+        if pass.spill && !primary && self.has_time_for_slow_run(request, instance, at) {
+            return Some(false);
+        }
         self.accepts_trial(request, instance, at).then_some(true)
     }
 
+    /// Says whether a read has time for a run on a slow endpoint that takes twice as long as its
+    /// slow runs do.
+    fn has_time_for_slow_run(
+        &self,
+        request: &WaitingRequest,
+        instance: usize,
+        at: ClockTime,
+    ) -> bool {
+        let run = self.expected_on(request, instance);
+        !request.lane.long && !misses_deadline(at, run, run, request.profile.deadline)
+    }
+
     fn accepts_trial(&self, request: &WaitingRequest, instance: usize, at: ClockTime) -> bool {
         let board = &self.boards[instance];
         if at != self.input.now || !board.trial || request.lane.urgent || request.lane.long {
--- a/crates/policy/tests/support/runner.rs
+++ b/crates/policy/tests/support/runner.rs
@@ -277,6 +277,9 @@
                     self.settle_late(ticket);
                 }
                 for dispatch in dispatches {
+                    let open = &mut self.endpoints[dispatch.instance].open;
+                    *open += u32::from(dispatch.connect);
+                    self.outcome.most_connections = self.outcome.most_connections.max(*open);
                     let connect = if dispatch.connect {
                         CONNECT_TIME
                     } else {
