--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -1,12 +1,7 @@
-//! The steps of a scheduler's events and polls.
+//! How a scheduler takes requests in, reviews them, and follows its plan.
 
 use crate::ClockTime;
-use crate::DispatchOrder;
-use crate::EndpointRole;
-use crate::ExcessRule;
-use crate::FinishOutcome;
 use crate::GroupScheduler;
-use crate::HealthLevel;
 use crate::RefusalOrder;
 use crate::RequestProfile;
 use crate::RequestStep;
@@ -17,25 +12,12 @@
 use crate::admission::PROMOTION_TIME;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
-use crate::connections::ConnectionNeed;
-use crate::connections::connections_to_open;
-use crate::endpoints::ConnectionPin;
-use crate::endpoints::EndpointRecord;
-use crate::endpoints::RunningRequest;
-use crate::estimate::LONG_THRESHOLD;
-use crate::health::RunSample;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlanInput;
-use crate::plan::PlannedStart;
-use crate::plan::next_urgent_run;
-use crate::plan::write_key;
 use crate::queue::LaneKind;
 use crate::queue::WaitingRequest;
-use crate::retry::may_repeat;
 use crate::routing::has_replica_soon;
-use crate::scheduler::DispatchedRequest;
-use crate::time::to_micros;
 use ragwort_types::InstanceName;
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
@@ -51,9 +33,6 @@
 /// that to a few percent of a core, and a refusal still comes within the time of one message.
 pub(crate) const REVIEW_GAP: Duration = Duration::from_millis(2);
 
-/// A trial is compared with what peers did within this time.
-const TRIAL_COMPARISON: Duration = Duration::from_secs(1);
-
 impl GroupScheduler {
     /// Takes a request into the queue, if its contract and the queue's limits allow.
     pub(crate) fn admit(
@@ -137,30 +116,6 @@
         }
     }
 
-    /// Counts runs that have outlasted the limit as long, whatever their kind promised.
-    pub(crate) fn mark_long_runs(&mut self, now: ClockTime) {
-        for record in self.endpoints.records_mut() {
-            for running in &mut record.running {
-                running.long |= now.since(running.started) >= LONG_THRESHOLD;
-            }
-        }
-    }
-
-    /// Compares the endpoints and adjusts how much work each gets.
-    pub(crate) fn judge_health(&mut self, now: ClockTime) {
-        if !self.settings.modules.health {
-            return;
-        }
-        for index in 0..self.endpoints.records().len() {
-            let Some(best) = self.best_peer(now, index) else {
-                continue;
-            };
-            let record = &mut self.endpoints.records_mut()[index];
-            let held = record.held_ratio(now);
-            record.health.judge(now, best, held);
-        }
-    }
-
     /// Refuses what waits for something that will not come in time, and moves reads between the
     /// replicas' lanes and the primary's as replicas catch up or fall behind.
     pub(crate) fn review_waiting(
@@ -252,83 +207,6 @@
         }
     }
 
-    /// Opens connections ahead of need.
-    pub(crate) fn open_connections(
-        &mut self,
-        now: ClockTime,
-        decisions: &mut Vec<SchedulerDecision>,
-    ) {
-        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        let openers = self.queue.iter();
-        let openers = openers.filter(|request| request.profile.step == RequestStep::Opens);
-        let openers = u32::try_from(openers.count()).unwrap_or(u32::MAX);
-        let ahead = self.settings.modules.connections_ahead;
-        for record in self.endpoints.records_mut() {
-            let openers = match record.state.role {
-                EndpointRole::Primary => openers,
-                EndpointRole::Replica | EndpointRole::Unusable => 0,
-            };
-            let need = ConnectionNeed {
-                sent: record.state.slots + sent_ahead(record, self.settings.excess),
-                waiting,
-                openers,
-            };
-            let missing = connections_to_open(record, now, need, ahead);
-            record.opening += missing;
-            for _ in 0..missing {
-                let instance = record.state.instance.clone();
-                decisions.push(SchedulerDecision::OpenConnection(instance));
-            }
-        }
-    }
-
-    /// Frees the slot of a request that has ended, and learns from its run.
-    pub(crate) fn release_slot(
-        &mut self,
-        now: ClockTime,
-        dispatched: &DispatchedRequest,
-        outcome: FinishOutcome,
-    ) {
-        let ticket = dispatched.request.profile.ticket;
-        let customer = dispatched.request.customer;
-        let Some(record) = self.endpoints.get_mut(&dispatched.instance) else {
-            return;
-        };
-        let Some(running) = record.end_run(now, ticket) else {
-            return;
-        };
-        let actual = now.since(running.started);
-        let run = running.run_until(now, record.round_trip);
-        self.ledger.correct(customer, dispatched.charged, actual);
-        self.customers.get_mut(customer).slot_micros += to_micros(actual);
-        if outcome == FinishOutcome::Answered {
-            self.learn_run(now, dispatched, run);
-        } else {
-            record.health.drop_trial(now, ticket);
-        }
-    }
-
-    /// Says whether a request that ended without an answer goes back into the queue.
-    pub(crate) fn may_retry(
-        &mut self,
-        now: ClockTime,
-        request: &WaitingRequest,
-        outcome: FinishOutcome,
-    ) -> bool {
-        if matches!(request.profile.step, RequestStep::Within(_)) {
-            return false;
-        }
-        if !may_repeat(outcome, request.profile.repeat, request.attempts) {
-            return false;
-        }
-        let estimate = self.estimates.get(request.kind);
-        let deadline = request.profile.deadline;
-        if misses_deadline(now, estimate.expected(), estimate.deviation(), deadline) {
-            return false;
-        }
-        !self.settings.modules.retry_budget || self.retries.spend()
-    }
-
     fn prepare(
         &mut self,
         now: ClockTime,
@@ -464,137 +342,14 @@
         (late && self.settings.modules.early_refusal).then_some(RefusalCause::NoPrimary)
     }
 
-    fn dispatch(
-        &mut self,
-        now: ClockTime,
-        ticket: RequestTicket,
-        start: PlannedStart,
-        decisions: &mut Vec<SchedulerDecision>,
-    ) {
-        let Some(mut request) = self.queue.remove(ticket) else {
-            return;
-        };
-        request.attempts += 1;
-        if let Some(planned) = request.planned_wait {
-            let customer = self.customers.get_mut(request.customer);
-            let actual = now.since(request.arrived);
-            customer.stretch_mut(&request).learn(planned, actual);
-        }
-        let estimate = self.estimates.get(request.kind);
-        let ordinary_waits = self.queue.count_lanes(|lane| !lane.urgent) > 0;
-        self.ledger.charge(request.customer, start.expected);
-        self.count_dispatch(now, &request, start);
-        let record = &mut self.endpoints.records_mut()[start.instance];
-        let ahead = sent_ahead(record, self.settings.excess);
-        let sent = u32::try_from(record.running.len()).unwrap_or(u32::MAX);
-        debug_assert!(
-            sent < record.state.slots + ahead,
-            "a statement without a slot"
-        );
-        if request.pinned_to.is_none() {
-            record.urgent_run = next_urgent_run(record.urgent_run, request.lane, ordinary_waits);
-        }
-        record.running.push(RunningRequest {
-            ticket,
-            started: now,
-            expected: start.expected,
-            behind: (sent + 1).saturating_sub(record.state.slots),
-            slot_since: now,
-            long: request.lane.long,
-            write_key: write_key(&request),
-            pinned: request.profile.step != RequestStep::Single,
-        });
-        if request.profile.step == RequestStep::Opens {
-            record.pins.push(ConnectionPin {
-                opener: ticket,
-                customer: request.customer,
-                since: now,
-            });
-        }
-        if start.trial {
-            record.health.begin_trial(ticket);
-        }
-        let instance = record.state.instance.clone();
-        let dispatched = DispatchedRequest {
-            request,
-            instance: instance.clone(),
-            base: estimate.expected(),
-            charged: start.expected,
-            mature: estimate.is_mature(),
-            abandoned: false,
-        };
-        self.running.insert(ticket, dispatched);
-        let order = DispatchOrder { ticket, instance };
-        decisions.push(SchedulerDecision::Dispatch(order));
-    }
-
-    fn count_dispatch(&mut self, now: ClockTime, request: &WaitingRequest, start: PlannedStart) {
-        let record = &self.endpoints.records()[start.instance];
-        self.counts.dispatched += 1;
-        self.counts.waited_micros += to_micros(now.since(request.arrived));
-        self.counts.trials += u64::from(start.trial);
-        if request.profile.allows_replica() {
-            self.counts.permitted_reads += 1;
-            let replica = record.state.role == EndpointRole::Replica;
-            self.counts.replica_reads += u64::from(replica);
-        }
-    }
-
-    fn learn_run(&mut self, now: ClockTime, dispatched: &DispatchedRequest, run: Duration) {
-        let Some(index) = self.endpoints.index_of(&dispatched.instance) else {
-            return;
-        };
-        let since = now.before(TRIAL_COMPARISON);
-        let best = self.best_score(now, index, since).unwrap_or(1.0);
-        let record = &mut self.endpoints.records_mut()[index];
-        let healthy = record.health.level() == HealthLevel::Full;
-        if dispatched.mature || !healthy {
-            let ratio = run.as_secs_f64() / dispatched.base.as_secs_f64().max(1e-6);
-            let ticket = dispatched.request.profile.ticket;
-            let started = now.before(run);
-            let sample = RunSample { started, ratio };
-            record.health.observe(now, ticket, sample, best);
-        }
-        if healthy {
-            self.estimates.learn(dispatched.request.kind, run);
-            self.mean_run = (self.mean_run * 15 + run) / 16;
-        }
-    }
-
-    /// Returns the score of the fastest other endpoint since the runs by which this one is judged.
-    fn best_peer(&self, now: ClockTime, index: usize) -> Option<f64> {
-        let record = &self.endpoints.records()[index];
-        let held = record.held_since(now);
-        let since = held.or_else(|| record.health.judged_since())?;
-        self.best_score(now, index, since)
-    }
-
-    /// Returns the score of the fastest other endpoint over runs that started since a moment.
-    fn best_score(&self, now: ClockTime, index: usize, since: ClockTime) -> Option<f64> {
-        let records = self.endpoints.records().iter().enumerate();
-        let peers = records.filter(|(peer, record)| *peer != index && record.takes_fresh_work());
-        let scores = peers.filter_map(|(_, record)| {
-            let score = record.health.score_since(since)?;
-            Some(score.max(record.held_ratio(now).unwrap_or(score)))
-        });
-        scores.min_by(f64::total_cmp).map(|score| score.max(1.0))
-    }
-
-    fn usable_slots(&self) -> u32 {
+    /// Returns the slots of the endpoints that take fresh work.
+    pub(crate) fn usable_slots(&self) -> u32 {
         let records = self.endpoints.records().iter();
         let usable = records.filter(|record| record.takes_fresh_work());
         usable.map(|record| record.state.slots).sum()
     }
 }
 
-/// Returns how many statements may be sent to an endpoint beyond its slots.
-fn sent_ahead(record: &EndpointRecord, excess: ExcessRule) -> u32 {
-    match excess {
-        ExcessRule::Waits if !record.round_trip.is_zero() => record.state.slots,
-        ExcessRule::Waits | ExcessRule::Forbidden => 0,
-    }
-}
-
 /// Says whether a refusal stands until the request or its contract changes.
 fn is_lasting(cause: RefusalCause) -> bool {
     matches!(
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! A runner of load patterns in virtual time, for the tests and the table of the load page.
 
+mod draw;
 mod outcome;
 mod patterns;
 mod plain;
--- a/crates/policy/tests/support/runner.rs
+++ b/crates/policy/tests/support/runner.rs
@@ -3,37 +3,40 @@
 //! Arrivals, run times and positions are drawn from the seed before the policy sees anything, so
 //! that two policies meet the same load.
 
+use super::draw::CONNECT_TIME;
+use super::draw::DrawnRequest;
+use super::draw::EndpointModel;
+use super::draw::INSTANCE_NAMES;
+use super::draw::INSTANCES;
+use super::draw::PolicyModel;
+use super::draw::REPORT_GAP;
+use super::draw::RunnerEvent;
+use super::draw::SLOTS;
+use super::draw::create_plain;
+use super::draw::create_scheduler;
+use super::draw::draw_requests;
+use super::draw::find_instance;
 use super::outcome::LoadOutcome;
 use super::outcome::SourceName;
 use super::patterns::LoadPattern;
 use super::patterns::LoadSource;
-use super::plain::PlainEndpoint;
-use super::plain::PlainScheduler;
 use ragwort_policy::ArrivalDecision;
 use ragwort_policy::ClockTime;
-use ragwort_policy::EndpointRole;
-use ragwort_policy::EndpointState;
 use ragwort_policy::ExcessRule;
 use ragwort_policy::FinishOutcome;
-use ragwort_policy::GroupScheduler;
 use ragwort_policy::ModuleSwitches;
 use ragwort_policy::RequestProfile;
 use ragwort_policy::RequestStep;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerDecision;
-use ragwort_policy::SchedulerSettings;
 use ragwort_types::AccessMode;
 use ragwort_types::CustomerName;
-use ragwort_types::DomainName;
 use ragwort_types::GroupTerm;
 use ragwort_types::InstanceName;
 use ragwort_types::KindName;
 use ragwort_types::LengthClass;
 use ragwort_types::LogPosition;
 use ragwort_types::RepeatRule;
-use rand::RngExt as _;
-use rand::SeedableRng as _;
-use rand::rngs::StdRng;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
@@ -41,13 +44,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-const INSTANCES: usize = 3;
-const SLOTS: u32 = 2;
-const CONNECT_TIME: Duration = Duration::from_millis(12);
-const REPORT_GAP: Duration = Duration::from_millis(10);
-const INSTANCE_NAMES: [&str; INSTANCES] = ["cases-1", "cases-2", "cases-3"];
-const DOMAIN_NAMES: [&str; INSTANCES] = ["north", "east", "west"];
-
 /// The policy of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PolicyChoice {
@@ -66,42 +62,6 @@
     runner.outcome
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum RunnerEvent {
-    Arrive(usize),
-    Reach(RequestTicket, usize),
-    End(RequestTicket, usize),
-    Answer(RequestTicket, usize),
-    Connected(usize),
-    Report,
-    Wake,
-}
-
-/// A request as it was drawn from the seed.
-struct DrawnRequest {
-    source: usize,
-    session: u64,
-    key: Option<u64>,
-    run: Duration,
-    at: ClockTime,
-    /// The request that opened the transaction, and what is left of it.
-    opener: Option<RequestTicket>,
-    statements: u32,
-}
-
-struct EndpointModel {
-    held: u32,
-    waiting: VecDeque<RequestTicket>,
-    running: Vec<RequestTicket>,
-    key_free: HashMap<u64, ClockTime>,
-    open: u32,
-}
-
-enum PolicyModel {
-    Plain(PlainScheduler),
-    Scheduler(Box<GroupScheduler>),
-}
-
 struct LoadRunner<'a> {
     pattern: &'a LoadPattern,
     requests: Vec<DrawnRequest>,
@@ -452,9 +412,8 @@
             opener: Some(opener),
             statements: drawn.statements - 1,
         };
-        let at = next.at;
+        self.schedule(next.at, RunnerEvent::Arrive(self.requests.len()));
         self.requests.push(next);
-        self.schedule(at, RunnerEvent::Arrive(self.requests.len() - 1));
     }
 
     fn end_transaction(&mut self, ticket: RequestTicket) {
@@ -478,11 +437,8 @@
         let wait = self.now.since(self.requests[ticket.0 as usize].at);
         let outcome = self.outcome_of(ticket);
         outcome.waits.push(wait);
-        if late {
-            outcome.late += 1;
-        } else {
-            outcome.in_time += 1;
-        }
+        outcome.late += u64::from(late);
+        outcome.in_time += u64::from(!late);
     }
 
     fn settle_late(&mut self, ticket: RequestTicket) {
@@ -540,86 +496,3 @@
         self.outcome.all_long += u64::from(waits);
     }
 }
-
-fn find_instance(name: &InstanceName) -> usize {
-    match INSTANCE_NAMES
-        .iter()
-        .position(|known| *known == name.as_str())
-    {
-        Some(index) => index,
-        None => panic!("an unknown instance"),
-    }
-}
-
-fn create_plain(pattern: &LoadPattern, open: u32) -> PlainScheduler {
-    let endpoint = PlainEndpoint {
-        connections: pattern.user.connections(),
-        open,
-        used: 0,
-    };
-    PlainScheduler::new(vec![endpoint; INSTANCES])
-}
-
-fn create_scheduler(
-    pattern: &LoadPattern,
-    modules: ModuleSwitches,
-    excess: ExcessRule,
-    seed: u64,
-    open: u32,
-) -> GroupScheduler {
-    let home = DomainName::from(DOMAIN_NAMES[0]);
-    let mut scheduler = GroupScheduler::new(SchedulerSettings {
-        domain_delay: pattern.user.domain_delay(),
-        connect_time: CONNECT_TIME,
-        excess,
-        modules,
-        ..SchedulerSettings::new(seed, home)
-    });
-    scheduler.set_contracts(&pattern.terms);
-    for index in 0..INSTANCES {
-        let instance = InstanceName::from(INSTANCE_NAMES[index]);
-        let role = match index {
-            0 => EndpointRole::Primary,
-            _ => EndpointRole::Replica,
-        };
-        let state = EndpointState {
-            instance: instance.clone(),
-            domain: DomainName::from(DOMAIN_NAMES[index]),
-            slots: SLOTS,
-            connections: pattern.user.connections(),
-            role,
-            leaving: false,
-        };
-        scheduler.set_endpoint(ClockTime::default(), state);
-        for _ in 0..open {
-            scheduler.connection_opened(&instance);
-        }
-    }
-    scheduler
-}
-
-fn draw_requests(pattern: &LoadPattern, seed: u64) -> Vec<DrawnRequest> {
-    let mut requests = Vec::new();
-    for (index, source) in pattern.sources.iter().enumerate() {
-        let mut random = StdRng::seed_from_u64(seed ^ (index as u64) << 32);
-        let mut at = source.from;
-        loop {
-            let part: f64 = random.random_range(1e-9..1.0);
-            at += Duration::from_secs_f64(-part.ln() / source.rate);
-            if at >= source.until.min(pattern.length) {
-                break;
-            }
-            let run = random.random_range(source.shortest..source.longest);
-            requests.push(DrawnRequest {
-                source: index,
-                session: random.random_range(0..source.sessions),
-                key: source.keys.map(|keys| random.random_range(0..keys)),
-                run,
-                at: ClockTime::default() + at,
-                opener: None,
-                statements: source.statements,
-            });
-        }
-    }
-    requests
-}
