--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -1,11 +1,13 @@
 //! A runner of load patterns in virtual time, for the tests and the table of the load page.
 
+mod draw;
 mod outcome;
 mod patterns;
 mod plain;
 mod runner;
 
 pub use outcome::LoadOutcome;
+pub use outcome::SourceName;
 pub use outcome::SourceOutcome;
 pub use patterns::PatternName;
 pub use patterns::UserSize;
