Mend the control driver: sync what was read, end on a damaged catalog, bound proposals

Cause: a review of the driver by the author of the agreed log. A record that was read but never synced could vanish after this node had counted on it; a committed entry that could not be read was only logged and the catalog went on wrong; compaction was tried on every pump while entries were uncommitted; a leader that was cut off took in commands without bound. Ruled out: skipping an entry that can't be read, because every other VM would apply it.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -62,7 +62,11 @@
 
 /// Log entries after which the log is replaced by a snapshot. At 2,300 contract changes and some
 /// thousand placement changes a day that is several times a day.
-const COMPACT_ENTRIES: usize = 1_000;
+const COMPACT_ENTRIES: u64 = 1_000;
+
+/// Commands that may wait to be committed. At the size of two years a storm of takeovers after the
+/// loss of a failure domain proposes some hundred at once.
+const UNCOMMITTED_COMMANDS: usize = 2_048;
 
 /// Messages that may wait for one peer. Older ones are worthless once newer ones are due, and the
 /// agreed log sends again what it needs.
@@ -153,6 +157,7 @@
     catalog: CatalogState,
     ledger: Option<LeaseLedger>,
     ticks: u64,
+    compacted: u64,
     commands: BTreeMap<u64, WaitingCommand>,
     own_proposals: BTreeSet<u64>,
     unplaced: BTreeSet<GroupName>,
@@ -192,6 +197,8 @@
             let length = restored.valid_length as u64;
             file.truncate(length).map_err(ControlFault::Disk)?;
         }
+        let snapshot = restored.state.snapshot();
+        let restored_snapshot = snapshot.map_or(0, |snapshot| snapshot.mark.index.0);
         let node = start_node(&settings, restored.state, fresh)?;
         let (events, inbox) = mpsc::channel(4_096);
         let task = Self {
@@ -203,6 +210,7 @@
             catalog: CatalogState::new(),
             ledger: None,
             ticks: 0,
+            compacted: restored_snapshot,
             commands: BTreeMap::new(),
             own_proposals: BTreeSet::new(),
             unplaced: BTreeSet::new(),
@@ -334,6 +342,13 @@
     }
 
     fn propose(&mut self, command: &CatalogCommand, reply: Option<oneshot::Sender<CommandReply>>) {
+        // Without a bound a leader that is cut off would take in commands until its memory is full.
+        if self.commands.len() >= UNCOMMITTED_COMMANDS {
+            if let Some(reply) = reply {
+                let _ = reply.send(CommandReply::NoLeader);
+            }
+            return;
+        }
         let text = serde_json::to_string(command).expect("a command is plain data");
         match self.node.propose(text) {
             Ok(mark) => {
@@ -360,10 +375,10 @@
                 break;
             }
             self.keep_writes(&output).map_err(ControlFault::Disk)?;
-            self.take_output(output);
+            self.take_output(output)?;
         }
         self.follow_role();
-        self.compact().map_err(ControlFault::Disk)?;
+        self.compact()?;
         self.pay_owed_replies();
         Ok(())
     }
@@ -379,7 +394,13 @@
         })
     }
 
-    fn take_output(&mut self, output: AgreementOutput) {
+    /// Does what the agreed log hands out.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if a committed entry or snapshot can't be read. The catalog would be wrong
+    /// from there on: this VM would answer with contracts that no other VM has.
+    fn take_output(&mut self, output: AgreementOutput) -> Result<(), ControlFault> {
         for outbound in output.messages {
             if let Some(queue) = self.peers.get(&outbound.to) {
                 let _ = queue.try_send(AgreementEnvelope {
@@ -390,13 +411,12 @@
             }
         }
         if let Some(snapshot) = output.install {
-            match CatalogState::from_snapshot(&snapshot.data) {
-                Ok(catalog) => self.catalog = catalog,
-                Err(error) => log_event!(Level::Error, "snapshot_bad", error = error),
-            }
+            self.compacted = snapshot.mark.index.0;
+            let catalog = CatalogState::from_snapshot(&snapshot.data);
+            self.catalog = catalog.map_err(|error| ControlFault::Damaged(error.to_string()))?;
         }
         for entry in output.committed {
-            self.apply_entry(entry.mark, entry.data.as_deref());
+            self.apply_entry(entry.mark, entry.data.as_deref())?;
         }
         for ticket in output.confirmed_reads {
             for batch in self.confirming.remove(&ticket).unwrap_or_default() {
@@ -408,30 +428,29 @@
                 refuse_batch(batch);
             }
         }
+        Ok(())
     }
 
-    fn apply_entry(&mut self, mark: EntryMark, data: Option<&str>) {
+    fn apply_entry(&mut self, mark: EntryMark, data: Option<&str>) -> Result<(), ControlFault> {
         let waiting = self.commands.remove(&mark.index.0);
         self.own_proposals.remove(&mark.index.0);
         let Some(text) = data else {
             answer_command(waiting, mark, None);
-            return;
+            return Ok(());
         };
-        match serde_json::from_str::<CatalogCommand>(text) {
-            Ok(command) => {
-                let revision = CatalogRevision(mark.index.0);
-                let outcome = self.catalog.apply(revision, &command);
-                log_event!(
-                    Level::Info,
-                    "committed",
-                    revision = revision,
-                    command = name_command(&command),
-                    outcome = name_outcome(&outcome),
-                );
-                answer_command(waiting, mark, Some(CommandReply::Committed(outcome)));
-            }
-            Err(error) => log_event!(Level::Error, "entry_bad", error = error),
-        }
+        let command: CatalogCommand = serde_json::from_str(text)
+            .map_err(|error| ControlFault::Damaged(format!("entry {}: {error}", mark.index.0)))?;
+        let revision = CatalogRevision(mark.index.0);
+        let outcome = self.catalog.apply(revision, &command);
+        log_event!(
+            Level::Info,
+            "committed",
+            revision = revision,
+            command = name_command(&command),
+            outcome = name_outcome(&outcome),
+        );
+        answer_command(waiting, mark, Some(CommandReply::Committed(outcome)));
+        Ok(())
     }
 
     /// Asks the agreed log to confirm that this VM still leads, for all waiting heartbeats at once.
@@ -600,19 +619,24 @@
         }
     }
 
-    fn compact(&mut self) -> io::Result<()> {
-        if self.node.entry_count() < COMPACT_ENTRIES {
+    fn compact(&mut self) -> Result<(), ControlFault> {
+        let applied = self.node.commit_index();
+        // Entries that aren't committed yet must stay, however many they are.
+        let covered = applied.0.saturating_sub(self.compacted);
+        if covered < COMPACT_ENTRIES {
             return Ok(());
         }
-        let applied = self.node.commit_index();
         let compacted = self.node.compact(applied, self.catalog.to_snapshot());
         if let Err(error) = compacted {
             log_event!(Level::Error, "compaction_refused", error = error);
             return Ok(());
         }
+        self.compacted = applied.0;
         let output = self.node.take_output();
-        self.file.rewrite(&self.node.durable_state().to_records())?;
-        self.take_output(output);
+        let records = self.node.durable_state().to_records();
+        let rewritten = tokio::task::block_in_place(|| self.file.rewrite(&records));
+        rewritten.map_err(ControlFault::Disk)?;
+        self.take_output(output)?;
         log_event!(Level::Info, "log_compacted", bytes = self.file.length());
         Ok(())
     }
@@ -651,6 +675,8 @@
     fn dump(&self) -> serde_json::Value {
         let leader = self.node.leader().map(|leader| leader.vm.to_string());
         let names = |ids: &[VoterId]| ids.iter().map(ToString::to_string).collect::<Vec<_>>();
+        let repairs = self.node.repairs_pending().into_iter();
+        let repairs = repairs.map(|repair| format!("{repair:?}"));
         serde_json::json!({
             "leader": leader,
             "term": self.node.term().0,
@@ -665,6 +691,8 @@
             "members": self.catalog.members().count(),
             "groups": self.catalog.groups().count(),
             "commands_waiting": self.commands.len(),
+            "repairs_pending": repairs.collect::<Vec<_>>(),
+            "outdated_by": self.node.outdated_by().map(|incarnation| incarnation.0),
         })
     }
 }
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -33,6 +33,9 @@
         sync_folder(folder)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
+        // A record that was written but not yet synced when the process ended reads back whole. If
+        // the VM failed next, it would be gone again after this node had counted on it.
+        file.sync_all()?;
         let log = Self {
             folder: folder.to_path_buf(),
             file,
