Lab: describe any statement with parameters, and a read without a row

The stand-in answered Parse of 'sleep $1' with a syntax error, because the placeholder is no number; and every read had exactly one row, so nothing could test an empty answer. A frozen endpoint and a silenced connection now hold a Parse back like any statement.

--- a/crates/lab/src/data_port.rs
+++ b/crates/lab/src/data_port.rs
@@ -6,6 +6,7 @@
 use crate::statement::LabCommand;
 use crate::statement::UnknownCommand;
 use crate::statement::count_parameters;
+use crate::statement::describe_columns;
 use async_trait::async_trait;
 use futures::Sink;
 use futures::stream;
@@ -114,6 +115,7 @@
 /// A statement's answer, before it is put into the protocol's form.
 enum CommandAnswer {
     Row(Vec<Option<String>>),
+    NoRow,
     Done(&'static str),
     Began,
     Ended(&'static str),
@@ -161,6 +163,10 @@
             LabCommand::Ping => Ok(CommandAnswer::Row(vec![Some("1".to_owned())])),
             LabCommand::ShowPosition { id } => self.show_position(id).await,
             LabCommand::Get { key } => self.get(&key).await,
+            LabCommand::Find { key } => match self.get(&key).await? {
+                CommandAnswer::Row(values) if values == [None] => Ok(CommandAnswer::NoRow),
+                found => Ok(found),
+            },
             LabCommand::Put { key, value } => self.write(KeyWrite::Put { key, value }).await,
             LabCommand::Append { key, value } => self.write(KeyWrite::Append { key, value }).await,
             LabCommand::Sleep { millis } => {
@@ -322,6 +328,10 @@
             let rows = stream::iter(vec![Ok(encoder.take_row())]);
             Response::Query(QueryResponse::new(fields, rows))
         }
+        CommandAnswer::NoRow => {
+            let fields = Arc::new(text_fields(columns, format));
+            Response::Query(QueryResponse::new(fields, stream::empty()))
+        }
         CommandAnswer::Done(tag) => Response::Execution(Tag::new(tag).with_rows(1)),
         CommandAnswer::Began => Response::TransactionStart(Tag::new("BEGIN")),
         CommandAnswer::Ended(tag) => Response::TransactionEnd(Tag::new(tag)),
@@ -377,7 +387,10 @@
     type QueryParser = CommandParser;
 
     fn query_parser(&self) -> Arc<Self::QueryParser> {
-        Arc::new(CommandParser)
+        Arc::new(CommandParser {
+            shared: self.shared.clone(),
+            silence_count: self.silence_count,
+        })
     }
 
     async fn do_query<C>(
@@ -406,7 +419,10 @@
 
 /// Tells clients of the extended protocol about parameters and columns: all are text.
 #[derive(Debug)]
-struct CommandParser;
+struct CommandParser {
+    shared: Arc<EndpointShared>,
+    silence_count: u64,
+}
 
 #[async_trait]
 impl QueryParser for CommandParser {
@@ -421,7 +437,11 @@
     where
         C: ClientInfo + Unpin + Send + Sync,
     {
-        LabCommand::parse(sql, &[]).map_err(syntax_error)?;
+        self.shared.pass_freeze().await;
+        if self.shared.faults.borrow().silence_count != self.silence_count {
+            std::future::pending::<()>().await;
+        }
+        describe_columns(sql).map_err(syntax_error)?;
         Ok(Some(sql.to_owned()))
     }
 
@@ -434,9 +454,9 @@
         statement: &String,
         column_format: Option<&Format>,
     ) -> PgWireResult<Vec<FieldInfo>> {
-        let command = LabCommand::parse(statement, &[]).map_err(syntax_error)?;
+        let columns = describe_columns(statement).map_err(syntax_error)?;
         let format = column_format.unwrap_or(&Format::UnifiedText);
-        Ok(text_fields(command.columns(), format))
+        Ok(text_fields(columns, format))
     }
 }
 
--- a/crates/lab/src/statement.rs
+++ b/crates/lab/src/statement.rs
@@ -24,6 +24,11 @@
         /// The key.
         key: String,
     },
+    /// Finds a key: one row if it has a value, else none.
+    Find {
+        /// The key.
+        key: String,
+    },
     /// Holds a slot for some milliseconds.
     Sleep {
         /// The time, in milliseconds.
@@ -91,6 +96,9 @@
             (Some("get"), [key]) => Self::Get {
                 key: (*key).to_owned(),
             },
+            (Some("find"), [key]) => Self::Find {
+                key: (*key).to_owned(),
+            },
             (Some("sleep"), [millis]) => match millis.parse() {
                 Ok(millis) => Self::Sleep { millis },
                 Err(_) => return Err(unknown(&words)),
@@ -110,7 +118,7 @@
     /// Returns the names of the columns that the command answers with.
     pub fn columns(&self) -> &'static [&'static str] {
         match self {
-            Self::Get { .. } => &["value"],
+            Self::Get { .. } | Self::Find { .. } => &["value"],
             Self::Ping => &["?column?"],
             Self::ShowPosition { .. } => &["id", "term", "index", "role"],
             Self::Put { .. }
@@ -123,6 +131,17 @@
     }
 }
 
+/// Returns the names of the columns that a text answers with, whatever its parameters are.
+///
+/// # Errors
+///
+/// Returns [`UnknownCommand`] if the first word is no command or words are missing.
+pub fn describe_columns(text: &str) -> Result<&'static [&'static str], UnknownCommand> {
+    // A number fits wherever a word does.
+    let parameters = vec!["0".to_owned(); count_parameters(text)];
+    LabCommand::parse(text, &parameters).map(|command| command.columns())
+}
+
 /// Returns the number of parameters that a text refers to.
 pub fn count_parameters(text: &str) -> usize {
     strip_comments(text)
