Describe prepared statements through the gateway and the leaseholder

Cause: drivers that prepare got 0A000 for every statement, as the edge's describe ended at the service's default. It goes now gateway, leaseholder, endpoint; a standby relays it like a statement. The leaseholder schedules it as a short read of a kind of its own, so that it waits its turn, pays from its customer's share, and is not learned as the length of a grant. Ruled out: an order to any idle connection beside the scheduler, which could take the connection that a dispatched statement was about to get; and a cache of shapes (see docs/design/callers.md).

A connection that turns out to be dead hands back what was ordered on it meanwhile as not sent. Before, a statement behind a lost ping ended as MayHaveRun though no byte of it was sent.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -27,6 +27,7 @@
 pub use edge::DrainOrder;
 pub use marks::MarkFault;
 pub use marks::read_marks;
+pub use ragwort_types::StatementShape;
 pub use scan::StatementScan;
 pub use steps::StatementClass;
 
@@ -84,15 +85,6 @@
     pub transaction: Option<TransactionId>,
 }
 
-/// What a statement takes and returns; all of it is in text form.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct StatementShape {
-    /// The number of parameters.
-    pub parameters: usize,
-    /// The columns' names; empty for a statement that returns no rows.
-    pub columns: Vec<String>,
-}
-
 /// The reply to a [`DescribeRequest`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DescribeReply {
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -11,12 +11,14 @@
 use ragwort_types::RowSet;
 use ragwort_types::StatementAnswer;
 use ragwort_types::StatementId;
+use ragwort_types::StatementShape;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tokio_postgres::Client;
+use tokio_postgres::Column;
 use tokio_postgres::Config;
 use tokio_postgres::NoTls;
 use tokio_postgres::SimpleQueryMessage;
@@ -50,6 +52,8 @@
 pub enum ConnectionOrder {
     /// Runs a statement.
     Run(RunOrder),
+    /// Describes a statement without running it.
+    Describe(DescribeOrder),
     /// Asks the endpoint to cancel the running statement.
     Cancel,
     /// Checks that the endpoint still answers on this connection.
@@ -69,6 +73,19 @@
     pub limit: Duration,
 }
 
+/// A statement to describe.
+#[derive(Debug)]
+pub struct DescribeOrder {
+    /// Identifies the order.
+    pub id: StatementId,
+    /// The statement's text.
+    pub text: String,
+    /// The number of its parameters, which are all sent as text.
+    pub parameters: usize,
+    /// How long the answer may take.
+    pub limit: Duration,
+}
+
 /// What a connection tells the leaseholder.
 #[derive(Debug)]
 pub struct ConnectionEvent {
@@ -85,6 +102,8 @@
     Opened,
     /// A statement ended.
     Finished(StatementId, RunOutcome),
+    /// A description ended.
+    Described(StatementId, DescribeOutcome),
     /// It is closed; no further event follows.
     Closed,
 }
@@ -106,6 +125,19 @@
     Mismatch,
 }
 
+/// How a description ended on its connection. The statement itself has not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DescribeOutcome {
+    /// The endpoint described the statement.
+    Shape(StatementShape),
+    /// The endpoint reported an error, such as an unknown table.
+    Failed(DatabaseError),
+    /// The endpoint said that it takes no work now.
+    Refused(DatabaseError),
+    /// The connection was lost or silent, or its answer belonged to something else.
+    Lost,
+}
+
 /// Starts a connection's task. The caller joins the handle after it has dropped the sender.
 pub fn spawn_connection(
     target: ConnectionTarget,
@@ -169,28 +201,60 @@
             Ok(None) => return,
             Err(_) => ConnectionOrder::Ping,
         };
-        match order {
+        let (change, reusable) = match order {
             ConnectionOrder::Run(run) => {
                 let id = run.id;
                 let (outcome, reusable) = run_statement(client, run, &mut orders).await;
-                let change = ConnectionChange::Finished(id, outcome);
-                let event = ConnectionEvent {
-                    id: target.id,
-                    change,
-                };
-                if events.send(event).await.is_err() || !reusable {
-                    return;
-                }
+                (Some(ConnectionChange::Finished(id, outcome)), reusable)
+            }
+            ConnectionOrder::Describe(order) => {
+                let (outcome, reusable) = describe_statement(client, &order).await;
+                let change = ConnectionChange::Described(order.id, outcome);
+                (Some(change), reusable)
             }
             ConnectionOrder::Ping => {
                 // Something between the two ends may have forgotten an idle connection: it looks
                 // open and never answers. The ping finds that before a caller's statement does.
                 let ping = client.simple_query("select 1");
-                if !matches!(timeout(target.connect_timeout, ping).await, Ok(Ok(_))) {
-                    return;
-                }
+                let answered = timeout(target.connect_timeout, ping).await;
+                (None, matches!(answered, Ok(Ok(_))))
+            }
+            ConnectionOrder::Cancel => (None, true),
+        };
+        if let Some(change) = change {
+            let id = target.id;
+            if events.send(ConnectionEvent { id, change }).await.is_err() {
+                return;
+            }
+        }
+        if !reusable {
+            return_unsent(target, orders, events).await;
+            return;
+        }
+    }
+}
+
+/// Hands back the statements that were ordered while the connection turned out to be dead.
+///
+/// They would otherwise end with the connection, and callers would be left in doubt about
+/// statements of which no byte was sent.
+async fn return_unsent(
+    target: &ConnectionTarget,
+    mut orders: mpsc::Receiver<ConnectionOrder>,
+    events: &mpsc::Sender<ConnectionEvent>,
+) {
+    orders.close();
+    while let Some(order) = orders.recv().await {
+        let change = match order {
+            ConnectionOrder::Run(run) => ConnectionChange::Finished(run.id, RunOutcome::NotSent),
+            ConnectionOrder::Describe(order) => {
+                ConnectionChange::Described(order.id, DescribeOutcome::Lost)
             }
-            ConnectionOrder::Cancel => {}
+            ConnectionOrder::Ping | ConnectionOrder::Cancel => continue,
+        };
+        let id = target.id;
+        if events.send(ConnectionEvent { id, change }).await.is_err() {
+            return;
         }
     }
 }
@@ -229,6 +293,47 @@
     (outcome, reusable && !cancelled)
 }
 
+/// Describes one statement and says whether the connection can take another.
+async fn describe_statement(client: &Client, order: &DescribeOrder) -> (DescribeOutcome, bool) {
+    let answered = timeout(order.limit, prepare_statement(client, order)).await;
+    let outcome = answered.unwrap_or(DescribeOutcome::Lost);
+    let reusable = matches!(
+        outcome,
+        DescribeOutcome::Shape(_) | DescribeOutcome::Failed(_)
+    );
+    (outcome, reusable)
+}
+
+/// Lets the endpoint prepare a statement, with the types under which it would be run.
+///
+/// The echo proves that the description belongs to the statement, as for a statement that runs.
+async fn prepare_statement(client: &Client, order: &DescribeOrder) -> DescribeOutcome {
+    let types = vec![Type::TEXT; order.parameters];
+    let echo_text = format!("show ragwort_position {}", order.id);
+    let preparing = client.prepare_typed(&order.text, &types);
+    let (prepared, echo) = tokio::join!(preparing, client.simple_query(&echo_text));
+    let outcome = match prepared {
+        Ok(statement) => DescribeOutcome::Shape(StatementShape {
+            parameters: statement.params().len(),
+            columns: name_columns(statement.columns()),
+        }),
+        Err(error) => match as_database_error(&error) {
+            Some(reported) if is_refusal(&reported) => return DescribeOutcome::Refused(reported),
+            Some(reported) => DescribeOutcome::Failed(reported),
+            None => return DescribeOutcome::Lost,
+        },
+    };
+    match echo {
+        Ok(messages) => match read_echo(&messages) {
+            Some((id, _)) if id == order.id.to_string() => outcome,
+            _ => DescribeOutcome::Lost,
+        },
+        // Within a failed transaction a database refuses everything but a rollback.
+        Err(error) if as_database_error(&error).is_some() => outcome,
+        Err(_) => DescribeOutcome::Lost,
+    }
+}
+
 async fn answer_statement(client: &Client, run: &RunOrder) -> RunOutcome {
     let echo_text = format!("show ragwort_position {}", run.id);
     let (answer, echo) = match &run.parameters {
@@ -281,11 +386,7 @@
     let rows = client.query_typed(text, &typed).await?;
     let mut set = RowSet::default();
     if let Some(first) = rows.first() {
-        set.columns = first
-            .columns()
-            .iter()
-            .map(|column| column.name().to_string())
-            .collect();
+        set.columns = name_columns(first.columns());
     }
     for row in &rows {
         let values = (0..row.len()).map(|index| row.try_get::<_, Option<String>>(index));
@@ -297,6 +398,11 @@
     Ok(StatementAnswer::Rows(set))
 }
 
+fn name_columns(columns: &[Column]) -> Vec<String> {
+    let names = columns.iter().map(|column| column.name().to_string());
+    names.collect()
+}
+
 fn collect_answer(messages: &[SimpleQueryMessage]) -> StatementAnswer {
     let mut set = RowSet::default();
     let mut described = false;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -20,6 +20,9 @@
 use ragwort_types::RepeatRule;
 use ragwort_types::RequestMarks;
 use ragwort_types::RequestVerdict;
+use ragwort_types::ShapeOutcome;
+use ragwort_types::ShapeReply;
+use ragwort_types::ShapeRequest;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
@@ -123,6 +126,91 @@
         }
     }
 
+    /// Brings a statement that is to be described to its group's leaseholder.
+    ///
+    /// A description changes nothing, so it is asked for again within its deadline until a
+    /// leaseholder replies.
+    pub async fn describe(&self, mut request: ShapeRequest) -> ShapeReply {
+        let started = self.clock.now();
+        let view = self.view.borrow().clone();
+        let contract = view.copy.contract(&request.customer);
+        let marks = RequestMarks::default();
+        let Some(terms) = contract.and_then(|held| find_terms(&held.contract, &marks)) else {
+            return shape_reply(&request, ShapeOutcome::refused(RefusalCause::Contract, 0));
+        };
+        let deadline = started + find_deadline(&terms, &marks);
+        loop {
+            let now = self.clock.now();
+            request.spent_ms = now.since(started).as_millis() as u64;
+            let limit = deadline.since(now) + REPLY_GRACE;
+            if let Some(reply) = self.try_describe(&request, limit).await {
+                return reply;
+            }
+            if request.transaction.is_some() {
+                let lost = ShapeOutcome::refused(RefusalCause::TransactionLost, 0);
+                return shape_reply(&request, lost);
+            }
+            let end = self.note_outage(&request.group);
+            if end >= deadline || end <= self.clock.now() {
+                return self.refuse_describe(&request);
+            }
+            sleep(ATTEMPT_PAUSE).await;
+        }
+    }
+
+    /// Passes a description on to its leaseholder for a gateway that can't reach it.
+    pub async fn relay_describe(&self, mut request: ShapeRequest) -> ShapeReply {
+        request.relay = false;
+        let limit = Duration::from_millis(ragwort_types::LONGEST_DEADLINE_MS);
+        let reply = match self.find_target(&request.group) {
+            Some(target) => self.ask_shape(&request, target.leaseholder, limit).await,
+            None => None,
+        };
+        reply.unwrap_or_else(|| self.refuse_describe(&request))
+    }
+
+    async fn try_describe(&self, request: &ShapeRequest, limit: Duration) -> Option<ShapeReply> {
+        if !self.view.borrow().may_serve(self.clock.now()) {
+            return None;
+        }
+        let target = self.find_target(&request.group)?;
+        if let Some(reply) = self.ask_shape(request, target.leaseholder, limit).await {
+            self.end_outage(&request.group);
+            return Some(reply);
+        }
+        let mut relayed = request.clone();
+        relayed.relay = true;
+        for relay in target.relays {
+            if let Some(reply) = self.ask_shape(&relayed, relay, limit).await {
+                return Some(reply);
+            }
+        }
+        None
+    }
+
+    /// Asks one VM for a statement's shape; `None` if it doesn't lead the group, or no reply came.
+    async fn ask_shape(
+        &self,
+        request: &ShapeRequest,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Option<ShapeReply> {
+        let sent = request.clone();
+        let call = |client: Arc<WsClient>| async move { client.describe(sent).await };
+        let reply = self.links.call(address, limit, call).await.ok()?;
+        let misrouted = matches!(
+            &reply.outcome,
+            ShapeOutcome::Refused(refusal) if is_misrouted(refusal.cause)
+        );
+        (reply.id == request.id && !misrouted).then_some(reply)
+    }
+
+    fn refuse_describe(&self, request: &ShapeRequest) -> ShapeReply {
+        let after = self.return_after(&request.group);
+        let outcome = ShapeOutcome::refused(RefusalCause::NoLeaseholder, after);
+        shape_reply(request, outcome)
+    }
+
     /// Cancels a statement at its group's leaseholder; the outcome arrives as its reply.
     pub async fn cancel(&self, group: GroupName, id: StatementId) {
         let Some(target) = self.find_target(&group) else {
@@ -254,10 +342,15 @@
 
     /// Refuses a statement at once; the caller should be back when a takeover can be over.
     fn refuse(&self, request: &StatementRequest, cause: RefusalCause) -> StatementReply {
-        let end = self.note_outage(&request.group);
+        let after = self.return_after(&request.group);
+        reply_with(request, RequestVerdict::refused(cause, after))
+    }
+
+    /// Returns when a takeover of the group can be over, in milliseconds from now.
+    fn return_after(&self, group: &GroupName) -> u64 {
+        let end = self.note_outage(group);
         let left = self.clock.until(end).max(self.lease / 4);
-        let verdict = RequestVerdict::refused(cause, left.as_millis() as u64);
-        reply_with(request, verdict)
+        left.as_millis() as u64
     }
 }
 
@@ -337,3 +430,10 @@
         served_by: None,
     }
 }
+
+fn shape_reply(request: &ShapeRequest, outcome: ShapeOutcome) -> ShapeReply {
+    ShapeReply {
+        id: request.id,
+        outcome,
+    }
+}
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::connection::ConnectionEvent;
 use crate::connection::ConnectionId;
 use crate::connection::ConnectionOrder;
+use crate::connection::DescribeOutcome;
 use crate::connection::RunOrder;
 use crate::connection::RunOutcome;
 use jsonrpsee::ws_client::WsClient;
@@ -34,6 +35,7 @@
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::ServedBy;
+use ragwort_types::ShapeOutcome;
 use ragwort_types::StatementAnswer;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
@@ -49,7 +51,13 @@
         let now = to_policy(self.context.clock.now());
         for decision in self.scheduler.poll(now) {
             match decision {
+                SchedulerDecision::Dispatch(order) if self.is_shape(order.ticket) => {
+                    self.start_shape(&order);
+                }
                 SchedulerDecision::Dispatch(order) => self.take_dispatch(order),
+                SchedulerDecision::Refuse(order) if self.is_shape(order.ticket) => {
+                    self.settle_shape(order.ticket, ShapeOutcome::Refused(order.refusal));
+                }
                 SchedulerDecision::Refuse(order) => {
                     self.settle(order.ticket, RequestVerdict::NotRun(order.refusal));
                 }
@@ -176,6 +184,16 @@
                 }
             }
             ConnectionChange::Finished(id, outcome) => self.take_outcome(event.id, id, outcome),
+            ConnectionChange::Described(id, outcome) => {
+                if let Some(connection) = self.pool.connection(event.id) {
+                    connection.running = None;
+                    connection.spent |= !matches!(
+                        outcome,
+                        DescribeOutcome::Shape(_) | DescribeOutcome::Failed(_)
+                    );
+                }
+                self.take_described(id, outcome);
+            }
             ConnectionChange::Closed => self.take_closed(event.id),
         }
     }
@@ -188,8 +206,12 @@
         if let Some(transaction) = connection.pinned {
             self.end_transaction(transaction);
         }
-        if let Some(ticket) = connection.running {
-            self.take_lost(ticket, DoubtCause::EndpointLost);
+        match connection.running {
+            Some(ticket) if self.is_shape(ticket) => {
+                self.give_shape_back(ticket, FinishOutcome::Lost);
+            }
+            Some(ticket) => self.take_lost(ticket, DoubtCause::EndpointLost),
+            None => {}
         }
         if connection.open {
             self.scheduler.connection_closed(&connection.instance);
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -16,10 +16,14 @@
 use ragwort_policy::RequestTicket;
 use ragwort_types::AccessMode;
 use ragwort_types::CustomerContract;
+use ragwort_types::CustomerName;
 use ragwort_types::DoubtCause;
 use ragwort_types::KindTerms;
+use ragwort_types::LogPosition;
 use ragwort_types::RefusalCause;
+use ragwort_types::RequestMarks;
 use ragwort_types::RequestVerdict;
+use ragwort_types::SessionName;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
 use ragwort_types::TransactionStep;
@@ -35,9 +39,21 @@
 const RECOVERY_RETURN_MS: u64 = 100;
 
 /// What stands in the way of taking a statement in.
-struct IntakeRefusal {
-    cause: RefusalCause,
-    come_back_after_ms: u64,
+pub(super) struct IntakeRefusal {
+    /// Why it isn't taken in.
+    pub(super) cause: RefusalCause,
+    /// When to come back, in milliseconds; zero if that is useless.
+    pub(super) come_back_after_ms: u64,
+}
+
+/// Whose statement it is, and what was said about it.
+pub(super) struct StatementOrigin<'a> {
+    /// The customer.
+    pub(super) customer: &'a CustomerName,
+    /// The caller's marks.
+    pub(super) marks: &'a RequestMarks,
+    /// How the statement belongs to a transaction.
+    pub(super) step: TransactionStep,
 }
 
 impl IntakeRefusal {
@@ -57,7 +73,12 @@
         reply: oneshot::Sender<StatementReply>,
     ) {
         let now = self.context.clock.now();
-        let terms = match self.check_statement(&request, now) {
+        let origin = StatementOrigin {
+            customer: &request.customer,
+            marks: &request.marks,
+            step: request.step,
+        };
+        let terms = match self.check_statement(&origin, now) {
             Ok(terms) => terms,
             Err(refusal) => {
                 let after = refusal.come_back_after_ms;
@@ -88,26 +109,27 @@
         }
     }
 
-    fn check_statement(
+    /// Says under which terms a statement may be taken in, if it may.
+    pub(super) fn check_statement(
         &self,
-        request: &StatementRequest,
+        origin: &StatementOrigin<'_>,
         now: ClockTime,
     ) -> Result<KindTerms, IntakeRefusal> {
         let view = self.view.borrow();
         // A leaseholder whose lease has ended may have a successor that dispatches already.
         // One that hands over lets open transactions end, and takes nothing else in.
         let opens = matches!(
-            request.step,
+            origin.step,
             TransactionStep::Single | TransactionStep::Begin(_)
         );
         let leaves = self.handing_over && opens;
         if !view.may_serve(now) || leaves || self.journal_is_deposed() {
             return Err(IntakeRefusal::new(RefusalCause::NoLease));
         }
-        let contract = view.copy.contract(&request.customer);
+        let contract = view.copy.contract(origin.customer);
         let contract = contract.map(|held| &held.contract);
         let allowed = contract.filter(|contract| contract.groups.contains(&self.group));
-        let terms = allowed.and_then(|contract| apply_marks(contract, request));
+        let terms = allowed.and_then(|contract| apply_marks(contract, origin.marks));
         let terms = terms.ok_or(IntakeRefusal::new(RefusalCause::Contract))?;
         if self.journal.is_none() {
             return Err(IntakeRefusal {
@@ -115,7 +137,7 @@
                 come_back_after_ms: RECOVERY_RETURN_MS,
             });
         }
-        match request.step {
+        match origin.step {
             TransactionStep::Single | TransactionStep::Begin(_) => {}
             TransactionStep::Within(id)
             | TransactionStep::Commit(id)
@@ -126,7 +148,7 @@
             }
         }
         // A key names one statement; within a transaction it could not say which of them ran.
-        if request.marks.key.is_some() && request.step != TransactionStep::Single {
+        if origin.marks.key.is_some() && origin.step != TransactionStep::Single {
             return Err(IntakeRefusal::new(RefusalCause::RequestKey));
         }
         Ok(terms)
@@ -182,21 +204,8 @@
 
     fn describe_request(&self, ticket: RequestTicket, active: &ActiveRequest) -> RequestProfile {
         let request = &active.request;
-        let step = match request.step {
-            TransactionStep::Single => RequestStep::Single,
-            TransactionStep::Begin(_) => RequestStep::Opens,
-            TransactionStep::Within(id)
-            | TransactionStep::Commit(id)
-            | TransactionStep::Rollback(id) => match self.transactions.get(&id) {
-                Some(open) => RequestStep::Within(open.opener),
-                None => RequestStep::Single,
-            },
-        };
-        let required = self.journal.as_ref().and_then(|journal| {
-            journal
-                .sessions()
-                .required(&request.customer, &request.session)
-        });
+        let step = self.scheduler_step(request.step);
+        let required = self.required_position(&request.customer, &request.session);
         let kind = request.marks.kind.clone();
         RequestProfile {
             ticket,
@@ -219,11 +228,34 @@
             step,
         }
     }
+
+    /// Returns how the scheduler sees a statement's part in its transaction.
+    pub(super) fn scheduler_step(&self, step: TransactionStep) -> RequestStep {
+        match step {
+            TransactionStep::Single => RequestStep::Single,
+            TransactionStep::Begin(_) => RequestStep::Opens,
+            TransactionStep::Within(id)
+            | TransactionStep::Commit(id)
+            | TransactionStep::Rollback(id) => match self.transactions.get(&id) {
+                Some(open) => RequestStep::Within(open.opener),
+                None => RequestStep::Single,
+            },
+        }
+    }
+
+    /// Returns what an instance must hold to serve a session; `None` if that isn't known.
+    pub(super) fn required_position(
+        &self,
+        customer: &CustomerName,
+        session: &SessionName,
+    ) -> Option<LogPosition> {
+        let journal = self.journal.as_ref()?;
+        journal.sessions().required(customer, session)
+    }
 }
 
 /// Returns the terms of a statement's kind, tightened by what the caller marked.
-fn apply_marks(contract: &CustomerContract, request: &StatementRequest) -> Option<KindTerms> {
-    let marks = &request.marks;
+fn apply_marks(contract: &CustomerContract, marks: &RequestMarks) -> Option<KindTerms> {
     let mut terms = find_terms(contract, marks)?;
     if let Some(asked) = marks.max_age_ms {
         terms.max_age_ms = terms.max_age_ms.min(asked);
@@ -240,7 +272,8 @@
     ragwort_policy::ClockTime(moment.0)
 }
 
-fn hash_text(text: &str) -> u64 {
+/// Returns a hash of a text, by which the scheduler tells sessions apart.
+pub(super) fn hash_text(text: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     text.hash(&mut hasher);
     hasher.finish()
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -4,6 +4,7 @@
 //! Callers' statements, endpoints' announcements and the reports of its child tasks reach it as
 //! messages; after each it lets the scheduler, the journal and the promotion say what is due.
 
+mod describing;
 mod dispatch;
 mod handover;
 mod intake;
@@ -22,6 +23,7 @@
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
+use describing::ActiveShape;
 use handover::HandoverState;
 use intake::to_policy;
 use intake::unix_millis;
@@ -50,6 +52,8 @@
 use ragwort_types::KindName;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
+use ragwort_types::ShapeReply;
+use ragwort_types::ShapeRequest;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
@@ -105,6 +109,8 @@
 pub enum GroupEvent {
     /// A statement.
     Statement(Box<StatementRequest>, oneshot::Sender<StatementReply>),
+    /// A statement to describe without running it.
+    Describe(Box<ShapeRequest>, oneshot::Sender<ShapeReply>),
     /// Cancels a statement.
     Cancel(StatementId),
     /// An endpoint announces itself.
@@ -130,6 +136,7 @@
     pool: EndpointPool,
     promotion: PromotionDriver,
     requests: HashMap<RequestTicket, ActiveRequest>,
+    shapes: HashMap<RequestTicket, ActiveShape>,
     tickets: HashMap<StatementId, RequestTicket>,
     transactions: HashMap<TransactionId, OpenTransaction>,
     resends: HashMap<KeyedRequest, Vec<ResendWaiter>>,
@@ -181,6 +188,7 @@
         appending: BTreeSet::new(),
         pool,
         requests: HashMap::new(),
+        shapes: HashMap::new(),
         tickets: HashMap::new(),
         transactions: HashMap::new(),
         resends: HashMap::new(),
@@ -251,6 +259,7 @@
     fn take_event(&mut self, event: GroupEvent) {
         match event {
             GroupEvent::Statement(request, reply) => self.take_statement(request, reply),
+            GroupEvent::Describe(request, reply) => self.take_describe(request, reply),
             GroupEvent::Cancel(id) => self.cancel(id),
             GroupEvent::Announced(announcement) => self.take_announcement(*announcement),
             GroupEvent::Dump(reply) => {
@@ -512,6 +521,7 @@
             let verdict = self.verdict_at_end(ticket);
             self.settle(ticket, verdict);
         }
+        self.refuse_shapes();
         self.context.metrics.forget_group(&self.group);
         self.children.shutdown().await;
         self.pool.shut_down().await;
--- a/crates/daemon/src/leaseholders.rs
+++ b/crates/daemon/src/leaseholders.rs
@@ -20,6 +20,8 @@
 use ragwort_types::InstanceName;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
+use ragwort_types::ShapeReply;
+use ragwort_types::ShapeRequest;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
@@ -48,6 +50,8 @@
 pub enum LeaseholderEvent {
     /// A statement for a group that should be led here.
     Statement(Box<StatementRequest>, oneshot::Sender<StatementReply>),
+    /// A statement to describe, for a group that should be led here.
+    Describe(Box<ShapeRequest>, oneshot::Sender<ShapeReply>),
     /// Cancels a statement.
     Cancel(GroupName, StatementId),
     /// An endpoint announces itself.
@@ -140,6 +144,7 @@
     async fn take_event(&mut self, event: LeaseholderEvent) {
         match event {
             LeaseholderEvent::Statement(request, reply) => self.take_statement(request, reply),
+            LeaseholderEvent::Describe(request, reply) => self.take_describe(request, reply),
             LeaseholderEvent::Cancel(group, id) => {
                 if let Some(handle) = self.groups.get(&group) {
                     let _ = handle.inbox.try_send(GroupEvent::Cancel(id));
@@ -173,6 +178,13 @@
         }
     }
 
+    /// Passes a description on; dropping its `reply` tells the asker that nobody took it.
+    fn take_describe(&mut self, request: Box<ShapeRequest>, reply: oneshot::Sender<ShapeReply>) {
+        if let Some(handle) = self.groups.get(&request.group) {
+            let _ = handle.inbox.try_send(GroupEvent::Describe(request, reply));
+        }
+    }
+
     fn take_announcement(&mut self, announcement: EndpointAnnouncement) -> AnnouncementReply {
         let now = self.clock.now();
         let group = announcement.group.clone();
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -44,6 +44,9 @@
 use ragwort_types::NodeStatus;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
+use ragwort_types::ShapeOutcome;
+use ragwort_types::ShapeReply;
+use ragwort_types::ShapeRequest;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
@@ -219,6 +222,21 @@
         Ok(self.gateway.relay(request).await)
     }
 
+    async fn describe(&self, request: ShapeRequest) -> RpcResult<ShapeReply> {
+        if request.relay {
+            return Ok(self.gateway.relay_describe(request).await);
+        }
+        let id = request.id;
+        let (reply, answer) = oneshot::channel();
+        let event = LeaseholderEvent::Describe(Box::new(request), reply);
+        let outcome = ShapeOutcome::refused(RefusalCause::NoLeaseholder, 0);
+        let refused = ShapeReply { id, outcome };
+        if self.leaseholders.send(event).await.is_err() {
+            return Ok(refused);
+        }
+        Ok(answer.await.unwrap_or(refused))
+    }
+
     async fn cancel(&self, group: GroupName, id: StatementId) -> RpcResult<()> {
         let event = LeaseholderEvent::Cancel(group, id);
         self.leaseholders.send(event).await.map_err(|_| stopping())
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -1,5 +1,7 @@
 //! The gateway as the caller edge sees it: sessions, limits, statements and cancels.
 
+use crate::callers::DescribeReply;
+use crate::callers::DescribeRequest;
 use crate::callers::SessionOpening;
 use crate::callers::SessionRefusal;
 use crate::callers::StatementService;
@@ -13,8 +15,12 @@
 use ragwort_policy::FlightLimiter;
 use ragwort_types::CustomerName;
 use ragwort_types::GroupName;
+use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
+use ragwort_types::RequestMarks;
 use ragwort_types::RequestVerdict;
+use ragwort_types::ShapeOutcome;
+use ragwort_types::ShapeRequest;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
@@ -86,21 +92,22 @@
     }
 
     /// Takes a statement in against the limits of this gateway.
-    fn admit(&self, request: &StatementRequest) -> Result<(), RequestVerdict> {
-        let view = self.view.borrow();
-        let contract = view.copy.contract(&request.customer);
-        let Some(contract) = contract.map(|held| &held.contract) else {
-            return Err(RequestVerdict::refused(RefusalCause::Contract, 0));
-        };
-        let Some(kind) = find_terms(contract, &request.marks) else {
-            return Err(RequestVerdict::refused(RefusalCause::Contract, 0));
+    fn admit(
+        &self,
+        group: &GroupName,
+        customer: &CustomerName,
+        marks: &RequestMarks,
+    ) -> Result<(), Refusal> {
+        const NO_CONTRACT: Refusal = Refusal {
+            cause: RefusalCause::Contract,
+            come_back_after_ms: 0,
         };
+        let view = self.view.borrow();
+        let contract = view.copy.contract(customer).ok_or(NO_CONTRACT)?;
+        let contract = &contract.contract;
+        let kind = find_terms(contract, marks).ok_or(NO_CONTRACT)?;
         let terms = CustomerTerms::from(contract);
-        let mut tables = self.tables();
-        let admitted = tables.flights.admit(&request.group, &terms, kind.urgency);
-        admitted.map_err(RequestVerdict::NotRun)?;
-        tables.running.insert(request.id, request.group.clone());
-        Ok(())
+        self.tables().flights.admit(group, &terms, kind.urgency)
     }
 }
 
@@ -140,10 +147,11 @@
     }
 
     async fn execute(&self, request: StatementRequest) -> StatementReply {
-        if let Err(verdict) = self.admit(&request) {
-            return reply_with(&request, verdict);
-        }
         let (id, group, customer) = (request.id, request.group.clone(), request.customer.clone());
+        if let Err(refusal) = self.admit(&group, &customer, &request.marks) {
+            return reply_with(&request, RequestVerdict::NotRun(refusal));
+        }
+        self.tables().running.insert(id, group.clone());
         let reply = self.gateway.execute(request).await;
         let mut tables = self.tables();
         tables.running.remove(&id);
@@ -151,6 +159,34 @@
         reply
     }
 
+    async fn describe(&self, request: DescribeRequest) -> DescribeReply {
+        let SessionOpening {
+            customer,
+            group,
+            session,
+        } = request.opening;
+        if let Err(refusal) = self.admit(&group, &customer, &RequestMarks::default()) {
+            return DescribeReply::Refused(refusal);
+        }
+        let request = ShapeRequest {
+            id: StatementId::fresh(),
+            customer: customer.clone(),
+            session,
+            group: group.clone(),
+            text: request.text,
+            transaction: request.transaction,
+            spent_ms: 0,
+            relay: false,
+        };
+        let reply = self.gateway.describe(request).await;
+        self.tables().flights.release(&group, &customer);
+        match reply.outcome {
+            ShapeOutcome::Known(shape) => DescribeReply::Shape(shape),
+            ShapeOutcome::Failed(error) => DescribeReply::Failed(error),
+            ShapeOutcome::Refused(refusal) => DescribeReply::Refused(refusal),
+        }
+    }
+
     fn cancel(&self, id: StatementId) {
         let group = self.tables().running.get(&id).cloned();
         if let Some(group) = group {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -35,6 +35,7 @@
 mod names;
 mod position;
 pub mod rpc;
+mod shape;
 mod verdict;
 
 pub use catalog::*;
@@ -42,4 +43,5 @@
 pub use messages::*;
 pub use names::*;
 pub use position::*;
+pub use shape::*;
 pub use verdict::*;
--- a/crates/types/src/rpc.rs
+++ b/crates/types/src/rpc.rs
@@ -28,6 +28,8 @@
 use crate::LogPosition;
 use crate::MemberId;
 use crate::NodeStatus;
+use crate::ShapeReply;
+use crate::ShapeRequest;
 use crate::StatementId;
 use crate::StatementReply;
 use crate::StatementRequest;
@@ -47,6 +49,10 @@
     #[method(name = "relay")]
     async fn relay(&self, request: StatementRequest) -> RpcResult<StatementReply>;
 
+    /// Describes a statement at the group's leaseholder without running it.
+    #[method(name = "describe")]
+    async fn describe(&self, request: ShapeRequest) -> RpcResult<ShapeReply>;
+
     /// Cancels a statement that waits or runs at the group's leaseholder.
     #[method(name = "cancel")]
     async fn cancel(&self, group: GroupName, id: StatementId) -> RpcResult<()>;
