Keep the columns and the row count of extended answers

Cause: the columns were taken from the first row. A read that found nothing looked like a write of no rows; a caller that had it described got XX000 'the request has run' for an empty result. A write's count of rows was always 0. Ruled out: preparing before each run, which costs every statement a second parse; only an answer without rows and without a count is described after it.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -5,6 +5,7 @@
 //! statement, and after a commit it is the position that a majority must hold.
 
 use futures::FutureExt;
+use futures::TryStreamExt;
 use ragwort_types::DatabaseError;
 use ragwort_types::GroupTerm;
 use ragwort_types::LogPosition;
@@ -374,30 +375,46 @@
     text: &str,
     parameters: &[Option<String>],
 ) -> Result<StatementAnswer, tokio_postgres::Error> {
-    let typed: Vec<_> = parameters
-        .iter()
-        .map(|value| {
-            (
-                value as &(dyn tokio_postgres::types::ToSql + Sync),
-                Type::TEXT,
-            )
-        })
-        .collect();
-    let rows = client.query_typed(text, &typed).await?;
+    let typed = parameters.iter().map(|value| (value, Type::TEXT));
+    let stream = client.query_typed_raw(text, typed).await?;
+    tokio::pin!(stream);
     let mut set = RowSet::default();
-    if let Some(first) = rows.first() {
-        set.columns = name_columns(first.columns());
-    }
-    for row in &rows {
+    while let Some(row) = stream.try_next().await? {
+        if set.columns.is_empty() {
+            set.columns = name_columns(row.columns());
+        }
         let values = (0..row.len()).map(|index| row.try_get::<_, Option<String>>(index));
         set.rows.push(values.collect::<Result<_, _>>()?);
     }
+    let affected = stream.rows_affected().unwrap_or(0);
+    if set.columns.is_empty() && affected == 0 {
+        set.columns = find_columns(client, text, parameters.len()).await?;
+    }
     if set.columns.is_empty() {
-        return Ok(StatementAnswer::Done(0));
+        return Ok(StatementAnswer::Done(affected));
     }
     Ok(StatementAnswer::Rows(set))
 }
 
+/// Returns the columns of a statement that ended without a row.
+///
+/// The client library names columns by their rows only. A read that finds nothing would look like
+/// a statement that returns no rows at all, and the caller that had it described would be told
+/// that the answer doesn't fit.
+async fn find_columns(
+    client: &Client,
+    text: &str,
+    parameters: usize,
+) -> Result<Vec<String>, tokio_postgres::Error> {
+    let types = vec![Type::TEXT; parameters];
+    match client.prepare_typed(text, &types).await {
+        Ok(statement) => Ok(name_columns(statement.columns())),
+        // It can't be described any more, as when it dropped what it was about.
+        Err(error) if error.as_db_error().is_some() => Ok(Vec::new()),
+        Err(error) => Err(error),
+    }
+}
+
 fn name_columns(columns: &[Column]) -> Vec<String> {
     let names = columns.iter().map(|column| column.name().to_string());
     names.collect()
