Tell one verdict when a transaction's connection is found dead

Cause: a statement of a transaction whose connection was lost between two statements was given back as 'endpoint refused, come back later', though the transaction had been ended. A caller that came back with this one statement would have lost the others without a word. A trial of the new test connection_lost_within_a_transaction showed EndpointRefused for the statement; it is now TransactionLost, as when the loss is noticed first. A refusal for another cause (lease, deadline) stays what it was.

--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -156,7 +156,17 @@
     /// Gives a dispatched request that was not sent back to the scheduler.
     fn give_back(&mut self, ticket: RequestTicket, outcome: FinishOutcome, cause: RefusalCause) {
         let now = to_policy(self.context.clock.now());
-        match self.scheduler.finished(now, ticket, outcome) {
+        let decision = self.scheduler.finished(now, ticket, outcome);
+        if let Some(transaction) = self.step_of(ticket).and_then(pinned_transaction)
+            && cause == RefusalCause::EndpointRefused
+        {
+            // Its connection is gone, and with it all that the transaction has done. A caller that
+            // were told to come back with this one statement would lose the others.
+            self.end_transaction(transaction);
+            let lost = RequestVerdict::refused(RefusalCause::TransactionLost, 0);
+            return self.settle(ticket, lost);
+        }
+        match decision {
             FinishDecision::Requeued => {
                 if let Some(active) = self.requests.get_mut(&ticket) {
                     active.stage = RequestStage::Waiting;
@@ -237,9 +247,6 @@
                 self.take_answer(ticket, id, &instance, answer, position);
             }
             RunOutcome::Refused(_) | RunOutcome::NotSent => {
-                if let Some(transaction) = self.step_of(ticket).and_then(pinned_transaction) {
-                    self.end_transaction(transaction);
-                }
                 self.give_back(ticket, FinishOutcome::NotRun, RefusalCause::EndpointRefused);
             }
             RunOutcome::Lost => self.take_lost(ticket, DoubtCause::EndpointLost),
