--- a/crates/lab/src/statement.rs
+++ b/crates/lab/src/statement.rs
@@ -103,7 +103,7 @@
                 Ok(millis) => Self::Sleep { millis },
                 Err(_) => return Err(unknown(&words)),
             },
-            (Some("begin"), _) => Self::Begin,
+            (Some("begin" | "start"), _) => Self::Begin,
             (Some("commit"), _) => Self::Commit,
             (Some("rollback"), _) => Self::Rollback,
             (Some("select"), ["1"]) => Self::Ping,
