Try the daemon's pieces under faults, one by one

The daemon's tests depend on ragwort-lab as a library; lab depends on types only, so the arrows make no circle. Ruled out: a fake agent of the tests' own, which would be a second stand-in.

--- /dev/null
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -0,0 +1,247 @@
+//! A group's leaseholder: keys, majorities, transactions and replicas under faults.
+
+use crate::bench::Ask;
+use crate::bench::FRESH;
+use crate::bench::GRANT;
+use crate::bench::GroupBench;
+use crate::bench::SHORT_MS;
+use crate::bench::STATUS;
+use crate::bench::one_value;
+use ragwort_lab::faults::FaultRequest;
+use ragwort_types::DoubtCause;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestKey;
+use ragwort_types::RequestVerdict;
+use ragwort_types::StatementAnswer;
+use ragwort_types::StatementReply;
+use ragwort_types::TransactionId;
+use ragwort_types::TransactionStep;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The verdict of a write of one key.
+const WRITTEN: RequestVerdict = RequestVerdict::Ran(StatementAnswer::Done(1));
+
+failure_cases! {
+    /// A clerk's grant takes long, and her program sends it again. The second attempt must get the
+    /// first one's outcome, and the case must hold one grant.
+    resend_of_a_running_write_gets_its_verdict => resend_running_case();
+    /// The answer to a grant was lost on its way back, and the caller sends it again later.
+    resend_of_a_decided_write_gets_its_verdict => resend_decided_case();
+    /// A standby does not answer, so it may lack the grant's key. If the leaseholder died now, its
+    /// successor would run a resend a second time. So nothing is dispatched; the caller is told
+    /// that nothing ran, and a resend runs once the standby is back.
+    key_is_held_by_all_standbys_before_dispatch => unheld_key_case();
+    /// Nothing reaches the replicas any more. The primary has written, but could be the only one
+    /// that did; if it died, the write would be gone. The caller must not be told that it is done.
+    write_without_a_majority_is_in_doubt => cut_replication_case();
+    /// The caller sends a keyed write again that no majority held in time. The outcome of the first
+    /// attempt is unknown, and a second grant must not be written to find out.
+    resend_of_a_doubtful_write_does_not_run => doubtful_resend_case();
+    /// Two callers work at once, one of them in a transaction. What the first has not committed
+    /// must not show up in the second one's answers, nor be committed with its statements.
+    transaction_keeps_its_connection => transaction_case();
+    /// The endpoint's connection breaks between two statements of a transaction. All that it has
+    /// done is rolled back, and its caller gets to know by one clear verdict.
+    connection_lost_within_a_transaction => lost_transaction_case();
+    /// The connection breaks while the commit is running: it may have been the last thing that the
+    /// endpoint did.
+    connection_lost_during_commit_leaves_doubt => lost_commit_case();
+    /// A clerk changes a case and reads it again, while the replicas have stopped to follow. She
+    /// must see her own change, though an old enough answer would do for anybody else.
+    own_write_is_read_although_replicas_lag => own_write_case();
+    /// A replica has fallen behind by more than the caller accepts.
+    read_goes_to_a_replica_only_within_its_age => aged_read_case();
+}
+
+fn stands(reply: &StatementReply) -> (&RequestVerdict, bool) {
+    let replica = reply
+        .served_by
+        .as_ref()
+        .is_some_and(|served| served.replica);
+    (&reply.verdict, replica)
+}
+
+fn refused_by(verdict: &RequestVerdict) -> Option<RefusalCause> {
+    match verdict {
+        RequestVerdict::NotRun(refusal) => Some(refusal.cause),
+        _ => None,
+    }
+}
+
+/// Waits until reads of a session without writes are served by replicas.
+async fn wait_for_replicas(bench: &GroupBench) {
+    loop {
+        let reply = bench.ask(Ask::new(STATUS, "get case-0")).await;
+        if stands(&reply).1 {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn resend_running_case() {
+    let bench = GroupBench::start().await;
+    bench.set_fault(0, FaultRequest::Slow(200)).await;
+    let grant = Ask::new(GRANT, "append case-7 grant").key(RequestKey::fresh());
+    let first = bench.send(grant.clone()).await;
+    let second = bench.send(grant.clone()).await;
+    bench.wait_running(1).await;
+    let third = bench.send(grant).await;
+    assert_eq!(first.await.unwrap().verdict, WRITTEN);
+    assert_eq!(second.await.unwrap().verdict, WRITTEN);
+    assert_eq!(third.await.unwrap().verdict, WRITTEN);
+    assert_eq!(bench.count_commits().await, 1);
+    bench.stop().await;
+}
+
+async fn resend_decided_case() {
+    let bench = GroupBench::start().await;
+    let grant = Ask::new(GRANT, "append case-7 grant").key(RequestKey::fresh());
+    assert_eq!(bench.ask(grant.clone()).await.verdict, WRITTEN);
+    assert_eq!(bench.ask(grant).await.verdict, WRITTEN);
+    assert_eq!(bench.count_commits().await, 1);
+    bench.stop().await;
+}
+
+async fn unheld_key_case() {
+    let bench = GroupBench::start().await;
+    bench.standbys[1].set_holding(false);
+    let grant = Ask::new(GRANT, "append case-7 grant").key(RequestKey::fresh());
+    let reply = bench.ask(grant.clone().deadline(SHORT_MS)).await;
+    let cause = refused_by(&reply.verdict);
+    assert_eq!(cause, Some(RefusalCause::DeadlinePassed), "{reply:?}");
+    assert_eq!(bench.count_commits().await, 0);
+    bench.standbys[1].set_holding(true);
+    assert_eq!(bench.ask(grant).await.verdict, WRITTEN);
+    assert_eq!(bench.count_commits().await, 1);
+    bench.stop().await;
+}
+
+async fn cut_replication_case() {
+    let bench = GroupBench::start().await;
+    bench.cut_replication(true).await;
+    let grant = Ask::new(GRANT, "append case-7 grant");
+    let reply = bench.ask(grant.clone().deadline(SHORT_MS)).await;
+    let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
+    assert_eq!(reply.verdict, doubt);
+    assert_eq!(bench.count_commits().await, 1);
+    // The next write waits for the same majority, and gets it.
+    let later = bench.send(grant).await;
+    bench.cut_replication(false).await;
+    assert_eq!(later.await.unwrap().verdict, WRITTEN);
+    bench.stop().await;
+}
+
+async fn doubtful_resend_case() {
+    let bench = GroupBench::start().await;
+    bench.cut_replication(true).await;
+    let grant = Ask::new(GRANT, "append case-7 grant").key(RequestKey::fresh());
+    let reply = bench.ask(grant.clone().deadline(SHORT_MS)).await;
+    let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
+    assert_eq!(reply.verdict, doubt);
+    bench.cut_replication(false).await;
+    let reply = bench.ask(grant).await;
+    assert!(
+        matches!(reply.verdict, RequestVerdict::MayHaveRun(_)),
+        "{reply:?}"
+    );
+    assert_eq!(bench.count_commits().await, 1);
+    bench.stop().await;
+}
+
+async fn transaction_case() {
+    let bench = GroupBench::start().await;
+    let id = TransactionId::fresh();
+    let within = |text: &str| Ask::new(GRANT, text).step(TransactionStep::Within(id));
+    let begin = Ask::new(GRANT, "begin").step(TransactionStep::Begin(id));
+    let begun = bench.ask(begin).await;
+    assert!(matches!(begun.verdict, RequestVerdict::Ran(_)), "{begun:?}");
+    bench.ask(within("put case-7 granted")).await;
+    let other = Ask::new(FRESH, "get case-7").session("other");
+    let seen = bench.ask(other.clone()).await;
+    let nothing = StatementAnswer::Rows(ragwort_types::RowSet {
+        columns: vec!["value".to_owned()],
+        rows: vec![vec![None]],
+    });
+    assert_eq!(seen.verdict, RequestVerdict::Ran(nothing));
+    let write = Ask::new(GRANT, "put case-8 open").session("other");
+    assert_eq!(bench.ask(write).await.verdict, WRITTEN);
+    assert_eq!(bench.count_commits().await, 1);
+    let own = bench.ask(within("get case-7")).await;
+    let granted = RequestVerdict::Ran(one_value("value", "granted"));
+    assert_eq!(own.verdict, granted);
+    let commit = Ask::new(GRANT, "commit").step(TransactionStep::Commit(id));
+    let ended = bench.ask(commit).await;
+    assert!(matches!(ended.verdict, RequestVerdict::Ran(_)), "{ended:?}");
+    assert_eq!(bench.ask(other).await.verdict, granted);
+    bench.stop().await;
+}
+
+async fn begin_with_write(bench: &GroupBench) -> TransactionId {
+    let id = TransactionId::fresh();
+    let begin = Ask::new(GRANT, "begin").step(TransactionStep::Begin(id));
+    bench.ask(begin).await;
+    let put = Ask::new(GRANT, "put case-7 granted").step(TransactionStep::Within(id));
+    let reply = bench.ask(put).await;
+    assert!(matches!(reply.verdict, RequestVerdict::Ran(_)), "{reply:?}");
+    id
+}
+
+async fn lost_transaction_case() {
+    let mut bench = GroupBench::start().await;
+    let id = begin_with_write(&bench).await;
+    bench.lose_connections().await;
+    let lost = Some(RefusalCause::TransactionLost);
+    let put = Ask::new(GRANT, "put case-8 granted").step(TransactionStep::Within(id));
+    assert_eq!(refused_by(&bench.ask(put).await.verdict), lost);
+    let commit = Ask::new(GRANT, "commit").step(TransactionStep::Commit(id));
+    assert_eq!(refused_by(&bench.ask(commit).await.verdict), lost);
+    assert_eq!(bench.count_commits().await, 0);
+    bench.stop().await;
+}
+
+async fn lost_commit_case() {
+    let mut bench = GroupBench::start().await;
+    let id = begin_with_write(&bench).await;
+    bench.set_fault(0, FaultRequest::Slow(10_000)).await;
+    let commit = Ask::new(GRANT, "commit").step(TransactionStep::Commit(id));
+    let committing = bench.send(commit).await;
+    bench.wait_running(1).await;
+    bench.lose_connections().await;
+    let doubt = RequestVerdict::MayHaveRun(DoubtCause::EndpointLost);
+    assert_eq!(committing.await.unwrap().verdict, doubt);
+    bench.stop().await;
+}
+
+async fn own_write_case() {
+    let bench = GroupBench::start().await;
+    wait_for_replicas(&bench).await;
+    bench.cut_replication(true).await;
+    let put = Ask::new(GRANT, "put case-7 granted").deadline(SHORT_MS);
+    bench.ask(put).await;
+    let read = Ask::new(STATUS, "get case-7");
+    let own = bench.ask(read.clone()).await;
+    let granted = RequestVerdict::Ran(one_value("value", "granted"));
+    assert_eq!(stands(&own), (&granted, false));
+    let other = bench.ask(read.session("other")).await;
+    assert!(stands(&other).1, "{other:?}");
+    bench.stop().await;
+}
+
+async fn aged_read_case() {
+    let bench = GroupBench::start().await;
+    wait_for_replicas(&bench).await;
+    bench.cut_replication(true).await;
+    let put = Ask::new(GRANT, "put case-7 granted").deadline(SHORT_MS);
+    bench.ask(put).await;
+    // The replicas lack a write that is at least so old.
+    sleep(Duration::from_millis(100)).await;
+    let read = Ask::new(STATUS, "get case-7").session("other");
+    let young = bench.ask(read.clone().max_age(50)).await;
+    let granted = RequestVerdict::Ran(one_value("value", "granted"));
+    assert_eq!(stands(&young), (&granted, false));
+    let old = bench.ask(read).await;
+    assert!(stands(&old).1, "{old:?}");
+    bench.stop().await;
+}
--- /dev/null
+++ b/crates/daemon/tests/pieces/main.rs
@@ -0,0 +1,14 @@
+//! Failure tests of the daemon's pieces, with small fakes at their interfaces.
+
+#[macro_use]
+mod cases;
+mod bench;
+mod connection;
+mod disk;
+mod gateway;
+mod leaseholder;
+mod leases;
+mod peer;
+mod peers;
+mod scripted;
+mod shapes;
--- /dev/null
+++ b/crates/daemon/tests/pieces/peers.rs
@@ -0,0 +1,104 @@
+//! Links between VMs: what a failed call says of whether it ran.
+
+use crate::bench::NOWHERE;
+use crate::peer::FakePeer;
+use crate::peer::PeerScript;
+use jsonrpsee::ws_client::WsClient;
+use ragwort_lab::relay::CutRelay;
+use ragwort_lab::relay::RelayMode;
+use ragwort_types::rpc::PeerApiClient;
+use ragwortgated::peers::LinkError;
+use ragwortgated::peers::PeerLinks;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A limit that no healthy call comes near.
+const LONG: Duration = Duration::from_secs(50);
+
+/// A limit that is meant to run out.
+const SHORT: Duration = Duration::from_millis(200);
+
+failure_cases! {
+    /// The other VM is down before the call: no connection can be had, and the caller may be told
+    /// that its statement did not run.
+    unreachable_peer_has_not_run_the_call => unreachable_case();
+    /// A new connection is accepted and nothing comes back on it, as through a host that is cut
+    /// off. The call was not handed over.
+    hanging_connection_has_not_run_the_call => hanging_case();
+    /// The link breaks while the other VM works on the call: it may have run.
+    link_lost_during_a_call_leaves_doubt => lost_case();
+    /// Something on the path has forgotten the link. It looks open and never answers again, while
+    /// new connections work. One call is lost to find that out; the next one works.
+    silent_link_is_replaced => silent_case();
+    /// The other VM answers with an error of its own. The link is fine; but the call got through.
+    rejected_call_may_have_run => rejected_case();
+}
+
+async fn ping(links: &PeerLinks, address: SocketAddr, limit: Duration) -> Result<(), LinkError> {
+    let call = |client: Arc<WsClient>| async move { client.ping().await };
+    links.call(address, limit, call).await
+}
+
+async fn start_relayed() -> (FakePeer, CutRelay) {
+    let peer = FakePeer::start(PeerScript::Hang).await;
+    let relay = CutRelay::start(peer.address, Duration::ZERO).await;
+    (peer, relay.unwrap())
+}
+
+async fn unreachable_case() {
+    let links = PeerLinks::new(LONG);
+    let error = ping(&links, NOWHERE, LONG).await.unwrap_err();
+    assert_eq!(error, LinkError::Unreachable);
+    assert!(!error.may_have_run());
+}
+
+async fn hanging_case() {
+    let (peer, relay) = start_relayed().await;
+    relay.set_mode(RelayMode::Hang);
+    let links = PeerLinks::new(SHORT);
+    let error = ping(&links, relay.address(), LONG).await.unwrap_err();
+    assert_eq!(error, LinkError::Unreachable);
+    relay.stop().await;
+    peer.stop().await;
+}
+
+async fn lost_case() {
+    let (peer, relay) = start_relayed().await;
+    let links = PeerLinks::new(LONG);
+    let request = crate::bench::Ask::new("grant", "append case-7 grant").into_request();
+    let call = |client: Arc<WsClient>| async move { client.execute(request).await };
+    let address = relay.address();
+    let (ended, ()) = tokio::join!(links.call(address, LONG, call), async {
+        peer.wait_taken(1).await;
+        relay.stop().await;
+    });
+    let error = ended.unwrap_err();
+    assert_eq!(error, LinkError::Lost);
+    assert!(error.may_have_run());
+    peer.stop().await;
+}
+
+async fn silent_case() {
+    let (peer, relay) = start_relayed().await;
+    let links = PeerLinks::new(LONG);
+    assert_eq!(ping(&links, relay.address(), LONG).await, Ok(()));
+    relay.forget_connections();
+    let lost = ping(&links, relay.address(), SHORT).await;
+    assert_eq!(lost, Err(LinkError::Lost));
+    assert_eq!(ping(&links, relay.address(), LONG).await, Ok(()));
+    relay.stop().await;
+    peer.stop().await;
+}
+
+async fn rejected_case() {
+    let peer = FakePeer::start(PeerScript::Hang).await;
+    let links = PeerLinks::new(LONG);
+    // The fake knows no such call, as a VM of an older version doesn't.
+    let call = |client: Arc<WsClient>| async move { client.control_identity().await };
+    let error = links.call(peer.address, LONG, call).await.unwrap_err();
+    assert!(matches!(error, LinkError::Rejected(_)), "{error:?}");
+    assert!(error.may_have_run());
+    assert_eq!(ping(&links, peer.address, LONG).await, Ok(()));
+    peer.stop().await;
+}
--- /dev/null
+++ b/crates/daemon/tests/pieces/shapes.rs
@@ -0,0 +1,206 @@
+//! Prepared statements from a driver through edge, gateway and leaseholder to an endpoint.
+
+use crate::bench::GroupBench;
+use crate::bench::NOWHERE;
+use crate::bench::create_record;
+use crate::bench::create_view;
+use crate::peer::FakePeer;
+use crate::peer::PeerScript;
+use ragwort_lab::faults::FaultRequest;
+use ragwort_types::GroupTerm;
+use ragwortgated::callers::CallerEdge;
+use ragwortgated::callers::CallerLimits;
+use ragwortgated::gateway::Gateway;
+use ragwortgated::metrics::DaemonMetrics;
+use ragwortgated::service::GatewayService;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_postgres::Client;
+use tokio_postgres::Config;
+use tokio_postgres::NoTls;
+
+failure_cases! {
+    /// A driver prepares each statement before it runs it, as most do by default.
+    driver_prepares_reads_and_writes => drive_case();
+    /// A prepared read finds nothing: the driver gets no row, and no error.
+    prepared_read_that_finds_nothing_is_empty => empty_case();
+    /// A driver prepares a statement that the database doesn't understand. The caller reads the
+    /// database's error, and the session goes on.
+    unknown_statement_fails_to_prepare => unknown_case();
+    /// A statement is prepared within a transaction, on the connection that the transaction holds.
+    transaction_prepares_on_its_own_connection => transaction_case();
+    /// A mistake in a statement that is prepared within a transaction fails the transaction, as it
+    /// does without a proxy. Nothing of it must be committed.
+    failed_preparation_fails_its_transaction => failed_transaction_case();
+    /// All slots of the primary are taken by long statements. A preparation waits its turn; it
+    /// neither takes a connection from work nor is it lost.
+    preparation_waits_while_all_slots_are_taken => busy_case();
+    /// All connections to the endpoints have gone silent. The preparation finds that out and gets
+    /// its answer over a new connection.
+    preparation_outlives_silent_connections => silent_case();
+}
+
+/// A caller's way to a group's leaseholder.
+struct CallerBench {
+    group: GroupBench,
+    leader: FakePeer,
+    address: SocketAddr,
+    drain: watch::Sender<bool>,
+    edge: JoinHandle<()>,
+    cancels: JoinHandle<()>,
+}
+
+impl CallerBench {
+    async fn start() -> Self {
+        let group = GroupBench::start().await;
+        let leader = FakePeer::start(PeerScript::Lead(group.inbox.clone())).await;
+        let addresses = [leader.address, NOWHERE, NOWHERE];
+        let view = create_view(addresses, &create_record("vm-1", 1), true);
+        let (_, view) = watch::channel(view);
+        let lease = Duration::from_secs(1);
+        let gateway = Gateway::new(group.clock, group.links.clone(), view.clone(), lease);
+        let (service, cancels) = GatewayService::start(Arc::new(gateway), group.clock, view);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let limits = CallerLimits {
+            connections: 10,
+            message_bytes: 65_536,
+            startup: Duration::from_secs(30),
+            statement: Duration::from_secs(30),
+            drain: Duration::from_secs(30),
+        };
+        let metrics = DaemonMetrics::new();
+        let edge = CallerEdge::new(listener, limits, Arc::new(service), metrics);
+        let (drain, drained) = watch::channel(false);
+        Self {
+            group,
+            leader,
+            address,
+            drain,
+            edge: tokio::spawn(edge.run(drained)),
+            cancels,
+        }
+    }
+
+    async fn connect(&self) -> Client {
+        let mut config = Config::new();
+        config.hostaddr(self.address.ip()).port(self.address.port());
+        config.user("omuti").dbname("cases");
+        let (client, connection) = config.connect(NoTls).await.unwrap();
+        // The connection's task ends when the client is dropped.
+        tokio::spawn(connection);
+        client
+    }
+
+    async fn stop(self, client: Client) {
+        drop(client);
+        self.drain.send_replace(true);
+        self.edge.await.unwrap();
+        self.cancels.await.unwrap();
+        self.leader.stop().await;
+        self.group.stop().await;
+    }
+}
+
+async fn read(client: &Client, key: &str) -> Option<String> {
+    let rows = client.query("/*kind='fresh'*/ get $1", &[&key]).await;
+    rows.unwrap()[0].get(0)
+}
+
+async fn drive_case() {
+    let bench = CallerBench::start().await;
+    let client = bench.connect().await;
+    client.execute("put $1 $2", &[&"k", &"v"]).await.unwrap();
+    assert_eq!(read(&client, "k").await.as_deref(), Some("v"));
+    let prepared = client.prepare("/*kind='fresh'*/ get $1").await.unwrap();
+    assert_eq!(prepared.params().len(), 1);
+    assert_eq!(prepared.columns()[0].name(), "value");
+    for key in ["k", "other"] {
+        client.query(&prepared, &[&key]).await.unwrap();
+    }
+    assert_eq!(bench.group.count_commits().await, 1);
+    bench.stop(client).await;
+}
+
+async fn empty_case() {
+    let bench = CallerBench::start().await;
+    let client = bench.connect().await;
+    let rows = client.query("/*kind='fresh'*/ find $1", &[&"k"]).await;
+    assert!(rows.unwrap().is_empty());
+    bench.stop(client).await;
+}
+
+async fn unknown_case() {
+    let bench = CallerBench::start().await;
+    let client = bench.connect().await;
+    let error = client.prepare("frobnicate $1").await.unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "42601");
+    assert_eq!(read(&client, "k").await, None);
+    bench.stop(client).await;
+}
+
+async fn transaction_case() {
+    let bench = CallerBench::start().await;
+    let mut client = bench.connect().await;
+    let transaction = client.transaction().await.unwrap();
+    let put = transaction.execute("put $1 $2", &[&"k", &"v"]).await;
+    put.unwrap();
+    let rows = transaction.query("get $1", &[&"k"]).await.unwrap();
+    assert_eq!(rows[0].get::<_, &str>(0), "v");
+    transaction.commit().await.unwrap();
+    assert_eq!(read(&client, "k").await.as_deref(), Some("v"));
+    bench.stop(client).await;
+}
+
+async fn failed_transaction_case() {
+    let bench = CallerBench::start().await;
+    let mut client = bench.connect().await;
+    let transaction = client.transaction().await.unwrap();
+    let put = transaction.execute("put $1 $2", &[&"k", &"v"]).await;
+    put.unwrap();
+    let error = transaction.prepare("frobnicate $1").await.unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "42601");
+    let error = transaction.execute("put k w", &[]).await.unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "25P02");
+    transaction.rollback().await.unwrap();
+    assert_eq!(read(&client, "k").await, None);
+    assert_eq!(bench.group.count_commits().await, 0);
+    bench.stop(client).await;
+}
+
+async fn busy_case() {
+    let bench = CallerBench::start().await;
+    let client = bench.connect().await;
+    let sleepers = [bench.connect().await, bench.connect().await];
+    let (first, second, prepared) = tokio::join!(
+        sleepers[0].simple_query("sleep 300"),
+        sleepers[1].simple_query("sleep 300"),
+        async {
+            bench.group.wait_running(2).await;
+            client.prepare("/*kind='fresh'*/ get $1").await
+        },
+    );
+    first.unwrap();
+    second.unwrap();
+    assert_eq!(prepared.unwrap().columns().len(), 1);
+    drop(sleepers);
+    bench.stop(client).await;
+}
+
+async fn silent_case() {
+    let bench = CallerBench::start().await;
+    let client = bench.connect().await;
+    for index in 0..3 {
+        let silence = FaultRequest::SilenceConnections;
+        bench.group.set_fault(index, silence).await;
+    }
+    let prepared = client.prepare("/*kind='fresh'*/ get $1").await.unwrap();
+    assert_eq!(prepared.columns().len(), 1);
+    let status = bench.group.endpoints[0].shared().instance.status();
+    assert_eq!(status.fenced_term, GroupTerm(1));
+    bench.stop(client).await;
+}
