Don't end a transaction as idle while its statement runs

Cause: a transaction counted as idle from the end of its last statement, so one whose statement ran longer than the limit lost its connection in the middle. The statement's end then found no connection: the caller never got a reply and the slot stayed taken. The limit is now the setting timing.idle_transaction_ms (60 s as before), so that a test can come near it.

--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -80,10 +80,6 @@
 /// The step in which waits, ages and silent endpoints are looked at.
 const TICK: Duration = Duration::from_millis(10);
 
-/// A transaction that has run no statement for so long is ended: its caller has gone without a
-/// word, and it holds one of the endpoint's few connections.
-const IDLE_TRANSACTION: Duration = Duration::from_secs(60);
-
 /// How often the journal forgets what is no longer needed.
 const PRUNE_TICKS: u64 = 100;
 
@@ -452,12 +448,17 @@
         }
     }
 
+    /// Ends the transactions whose callers have gone without a word: each holds one of the
+    /// endpoint's few connections.
+    ///
+    /// A long statement is no idleness. If its connection were forgotten here, its end would find
+    /// nobody: the caller would get no answer, and its slot would stay taken for good.
     fn end_idle_transactions(&mut self) {
         let now = self.context.clock.now();
-        let idle = self
-            .transactions
-            .iter()
-            .filter(|(_, open)| now.since(open.last_used) > IDLE_TRANSACTION);
+        let limit = Duration::from_millis(self.context.settings.timing.idle_transaction_ms);
+        let idle = self.transactions.iter().filter(|(_, open)| {
+            now.since(open.last_used) > limit && !self.pool.is_running(open.connection)
+        });
         let idle: Vec<TransactionId> = idle.map(|(id, _)| *id).collect();
         for id in idle {
             self.end_transaction(id);
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -217,6 +217,12 @@
         found.map(|(id, _)| *id)
     }
 
+    /// Says whether a statement runs on a connection.
+    pub fn is_running(&self, id: ConnectionId) -> bool {
+        let connection = self.connections.get(&id);
+        connection.is_some_and(|one| one.running.is_some())
+    }
+
     /// Returns a connection.
     pub fn connection(&mut self, id: ConnectionId) -> Option<&mut PoolConnection> {
         self.connections.get_mut(&id)
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -121,6 +121,8 @@
     pub announce_lost_ms: u64,
     /// How long a connection may be idle before it is pinged.
     pub idle_ping_ms: u64,
+    /// How long a transaction may run no statement before it is ended.
+    pub idle_transaction_ms: u64,
     /// How long work in flight may take at shutdown.
     pub drain_ms: u64,
     /// How long a connection may take to open.
@@ -141,6 +143,7 @@
             probe_timeout_ms: 150,
             announce_lost_ms: 1_500,
             idle_ping_ms: 1_000,
+            idle_transaction_ms: 60_000,
             drain_ms: 10_000,
             connect_timeout_ms: 1_000,
             key_window_ms: 600_000,
@@ -412,6 +415,11 @@
             minute.clone(),
         ),
         idle_ping_ms: section.take_number("idle_ping_ms", default.idle_ping_ms, minute.clone()),
+        idle_transaction_ms: section.take_number(
+            "idle_transaction_ms",
+            default.idle_transaction_ms,
+            1..=HOUR_MS,
+        ),
         drain_ms: section.take_number("drain_ms", default.drain_ms, 1..=HOUR_MS),
         connect_timeout_ms: section.take_number(
             "connect_timeout_ms",
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -187,7 +187,7 @@
 /// Creates the settings of `vm-1`, whose control VM is out of reach.
 ///
 /// Endpoints announce themselves once in these tests, so they may be silent for a whole case.
-fn create_settings() -> DaemonSettings {
+fn create_settings(timing: &str) -> DaemonSettings {
     let text = "
 vm: vm-1
 domain: windhoek-a
@@ -195,9 +195,9 @@
 listen: { callers: 127.0.0.1:1, peers: 127.0.0.1:2, platform: 127.0.0.1:3 }
 control:
   - { vm: vm-9, address: 127.0.0.1:1 }
-timing: { announce_lost_ms: 60000 }
+timing: { announce_lost_ms: 60000, TIMING }
 ";
-    DaemonSettings::from_yaml(text).unwrap()
+    DaemonSettings::from_yaml(&text.replace("TIMING", timing)).unwrap()
 }
 
 /// What is asked of the leaseholder.
@@ -277,6 +277,11 @@
 
 impl GroupBench {
     pub async fn start() -> Self {
+        Self::start_with("idle_ping_ms: 1000").await
+    }
+
+    /// Starts with one more setting of the times.
+    pub async fn start_with(timing: &str) -> Self {
         let mut endpoints = Vec::new();
         for index in 1..=3 {
             let settings = EndpointSettings::quick(&format!("cases-{index}"), index == 1);
@@ -303,7 +308,7 @@
         let clock = NodeClock::start();
         let links = PeerLinks::new(Duration::from_secs(5));
         let context = GroupContext {
-            settings: Arc::new(create_settings()),
+            settings: Arc::new(create_settings(timing)),
             clock,
             links: links.clone(),
             standby: own,
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -47,6 +47,12 @@
     /// The connection breaks while the commit is running: it may have been the last thing that the
     /// endpoint did.
     connection_lost_during_commit_leaves_doubt => lost_commit_case();
+    /// A statement of a transaction takes longer than a transaction may be idle. Its caller waits
+    /// for it and gets its answer, and can commit.
+    long_statement_does_not_make_its_transaction_idle => long_statement_case();
+    /// A caller opens a transaction and is never heard of again. Its connection is one of few, so
+    /// the transaction is ended; a caller that comes back after all is told that it is lost.
+    idle_transaction_is_ended => idle_transaction_case();
     /// A clerk changes a case and reads it again, while the replicas have stopped to follow. She
     /// must see her own change, though an old enough answer would do for anybody else.
     own_write_is_read_although_replicas_lag => own_write_case();
@@ -214,6 +220,33 @@
     bench.stop().await;
 }
 
+async fn long_statement_case() {
+    let bench = GroupBench::start_with("idle_transaction_ms: 1500").await;
+    let id = begin_with_write(&bench).await;
+    let sleep = Ask::new(GRANT, "sleep 3500").step(TransactionStep::Within(id));
+    let reply = bench.ask(sleep).await;
+    assert!(matches!(reply.verdict, RequestVerdict::Ran(_)), "{reply:?}");
+    let commit = Ask::new(GRANT, "commit").step(TransactionStep::Commit(id));
+    let reply = bench.ask(commit).await;
+    assert!(matches!(reply.verdict, RequestVerdict::Ran(_)), "{reply:?}");
+    assert_eq!(bench.count_commits().await, 1);
+    bench.stop().await;
+}
+
+async fn idle_transaction_case() {
+    let bench = GroupBench::start_with("idle_transaction_ms: 200").await;
+    let id = TransactionId::fresh();
+    let begin = Ask::new(GRANT, "begin").step(TransactionStep::Begin(id));
+    bench.ask(begin).await;
+    while bench.dump().await["transactions"] != 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let commit = Ask::new(GRANT, "commit").step(TransactionStep::Commit(id));
+    let lost = Some(RefusalCause::TransactionLost);
+    assert_eq!(refused_by(&bench.ask(commit).await.verdict), lost);
+    bench.stop().await;
+}
+
 async fn own_write_case() {
     let bench = GroupBench::start().await;
     wait_for_replicas(&bench).await;
