Keep work off connections that have to prove that they answer

Cause: after one connection had gone silent the leaseholder pinged the others, but went on to dispatch on them: a statement waited behind a ping for up to connect_timeout_ms (1 s), past its deadline, and a description used up its three dispatches on forgotten connections while the endpoint took new ones at once. Now the scheduler doesn't count a connection in doubt as idle, opens others ahead within its budget, and a ping has two probes' time. A statement that waited behind an idle ping past its deadline is not sent. Ruled out: closing all idle connections at once, which would add reconnects to an endpoint that is only slow; and doubt after every close, which opens a spare connection for each cancel.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -17,7 +17,9 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio_postgres::Client;
 use tokio_postgres::Column;
 use tokio_postgres::Config;
@@ -46,6 +48,8 @@
     pub connect_timeout: Duration,
     /// How long the connection may be idle before it is pinged.
     pub idle_ping: Duration,
+    /// How long a ping's answer may take.
+    pub ping_timeout: Duration,
 }
 
 /// What the leaseholder asks of a connection.
@@ -70,8 +74,8 @@
     pub text: String,
     /// Its parameters, for the extended protocol.
     pub parameters: Option<Vec<Option<String>>>,
-    /// How long the answer may take.
-    pub limit: Duration,
+    /// When the answer must be there.
+    pub until: Instant,
 }
 
 /// A statement to describe.
@@ -103,6 +107,8 @@
     Opened,
     /// A statement ended.
     Finished(StatementId, RunOutcome),
+    /// It has answered the ping that it was ordered to send.
+    Proven,
     /// A description ended.
     Described(StatementId, DescribeOutcome),
     /// It is closed; no further event follows.
@@ -135,6 +141,8 @@
     Failed(DatabaseError),
     /// The endpoint said that it takes no work now.
     Refused(DatabaseError),
+    /// No byte of the order was sent.
+    NotSent,
     /// The connection was lost or silent, or its answer belonged to something else.
     Lost,
 }
@@ -198,29 +206,29 @@
 ) {
     loop {
         let order = match timeout(target.idle_ping, orders.recv()).await {
-            Ok(Some(order)) => order,
+            Ok(Some(order)) => Some(order),
             Ok(None) => return,
-            Err(_) => ConnectionOrder::Ping,
+            Err(_) => None,
         };
         let (change, reusable) = match order {
-            ConnectionOrder::Run(run) => {
+            Some(ConnectionOrder::Run(run)) => {
                 let id = run.id;
                 let (outcome, reusable) = run_statement(client, run, &mut orders).await;
                 (Some(ConnectionChange::Finished(id, outcome)), reusable)
             }
-            ConnectionOrder::Describe(order) => {
+            Some(ConnectionOrder::Describe(order)) => {
                 let (outcome, reusable) = describe_statement(client, &order).await;
                 let change = ConnectionChange::Described(order.id, outcome);
                 (Some(change), reusable)
             }
-            ConnectionOrder::Ping => {
-                // Something between the two ends may have forgotten an idle connection: it looks
-                // open and never answers. The ping finds that before a caller's statement does.
-                let ping = client.simple_query("select 1");
-                let answered = timeout(target.connect_timeout, ping).await;
-                (None, matches!(answered, Ok(Ok(_))))
+            Some(ConnectionOrder::Ping) => {
+                let answered = ping_endpoint(target, client).await;
+                (answered.then_some(ConnectionChange::Proven), answered)
             }
-            ConnectionOrder::Cancel => (None, true),
+            // Something between the two ends may have forgotten an idle connection: it looks open
+            // and never answers. The ping finds that before a caller's statement does.
+            None => (None, ping_endpoint(target, client).await),
+            Some(ConnectionOrder::Cancel) => (None, true),
         };
         if let Some(change) = change {
             let id = target.id;
@@ -235,6 +243,11 @@
     }
 }
 
+async fn ping_endpoint(target: &ConnectionTarget, client: &Client) -> bool {
+    let ping = client.simple_query("select 1");
+    matches!(timeout(target.ping_timeout, ping).await, Ok(Ok(_)))
+}
+
 /// Hands back the statements that were ordered while the connection turned out to be dead.
 ///
 /// They would otherwise end with the connection, and callers would be left in doubt about
@@ -249,7 +262,7 @@
         let change = match order {
             ConnectionOrder::Run(run) => ConnectionChange::Finished(run.id, RunOutcome::NotSent),
             ConnectionOrder::Describe(order) => {
-                ConnectionChange::Described(order.id, DescribeOutcome::Lost)
+                ConnectionChange::Described(order.id, DescribeOutcome::NotSent)
             }
             ConnectionOrder::Ping | ConnectionOrder::Cancel => continue,
         };
@@ -273,8 +286,12 @@
     if client.is_closed() {
         return (RunOutcome::NotSent, false);
     }
+    // It waited behind a ping until nobody wants its answer any more.
+    if Instant::now() >= run.until {
+        return (RunOutcome::NotSent, true);
+    }
     let mut cancelled = false;
-    let answering = timeout(run.limit, answer_statement(client, &run)).fuse();
+    let answering = timeout_at(run.until, answer_statement(client, &run)).fuse();
     tokio::pin!(answering);
     let outcome = loop {
         tokio::select! {
--- a/crates/daemon/src/group/describing.rs
+++ b/crates/daemon/src/group/describing.rs
@@ -16,6 +16,7 @@
 use super::intake::hash_text;
 use super::intake::to_policy;
 use crate::callers::StatementScan;
+use crate::connection::ConnectionId;
 use crate::connection::ConnectionOrder;
 use crate::connection::DescribeOrder;
 use crate::connection::DescribeOutcome;
@@ -156,6 +157,22 @@
         }
     }
 
+    /// Frees the connection of a description that has ended.
+    pub(super) fn free_described(&mut self, id: ConnectionId, outcome: &DescribeOutcome) {
+        let Some(connection) = self.pool.connection(id) else {
+            return;
+        };
+        connection.running = None;
+        connection.spent |= !matches!(
+            outcome,
+            DescribeOutcome::Shape(_) | DescribeOutcome::Failed(_)
+        );
+        if *outcome == DescribeOutcome::Lost {
+            let instance = connection.instance.clone();
+            self.doubt_connections(&instance);
+        }
+    }
+
     /// Takes the end of a description.
     pub(super) fn take_described(&mut self, statement: StatementId, outcome: DescribeOutcome) {
         let Some(ticket) = self.tickets.get(&statement).copied() else {
@@ -164,7 +181,7 @@
         let outcome = match outcome {
             DescribeOutcome::Shape(shape) => ShapeOutcome::Known(shape),
             DescribeOutcome::Failed(error) => ShapeOutcome::Failed(error),
-            DescribeOutcome::Refused(_) => {
+            DescribeOutcome::Refused(_) | DescribeOutcome::NotSent => {
                 return self.give_shape_back(ticket, FinishOutcome::NotRun);
             }
             DescribeOutcome::Lost => return self.give_shape_back(ticket, FinishOutcome::Lost),
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -12,7 +12,6 @@
 use crate::connection::ConnectionEvent;
 use crate::connection::ConnectionId;
 use crate::connection::ConnectionOrder;
-use crate::connection::DescribeOutcome;
 use crate::connection::RunOrder;
 use crate::connection::RunOutcome;
 use jsonrpsee::ws_client::WsClient;
@@ -44,6 +43,7 @@
 use ragwort_types::rpc::AgentApiClient;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 impl GroupTask {
     /// Does what the scheduler decides.
@@ -137,7 +137,7 @@
             id: active.request.id,
             text: active.request.text.clone(),
             parameters: active.request.parameters.clone(),
-            limit: active.deadline.since(now),
+            until: Instant::now() + active.deadline.since(now),
         };
         if !connection.send(ConnectionOrder::Run(order)) {
             self.give_back(ticket, FinishOutcome::NotRun, RefusalCause::EndpointRefused);
@@ -195,15 +195,10 @@
             }
             ConnectionChange::Finished(id, outcome) => self.take_outcome(event.id, id, outcome),
             ConnectionChange::Described(id, outcome) => {
-                if let Some(connection) = self.pool.connection(event.id) {
-                    connection.running = None;
-                    connection.spent |= !matches!(
-                        outcome,
-                        DescribeOutcome::Shape(_) | DescribeOutcome::Failed(_)
-                    );
-                }
+                self.free_described(event.id, &outcome);
                 self.take_described(id, outcome);
             }
+            ConnectionChange::Proven => self.take_proof(event.id),
             ConnectionChange::Closed => self.take_closed(event.id),
         }
     }
@@ -223,9 +218,15 @@
             Some(ticket) => self.take_lost(ticket, DoubtCause::EndpointLost),
             None => {}
         }
+        if connection.doubted {
+            self.scheduler.doubt_ended(&connection.instance);
+        }
         if connection.open {
             self.scheduler.connection_closed(&connection.instance);
-            self.pool.ping_idle(&connection.instance);
+            // A connection that is closed after its end was reported tells nothing new.
+            if !connection.spent {
+                self.doubt_connections(&connection.instance);
+            }
         } else {
             self.scheduler.connection_failed(now, &connection.instance);
         }
@@ -249,15 +250,35 @@
             RunOutcome::Refused(_) | RunOutcome::NotSent => {
                 self.give_back(ticket, FinishOutcome::NotRun, RefusalCause::EndpointRefused);
             }
-            RunOutcome::Lost => self.take_lost(ticket, DoubtCause::EndpointLost),
+            RunOutcome::Lost => {
+                self.doubt_connections(&instance);
+                self.take_lost(ticket, DoubtCause::EndpointLost);
+            }
             RunOutcome::Silent => {
-                self.pool.ping_idle(&instance);
+                self.doubt_connections(&instance);
                 self.take_lost(ticket, DoubtCause::EndpointSilent);
             }
             RunOutcome::Mismatch => self.take_lost(ticket, DoubtCause::AnswerMismatch),
         }
     }
 
+    /// Lets a connection that answered its ping take work again.
+    fn take_proof(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.pool.connection(id)
+            && std::mem::take(&mut connection.doubted)
+        {
+            let instance = connection.instance.clone();
+            self.scheduler.doubt_ended(&instance);
+        }
+    }
+
+    /// Keeps work away from an instance's idle connections until they have answered a ping.
+    pub(super) fn doubt_connections(&mut self, instance: &InstanceName) {
+        for _ in 0..self.pool.doubt_idle(instance) {
+            self.scheduler.connection_doubted(instance);
+        }
+    }
+
     fn step_of(&self, ticket: RequestTicket) -> Option<TransactionStep> {
         self.requests.get(&ticket).map(|active| active.request.step)
     }
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -32,6 +32,10 @@
 /// The pause after an agent did not answer.
 const WATCH_PAUSE: Duration = Duration::from_millis(50);
 
+/// How many times a probe's time a connection may take to answer a ping. A connection that is
+/// closed for nothing costs 12 ms; a statement that waits behind a lost ping may miss its deadline.
+const PING_PROBES: u32 = 2;
+
 /// An endpoint that announces itself.
 #[derive(Debug)]
 pub struct EndpointEntry {
@@ -55,12 +59,15 @@
     pub pinned: Option<TransactionId>,
     /// Whether it takes no further statement: it owes an answer, or a cancel was sent on it.
     pub spent: bool,
+    /// Whether it has to prove that it still answers before it takes another statement.
+    pub doubted: bool,
     orders: mpsc::Sender<ConnectionOrder>,
 }
 
 impl PoolConnection {
     fn is_idle(&self) -> bool {
-        self.open && !self.spent && self.running.is_none() && self.pinned.is_none()
+        let taken = self.running.is_some() || self.pinned.is_some();
+        self.open && !self.spent && !self.doubted && !taken
     }
 
     /// Hands an order to the connection's task and says whether it was taken.
@@ -186,6 +193,7 @@
             database: self.group.to_string(),
             connect_timeout: Duration::from_millis(timing.connect_timeout_ms),
             idle_ping: Duration::from_millis(timing.idle_ping_ms),
+            ping_timeout: Duration::from_millis(timing.probe_timeout_ms) * PING_PROBES,
         };
         let (orders, task) = spawn_connection(target, self.events.clone());
         self.children.spawn(async move {
@@ -197,6 +205,7 @@
             running: None,
             pinned: None,
             spent: false,
+            doubted: false,
             orders,
         };
         self.connections.insert(id, connection);
@@ -233,15 +242,21 @@
         self.connections.remove(&id)
     }
 
-    /// Makes every idle connection to an instance prove that it still answers.
+    /// Makes every idle connection to an instance prove that it still answers, and returns how many
+    /// there are.
     ///
     /// One silent connection suggests that something on the path has forgotten them all; the
     /// caller's next statements would otherwise find that out one by one.
-    pub fn ping_idle(&self, instance: &InstanceName) {
-        let all = self.connections.values();
+    pub fn doubt_idle(&mut self, instance: &InstanceName) -> usize {
+        let all = self.connections.values_mut();
+        let mut count = 0;
         for connection in all.filter(|one| one.instance == *instance && one.is_idle()) {
-            connection.send(ConnectionOrder::Ping);
+            if connection.send(ConnectionOrder::Ping) {
+                connection.doubted = true;
+                count += 1;
+            }
         }
+        count
     }
 
     /// Returns the number of connections, open or opening.
--- a/crates/daemon/tests/pieces/connection.rs
+++ b/crates/daemon/tests/pieces/connection.rs
@@ -25,6 +25,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// A limit that no healthy statement comes near.
 const LONG: Duration = Duration::from_secs(50);
@@ -81,6 +82,7 @@
             database: "cases".to_owned(),
             connect_timeout: Duration::from_secs(2),
             idle_ping,
+            ping_timeout: SHORT,
         };
         let (sender, events) = mpsc::channel(16);
         let (orders, task) = spawn_connection(target, sender);
@@ -107,7 +109,7 @@
             id: StatementId::fresh(),
             text: text.to_owned(),
             parameters: None,
-            limit,
+            until: Instant::now() + limit,
         };
         self.order(ConnectionOrder::Run(run)).await;
     }
@@ -130,7 +132,7 @@
             id: StatementId::fresh(),
             text: text.to_owned(),
             parameters: Some(values.collect()),
-            limit: LONG,
+            until: Instant::now() + LONG,
         };
         self.order(ConnectionOrder::Run(run)).await;
         match self.finish().await {
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -59,7 +59,7 @@
         let mut board = Self {
             slots: SmallVec::new(),
             idle: record.idle_connections(),
-            unpinned: record.open.saturating_sub(pinned),
+            unpinned: record.trusted_connections().saturating_sub(pinned),
             pins_left: pin_limit(record.state.connections, record.state.slots)
                 .saturating_sub(pinned),
             connected_at: now + connect_time,
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -68,7 +68,8 @@
         let wanted = waiting.saturating_sub(record.idle_connections() + record.opening);
         return wanted.min(budget.saturating_sub(held));
     }
-    let wanted = pinned + slots + SPARE_CONNECTIONS + openers;
+    // Connections in doubt are replaced ahead, but count towards the budget until they are closed.
+    let wanted = pinned + slots + SPARE_CONNECTIONS + openers + record.doubted;
     let missing = wanted.min(budget).saturating_sub(held);
     missing.min(OPENING_LIMIT.saturating_sub(record.opening))
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -72,6 +72,8 @@
     pub(crate) running: SmallVec<[RunningRequest; 4]>,
     /// Open connections.
     pub(crate) open: u32,
+    /// Open connections that have to prove that they still answer; they take no work meanwhile.
+    pub(crate) doubted: u32,
     /// Connections being opened.
     pub(crate) opening: u32,
     /// The transactions that hold a connection, by the ticket of the request that opened them.
@@ -99,6 +101,7 @@
             reported: ClockTime::default(),
             running: SmallVec::new(),
             open: 0,
+            doubted: 0,
             opening: 0,
             pins: SmallVec::new(),
             urgent_run: 0,
@@ -108,14 +111,19 @@
         }
     }
 
-    /// Returns how many connections are neither pinned nor in use.
+    /// Returns how many connections are neither pinned, nor in use, nor in doubt.
     pub(crate) fn idle_connections(&self) -> u32 {
         let unpinned = self.running.iter().filter(|running| !running.pinned);
         let busy = unpinned.count() + self.pins.len();
-        self.open
+        self.trusted_connections()
             .saturating_sub(u32::try_from(busy).unwrap_or(u32::MAX))
     }
 
+    /// Returns how many open connections are not in doubt.
+    pub(crate) fn trusted_connections(&self) -> u32 {
+        self.open.saturating_sub(self.doubted)
+    }
+
     /// Returns how many slots are free.
     pub(crate) fn free_slots(&self) -> u32 {
         let busy = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
@@ -183,6 +191,7 @@
             record.removed = true;
             record.pins.clear();
             record.open = 0;
+            record.doubted = 0;
             record.opening = 0;
         }
         self.forget_removed();
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -265,6 +265,24 @@
         }
     }
 
+    /// Notes that an open, idle connection is asked to prove that it still answers.
+    ///
+    /// When one connection has gone silent, something on the path may have forgotten all of them.
+    /// A request that were dispatched on one of the others would wait there for an answer that
+    /// never comes. [`doubt_ended`](Self::doubt_ended) must follow.
+    pub fn connection_doubted(&mut self, instance: &InstanceName) {
+        if let Some(record) = self.endpoints.get_mut(instance) {
+            record.doubted = (record.doubted + 1).min(record.open);
+        }
+    }
+
+    /// Notes that a connection in doubt has answered, or is about to be reported as closed.
+    pub fn doubt_ended(&mut self, instance: &InstanceName) {
+        if let Some(record) = self.endpoints.get_mut(instance) {
+            record.doubted = record.doubted.saturating_sub(1);
+        }
+    }
+
     /// Notes that an open connection was closed or lost.
     pub fn connection_closed(&mut self, instance: &InstanceName) {
         if let Some(record) = self.endpoints.get_mut(instance) {
