Forget a connection as soon as it takes no further statement

Cause: between a statement's end on a connection that isn't used again (cancelled, lost, silent) and the connection's own end, the scheduler counted it as idle and dispatched on it.

--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -193,16 +193,31 @@
                     self.scheduler.connection_opened(&instance);
                 }
             }
-            ConnectionChange::Finished(id, outcome) => self.take_outcome(event.id, id, outcome),
+            ConnectionChange::Finished(id, outcome) => {
+                self.take_outcome(event.id, id, outcome);
+                self.forget_spent(event.id);
+            }
             ConnectionChange::Described(id, outcome) => {
                 self.free_described(event.id, &outcome);
                 self.take_described(id, outcome);
+                self.forget_spent(event.id);
             }
             ConnectionChange::Proven => self.take_proof(event.id),
             ConnectionChange::Closed => self.take_closed(event.id),
         }
     }
 
+    /// Forgets a connection that takes no further statement, before its task says that it closed.
+    ///
+    /// The scheduler would count it as idle until then, and dispatch waiting requests on it one
+    /// after the other. Each would be given back, and refused when it has no attempt left.
+    fn forget_spent(&mut self, id: ConnectionId) {
+        let spent = self.pool.connection(id).is_some_and(|held| held.spent);
+        if spent {
+            self.take_closed(id);
+        }
+    }
+
     fn take_closed(&mut self, id: ConnectionId) {
         let Some(connection) = self.pool.remove_connection(id) else {
             return;
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -373,12 +373,24 @@
 
     /// Hands a statement to the leaseholder; the reply comes by itself.
     pub async fn send(&self, ask: Ask) -> oneshot::Receiver<StatementReply> {
+        self.send_request(ask.into_request()).await
+    }
+
+    pub async fn send_request(
+        &self,
+        request: StatementRequest,
+    ) -> oneshot::Receiver<StatementReply> {
         let (reply, answer) = oneshot::channel();
-        let event = GroupEvent::Statement(Box::new(ask.into_request()), reply);
+        let event = GroupEvent::Statement(Box::new(request), reply);
         self.inbox.send(event).await.unwrap();
         answer
     }
 
+    /// Cancels a statement.
+    pub async fn cancel(&self, id: StatementId) {
+        self.inbox.send(GroupEvent::Cancel(id)).await.unwrap();
+    }
+
     pub async fn ask(&self, ask: Ask) -> StatementReply {
         self.send(ask).await.await.unwrap()
     }
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -53,6 +53,10 @@
     /// A caller opens a transaction and is never heard of again. Its connection is one of few, so
     /// the transaction is ended; a caller that comes back after all is told that it is lost.
     idle_transaction_is_ended => idle_transaction_case();
+    /// Two long statements are cancelled, which ends their connections. The writes that waited
+    /// behind them must get their turn, and none be refused because a connection that was ending
+    /// was taken for a free one.
+    waiting_writes_outlive_cancelled_connections => cancelled_case();
     /// A clerk changes a case and reads it again, while the replicas have stopped to follow. She
     /// must see her own change, though an old enough answer would do for anybody else.
     own_write_is_read_although_replicas_lag => own_write_case();
@@ -247,6 +251,36 @@
     bench.stop().await;
 }
 
+async fn cancelled_case() {
+    let bench = GroupBench::start().await;
+    for _ in 0..10 {
+        let mut long = Vec::new();
+        for _ in 0..2 {
+            let request = Ask::new(FRESH, "sleep 40000").into_request();
+            long.push((request.id, bench.send_request(request).await));
+        }
+        bench.wait_running(2).await;
+        let mut waiting = Vec::new();
+        for _ in 0..8 {
+            waiting.push(bench.send(Ask::new(GRANT, "append case-7 grant")).await);
+        }
+        for (id, _) in &long {
+            bench.cancel(*id).await;
+        }
+        for reply in waiting {
+            assert_eq!(reply.await.unwrap().verdict, WRITTEN);
+        }
+        for (_, reply) in long {
+            let verdict = reply.await.unwrap().verdict;
+            assert!(matches!(verdict, RequestVerdict::Ran(_)), "{verdict:?}");
+        }
+    }
+    // None was even tried on a connection that was ending.
+    assert_eq!(bench.dump().await["scheduler"]["counts"]["retried"], 0);
+    assert_eq!(bench.count_commits().await, 80);
+    bench.stop().await;
+}
+
 async fn own_write_case() {
     let bench = GroupBench::start().await;
     wait_for_replicas(&bench).await;
