Close the connections of an endpoint that is taken out of use

Cause: an endpoint whose announcements stayed out was removed from the scheduler, but its connections stayed open in the pool. When it came back, others were opened beside them. Now connections without a running statement are closed at once and their transactions ended, and the others are closed when their statement has ended, so that nothing in flight is cut.

--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -233,6 +233,9 @@
             Some(ticket) => self.take_lost(ticket, DoubtCause::EndpointLost),
             None => {}
         }
+        if connection.retired {
+            return;
+        }
         if connection.doubted {
             self.scheduler.doubt_ended(&connection.instance);
         }
@@ -419,7 +422,9 @@
         };
         let now = to_policy(self.context.clock.now());
         self.scheduler.unpin(now, open.opener);
-        if let Some(connection) = self.pool.remove_connection(open.connection) {
+        if let Some(connection) = self.pool.remove_connection(open.connection)
+            && !connection.retired
+        {
             self.scheduler.connection_closed(&connection.instance);
         }
     }
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -393,6 +393,9 @@
                 instance = instance,
             );
             self.refresh_endpoint(&instance);
+            for transaction in self.pool.retire_connections(&instance) {
+                self.end_transaction(transaction);
+            }
         }
         self.observe_quiet_primary();
         for instance in self.record.instances.clone() {
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -61,6 +61,8 @@
     pub spent: bool,
     /// Whether it has to prove that it still answers before it takes another statement.
     pub doubted: bool,
+    /// Whether its endpoint was taken out of use since: the scheduler counts it no more.
+    pub retired: bool,
     orders: mpsc::Sender<ConnectionOrder>,
 }
 
@@ -206,6 +208,7 @@
             pinned: None,
             spent: false,
             doubted: false,
+            retired: false,
             orders,
         };
         self.connections.insert(id, connection);
@@ -242,6 +245,24 @@
         self.connections.remove(&id)
     }
 
+    /// Closes an instance's connections, those with a running statement once it has ended, and
+    /// returns the transactions that lose theirs at once.
+    ///
+    /// If they stayed, an endpoint whose announcements come and go would hold the connections of
+    /// each time until it had no room left.
+    pub fn retire_connections(&mut self, instance: &InstanceName) -> Vec<TransactionId> {
+        let own = |one: &PoolConnection| one.instance == *instance;
+        for connection in self.connections.values_mut().filter(|one| own(one)) {
+            connection.retired = true;
+            connection.spent = true;
+        }
+        let idle = self
+            .connections
+            .extract_if(.., |_, one| own(one) && one.running.is_none());
+        idle.filter_map(|(_, connection)| connection.pinned)
+            .collect()
+    }
+
     /// Makes every idle connection to an instance prove that it still answers, and returns how many
     /// there are.
     ///
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -186,7 +186,8 @@
 
 /// Creates the settings of `vm-1`, whose control VM is out of reach.
 ///
-/// Endpoints announce themselves once in these tests, so they may be silent for a whole case.
+/// Endpoints announce themselves only when a test says so; in most they may be silent for the whole
+/// case.
 fn create_settings(timing: &str) -> DaemonSettings {
     let text = "
 vm: vm-1
@@ -195,7 +196,7 @@
 listen: { callers: 127.0.0.1:1, peers: 127.0.0.1:2, platform: 127.0.0.1:3 }
 control:
   - { vm: vm-9, address: 127.0.0.1:1 }
-timing: { announce_lost_ms: 60000, TIMING }
+timing: { TIMING }
 ";
     DaemonSettings::from_yaml(&text.replace("TIMING", timing)).unwrap()
 }
@@ -277,10 +278,10 @@
 
 impl GroupBench {
     pub async fn start() -> Self {
-        Self::start_with("idle_ping_ms: 1000").await
+        Self::start_with("announce_lost_ms: 60000").await
     }
 
-    /// Starts with one more setting of the times.
+    /// Starts with these settings of the times.
     pub async fn start_with(timing: &str) -> Self {
         let mut endpoints = Vec::new();
         for index in 1..=3 {
@@ -328,12 +329,12 @@
             task,
             standby_tasks,
         };
-        bench.announce_all().await;
         bench.wait_serving().await;
         bench
     }
 
-    async fn announce_all(&self) {
+    /// Lets all endpoints announce themselves once.
+    pub async fn announce_all(&self) {
         for (index, endpoint) in self.endpoints.iter().enumerate() {
             let data_address = match (index, &self.data_relay) {
                 (0, Some(relay)) => relay.address(),
@@ -355,8 +356,9 @@
     }
 
     /// Waits until the journal is recovered and the primary serves.
-    async fn wait_serving(&self) {
+    pub async fn wait_serving(&self) {
         loop {
+            self.announce_all().await;
             let dump = self.dump().await;
             if dump["serving"] == true && dump["connections"]["cases-1"].as_u64() > Some(0) {
                 return;
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -57,6 +57,12 @@
     /// behind them must get their turn, and none be refused because a connection that was ending
     /// was taken for a free one.
     waiting_writes_outlive_cancelled_connections => cancelled_case();
+    /// An endpoint's announcements are lost for a while, several times in a row. Each time it is
+    /// taken out of use and comes back. The connections of the time before must not stay open
+    /// beside the new ones until the endpoint has no room left.
+    returning_endpoint_is_not_filled_with_connections => flapping_case();
+    /// The same while a transaction is open: it ends with one verdict, and its connection with it.
+    transaction_ends_when_its_endpoint_is_taken_out => taken_out_case();
     /// A clerk changes a case and reads it again, while the replicas have stopped to follow. She
     /// must see her own change, though an old enough answer would do for anybody else.
     own_write_is_read_although_replicas_lag => own_write_case();
@@ -225,7 +231,7 @@
 }
 
 async fn long_statement_case() {
-    let bench = GroupBench::start_with("idle_transaction_ms: 1500").await;
+    let bench = GroupBench::start_with("announce_lost_ms: 60000, idle_transaction_ms: 1500").await;
     let id = begin_with_write(&bench).await;
     let sleep = Ask::new(GRANT, "sleep 3500").step(TransactionStep::Within(id));
     let reply = bench.ask(sleep).await;
@@ -238,7 +244,7 @@
 }
 
 async fn idle_transaction_case() {
-    let bench = GroupBench::start_with("idle_transaction_ms: 200").await;
+    let bench = GroupBench::start_with("announce_lost_ms: 60000, idle_transaction_ms: 200").await;
     let id = TransactionId::fresh();
     let begin = Ask::new(GRANT, "begin").step(TransactionStep::Begin(id));
     bench.ask(begin).await;
@@ -281,6 +287,37 @@
     bench.stop().await;
 }
 
+async fn wait_taken_out(bench: &GroupBench) {
+    while bench.dump().await["scheduler"]["endpoints"] != serde_json::json!([]) {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn flapping_case() {
+    let bench = GroupBench::start_with("announce_lost_ms: 300").await;
+    for _ in 0..4 {
+        wait_taken_out(&bench).await;
+        bench.wait_serving().await;
+    }
+    let connections = bench.dump().await["connections"]["cases-1"].as_u64();
+    // One for each slot, and a spare one.
+    assert!(connections <= Some(3), "{connections:?}");
+    bench.stop().await;
+}
+
+async fn taken_out_case() {
+    let bench = GroupBench::start_with("announce_lost_ms: 1500").await;
+    let id = begin_with_write(&bench).await;
+    wait_taken_out(&bench).await;
+    bench.wait_serving().await;
+    let commit = Ask::new(GRANT, "commit").step(TransactionStep::Commit(id));
+    let lost = Some(RefusalCause::TransactionLost);
+    assert_eq!(refused_by(&bench.ask(commit).await.verdict), lost);
+    assert_eq!(bench.dump().await["transactions"], 0);
+    assert_eq!(bench.count_commits().await, 0);
+    bench.stop().await;
+}
+
 async fn own_write_case() {
     let bench = GroupBench::start().await;
     wait_for_replicas(&bench).await;
