Read prepared answers of the common types as text

Cause: the client library asks for binary values in the extended protocol, and the answer was read as text columns only. A prepared read with a number in it ended as lost: the caller was in doubt and the connection closed. A trial with the old line gave Lost in the new test typed_answer_is_read_as_text; it passes now. The conversion is the one that parameters go through; truth values are spelled as the simple protocol does. Ruled out: asking for text values, which the library doesn't offer for answers.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -9,7 +9,7 @@
 mod edge;
 mod extended;
 mod marks;
-mod parameters;
+pub(crate) mod parameters;
 mod rows;
 mod running;
 mod scan;
--- a/crates/daemon/src/callers/parameters.rs
+++ b/crates/daemon/src/callers/parameters.rs
@@ -1,6 +1,7 @@
 //! Parameters of the extended protocol, turned into their text form.
 
 use bytes::Bytes;
+use std::error::Error;
 use std::fmt::Write;
 use tokio_postgres::types::FromSql;
 use tokio_postgres::types::Type;
@@ -58,6 +59,31 @@
     }
 }
 
+/// A column's value in text form, whichever of the known types the database gave it.
+///
+/// The client library asks for binary values in the extended protocol. A value that was taken for
+/// text would be shown as garbage, or its whole answer given up as lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ColumnText(pub(crate) String);
+
+impl<'a> FromSql<'a> for ColumnText {
+    fn from_sql(kind: &Type, bytes: &'a [u8]) -> Result<Self, Box<dyn Error + Sync + Send>> {
+        // The simple protocol spells truth values like this, and callers should see one spelling.
+        if *kind == Type::BOOL {
+            let value = bool::from_sql(kind, bytes)?;
+            return Ok(Self(if value { "t" } else { "f" }.to_owned()));
+        }
+        match binary_to_text(bytes, kind.oid(), 1) {
+            Ok(text) => Ok(Self(text)),
+            Err(fault) => Err(format!("column of type {kind} can't be read: {fault:?}").into()),
+        }
+    }
+
+    fn accepts(kind: &Type) -> bool {
+        known_type(kind.oid()).is_some()
+    }
+}
+
 fn binary_to_text(bytes: &[u8], type_id: u32, place: usize) -> Result<String, ParameterFault> {
     let Some(kind) = known_type(type_id) else {
         return Err(ParameterFault::Unsupported(place, type_id));
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -4,6 +4,7 @@
 //! statement's id together with its log position. The echo proves that the answer belongs to the
 //! statement, and after a commit it is the position that a majority must hold.
 
+use crate::callers::parameters::ColumnText;
 use futures::FutureExt;
 use futures::TryStreamExt;
 use ragwort_types::DatabaseError;
@@ -400,8 +401,9 @@
         if set.columns.is_empty() {
             set.columns = name_columns(row.columns());
         }
-        let values = (0..row.len()).map(|index| row.try_get::<_, Option<String>>(index));
-        set.rows.push(values.collect::<Result<_, _>>()?);
+        let values = (0..row.len()).map(|index| row.try_get::<_, Option<ColumnText>>(index));
+        let texts = values.map(|value| value.map(|text| text.map(|text| text.0)));
+        set.rows.push(texts.collect::<Result<_, _>>()?);
     }
     let affected = stream.rows_affected().unwrap_or(0);
     if set.columns.is_empty() && affected == 0 {
--- a/crates/daemon/tests/pieces/connection.rs
+++ b/crates/daemon/tests/pieces/connection.rs
@@ -65,6 +65,9 @@
     /// A prepared read finds nothing. Its caller must get an empty table with its columns, and not
     /// an error about an answer that doesn't fit; a write's count of rows must not be lost.
     empty_answer_keeps_its_columns => empty_answer_case();
+    /// The database answers a prepared read with numbers and truth values, in its binary form. The
+    /// caller must read the same words as by the simple protocol, and not be left in doubt.
+    typed_answer_is_read_as_text => typed_answer_case();
 }
 
 /// A connection under test, with what it reports.
@@ -185,7 +188,7 @@
 }
 
 async fn mismatch_case() {
-    let (address, mut tasks) = start_scripted("another-statement").await;
+    let (address, mut tasks) = start_scripted(Some("another-statement")).await;
     let mut connection = TestConnection::open(address, LONG).await;
     let outcome = connection.run("get case-7", LONG).await;
     assert_eq!(outcome, RunOutcome::Mismatch);
@@ -315,3 +318,21 @@
     connection.expect_usable().await;
     endpoint.stop().await;
 }
+
+async fn typed_answer_case() {
+    let (address, mut tasks) = start_scripted(None).await;
+    let mut connection = TestConnection::open(address, LONG).await;
+    let answer = connection.run_extended("get numbers", &[]).await;
+    let texts = [Some("-7"), Some("9000000000"), Some("t"), Some("0.5"), None];
+    let row = texts.map(|text| text.map(str::to_owned));
+    let expected = RowSet {
+        columns: ["small", "big", "truth", "ratio", "none"]
+            .map(str::to_owned)
+            .into(),
+        rows: vec![row.into()],
+    };
+    assert_eq!(answer, StatementAnswer::Rows(expected));
+    drop(connection.orders);
+    connection.task.await.unwrap();
+    tasks.shutdown().await;
+}
--- a/crates/daemon/tests/pieces/scripted.rs
+++ b/crates/daemon/tests/pieces/scripted.rs
@@ -9,12 +9,16 @@
 use pgwire::api::Type;
 use pgwire::api::auth::StartupHandler;
 use pgwire::api::auth::noop::NoopStartupHandler;
+use pgwire::api::portal::Format;
+use pgwire::api::portal::Portal;
+use pgwire::api::query::ExtendedQueryHandler;
 use pgwire::api::query::SimpleQueryHandler;
 use pgwire::api::results::DataRowEncoder;
 use pgwire::api::results::FieldFormat;
 use pgwire::api::results::FieldInfo;
 use pgwire::api::results::QueryResponse;
 use pgwire::api::results::Response;
+use pgwire::api::stmt::QueryParser;
 use pgwire::error::PgWireError;
 use pgwire::error::PgWireResult;
 use pgwire::messages::PgWireBackendMessage;
@@ -25,9 +29,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
-/// Starts an endpoint that answers every statement with its text, and echoes `echoed` in place of
-/// the id that it is asked to echo.
-pub async fn start_scripted(echoed: &'static str) -> (SocketAddr, JoinSet<()>) {
+/// Starts an endpoint that answers every statement with its text, and echoes `echoed`, if given, in
+/// place of the id that it is asked to echo.
+pub async fn start_scripted(echoed: Option<&'static str>) -> (SocketAddr, JoinSet<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let mut tasks = JoinSet::new();
@@ -44,7 +48,7 @@
 }
 
 struct ScriptedEndpoint {
-    echoed: &'static str,
+    echoed: Option<&'static str>,
 }
 
 struct ScriptedHandlers(Arc<ScriptedEndpoint>);
@@ -54,6 +58,10 @@
         self.0.clone()
     }
 
+    fn extended_query_handler(&self) -> Arc<impl ExtendedQueryHandler> {
+        self.0.clone()
+    }
+
     fn startup_handler(&self) -> Arc<impl StartupHandler> {
         self.0.clone()
     }
@@ -69,9 +77,9 @@
         C::Error: Debug,
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
-        let values = match query.starts_with("show ragwort_position") {
-            true => vec![self.echoed, "1", "7"],
-            false => vec![query],
+        let values = match query.strip_prefix("show ragwort_position ") {
+            Some(id) => vec![self.echoed.unwrap_or(id), "1", "7"],
+            None => vec![query],
         };
         let fields = values.iter().map(|_| {
             let name = "text".to_owned();
@@ -86,3 +94,82 @@
         Ok(vec![Response::Query(QueryResponse::new(fields, rows))])
     }
 }
+
+/// The columns of every statement of the extended protocol, none of them text.
+fn typed_fields() -> Vec<FieldInfo> {
+    let types = [
+        ("small", Type::INT2),
+        ("big", Type::INT8),
+        ("truth", Type::BOOL),
+        ("ratio", Type::FLOAT8),
+        ("none", Type::INT4),
+    ];
+    let fields = types
+        .into_iter()
+        .map(|(name, kind)| FieldInfo::new(name.to_owned(), None, None, kind, FieldFormat::Binary));
+    fields.collect()
+}
+
+#[async_trait]
+impl ExtendedQueryHandler for ScriptedEndpoint {
+    type Statement = String;
+    type QueryParser = TypedParser;
+
+    fn query_parser(&self) -> Arc<Self::QueryParser> {
+        Arc::new(TypedParser)
+    }
+
+    async fn do_query<C>(
+        &self,
+        _client: &mut C,
+        _portal: &Portal<Self::Statement>,
+        _max_rows: usize,
+    ) -> PgWireResult<Response>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let fields = Arc::new(typed_fields());
+        let mut encoder = DataRowEncoder::new(fields.clone());
+        encoder.encode_field(&Some(-7_i16))?;
+        encoder.encode_field(&Some(9_000_000_000_i64))?;
+        encoder.encode_field(&Some(true))?;
+        encoder.encode_field(&Some(0.5_f64))?;
+        encoder.encode_field(&None::<i32>)?;
+        let rows = stream::iter(vec![Ok(encoder.take_row())]);
+        Ok(Response::Query(QueryResponse::new(fields, rows)))
+    }
+}
+
+/// Takes every text for a statement without parameters.
+struct TypedParser;
+
+#[async_trait]
+impl QueryParser for TypedParser {
+    type Statement = String;
+
+    async fn parse_sql<C>(
+        &self,
+        _client: &C,
+        sql: &str,
+        _types: &[Option<Type>],
+    ) -> PgWireResult<Option<String>>
+    where
+        C: ClientInfo + Unpin + Send + Sync,
+    {
+        Ok(Some(sql.to_owned()))
+    }
+
+    fn get_parameter_types(&self, _statement: &String) -> PgWireResult<Vec<Type>> {
+        Ok(Vec::new())
+    }
+
+    fn get_result_schema(
+        &self,
+        _statement: &String,
+        _format: Option<&Format>,
+    ) -> PgWireResult<Vec<FieldInfo>> {
+        Ok(typed_fields())
+    }
+}
