--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -4,19 +4,25 @@
 //! statement's id together with its log position. The echo proves that the answer belongs to the
 //! statement, and after a commit it is the position that a majority must hold.
 
+use crate::callers::parameters::ColumnText;
 use futures::FutureExt;
+use futures::TryStreamExt;
 use ragwort_types::DatabaseError;
 use ragwort_types::GroupTerm;
 use ragwort_types::LogPosition;
 use ragwort_types::RowSet;
 use ragwort_types::StatementAnswer;
 use ragwort_types::StatementId;
+use ragwort_types::StatementShape;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio_postgres::Client;
+use tokio_postgres::Column;
 use tokio_postgres::Config;
 use tokio_postgres::NoTls;
 use tokio_postgres::SimpleQueryMessage;
@@ -43,6 +49,8 @@
     pub connect_timeout: Duration,
     /// How long the connection may be idle before it is pinged.
     pub idle_ping: Duration,
+    /// How long a ping's answer may take.
+    pub ping_timeout: Duration,
 }
 
 /// What the leaseholder asks of a connection.
@@ -50,6 +58,8 @@
 pub enum ConnectionOrder {
     /// Runs a statement.
     Run(RunOrder),
+    /// Describes a statement without running it.
+    Describe(DescribeOrder),
     /// Asks the endpoint to cancel the running statement.
     Cancel,
     /// Checks that the endpoint still answers on this connection.
@@ -65,6 +75,19 @@
     pub text: String,
     /// Its parameters, for the extended protocol.
     pub parameters: Option<Vec<Option<String>>>,
+    /// When the answer must be there.
+    pub until: Instant,
+}
+
+/// A statement to describe.
+#[derive(Debug)]
+pub struct DescribeOrder {
+    /// Identifies the order.
+    pub id: StatementId,
+    /// The statement's text.
+    pub text: String,
+    /// The number of its parameters, which are all sent as text.
+    pub parameters: usize,
     /// How long the answer may take.
     pub limit: Duration,
 }
@@ -85,6 +108,10 @@
     Opened,
     /// A statement ended.
     Finished(StatementId, RunOutcome),
+    /// It has answered the ping that it was ordered to send.
+    Proven,
+    /// A description ended.
+    Described(StatementId, DescribeOutcome),
     /// It is closed; no further event follows.
     Closed,
 }
@@ -106,6 +133,21 @@
     Mismatch,
 }
 
+/// How a description ended on its connection. The statement itself has not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DescribeOutcome {
+    /// The endpoint described the statement.
+    Shape(StatementShape),
+    /// The endpoint reported an error, such as an unknown table.
+    Failed(DatabaseError),
+    /// The endpoint said that it takes no work now.
+    Refused(DatabaseError),
+    /// No byte of the order was sent.
+    NotSent,
+    /// The connection was lost or silent, or its answer belonged to something else.
+    Lost,
+}
+
 /// Starts a connection's task. The caller joins the handle after it has dropped the sender.
 pub fn spawn_connection(
     target: ConnectionTarget,
@@ -165,32 +207,69 @@
 ) {
     loop {
         let order = match timeout(target.idle_ping, orders.recv()).await {
-            Ok(Some(order)) => order,
+            Ok(Some(order)) => Some(order),
             Ok(None) => return,
-            Err(_) => ConnectionOrder::Ping,
+            Err(_) => None,
         };
-        match order {
-            ConnectionOrder::Run(run) => {
+        let (change, reusable) = match order {
+            Some(ConnectionOrder::Run(run)) => {
                 let id = run.id;
                 let (outcome, reusable) = run_statement(client, run, &mut orders).await;
-                let change = ConnectionChange::Finished(id, outcome);
-                let event = ConnectionEvent {
-                    id: target.id,
-                    change,
-                };
-                if events.send(event).await.is_err() || !reusable {
-                    return;
-                }
+                (Some(ConnectionChange::Finished(id, outcome)), reusable)
             }
-            ConnectionOrder::Ping => {
-                // Something between the two ends may have forgotten an idle connection: it looks
-                // open and never answers. The ping finds that before a caller's statement does.
-                let ping = client.simple_query("select 1");
-                if !matches!(timeout(target.connect_timeout, ping).await, Ok(Ok(_))) {
-                    return;
-                }
+            Some(ConnectionOrder::Describe(order)) => {
+                let (outcome, reusable) = describe_statement(client, &order).await;
+                let change = ConnectionChange::Described(order.id, outcome);
+                (Some(change), reusable)
             }
-            ConnectionOrder::Cancel => {}
+            Some(ConnectionOrder::Ping) => {
+                let answered = ping_endpoint(target, client).await;
+                (answered.then_some(ConnectionChange::Proven), answered)
+            }
+            // Something between the two ends may have forgotten an idle connection: it looks open
+            // and never answers. The ping finds that before a caller's statement does.
+            None => (None, ping_endpoint(target, client).await),
+            Some(ConnectionOrder::Cancel) => (None, true),
+        };
+        if let Some(change) = change {
+            let id = target.id;
+            if events.send(ConnectionEvent { id, change }).await.is_err() {
+                return;
+            }
+        }
+        if !reusable {
+            return_unsent(target, orders, events).await;
+            return;
+        }
+    }
+}
+
+async fn ping_endpoint(target: &ConnectionTarget, client: &Client) -> bool {
+    let ping = client.simple_query("select 1");
+    matches!(timeout(target.ping_timeout, ping).await, Ok(Ok(_)))
+}
+
+/// Hands back the statements that were ordered while the connection turned out to be dead.
+///
+/// They would otherwise end with the connection, and callers would be left in doubt about
+/// statements of which no byte was sent.
+async fn return_unsent(
+    target: &ConnectionTarget,
+    mut orders: mpsc::Receiver<ConnectionOrder>,
+    events: &mpsc::Sender<ConnectionEvent>,
+) {
+    orders.close();
+    while let Some(order) = orders.recv().await {
+        let change = match order {
+            ConnectionOrder::Run(run) => ConnectionChange::Finished(run.id, RunOutcome::NotSent),
+            ConnectionOrder::Describe(order) => {
+                ConnectionChange::Described(order.id, DescribeOutcome::NotSent)
+            }
+            ConnectionOrder::Ping | ConnectionOrder::Cancel => continue,
+        };
+        let id = target.id;
+        if events.send(ConnectionEvent { id, change }).await.is_err() {
+            return;
         }
     }
 }
@@ -208,8 +287,12 @@
     if client.is_closed() {
         return (RunOutcome::NotSent, false);
     }
+    // It waited behind a ping until nobody wants its answer any more.
+    if Instant::now() >= run.until {
+        return (RunOutcome::NotSent, true);
+    }
     let mut cancelled = false;
-    let answering = timeout(run.limit, answer_statement(client, &run)).fuse();
+    let answering = timeout_at(run.until, answer_statement(client, &run)).fuse();
     tokio::pin!(answering);
     let outcome = loop {
         tokio::select! {
@@ -229,6 +312,47 @@
     (outcome, reusable && !cancelled)
 }
 
+/// Describes one statement and says whether the connection can take another.
+async fn describe_statement(client: &Client, order: &DescribeOrder) -> (DescribeOutcome, bool) {
+    let answered = timeout(order.limit, prepare_statement(client, order)).await;
+    let outcome = answered.unwrap_or(DescribeOutcome::Lost);
+    let reusable = matches!(
+        outcome,
+        DescribeOutcome::Shape(_) | DescribeOutcome::Failed(_)
+    );
+    (outcome, reusable)
+}
+
+/// Lets the endpoint prepare a statement, with the types under which it would be run.
+///
+/// The echo proves that the description belongs to the statement, as for a statement that runs.
+async fn prepare_statement(client: &Client, order: &DescribeOrder) -> DescribeOutcome {
+    let types = vec![Type::TEXT; order.parameters];
+    let echo_text = format!("show ragwort_position {}", order.id);
+    let preparing = client.prepare_typed(&order.text, &types);
+    let (prepared, echo) = tokio::join!(preparing, client.simple_query(&echo_text));
+    let outcome = match prepared {
+        Ok(statement) => DescribeOutcome::Shape(StatementShape {
+            parameters: statement.params().len(),
+            columns: name_columns(statement.columns()),
+        }),
+        Err(error) => match as_database_error(&error) {
+            Some(reported) if is_refusal(&reported) => return DescribeOutcome::Refused(reported),
+            Some(reported) => DescribeOutcome::Failed(reported),
+            None => return DescribeOutcome::Lost,
+        },
+    };
+    match echo {
+        Ok(messages) => match read_echo(&messages) {
+            Some((id, _)) if id == order.id.to_string() => outcome,
+            _ => DescribeOutcome::Lost,
+        },
+        // Within a failed transaction a database refuses everything but a rollback.
+        Err(error) if as_database_error(&error).is_some() => outcome,
+        Err(_) => DescribeOutcome::Lost,
+    }
+}
+
 async fn answer_statement(client: &Client, run: &RunOrder) -> RunOutcome {
     let echo_text = format!("show ragwort_position {}", run.id);
     let (answer, echo) = match &run.parameters {
@@ -269,34 +393,52 @@
     text: &str,
     parameters: &[Option<String>],
 ) -> Result<StatementAnswer, tokio_postgres::Error> {
-    let typed: Vec<_> = parameters
-        .iter()
-        .map(|value| {
-            (
-                value as &(dyn tokio_postgres::types::ToSql + Sync),
-                Type::TEXT,
-            )
-        })
-        .collect();
-    let rows = client.query_typed(text, &typed).await?;
+    let typed = parameters.iter().map(|value| (value, Type::TEXT));
+    let stream = client.query_typed_raw(text, typed).await?;
+    tokio::pin!(stream);
     let mut set = RowSet::default();
-    if let Some(first) = rows.first() {
-        set.columns = first
-            .columns()
-            .iter()
-            .map(|column| column.name().to_string())
-            .collect();
+    while let Some(row) = stream.try_next().await? {
+        if set.columns.is_empty() {
+            set.columns = name_columns(row.columns());
+        }
+        let values = (0..row.len()).map(|index| row.try_get::<_, Option<ColumnText>>(index));
+        let texts = values.map(|value| value.map(|text| text.map(|text| text.0)));
+        set.rows.push(texts.collect::<Result<_, _>>()?);
     }
-    for row in &rows {
-        let values = (0..row.len()).map(|index| row.try_get::<_, Option<String>>(index));
-        set.rows.push(values.collect::<Result<_, _>>()?);
+    let affected = stream.rows_affected().unwrap_or(0);
+    if set.columns.is_empty() && affected == 0 {
+        set.columns = find_columns(client, text, parameters.len()).await?;
     }
     if set.columns.is_empty() {
-        return Ok(StatementAnswer::Done(0));
+        return Ok(StatementAnswer::Done(affected));
     }
     Ok(StatementAnswer::Rows(set))
 }
 
+/// Returns the columns of a statement that ended without a row.
+///
+/// The client library names columns by their rows only. A read that finds nothing would look like
+/// a statement that returns no rows at all, and the caller that had it described would be told
+/// that the answer doesn't fit.
+async fn find_columns(
+    client: &Client,
+    text: &str,
+    parameters: usize,
+) -> Result<Vec<String>, tokio_postgres::Error> {
+    let types = vec![Type::TEXT; parameters];
+    match client.prepare_typed(text, &types).await {
+        Ok(statement) => Ok(name_columns(statement.columns())),
+        // It can't be described any more, as when it dropped what it was about.
+        Err(error) if error.as_db_error().is_some() => Ok(Vec::new()),
+        Err(error) => Err(error),
+    }
+}
+
+fn name_columns(columns: &[Column]) -> Vec<String> {
+    let names = columns.iter().map(|column| column.name().to_string());
+    names.collect()
+}
+
 fn collect_answer(messages: &[SimpleQueryMessage]) -> StatementAnswer {
     let mut set = RowSet::default();
     let mut described = false;
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -34,6 +34,7 @@
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::ServedBy;
+use ragwort_types::ShapeOutcome;
 use ragwort_types::StatementAnswer;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
@@ -42,6 +43,7 @@
 use ragwort_types::rpc::AgentApiClient;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 impl GroupTask {
     /// Does what the scheduler decides.
@@ -49,7 +51,13 @@
         let now = to_policy(self.context.clock.now());
         for decision in self.scheduler.poll(now) {
             match decision {
+                SchedulerDecision::Dispatch(order) if self.is_shape(order.ticket) => {
+                    self.start_shape(&order);
+                }
                 SchedulerDecision::Dispatch(order) => self.take_dispatch(order),
+                SchedulerDecision::Refuse(order) if self.is_shape(order.ticket) => {
+                    self.settle_shape(order.ticket, ShapeOutcome::Refused(order.refusal));
+                }
                 SchedulerDecision::Refuse(order) => {
                     self.settle(order.ticket, RequestVerdict::NotRun(order.refusal));
                 }
@@ -129,7 +137,7 @@
             id: active.request.id,
             text: active.request.text.clone(),
             parameters: active.request.parameters.clone(),
-            limit: active.deadline.since(now),
+            until: Instant::now() + active.deadline.since(now),
         };
         if !connection.send(ConnectionOrder::Run(order)) {
             self.give_back(ticket, FinishOutcome::NotRun, RefusalCause::EndpointRefused);
@@ -148,7 +156,17 @@
     /// Gives a dispatched request that was not sent back to the scheduler.
     fn give_back(&mut self, ticket: RequestTicket, outcome: FinishOutcome, cause: RefusalCause) {
         let now = to_policy(self.context.clock.now());
-        match self.scheduler.finished(now, ticket, outcome) {
+        let decision = self.scheduler.finished(now, ticket, outcome);
+        if let Some(transaction) = self.step_of(ticket).and_then(pinned_transaction)
+            && cause == RefusalCause::EndpointRefused
+        {
+            // Its connection is gone, and with it all that the transaction has done. A caller that
+            // were told to come back with this one statement would lose the others.
+            self.end_transaction(transaction);
+            let lost = RequestVerdict::refused(RefusalCause::TransactionLost, 0);
+            return self.settle(ticket, lost);
+        }
+        match decision {
             FinishDecision::Requeued => {
                 if let Some(active) = self.requests.get_mut(&ticket) {
                     active.stage = RequestStage::Waiting;
@@ -175,11 +193,31 @@
                     self.scheduler.connection_opened(&instance);
                 }
             }
-            ConnectionChange::Finished(id, outcome) => self.take_outcome(event.id, id, outcome),
+            ConnectionChange::Finished(id, outcome) => {
+                self.take_outcome(event.id, id, outcome);
+                self.forget_spent(event.id);
+            }
+            ConnectionChange::Described(id, outcome) => {
+                self.free_described(event.id, &outcome);
+                self.take_described(id, outcome);
+                self.forget_spent(event.id);
+            }
+            ConnectionChange::Proven => self.take_proof(event.id),
             ConnectionChange::Closed => self.take_closed(event.id),
         }
     }
 
+    /// Forgets a connection that takes no further statement, before its task says that it closed.
+    ///
+    /// The scheduler would count it as idle until then, and dispatch waiting requests on it one
+    /// after the other. Each would be given back, and refused when it has no attempt left.
+    fn forget_spent(&mut self, id: ConnectionId) {
+        let spent = self.pool.connection(id).is_some_and(|held| held.spent);
+        if spent {
+            self.take_closed(id);
+        }
+    }
+
     fn take_closed(&mut self, id: ConnectionId) {
         let Some(connection) = self.pool.remove_connection(id) else {
             return;
@@ -188,12 +226,25 @@
         if let Some(transaction) = connection.pinned {
             self.end_transaction(transaction);
         }
-        if let Some(ticket) = connection.running {
-            self.take_lost(ticket, DoubtCause::EndpointLost);
+        match connection.running {
+            Some(ticket) if self.is_shape(ticket) => {
+                self.give_shape_back(ticket, FinishOutcome::Lost);
+            }
+            Some(ticket) => self.take_lost(ticket, DoubtCause::EndpointLost),
+            None => {}
+        }
+        if connection.retired {
+            return;
+        }
+        if connection.doubted {
+            self.scheduler.doubt_ended(&connection.instance);
         }
         if connection.open {
             self.scheduler.connection_closed(&connection.instance);
-            self.pool.ping_idle(&connection.instance);
+            // A connection that is closed after its end was reported tells nothing new.
+            if !connection.spent {
+                self.doubt_connections(&connection.instance);
+            }
         } else {
             self.scheduler.connection_failed(now, &connection.instance);
         }
@@ -215,20 +266,37 @@
                 self.take_answer(ticket, id, &instance, answer, position);
             }
             RunOutcome::Refused(_) | RunOutcome::NotSent => {
-                if let Some(transaction) = self.step_of(ticket).and_then(pinned_transaction) {
-                    self.end_transaction(transaction);
-                }
                 self.give_back(ticket, FinishOutcome::NotRun, RefusalCause::EndpointRefused);
             }
-            RunOutcome::Lost => self.take_lost(ticket, DoubtCause::EndpointLost),
+            RunOutcome::Lost => {
+                self.doubt_connections(&instance);
+                self.take_lost(ticket, DoubtCause::EndpointLost);
+            }
             RunOutcome::Silent => {
-                self.pool.ping_idle(&instance);
+                self.doubt_connections(&instance);
                 self.take_lost(ticket, DoubtCause::EndpointSilent);
             }
             RunOutcome::Mismatch => self.take_lost(ticket, DoubtCause::AnswerMismatch),
         }
     }
 
+    /// Lets a connection that answered its ping take work again.
+    fn take_proof(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.pool.connection(id)
+            && std::mem::take(&mut connection.doubted)
+        {
+            let instance = connection.instance.clone();
+            self.scheduler.doubt_ended(&instance);
+        }
+    }
+
+    /// Keeps work away from an instance's idle connections until they have answered a ping.
+    pub(super) fn doubt_connections(&mut self, instance: &InstanceName) {
+        for _ in 0..self.pool.doubt_idle(instance) {
+            self.scheduler.connection_doubted(instance);
+        }
+    }
+
     fn step_of(&self, ticket: RequestTicket) -> Option<TransactionStep> {
         self.requests.get(&ticket).map(|active| active.request.step)
     }
@@ -354,7 +422,9 @@
         };
         let now = to_policy(self.context.clock.now());
         self.scheduler.unpin(now, open.opener);
-        if let Some(connection) = self.pool.remove_connection(open.connection) {
+        if let Some(connection) = self.pool.remove_connection(open.connection)
+            && !connection.retired
+        {
             self.scheduler.connection_closed(&connection.instance);
         }
     }
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -4,6 +4,7 @@
 //! Callers' statements, endpoints' announcements and the reports of its child tasks reach it as
 //! messages; after each it lets the scheduler, the journal and the promotion say what is due.
 
+mod describing;
 mod dispatch;
 mod handover;
 mod intake;
@@ -22,6 +23,7 @@
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
+use describing::ActiveShape;
 use handover::HandoverState;
 use intake::to_policy;
 use intake::unix_millis;
@@ -51,6 +53,8 @@
 use ragwort_types::KindName;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
+use ragwort_types::ShapeReply;
+use ragwort_types::ShapeRequest;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
@@ -77,10 +81,6 @@
 /// The step in which waits, ages and silent endpoints are looked at.
 const TICK: Duration = Duration::from_millis(10);
 
-/// A transaction that has run no statement for so long is ended: its caller has gone without a
-/// word, and it holds one of the endpoint's few connections.
-const IDLE_TRANSACTION: Duration = Duration::from_secs(60);
-
 /// How often the journal forgets what is no longer needed.
 const PRUNE_TICKS: u64 = 100;
 
@@ -106,6 +106,8 @@
 pub enum GroupEvent {
     /// A statement.
     Statement(Box<StatementRequest>, oneshot::Sender<StatementReply>),
+    /// A statement to describe without running it.
+    Describe(Box<ShapeRequest>, oneshot::Sender<ShapeReply>),
     /// Cancels a statement.
     Cancel(StatementId),
     /// An endpoint announces itself.
@@ -132,6 +134,7 @@
     pool: EndpointPool,
     promotion: PromotionDriver,
     requests: HashMap<RequestTicket, ActiveRequest>,
+    shapes: HashMap<RequestTicket, ActiveShape>,
     tickets: HashMap<StatementId, RequestTicket>,
     transactions: HashMap<TransactionId, OpenTransaction>,
     resends: HashMap<KeyedRequest, Vec<ResendWaiter>>,
@@ -184,6 +187,7 @@
         appending: BTreeSet::new(),
         pool,
         requests: HashMap::new(),
+        shapes: HashMap::new(),
         tickets: HashMap::new(),
         transactions: HashMap::new(),
         resends: HashMap::new(),
@@ -254,6 +258,7 @@
     fn take_event(&mut self, event: GroupEvent) {
         match event {
             GroupEvent::Statement(request, reply) => self.take_statement(request, reply),
+            GroupEvent::Describe(request, reply) => self.take_describe(request, reply),
             GroupEvent::Cancel(id) => self.cancel(id),
             GroupEvent::Announced(announcement) => self.take_announcement(*announcement),
             GroupEvent::Dump(reply) => {
@@ -392,6 +397,9 @@
                 instance = instance,
             );
             self.refresh_endpoint(&instance);
+            for transaction in self.pool.retire_connections(&instance) {
+                self.end_transaction(transaction);
+            }
         }
         self.observe_quiet_primary();
         for instance in self.record.instances.clone() {
@@ -448,12 +456,17 @@
         }
     }
 
+    /// Ends the transactions whose callers have gone without a word: each holds one of the
+    /// endpoint's few connections.
+    ///
+    /// A long statement is no idleness. If its connection were forgotten here, its end would find
+    /// nobody: the caller would get no answer, and its slot would stay taken for good.
     fn end_idle_transactions(&mut self) {
         let now = self.context.clock.now();
-        let idle = self
-            .transactions
-            .iter()
-            .filter(|(_, open)| now.since(open.last_used) > IDLE_TRANSACTION);
+        let limit = Duration::from_millis(self.context.settings.timing.idle_transaction_ms);
+        let idle = self.transactions.iter().filter(|(_, open)| {
+            now.since(open.last_used) > limit && !self.pool.is_running(open.connection)
+        });
         let idle: Vec<TransactionId> = idle.map(|(id, _)| *id).collect();
         for id in idle {
             self.end_transaction(id);
@@ -517,6 +530,7 @@
             let verdict = self.verdict_at_end(ticket);
             self.settle(ticket, verdict);
         }
+        self.refuse_shapes();
         self.context.metrics.forget_group(&self.group);
         self.children.shutdown().await;
         self.pool.shut_down().await;
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -71,7 +71,7 @@
         let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
         let mut board = Self {
             slots: SmallVec::new(),
-            unpinned: record.open.saturating_sub(pinned),
+            unpinned: record.trusted_connections().saturating_sub(pinned),
             uses: SmallVec::new(),
             pins_left: pin_limit(record.state.connections, record.state.slots)
                 .saturating_sub(pinned),
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -79,7 +79,8 @@
             .saturating_sub(record.idle_connections() + record.opening);
         return wanted.min(budget.saturating_sub(held));
     }
-    let wanted = pinned + need.sent + SPARE_CONNECTIONS + need.openers;
+    // Connections in doubt are replaced ahead, but count towards the budget until they are closed.
+    let wanted = pinned + need.sent + SPARE_CONNECTIONS + need.openers + record.doubted;
     let missing = wanted.min(budget).saturating_sub(held);
     missing.min(OPENING_LIMIT.saturating_sub(record.opening))
 }
