Measure what each role costs as the number of VMs grows

`ragwort-lab scale` starts sets of several sizes, measures processor time, memory and bytes of each role, idle and with a contract change a second, and the time until a killed VM is replaced, and draws straight lines through them.

Ruled out: the kernel's counters of the loopback device, which count everybody's traffic; the relay counts the bytes of the links to control instead.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,9 @@
 use ragwort_lab::load::run_load;
 use ragwort_lab::load_plan::LoadMix;
 use ragwort_lab::load_plan::PlanSettings;
+use ragwort_lab::scale::measure_scale;
+use ragwort_lab::scale_report::describe_slopes;
+use ragwort_lab::scale_set::ScaleSettings;
 use ragwort_lab::sizes::SiteSize;
 use ragwort_lab::soak::SoakSettings;
 use ragwort_lab::soak::run_soak;
@@ -46,6 +49,7 @@
     Demo(DemoArguments),
     Gap(GapArguments),
     Soak(SoakArguments),
+    Scale(ScaleArguments),
 }
 
 /// Run an endpoint stand-in, in memory.
@@ -206,6 +210,46 @@
     keep: bool,
 }
 
+/// Measure what each role costs as the number of VMs grows; prints slopes for several numbers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct ScaleArguments {
+    /// numbers of VMs, separated by commas, such as 10,30,60; 200 at most
+    #[argh(option, from_str_fn(parse_counts))]
+    vms: CountList,
+    /// control VMs; 3 by default
+    #[argh(option, default = "3")]
+    control: usize,
+    /// database groups; none by default
+    #[argh(option, default = "0")]
+    groups: usize,
+    /// seconds of each phase; 20 by default
+    #[argh(option, default = "20.0")]
+    seconds: f64,
+    /// milliseconds between heartbeats; 200 by default
+    #[argh(option, default = "200")]
+    heartbeat_ms: u64,
+    /// milliseconds that a lease runs; 1000 by default
+    #[argh(option, default = "1000")]
+    lease_ms: u64,
+    /// print the reports as JSON
+    #[argh(switch)]
+    json: bool,
+    /// keep the folder with settings and logs
+    #[argh(switch)]
+    keep: bool,
+}
+
+#[derive(Clone, Debug)]
+struct CountList(Vec<usize>);
+
+fn parse_counts(text: &str) -> Result<CountList, String> {
+    let counts: Result<Vec<usize>, _> = text.split(',').map(str::parse).collect();
+    counts
+        .map(CountList)
+        .map_err(|_| format!("expected numbers such as 10,30, found `{text}`"))
+}
+
 fn find_size(name: &str) -> Result<SiteSize, String> {
     SiteSize::find(name).ok_or_else(|| format!("expected omuti or sabarmati, found `{name}`"))
 }
@@ -233,6 +277,7 @@
         LabSubcommand::Demo(_) => show_demo().await,
         LabSubcommand::Gap(arguments) => report_gap(arguments).await,
         LabSubcommand::Soak(arguments) => report_soak(arguments).await,
+        LabSubcommand::Scale(arguments) => report_scale(arguments).await,
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -358,6 +403,30 @@
     }
 }
 
+async fn report_scale(arguments: ScaleArguments) -> Result<(), Box<dyn Error>> {
+    let mut reports = Vec::new();
+    for vms in arguments.vms.0 {
+        let settings = ScaleSettings {
+            binaries: find_binaries()?,
+            vms,
+            control: arguments.control,
+            groups: arguments.groups,
+            phase: Duration::from_secs_f64(arguments.seconds),
+            heartbeat_ms: arguments.heartbeat_ms,
+            lease_ms: arguments.lease_ms,
+            keep_folder: arguments.keep,
+        };
+        let report = measure_scale(settings).await?;
+        match arguments.json {
+            true => println!("{}", serde_json::to_string(&report)?),
+            false => print!("{report}"),
+        }
+        reports.push(report);
+    }
+    print!("{}", describe_slopes(&reports));
+    Ok(())
+}
+
 fn set_settings(
     mut size: SiteSize,
     vms: Option<usize>,
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -44,10 +46,33 @@
     forgotten: u64,
 }
 
+/// What has passed a relay, both ways together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RelayTraffic {
+    /// The bytes, without the headers of TCP and IP.
+    pub bytes: u64,
+    /// The reads that they came in: about one for each segment on a quiet connection.
+    pub reads: u64,
+}
+
+#[derive(Debug, Default)]
+struct TrafficCounter {
+    bytes: AtomicU64,
+    reads: AtomicU64,
+}
+
+impl TrafficCounter {
+    fn count(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.reads.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// A relay to one address.
 #[derive(Debug)]
 pub struct CutRelay {
     address: SocketAddr,
+    traffic: Arc<TrafficCounter>,
     state: Arc<watch::Sender<RelayState>>,
     tasks: JoinSet<()>,
 }
@@ -68,10 +93,17 @@
             mode: RelayMode::Open,
             forgotten: 0,
         }));
+        let traffic = Arc::new(TrafficCounter::default());
+        let link = RelayLink {
+            target,
+            delay,
+            traffic: traffic.clone(),
+        };
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept_connections(listener, target, delay, state.clone()));
+        tasks.spawn(accept_connections(listener, link, state.clone()));
         Ok(Self {
             address,
+            traffic,
             state,
             tasks,
         })
@@ -82,6 +114,14 @@
         self.address
     }
 
+    /// Returns what has passed so far.
+    pub fn traffic(&self) -> RelayTraffic {
+        RelayTraffic {
+            bytes: self.traffic.bytes.load(Ordering::Relaxed),
+            reads: self.traffic.reads.load(Ordering::Relaxed),
+        }
+    }
+
     /// Changes what the relay does. A connection on which bytes waited goes on when the relay is
     /// opened again, as TCP does after a cut.
     pub fn set_mode(&self, mode: RelayMode) {
@@ -99,10 +139,17 @@
     }
 }
 
-async fn accept_connections(
-    listener: TcpListener,
+/// Where a relay's connections lead, and what they have in common.
+#[derive(Clone, Debug)]
+struct RelayLink {
     target: SocketAddr,
     delay: Duration,
+    traffic: Arc<TrafficCounter>,
+}
+
+async fn accept_connections(
+    listener: TcpListener,
+    link: RelayLink,
     state: Arc<watch::Sender<RelayState>>,
 ) {
     let mut connections = JoinSet::new();
@@ -112,7 +159,7 @@
                 let Ok((caller, _)) = accepted else { continue };
                 let watcher = state.subscribe();
                 if watcher.borrow().mode != RelayMode::Refuse {
-                    connections.spawn(relay_connection(caller, target, delay, watcher));
+                    connections.spawn(relay_connection(caller, link.clone(), watcher));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -122,13 +169,12 @@
 
 async fn relay_connection(
     caller: TcpStream,
-    target: SocketAddr,
-    delay: Duration,
+    link: RelayLink,
     mut state: watch::Receiver<RelayState>,
 ) {
     let forgotten = state.borrow().forgotten;
     pass(&mut state, forgotten).await;
-    let Ok(callee) = TcpStream::connect(target).await else {
+    let Ok(callee) = TcpStream::connect(link.target).await else {
         return;
     };
     // Without it the relay would add Nagle's delay to every small message.
@@ -139,8 +185,8 @@
     let (to_callee, callee_chunks) = mpsc::channel(CHUNKS_UNDER_WAY);
     let (to_caller, caller_chunks) = mpsc::channel(CHUNKS_UNDER_WAY);
     tokio::join!(
-        read_chunks(caller_read, delay, to_callee),
-        read_chunks(callee_read, delay, to_caller),
+        read_chunks(caller_read, &link, to_callee),
+        read_chunks(callee_read, &link, to_caller),
         write_chunks(callee_write, callee_chunks, state.clone(), forgotten),
         write_chunks(caller_write, caller_chunks, state, forgotten),
     );
@@ -160,12 +206,17 @@
     }
 }
 
-async fn read_chunks(mut from: OwnedReadHalf, delay: Duration, chunks: mpsc::Sender<DelayedChunk>) {
+async fn read_chunks(
+    mut from: OwnedReadHalf,
+    link: &RelayLink,
+    chunks: mpsc::Sender<DelayedChunk>,
+) {
     loop {
         let mut bytes = vec![0; CHUNK_BYTES];
         let count = from.read(&mut bytes).await.unwrap_or(0);
         bytes.truncate(count);
-        let due = Instant::now() + delay;
+        link.traffic.count(count);
+        let due = Instant::now() + link.delay;
         if chunks.send(DelayedChunk { due, bytes }).await.is_err() || count == 0 {
             return;
         }
--- /dev/null
+++ b/crates/lab/src/scale.rs
@@ -0,0 +1,291 @@
+//! Measures what each role costs as the number of VMs grows, on real processes.
+
+use crate::lab_contract::build_contract;
+use crate::relay::RelayTraffic;
+use crate::scale_process::ProcessUse;
+use crate::scale_report::NodeRole;
+use crate::scale_report::PhaseReport;
+use crate::scale_report::RoleUse;
+use crate::scale_report::ScalePhase;
+use crate::scale_report::ScaleReport;
+use crate::scale_report::TimeList;
+use crate::scale_set::LOOK_PAUSE;
+use crate::scale_set::ScaleSet;
+use crate::scale_set::ScaleSettings;
+use crate::set_calls::SetFault;
+use crate::set_calls::agent_client;
+use jsonrpsee::http_client::HttpClient;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::ChangeId;
+use ragwort_types::CommandReply;
+use ragwort_types::ContractChange;
+use ragwort_types::ContractVersion;
+use ragwort_types::rpc::OperatorApiClient;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+/// The time between two contract changes: 38 times as often as 2,300 a day.
+const CHANGE_PERIOD: Duration = Duration::from_secs(1);
+
+/// How long the set settles before a phase.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// How many VMs are killed, one after the other.
+const KILLS: usize = 3;
+
+/// Starts a set, measures it and stops it.
+///
+/// # Errors
+///
+/// Returns the first [`SetFault`].
+pub async fn measure_scale(settings: ScaleSettings) -> Result<ScaleReport, SetFault> {
+    let began = Instant::now();
+    let mut set = ScaleSet::start(settings).await?;
+    let ready_seconds = began.elapsed().as_secs_f64();
+    let idle = measure_phase(&set, ScalePhase::Idle, sleep(set.settings.phase)).await?;
+    let mut changes = ChangeSeries::new(&set)?;
+    let changing =
+        measure_phase(&set, ScalePhase::Changes, changes.run(set.settings.phase)).await?;
+    let (accepted, in_force) = changes.finish()?;
+    let removed = measure_removals(&mut set).await?;
+    let report = ScaleReport {
+        vms: set.settings.vms,
+        control: set.settings.control,
+        groups: set.settings.groups,
+        ready_seconds,
+        phases: vec![idle, changing],
+        accepted,
+        in_force,
+        removed,
+    };
+    set.stop().await?;
+    Ok(report)
+}
+
+async fn measure_phase(
+    set: &ScaleSet,
+    phase: ScalePhase,
+    work: impl Future<Output = ()>,
+) -> Result<PhaseReport, SetFault> {
+    sleep(SETTLE_TIME).await;
+    let leader = set.look().await?.control_leader;
+    let before = SetSample::take(set);
+    work.await;
+    let after = SetSample::take(set);
+    let later = set.look().await?.control_leader;
+    let leader_name = leader.as_ref().map(ToString::to_string);
+    let roles = [NodeRole::Leader, NodeRole::Follower, NodeRole::Member];
+    let of_role = |role: &NodeRole| {
+        let nodes = (0..set.nodes.len())
+            .filter(|index| find_role(set, *index, leader_name.as_deref()) == *role)
+            .collect::<Vec<_>>();
+        summarize_role(set, *role, &nodes, &before, &after)
+    };
+    Ok(PhaseReport {
+        phase,
+        seconds: after.taken.duration_since(before.taken).as_secs_f64(),
+        leader_changed: leader != later,
+        roles: roles.iter().filter_map(of_role).collect(),
+    })
+}
+
+fn find_role(set: &ScaleSet, index: usize, leader: Option<&str>) -> NodeRole {
+    match index < set.settings.control {
+        true if leader == Some(set.nodes[index].vm.as_str()) => NodeRole::Leader,
+        true => NodeRole::Follower,
+        false => NodeRole::Member,
+    }
+}
+
+/// All nodes at one moment.
+struct SetSample {
+    taken: Instant,
+    nodes: Vec<ProcessUse>,
+    member_traffic: RelayTraffic,
+    control_traffic: RelayTraffic,
+}
+
+impl SetSample {
+    fn take(set: &ScaleSet) -> Self {
+        let uses = set.nodes.iter().map(|node| node.read_use());
+        Self {
+            taken: Instant::now(),
+            nodes: uses.map(Option::unwrap_or_default).collect(),
+            member_traffic: set.member_traffic(),
+            control_traffic: set.control_traffic(),
+        }
+    }
+}
+
+fn summarize_role(
+    set: &ScaleSet,
+    role: NodeRole,
+    nodes: &[usize],
+    before: &SetSample,
+    after: &SetSample,
+) -> Option<RoleUse> {
+    if nodes.is_empty() {
+        return None;
+    }
+    let seconds = after.taken.duration_since(before.taken).as_secs_f64();
+    let spent = |index: &usize| {
+        let spent = after.nodes[*index].processor - before.nodes[*index].processor;
+        spent.as_secs_f64() / seconds * 100.0
+    };
+    let resident = |index: &usize| after.nodes[*index].resident_bytes as f64 / 1e6;
+    let cores: Vec<f64> = nodes.iter().map(spent).collect();
+    let memories: Vec<f64> = nodes.iter().map(resident).collect();
+    let traffic = count_traffic(set, role, before, after);
+    Some(RoleUse {
+        role,
+        nodes: nodes.len(),
+        core_percent: find_mean(&cores),
+        worst_core_percent: find_largest(&cores),
+        resident_mb: find_mean(&memories),
+        worst_resident_mb: find_largest(&memories),
+        control_bytes: traffic.bytes as f64 / seconds / traffic.nodes,
+        control_reads: traffic.reads as f64 / seconds / traffic.nodes,
+    })
+}
+
+/// What the nodes of a role have exchanged together, and how many they are.
+struct RoleTraffic {
+    bytes: u64,
+    reads: u64,
+    nodes: f64,
+}
+
+/// A control VM's traffic is its share of the members' and both ends of that between control VMs.
+fn count_traffic(
+    set: &ScaleSet,
+    role: NodeRole,
+    before: &SetSample,
+    after: &SetSample,
+) -> RoleTraffic {
+    let member_bytes = after.member_traffic.bytes - before.member_traffic.bytes;
+    let member_reads = after.member_traffic.reads - before.member_traffic.reads;
+    let control_bytes = after.control_traffic.bytes - before.control_traffic.bytes;
+    let control_reads = after.control_traffic.reads - before.control_traffic.reads;
+    let control = set.settings.control;
+    match role {
+        NodeRole::Member => RoleTraffic {
+            bytes: member_bytes,
+            reads: member_reads,
+            nodes: (set.settings.vms - control) as f64,
+        },
+        NodeRole::Leader | NodeRole::Follower => RoleTraffic {
+            bytes: member_bytes + 2 * control_bytes,
+            reads: member_reads + 2 * control_reads,
+            nodes: control as f64,
+        },
+    }
+}
+
+fn find_mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+fn find_largest(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+/// Contract changes of one customer, one after the other.
+struct ChangeSeries {
+    client: HttpClient,
+    base: ContractVersion,
+    accepted: TimeList,
+    in_force: TimeList,
+    fault: Option<SetFault>,
+}
+
+impl ChangeSeries {
+    fn new(set: &ScaleSet) -> Result<Self, SetFault> {
+        Ok(Self {
+            client: agent_client(set.nodes[0].peers)?,
+            base: ContractVersion(0),
+            accepted: TimeList::default(),
+            in_force: TimeList::default(),
+            fault: None,
+        })
+    }
+
+    /// Makes changes for some time, or until the first fault.
+    async fn run(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        let mut ticks = interval(CHANGE_PERIOD);
+        while self.fault.is_none() && Instant::now() < end {
+            ticks.tick().await;
+            self.fault = self.change().await.err();
+        }
+    }
+
+    fn finish(self) -> Result<(TimeList, TimeList), SetFault> {
+        match self.fault {
+            Some(fault) => Err(fault),
+            None => Ok((self.accepted, self.in_force)),
+        }
+    }
+
+    async fn change(&mut self) -> Result<(), SetFault> {
+        let mut contract = build_contract("scale".into(), vec!["group-001".into()]);
+        contract.queue_limit += (self.base.0 % 2) as u32;
+        let change = ContractChange {
+            change_id: ChangeId::fresh(),
+            base_version: self.base,
+            contract,
+        };
+        let sent = Instant::now();
+        let reply = self.client.apply_contract(change).await?;
+        let CommandReply::Committed(CatalogOutcome::ContractAccepted(acceptance)) = reply else {
+            return Err(SetFault::Refused(format!("{reply:?}")));
+        };
+        let accepted = Instant::now();
+        self.accepted.0.push(to_millis(accepted - sent));
+        while !self.client.force_status(acceptance).await?.in_force {
+            sleep(LOOK_PAUSE).await;
+        }
+        self.in_force.0.push(to_millis(accepted.elapsed()));
+        self.base = acceptance.version;
+        Ok(())
+    }
+}
+
+/// Kills plain members that lead groups, if there are any such, and waits until nothing is placed
+/// on them.
+async fn measure_removals(set: &mut ScaleSet) -> Result<TimeList, SetFault> {
+    let mut times = TimeList::default();
+    for _ in 0..KILLS {
+        let status = set.look().await?;
+        let leads = |vm: &str| {
+            let groups = status.groups.iter();
+            groups
+                .filter(|group| group.placement.leaseholder == vm.into())
+                .count()
+        };
+        let plain = set.settings.control..set.nodes.len();
+        let alive = plain.filter(|index| set.nodes[*index].is_started());
+        let Some(chosen) = alive.max_by_key(|index| leads(&set.nodes[*index].vm)) else {
+            break;
+        };
+        let vm = set.nodes[chosen].vm.clone();
+        let killed = Instant::now();
+        set.nodes[chosen].kill();
+        set.wait_for("the killed VM is replaced", |status| {
+            let member = status
+                .members
+                .iter()
+                .any(|one| one.id.vm == vm.as_str().into());
+            let mut groups = status.groups.iter();
+            !member && !groups.any(|group| group.placement.leaseholder == vm.as_str().into())
+        })
+        .await?;
+        times.0.push(to_millis(killed.elapsed()));
+    }
+    Ok(times)
+}
+
+fn to_millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
