Confirm leadership at most once in a tick

Cause: the control leader asked the agreed log to confirm its leadership once for every heartbeat that reached it alone, and each confirmation is a message to each follower and an answer. At 630 VMs and three control VMs that is over a thousand rounds a second, on links that pass one message a round trip.

Ruled out: the catalog (idle, no delta is sent), the disk (no entry is written), pings of the links (4 reads a second and link).

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -159,6 +159,8 @@
     gathered: Vec<WaitingHeartbeat>,
     unconfirmed: Vec<UnconfirmedBatch>,
     confirming: BTreeMap<ReadTicket, Vec<UnconfirmedBatch>>,
+    /// The tick in which leadership was last asked to be confirmed.
+    confirmed_tick: u64,
     owed: Vec<OwedReply>,
     events: mpsc::Sender<ControlEvent>,
     inbox: mpsc::Receiver<ControlEvent>,
@@ -209,6 +211,7 @@
             gathered: Vec::new(),
             unconfirmed: Vec::new(),
             confirming: BTreeMap::new(),
+            confirmed_tick: 0,
             owed: Vec::new(),
             events: events.clone(),
             inbox,
@@ -438,7 +441,15 @@
     ///
     /// A leader that was cut off and replaced would otherwise go on granting leases while its
     /// successor already gives the groups to others.
+    ///
+    /// Each confirmation costs a message to every control VM and an answer. With one for each
+    /// heartbeat they would grow with the members until they fill the queues to the followers,
+    /// which pass one message a round trip; so there is at most one in a tick, and what arrives
+    /// meanwhile shares the next.
     fn confirm_leadership(&mut self) {
+        if self.confirmed_tick == self.ticks {
+            return;
+        }
         if self.node.is_leader() && !self.gathered.is_empty() {
             let own = std::mem::take(&mut self.gathered);
             self.unconfirmed.push(UnconfirmedBatch::Own(own));
@@ -446,6 +457,7 @@
         if self.unconfirmed.is_empty() {
             return;
         }
+        self.confirmed_tick = self.ticks;
         let batches = std::mem::take(&mut self.unconfirmed);
         match self.node.confirm_read() {
             Ok(ticket) => {
