--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -15,6 +15,8 @@
 use ragwort_lab::load_plan::LoadMix;
 use ragwort_lab::load_plan::PlanSettings;
 use ragwort_lab::scale::measure_scale;
+use ragwort_lab::scale_path::PathSettings;
+use ragwort_lab::scale_path::measure_path;
 use ragwort_lab::scale_report::describe_slopes;
 use ragwort_lab::scale_set::ScaleSettings;
 use ragwort_lab::sizes::SiteSize;
@@ -50,6 +52,7 @@
     Gap(GapArguments),
     Soak(SoakArguments),
     Scale(ScaleArguments),
+    Path(PathArguments),
 }
 
 /// Run an endpoint stand-in, in memory.
@@ -232,6 +235,9 @@
     /// milliseconds that a lease runs; 1000 by default
     #[argh(option, default = "1000")]
     lease_ms: u64,
+    /// milliseconds of the control VMs' tick; 20 by default
+    #[argh(option, default = "20")]
+    tick_ms: u64,
     /// print the reports as JSON
     #[argh(switch)]
     json: bool,
@@ -240,6 +246,28 @@
     keep: bool,
 }
 
+/// Measure what a statement costs on its way, and a connection at the gateway.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "path")]
+struct PathArguments {
+    /// statements per second, separated by commas; 250,500,1000 by default
+    #[argh(
+        option,
+        from_str_fn(parse_counts),
+        default = "CountList(vec![250, 500, 1000])"
+    )]
+    rates: CountList,
+    /// classes and weights, as for `load`
+    #[argh(option, default = "LoadMix::default()")]
+    mix: LoadMix,
+    /// seconds for each rate; 10 by default
+    #[argh(option, default = "10.0")]
+    seconds: f64,
+    /// idle connections to open; 2000 by default
+    #[argh(option, default = "2000")]
+    connections: usize,
+}
+
 #[derive(Clone, Debug)]
 struct CountList(Vec<usize>);
 
@@ -278,6 +306,7 @@
         LabSubcommand::Gap(arguments) => report_gap(arguments).await,
         LabSubcommand::Soak(arguments) => report_soak(arguments).await,
         LabSubcommand::Scale(arguments) => report_scale(arguments).await,
+        LabSubcommand::Path(arguments) => report_path(arguments).await,
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -411,9 +440,12 @@
             vms,
             control: arguments.control,
             groups: arguments.groups,
+            slots: 2,
+            service: Duration::from_millis(4),
             phase: Duration::from_secs_f64(arguments.seconds),
             heartbeat_ms: arguments.heartbeat_ms,
             lease_ms: arguments.lease_ms,
+            tick_ms: arguments.tick_ms,
             keep_folder: arguments.keep,
         };
         let report = measure_scale(settings).await?;
@@ -427,6 +459,18 @@
     Ok(())
 }
 
+async fn report_path(arguments: PathArguments) -> Result<(), Box<dyn Error>> {
+    let settings = PathSettings {
+        binaries: find_binaries()?,
+        rates: arguments.rates.0,
+        mix: arguments.mix,
+        time: Duration::from_secs_f64(arguments.seconds),
+        connections: arguments.connections,
+    };
+    print!("{}", measure_path(settings).await?);
+    Ok(())
+}
+
 fn set_settings(
     mut size: SiteSize,
     vms: Option<usize>,
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -12,6 +12,7 @@
 use crate::scale_set::LOOK_PAUSE;
 use crate::scale_set::ScaleSet;
 use crate::scale_set::ScaleSettings;
+use crate::scale_set::group_name;
 use crate::set_calls::SetFault;
 use crate::set_calls::agent_client;
 use jsonrpsee::http_client::HttpClient;
@@ -44,7 +45,8 @@
     let began = Instant::now();
     let mut set = ScaleSet::start(settings).await?;
     let ready_seconds = began.elapsed().as_secs_f64();
-    let idle = measure_phase(&set, ScalePhase::Idle, sleep(set.settings.phase)).await?;
+    let idle = async { sleep(set.settings.phase).await };
+    let idle = measure_phase(&set, ScalePhase::Idle, idle).await?;
     let mut changes = ChangeSeries::new(&set)?;
     let changing =
         measure_phase(&set, ScalePhase::Changes, changes.run(set.settings.phase)).await?;
@@ -229,7 +231,7 @@
     }
 
     async fn change(&mut self) -> Result<(), SetFault> {
-        let mut contract = build_contract("scale".into(), vec!["group-001".into()]);
+        let mut contract = build_contract("scale".into(), vec![group_name(0).as_str().into()]);
         contract.queue_limit += (self.base.0 % 2) as u32;
         let change = ContractChange {
             change_id: ChangeId::fresh(),
--- a/crates/lab/src/scale_set.rs
+++ b/crates/lab/src/scale_set.rs
@@ -15,6 +15,7 @@
 use crate::set_calls::ask_node_status;
 use crate::set_calls::form_control;
 use crate::set_calls::is_ready;
+use ragwort_types::InstanceRole;
 use ragwort_types::NodeStatus;
 use std::fs;
 use std::net::SocketAddr;
@@ -45,6 +46,9 @@
 /// Instances of a group.
 const INSTANCES: usize = 3;
 
+/// Connections that an instance takes for each slot, as at the users' today.
+const CONNECTIONS_PER_SLOT: u32 = 8;
+
 /// The most processes that a run starts.
 pub const MOST_VMS: usize = 200;
 
@@ -59,12 +63,18 @@
     pub control: usize,
     /// The groups, of three instances each, which run in this process.
     pub groups: usize,
+    /// Statements that an instance runs at once.
+    pub slots: u32,
+    /// How long a statement takes at an instance.
+    pub service: Duration,
     /// How long each phase is measured.
     pub phase: Duration,
     /// Milliseconds between a member's heartbeats.
     pub heartbeat_ms: u64,
     /// Milliseconds that a lease runs.
     pub lease_ms: u64,
+    /// The step of the control VMs' clock, in milliseconds.
+    pub tick_ms: u64,
     /// Keep the folder with logs.
     pub keep_folder: bool,
 }
@@ -76,7 +86,8 @@
     pub vm: String,
     /// Where it answers other VMs and operators.
     pub peers: SocketAddr,
-    callers: SocketAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
     platform: SocketAddr,
     child: Option<ChildProcess>,
 }
@@ -189,6 +200,18 @@
         add_traffic(&self.control_relays)
     }
 
+    /// Returns where a group's primary takes statements, if it has one.
+    pub fn primary_address(&self, group: usize) -> Option<SocketAddr> {
+        let instances = self
+            .endpoints
+            .iter()
+            .skip(group * INSTANCES)
+            .take(INSTANCES);
+        let mut primaries =
+            instances.filter(|one| one.shared().instance.status().role == InstanceRole::Primary);
+        primaries.next().map(LabEndpoint::data_address)
+    }
+
     /// Ends every process in good order.
     ///
     /// # Errors
@@ -255,7 +278,7 @@
         let mut text = format!(
             "vm: {}\ndomain: {}\nroles: {{ gateway: true, control: {is_control} }}\n\
              listen: {{ callers: {}, peers: {}, platform: {} }}\n\
-             timing: {{ heartbeat_ms: {}, lease_ms: {} }}\ncontrol:\n",
+             timing: {{ heartbeat_ms: {}, lease_ms: {}, tick_ms: {} }}\ncontrol:\n",
             node.vm,
             domain_name(index),
             node.callers,
@@ -263,6 +286,7 @@
             node.platform,
             self.settings.heartbeat_ms,
             self.settings.lease_ms,
+            self.settings.tick_ms,
         );
         for other in 0..self.settings.control {
             let address = match other {
@@ -282,6 +306,24 @@
         text
     }
 
+    fn describe_endpoint(
+        &self,
+        group: usize,
+        number: usize,
+        given: SocketAddr,
+    ) -> EndpointSettings {
+        let name = group_name(group);
+        EndpointSettings {
+            group: name.as_str().into(),
+            domain: domain_name(group + number).as_str().into(),
+            announce: vec![given],
+            slots: self.settings.slots,
+            connections: self.settings.slots * CONNECTIONS_PER_SLOT,
+            service_time: self.settings.service,
+            ..EndpointSettings::quick(&format!("{name}-{}", number + 1), number == 0)
+        }
+    }
+
     async fn wait_until_ready(&self) -> Result<(), SetFault> {
         let end = Instant::now() + READY_PATIENCE;
         let mut waiting: Vec<&ScaleNode> = self.nodes.iter().collect();
@@ -309,7 +351,7 @@
         for group in 0..self.settings.groups {
             for number in 0..INSTANCES {
                 let given = self.nodes[(group + number) % self.nodes.len()].peers;
-                let settings = describe_endpoint(group, number, given);
+                let settings = self.describe_endpoint(group, number, given);
                 self.endpoints.push(LabEndpoint::start(&settings).await?);
             }
         }
@@ -348,18 +390,13 @@
     }
 }
 
-fn domain_name(number: usize) -> String {
-    format!("domain-{}", number % DOMAINS + 1)
+/// Returns the name of the group with this number, counted from zero.
+pub fn group_name(number: usize) -> String {
+    format!("group-{:03}", number + 1)
 }
 
-fn describe_endpoint(group: usize, number: usize, given: SocketAddr) -> EndpointSettings {
-    let name = format!("group-{:03}", group + 1);
-    EndpointSettings {
-        group: name.as_str().into(),
-        domain: domain_name(group + number).as_str().into(),
-        announce: vec![given],
-        ..EndpointSettings::quick(&format!("{name}-{}", number + 1), number == 0)
-    }
+fn domain_name(number: usize) -> String {
+    format!("domain-{}", number % DOMAINS + 1)
 }
 
 fn add_traffic(relays: &[CutRelay]) -> RelayTraffic {
