--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -47,6 +47,7 @@
 mod copy;
 mod detector;
 mod digest;
+mod followers;
 mod groups;
 mod history;
 mod journal;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -7,8 +7,12 @@
 
 use crate::ClockTime;
 use crate::EndpointRole;
+use crate::RequestStep;
 use crate::admission::misses_deadline;
+use crate::admission::stretch_start;
 use crate::board::InstanceBoard;
+use crate::board::SlotBoard;
+use crate::customers::CustomerTable;
 use crate::endpoints::EndpointRecord;
 use crate::endpoints::EndpointTable;
 use crate::estimate::EstimateTable;
@@ -49,6 +53,8 @@
     pub(crate) endpoints: &'a EndpointTable,
     /// How long it will run.
     pub(crate) estimates: &'a EstimateTable,
+    /// How far their customers' waits are stretched.
+    pub(crate) customers: &'a CustomerTable,
     /// Who goes next.
     pub(crate) ledger: &'a ShareLedger,
     /// How long opening a connection takes.
@@ -297,7 +303,7 @@
             let usable = role == EndpointRole::Primary
                 || board.held(at) < board.usable
                 || (board.trial && at == self.input.now);
-            usable && board.free_slot(at).is_some() && board.is_connected(self.input.now, at)
+            usable && board.free_slot(at).is_some() && board.is_connected(at)
         })
     }
 
@@ -393,7 +399,7 @@
         let at = pass.at;
         let board = &self.boards[instance];
         let record = &self.input.endpoints.records()[instance];
-        if board.free_slot(at).is_none() || !board.is_connected(self.input.now, at) {
+        if board.free_slot(at).is_none() || !board.is_connected(at) {
             return None;
         }
         if !self.is_fit(record, request, at) || !self.length_fits(request, instance, at) {
@@ -402,7 +408,7 @@
         if pass.urgent && pass.bounded && board.urgent_run >= URGENT_RUN {
             return None;
         }
-        let opens = request.profile.step == crate::RequestStep::Opens;
+        let opens = request.profile.step == RequestStep::Opens;
         if opens && !board.takes_pin(at) {
             return None;
         }
@@ -495,7 +501,23 @@
             return false;
         };
         let margin = self.input.estimates.get(request.kind).deviation();
-        misses_deadline(at, run, margin, request.profile.deadline)
+        let start = self.foresee_start(request, at);
+        misses_deadline(start, run, margin, request.profile.deadline)
+    }
+
+    /// Returns when a request is to be expected to start that is planned to start at `at`.
+    ///
+    /// A request that was let in keeps its place as long as the plan gives it a chance. A new one
+    /// needs time for the wait that experience foresees: let in on the edge of its deadline, it
+    /// would be refused later, with little of its time left, when a run before it takes longer than
+    /// expected or another request overtakes it.
+    fn foresee_start(&self, request: &WaitingRequest, at: ClockTime) -> ClockTime {
+        if request.planned_wait.is_some() {
+            return at;
+        }
+        let now = self.input.now;
+        let stretch = self.input.customers.get(request.customer).stretch(request);
+        stretch_start(now, at.since(now), stretch.percent())
     }
 
     /// Says whether an instance is one of those that serve requests like this one.
@@ -553,13 +575,19 @@
         let until = at + start.expected;
         let pinned = request.pinned_to.is_some();
         let board = &mut self.boards[start.instance];
-        board.take(at, until, request.lane.long, pinned);
+        let opens = request.profile.step == RequestStep::Opens;
+        let run = SlotBoard {
+            free_at: until,
+            long: request.lane.long,
+            pinned: pinned || opens,
+        };
+        board.take(at, run);
         board.pinned_run = if pinned { board.pinned_run + 1 } else { 0 };
         if start.trial {
             board.trial = false;
         }
-        if request.profile.step == crate::RequestStep::Opens {
-            board.pins_left = board.pins_left.saturating_sub(1);
+        if opens {
+            board.pin();
         }
         if !pinned {
             let ordinary_waits = self.ordinary_left > 0;
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -16,11 +16,11 @@
 use crate::admission::PROMOTION_TIME;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
-use crate::admission::stretch_start;
 use crate::connections::connections_to_open;
 use crate::endpoints::ConnectionPin;
 use crate::endpoints::RunningRequest;
 use crate::estimate::LONG_THRESHOLD;
+use crate::health::RunSample;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlanInput;
@@ -48,6 +48,9 @@
 /// that to a few percent of a core, and a refusal still comes within the time of one message.
 pub(crate) const REVIEW_GAP: Duration = Duration::from_millis(2);
 
+/// A trial is compared with what peers did within this time.
+const TRIAL_COMPARISON: Duration = Duration::from_secs(1);
+
 impl GroupScheduler {
     /// Takes a request into the queue, if its contract and the queue's limits allow.
     pub(crate) fn admit(
@@ -166,11 +169,11 @@
         let mut moved = Vec::new();
         for request in self.queue.iter() {
             let ticket = request.profile.ticket;
-            if let Some(cause) = self.find_stranding(now, request) {
+            let replica = self.leaves_to_replicas(now, &request.profile);
+            if let Some(cause) = self.find_stranding(now, request, replica) {
                 stranded.push((ticket, cause));
                 continue;
             }
-            let replica = self.leaves_to_replicas(now, &request.profile);
             if replica != request.lane.replica {
                 let lane = LaneKind {
                     replica,
@@ -202,6 +205,7 @@
             queue: &self.queue,
             endpoints: &self.endpoints,
             estimates: &self.estimates,
+            customers: &self.customers,
             ledger: &self.ledger,
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
@@ -219,7 +223,7 @@
                     self.dispatch(now, ticket, start, decisions);
                 }
                 PlanAction::Start(start) => {
-                    self.judge_newcomer(now, step.slot, start, decisions);
+                    self.queue.note_plan(step.slot, start.at.since(now));
                 }
                 PlanAction::Hopeless => {
                     self.learn_hopeless(step.slot);
@@ -230,45 +234,17 @@
         }
     }
 
-    /// Refuses a request at its first plan unless there is time for more than the planned wait.
-    ///
-    /// A request that is let in on the edge of its deadline is refused later, with little of its
-    /// time left, as soon as a run before it takes longer than expected.
-    fn judge_newcomer(
-        &mut self,
-        now: ClockTime,
-        slot: usize,
-        start: PlannedStart,
-        decisions: &mut Vec<SchedulerDecision>,
-    ) {
-        let request = self.queue.at(slot);
-        if request.planned_wait.is_some() {
-            return;
-        }
-        let wait = start.at.since(now);
-        let margin = self.estimates.get(request.kind).deviation();
-        let stretch = self
-            .customers
-            .get_mut(request.customer)
-            .stretch_mut(request);
-        let at = stretch_start(now, wait, stretch.percent());
-        if misses_deadline(at, start.expected, margin, request.profile.deadline) {
-            stretch.relax();
-            let ticket = request.profile.ticket;
-            let cause = RefusalCause::DeadlineOutOfReach;
-            self.refuse_waiting(now, ticket, cause, decisions);
-            return;
-        }
-        self.queue.note_plan(slot, wait);
-    }
-
-    /// Learns that a request was let in and would have waited until it was too late.
+    /// Learns that a request was let in and would have waited until it was too late, or that a new
+    /// one was refused.
     fn learn_hopeless(&mut self, slot: usize) {
         let request = self.queue.at(slot);
-        if let Some(planned) = request.planned_wait {
-            let actual = request.profile.deadline.since(request.arrived);
-            let customer = self.customers.get_mut(request.customer);
-            customer.stretch_mut(request).learn(planned, actual);
+        let customer = self.customers.get_mut(request.customer);
+        let stretch = customer.stretch_mut(request);
+        match request.planned_wait {
+            Some(planned) => {
+                stretch.learn(planned, request.profile.deadline.since(request.arrived));
+            }
+            None => stretch.relax(),
         }
     }
 
@@ -368,13 +344,12 @@
             replica: self.leaves_to_replicas(now, &profile),
         };
         let mut order = profile.deadline.before(estimate.expected());
-        let mut delayed = false;
+        let mut delay = Duration::ZERO;
         if self.settings.modules.hot_callers && pinned_to.is_none() {
             let slots = self.usable_slots();
             let record = self.customers.get_mut(customer);
-            let delay = record.note_request(now, &profile, estimate.expected(), slots);
+            delay = record.note_request(now, &profile, estimate.expected(), slots);
             order = order + delay;
-            delayed = !delay.is_zero();
         }
         if !self.settings.modules.order {
             lane.urgent = false;
@@ -388,7 +363,7 @@
             order,
             arrived: now,
             pinned_to,
-            delayed,
+            delay,
             planned_wait: None,
             attempts: 0,
         })
@@ -457,7 +432,13 @@
         decisions.push(SchedulerDecision::Refuse(RefusalOrder { ticket, refusal }));
     }
 
-    fn find_stranding(&self, now: ClockTime, request: &WaitingRequest) -> Option<RefusalCause> {
+    /// Returns why a request has nothing to wait for, if so.
+    fn find_stranding(
+        &self,
+        now: ClockTime,
+        request: &WaitingRequest,
+        replica: bool,
+    ) -> Option<RefusalCause> {
         if request.profile.deadline <= now {
             return Some(RefusalCause::DeadlinePassed);
         }
@@ -468,7 +449,7 @@
             };
         }
         let lost = self.primary_lost?;
-        if request.lane.replica {
+        if replica {
             return None;
         }
         let back = (lost + PROMOTION_TIME).max(now + PROMOTION_REST);
@@ -551,14 +532,17 @@
         let Some(index) = self.endpoints.index_of(&dispatched.instance) else {
             return;
         };
-        let best = self.best_peer(now, index).unwrap_or(1.0);
+        let since = now.before(TRIAL_COMPARISON);
+        let best = self.best_score(now, index, since).unwrap_or(1.0);
         let record = &mut self.endpoints.records_mut()[index];
         let run = actual.saturating_sub(record.round_trip);
         let healthy = record.health.level() == HealthLevel::Full;
         if dispatched.mature || !healthy {
             let ratio = run.as_secs_f64() / dispatched.base.as_secs_f64().max(1e-6);
             let ticket = dispatched.request.profile.ticket;
-            record.health.observe(now, ticket, ratio, best);
+            let started = now.before(actual);
+            let sample = RunSample { started, ratio };
+            record.health.observe(now, ticket, sample, best);
         }
         if healthy {
             self.estimates.learn(dispatched.request.kind, run);
@@ -566,18 +550,21 @@
         }
     }
 
-    /// Returns the score of the fastest other endpoint, if one is known.
+    /// Returns the score of the fastest other endpoint since the runs by which this one is judged.
     fn best_peer(&self, now: ClockTime, index: usize) -> Option<f64> {
+        let record = &self.endpoints.records()[index];
+        let held = record.held_since(now);
+        let since = held.or_else(|| record.health.judged_since())?;
+        self.best_score(now, index, since)
+    }
+
+    /// Returns the score of the fastest other endpoint over runs that started since a moment.
+    fn best_score(&self, now: ClockTime, index: usize, since: ClockTime) -> Option<f64> {
         let records = self.endpoints.records().iter().enumerate();
         let peers = records.filter(|(peer, record)| *peer != index && record.takes_fresh_work());
         let scores = peers.filter_map(|(_, record)| {
-            let score = record.health.score();
-            let held = record.held_ratio(now);
-            match (score, held) {
-                (Some(score), Some(held)) => Some(score.max(held)),
-                (Some(score), None) => Some(score),
-                (None, _) => None,
-            }
+            let score = record.health.score_since(since)?;
+            Some(score.max(record.held_ratio(now).unwrap_or(score)))
         });
         scores.min_by(f64::total_cmp).map(|score| score.max(1.0))
     }
