--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,11 @@
 use ragwort_lab::load::run_load;
 use ragwort_lab::load_plan::LoadMix;
 use ragwort_lab::load_plan::PlanSettings;
+use ragwort_lab::scale::measure_scale;
+use ragwort_lab::scale_path::PathSettings;
+use ragwort_lab::scale_path::measure_path;
+use ragwort_lab::scale_report::describe_slopes;
+use ragwort_lab::scale_set::ScaleSettings;
 use ragwort_lab::sizes::SiteSize;
 use ragwort_lab::soak::SoakSettings;
 use ragwort_lab::soak::run_soak;
@@ -46,6 +51,8 @@
     Demo(DemoArguments),
     Gap(GapArguments),
     Soak(SoakArguments),
+    Scale(ScaleArguments),
+    Path(PathArguments),
 }
 
 /// Run an endpoint stand-in, in memory.
@@ -206,6 +213,71 @@
     keep: bool,
 }
 
+/// Measure what each role costs as the number of VMs grows; prints slopes for several numbers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct ScaleArguments {
+    /// numbers of VMs, separated by commas, such as 10,30,60; 200 at most
+    #[argh(option, from_str_fn(parse_counts))]
+    vms: CountList,
+    /// control VMs; 3 by default
+    #[argh(option, default = "3")]
+    control: usize,
+    /// database groups; none by default
+    #[argh(option, default = "0")]
+    groups: usize,
+    /// seconds of each phase; 20 by default
+    #[argh(option, default = "20.0")]
+    seconds: f64,
+    /// milliseconds between heartbeats; 200 by default
+    #[argh(option, default = "200")]
+    heartbeat_ms: u64,
+    /// milliseconds that a lease runs; 1000 by default
+    #[argh(option, default = "1000")]
+    lease_ms: u64,
+    /// milliseconds of the control VMs' tick; 20 by default
+    #[argh(option, default = "20")]
+    tick_ms: u64,
+    /// print the reports as JSON
+    #[argh(switch)]
+    json: bool,
+    /// keep the folder with settings and logs
+    #[argh(switch)]
+    keep: bool,
+}
+
+/// Measure what a statement costs on its way, and a connection at the gateway.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "path")]
+struct PathArguments {
+    /// statements per second, separated by commas; 250,500,1000 by default
+    #[argh(
+        option,
+        from_str_fn(parse_counts),
+        default = "CountList(vec![250, 500, 1000])"
+    )]
+    rates: CountList,
+    /// classes and weights, as for `load`
+    #[argh(option, default = "LoadMix::default()")]
+    mix: LoadMix,
+    /// seconds for each rate; 10 by default
+    #[argh(option, default = "10.0")]
+    seconds: f64,
+    /// idle connections to open; 2000 by default
+    #[argh(option, default = "2000")]
+    connections: usize,
+}
+
+#[derive(Clone, Debug)]
+struct CountList(Vec<usize>);
+
+fn parse_counts(text: &str) -> Result<CountList, String> {
+    let counts: Result<Vec<usize>, _> = text.split(',').map(str::parse).collect();
+    counts
+        .map(CountList)
+        .map_err(|_| format!("expected numbers such as 10,30, found `{text}`"))
+}
+
 fn find_size(name: &str) -> Result<SiteSize, String> {
     SiteSize::find(name).ok_or_else(|| format!("expected omuti or sabarmati, found `{name}`"))
 }
@@ -233,6 +305,8 @@
         LabSubcommand::Demo(_) => show_demo().await,
         LabSubcommand::Gap(arguments) => report_gap(arguments).await,
         LabSubcommand::Soak(arguments) => report_soak(arguments).await,
+        LabSubcommand::Scale(arguments) => report_scale(arguments).await,
+        LabSubcommand::Path(arguments) => report_path(arguments).await,
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -358,6 +432,45 @@
     }
 }
 
+async fn report_scale(arguments: ScaleArguments) -> Result<(), Box<dyn Error>> {
+    let mut reports = Vec::new();
+    for vms in arguments.vms.0 {
+        let settings = ScaleSettings {
+            binaries: find_binaries()?,
+            vms,
+            control: arguments.control,
+            groups: arguments.groups,
+            slots: 2,
+            service: Duration::from_millis(4),
+            phase: Duration::from_secs_f64(arguments.seconds),
+            heartbeat_ms: arguments.heartbeat_ms,
+            lease_ms: arguments.lease_ms,
+            tick_ms: arguments.tick_ms,
+            keep_folder: arguments.keep,
+        };
+        let report = measure_scale(settings).await?;
+        match arguments.json {
+            true => println!("{}", serde_json::to_string(&report)?),
+            false => print!("{report}"),
+        }
+        reports.push(report);
+    }
+    print!("{}", describe_slopes(&reports));
+    Ok(())
+}
+
+async fn report_path(arguments: PathArguments) -> Result<(), Box<dyn Error>> {
+    let settings = PathSettings {
+        binaries: find_binaries()?,
+        rates: arguments.rates.0,
+        mix: arguments.mix,
+        time: Duration::from_secs_f64(arguments.seconds),
+        connections: arguments.connections,
+    };
+    print!("{}", measure_path(settings).await?);
+    Ok(())
+}
+
 fn set_settings(
     mut size: SiteSize,
     vms: Option<usize>,
