--- a/crates/lab/tests/whole.rs
+++ b/crates/lab/tests/whole.rs
@@ -38,6 +38,8 @@
     KillLeaseholder,
     FreezeLeaseholder,
     DrainLeaseholder,
+    KillLeaseholderAndPrimary,
+    LeavePrimaryAndKillLeaseholder,
 }
 
 macro_rules! whole_cases {
@@ -72,6 +74,13 @@
     leaseholder_is_frozen_and_thawed => (FreezeLeaseholder, 106);
     /// The leaseholder is asked to end. It hands its groups over and cuts no request in flight.
     leaseholder_drains => (DrainLeaseholder, 107);
+    /// The VM that owns the group's connections and the primary die together.
+    leaseholder_and_primary_are_killed => (KillLeaseholderAndPrimary, 108);
+    /// The primary announces that it leaves while the leaseholder dies; both are gone before the
+    /// next leaseholder begins, and both come back empty. It leads the group without ever having
+    /// heard of that primary, and yet must replace it: otherwise callers are refused for good.
+    /// Found by the soak with seed 2.
+    primary_leaves_while_the_leaseholder_dies => (LeavePrimaryAndKillLeaseholder, 109);
 }
 
 /// The cases run one after the other: each starts nine processes.
@@ -136,6 +145,20 @@
             wait_for_other_leaseholder(set, group, leaseholder).await;
             set.daemon_child(leaseholder).unwrap().thaw().unwrap();
         }
+        WholeFault::KillLeaseholderAndPrimary => {
+            set.kill_endpoint(primary);
+            set.kill_daemon(leaseholder);
+            wait_for_successor(set, group, primary).await;
+            set.replace_endpoint(primary).await.unwrap();
+            set.start_daemon(leaseholder).unwrap();
+        }
+        WholeFault::LeavePrimaryAndKillLeaseholder => {
+            set.endpoint_child(primary).unwrap().terminate().unwrap();
+            set.kill_daemon(leaseholder);
+            sleep(Duration::from_millis(900)).await;
+            set.replace_endpoint(primary).await.unwrap();
+            set.start_daemon(leaseholder).unwrap();
+        }
         WholeFault::DrainLeaseholder => {
             let child = set.daemon_child(leaseholder).unwrap();
             child.terminate().unwrap();
