--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -18,6 +18,9 @@
 use crate::routing::judge_fitness;
 use std::time::Duration;
 
+/// Reads may take the primary's slots when more than this many wait for each slot of the replicas.
+const SPILL_READS_PER_SLOT: u32 = 2;
+
 /// A trial goes without regard to the request's slack after it was due for this long.
 const TRIAL_PATIENCE: Duration = Duration::from_millis(200);
 
@@ -139,7 +142,7 @@
             .zip(&self.boards)
             .filter(|(record, _)| record.state.role == EndpointRole::Replica);
         let slots: u32 = replicas.map(|(_, board)| board.usable).sum();
-        self.replica_reads > usize::try_from(slots).unwrap_or(usize::MAX)
+        self.replica_reads > usize::try_from(slots * SPILL_READS_PER_SLOT).unwrap_or(usize::MAX)
     }
 
     pub(crate) fn length_fits(
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -15,9 +15,9 @@
 //! A replica may serve a read if it holds the session's last write and its data is no older than
 //! the contract allows; nothing overrides that. Among the instances with a free slot, the read goes
 //! where it is expected to end first: the expected run, times the instance's slowdown, plus the way
-//! there and back. A read that a replica may serve is given to the primary only when more reads
-//! wait than the replicas have slots, and nothing that needs the primary waits: below that, the
-//! next replica slot is at most one short run away. A session's read waits for a replica that still
+//! there and back. A read that a replica may serve is given to the primary only when nothing that
+//! needs the primary waits and more than two reads wait for each of the replicas' slots: below
+//! that, a read waits for two short runs at most. A session's read waits for a replica that still
 //! lacks its write only if that is expected within 3 ms, which is less than a short run.
 
 use crate::ClockTime;
