Say rightly what an empty extended answer did to callers

What was lost are the columns for drivers that ask for them together with the answer, and a write's count; both are tested at the connection, where that trial fails.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -418,8 +418,8 @@
 /// Returns the columns of a statement that ended without a row.
 ///
 /// The client library names columns by their rows only. A read that finds nothing would look like
-/// a statement that returns no rows at all, and the caller that had it described would be told
-/// that the answer doesn't fit.
+/// a write: a driver that asks for columns together with the answer would be told that the
+/// statement has none, and show no table instead of an empty one.
 async fn find_columns(
     client: &Client,
     text: &str,
--- a/crates/daemon/tests/pieces/connection.rs
+++ b/crates/daemon/tests/pieces/connection.rs
@@ -62,8 +62,8 @@
     /// A description gets no answer. It holds its connection only as long as it was told, and the
     /// connection isn't used again.
     silent_description_ends_the_connection => silent_describe_case();
-    /// A prepared read finds nothing. Its caller must get an empty table with its columns, and not
-    /// an error about an answer that doesn't fit; a write's count of rows must not be lost.
+    /// A read by the extended protocol finds nothing. Its caller must be shown an empty table with
+    /// its columns, and not an answer without a table; a write's count of rows must not be lost.
     empty_answer_keeps_its_columns => empty_answer_case();
     /// The database answers a prepared read with numbers and truth values, in its binary form. The
     /// caller must read the same words as by the simple protocol, and not be left in doubt.
