--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -272,6 +272,8 @@
     pub inbox: mpsc::Sender<GroupEvent>,
     pub clock: NodeClock,
     pub links: PeerLinks,
+    context: Arc<GroupContext>,
+    record: GroupRecord,
     task: JoinHandle<()>,
     standby_tasks: Vec<JoinHandle<()>>,
 }
@@ -315,9 +317,10 @@
             standby: own,
             metrics: DaemonMetrics::new(),
         };
+        let context = Arc::new(context);
         let (inbox, events) = mpsc::channel(64);
         let receiver = view.subscribe();
-        let task = spawn_group(Arc::new(context), record, None, receiver, events);
+        let task = spawn_group(context.clone(), record.clone(), None, receiver, events);
         let bench = Self {
             endpoints,
             data_relay: Some(relay),
@@ -326,6 +329,8 @@
             inbox,
             clock,
             links,
+            context,
+            record,
             task,
             standby_tasks,
         };
@@ -333,6 +338,23 @@
         bench
     }
 
+    /// Ends the leaseholder without a word, as when its process is killed, and starts its
+    /// successor under the next epoch.
+    pub async fn replace_leaseholder(&mut self) {
+        self.task.abort();
+        let previous = self.record.placement.clone();
+        self.record = create_record("vm-1", previous.epoch.0 + 1);
+        let addresses = [NOWHERE, self.standbys[0].address, self.standbys[1].address];
+        let view = create_view(addresses, &self.record, true);
+        self.view.send_replace(view);
+        let (inbox, events) = mpsc::channel(64);
+        self.inbox = inbox;
+        let (context, record) = (self.context.clone(), self.record.clone());
+        let receiver = self.view.subscribe();
+        self.task = spawn_group(context, record, Some(previous), receiver, events);
+        self.wait_serving().await;
+    }
+
     /// Lets all endpoints announce themselves once.
     pub async fn announce_all(&self) {
         for (index, endpoint) in self.endpoints.iter().enumerate() {
@@ -436,6 +458,7 @@
     pub async fn stop(self) {
         drop(self.inbox);
         self.task.await.unwrap();
+        drop(self.context);
         for standby in self.standbys {
             standby.stop().await;
         }
--- a/crates/daemon/tests/pieces/main.rs
+++ b/crates/daemon/tests/pieces/main.rs
@@ -12,3 +12,4 @@
 mod peers;
 mod scripted;
 mod shapes;
+mod takeover;
--- /dev/null
+++ b/crates/daemon/tests/pieces/takeover.rs
@@ -0,0 +1,72 @@
+//! A leaseholder that takes over from one that was killed, with what the standbys hold.
+
+use crate::bench::Ask;
+use crate::bench::GRANT;
+use crate::bench::GroupBench;
+use crate::bench::STATUS;
+use crate::bench::one_value;
+use ragwort_lab::faults::FaultRequest;
+use ragwort_types::DoubtCause;
+use ragwort_types::RequestKey;
+use ragwort_types::RequestVerdict;
+use ragwort_types::StatementAnswer;
+use std::time::Duration;
+use tokio::time::sleep;
+
+failure_cases! {
+    /// The leaseholder is killed while a grant runs, and the clerk's program sends the grant again.
+    /// The successor can't know whether it ran; it must not run it a second time to find out.
+    resend_after_a_takeover_does_not_run => running_case();
+    /// The leaseholder is killed after it has acknowledged a grant, and the acknowledgement is lost
+    /// on its way. The resend gets the verdict that was acknowledged.
+    decided_write_keeps_its_verdict_over_a_takeover => decided_case();
+    /// A clerk has changed a case and reads it through the successor, while one replica has stopped
+    /// to follow. She must see her change, whichever instance answers.
+    session_reads_its_write_after_a_takeover => session_case();
+}
+
+async fn running_case() {
+    let mut bench = GroupBench::start().await;
+    bench.set_fault(0, FaultRequest::Slow(300)).await;
+    let grant = Ask::new(GRANT, "append case-7 grant").key(RequestKey::fresh());
+    let first = bench.send(grant.clone()).await;
+    bench.wait_running(1).await;
+    bench.replace_leaseholder().await;
+    assert!(first.await.is_err());
+    let reply = bench.ask(grant).await;
+    let doubt = RequestVerdict::MayHaveRun(DoubtCause::EarlierAttempt);
+    assert_eq!(reply.verdict, doubt);
+    bench.wait_running(0).await;
+    assert!(bench.count_commits().await <= 1);
+    bench.stop().await;
+}
+
+async fn decided_case() {
+    let mut bench = GroupBench::start().await;
+    let grant = Ask::new(GRANT, "append case-7 grant").key(RequestKey::fresh());
+    let written = RequestVerdict::Ran(StatementAnswer::Done(1));
+    assert_eq!(bench.ask(grant.clone()).await.verdict, written);
+    bench.replace_leaseholder().await;
+    assert_eq!(bench.ask(grant).await.verdict, written);
+    assert_eq!(bench.count_commits().await, 1);
+    bench.stop().await;
+}
+
+async fn session_case() {
+    let mut bench = GroupBench::start().await;
+    bench.set_fault(2, FaultRequest::CutReplication(true)).await;
+    let put = Ask::new(GRANT, "put case-7 granted");
+    let written = RequestVerdict::Ran(StatementAnswer::Done(1));
+    assert_eq!(bench.ask(put).await.verdict, written);
+    bench.replace_leaseholder().await;
+    let granted = RequestVerdict::Ran(one_value("value", "granted"));
+    let mut by_replica = 0;
+    // Until replicas serve again, and some reads more.
+    while by_replica < 10 {
+        let reply = bench.ask(Ask::new(STATUS, "get case-7")).await;
+        assert_eq!(reply.verdict, granted, "{reply:?}");
+        by_replica += u32::from(reply.served_by.is_some_and(|served| served.replica));
+        sleep(Duration::from_millis(5)).await;
+    }
+    bench.stop().await;
+}
