--- a/crates/lab/tests/whole.rs
+++ b/crates/lab/tests/whole.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio_postgres::Config;
+use tokio_postgres::NoTls;
 
 /// How long one case may take, its processes' start included.
 const CASE_PATIENCE: Duration = Duration::from_secs(150);
@@ -74,10 +76,43 @@
     leaseholder_drains => (DrainLeaseholder, 107);
 }
 
+/// A driver prepares each statement before it runs it, as most do by default, and comes by any VM,
+/// few of which lead the group. It must be told the statement's columns, and read what it wrote.
+#[tokio::test(flavor = "multi_thread")]
+async fn drivers_prepare_by_every_gateway() {
+    let _alone = TURN.lock().await;
+    timeout(CASE_PATIENCE, prepare_case())
+        .await
+        .expect("the case never ends");
+}
+
+async fn prepare_case() {
+    let set = start_set().await;
+    for (index, gateway) in set.gateways().into_iter().enumerate() {
+        let mut config = Config::new();
+        config.hostaddr(gateway.ip()).port(gateway.port());
+        config.user(set.size().customer);
+        config.dbname(set.group_names()[0]);
+        let (client, connection) = config.connect(NoTls).await.unwrap();
+        // The connection's task ends when the client is dropped.
+        tokio::spawn(connection);
+        let key = format!("case-{index}");
+        client.execute("put $1 $2", &[&key, &"open"]).await.unwrap();
+        let read = client.prepare("/*kind='fresh'*/ get $1").await.unwrap();
+        assert_eq!(read.columns()[0].name(), "value");
+        let row = client.query_one(&read, &[&key]).await.unwrap();
+        assert_eq!(row.get::<_, &str>(0), "open");
+        let error = client.prepare("frobnicate $1").await.unwrap_err();
+        assert_eq!(error.code().unwrap().code(), "42601");
+    }
+    set.stop().await.unwrap();
+}
+
 /// The cases run one after the other: each starts nine processes.
 static TURN: Mutex<()> = Mutex::const_new(());
 
-async fn run_case(fault: WholeFault, seed: u64) {
+/// Starts five VMs and one group, and waits until the group is whole.
+async fn start_set() -> LabSet {
     let settings = SetSettings {
         size: SiteSize {
             vms: 5,
@@ -87,9 +122,15 @@
         binaries: build_binaries(),
         keep_folder: false,
     };
-    let mut set = LabSet::start(settings).await.unwrap();
+    let set = LabSet::start(settings).await.unwrap();
     let group = set.group_names()[0];
     set.wait_until_whole(group, HEAL_PATIENCE).await.unwrap();
+    set
+}
+
+async fn run_case(fault: WholeFault, seed: u64) {
+    let mut set = start_set().await;
+    let group = set.group_names()[0];
     let load = load_settings(&set, seed);
     let stop = StopFlag::default();
     let (report, ()) = tokio::join!(run_load(&load, &stop), async {
