Tests of the whole run copies of the programs

Cause: leaseholder_is_killed failed once with 'No such file or directory' when it started a daemon: the test builds a part of the workspace, which has other features of shared libraries, so cargo replaced the program at that moment. Ruled out: the daemon itself (the same case passes alone). Now the workspace is built as the test command builds it, once, and copied.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -17,6 +17,7 @@
 use ragwort_control::AgreementOutput;
 use ragwort_control::AgreementSettings;
 use ragwort_control::CatalogState;
+use ragwort_control::ClockTime;
 use ragwort_control::DurableState;
 use ragwort_control::EntryMark;
 use ragwort_control::LeaseDecision;
@@ -114,10 +115,12 @@
     Passed(HeartbeatBatch, oneshot::Sender<Vec<HeartbeatReply>>),
 }
 
-/// A granted heartbeat that waits until this VM's own catalog has caught up with the grant.
+/// A granted heartbeat that waits for its reply.
 struct OwedReply {
     waiting: WaitingHeartbeat,
     grant: LeaseGrant,
+    /// When the reply is sent even if the catalog has not changed.
+    due: ClockTime,
 }
 
 /// A command that waits for its entry to be committed.
@@ -549,11 +552,17 @@
         replies: Option<Vec<HeartbeatReply>>,
     ) {
         let mut replies = replies.unwrap_or_default().into_iter();
+        let hold = Duration::from_millis(self.settings.timing.heartbeat_ms / 2);
+        let due = self.clock.now() + hold;
         for one in waiting {
             match replies.next().unwrap_or(HeartbeatReply::NotYet) {
                 HeartbeatReply::Granted(grant) => {
                     let waiting = one;
-                    self.owed.push(OwedReply { waiting, grant });
+                    self.owed.push(OwedReply {
+                        waiting,
+                        grant,
+                        due,
+                    });
                 }
                 other => {
                     let _ = one.reply.send(other);
@@ -562,12 +571,18 @@
         }
     }
 
-    /// Sends granted replies once this VM's catalog holds what the leader's held at the grant.
+    /// Sends granted replies that bring something new, or have been held for long enough.
+    ///
+    /// A reply waits until this VM's catalog holds what the leader's held at the grant. One that
+    /// would bring nothing is then held for half a heartbeat: a change that is committed meanwhile
+    /// travels at once, instead of with the member's next heartbeat.
     fn pay_owed_replies(&mut self) {
         let revision = self.catalog.revision();
-        let ready = self
-            .owed
-            .extract_if(.., |owed| owed.grant.revision <= revision);
+        let now = self.clock.now();
+        let ready = self.owed.extract_if(.., |owed| {
+            let caught_up = owed.grant.revision <= revision;
+            caught_up && (owed.waiting.request.revision < revision || now >= owed.due)
+        });
         for owed in ready {
             let mut grant = owed.grant;
             let held = owed.waiting.request.revision;
--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -121,7 +121,7 @@
             group = self.group,
             instance = primary,
         );
-        self.pool.ping_idle(primary);
+        self.doubt_connections(primary);
         if let Some(entry) = self.pool.endpoint(primary) {
             let address = entry.announcement.agent_address;
             let links = self.context.links.clone();
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -85,8 +85,14 @@
         let mut attached = false;
         loop {
             let address = self.settings.control[control].address;
+            let sent = self.clock.now();
+            let mut due = self.pace(sent);
             match self.send_heartbeat(&id, address).await {
-                Some(HeartbeatReply::Granted(_)) => {
+                Some(HeartbeatReply::Granted(grant)) => {
+                    // A change is confirmed at once, so that its operator isn't kept waiting.
+                    if grant.delta.is_some() {
+                        due = sent;
+                    }
                     if !attached {
                         log_event!(Level::Info, "lease_granted", vm = id.vm, control = address);
                     }
@@ -111,7 +117,7 @@
                     control = (control + 1) % self.settings.control.len();
                 }
             }
-            if !self.wait_next(attached).await {
+            if !self.wait_next(attached, due).await {
                 self.leave(&id).await;
                 return true;
             }
@@ -180,10 +186,15 @@
         });
     }
 
-    async fn wait_next(&mut self, attached: bool) -> bool {
+    /// Returns when the heartbeat after the one sent at `sent` is due.
+    fn pace(&self, sent: ClockTime) -> ClockTime {
+        sent + Duration::from_millis(self.settings.timing.heartbeat_ms)
+    }
+
+    async fn wait_next(&mut self, attached: bool, due: ClockTime) -> bool {
         let timing = &self.settings.timing;
         let pause = if attached {
-            Duration::from_millis(timing.heartbeat_ms)
+            self.clock.until(due)
         } else {
             Duration::from_millis(timing.heartbeat_ms / 4)
         };
--- a/crates/lab/tests/whole.rs
+++ b/crates/lab/tests/whole.rs
@@ -15,6 +15,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::sync::Mutex;
 use tokio::time::sleep;
@@ -294,24 +295,34 @@
         .any(|count| count > 0)
 }
 
-/// Builds the daemon's program, which a test of this crate alone would not bring up to date, and
-/// returns the folder of all programs.
+/// Builds all programs once and returns a folder that holds copies of them.
+///
+/// Another build that runs beside the tests, as of another package of the workspace, replaces the
+/// programs in the target folder. A case that starts a daemon at that moment would find none.
 fn build_binaries() -> PathBuf {
+    static COPIES: OnceLock<PathBuf> = OnceLock::new();
+    COPIES.get_or_init(copy_binaries).clone()
+}
+
+fn copy_binaries() -> PathBuf {
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
-    command.args([
-        "build",
-        "--quiet",
-        "--offline",
-        "-p",
-        "ragwortgated",
-        "-p",
-        "ragwortctl",
-    ]);
+    // The whole workspace is built, as the test command does: a part of it would be built with
+    // other features of the shared libraries, and everything anew.
+    command.args(["build", "--quiet", "--offline", "--workspace"]);
     if !cfg!(debug_assertions) {
         command.arg("--release");
     }
     assert!(command.status().unwrap().success());
-    let lab = Path::new(env!("CARGO_BIN_EXE_ragwort-lab"));
-    lab.parent().unwrap().to_owned()
+    let built = Path::new(env!("CARGO_BIN_EXE_ragwort-lab"))
+        .parent()
+        .unwrap();
+    let copies = Path::new(env!("CARGO_TARGET_TMPDIR")).join("programs");
+    std::fs::create_dir_all(&copies).unwrap();
+    for program in ["ragwortgated", "ragwortctl", "ragwort-lab"] {
+        // A copy that still runs can't be overwritten, but its name can be given away.
+        let _ = std::fs::remove_file(copies.join(program));
+        std::fs::copy(built.join(program), copies.join(program)).unwrap();
+    }
+    copies
 }
