Report how late each kind of verdict was told

A refusal is only of use if it comes at once, and one figure per class hid that the late ones came from frozen gateways.

--- a/crates/lab/src/load_report.rs
+++ b/crates/lab/src/load_report.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct LoadRecorder {
     classes: BTreeMap<LoadClass, ClassRecorder>,
-    reasons: BTreeMap<String, u64>,
+    reasons: BTreeMap<String, Histogram<u64>>,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +83,15 @@
     pub refused: LatencyQuantiles,
 }
 
+/// How often a reason was given, and how late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ReasonReport {
+    /// The number of requests.
+    pub count: u64,
+    /// The latency of these verdicts.
+    pub told: LatencyQuantiles,
+}
+
 /// The report of a run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct LoadReport {
@@ -91,7 +100,7 @@
     /// The share of served reads that replicas served, if the gateways said who served.
     pub replica_share: Option<f64>,
     /// Why requests weren't answered with rows, in the words of the verdicts.
-    pub reasons: BTreeMap<String, u64>,
+    pub reasons: BTreeMap<String, ReasonReport>,
     /// The number of acknowledged appends that were checked at the end.
     pub checked_appends: usize,
     /// Broken promises; must be empty.
@@ -129,7 +138,10 @@
             CallerVerdict::Failed { sqlstate, message } => format!("failed: {sqlstate} {message}"),
             CallerVerdict::Unanswered => "unanswered".to_owned(),
         };
-        *self.reasons.entry(reason).or_default() += 1;
+        self.reasons
+            .entry(reason)
+            .or_insert_with(empty_histogram)
+            .saturating_record(record.latency.as_micros() as u64);
     }
 
     /// Returns the report so far, without what the oracle says.
@@ -142,7 +154,11 @@
         LoadReport {
             replica_share: replica_share(&classes),
             classes,
-            reasons: self.reasons.clone(),
+            reasons: self
+                .reasons
+                .iter()
+                .map(|(reason, told)| (reason.clone(), read_reason(told)))
+                .collect(),
             ..LoadReport::default()
         }
     }
@@ -198,6 +214,13 @@
     Histogram::new_with_max(LONGEST_LATENCY_US, 3).expect("constant bounds")
 }
 
+fn read_reason(told: &Histogram<u64>) -> ReasonReport {
+    ReasonReport {
+        count: told.len(),
+        told: read_quantiles(told),
+    }
+}
+
 fn read_quantiles(histogram: &Histogram<u64>) -> LatencyQuantiles {
     LatencyQuantiles {
         p50_us: histogram.value_at_quantile(0.5),
@@ -261,8 +284,14 @@
                 share * 100.0
             )?;
         }
-        for (reason, count) in &self.reasons {
-            writeln!(formatter, "{count:>7} x {reason}")?;
+        for (reason, report) in &self.reasons {
+            writeln!(
+                formatter,
+                "{:>7} x {reason} (p50 {:.1} ms, p99 {:.1} ms)",
+                report.count,
+                to_millis(report.told.p50_us),
+                to_millis(report.told.p99_us),
+            )?;
         }
         writeln!(
             formatter,
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -126,7 +126,7 @@
     );
     assert_eq!(report.replica_share, Some(0.75));
     assert!(class.refused.max_us < 2_000 && class.answered.max_us >= 1_500_000);
-    assert_eq!(report.reasons["not run: 53400 overload"], 1);
+    assert_eq!(report.reasons["not run: 53400 overload"].count, 1);
     let json = serde_json::to_value(&report).unwrap();
     assert_eq!(json["classes"]["status"]["counts"]["sent"], 7);
     assert!(
