Split the leaseholder's dispatch by concern

764 lines had grown out of three matters: dispatch and final verdicts, what connections report, and confirmation by majority or round.

--- /dev/null
+++ b/crates/daemon/src/group/confirming.rs
@@ -0,0 +1,228 @@
+//! Holds answers back until they are confirmed: writes by a majority, fresh reads by a round.
+
+use super::GroupTask;
+use super::intake::to_policy;
+use super::notice::GroupNotice;
+use super::notice::RoundReport;
+use super::request::RequestStage;
+use jsonrpsee::ws_client::WsClient;
+use ragwort_control::ClockTime;
+use ragwort_control::QuorumProgress;
+use ragwort_control::ReadProgress;
+use ragwort_control::RoundId;
+use ragwort_control::WriteTicket;
+use ragwort_policy::RequestTicket;
+use ragwort_types::AccessMode;
+use ragwort_types::DoubtCause;
+use ragwort_types::InstanceName;
+use ragwort_types::InstanceStatus;
+use ragwort_types::LogPosition;
+use ragwort_types::RequestVerdict;
+use ragwort_types::rpc::AgentApiClient;
+use std::sync::Arc;
+use std::time::Duration;
+
+impl GroupTask {
+    /// Lets a write wait until a majority of the group's instances holds it in the present term.
+    ///
+    /// A primary that was replaced, or dies right after its answer, would otherwise have
+    /// acknowledged a write that its successor lacks: the caller's work would be lost.
+    pub(super) fn await_majority(
+        &mut self,
+        ticket: RequestTicket,
+        instance: &InstanceName,
+        position: Option<LogPosition>,
+        dispatched: ClockTime,
+    ) {
+        let Some(position) = position.filter(|one| one.term == self.quorum.term()) else {
+            self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed));
+            return;
+        };
+        if let Some(active) = self.requests.get(&ticket)
+            && let Some(journal) = &mut self.journal
+        {
+            let request = &active.request;
+            journal.note_session(&request.customer, &request.session, position);
+        }
+        let status = self.quorum.status(instance).copied();
+        let progress = status.map(|mut status| {
+            status.position = status.position.max(position);
+            self.quorum.report(dispatched, instance, status)
+        });
+        let (waiting, released) = self.quorum.await_majority(position);
+        self.writes.insert(waiting, ticket);
+        if let Some(active) = self.requests.get_mut(&ticket) {
+            active.stage = RequestStage::AwaitingMajority(waiting);
+        }
+        self.take_progress(progress.unwrap_or_default());
+        self.take_progress(released);
+    }
+
+    /// Takes an agent's report into the quorum and the scheduler.
+    pub(super) fn take_status(
+        &mut self,
+        instance: &InstanceName,
+        asked: ClockTime,
+        status: InstanceStatus,
+    ) {
+        let progress = self.quorum.report(asked, instance, status);
+        self.take_progress(progress);
+        self.report_position(instance);
+    }
+
+    /// Tells the scheduler what an instance holds and how old it can be.
+    pub(super) fn report_position(&mut self, instance: &InstanceName) {
+        let now = self.context.clock.now();
+        let Some(position) = self.quorum.counted_position(instance) else {
+            return;
+        };
+        let age = match self.record.primary.as_ref() == Some(instance) {
+            true => Some(Duration::ZERO),
+            false => self.quorum.age_bound(instance, now),
+        };
+        if let Some(age) = age {
+            self.scheduler
+                .report_position(to_policy(now), instance, position, age);
+        }
+    }
+
+    fn take_progress(&mut self, progress: QuorumProgress) {
+        for waiting in progress.released {
+            self.release_write(waiting);
+        }
+        if let Some(later) = progress.later_term {
+            self.note_later_term(later);
+        }
+    }
+
+    /// Records and then acknowledges a write that a majority holds.
+    fn release_write(&mut self, waiting: WriteTicket) {
+        let Some(ticket) = self.writes.remove(&waiting) else {
+            return;
+        };
+        let (Some(active), Some(journal)) = (self.requests.get_mut(&ticket), &mut self.journal)
+        else {
+            return;
+        };
+        let Some((verdict, served)) = &active.answer else {
+            return;
+        };
+        let request = &active.request;
+        if let Some(key) = request.marks.key.filter(|_| active.key_entry.is_some()) {
+            journal.decide(&request.customer, key, verdict);
+        }
+        let entry = journal.note_session(&request.customer, &request.session, served.position);
+        active.stage = RequestStage::Recording(entry);
+        self.answer_recorded();
+    }
+
+    /// Answers the writes whose session positions and verdicts all standbys hold.
+    pub(super) fn answer_recorded(&mut self) {
+        let Some(journal) = &self.journal else {
+            return;
+        };
+        let recorded = self
+            .requests
+            .iter()
+            .filter(|(_, active)| match active.stage {
+                RequestStage::Recording(entry) => journal.is_replicated(entry),
+                _ => false,
+            });
+        let recorded: Vec<RequestTicket> = recorded.map(|(ticket, _)| *ticket).collect();
+        for ticket in recorded {
+            self.answer_now(ticket);
+            self.note_write_landed();
+        }
+    }
+
+    /// Begins a round of status requests if reads wait for one.
+    pub(super) fn begin_read_round(&mut self) {
+        if self.round_running.is_some() {
+            return;
+        }
+        let Some(round) = self.quorum.begin_read_round() else {
+            return;
+        };
+        self.round_running = Some((round, self.context.clock.now()));
+        for instance in self.record.instances.clone() {
+            let Some(entry) = self.pool.endpoint(&instance) else {
+                continue;
+            };
+            let address = entry.announcement.agent_address;
+            let links = self.context.links.clone();
+            let notices = self.notices.clone();
+            let asked = self.context.clock.now();
+            let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms);
+            self.children.spawn(async move {
+                let call = |client: Arc<WsClient>| async move { client.status().await };
+                let status = links.call(address, limit, call).await.ok();
+                let report = RoundReport {
+                    round,
+                    instance,
+                    asked,
+                    status,
+                };
+                let _ = notices.send(GroupNotice::ReadRound(report)).await;
+            });
+        }
+    }
+
+    /// Takes an instance's answer in a round of reads.
+    pub(super) fn take_round_report(&mut self, report: RoundReport) {
+        let Some(status) = report.status else {
+            return;
+        };
+        self.take_status(&report.instance, report.asked, status);
+        let progress = self
+            .quorum
+            .confirm(report.round, &report.instance, status.fenced_term);
+        match progress {
+            ReadProgress::Confirmed(round) => {
+                self.confirmed_round = self.confirmed_round.max(round);
+                if self
+                    .round_running
+                    .is_some_and(|(running, _)| running <= round)
+                {
+                    self.round_running = None;
+                }
+                self.release_reads();
+            }
+            ReadProgress::Pending => {}
+            ReadProgress::TermOver(later) => self.note_later_term(later),
+        }
+    }
+
+    /// Answers the reads whose round is confirmed.
+    pub(super) fn release_reads(&mut self) {
+        let confirmed: RoundId = self.confirmed_round;
+        let ready = self.requests.iter().filter(|(_, active)| {
+            matches!(active.stage, RequestStage::AwaitingRound(round) if round <= confirmed)
+        });
+        let ready: Vec<RequestTicket> = ready.map(|(ticket, _)| *ticket).collect();
+        for ticket in ready {
+            self.answer_now(ticket);
+        }
+    }
+
+    /// Sends the answer that a request holds, if the lease still runs.
+    pub(super) fn answer_now(&mut self, ticket: RequestTicket) {
+        let deposed = self.journal_is_deposed();
+        let Some(active) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let Some((verdict, served)) = active.answer.take() else {
+            return;
+        };
+        let now = self.context.clock.now();
+        // A leaseholder that was frozen wakes up with answers of a time when it led. Meanwhile a
+        // successor may have promoted another instance that lacks what the answer says.
+        if !self.view.borrow().may_serve(now) || deposed {
+            self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::LeaseLost));
+            return;
+        }
+        if active.terms.access == AccessMode::Read {
+            self.context.metrics.count_read(&served);
+        }
+        self.settle_served(ticket, verdict, Some(served));
+    }
+}
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -1,48 +1,28 @@
-//! Brings requests to endpoints and their answers back to callers.
+//! Brings requests to endpoints, and gives them their final verdicts.
 
 use super::GroupTask;
 use super::intake::to_policy;
-use super::notice::GroupNotice;
-use super::notice::RoundReport;
+use super::outcomes::pinned_transaction;
 use super::request::ActiveRequest;
 use super::request::KeyedRequest;
-use super::request::OpenTransaction;
 use super::request::RequestStage;
-use crate::connection::ConnectionChange;
-use crate::connection::ConnectionEvent;
-use crate::connection::ConnectionId;
 use crate::connection::ConnectionOrder;
 use crate::connection::RunOrder;
-use crate::connection::RunOutcome;
-use jsonrpsee::ws_client::WsClient;
-use ragwort_control::ClockTime;
-use ragwort_control::QuorumProgress;
-use ragwort_control::ReadProgress;
-use ragwort_control::RoundId;
-use ragwort_control::WriteTicket;
 use ragwort_policy::AbandonEffect;
 use ragwort_policy::DispatchOrder;
 use ragwort_policy::FinishDecision;
 use ragwort_policy::FinishOutcome;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerDecision;
-use ragwort_types::AccessMode;
 use ragwort_types::DoubtCause;
 use ragwort_types::InstanceName;
-use ragwort_types::InstanceStatus;
-use ragwort_types::LogPosition;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::ServedBy;
 use ragwort_types::ShapeOutcome;
-use ragwort_types::StatementAnswer;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
-use ragwort_types::TransactionId;
 use ragwort_types::TransactionStep;
-use ragwort_types::rpc::AgentApiClient;
-use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::Instant;
 
 impl GroupTask {
@@ -154,7 +134,12 @@
     }
 
     /// Gives a dispatched request that was not sent back to the scheduler.
-    fn give_back(&mut self, ticket: RequestTicket, outcome: FinishOutcome, cause: RefusalCause) {
+    pub(super) fn give_back(
+        &mut self,
+        ticket: RequestTicket,
+        outcome: FinishOutcome,
+        cause: RefusalCause,
+    ) {
         let now = to_policy(self.context.clock.now());
         let decision = self.scheduler.finished(now, ticket, outcome);
         if let Some(transaction) = self.step_of(ticket).and_then(pinned_transaction)
@@ -183,461 +168,12 @@
         }
     }
 
-    /// Takes a connection's event.
-    pub(super) fn take_connection_event(&mut self, event: ConnectionEvent) {
-        match event.change {
-            ConnectionChange::Opened => {
-                if let Some(connection) = self.pool.connection(event.id) {
-                    connection.open = true;
-                    let instance = connection.instance.clone();
-                    self.scheduler.connection_opened(&instance);
-                }
-            }
-            ConnectionChange::Finished(id, outcome) => {
-                self.take_outcome(event.id, id, outcome);
-                self.forget_spent(event.id);
-            }
-            ConnectionChange::Described(id, outcome) => {
-                self.free_described(event.id, &outcome);
-                self.take_described(id, outcome);
-                self.forget_spent(event.id);
-            }
-            ConnectionChange::Proven => self.take_proof(event.id),
-            ConnectionChange::Closed => self.take_closed(event.id),
-        }
-    }
-
-    /// Forgets a connection that takes no further statement, before its task says that it closed.
-    ///
-    /// The scheduler would count it as idle until then, and dispatch waiting requests on it one
-    /// after the other. Each would be given back, and refused when it has no attempt left.
-    fn forget_spent(&mut self, id: ConnectionId) {
-        let spent = self.pool.connection(id).is_some_and(|held| held.spent);
-        if spent {
-            self.take_closed(id);
-        }
-    }
-
-    fn take_closed(&mut self, id: ConnectionId) {
-        let Some(connection) = self.pool.remove_connection(id) else {
-            return;
-        };
-        let now = to_policy(self.context.clock.now());
-        if let Some(transaction) = connection.pinned {
-            self.end_transaction(transaction);
-        }
-        match connection.running {
-            Some(ticket) if self.is_shape(ticket) => {
-                self.give_shape_back(ticket, FinishOutcome::Lost);
-            }
-            Some(ticket) => self.take_lost(ticket, DoubtCause::EndpointLost),
-            None => {}
-        }
-        if connection.retired {
-            return;
-        }
-        if connection.doubted {
-            self.scheduler.doubt_ended(&connection.instance);
-        }
-        if connection.open {
-            self.scheduler.connection_closed(&connection.instance);
-            // A connection that is closed after its end was reported tells nothing new.
-            if !connection.spent {
-                self.doubt_connections(&connection.instance);
-            }
-        } else {
-            self.scheduler.connection_failed(now, &connection.instance);
-        }
-    }
-
-    fn take_outcome(&mut self, id: ConnectionId, statement: StatementId, outcome: RunOutcome) {
-        let Some(connection) = self.pool.connection(id) else {
-            return;
-        };
-        let instance = connection.instance.clone();
-        let ticket = connection.running.take();
-        connection.spent |= !matches!(outcome, RunOutcome::Answered(..) | RunOutcome::Refused(_));
-        let Some(ticket) = ticket.filter(|ticket| self.tickets.get(&statement) == Some(ticket))
-        else {
-            return;
-        };
-        match outcome {
-            RunOutcome::Answered(answer, position) => {
-                self.take_answer(ticket, id, &instance, answer, position);
-            }
-            RunOutcome::Refused(_) | RunOutcome::NotSent => {
-                self.give_back(ticket, FinishOutcome::NotRun, RefusalCause::EndpointRefused);
-            }
-            RunOutcome::Lost => {
-                self.doubt_connections(&instance);
-                self.take_lost(ticket, DoubtCause::EndpointLost);
-            }
-            RunOutcome::Silent => {
-                self.doubt_connections(&instance);
-                self.take_lost(ticket, DoubtCause::EndpointSilent);
-            }
-            RunOutcome::Mismatch => self.take_lost(ticket, DoubtCause::AnswerMismatch),
-        }
-    }
-
-    /// Lets a connection that answered its ping take work again.
-    fn take_proof(&mut self, id: ConnectionId) {
-        if let Some(connection) = self.pool.connection(id)
-            && std::mem::take(&mut connection.doubted)
-        {
-            let instance = connection.instance.clone();
-            self.scheduler.doubt_ended(&instance);
-        }
-    }
-
-    /// Keeps work away from an instance's idle connections until they have answered a ping.
-    pub(super) fn doubt_connections(&mut self, instance: &InstanceName) {
-        for _ in 0..self.pool.doubt_idle(instance) {
-            self.scheduler.connection_doubted(instance);
-        }
-    }
-
-    fn step_of(&self, ticket: RequestTicket) -> Option<TransactionStep> {
-        self.requests.get(&ticket).map(|active| active.request.step)
-    }
-
-    /// Deals with a request whose answer was lost after it was sent.
-    fn take_lost(&mut self, ticket: RequestTicket, cause: DoubtCause) {
-        let Some(active) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        let step = active.request.step;
-        let now = to_policy(self.context.clock.now());
-        let decision = self.scheduler.finished(now, ticket, FinishOutcome::Lost);
-        if decision == FinishDecision::Requeued {
-            active.stage = RequestStage::Waiting;
-            active.round = None;
-            return;
-        }
-        if let Some(transaction) = pinned_transaction(step) {
-            self.end_transaction(transaction);
-        }
-        let verdict = match step {
-            TransactionStep::Single | TransactionStep::Commit(_) => {
-                RequestVerdict::MayHaveRun(cause)
-            }
-            // Nothing of a transaction lasts that was not asked to commit.
-            TransactionStep::Begin(_)
-            | TransactionStep::Within(_)
-            | TransactionStep::Rollback(_) => {
-                RequestVerdict::refused(RefusalCause::TransactionLost, 0)
-            }
-        };
-        self.settle(ticket, verdict);
-    }
-
-    fn take_answer(
-        &mut self,
-        ticket: RequestTicket,
-        connection: ConnectionId,
-        instance: &InstanceName,
-        answer: StatementAnswer,
-        position: Option<LogPosition>,
-    ) {
-        let now = self.context.clock.now();
-        self.scheduler
-            .finished(to_policy(now), ticket, FinishOutcome::Answered);
-        let Some(active) = self.requests.get(&ticket) else {
-            return;
-        };
-        self.follow_transaction(active.request.step, ticket, connection, &answer);
-        let Some(active) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        let replica = self.record.primary.as_ref() != Some(instance);
-        let served = ServedBy {
-            instance: instance.clone(),
-            replica,
-            position: position.unwrap_or_default(),
-        };
-        let failed = matches!(answer, StatementAnswer::Failed(_));
-        let verdict = RequestVerdict::Ran(answer);
-        let (write, round, dispatched) = (active.is_write(), active.round, active.dispatched);
-        if write && !failed {
-            active.answer = Some((verdict, served));
-            self.await_majority(ticket, instance, position, dispatched);
-            return;
-        }
-        if let Some(round) = round {
-            active.stage = RequestStage::AwaitingRound(round);
-            active.answer = Some((verdict, served));
-            self.release_reads();
-            return;
-        }
-        active.answer = Some((verdict, served));
-        self.answer_now(ticket);
-    }
-
-    /// Pins, keeps or frees the connection of a transaction after one of its statements.
-    fn follow_transaction(
-        &mut self,
-        step: TransactionStep,
-        ticket: RequestTicket,
-        connection: ConnectionId,
-        answer: &StatementAnswer,
-    ) {
-        let now = self.context.clock.now();
-        match step {
-            TransactionStep::Single => {}
-            TransactionStep::Begin(id) => {
-                if matches!(answer, StatementAnswer::Failed(_)) {
-                    self.scheduler.unpin(to_policy(now), ticket);
-                    return;
-                }
-                if let Some(held) = self.pool.connection(connection) {
-                    held.pinned = Some(id);
-                }
-                let open = OpenTransaction {
-                    opener: ticket,
-                    connection,
-                    last_used: now,
-                };
-                self.transactions.insert(id, open);
-            }
-            TransactionStep::Within(id) => {
-                if let Some(open) = self.transactions.get_mut(&id) {
-                    open.last_used = now;
-                }
-            }
-            TransactionStep::Commit(id) | TransactionStep::Rollback(id) => {
-                if let Some(held) = self.pool.connection(connection) {
-                    held.pinned = None;
-                }
-                if let Some(open) = self.transactions.remove(&id) {
-                    self.scheduler.unpin(to_policy(now), open.opener);
-                }
-            }
-        }
-    }
-
-    /// Forgets a transaction and closes its connection, so that the endpoint rolls it back.
-    pub(super) fn end_transaction(&mut self, id: TransactionId) {
-        let Some(open) = self.transactions.remove(&id) else {
-            return;
-        };
-        let now = to_policy(self.context.clock.now());
-        self.scheduler.unpin(now, open.opener);
-        if let Some(connection) = self.pool.remove_connection(open.connection)
-            && !connection.retired
-        {
-            self.scheduler.connection_closed(&connection.instance);
-        }
-    }
-
-    /// Lets a write wait until a majority of the group's instances holds it in the present term.
-    ///
-    /// A primary that was replaced, or dies right after its answer, would otherwise have
-    /// acknowledged a write that its successor lacks: the caller's work would be lost.
-    fn await_majority(
-        &mut self,
-        ticket: RequestTicket,
-        instance: &InstanceName,
-        position: Option<LogPosition>,
-        dispatched: ClockTime,
-    ) {
-        let Some(position) = position.filter(|one| one.term == self.quorum.term()) else {
-            self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed));
-            return;
-        };
-        if let Some(active) = self.requests.get(&ticket)
-            && let Some(journal) = &mut self.journal
-        {
-            let request = &active.request;
-            journal.note_session(&request.customer, &request.session, position);
-        }
-        let status = self.quorum.status(instance).copied();
-        let progress = status.map(|mut status| {
-            status.position = status.position.max(position);
-            self.quorum.report(dispatched, instance, status)
-        });
-        let (waiting, released) = self.quorum.await_majority(position);
-        self.writes.insert(waiting, ticket);
-        if let Some(active) = self.requests.get_mut(&ticket) {
-            active.stage = RequestStage::AwaitingMajority(waiting);
-        }
-        self.take_progress(progress.unwrap_or_default());
-        self.take_progress(released);
-    }
-
-    /// Takes an agent's report into the quorum and the scheduler.
-    pub(super) fn take_status(
-        &mut self,
-        instance: &InstanceName,
-        asked: ClockTime,
-        status: InstanceStatus,
-    ) {
-        let progress = self.quorum.report(asked, instance, status);
-        self.take_progress(progress);
-        self.report_position(instance);
-    }
-
-    /// Tells the scheduler what an instance holds and how old it can be.
-    pub(super) fn report_position(&mut self, instance: &InstanceName) {
-        let now = self.context.clock.now();
-        let Some(position) = self.quorum.counted_position(instance) else {
-            return;
-        };
-        let age = match self.record.primary.as_ref() == Some(instance) {
-            true => Some(Duration::ZERO),
-            false => self.quorum.age_bound(instance, now),
-        };
-        if let Some(age) = age {
-            self.scheduler
-                .report_position(to_policy(now), instance, position, age);
-        }
-    }
-
-    fn take_progress(&mut self, progress: QuorumProgress) {
-        for waiting in progress.released {
-            self.release_write(waiting);
-        }
-        if let Some(later) = progress.later_term {
-            self.note_later_term(later);
-        }
-    }
-
-    /// Records and then acknowledges a write that a majority holds.
-    fn release_write(&mut self, waiting: WriteTicket) {
-        let Some(ticket) = self.writes.remove(&waiting) else {
-            return;
-        };
-        let (Some(active), Some(journal)) = (self.requests.get_mut(&ticket), &mut self.journal)
-        else {
-            return;
-        };
-        let Some((verdict, served)) = &active.answer else {
-            return;
-        };
-        let request = &active.request;
-        if let Some(key) = request.marks.key.filter(|_| active.key_entry.is_some()) {
-            journal.decide(&request.customer, key, verdict);
-        }
-        let entry = journal.note_session(&request.customer, &request.session, served.position);
-        active.stage = RequestStage::Recording(entry);
-        self.answer_recorded();
-    }
-
-    /// Answers the writes whose session positions and verdicts all standbys hold.
-    pub(super) fn answer_recorded(&mut self) {
-        let Some(journal) = &self.journal else {
-            return;
-        };
-        let recorded = self
-            .requests
-            .iter()
-            .filter(|(_, active)| match active.stage {
-                RequestStage::Recording(entry) => journal.is_replicated(entry),
-                _ => false,
-            });
-        let recorded: Vec<RequestTicket> = recorded.map(|(ticket, _)| *ticket).collect();
-        for ticket in recorded {
-            self.answer_now(ticket);
-            self.note_write_landed();
-        }
-    }
-
-    /// Begins a round of status requests if reads wait for one.
-    pub(super) fn begin_read_round(&mut self) {
-        if self.round_running.is_some() {
-            return;
-        }
-        let Some(round) = self.quorum.begin_read_round() else {
-            return;
-        };
-        self.round_running = Some((round, self.context.clock.now()));
-        for instance in self.record.instances.clone() {
-            let Some(entry) = self.pool.endpoint(&instance) else {
-                continue;
-            };
-            let address = entry.announcement.agent_address;
-            let links = self.context.links.clone();
-            let notices = self.notices.clone();
-            let asked = self.context.clock.now();
-            let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms);
-            self.children.spawn(async move {
-                let call = |client: Arc<WsClient>| async move { client.status().await };
-                let status = links.call(address, limit, call).await.ok();
-                let report = RoundReport {
-                    round,
-                    instance,
-                    asked,
-                    status,
-                };
-                let _ = notices.send(GroupNotice::ReadRound(report)).await;
-            });
-        }
-    }
-
-    /// Takes an instance's answer in a round of reads.
-    pub(super) fn take_round_report(&mut self, report: RoundReport) {
-        let Some(status) = report.status else {
-            return;
-        };
-        self.take_status(&report.instance, report.asked, status);
-        let progress = self
-            .quorum
-            .confirm(report.round, &report.instance, status.fenced_term);
-        match progress {
-            ReadProgress::Confirmed(round) => {
-                self.confirmed_round = self.confirmed_round.max(round);
-                if self
-                    .round_running
-                    .is_some_and(|(running, _)| running <= round)
-                {
-                    self.round_running = None;
-                }
-                self.release_reads();
-            }
-            ReadProgress::Pending => {}
-            ReadProgress::TermOver(later) => self.note_later_term(later),
-        }
-    }
-
-    /// Answers the reads whose round is confirmed.
-    fn release_reads(&mut self) {
-        let confirmed: RoundId = self.confirmed_round;
-        let ready = self.requests.iter().filter(|(_, active)| {
-            matches!(active.stage, RequestStage::AwaitingRound(round) if round <= confirmed)
-        });
-        let ready: Vec<RequestTicket> = ready.map(|(ticket, _)| *ticket).collect();
-        for ticket in ready {
-            self.answer_now(ticket);
-        }
-    }
-
-    /// Sends the answer that a request holds, if the lease still runs.
-    fn answer_now(&mut self, ticket: RequestTicket) {
-        let deposed = self.journal_is_deposed();
-        let Some(active) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        let Some((verdict, served)) = active.answer.take() else {
-            return;
-        };
-        let now = self.context.clock.now();
-        // A leaseholder that was frozen wakes up with answers of a time when it led. Meanwhile a
-        // successor may have promoted another instance that lacks what the answer says.
-        if !self.view.borrow().may_serve(now) || deposed {
-            self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::LeaseLost));
-            return;
-        }
-        if active.terms.access == AccessMode::Read {
-            self.context.metrics.count_read(&served);
-        }
-        self.settle_served(ticket, verdict, Some(served));
-    }
-
     /// Gives a request its final verdict.
     pub(super) fn settle(&mut self, ticket: RequestTicket, verdict: RequestVerdict) {
         self.settle_served(ticket, verdict, None);
     }
 
-    fn settle_served(
+    pub(super) fn settle_served(
         &mut self,
         ticket: RequestTicket,
         verdict: RequestVerdict,
@@ -752,13 +288,3 @@
         }
     }
 }
-
-/// Returns the transaction that a step finds open; the opening step finds none.
-fn pinned_transaction(step: TransactionStep) -> Option<TransactionId> {
-    match step {
-        TransactionStep::Single | TransactionStep::Begin(_) => None,
-        TransactionStep::Within(id)
-        | TransactionStep::Commit(id)
-        | TransactionStep::Rollback(id) => Some(id),
-    }
-}
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -4,12 +4,14 @@
 //! Callers' statements, endpoints' announcements and the reports of its child tasks reach it as
 //! messages; after each it lets the scheduler, the journal and the promotion say what is due.
 
+mod confirming;
 mod describing;
 mod dispatch;
 mod handover;
 mod intake;
 mod journaling;
 mod notice;
+mod outcomes;
 mod pool;
 mod probing;
 mod promoting;
