--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -111,12 +111,10 @@
         let output = Command::new(program).args(arguments).output()?;
         let text = String::from_utf8_lossy(&output.stdout);
         let errors = String::from_utf8_lossy(&output.stderr);
-        println!(
-            "ragwortctl {}: {}{}",
-            arguments.join(" "),
-            text.trim(),
-            errors.trim()
-        );
+        println!("ragwortctl {}", arguments.join(" "));
+        for line in text.lines().chain(errors.lines()) {
+            println!("    {line}");
+        }
         match output.status.success() {
             true => Ok(()),
             false => Err(SetFault::Refused(errors.into_owned())),
@@ -203,14 +201,15 @@
                         true => "replica",
                         false => "primary",
                     };
-                    format!("{role} {} at {}", served.instance, served.position)
+                    let instance = &served.instance;
+                    format!(
+                        "served by {role} {instance} at term/position {}",
+                        served.position
+                    )
                 }
-                None => "nobody anew: the first run's answer".to_owned(),
+                None => "the answer of the first run".to_owned(),
             };
-            format!(
-                "ran: [{}], served by {server} (term/position)",
-                values.join(", ")
-            )
+            format!("ran: [{}], {server}", values.join(", "))
         }
         CallerVerdict::NotRun {
             sqlstate,
