--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -179,6 +179,7 @@
             CatalogCommand::RemoveInstance(change) => self.remove_instance(revision, change),
             CatalogCommand::BeginTerm(start) => self.begin_term(revision, start),
             CatalogCommand::RecordPrimary(record) => self.record_primary(revision, record),
+            CatalogCommand::ConfirmJournal(mark) => self.confirm_journal(revision, mark),
         }
     }
 
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -8,6 +8,7 @@
 use ragwort_types::GroupRecord;
 use ragwort_types::GroupTerm;
 use ragwort_types::InstanceChange;
+use ragwort_types::JournalMark;
 use ragwort_types::LogPosition;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::PrimaryRecord;
@@ -58,6 +59,7 @@
             primary: None,
             start: LogPosition::default(),
             instances: SmallVec::new(),
+            journal_epoch: PlacementEpoch(0),
         };
         self.groups.insert(
             placement.group.clone(),
@@ -68,6 +70,28 @@
         );
     }
 
+    pub(crate) fn confirm_journal(
+        &mut self,
+        revision: CatalogRevision,
+        mark: &JournalMark,
+    ) -> CatalogOutcome {
+        let Some(former) = self.groups.get(&mark.group) else {
+            return CatalogOutcome::Stale;
+        };
+        let record = &former.item;
+        // A former leaseholder must not dispatch: its successor has read the journal already.
+        if record.placement.epoch != mark.epoch {
+            return CatalogOutcome::Stale;
+        }
+        if record.journal_epoch == mark.epoch {
+            return CatalogOutcome::Done(former.stamp);
+        }
+        self.change_group(revision, &mark.group, |record| {
+            record.journal_epoch = mark.epoch;
+        });
+        CatalogOutcome::Done(revision)
+    }
+
     pub(crate) fn add_instance(
         &mut self,
         revision: CatalogRevision,
--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -289,6 +289,15 @@
         self.push_entry(JournalEntry::SessionFloor(position));
     }
 
+    /// Says whether every standby of the epoch has got the whole journal in it.
+    ///
+    /// The leaseholder then confirms the epoch in the agreed log, and dispatches only from then on:
+    /// its successor knows by that which copies are whole.
+    pub fn is_established(&self) -> bool {
+        let holds = |standby: &StandbyProgress| matches!(standby.state, StandbyState::Holding(_));
+        !self.deposed && self.standbys.iter().all(holds)
+    }
+
     /// Says whether all standbys of the epoch hold an entry.
     pub fn is_replicated(&self, sequence: u64) -> bool {
         let holds = |standby: &StandbyProgress| standby.held() > sequence;
--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -4,7 +4,6 @@
 use crate::keys::KeyTable;
 use crate::replica::load_entries;
 use crate::sessions::SessionPositions;
-use ragwort_types::GroupPlacement;
 use ragwort_types::JournalCopy;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::VmName;
@@ -36,28 +35,24 @@
     }
 }
 
-/// Merges the copies that survived, for a leaseholder that takes over under `present`.
+/// Merges the copies that survived, for a leaseholder that takes over.
 ///
-/// `previous` is the placement before it, if the asker knew it; `takeover_ms` is the wall clock, in
-/// milliseconds since the Unix epoch, after the former leaseholder's lease has ended.
+/// `confirmed` is the last epoch whose journal the agreed log shows as whole at every standby;
+/// `takeover_ms` is the wall clock, in milliseconds since the Unix epoch, after the former
+/// leaseholder's lease has ended.
 ///
-/// The result is complete if one whole copy is sure to hold every key that was dispatched:
-///
-/// - one that was written in the epoch just before the present one, because its holder was a
-///   standby or the leaseholder in that epoch;
-/// - one from the epoch before that, if its holder was also a standby in the epoch between: as
-///   that epoch's journal never reached it, nothing was dispatched there.
-///
-/// An older copy proves nothing: its holder may have been left out of an epoch in between.
+/// The result is complete if one whole copy of the confirmed epoch or a later one survived. A
+/// leaseholder dispatches nothing before its epoch is confirmed, and nothing in it before all its
+/// standbys hold the key. So a whole copy of the confirmed epoch holds every dispatched key, and a
+/// whole copy of a later epoch was made from such a one. An older copy proves nothing.
 pub fn recover_journal(
     sources: &[JournalSource],
-    previous: Option<&GroupPlacement>,
-    present: &GroupPlacement,
+    confirmed: PlacementEpoch,
     takeover_ms: u64,
 ) -> RecoveredJournal {
-    let first_placement = present.epoch <= PlacementEpoch(1);
-    let proves = |source: &JournalSource| holds_everything(source, previous, present);
-    let complete = first_placement || sources.iter().any(proves);
+    let nothing_dispatched = confirmed == PlacementEpoch(0);
+    let proves = |source: &JournalSource| source.copy.complete && source.copy.epoch >= confirmed;
+    let complete = nothing_dispatched || sources.iter().any(proves);
     let mut keys = KeyTable::default();
     let mut sessions = match complete {
         true => SessionPositions::new(),
@@ -84,24 +79,6 @@
     }
 }
 
-fn holds_everything(
-    source: &JournalSource,
-    previous: Option<&GroupPlacement>,
-    present: &GroupPlacement,
-) -> bool {
-    if !source.copy.complete {
-        return false;
-    }
-    if source.copy.epoch.next() == present.epoch {
-        return true;
-    }
-    previous.is_some_and(|previous| {
-        let adjacent = previous.epoch.next() == present.epoch;
-        let just_before = source.copy.epoch.next() == previous.epoch;
-        adjacent && just_before && previous.standbys.contains(&source.vm)
-    })
-}
-
 fn merge_sessions(sessions: &mut SessionPositions, source: &JournalSource) {
     let (_, found) = load_entries(&source.copy.entries);
     for entry in found.to_entries() {
--- a/crates/control/tests/state/journal.rs
+++ b/crates/control/tests/state/journal.rs
@@ -50,7 +50,7 @@
 
 fn first_journal(standbys: &[&str]) -> GroupJournal {
     let present = placement("cases", 1, "vm-1", standbys);
-    GroupJournal::resume(recover_journal(&[], None, &present, START_MS), &present)
+    GroupJournal::resume(recover_journal(&[], PlacementEpoch(0), START_MS), &present)
 }
 
 fn replicate(journal: &mut GroupJournal, vm: &str, replica: &mut JournalReplica) {
@@ -101,7 +101,7 @@
         replicate(&mut journal, "vm-3", &mut third);
 
         let next = placement("cases", 2, "vm-3", &["vm-4"]);
-        let recovered = recover_journal(&[source("vm-3", &mut third, 2)], None, &next, START_MS);
+        let recovered = recover_journal(&[source("vm-3", &mut third, 2)], PlacementEpoch(1), START_MS);
         assert!(recovered.is_complete());
         let mut successor = GroupJournal::resume(recovered, &next);
         assert_eq!(successor.begin(&omuti(), running, START_MS), KeyAdmission::MayHaveRun);
@@ -117,7 +117,7 @@
     /// successor is lost in its turn.
     lost_set_makes_older_keys_doubtful_for_good {
         let present = placement("cases", 4, "vm-4", &["vm-5"]);
-        let recovered = recover_journal(&[], None, &present, START_MS + 1_000);
+        let recovered = recover_journal(&[], PlacementEpoch(3), START_MS + 1_000);
         assert!(!recovered.is_complete());
         let mut journal = GroupJournal::resume(recovered, &present);
         let old = key_made_at(START_MS, 1);
@@ -128,7 +128,7 @@
         replicate(&mut journal, "vm-5", &mut replica);
         let next = placement("cases", 5, "vm-5", &[]);
         let sources = [source("vm-5", &mut replica, 5)];
-        let recovered = recover_journal(&sources, None, &next, START_MS + 9_000);
+        let recovered = recover_journal(&sources, PlacementEpoch(4), START_MS + 9_000);
         assert!(recovered.is_complete());
         let mut successor = GroupJournal::resume(recovered, &next);
         assert_eq!(successor.begin(&omuti(), old, START_MS + 9_000), KeyAdmission::MayHaveRun);
@@ -252,6 +252,46 @@
     }
 }
 
+case! {
+    /// Several VMs drain one after the other, and the group is placed anew faster than its new
+    /// standbys get the journal. The copy of the last confirmed epoch still holds every key, so
+    /// callers' fresh requests must not be answered as doubtful.
+    placements_that_never_dispatched_lose_nothing {
+        let mut journal = first_journal(&["vm-2"]);
+        let mut second = empty_replica();
+        let key = key_made_at(START_MS, 1);
+        journal.begin(&omuti(), key, START_MS);
+        replicate(&mut journal, "vm-2", &mut second);
+        assert!(journal.is_established());
+        let recovered =
+            recover_journal(&[source("vm-2", &mut second, 9)], PlacementEpoch(1), START_MS);
+        assert!(recovered.is_complete());
+        let present = placement("cases", 9, "vm-3", &["vm-4"]);
+        let mut successor = GroupJournal::resume(recovered, &present);
+        assert!(!successor.is_established(), "its standby holds nothing yet");
+        assert_eq!(successor.begin(&omuti(), key, START_MS), KeyAdmission::MayHaveRun);
+        let fresh = key_made_at(START_MS, 2);
+        assert!(matches!(successor.begin(&omuti(), fresh, START_MS), KeyAdmission::Fresh(_)));
+    }
+}
+
+case! {
+    /// The same, but a leaseholder in between had its epoch confirmed and may have dispatched. The
+    /// older copy can't know what, so older keys are doubtful.
+    older_copy_proves_nothing_once_a_later_epoch_is_confirmed {
+        let mut journal = first_journal(&["vm-2"]);
+        let mut second = empty_replica();
+        replicate(&mut journal, "vm-2", &mut second);
+        let recovered =
+            recover_journal(&[source("vm-2", &mut second, 9)], PlacementEpoch(5), START_MS);
+        assert!(!recovered.is_complete());
+        let present = placement("cases", 9, "vm-3", &["vm-4"]);
+        let mut successor = GroupJournal::resume(recovered, &present);
+        let key = key_made_at(START_MS, 1);
+        assert_eq!(successor.begin(&omuti(), key, START_MS), KeyAdmission::MayHaveRun);
+    }
+}
+
 case! {
     /// A session writes and then reads at the next leaseholder, through a replica that lags. The
     /// read must wait for the session's write even though another VM noted it.
@@ -262,7 +302,7 @@
         replicate(&mut journal, "vm-2", &mut replica);
         assert!(journal.is_replicated(sequence));
         let next = placement("cases", 2, "vm-2", &[]);
-        let recovered = recover_journal(&[source("vm-2", &mut replica, 2)], None, &next, START_MS);
+        let recovered = recover_journal(&[source("vm-2", &mut replica, 2)], PlacementEpoch(1), START_MS);
         let mut successor = GroupJournal::resume(recovered, &next);
         assert_eq!(successor.sessions().required(&omuti(), &clerk()), Some(position(40)));
         successor.prune(START_MS, position(55));
@@ -338,6 +378,8 @@
     runs: BTreeMap<u8, u32>,
     late: Vec<(u8, JournalAppend)>,
     now_ms: u64,
+    /// The last epoch that the agreed log shows as confirmed.
+    confirmed: PlacementEpoch,
 }
 
 fn vm_name(vm: u8) -> VmName {
@@ -351,7 +393,7 @@
 impl JournalModel {
     fn new() -> Self {
         let placement = placement("cases", 1, "vm-0", &["vm-1", "vm-2"]);
-        let recovered = recover_journal(&[], None, &placement, START_MS);
+        let recovered = recover_journal(&[], PlacementEpoch(0), START_MS);
         let journal = GroupJournal::resume(recovered, &placement);
         Self {
             placement,
@@ -361,6 +403,7 @@
             runs: BTreeMap::new(),
             late: Vec::new(),
             now_ms: START_MS,
+            confirmed: PlacementEpoch(0),
         }
     }
 
@@ -422,6 +465,10 @@
         {
             return;
         }
+        if !journal.is_established() {
+            return;
+        }
+        self.confirmed = self.placement.epoch;
         self.running.remove(&number);
         let runs = self.runs.entry(number).or_default();
         *runs += 1;
@@ -460,7 +507,6 @@
         self.journals.remove(&vm);
         let name = vm_name(vm);
         let led = self.placement.leaseholder == name;
-        let former = self.placement.clone();
         if led || self.placement.standbys.contains(&name) {
             self.placement.epoch = self.placement.epoch.next();
         }
@@ -468,7 +514,7 @@
         self.replicas.insert(vm, replica);
         if led {
             self.running.clear();
-            self.recover(vm, former, 0);
+            self.recover(vm, 0);
         } else {
             self.adopt();
         }
@@ -476,8 +522,8 @@
 
     fn take_over(&mut self, vm: u8, standbys: [u8; 2], silent: u8) {
         self.running.clear();
-        let previous = self.place(vm, standbys);
-        self.recover(vm, previous, silent);
+        self.place(vm, standbys);
+        self.recover(vm, silent);
     }
 
     fn change_standbys(&mut self, standbys: [u8; 2]) {
@@ -486,15 +532,14 @@
         self.adopt();
     }
 
-    fn place(&mut self, vm: u8, standbys: [u8; 2]) -> GroupPlacement {
+    fn place(&mut self, vm: u8, standbys: [u8; 2]) {
         let chosen: BTreeSet<u8> = standbys.into_iter().filter(|other| *other != vm).collect();
-        let next = GroupPlacement {
+        self.placement = GroupPlacement {
             group: "cases".into(),
             epoch: self.placement.epoch.next(),
             leaseholder: vm_name(vm),
             standbys: chosen.into_iter().map(vm_name).collect(),
         };
-        std::mem::replace(&mut self.placement, next)
     }
 
     fn adopt(&mut self) {
@@ -504,7 +549,7 @@
         }
     }
 
-    fn recover(&mut self, vm: u8, previous: GroupPlacement, silent: u8) {
+    fn recover(&mut self, vm: u8, silent: u8) {
         let request = JournalRequest {
             group: "cases".into(),
             epoch: self.placement.epoch,
@@ -525,7 +570,7 @@
             }
         }
         self.journals.clear();
-        let recovered = recover_journal(&sources, Some(&previous), &self.placement, self.now_ms);
+        let recovered = recover_journal(&sources, self.confirmed, self.now_ms);
         let journal = GroupJournal::resume(recovered, &self.placement);
         self.journals.insert(vm, journal);
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -794,6 +794,7 @@
         CatalogCommand::RemoveInstance(_) => "remove_instance",
         CatalogCommand::BeginTerm(_) => "begin_term",
         CatalogCommand::RecordPrimary(_) => "record_primary",
+        CatalogCommand::ConfirmJournal(_) => "confirm_journal",
     }
 }
 
--- a/crates/daemon/src/group/confirming.rs
+++ b/crates/daemon/src/group/confirming.rs
@@ -134,16 +134,11 @@
 
     /// Answers the writes whose session positions and verdicts all standbys hold.
     pub(super) fn answer_recorded(&mut self) {
-        let Some(journal) = &self.journal else {
-            return;
-        };
-        let recorded = self
-            .requests
-            .iter()
-            .filter(|(_, active)| match active.stage {
-                RequestStage::Recording(entry) => journal.is_replicated(entry),
-                _ => false,
-            });
+        let recorded = self.requests.iter();
+        let recorded = recorded.filter(|(_, active)| match active.stage {
+            RequestStage::Recording(entry) => self.is_journaled(entry),
+            _ => false,
+        });
         let recorded: Vec<RequestTicket> = recorded.map(|(ticket, _)| *ticket).collect();
         for ticket in recorded {
             self.answer_now(ticket);
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -51,36 +51,29 @@
     }
 
     fn take_dispatch(&mut self, order: DispatchOrder) {
-        let Some(active) = self.requests.get_mut(&order.ticket) else {
+        let Some(active) = self.requests.get(&order.ticket) else {
             return;
         };
-        let replicated = match (active.key_entry, &self.journal) {
-            (Some(entry), Some(journal)) => journal.is_replicated(entry),
-            (Some(_), None) => false,
-            (None, _) => true,
-        };
+        let journaled = active
+            .key_entry
+            .is_none_or(|entry| self.is_journaled(entry));
         // A key that a standby lacks would be unknown to the next leaseholder, and a resend would
         // run a second time: the caller's work would be done twice.
-        if replicated {
+        if journaled {
             self.start(order.ticket, &order.instance);
-        } else {
+        } else if let Some(active) = self.requests.get_mut(&order.ticket) {
             active.stage = RequestStage::Journaling(order.instance);
         }
     }
 
     /// Starts the dispatched requests whose keys all standbys hold by now.
     pub(super) fn start_journaled(&mut self) {
-        let Some(journal) = &self.journal else {
-            return;
-        };
         let waiting = self.requests.iter().filter_map(|(ticket, active)| {
             let RequestStage::Journaling(instance) = &active.stage else {
                 return None;
             };
-            let entry = active.key_entry?;
-            journal
-                .is_replicated(entry)
-                .then(|| (*ticket, instance.clone()))
+            let journaled = self.is_journaled(active.key_entry?);
+            journaled.then(|| (*ticket, instance.clone()))
         });
         for (ticket, instance) in waiting.collect::<Vec<_>>() {
             self.start(ticket, &instance);
--- a/crates/daemon/src/group/journaling.rs
+++ b/crates/daemon/src/group/journaling.rs
@@ -11,6 +11,10 @@
 use ragwort_control::GroupJournal;
 use ragwort_control::JournalSource;
 use ragwort_control::recover_journal;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CommandReply;
+use ragwort_types::JournalMark;
 use ragwort_types::JournalRequest;
 use ragwort_types::VmName;
 use ragwort_types::rpc::PeerApiClient;
@@ -29,6 +33,9 @@
 /// The pause before a standby that did not answer is tried again.
 const APPEND_PAUSE: Duration = Duration::from_millis(20);
 
+/// The pause before a confirmation without a known outcome is proposed again.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(20);
+
 /// What is known while a journal is recovered.
 #[derive(Debug, Default)]
 pub(super) struct JournalRecovery {
@@ -95,9 +102,8 @@
             return;
         }
         self.recovery.sources.extend(source);
-        let previous = self.previous.as_ref();
-        let present = &self.record.placement;
-        let recovered = recover_journal(&self.recovery.sources, previous, present, unix_millis());
+        let confirmed = self.record.journal_epoch;
+        let recovered = recover_journal(&self.recovery.sources, confirmed, unix_millis());
         if !recovered.is_complete() && !self.recovery.asked.is_empty() {
             return;
         }
@@ -105,11 +111,12 @@
             Level::Info,
             "journal_recovered",
             group = self.group,
-            epoch = present.epoch,
+            epoch = self.record.placement.epoch,
+            confirmed = confirmed,
             complete = recovered.is_complete(),
             copies = self.recovery.sources.len(),
         );
-        self.journal = Some(GroupJournal::resume(recovered, present));
+        self.journal = Some(GroupJournal::resume(recovered, &self.record.placement));
         self.journal_since = self.context.clock.now();
         self.recovery = JournalRecovery::default();
     }
@@ -149,6 +156,54 @@
         }
     }
 
+    /// Confirms the epoch in the agreed log once every standby holds the whole journal.
+    ///
+    /// Nothing that the journal must know is dispatched before. Otherwise a successor could not tell
+    /// a whole copy from one that was left behind, and would either run a request twice or answer
+    /// fresh requests as doubtful.
+    pub(super) fn confirm_journal(&mut self) {
+        let epoch = self.record.placement.epoch;
+        let established = self
+            .journal
+            .as_ref()
+            .is_some_and(GroupJournal::is_established);
+        if self.journal_confirmed == epoch || self.confirming == Some(epoch) || !established {
+            return;
+        }
+        self.confirming = Some(epoch);
+        let mark = JournalMark {
+            group: self.group.clone(),
+            epoch,
+        };
+        self.propose(CatalogCommand::ConfirmJournal(mark), Duration::ZERO);
+    }
+
+    /// Takes the answer to a confirmation.
+    pub(super) fn take_journal_mark(&mut self, mark: JournalMark, reply: &CommandReply) {
+        if mark.epoch != self.record.placement.epoch {
+            return;
+        }
+        match reply {
+            CommandReply::Committed(CatalogOutcome::Done(_)) => {
+                self.journal_confirmed = mark.epoch;
+                self.start_journaled();
+                self.answer_recorded();
+            }
+            // The group has another epoch by now, which the view shows soon.
+            CommandReply::Committed(_) => {}
+            CommandReply::NoLeader | CommandReply::Unknown => {
+                self.propose(CatalogCommand::ConfirmJournal(mark), CONFIRM_PAUSE);
+            }
+        }
+    }
+
+    /// Says whether every standby of the confirmed present epoch holds a journal entry.
+    pub(super) fn is_journaled(&self, entry: u64) -> bool {
+        let confirmed = self.journal_confirmed == self.record.placement.epoch;
+        let journal = self.journal.as_ref();
+        confirmed && journal.is_some_and(|journal| journal.is_replicated(entry))
+    }
+
     /// Takes a standby's answer; one that did not answer is sent the same again after a tick.
     pub(super) fn take_journal_report(&mut self, report: &JournalReport) {
         self.appending.remove(&report.vm);
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -53,6 +53,7 @@
 use ragwort_types::GroupRecord;
 use ragwort_types::InstanceName;
 use ragwort_types::KindName;
+use ragwort_types::PlacementEpoch;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::ShapeReply;
@@ -131,6 +132,9 @@
     quorum: PositionQuorum,
     journal: Option<GroupJournal>,
     journal_since: ClockTime,
+    /// The last epoch that this task has confirmed in the agreed log.
+    journal_confirmed: PlacementEpoch,
+    confirming: Option<PlacementEpoch>,
     recovery: JournalRecovery,
     appending: BTreeSet<VmName>,
     pool: EndpointPool,
@@ -185,6 +189,8 @@
         scheduler,
         journal: None,
         journal_since: ClockTime::default(),
+        journal_confirmed: PlacementEpoch(0),
+        confirming: None,
         recovery: JournalRecovery::default(),
         appending: BTreeSet::new(),
         pool,
@@ -251,6 +257,7 @@
             self.follow_scheduler();
             self.begin_read_round();
             self.replicate_journal();
+            self.confirm_journal();
             self.pool.reap();
             while self.children.try_join_next().is_some() {}
         }
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -411,6 +411,7 @@
                 self.end_set_change(CatalogCommand::RemoveInstance(change), &reply);
             }
             CatalogCommand::PlaceGroup(_) => self.take_handover_reply(&reply),
+            CatalogCommand::ConfirmJournal(mark) => self.take_journal_mark(mark, &reply),
             CatalogCommand::ApplyContract(_)
             | CatalogCommand::AdmitMember(_)
             | CatalogCommand::RemoveMember(_) => {}
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -2,6 +2,7 @@
 
 use crate::cases::wait_until;
 use crate::peer::FakePeer;
+use crate::peer::PeerScript;
 use ragwort_control::CatalogCopy;
 use ragwort_control::MemberLease;
 use ragwort_lab::endpoint::EndpointSettings;
@@ -134,6 +135,7 @@
         primary: Some("cases-1".into()),
         start: LogPosition::new(FIRST_TERM, 0),
         instances: (1..=3).map(|one| format!("cases-{one}").into()).collect(),
+        journal_epoch: PlacementEpoch(epoch.saturating_sub(1)),
     }
 }
 
@@ -184,21 +186,22 @@
     view
 }
 
-/// Creates the settings of `vm-1`, whose control VM is out of reach.
+/// Creates the settings of `vm-1` with a control VM that commits confirmations of journals only.
 ///
 /// Endpoints announce themselves only when a test says so; in most they may be silent for the whole
 /// case.
-fn create_settings(timing: &str) -> DaemonSettings {
+fn create_settings(timing: &str, control: SocketAddr) -> DaemonSettings {
     let text = "
 vm: vm-1
 domain: windhoek-a
 roles: { gateway: true }
 listen: { callers: 127.0.0.1:1, peers: 127.0.0.1:2, platform: 127.0.0.1:3 }
 control:
-  - { vm: vm-9, address: 127.0.0.1:1 }
+  - { vm: vm-9, address: CONTROL }
 timing: { TIMING }
 ";
-    DaemonSettings::from_yaml(&text.replace("TIMING", timing)).unwrap()
+    let text = text.replace("TIMING", timing);
+    DaemonSettings::from_yaml(&text.replace("CONTROL", &control.to_string())).unwrap()
 }
 
 /// What is asked of the leaseholder.
@@ -268,6 +271,7 @@
     pub endpoints: Vec<LabEndpoint>,
     pub data_relay: Option<CutRelay>,
     pub standbys: Vec<FakePeer>,
+    control: FakePeer,
     pub view: watch::Sender<MemberView>,
     pub inbox: mpsc::Sender<GroupEvent>,
     pub clock: NodeClock,
@@ -310,8 +314,9 @@
 
         let clock = NodeClock::start();
         let links = PeerLinks::new(Duration::from_secs(5));
+        let control = FakePeer::start(PeerScript::Hang).await;
         let context = GroupContext {
-            settings: Arc::new(create_settings(timing)),
+            settings: Arc::new(create_settings(timing, control.address)),
             clock,
             links: links.clone(),
             standby: own,
@@ -325,6 +330,7 @@
             endpoints,
             data_relay: Some(relay),
             standbys,
+            control,
             view,
             inbox,
             clock,
@@ -462,6 +468,7 @@
         for standby in self.standbys {
             standby.stop().await;
         }
+        self.control.stop().await;
         for task in self.standby_tasks {
             task.await.unwrap();
         }
--- a/crates/daemon/tests/pieces/peer.rs
+++ b/crates/daemon/tests/pieces/peer.rs
@@ -5,6 +5,11 @@
 use jsonrpsee::server::ServerHandle;
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::types::Params;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::CommandReply;
+use ragwort_types::CommandRequest;
 use ragwort_types::JournalAppend;
 use ragwort_types::JournalRequest;
 use ragwort_types::RequestVerdict;
@@ -134,12 +139,27 @@
             state.read_journal(params).await
         })
         .unwrap();
+    module
+        .register_async_method("peer_propose", |params, _, _| async move {
+            CallResult::Ok(answer_command(&params.one()?))
+        })
+        .unwrap();
     module
         .register_async_method("peer_ping", |_, _, _| async move { CallResult::Ok(()) })
         .unwrap();
     module
 }
 
+/// Commits the confirmation of a journal, as a control VM does; leaves everything else open.
+fn answer_command(request: &CommandRequest) -> CommandReply {
+    match request.command {
+        CatalogCommand::ConfirmJournal(_) => {
+            CommandReply::Committed(CatalogOutcome::Done(CatalogRevision(1)))
+        }
+        _ => CommandReply::NoLeader,
+    }
+}
+
 impl PeerState {
     fn note(&self, relayed: bool, text: &str) -> PeerScript {
         let text = text.to_owned();
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -40,6 +40,8 @@
     BeginTerm(TermStart),
     /// A leaseholder has promoted an instance.
     RecordPrimary(PrimaryRecord),
+    /// A leaseholder's standbys hold its whole journal; it dispatches only from then on.
+    ConfirmJournal(JournalMark),
 }
 
 /// Identifies one process of a VM, so that a restarted daemon isn't mistaken for its predecessor.
@@ -116,6 +118,15 @@
     pub start: LogPosition,
 }
 
+/// The epoch in which a group's journal is whole at every standby.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JournalMark {
+    /// The group.
+    pub group: GroupName,
+    /// The leaseholder's epoch.
+    pub epoch: PlacementEpoch,
+}
+
 /// What became of a [`CatalogCommand`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CatalogOutcome {
@@ -159,6 +170,9 @@
     pub start: LogPosition,
     /// The instances that count towards a majority.
     pub instances: SmallVec<[InstanceName; 4]>,
+    /// The last epoch in which the journal was whole at every standby; zero before the first.
+    /// Nothing that the journal must know was dispatched in a later one.
+    pub journal_epoch: PlacementEpoch,
 }
 
 /// One thing that changed in the catalog, as members learn it.
