Plan placements only when catalog or live members have changed

Cause: the control leader planned all placements anew 25 times a second. The example catalog_slopes shows 1.7 ms for a plan without changes at 630 VMs and 710 groups, so 4.2 % of a core (calculated from that).

Ruled out: a longer interval, which would delay the replacement of a lost leaseholder by as much.

After: a comparison of the revision, the live members and the unplaced groups.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -143,6 +143,14 @@
     }
 }
 
+/// All that the plan of placements follows from: a revision names one content of the catalog.
+#[derive(PartialEq, Eq)]
+struct PlacementInput {
+    revision: CatalogRevision,
+    live: BTreeSet<VmName>,
+    unplaced: Vec<GroupName>,
+}
+
 /// The control role of one VM.
 pub struct ControlTask {
     settings: Arc<DaemonSettings>,
@@ -156,6 +164,9 @@
     commands: BTreeMap<u64, WaitingCommand>,
     own_proposals: BTreeSet<u64>,
     unplaced: BTreeSet<GroupName>,
+    /// What the last plan without any change was made from; the same again needs no plan. A plan
+    /// takes 1.7 ms with 630 VMs and 710 groups, and one would be made 25 times a second.
+    settled: Option<PlacementInput>,
     gathered: Vec<WaitingHeartbeat>,
     unconfirmed: Vec<UnconfirmedBatch>,
     confirming: BTreeMap<ReadTicket, Vec<UnconfirmedBatch>>,
@@ -208,6 +219,7 @@
             commands: BTreeMap::new(),
             own_proposals: BTreeSet::new(),
             unplaced: BTreeSet::new(),
+            settled: None,
             gathered: Vec::new(),
             unconfirmed: Vec::new(),
             confirming: BTreeMap::new(),
@@ -573,8 +585,17 @@
         self.unplaced
             .retain(|group| self.catalog.group(group).is_none());
         let unplaced: Vec<GroupName> = self.unplaced.iter().cloned().collect();
-        let plans = plan_placements(&self.catalog, &live, &unplaced);
-        commands.extend(plans.into_iter().map(CatalogCommand::PlaceGroup));
+        let present = PlacementInput {
+            revision: self.catalog.revision(),
+            live,
+            unplaced,
+        };
+        if self.settled.as_ref() != Some(&present) {
+            let plans = plan_placements(&self.catalog, &present.live, &present.unplaced);
+            let is_settled = plans.is_empty();
+            commands.extend(plans.into_iter().map(CatalogCommand::PlaceGroup));
+            self.settled = is_settled.then_some(present);
+        }
         for command in commands {
             self.propose(&command, None);
         }
