--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod relay;
 pub mod replication;
 pub mod scale;
+pub mod scale_links;
 pub mod scale_path;
 pub mod scale_process;
 pub mod scale_report;
--- a/crates/lab/src/scale_path.rs
+++ b/crates/lab/src/scale_path.rs
@@ -10,6 +10,8 @@
 use crate::load_plan::LoadMix;
 use crate::load_plan::PlanSettings;
 use crate::load_report::LoadReport;
+use crate::scale_links::LinkCost;
+use crate::scale_links::measure_links;
 use crate::scale_process::ProcessUse;
 use crate::scale_report::LineFit;
 use crate::scale_set::ScaleSet;
@@ -43,6 +45,9 @@
 /// than 128, some of them the leaseholder's.
 const DIRECT_SESSIONS: usize = 64;
 
+/// Idle links to open: about as many as a VM has to others in two years.
+const LINKS: usize = 600;
+
 /// Limits of the customer that no run meets.
 const OPEN_LIMIT: u32 = 100_000;
 
@@ -89,6 +94,7 @@
     direct: LoadReport,
     connections: usize,
     connection_bytes: f64,
+    link: LinkCost,
 }
 
 impl fmt::Display for PathReport {
@@ -128,7 +134,8 @@
             formatter,
             "{} idle connections: {:.0} bytes each at the gateway",
             self.connections, self.connection_bytes,
-        )
+        )?;
+        self.link.fmt(formatter)
     }
 }
 
@@ -166,6 +173,7 @@
     let mut direct = load_settings(&settings, primary, roles.group, rate, "direct");
     direct.sessions = DIRECT_SESSIONS;
     let direct = run_load(&direct, &StopFlag::default()).await;
+    let link = measure_links(&set, roles.gateway, LINKS, settings.time).await?;
     let connection_bytes = measure_connections(&set, &roles, settings.connections).await?;
     set.stop().await?;
     Ok(PathReport {
@@ -173,6 +181,7 @@
         direct,
         connections: settings.connections,
         connection_bytes,
+        link,
     })
 }
 
