--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,7 +3,9 @@
 //! A link is opened on first use and kept. A call that can't connect has not run; a call that
 //! fails later may have, and [`LinkError`] says which.
 
+use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::client::Error as ClientError;
+use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::PingConfig;
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
@@ -17,6 +19,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 /// Requests that may wait on one link. A gateway multiplexes all its callers over one link to a
@@ -27,6 +30,17 @@
 /// contracts takes a few megabytes.
 const LINK_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
 
+/// How long a call may take before its link is checked, and again after each check. Statements and
+/// calls to control take milliseconds; what takes longer usually waits for a slot.
+const CHECK_AFTER: Duration = Duration::from_millis(400);
+
+/// How long the check may take: many times a round trip between regions.
+const CHECK_LIMIT: Duration = Duration::from_millis(400);
+
+/// How often an idle link is pinged, only so that dead ones are closed at last. At 629 links of a VM
+/// that is 63 pings a second.
+const IDLE_PING: Duration = Duration::from_secs(10);
+
 /// How a call over a link failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LinkError {
@@ -93,7 +107,8 @@
         Answer: Future<Output = Result<Reply, ClientError>>,
     {
         let client = self.connect(address).await?;
-        match timeout(limit, call(Arc::clone(&client))).await {
+        let answering = call(Arc::clone(&client));
+        match timeout(limit, await_answer(&client, answering)).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(ClientError::Call(error))) => {
                 Err(LinkError::Rejected(error.message().to_string()))
@@ -146,6 +161,37 @@
     }
 }
 
+/// Waits for a call's answer, and checks now and then that the link still answers at all.
+///
+/// Something on the path may have forgotten the connection, or the other process may be frozen. The
+/// call would then wait until its deadline, with its caller. Only calls that take long are checked:
+/// pings on every idle link of 630 VMs cost more than all that control may spend.
+async fn await_answer<Reply>(
+    client: &WsClient,
+    answering: impl Future<Output = Result<Reply, ClientError>>,
+) -> Result<Reply, ClientError> {
+    tokio::pin!(answering);
+    loop {
+        tokio::select! {
+            reply = &mut answering => return reply,
+            alive = check_link(client) => if !alive {
+                return Err(ClientError::RequestTimeout);
+            },
+        }
+    }
+}
+
+/// Says, after a while, whether the other side still answers on the link. Any answer will do, also
+/// that it doesn't know the call.
+async fn check_link(client: &WsClient) -> bool {
+    sleep(CHECK_AFTER).await;
+    let ping = client.request::<(), _>("peer_ping", rpc_params![]);
+    match timeout(CHECK_LIMIT, ping).await {
+        Ok(Ok(()) | Err(ClientError::Call(_))) => true,
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
+
 /// Says how a *new* connection to `address` ends that may take `limit` to be accepted.
 ///
 /// # Errors
@@ -182,8 +228,8 @@
         .set_tcp_no_delay(true)
         .enable_ws_ping(
             PingConfig::new()
-                .ping_interval(Duration::from_millis(500))
-                .inactive_limit(Duration::from_millis(1_500))
+                .ping_interval(IDLE_PING)
+                .inactive_limit(IDLE_PING * 2)
                 .max_failures(1),
         )
         .build(format!("ws://{address}"))
--- a/crates/daemon/tests/pieces/peers.rs
+++ b/crates/daemon/tests/pieces/peers.rs
@@ -16,6 +16,9 @@
 /// A limit that no healthy call comes near.
 const LONG: Duration = Duration::from_secs(50);
 
+/// A limit that no test lasts for.
+const HOUR: Duration = Duration::from_secs(3_600);
+
 /// A limit that is meant to run out.
 const SHORT: Duration = Duration::from_millis(200);
 
@@ -31,6 +34,9 @@
     /// Something on the path has forgotten the link. It looks open and never answers again, while
     /// new connections work. One call is lost to find that out; the next one works.
     silent_link_is_replaced => silent_case();
+    /// The link falls silent while the other VM works on a call that may take an hour. The caller
+    /// must not wait that long to hear that the outcome is unknown.
+    silence_ends_a_call_before_its_limit => silent_call_case();
     /// The other VM answers with an error of its own. The link is fine; but the call got through.
     rejected_call_may_have_run => rejected_case();
 }
@@ -91,6 +97,21 @@
     peer.stop().await;
 }
 
+async fn silent_call_case() {
+    let (peer, relay) = start_relayed().await;
+    let links = PeerLinks::new(LONG);
+    let request = crate::bench::Ask::new("grant", "append case-7 grant").into_request();
+    let call = |client: Arc<WsClient>| async move { client.execute(request).await };
+    let address = relay.address();
+    let (ended, ()) = tokio::join!(links.call(address, HOUR, call), async {
+        peer.wait_taken(1).await;
+        relay.forget_connections();
+    });
+    assert_eq!(ended.unwrap_err(), LinkError::Lost);
+    relay.stop().await;
+    peer.stop().await;
+}
+
 async fn rejected_case() {
     let peer = FakePeer::start(PeerScript::Hang).await;
     let links = PeerLinks::new(LONG);
