--- a/crates/daemon/src/group/handover.rs
+++ b/crates/daemon/src/group/handover.rs
@@ -10,6 +10,7 @@
 use ragwort_control::plan_handovers;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
 use ragwort_types::GroupPlacement;
 use ragwort_types::VmName;
@@ -28,6 +29,8 @@
     plan: Option<GroupPlacement>,
     begun: ClockTime,
     looked: ClockTime,
+    /// The revision that was looked at last.
+    seen: Option<CatalogRevision>,
     proposed: bool,
 }
 
@@ -56,6 +59,11 @@
         }
         self.handover.looked = now;
         let copy = self.view.borrow().copy.clone();
+        // The plan looks at every group and VM; while nothing changed it would be the same again.
+        if self.handover.seen == Some(copy.revision()) {
+            return;
+        }
+        self.handover.seen = Some(copy.revision());
         let plans = plan_handovers(&copy, &self.context.settings.vm);
         let Some(plan) = plans.into_iter().find(|plan| plan.group == self.group) else {
             return;
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -314,13 +314,11 @@
             return;
         };
         let announcement = &entry.announcement;
-        let reserve = self.context.settings.limits.reserve_connections as u32;
         let state = EndpointState {
             instance: instance.clone(),
             domain: announcement.domain.clone(),
             slots: announcement.slots,
-            // A former leaseholder's connections may linger; the successor needs some of its own.
-            connections: announcement.connections.saturating_sub(reserve).max(1),
+            connections: announcement.connections,
             role: self.role_of(instance),
             leaving: announcement.status.leaving,
         };
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -113,8 +113,6 @@
     pub election_ticks: u64,
     /// How often the control leader sends to a silent follower, in ticks.
     pub agreement_heartbeat_ticks: u64,
-    /// How often an endpoint is probed.
-    pub probe_every_ms: u64,
     /// How long a probe waits for its answer.
     pub probe_timeout_ms: u64,
     /// How long an endpoint may be silent before it is taken out of use.
@@ -127,8 +125,6 @@
     pub drain_ms: u64,
     /// How long a connection may take to open.
     pub connect_timeout_ms: u64,
-    /// How long request keys are remembered.
-    pub key_window_ms: u64,
 }
 
 impl Default for TimingSettings {
@@ -139,14 +135,12 @@
             tick_ms: 20,
             election_ticks: 10,
             agreement_heartbeat_ticks: 2,
-            probe_every_ms: 100,
             probe_timeout_ms: 150,
             announce_lost_ms: 1_500,
             idle_ping_ms: 1_000,
             idle_transaction_ms: 60_000,
             drain_ms: 10_000,
             connect_timeout_ms: 1_000,
-            key_window_ms: 600_000,
         }
     }
 }
@@ -163,10 +157,6 @@
     /// How long a message may take from its first byte to its last, in milliseconds; also how
     /// long a caller may take to receive an answer.
     pub statement_ms: u64,
-    /// The most statements that a gateway has in flight to one group.
-    pub in_flight_per_group: u64,
-    /// The connections of each endpoint that a leaseholder leaves for its successor.
-    pub reserve_connections: u64,
 }
 
 impl Default for LimitSettings {
@@ -176,8 +166,6 @@
             message_bytes: 1_048_576,
             startup_ms: 5_000,
             statement_ms: 10_000,
-            in_flight_per_group: 2_000,
-            reserve_connections: 2,
         }
     }
 }
@@ -399,11 +387,6 @@
             default.agreement_heartbeat_ticks,
             1..=1_000,
         ),
-        probe_every_ms: section.take_number(
-            "probe_every_ms",
-            default.probe_every_ms,
-            minute.clone(),
-        ),
         probe_timeout_ms: section.take_number(
             "probe_timeout_ms",
             default.probe_timeout_ms,
@@ -426,11 +409,6 @@
             default.connect_timeout_ms,
             minute,
         ),
-        key_window_ms: section.take_number(
-            "key_window_ms",
-            default.key_window_ms,
-            ragwort_types::LONGEST_DEADLINE_MS..=24 * HOUR_MS,
-        ),
     };
     check_timing(&mut section, timing);
     faults.extend(section.finish());
@@ -468,16 +446,6 @@
         ),
         startup_ms: section.take_number("startup_ms", default.startup_ms, 1..=HOUR_MS),
         statement_ms: section.take_number("statement_ms", default.statement_ms, 1..=HOUR_MS),
-        in_flight_per_group: section.take_number(
-            "in_flight_per_group",
-            default.in_flight_per_group,
-            1..=1_000_000,
-        ),
-        reserve_connections: section.take_number(
-            "reserve_connections",
-            default.reserve_connections,
-            0..=1_000,
-        ),
     };
     faults.extend(section.finish());
     limits
