Keep one clock time for all crates

The policy and control crates each had a type of moments, and the leaseholder converted between them at every call. Now types has the one that both re-export.

--- a/crates/daemon/src/group/confirming.rs
+++ b/crates/daemon/src/group/confirming.rs
@@ -1,7 +1,6 @@
 //! Holds answers back until they are confirmed: writes by a majority, fresh reads by a round.
 
 use super::GroupTask;
-use super::intake::to_policy;
 use super::notice::GroupNotice;
 use super::notice::RoundReport;
 use super::request::RequestStage;
@@ -96,8 +95,7 @@
             false => self.quorum.age_bound(instance, now),
         };
         if let Some(age) = age {
-            self.scheduler
-                .report_position(to_policy(now), instance, position, age);
+            self.scheduler.report_position(now, instance, position, age);
         }
     }
 
--- a/crates/daemon/src/group/describing.rs
+++ b/crates/daemon/src/group/describing.rs
@@ -14,7 +14,6 @@
 use super::GroupTask;
 use super::intake::StatementOrigin;
 use super::intake::hash_text;
-use super::intake::to_policy;
 use crate::callers::StatementScan;
 use crate::connection::ConnectionId;
 use crate::connection::ConnectionOrder;
@@ -97,7 +96,7 @@
         let profile = self.profile_shape(ticket, &shape);
         self.tickets.insert(shape.request.id, ticket);
         self.shapes.insert(ticket, shape);
-        if let ArrivalDecision::Refused(refusal) = self.scheduler.arrive(to_policy(now), profile) {
+        if let ArrivalDecision::Refused(refusal) = self.scheduler.arrive(now, profile) {
             self.settle_shape(ticket, ShapeOutcome::Refused(refusal));
         }
     }
@@ -120,7 +119,7 @@
             // A session may describe a statement on what it has just created.
             min_position: required.unwrap_or_default(),
             max_age: SCHEMA_AGE,
-            deadline: to_policy(shape.deadline),
+            deadline: shape.deadline,
             step,
         }
     }
@@ -188,7 +187,7 @@
         };
         let now = self.context.clock.now();
         self.scheduler
-            .finished(to_policy(now), ticket, FinishOutcome::Answered);
+            .finished(now, ticket, FinishOutcome::Answered);
         if let Some(shape) = self.shapes.get(&ticket)
             && let Some(transaction) = shape.request.transaction
             && let Some(open) = self.transactions.get_mut(&transaction)
@@ -202,7 +201,7 @@
     ///
     /// Its statement has not run, so the description may be asked for again.
     pub(super) fn give_shape_back(&mut self, ticket: RequestTicket, outcome: FinishOutcome) {
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         let decision = self.scheduler.finished(now, ticket, outcome);
         let Some(shape) = self.shapes.get(&ticket) else {
             return;
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -1,7 +1,6 @@
 //! Brings requests to endpoints, and gives them their final verdicts.
 
 use super::GroupTask;
-use super::intake::to_policy;
 use super::outcomes::pinned_transaction;
 use super::request::ActiveRequest;
 use super::request::KeyedRequest;
@@ -28,7 +27,7 @@
 impl GroupTask {
     /// Does what the scheduler decides.
     pub(super) fn follow_scheduler(&mut self) {
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         for decision in self.scheduler.poll(now) {
             match decision {
                 SchedulerDecision::Dispatch(order) if self.is_shape(order.ticket) => {
@@ -133,7 +132,7 @@
         outcome: FinishOutcome,
         cause: RefusalCause,
     ) {
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         let decision = self.scheduler.finished(now, ticket, outcome);
         if let Some(transaction) = self.step_of(ticket).and_then(pinned_transaction)
             && cause == RefusalCause::EndpointRefused
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -197,7 +197,7 @@
         let profile = self.describe_request(ticket, &active);
         self.tickets.insert(active.request.id, ticket);
         self.requests.insert(ticket, active);
-        if let ArrivalDecision::Refused(refusal) = self.scheduler.arrive(to_policy(now), profile) {
+        if let ArrivalDecision::Refused(refusal) = self.scheduler.arrive(now, profile) {
             self.settle(ticket, RequestVerdict::NotRun(refusal));
         }
     }
@@ -224,7 +224,7 @@
             needs_primary: step != RequestStep::Single || required.is_none(),
             min_position: required.unwrap_or_default(),
             max_age: Duration::from_millis(active.terms.max_age_ms),
-            deadline: to_policy(active.deadline),
+            deadline: active.deadline,
             step,
         }
     }
@@ -267,11 +267,6 @@
     Some(terms)
 }
 
-/// Converts a moment to the scheduler's clock, which has the same origin.
-pub(super) fn to_policy(moment: ClockTime) -> ragwort_policy::ClockTime {
-    ragwort_policy::ClockTime(moment.0)
-}
-
 /// Returns a hash of a text, by which the scheduler tells sessions apart.
 pub(super) fn hash_text(text: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -27,7 +27,6 @@
 use crate::standby::StandbyEvent;
 use describing::ActiveShape;
 use handover::HandoverState;
-use intake::to_policy;
 use intake::unix_millis;
 use journaling::JournalRecovery;
 use log::Level;
@@ -308,7 +307,7 @@
 
     /// Tells the scheduler what an endpoint may be used for now.
     fn refresh_endpoint(&mut self, instance: &InstanceName) {
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         let Some(entry) = self.pool.endpoint(instance) else {
             self.scheduler.remove_endpoint(now, instance);
             return;
@@ -491,7 +490,7 @@
 
     fn show_metrics(&self) {
         let metrics = &self.context.metrics;
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         let state = self.scheduler.snapshot(now);
         let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
         metrics.set_queue_length(&self.group, waiting);
@@ -501,8 +500,8 @@
 
     fn time_to_wake(&self) -> Duration {
         let now = self.context.clock.now();
-        let wake = self.scheduler.next_wakeup(to_policy(now));
-        wake.map_or(TICK, |wake| wake.since(to_policy(now)))
+        let wake = self.scheduler.next_wakeup(now);
+        wake.map_or(TICK, |wake| wake.since(now))
     }
 
     fn dump(&self) -> serde_json::Value {
@@ -521,7 +520,7 @@
                 "sessions": journal.sessions().len(),
                 "deposed": journal.is_deposed(),
             })),
-            "scheduler": self.scheduler.snapshot(to_policy(now)),
+            "scheduler": self.scheduler.snapshot(now),
             "requests": self.requests.len(),
             "transactions": self.transactions.len(),
             "writes_waiting": self.writes.len(),
--- a/crates/daemon/src/group/outcomes.rs
+++ b/crates/daemon/src/group/outcomes.rs
@@ -1,7 +1,6 @@
 //! Takes what connections report: ends of statements, lost connections, and the transactions on them.
 
 use super::GroupTask;
-use super::intake::to_policy;
 use super::request::OpenTransaction;
 use super::request::RequestStage;
 use crate::connection::ConnectionChange;
@@ -62,7 +61,7 @@
         let Some(connection) = self.pool.remove_connection(id) else {
             return;
         };
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         if let Some(transaction) = connection.pinned {
             self.end_transaction(transaction);
         }
@@ -147,7 +146,7 @@
             return;
         };
         let step = active.request.step;
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         let decision = self.scheduler.finished(now, ticket, FinishOutcome::Lost);
         if decision == FinishDecision::Requeued {
             active.stage = RequestStage::Waiting;
@@ -181,7 +180,7 @@
     ) {
         let now = self.context.clock.now();
         self.scheduler
-            .finished(to_policy(now), ticket, FinishOutcome::Answered);
+            .finished(now, ticket, FinishOutcome::Answered);
         let Some(active) = self.requests.get(&ticket) else {
             return;
         };
@@ -226,7 +225,7 @@
             TransactionStep::Single => {}
             TransactionStep::Begin(id) => {
                 if matches!(answer, StatementAnswer::Failed(_)) {
-                    self.scheduler.unpin(to_policy(now), ticket);
+                    self.scheduler.unpin(now, ticket);
                     return;
                 }
                 if let Some(held) = self.pool.connection(connection) {
@@ -249,7 +248,7 @@
                     held.pinned = None;
                 }
                 if let Some(open) = self.transactions.remove(&id) {
-                    self.scheduler.unpin(to_policy(now), open.opener);
+                    self.scheduler.unpin(now, open.opener);
                 }
             }
         }
@@ -260,7 +259,7 @@
         let Some(open) = self.transactions.remove(&id) else {
             return;
         };
-        let now = to_policy(self.context.clock.now());
+        let now = self.context.clock.now();
         self.scheduler.unpin(now, open.opener);
         if let Some(connection) = self.pool.remove_connection(open.connection)
             && !connection.retired
--- a/crates/control/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -8,12 +8,14 @@
 
 /// A moment on a process's monotonic clock, in microseconds since an origin of its own.
 ///
-/// Moments of different processes can't be compared.
+/// Decisions never read a clock: each event carries the moment at which it happened, so that a test
+/// can replay an hour in milliseconds and get the same decisions every time. Moments of different
+/// processes can't be compared.
 ///
 /// # Examples
 ///
 /// ```
-/// use ragwort_control::ClockTime;
+/// use ragwort_types::ClockTime;
 /// use std::time::Duration;
 ///
 /// let sent = ClockTime::from_millis(10);
@@ -28,24 +30,34 @@
 pub struct ClockTime(pub u64);
 
 impl ClockTime {
-    /// Creates a moment from microseconds.
+    /// Creates a moment from microseconds since the origin.
     pub fn from_micros(micros: u64) -> Self {
         Self(micros)
     }
 
-    /// Creates a moment from milliseconds.
+    /// Creates a moment from milliseconds since the origin.
     pub fn from_millis(millis: u64) -> Self {
         Self(millis * 1_000)
     }
 
+    /// Returns the moment as microseconds since the origin.
+    pub fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the moment as a duration since the origin.
+    pub fn as_duration(self) -> Duration {
+        Duration::from_micros(self.0)
+    }
+
     /// Returns the time that has passed since an earlier moment, or zero if it is a later one.
     pub fn since(self, earlier: ClockTime) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
-    /// Returns the moment as a duration since the clock's origin.
-    pub fn as_duration(self) -> Duration {
-        Duration::from_micros(self.0)
+    /// Returns the moment `span` before this one, or the origin if there is none.
+    pub fn before(self, span: Duration) -> ClockTime {
+        Self(self.0.saturating_sub(saturating_micros(span)))
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -30,6 +30,7 @@
 //! ```
 
 mod catalog;
+mod clock;
 mod contract;
 mod messages;
 mod names;
@@ -39,6 +40,7 @@
 mod verdict;
 
 pub use catalog::*;
+pub use clock::ClockTime;
 pub use contract::*;
 pub use messages::*;
 pub use names::*;
