--- /dev/null
+++ b/crates/daemon/src/control/commands.rs
@@ -0,0 +1,148 @@
+//! Catalog commands: from their proposal to the outcome of their committed entry.
+
+use super::ControlTask;
+use super::event::ControlFault;
+use super::event::WaitingCommand;
+use crate::log_event;
+use crate::peers::LinkError;
+use jsonrpsee::ws_client::WsClient;
+use log::Level;
+use ragwort_control::EntryMark;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogRevision;
+use ragwort_types::CommandReply;
+use ragwort_types::CommandRequest;
+use ragwort_types::rpc::PeerApiClient;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Commands that may wait to be committed. At the size of two years a storm of takeovers after the
+/// loss of a failure domain proposes some hundred at once.
+const UNCOMMITTED_COMMANDS: usize = 2_048;
+
+impl ControlTask {
+    pub(super) fn take_command(
+        &mut self,
+        request: CommandRequest,
+        reply: oneshot::Sender<CommandReply>,
+    ) {
+        if self.node.is_leader() {
+            self.propose(&request.command, Some(reply));
+            return;
+        }
+        let Some(address) = self.leader_address().filter(|_| !request.forwarded) else {
+            let _ = reply.send(CommandReply::NoLeader);
+            return;
+        };
+        let links = self.links.clone();
+        let limit = Duration::from_millis(self.settings.timing.lease_ms * 2);
+        self.children.spawn(async move {
+            let forwarded = CommandRequest {
+                forwarded: true,
+                command: request.command,
+            };
+            let call = |client: Arc<WsClient>| async move { client.propose(forwarded).await };
+            let answer = match links.call(address, limit, call).await {
+                Ok(answer) => answer,
+                Err(LinkError::Unreachable) => CommandReply::NoLeader,
+                Err(LinkError::Lost | LinkError::Rejected(_)) => CommandReply::Unknown,
+            };
+            let _ = reply.send(answer);
+        });
+    }
+
+    pub(super) fn propose(
+        &mut self,
+        command: &CatalogCommand,
+        reply: Option<oneshot::Sender<CommandReply>>,
+    ) {
+        // Without a bound a leader that is cut off would take in commands until its memory is full.
+        if self.commands.len() >= UNCOMMITTED_COMMANDS {
+            if let Some(reply) = reply {
+                let _ = reply.send(CommandReply::NoLeader);
+            }
+            return;
+        }
+        let text = serde_json::to_string(command).expect("a command is plain data");
+        match self.node.propose(text) {
+            Ok(mark) => {
+                if reply.is_none() {
+                    self.own_proposals.insert(mark.index.0);
+                }
+                self.commands
+                    .insert(mark.index.0, WaitingCommand { mark, reply });
+            }
+            Err(_) => {
+                if let Some(reply) = reply {
+                    let _ = reply.send(CommandReply::NoLeader);
+                }
+            }
+        }
+    }
+
+    pub(super) fn apply_entry(
+        &mut self,
+        mark: EntryMark,
+        data: Option<&str>,
+    ) -> Result<(), ControlFault> {
+        let waiting = self.commands.remove(&mark.index.0);
+        self.own_proposals.remove(&mark.index.0);
+        let Some(text) = data else {
+            answer_command(waiting, mark, None);
+            return Ok(());
+        };
+        let command: CatalogCommand = serde_json::from_str(text)
+            .map_err(|error| ControlFault::Damaged(format!("entry {}: {error}", mark.index.0)))?;
+        let revision = CatalogRevision(mark.index.0);
+        let outcome = self.catalog.apply(revision, &command);
+        log_event!(
+            Level::Info,
+            "committed",
+            revision = revision,
+            command = name_command(&command),
+            outcome = name_outcome(&outcome),
+        );
+        answer_command(waiting, mark, Some(CommandReply::Committed(outcome)));
+        Ok(())
+    }
+}
+
+fn answer_command(waiting: Option<WaitingCommand>, mark: EntryMark, reply: Option<CommandReply>) {
+    let Some(waiting) = waiting else {
+        return;
+    };
+    let Some(sender) = waiting.reply else {
+        return;
+    };
+    // Another leader's entry stands where the command was proposed: the command is not committed
+    // there, but may have been proposed again.
+    let own = waiting.mark == mark;
+    let _ = sender.send(reply.filter(|_| own).unwrap_or(CommandReply::Unknown));
+}
+
+fn name_command(command: &CatalogCommand) -> &'static str {
+    match command {
+        CatalogCommand::ApplyContract(_) => "apply_contract",
+        CatalogCommand::AdmitMember(_) => "admit_member",
+        CatalogCommand::RemoveMember(_) => "remove_member",
+        CatalogCommand::PlaceGroup(_) => "place_group",
+        CatalogCommand::AddInstance(_) => "add_instance",
+        CatalogCommand::RemoveInstance(_) => "remove_instance",
+        CatalogCommand::BeginTerm(_) => "begin_term",
+        CatalogCommand::RecordPrimary(_) => "record_primary",
+        CatalogCommand::ConfirmJournal(_) => "confirm_journal",
+    }
+}
+
+fn name_outcome(outcome: &ragwort_types::CatalogOutcome) -> &'static str {
+    match outcome {
+        ragwort_types::CatalogOutcome::ContractAccepted(_) => "accepted",
+        ragwort_types::CatalogOutcome::ContractConflict(_) => "conflict",
+        ragwort_types::CatalogOutcome::ContractUnknown => "unknown_customer",
+        ragwort_types::CatalogOutcome::ContractFaulty(_) => "faulty",
+        ragwort_types::CatalogOutcome::ChangeIdReused => "change_id_reused",
+        ragwort_types::CatalogOutcome::Done(_) => "done",
+        ragwort_types::CatalogOutcome::Stale => "stale",
+    }
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,12 +4,24 @@
 //! takes time (calls to other VMs) runs in tasks that it spawns and joins. Nothing leaves the task
 //! before the writes that it was produced with are synced.
 
+mod commands;
+mod event;
+mod heartbeats;
+
+pub use event::ControlEvent;
+pub use event::ControlFault;
+
 use crate::clock::NodeClock;
 use crate::disk::LogFile;
 use crate::log_event;
-use crate::peers::LinkError;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
+use event::OwedReply;
+use event::PlacementInput;
+use event::UnconfirmedBatch;
+use event::WaitingCommand;
+use event::WaitingHeartbeat;
+use heartbeats::refuse_batch;
 use jsonrpsee::ws_client::WsClient;
 use log::Level;
 use ragwort_control::AgreementMessage;
@@ -17,10 +29,7 @@
 use ragwort_control::AgreementOutput;
 use ragwort_control::AgreementSettings;
 use ragwort_control::CatalogState;
-use ragwort_control::ClockTime;
 use ragwort_control::DurableState;
-use ragwort_control::EntryMark;
-use ragwort_control::LeaseDecision;
 use ragwort_control::LeaseLedger;
 use ragwort_control::ReadTicket;
 use ragwort_control::VoterId;
@@ -28,31 +37,21 @@
 use ragwort_control::plan_placements;
 use ragwort_types::AgreementEnvelope;
 use ragwort_types::CatalogCommand;
-use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
-use ragwort_types::CommandRequest;
-use ragwort_types::ContractAcceptance;
 use ragwort_types::ControlIdentity;
-use ragwort_types::ForceStatus;
 use ragwort_types::GroupName;
-use ragwort_types::HeartbeatBatch;
-use ragwort_types::HeartbeatReply;
-use ragwort_types::HeartbeatRequest;
-use ragwort_types::LeaseGrant;
 use ragwort_types::MemberId;
 use ragwort_types::VmIncarnation;
 use ragwort_types::VmName;
 use ragwort_types::rpc::PeerApiClient;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
@@ -65,10 +64,6 @@
 /// thousand placement changes a day that is several times a day.
 const COMPACT_ENTRIES: u64 = 1_000;
 
-/// Commands that may wait to be committed. At the size of two years a storm of takeovers after the
-/// loss of a failure domain proposes some hundred at once.
-const UNCOMMITTED_COMMANDS: usize = 2_048;
-
 /// Messages that may wait for one peer. Older ones are worthless once newer ones are due, and the
 /// agreed log sends again what it needs.
 const PEER_QUEUE: usize = 256;
@@ -79,85 +74,6 @@
 /// How many ticks a follower gathers heartbeats before it passes them on.
 const GATHER_TICKS: u64 = 1;
 
-/// What the control task is asked or told.
-#[derive(Debug)]
-pub enum ControlEvent {
-    /// A message of the agreed log.
-    Agree(AgreementEnvelope),
-    /// A command to commit.
-    Propose(CommandRequest, oneshot::Sender<CommandReply>),
-    /// A member's heartbeat.
-    Heartbeat(HeartbeatRequest, oneshot::Sender<HeartbeatReply>),
-    /// Heartbeats that a follower passes on.
-    Batch(HeartbeatBatch, oneshot::Sender<Vec<HeartbeatReply>>),
-    /// How far a contract change has come; `None` if this VM doesn't lead.
-    Force(ContractAcceptance, oneshot::Sender<Option<ForceStatus>>),
-    /// Which voter this is.
-    Identity(oneshot::Sender<ControlIdentity>),
-    /// Write the first voter set.
-    Form(Vec<MemberId>, oneshot::Sender<bool>),
-    /// The state, for operators.
-    Dump(oneshot::Sender<serde_json::Value>),
-    /// The leader's answers to heartbeats that this follower passed on.
-    BatchAnswered(Vec<WaitingHeartbeat>, Option<Vec<HeartbeatReply>>),
-}
-
-/// A heartbeat that waits for its reply.
-#[derive(Debug)]
-pub struct WaitingHeartbeat {
-    request: HeartbeatRequest,
-    reply: oneshot::Sender<HeartbeatReply>,
-}
-
-/// Heartbeats that wait until leadership is confirmed.
-enum UnconfirmedBatch {
-    Own(Vec<WaitingHeartbeat>),
-    Passed(HeartbeatBatch, oneshot::Sender<Vec<HeartbeatReply>>),
-}
-
-/// A granted heartbeat that waits for its reply.
-struct OwedReply {
-    waiting: WaitingHeartbeat,
-    grant: LeaseGrant,
-    /// When the reply is sent even if the catalog has not changed.
-    due: ClockTime,
-}
-
-/// A command that waits for its entry to be committed.
-struct WaitingCommand {
-    mark: EntryMark,
-    reply: Option<oneshot::Sender<CommandReply>>,
-}
-
-/// Why the control role can't start or go on.
-#[derive(Debug)]
-pub enum ControlFault {
-    /// The data folder can't be used.
-    Disk(io::Error),
-    /// The log file is damaged in the middle.
-    Damaged(String),
-    /// The disk belongs to another VM.
-    Foreign(String),
-}
-
-impl fmt::Display for ControlFault {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Disk(error) => write!(formatter, "data folder unusable: {error}"),
-            Self::Damaged(text) => write!(formatter, "agreed log damaged: {text}"),
-            Self::Foreign(text) => write!(formatter, "agreed log of another VM: {text}"),
-        }
-    }
-}
-
-/// All that the plan of placements follows from: a revision names one content of the catalog.
-#[derive(PartialEq, Eq)]
-struct PlacementInput {
-    revision: CatalogRevision,
-    live: BTreeSet<VmName>,
-    unplaced: Vec<GroupName>,
-}
-
 /// The control role of one VM.
 pub struct ControlTask {
     settings: Arc<DaemonSettings>,
@@ -333,57 +249,6 @@
         }
     }
 
-    fn take_command(&mut self, request: CommandRequest, reply: oneshot::Sender<CommandReply>) {
-        if self.node.is_leader() {
-            self.propose(&request.command, Some(reply));
-            return;
-        }
-        let Some(address) = self.leader_address().filter(|_| !request.forwarded) else {
-            let _ = reply.send(CommandReply::NoLeader);
-            return;
-        };
-        let links = self.links.clone();
-        let limit = Duration::from_millis(self.settings.timing.lease_ms * 2);
-        self.children.spawn(async move {
-            let forwarded = CommandRequest {
-                forwarded: true,
-                command: request.command,
-            };
-            let call = |client: Arc<WsClient>| async move { client.propose(forwarded).await };
-            let answer = match links.call(address, limit, call).await {
-                Ok(answer) => answer,
-                Err(LinkError::Unreachable) => CommandReply::NoLeader,
-                Err(LinkError::Lost | LinkError::Rejected(_)) => CommandReply::Unknown,
-            };
-            let _ = reply.send(answer);
-        });
-    }
-
-    fn propose(&mut self, command: &CatalogCommand, reply: Option<oneshot::Sender<CommandReply>>) {
-        // Without a bound a leader that is cut off would take in commands until its memory is full.
-        if self.commands.len() >= UNCOMMITTED_COMMANDS {
-            if let Some(reply) = reply {
-                let _ = reply.send(CommandReply::NoLeader);
-            }
-            return;
-        }
-        let text = serde_json::to_string(command).expect("a command is plain data");
-        match self.node.propose(text) {
-            Ok(mark) => {
-                if reply.is_none() {
-                    self.own_proposals.insert(mark.index.0);
-                }
-                self.commands
-                    .insert(mark.index.0, WaitingCommand { mark, reply });
-            }
-            Err(_) => {
-                if let Some(reply) = reply {
-                    let _ = reply.send(CommandReply::NoLeader);
-                }
-            }
-        }
-    }
-
     /// Does what the agreed log asks for, until it asks for nothing more.
     fn pump(&mut self) -> Result<(), ControlFault> {
         loop {
@@ -449,162 +314,6 @@
         Ok(())
     }
 
-    fn apply_entry(&mut self, mark: EntryMark, data: Option<&str>) -> Result<(), ControlFault> {
-        let waiting = self.commands.remove(&mark.index.0);
-        self.own_proposals.remove(&mark.index.0);
-        let Some(text) = data else {
-            answer_command(waiting, mark, None);
-            return Ok(());
-        };
-        let command: CatalogCommand = serde_json::from_str(text)
-            .map_err(|error| ControlFault::Damaged(format!("entry {}: {error}", mark.index.0)))?;
-        let revision = CatalogRevision(mark.index.0);
-        let outcome = self.catalog.apply(revision, &command);
-        log_event!(
-            Level::Info,
-            "committed",
-            revision = revision,
-            command = name_command(&command),
-            outcome = name_outcome(&outcome),
-        );
-        answer_command(waiting, mark, Some(CommandReply::Committed(outcome)));
-        Ok(())
-    }
-
-    /// Asks the agreed log to confirm that this VM still leads, for all waiting heartbeats at once.
-    ///
-    /// A leader that was cut off and replaced would otherwise go on granting leases while its
-    /// successor already gives the groups to others.
-    ///
-    /// Each confirmation costs a message to every control VM and an answer. With one for each
-    /// heartbeat they would grow with the members until they fill the queues to the followers,
-    /// which pass one message a round trip; so there is at most one in a tick, and what arrives
-    /// meanwhile shares the next.
-    fn confirm_leadership(&mut self) {
-        if self.confirmed_tick == self.ticks {
-            return;
-        }
-        if self.node.is_leader() && !self.gathered.is_empty() {
-            let own = std::mem::take(&mut self.gathered);
-            self.unconfirmed.push(UnconfirmedBatch::Own(own));
-        }
-        if self.unconfirmed.is_empty() {
-            return;
-        }
-        self.confirmed_tick = self.ticks;
-        let batches = std::mem::take(&mut self.unconfirmed);
-        match self.node.confirm_read() {
-            Ok(ticket) => {
-                self.confirming.insert(ticket, batches);
-            }
-            Err(_) => batches.into_iter().for_each(refuse_batch),
-        }
-    }
-
-    fn answer_batch(&mut self, batch: UnconfirmedBatch) {
-        match batch {
-            UnconfirmedBatch::Own(waiting) => {
-                let requests = waiting.iter().map(|one| &one.request);
-                let replies: Vec<_> = requests.map(|request| self.grant(request)).collect();
-                self.take_answers(waiting, Some(replies));
-            }
-            UnconfirmedBatch::Passed(batch, reply) => {
-                let requests = batch.heartbeats.iter();
-                let replies = requests.map(|request| self.grant(request)).collect();
-                let _ = reply.send(replies);
-            }
-        }
-    }
-
-    fn grant(&mut self, request: &HeartbeatRequest) -> HeartbeatReply {
-        let Some(ledger) = &mut self.ledger else {
-            return HeartbeatReply::NotYet;
-        };
-        self.unplaced
-            .extend(request.unplaced_groups.iter().cloned());
-        match ledger.receive(self.clock.now(), request, &self.catalog) {
-            LeaseDecision::Grant(lease) => HeartbeatReply::Granted(LeaseGrant {
-                lease_ms: lease.as_millis() as u64,
-                revision: self.catalog.revision(),
-                delta: None,
-            }),
-            LeaseDecision::NotYet => HeartbeatReply::NotYet,
-            LeaseDecision::Superseded => HeartbeatReply::Superseded,
-        }
-    }
-
-    /// Passes the gathered heartbeats on to the leader.
-    fn pass_heartbeats_on(&mut self) {
-        if self.node.is_leader() || self.gathered.is_empty() {
-            return;
-        }
-        let waiting = std::mem::take(&mut self.gathered);
-        let Some(address) = self.leader_address() else {
-            self.take_answers(waiting, None);
-            return;
-        };
-        let batch = HeartbeatBatch {
-            heartbeats: waiting.iter().map(|one| one.request.clone()).collect(),
-        };
-        let links = self.links.clone();
-        let limit = Duration::from_millis(self.settings.timing.lease_ms / 2);
-        let events = self.events.clone();
-        self.children.spawn(async move {
-            let call = |client: Arc<WsClient>| async move { client.heartbeat_batch(batch).await };
-            let replies = links.call(address, limit, call).await.ok();
-            let _ = events
-                .send(ControlEvent::BatchAnswered(waiting, replies))
-                .await;
-        });
-    }
-
-    fn take_answers(
-        &mut self,
-        waiting: Vec<WaitingHeartbeat>,
-        replies: Option<Vec<HeartbeatReply>>,
-    ) {
-        let mut replies = replies.unwrap_or_default().into_iter();
-        let hold = Duration::from_millis(self.settings.timing.heartbeat_ms / 2);
-        let due = self.clock.now() + hold;
-        for one in waiting {
-            match replies.next().unwrap_or(HeartbeatReply::NotYet) {
-                HeartbeatReply::Granted(grant) => {
-                    let waiting = one;
-                    self.owed.push(OwedReply {
-                        waiting,
-                        grant,
-                        due,
-                    });
-                }
-                other => {
-                    let _ = one.reply.send(other);
-                }
-            }
-        }
-    }
-
-    /// Sends granted replies that bring something new, or have been held for long enough.
-    ///
-    /// A reply waits until this VM's catalog holds what the leader's held at the grant. One that
-    /// would bring nothing is then held for half a heartbeat: a change that is committed meanwhile
-    /// travels at once, instead of with the member's next heartbeat.
-    fn pay_owed_replies(&mut self) {
-        let revision = self.catalog.revision();
-        let now = self.clock.now();
-        let ready = self.owed.extract_if(.., |owed| {
-            let caught_up = owed.grant.revision <= revision;
-            caught_up && (owed.waiting.request.revision < revision || now >= owed.due)
-        });
-        for owed in ready {
-            let mut grant = owed.grant;
-            let held = owed.waiting.request.revision;
-            if held < revision {
-                grant.delta = Some(self.catalog.delta_since(held));
-            }
-            let _ = owed.waiting.reply.send(HeartbeatReply::Granted(grant));
-        }
-    }
-
     /// As leader: proposes admissions, removals and placements that are due.
     fn care_for_members(&mut self) {
         if !self.node.is_leader() || !self.own_proposals.is_empty() {
@@ -696,11 +405,6 @@
         Some(found.address).filter(|_| leader.vm != self.settings.vm)
     }
 
-    fn force_status(&self, acceptance: ContractAcceptance) -> Option<ForceStatus> {
-        let ledger = self.ledger.as_ref()?;
-        Some(ledger.force_status(acceptance, self.clock.now(), &self.catalog))
-    }
-
     fn identify(&self) -> ControlIdentity {
         let id = self.node.id();
         ControlIdentity {
@@ -778,55 +482,3 @@
         }
     }
 }
-
-fn refuse_batch(batch: UnconfirmedBatch) {
-    match batch {
-        UnconfirmedBatch::Own(waiting) => {
-            for one in waiting {
-                let _ = one.reply.send(HeartbeatReply::NotYet);
-            }
-        }
-        UnconfirmedBatch::Passed(batch, reply) => {
-            let _ = reply.send(vec![HeartbeatReply::NotYet; batch.heartbeats.len()]);
-        }
-    }
-}
-
-fn answer_command(waiting: Option<WaitingCommand>, mark: EntryMark, reply: Option<CommandReply>) {
-    let Some(waiting) = waiting else {
-        return;
-    };
-    let Some(sender) = waiting.reply else {
-        return;
-    };
-    // Another leader's entry stands where the command was proposed: the command is not committed
-    // there, but may have been proposed again.
-    let own = waiting.mark == mark;
-    let _ = sender.send(reply.filter(|_| own).unwrap_or(CommandReply::Unknown));
-}
-
-fn name_command(command: &CatalogCommand) -> &'static str {
-    match command {
-        CatalogCommand::ApplyContract(_) => "apply_contract",
-        CatalogCommand::AdmitMember(_) => "admit_member",
-        CatalogCommand::RemoveMember(_) => "remove_member",
-        CatalogCommand::PlaceGroup(_) => "place_group",
-        CatalogCommand::AddInstance(_) => "add_instance",
-        CatalogCommand::RemoveInstance(_) => "remove_instance",
-        CatalogCommand::BeginTerm(_) => "begin_term",
-        CatalogCommand::RecordPrimary(_) => "record_primary",
-        CatalogCommand::ConfirmJournal(_) => "confirm_journal",
-    }
-}
-
-fn name_outcome(outcome: &ragwort_types::CatalogOutcome) -> &'static str {
-    match outcome {
-        ragwort_types::CatalogOutcome::ContractAccepted(_) => "accepted",
-        ragwort_types::CatalogOutcome::ContractConflict(_) => "conflict",
-        ragwort_types::CatalogOutcome::ContractUnknown => "unknown_customer",
-        ragwort_types::CatalogOutcome::ContractFaulty(_) => "faulty",
-        ragwort_types::CatalogOutcome::ChangeIdReused => "change_id_reused",
-        ragwort_types::CatalogOutcome::Done(_) => "done",
-        ragwort_types::CatalogOutcome::Stale => "stale",
-    }
-}
