--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -8,6 +8,7 @@
 mod describing;
 mod dispatch;
 mod handover;
+mod instances;
 mod intake;
 mod journaling;
 mod notice;
