Start and end the daemon in named steps

What every task starts from is one value now, each task has a function that starts it, and the order of the end stands in one place. The dump and readiness have files of their own; broken invariants are shown in the metrics.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,6 +6,8 @@
 use crate::control::ControlEvent;
 use crate::control::ControlFault;
 use crate::control::ControlTask;
+use crate::dump::NodeDump;
+use crate::dump::answer_dumps;
 use crate::gateway::Gateway;
 use crate::group::GroupContext;
 use crate::leaseholders::LeaseholderEvent;
@@ -16,18 +18,21 @@
 use crate::member::create_member_id;
 use crate::metrics::DaemonMetrics;
 use crate::peers::PeerLinks;
-use crate::platform::DumpRequest;
 use crate::platform::PlatformView;
 use crate::platform::start_platform;
+use crate::readiness::ReadinessTask;
 use crate::server::ServerRoutes;
 use crate::server::start_server;
 use crate::service::GatewayService;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use crate::standby::spawn_standby;
+use jsonrpsee::server::ServerHandle;
 use log::Level;
 use ragwort_control::CatalogCopy;
 use ragwort_control::MemberLease;
+use ragwort_types::GroupName;
+use ragwort_types::MemberId;
 use std::fmt;
 use std::io;
 use std::sync::Arc;
@@ -36,19 +41,22 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::interval;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// How often readiness and the lease's metrics are brought up to date.
-const READINESS_EVERY: Duration = Duration::from_millis(50);
-
 /// How long the platform's balancer is given to see that the VM isn't ready any more, before
 /// sessions are closed. Platforms commonly probe once a second.
 const READINESS_LEAD: Duration = Duration::from_millis(500);
 
+/// Messages that may wait for the leaseholders' manager, which takes them in at once.
+const LEASEHOLDER_QUEUE: usize = 8_192;
+
+/// Dumps that may be asked for at once.
+const DUMP_QUEUE: usize = 16;
+
 /// Why the daemon could not start, or ended other than by a drain.
 #[derive(Debug)]
 pub enum NodeFault {
@@ -70,59 +78,6 @@
     }
 }
 
-/// Collects the state of all tasks.
-#[derive(Clone)]
-pub struct NodeDump {
-    settings: Arc<DaemonSettings>,
-    clock: NodeClock,
-    view: watch::Receiver<MemberView>,
-    ready: watch::Receiver<bool>,
-    control: Option<mpsc::Sender<ControlEvent>>,
-    leaseholders: mpsc::Sender<LeaseholderEvent>,
-    standby: mpsc::Sender<StandbyEvent>,
-}
-
-impl NodeDump {
-    /// Says whether the VM takes work.
-    pub fn is_ready(&self) -> bool {
-        *self.ready.borrow()
-    }
-
-    /// Asks every task for its state.
-    pub async fn collect(&self) -> serde_json::Value {
-        let view = self.view.borrow().clone();
-        let now = self.clock.now();
-        let control = match &self.control {
-            Some(control) => ask(control, ControlEvent::Dump).await,
-            None => None,
-        };
-        serde_json::json!({
-            "vm": self.settings.vm.to_string(),
-            "domain": self.settings.domain.to_string(),
-            "ready": self.is_ready(),
-            "draining": view.draining,
-            "lease_ms": view.lease.remaining(now).as_millis() as u64,
-            "revision": view.copy.revision().0,
-            "contracts": view.copy.contracts().count(),
-            "members": view.copy.members().collect::<Vec<_>>(),
-            "groups": view.copy.groups().collect::<Vec<_>>(),
-            "control": control,
-            "leaseholder": ask(&self.leaseholders, LeaseholderEvent::Dump).await,
-            "standby": ask(&self.standby, StandbyEvent::Dump).await,
-            "broken_invariants": ragwort_control::broken_invariants(),
-        })
-    }
-}
-
-async fn ask<Event>(
-    task: &mpsc::Sender<Event>,
-    event: impl FnOnce(oneshot::Sender<serde_json::Value>) -> Event,
-) -> Option<serde_json::Value> {
-    let (reply, answer) = oneshot::channel();
-    task.send(event(reply)).await.ok()?;
-    answer.await.ok()
-}
-
 /// The switches by which the parent ends its tasks, in this order.
 struct StopSwitches {
     drain: watch::Sender<bool>,
@@ -143,6 +98,47 @@
     }
 }
 
+/// What every task of the daemon starts from.
+struct NodeBase {
+    settings: Arc<DaemonSettings>,
+    clock: NodeClock,
+    metrics: DaemonMetrics,
+    links: PeerLinks,
+    id: MemberId,
+    switches: StopSwitches,
+    view: watch::Receiver<MemberView>,
+}
+
+/// The addresses that must be free before anything starts.
+struct NodeListeners {
+    platform: TcpListener,
+    callers: Option<TcpListener>,
+}
+
+impl NodeListeners {
+    async fn bind(settings: &DaemonSettings) -> Result<Self, NodeFault> {
+        let callers = match settings.roles.gateway {
+            true => Some(bind("callers", settings.listen.callers).await?),
+            false => None,
+        };
+        Ok(Self {
+            platform: bind("the platform", settings.listen.platform).await?,
+            callers,
+        })
+    }
+}
+
+/// The running tasks, which the daemon joins at its end.
+struct NodeTasks {
+    server: ServerHandle,
+    control: Option<JoinHandle<Result<(), ControlFault>>>,
+    manager: JoinHandle<()>,
+    member: JoinHandle<bool>,
+    callers: Option<JoinHandle<()>>,
+    /// Tasks that end when all others have.
+    helpers: JoinSet<()>,
+}
+
 /// Runs the daemon until it's drained or can't go on.
 ///
 /// # Errors
@@ -150,144 +146,197 @@
 /// Returns a fault if an address can't be listened on, the data folder can't be used, or another
 /// process has joined under this VM's name.
 pub async fn run_node(settings: Arc<DaemonSettings>) -> Result<(), NodeFault> {
-    let clock = NodeClock::start();
-    let metrics = DaemonMetrics::new();
-    let connect_timeout = Duration::from_millis(settings.timing.connect_timeout_ms);
-    let links = PeerLinks::new(connect_timeout);
-    let id = create_member_id(&settings);
-    let switches = StopSwitches::new();
+    let listeners = NodeListeners::bind(&settings).await?;
     let (view_sender, view) = watch::channel(MemberView {
         copy: Arc::new(CatalogCopy::new()),
         lease: MemberLease::new(),
         draining: false,
     });
-    let (unplaced_sender, unplaced) = watch::channel(Vec::new());
-    let (ready_sender, ready) = watch::channel(false);
-
-    let platform = bind("the platform", settings.listen.platform).await?;
-    let callers = match settings.roles.gateway {
-        true => Some(bind("callers", settings.listen.callers).await?),
-        false => None,
+    let base = NodeBase {
+        clock: NodeClock::start(),
+        metrics: DaemonMetrics::new(),
+        links: PeerLinks::new(Duration::from_millis(settings.timing.connect_timeout_ms)),
+        id: create_member_id(&settings),
+        switches: StopSwitches::new(),
+        settings,
+        view,
     };
+    let mut tasks = NodeTasks::start(&base, listeners, view_sender).await?;
+    log_event!(
+        Level::Info,
+        "started",
+        vm = base.settings.vm,
+        peers = base.settings.listen.peers,
+    );
+    let ended = wait_for_end(&base.switches.drain, &mut tasks.member).await;
+    let control_end = tasks.shut_down(&base, &ended).await;
+    log_event!(Level::Info, "stopped", vm = base.settings.vm);
+    control_end.map_err(NodeFault::Control)?;
+    match ended {
+        EndCause::Drain => Ok(()),
+        EndCause::Superseded => Err(NodeFault::Superseded),
+    }
+}
 
-    let control = start_control(&settings, clock, &links, &switches, id.incarnation)?;
-    let (control_sender, control_task) = match control {
-        Some((sender, task)) => (Some(sender), Some(task)),
-        None => (None, None),
-    };
-    let lease = Duration::from_millis(settings.timing.lease_ms);
-    let gateway = Arc::new(Gateway::new(clock, links.clone(), view.clone(), lease));
-    let (standby, standby_task) = spawn_standby(view.clone());
-    let (leaseholders, leaseholder_events) = mpsc::channel(8_192);
-    let dump = NodeDump {
-        settings: Arc::clone(&settings),
-        clock,
-        view: view.clone(),
-        ready: ready.clone(),
-        control: control_sender.clone(),
-        leaseholders: leaseholders.clone(),
-        standby: standby.clone(),
-    };
-    let routes = ServerRoutes {
-        settings: Arc::clone(&settings),
-        control: control_sender,
-        leaseholders,
-        standby: standby.clone(),
-        gateway: Arc::clone(&gateway),
-        links: links.clone(),
-        view: view.clone(),
-        drain: switches.drain.clone(),
-        dump: dump.clone(),
-    };
-    let server = start_server(routes).await;
-    let server = server.map_err(|error| NodeFault::Listen("other VMs", error))?;
+impl NodeTasks {
+    async fn start(
+        base: &NodeBase,
+        listeners: NodeListeners,
+        view_sender: watch::Sender<MemberView>,
+    ) -> Result<Self, NodeFault> {
+        let mut helpers = JoinSet::new();
+        let (control_sender, control) = match start_control(base)? {
+            Some((sender, task)) => (Some(sender), Some(task)),
+            None => (None, None),
+        };
+        let gateway = Arc::new(Gateway::new(
+            base.clock,
+            base.links.clone(),
+            base.view.clone(),
+            Duration::from_millis(base.settings.timing.lease_ms),
+        ));
+        let (standby, standby_task) = spawn_standby(base.view.clone());
+        helpers.spawn(join_quietly(standby_task));
+        let (leaseholders, leaseholder_events) = mpsc::channel(LEASEHOLDER_QUEUE);
+        let (ready_sender, ready) = watch::channel(false);
+        let dump = NodeDump {
+            settings: Arc::clone(&base.settings),
+            clock: base.clock,
+            view: base.view.clone(),
+            ready: ready.clone(),
+            control: control_sender.clone(),
+            leaseholders: leaseholders.clone(),
+            standby: standby.clone(),
+        };
+        let server = start_server(ServerRoutes {
+            settings: Arc::clone(&base.settings),
+            control: control_sender,
+            leaseholders,
+            standby: standby.clone(),
+            gateway: Arc::clone(&gateway),
+            links: base.links.clone(),
+            view: base.view.clone(),
+            drain: base.switches.drain.clone(),
+            dump: dump.clone(),
+        });
+        let server = server.await;
+        let server = server.map_err(|error| NodeFault::Listen("other VMs", error))?;
+        let (unplaced_sender, unplaced) = watch::channel(Vec::new());
+        let manager = start_manager(base, standby, unplaced_sender, leaseholder_events);
+        let member = start_member(base, view_sender, unplaced);
+        start_readiness(base, ready_sender, &mut helpers);
+        start_platform_view(base, listeners.platform, ready, dump, &mut helpers);
+        let callers = listeners
+            .callers
+            .map(|listener| start_callers(base, listener, gateway));
+        Ok(Self {
+            server,
+            control,
+            manager,
+            member,
+            callers,
+            helpers,
+        })
+    }
 
+    /// Ends the tasks in an order that cuts nothing: callers first, then the groups, the
+    /// membership, and last what the others need until their end.
+    async fn shut_down(mut self, base: &NodeBase, ended: &EndCause) -> Result<(), ControlFault> {
+        if let EndCause::Drain = ended {
+            log_event!(Level::Info, "drain_started", vm = base.settings.vm);
+            sleep(READINESS_LEAD).await;
+        }
+        base.switches.drain.send_replace(true);
+        if let Some(callers) = self.callers {
+            join_quietly(callers).await;
+        }
+        await_handover(&base.settings, &base.view, ended).await;
+        base.switches.leaseholders.send_replace(true);
+        join_quietly(self.manager).await;
+        base.switches.member.send_replace(true);
+        if !self.member.is_finished() {
+            let _ = self.member.await;
+        }
+        base.switches.rest.send_replace(true);
+        let _ = self.server.stop();
+        self.server.stopped().await;
+        while self.helpers.join_next().await.is_some() {}
+        match self.control {
+            Some(task) => task.await.unwrap_or(Ok(())),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Waits for a task's end; a task that panicked has logged that itself.
+async fn join_quietly(task: JoinHandle<()>) {
+    let _ = task.await;
+}
+
+fn start_manager(
+    base: &NodeBase,
+    standby: mpsc::Sender<StandbyEvent>,
+    unplaced: watch::Sender<Vec<GroupName>>,
+    events: mpsc::Receiver<LeaseholderEvent>,
+) -> JoinHandle<()> {
     let context = Arc::new(GroupContext {
-        settings: Arc::clone(&settings),
-        clock,
-        links: links.clone(),
+        settings: Arc::clone(&base.settings),
+        clock: base.clock,
+        links: base.links.clone(),
         standby,
-        metrics: metrics.clone(),
+        metrics: base.metrics.clone(),
     });
-    let manager = LeaseholderManager::new(context, view.clone(), unplaced_sender);
-    let manager = tokio::spawn(manager.run(leaseholder_events, switches.leaseholders.subscribe()));
+    let manager = LeaseholderManager::new(context, base.view.clone(), unplaced);
+    tokio::spawn(manager.run(events, base.switches.leaseholders.subscribe()))
+}
+
+fn start_member(
+    base: &NodeBase,
+    view: watch::Sender<MemberView>,
+    unplaced: watch::Receiver<Vec<GroupName>>,
+) -> JoinHandle<bool> {
     let member = MemberTask {
-        settings: Arc::clone(&settings),
-        clock,
-        links: links.clone(),
-        view: view_sender,
+        settings: Arc::clone(&base.settings),
+        clock: base.clock,
+        links: base.links.clone(),
+        view,
         unplaced,
-        draining: switches.drain.subscribe(),
-        stop: switches.member.subscribe(),
+        draining: base.switches.drain.subscribe(),
+        stop: base.switches.member.subscribe(),
     };
-    let mut member = tokio::spawn(member.run(id));
+    tokio::spawn(member.run(base.id.clone()))
+}
+
+fn start_readiness(base: &NodeBase, ready: watch::Sender<bool>, helpers: &mut JoinSet<()>) {
     let watcher = ReadinessTask {
-        clock,
-        metrics: metrics.clone(),
-        view: view.clone(),
-        ready: ready_sender,
-        stop: switches.rest.subscribe(),
+        clock: base.clock,
+        metrics: base.metrics.clone(),
+        view: base.view.clone(),
+        ready,
+        stop: base.switches.rest.subscribe(),
+        broken_invariants: 0,
     };
-    let watcher = tokio::spawn(watcher.run());
-    let (dump_sender, dump_requests) = mpsc::channel(16);
-    let dumper = tokio::spawn(answer_dumps(dump, dump_requests));
-    let platform_view = PlatformView {
+    helpers.spawn(watcher.run());
+}
+
+fn start_platform_view(
+    base: &NodeBase,
+    listener: TcpListener,
+    ready: watch::Receiver<bool>,
+    dump: NodeDump,
+    helpers: &mut JoinSet<()>,
+) {
+    let (dump_sender, dump_requests) = mpsc::channel(DUMP_QUEUE);
+    helpers.spawn(answer_dumps(dump, dump_requests));
+    let view = PlatformView {
         ready,
-        metrics: metrics.clone(),
+        metrics: base.metrics.clone(),
         dump: dump_sender,
     };
-    let platform = start_platform(platform, platform_view, switches.rest.subscribe());
-    let callers = callers.map(|listener| {
-        start_callers(
-            &settings,
-            clock,
-            listener,
-            gateway,
-            &view,
-            metrics,
-            &switches.drain,
-        )
+    let platform = start_platform(listener, view, base.switches.rest.subscribe());
+    helpers.spawn(async move {
+        let _ = platform.await;
     });
-    log_event!(
-        Level::Info,
-        "started",
-        vm = settings.vm,
-        peers = settings.listen.peers
-    );
-
-    let ended = wait_for_end(&switches.drain, &mut member).await;
-    if let EndCause::Drain = ended {
-        log_event!(Level::Info, "drain_started", vm = settings.vm);
-        tokio::time::sleep(READINESS_LEAD).await;
-    }
-    switches.drain.send_replace(true);
-    if let Some(callers) = callers {
-        let _ = callers.await;
-    }
-    await_handover(&settings, &view, &ended).await;
-    switches.leaseholders.send_replace(true);
-    let _ = manager.await;
-    switches.member.send_replace(true);
-    if !member.is_finished() {
-        let _ = member.await;
-    }
-    switches.rest.send_replace(true);
-    let _ = server.stop();
-    server.stopped().await;
-    let _ = standby_task.await;
-    let _ = watcher.await;
-    let _ = platform.await;
-    let _ = dumper.await;
-    let control_end = match control_task {
-        Some(task) => task.await.unwrap_or(Ok(())),
-        None => Ok(()),
-    };
-    log_event!(Level::Info, "stopped", vm = settings.vm);
-    control_end.map_err(NodeFault::Control)?;
-    match ended {
-        EndCause::Drain => Ok(()),
-        EndCause::Superseded => Err(NodeFault::Superseded),
-    }
 }
 
 enum EndCause {
@@ -305,13 +354,8 @@
     JoinHandle<Result<(), ControlFault>>,
 );
 
-fn start_control(
-    settings: &Arc<DaemonSettings>,
-    clock: NodeClock,
-    links: &PeerLinks,
-    switches: &StopSwitches,
-    fresh: ragwort_types::VmIncarnation,
-) -> Result<Option<ControlHandle>, NodeFault> {
+fn start_control(base: &NodeBase) -> Result<Option<ControlHandle>, NodeFault> {
+    let settings = &base.settings;
     let Some(folder) = settings
         .data_folder
         .as_ref()
@@ -319,25 +363,25 @@
     else {
         return Ok(None);
     };
-    let opened = ControlTask::open(Arc::clone(settings), clock, links.clone(), folder, fresh);
+    let fresh = base.id.incarnation;
+    let opened = ControlTask::open(
+        Arc::clone(settings),
+        base.clock,
+        base.links.clone(),
+        folder,
+        fresh,
+    );
     let (task, sender) = opened.map_err(NodeFault::Control)?;
-    let stop = switches.rest.subscribe();
+    let stop = base.switches.rest.subscribe();
     Ok(Some((sender, tokio::spawn(task.run(stop)))))
 }
 
-fn start_callers(
-    settings: &DaemonSettings,
-    clock: NodeClock,
-    listener: TcpListener,
-    gateway: Arc<Gateway>,
-    view: &watch::Receiver<MemberView>,
-    metrics: DaemonMetrics,
-    drain: &watch::Sender<bool>,
-) -> JoinHandle<()> {
-    let limits = CallerLimits::from_settings(&settings.limits, settings.timing.drain_ms);
-    let (service, cancels) = GatewayService::start(gateway, clock, view.clone());
-    let edge = CallerEdge::new(listener, limits, Arc::new(service), metrics);
-    let drain = drain.subscribe();
+fn start_callers(base: &NodeBase, listener: TcpListener, gateway: Arc<Gateway>) -> JoinHandle<()> {
+    let timing = &base.settings.timing;
+    let limits = CallerLimits::from_settings(&base.settings.limits, timing.drain_ms);
+    let (service, cancels) = GatewayService::start(gateway, base.clock, base.view.clone());
+    let edge = CallerEdge::new(listener, limits, Arc::new(service), base.metrics.clone());
+    let drain = base.switches.drain.subscribe();
     tokio::spawn(async move {
         edge.run(drain).await;
         let _ = cancels.await;
@@ -387,38 +431,3 @@
     });
     let _ = timeout(limit, moved).await;
 }
-
-async fn answer_dumps(dump: NodeDump, mut requests: mpsc::Receiver<DumpRequest>) {
-    while let Some(reply) = requests.recv().await {
-        let _ = reply.send(dump.collect().await);
-    }
-}
-
-/// Keeps readiness and the lease's metrics up to date.
-struct ReadinessTask {
-    clock: NodeClock,
-    metrics: DaemonMetrics,
-    view: watch::Receiver<MemberView>,
-    ready: watch::Sender<bool>,
-    stop: watch::Receiver<bool>,
-}
-
-impl ReadinessTask {
-    async fn run(mut self) {
-        let mut ticker = interval(READINESS_EVERY);
-        loop {
-            tokio::select! {
-                _ = ticker.tick() => {}
-                _ = self.stop.wait_for(|set| *set) => break,
-            }
-            let view = self.view.borrow().clone();
-            let held = view.may_serve(self.clock.now());
-            let ready = held && !view.draining;
-            self.metrics.set_lease_held(held);
-            self.metrics.set_catalog_revision(view.copy.revision());
-            if self.ready.send_replace(ready) != ready {
-                log_event!(Level::Info, "readiness", ready = ready);
-            }
-        }
-    }
-}
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -3,11 +3,11 @@
 //! Each call becomes a message to the task that owns the matter, and waits for its answer.
 
 use crate::control::ControlEvent;
+use crate::dump::NodeDump;
 use crate::gateway::Gateway;
 use crate::gateway::reply_with;
 use crate::leaseholders::LeaseholderEvent;
 use crate::member::MemberView;
-use crate::node::NodeDump;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
