Refuse writes early while the replicas are too far behind

Cause: with replication cut, every write ran at the primary, waited for a majority until its deadline and ended in doubt. The quorum now says how far a majority is behind the primary, by the ages that reads on replicas use already; a write that could not be acknowledged before its deadline is refused at once, not run, with when to come back. A resend with a known key still gets its first verdict. Ruled out: counting waiting writes (says nothing of time), and refusing only after a failed write. Trial without the check: write_is_refused_while_the_replicas_are_far_behind ends with MayHaveRun(NotConfirmed) in place of NotRun(ReplicasBehind).

--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -322,6 +322,21 @@
         Some(now.since(fresh))
     }
 
+    /// Returns how far a majority is behind the primary: what a write has to wait for at least.
+    ///
+    /// `None` means that it isn't known, as right after a promotion.
+    pub fn majority_lag(&self, now: ClockTime) -> Option<Duration> {
+        let instances = self.instances.iter();
+        let mut ages: SmallVec<[Duration; 4]> = instances
+            .filter_map(|instance| match self.primary.as_ref() == Some(instance) {
+                true => Some(Duration::ZERO),
+                false => self.age_bound(instance, now),
+            })
+            .collect();
+        ages.sort_unstable();
+        ages.get(majority(self.instances.len()) - 1).copied()
+    }
+
     /// Returns an instance's position, if it follows the present term.
     pub fn counted_position(&self, instance: &InstanceName) -> Option<LogPosition> {
         let status = self.reports.get(instance)?;
--- a/crates/control/tests/state/quorum.rs
+++ b/crates/control/tests/state/quorum.rs
@@ -176,6 +176,25 @@
     }
 }
 
+case! {
+    /// Two of three instances stop following. A write must wait for one of them, and the time that
+    /// it waits at least is that of the one that is less far behind.
+    majority_lags_like_its_fastest_replica {
+        let mut quorum = quorum();
+        let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
+        assert_eq!(quorum.majority_lag(at(0)), None);
+        quorum.report(at(0), &name("a"), status(1, 1, 15));
+        quorum.report(at(0), &name("b"), status(1, 1, 15));
+        quorum.report(at(100), &name("a"), status(1, 1, 16));
+        quorum.report(at(100), &name("c"), status(1, 1, 16));
+        quorum.report(at(200), &name("a"), status(1, 1, 17));
+        assert_eq!(quorum.age_bound(&name("b"), at(300)), Some(Duration::from_millis(300)));
+        assert_eq!(quorum.majority_lag(at(300)), Some(Duration::from_millis(200)));
+        quorum.report(at(300), &name("b"), status(1, 1, 17));
+        assert_eq!(quorum.majority_lag(at(300)), Some(Duration::from_millis(100)));
+    }
+}
+
 case! {
     /// A replica has just begun to follow the term and still lacks writes from before its start. A
     /// majority counted with it could be without them.
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -38,6 +38,9 @@
 /// When a caller should come back that met a leaseholder which is still collecting its journal.
 const RECOVERY_RETURN_MS: u64 = 100;
 
+/// When a caller should come back whose write no majority would hold in time.
+const BEHIND_RETURN_MS: u64 = 500;
+
 /// What stands in the way of taking a statement in.
 pub(super) struct IntakeRefusal {
     /// Why it isn't taken in.
@@ -154,6 +157,31 @@
         Ok(terms)
     }
 
+    /// Says whether a write can't be acknowledged before its deadline, because the replicas are too
+    /// far behind.
+    ///
+    /// It would run and end in doubt: its caller would wait for nothing and not know whether to send
+    /// it again.
+    fn is_too_far_behind(&self, ticket: RequestTicket, now: ClockTime) -> bool {
+        let Some(active) = self.requests.get(&ticket) else {
+            return false;
+        };
+        let opens = matches!(active.request.step, TransactionStep::Begin(_));
+        let writes = active.is_write() && active.request.step == TransactionStep::Single;
+        (opens || writes)
+            && self.is_serving()
+            && self.majority_lag(now) >= active.deadline.since(now)
+    }
+
+    /// Returns how long a write has to wait for a majority at least.
+    fn majority_lag(&self, now: ClockTime) -> Duration {
+        let served = self
+            .serving_since
+            .map_or(Duration::ZERO, |since| now.since(since));
+        // While it isn't known, as in the first moments of a term, it can't exceed the term.
+        self.quorum.majority_lag(now).unwrap_or(served)
+    }
+
     /// Looks a request's key up; returns the request if it is to run.
     ///
     /// A key that is known was sent before: running the request again would do its work twice.
@@ -197,6 +225,11 @@
         let profile = self.describe_request(ticket, &active);
         self.tickets.insert(active.request.id, ticket);
         self.requests.insert(ticket, active);
+        if self.is_too_far_behind(ticket, now) {
+            let verdict = RequestVerdict::refused(RefusalCause::ReplicasBehind, BEHIND_RETURN_MS);
+            self.settle(ticket, verdict);
+            return;
+        }
         if let ArrivalDecision::Refused(refusal) = self.scheduler.arrive(now, profile) {
             self.settle(ticket, RequestVerdict::NotRun(refusal));
         }
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -146,6 +146,8 @@
     resends: HashMap<KeyedRequest, Vec<ResendWaiter>>,
     writes: HashMap<WriteTicket, RequestTicket>,
     watch: Option<PrimaryWatch>,
+    /// Since when the present term is served here.
+    serving_since: Option<ClockTime>,
     round_running: Option<(RoundId, ClockTime)>,
     confirmed_round: RoundId,
     last_ticket: u64,
@@ -201,6 +203,7 @@
         resends: HashMap::new(),
         writes: HashMap::new(),
         watch: None,
+        serving_since: None,
         round_running: None,
         confirmed_round: RoundId(0),
         last_ticket: 0,
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -138,6 +138,7 @@
 
     /// Ends the present term: nothing is dispatched, and no write of it is acknowledged any more.
     fn suspend_term(&mut self) {
+        self.serving_since = None;
         let abandoned = self.quorum.suspend();
         self.abandon_writes(&abandoned);
         self.refresh_all_endpoints();
@@ -307,6 +308,7 @@
                         primary = instance,
                         term = term,
                     );
+                    self.serving_since = Some(self.context.clock.now());
                     self.adopt_machine_record();
                 }
                 PromotionAction::Suspend => self.suspend_term(),
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -35,6 +35,9 @@
     /// Nothing reaches the replicas any more. The primary has written, but could be the only one
     /// that did; if it died, the write would be gone. The caller must not be told that it is done.
     write_without_a_majority_is_in_doubt => cut_replication_case();
+    /// Nothing reaches the replicas any more, and that has lasted for longer than a write's deadline.
+    /// A further write could only end in doubt, so its caller is told at once that it was not run.
+    write_is_refused_while_the_replicas_are_far_behind => behind_case();
     /// The caller sends a keyed write again that no majority held in time. The outcome of the first
     /// attempt is unknown, and a second grant must not be written to find out.
     resend_of_a_doubtful_write_does_not_run => doubtful_resend_case();
@@ -149,6 +152,27 @@
     bench.stop().await;
 }
 
+async fn behind_case() {
+    let bench = GroupBench::start().await;
+    bench.cut_replication(true).await;
+    let grant = Ask::new(GRANT, "append case-7 grant").deadline(SHORT_MS);
+    let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
+    assert_eq!(bench.ask(grant.clone()).await.verdict, doubt);
+    let reply = bench.ask(grant.clone()).await;
+    let RequestVerdict::NotRun(refusal) = reply.verdict else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(refusal.cause, RefusalCause::ReplicasBehind);
+    assert!(refusal.come_back_after_ms > 0);
+    assert_eq!(bench.count_commits().await, 1);
+    bench.cut_replication(false).await;
+    // The refused caller comes back until the replicas have caught up.
+    while bench.ask(grant.clone()).await.verdict != WRITTEN {
+        sleep(Duration::from_millis(5)).await;
+    }
+    bench.stop().await;
+}
+
 async fn doubtful_resend_case() {
     let bench = GroupBench::start().await;
     bench.cut_replication(true).await;
