Drop a refusal that nothing gives, and a name that nothing uses

A resend of a running key waits for the first run's verdict, so RefusalCause::Duplicate was never told; its SQLSTATE case is replaced by one of Cancelled, which had none.

--- a/crates/daemon/src/callers/answers.rs
+++ b/crates/daemon/src/callers/answers.rs
@@ -120,7 +120,6 @@
         RefusalCause::Draining => "57P01",
         RefusalCause::Contract => "42501",
         RefusalCause::RequestKey => "22023",
-        RefusalCause::Duplicate => "55006",
         RefusalCause::TransactionLost => "40000",
     }
 }
--- a/crates/daemon/tests/callers/verdicts.rs
+++ b/crates/daemon/tests/callers/verdicts.rs
@@ -42,7 +42,7 @@
     draining: Draining => "57P01";
     contract: Contract => "42501";
     request_key: RequestKey => "22023";
-    duplicate: Duplicate => "55006";
+    cancelled: Cancelled => "57014";
     transaction_lost: TransactionLost => "40000";
 }
 
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -372,12 +372,3 @@
     /// The voter set was not formed, for this reason in words; nothing was changed.
     Refused(String),
 }
-
-/// Names an instance of a group.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct InstanceId {
-    /// The group.
-    pub group: GroupName,
-    /// The instance.
-    pub instance: InstanceName,
-}
--- a/crates/types/src/verdict.rs
+++ b/crates/types/src/verdict.rs
@@ -58,8 +58,6 @@
     Contract,
     /// The request key is missing, malformed or older than the window.
     RequestKey,
-    /// The request with this key was already given up on without running, or runs now.
-    Duplicate,
     /// The VM is shutting down.
     Draining,
     /// The endpoint refused the request without running it.
