--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -9,6 +9,7 @@
 use log::Level;
 use ragwort_control::EntryMark;
 use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
 use ragwort_types::CommandRequest;
@@ -135,14 +136,14 @@
     }
 }
 
-fn name_outcome(outcome: &ragwort_types::CatalogOutcome) -> &'static str {
+fn name_outcome(outcome: &CatalogOutcome) -> &'static str {
     match outcome {
-        ragwort_types::CatalogOutcome::ContractAccepted(_) => "accepted",
-        ragwort_types::CatalogOutcome::ContractConflict(_) => "conflict",
-        ragwort_types::CatalogOutcome::ContractUnknown => "unknown_customer",
-        ragwort_types::CatalogOutcome::ContractFaulty(_) => "faulty",
-        ragwort_types::CatalogOutcome::ChangeIdReused => "change_id_reused",
-        ragwort_types::CatalogOutcome::Done(_) => "done",
-        ragwort_types::CatalogOutcome::Stale => "stale",
+        CatalogOutcome::ContractAccepted(_) => "accepted",
+        CatalogOutcome::ContractConflict(_) => "conflict",
+        CatalogOutcome::ContractUnknown => "unknown_customer",
+        CatalogOutcome::ContractFaulty(_) => "faulty",
+        CatalogOutcome::ChangeIdReused => "change_id_reused",
+        CatalogOutcome::Done(_) => "done",
+        CatalogOutcome::Stale => "stale",
     }
 }
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -46,7 +46,9 @@
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerSettings;
+use ragwort_types::AccessMode;
 use ragwort_types::CustomerName;
+use ragwort_types::DoubtCause;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupName;
 use ragwort_types::GroupPlacement;
@@ -434,7 +436,7 @@
         let writing = self.requests.values().any(|active| {
             !matches!(active.stage, RequestStage::Waiting)
                 && !active.is_fresh_read()
-                && active.terms.access == ragwort_types::AccessMode::Write
+                && active.terms.access == AccessMode::Write
         });
         if writing || !self.is_serving() || !self.view.borrow().may_serve(now) {
             return;
@@ -552,7 +554,7 @@
             Some(RequestStage::Waiting | RequestStage::Journaling(_)) | None => {
                 RequestVerdict::refused(RefusalCause::NoLeaseholder, 0)
             }
-            Some(_) => RequestVerdict::MayHaveRun(ragwort_types::DoubtCause::LeaseLost),
+            Some(_) => RequestVerdict::MayHaveRun(DoubtCause::LeaseLost),
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,27 @@
-//! The daemon of ragwortgate.
+//! The daemon of ragwortgate: gateway, leaseholder and control roles in one process.
+//!
+//! A statement's way through the modules:
+//!
+//! 1. [`callers`] takes it from a caller by PostgreSQL's protocol and hands it to [`service`], which
+//!    checks the gateway's own limits.
+//! 2. [`gateway`] finds the leaseholder of its database group in what [`member`] knows, and brings it
+//!    there over [`peers`]. [`server`] answers such calls and passes them to [`leaseholders`].
+//! 3. [`group`] is the leaseholder: contract, request key, queue, endpoint [`connection`], majority,
+//!    journal, and the verdict back.
+//!
+//! [`control`] drives the agreed log on the VMs that have a [`disk`]; [`standby`] holds journals for
+//! other leaseholders. [`node`] starts all tasks and joins them at the end.
+//!
+//! # Examples
+//!
+//! Everything starts from [`settings`], which name every fault at once:
+//!
+//! ```
+//! use ragwortgated::settings::DaemonSettings;
+//!
+//! let faults = DaemonSettings::from_yaml("vm: vm-1\nport: 5432").unwrap_err();
+//! assert!(faults.iter().any(|fault| fault.to_string().contains("port: unknown setting")));
+//! ```
 
 pub mod callers;
 pub mod clock;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -35,6 +35,7 @@
 use ragwort_types::MemberId;
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -344,7 +345,7 @@
     Superseded,
 }
 
-async fn bind(what: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, NodeFault> {
+async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, NodeFault> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|error| NodeFault::Listen(what, error))
 }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -27,6 +27,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -87,7 +88,7 @@
         (service, task)
     }
 
-    fn tables(&self) -> std::sync::MutexGuard<'_, ServiceTables> {
+    fn tables(&self) -> MutexGuard<'_, ServiceTables> {
         self.tables.lock().expect("no holder of this lock panics")
     }
 
