--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -17,6 +17,7 @@
 mod probing;
 mod promoting;
 mod request;
+mod ticking;
 
 use crate::clock::NodeClock;
 use crate::connection::ConnectionEvent;
@@ -28,7 +29,6 @@
 use crate::standby::StandbyEvent;
 use describing::ActiveShape;
 use handover::HandoverState;
-use intake::unix_millis;
 use journaling::JournalRecovery;
 use log::Level;
 use notice::GroupNotice;
@@ -46,7 +46,6 @@
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerSettings;
-use ragwort_types::AccessMode;
 use ragwort_types::CustomerName;
 use ragwort_types::DoubtCause;
 use ragwort_types::EndpointAnnouncement;
@@ -86,9 +85,6 @@
 /// The step in which waits, ages and silent endpoints are looked at.
 const TICK: Duration = Duration::from_millis(10);
 
-/// How often the journal forgets what is no longer needed.
-const PRUNE_TICKS: u64 = 100;
-
 /// Events taken in before the scheduler is asked once for all of them.
 const EVENTS_AT_ONCE: usize = 64;
 
@@ -396,114 +392,6 @@
         )
     }
 
-    fn take_tick(&mut self) {
-        self.ticks += 1;
-        self.end_overdue();
-        self.end_idle_transactions();
-        let lost = Duration::from_millis(self.context.settings.timing.announce_lost_ms);
-        for instance in self.pool.remove_silent(lost) {
-            log_event!(
-                Level::Warn,
-                "endpoint_silent",
-                group = self.group,
-                instance = instance,
-            );
-            self.refresh_endpoint(&instance);
-            for transaction in self.pool.retire_connections(&instance) {
-                self.end_transaction(transaction);
-            }
-        }
-        self.observe_quiet_primary();
-        for instance in self.record.instances.clone() {
-            self.refresh_endpoint(&instance);
-        }
-        self.tick_promotion();
-        self.tick_detector();
-        self.tick_handover();
-        self.restart_lost_round();
-        if self.ticks.is_multiple_of(PRUNE_TICKS) {
-            self.prune_journal();
-            self.show_metrics();
-        }
-    }
-
-    /// Notes that the primary stands where it stood, while no write runs.
-    ///
-    /// This leaseholder is the only one that writes, so an idle group's replicas are as fresh as
-    /// its primary; without this their age would seem to grow until the next report.
-    fn observe_quiet_primary(&mut self) {
-        let now = self.context.clock.now();
-        let writing = self.requests.values().any(|active| {
-            !matches!(active.stage, RequestStage::Waiting)
-                && !active.is_fresh_read()
-                && active.terms.access == AccessMode::Write
-        });
-        if writing || !self.is_serving() || !self.view.borrow().may_serve(now) {
-            return;
-        }
-        let Some(primary) = self.record.primary.clone() else {
-            return;
-        };
-        if let Some(status) = self.quorum.status(&primary).copied() {
-            self.take_status(&primary, now, status);
-        }
-    }
-
-    /// Lets a round of reads that got no majority begin again.
-    fn restart_lost_round(&mut self) {
-        let now = self.context.clock.now();
-        let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms);
-        let Some((_, begun)) = self.round_running else {
-            return;
-        };
-        if now.since(begun) > limit {
-            self.round_running = None;
-            let waits = |active: &ActiveRequest| {
-                matches!(active.stage, RequestStage::AwaitingRound(_)) || active.round.is_some()
-            };
-            if self.requests.values().any(waits) {
-                // A confirmation of a later round also covers the reads of the lost one.
-                self.quorum.join_read();
-            }
-        }
-    }
-
-    /// Ends the transactions whose callers have gone without a word: each holds one of the
-    /// endpoint's few connections.
-    ///
-    /// A long statement is no idleness. If its connection were forgotten here, its end would find
-    /// nobody: the caller would get no answer, and its slot would stay taken for good.
-    fn end_idle_transactions(&mut self) {
-        let now = self.context.clock.now();
-        let limit = Duration::from_millis(self.context.settings.timing.idle_transaction_ms);
-        let idle = self.transactions.iter().filter(|(_, open)| {
-            now.since(open.last_used) > limit && !self.pool.is_running(open.connection)
-        });
-        let idle: Vec<TransactionId> = idle.map(|(id, _)| *id).collect();
-        for id in idle {
-            self.end_transaction(id);
-        }
-    }
-
-    fn prune_journal(&mut self) {
-        let Some(journal) = &mut self.journal else {
-            return;
-        };
-        if let Some(passed) = self.quorum.passed_by_all() {
-            journal.prune(unix_millis(), passed);
-        }
-    }
-
-    fn show_metrics(&self) {
-        let metrics = &self.context.metrics;
-        let now = self.context.clock.now();
-        let state = self.scheduler.snapshot(now);
-        let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
-        metrics.set_queue_length(&self.group, waiting);
-        metrics.set_endpoint_connections(&self.group, self.pool.connection_count());
-        metrics.set_group_term(&self.group, self.record.term);
-    }
-
     fn time_to_wake(&self) -> Duration {
         let now = self.context.clock.now();
         let wake = self.scheduler.next_wakeup(now);
