Move the remote calls to a crate of their own; build no TLS stack

Cause: ragwort-types knew the network through its remote-call traits, and the client libraries brought a TLS stack with C code that nothing uses. Ruled out: keeping the traits in types behind a feature; two builds of one crate then exist.

--- a/crates/ctl/src/remote.rs
+++ b/crates/ctl/src/remote.rs
@@ -2,9 +2,9 @@
 
 use crate::options::AddressList;
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::types::error::INVALID_PARAMS_CODE;
 use jsonrpsee::types::error::METHOD_NOT_FOUND_CODE;
+use jsonrpsee_http_client::HttpClient;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -5,15 +5,15 @@
 use super::event::OwedReply;
 use super::event::UnconfirmedBatch;
 use super::event::WaitingHeartbeat;
-use jsonrpsee::ws_client::WsClient;
+use jsonrpsee_ws_client::WsClient;
 use ragwort_control::LeaseDecision;
+use ragwort_rpc::PeerApiClient;
 use ragwort_types::ContractAcceptance;
 use ragwort_types::ForceStatus;
 use ragwort_types::HeartbeatBatch;
 use ragwort_types::HeartbeatReply;
 use ragwort_types::HeartbeatRequest;
 use ragwort_types::LeaseGrant;
-use ragwort_types::rpc::PeerApiClient;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -12,6 +12,7 @@
 use ragwort_control::CatalogCopy;
 use ragwort_control::ClockTime;
 use ragwort_control::MemberLease;
+use ragwort_rpc::PeerApiClient;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CommandReply;
 use ragwort_types::CommandRequest;
@@ -22,7 +23,6 @@
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
 use ragwort_types::VmIncarnation;
-use ragwort_types::rpc::PeerApiClient;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -155,7 +155,7 @@
         };
         let sent = self.clock.now();
         let limit = Duration::from_millis(self.settings.timing.lease_ms / 2);
-        let call = |client: Arc<jsonrpsee::ws_client::WsClient>| async move {
+        let call = |client: Arc<jsonrpsee_ws_client::WsClient>| async move {
             client.heartbeat(request).await
         };
         let reply = self.links.call(address, limit, call).await.ok()?;
@@ -225,7 +225,7 @@
                 forwarded: false,
                 command: command.clone(),
             };
-            let call = |client: Arc<jsonrpsee::ws_client::WsClient>| async move {
+            let call = |client: Arc<jsonrpsee_ws_client::WsClient>| async move {
                 client.propose(request).await
             };
             let reply = self.links.call(control.address, limit, call).await;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -6,9 +6,9 @@
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::client::Error as ClientError;
 use jsonrpsee::rpc_params;
-use jsonrpsee::ws_client::PingConfig;
-use jsonrpsee::ws_client::WsClient;
-use jsonrpsee::ws_client::WsClientBuilder;
+use jsonrpsee_ws_client::PingConfig;
+use jsonrpsee_ws_client::WsClient;
+use jsonrpsee_ws_client::WsClientBuilder;
 use ragwort_control::ProbeOutcome;
 use std::collections::HashMap;
 use std::fmt;
--- a/crates/daemon/tests/pieces/peers.rs
+++ b/crates/daemon/tests/pieces/peers.rs
@@ -3,10 +3,10 @@
 use crate::bench::NOWHERE;
 use crate::peer::FakePeer;
 use crate::peer::PeerScript;
-use jsonrpsee::ws_client::WsClient;
+use jsonrpsee_ws_client::WsClient;
 use ragwort_lab::relay::CutRelay;
 use ragwort_lab::relay::RelayMode;
-use ragwort_types::rpc::PeerApiClient;
+use ragwort_rpc::PeerApiClient;
 use ragwortgated::peers::LinkError;
 use ragwortgated::peers::PeerLinks;
 use std::net::SocketAddr;
--- a/crates/lab/src/announcer.rs
+++ b/crates/lab/src/announcer.rs
@@ -3,10 +3,10 @@
 use crate::endpoint::EndpointShared;
 use futures::future::join_all;
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::HttpClient;
+use jsonrpsee_http_client::HttpClient;
+use ragwort_rpc::AnnounceApiClient;
 use ragwort_types::AnnouncementReply;
 use ragwort_types::EndpointAnnouncement;
-use ragwort_types::rpc::AnnounceApiClient;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/lab/src/replication.rs
+++ b/crates/lab/src/replication.rs
@@ -7,7 +7,7 @@
 use crate::instance::LogEntry;
 use crate::instance_task::unix_micros;
 use crate::lab_rpc::LabApiClient;
-use jsonrpsee::http_client::HttpClient;
+use jsonrpsee_http_client::HttpClient;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/lab/src/scale_links.rs
+++ b/crates/lab/src/scale_links.rs
@@ -6,9 +6,9 @@
 use crate::scale_process::ProcessUse;
 use crate::scale_set::ScaleSet;
 use crate::set_calls::SetFault;
-use jsonrpsee::ws_client::PingConfig;
-use jsonrpsee::ws_client::WsClient;
-use jsonrpsee::ws_client::WsClientBuilder;
+use jsonrpsee_ws_client::PingConfig;
+use jsonrpsee_ws_client::WsClient;
+use jsonrpsee_ws_client::WsClientBuilder;
 use serde::Serialize;
 use std::fmt;
 use std::time::Duration;
--- a/crates/lab/src/set_calls.rs
+++ b/crates/lab/src/set_calls.rs
@@ -1,7 +1,9 @@
 //! Calls to the processes of a set: operators', agents' and the platform's.
 
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::HttpClient;
+use jsonrpsee_http_client::HttpClient;
+use ragwort_rpc::AgentApiClient;
+use ragwort_rpc::OperatorApiClient;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::ChangeId;
 use ragwort_types::CommandReply;
@@ -11,8 +13,6 @@
 use ragwort_types::FormReply;
 use ragwort_types::InstanceStatus;
 use ragwort_types::NodeStatus;
-use ragwort_types::rpc::AgentApiClient;
-use ragwort_types::rpc::OperatorApiClient;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! What the lab's tests share: endpoints in this process, and clients for their ports.
 
-use jsonrpsee::http_client::HttpClient;
+use jsonrpsee_http_client::HttpClient;
 use ragwort_lab::endpoint::EndpointSettings;
 use ragwort_lab::endpoint::LabEndpoint;
 use std::net::SocketAddr;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -35,7 +35,6 @@
 mod messages;
 mod names;
 mod position;
-pub mod rpc;
 mod shape;
 mod verdict;
 
