--- a/crates/control/examples/agreement_slopes.rs
+++ b/crates/control/examples/agreement_slopes.rs
@@ -171,6 +171,7 @@
 
     fn encode(&self, outbound: OutboundMessage) -> (VmName, String) {
         let envelope = AgreementEnvelope {
+            from_address: None,
             from: self.name.clone(),
             to: outbound.to.clone(),
             payload: outbound.message.to_text(),
--- a/crates/control/examples/catalog_slopes.rs
+++ b/crates/control/examples/catalog_slopes.rs
@@ -22,6 +22,7 @@
 use ragwort_types::LengthClass;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
+use ragwort_types::MemberRoles;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::RepeatRule;
 use ragwort_types::UrgencyClass;
@@ -132,6 +133,8 @@
             let kind = match item {
                 CatalogItem::Contract(_) => "contract",
                 CatalogItem::Member(_) | CatalogItem::MemberGone(_) => "member",
+                CatalogItem::ContractGone(_) => "contract gone",
+                CatalogItem::GroupTerms(_) => "group terms",
                 CatalogItem::Group(_) => "group",
             };
             let (count, bytes) = sizes.entry(kind).or_default();
@@ -223,6 +226,7 @@
         domain: format!("domain-{}", number % 10).into(),
         peer_address: "10.11.12.13:7400".parse().unwrap(),
         draining: false,
+        roles: MemberRoles::default(),
     }
 }
 
--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -150,6 +150,10 @@
         if self.tell_if_outdated(from) {
             return;
         }
+        if self.is_expected_back(from) {
+            self.take_join(from);
+            return;
+        }
         let granted = self.may_vote()
             && question.term > self.hard.term
             && question.last >= self.log.last()
--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -181,6 +181,27 @@
         }
     }
 
+    /// Says whether a node that asks for votes is one that was removed and is to join again.
+    ///
+    /// It still holds the configuration in which it was a voter, so it doesn't ask to join: it would
+    /// ask for votes for good, and nobody would answer.
+    pub(super) fn is_expected_back(&self, from: &VoterId) -> bool {
+        let learners = self.learners();
+        let expected = |learner: &VoterId| learner.vm == from.vm && learner.is_expected();
+        self.is_leader() && learners.iter().any(expected)
+    }
+
+    /// Sets which control VMs an empty node asks to be taken in.
+    pub fn set_peers(&mut self, peers: Vec<VmName>) {
+        self.settings.peers = peers;
+    }
+
+    /// Says whether a VM is among the voters or learners, whatever its incarnation.
+    pub fn is_member(&self, vm: &VmName) -> bool {
+        let mut members = self.voters().iter().chain(self.learners());
+        members.any(|member| member.vm == *vm)
+    }
+
     /// Takes an empty node's request to join.
     pub(super) fn take_join(&mut self, from: &VoterId) {
         if self.tell_if_outdated(from) {
--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -11,8 +11,10 @@
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
 use ragwort_types::CustomerName;
+use ragwort_types::DocumentCopy;
 use ragwort_types::GroupName;
 use ragwort_types::GroupRecord;
+use ragwort_types::GroupTerms;
 use ragwort_types::MemberRecord;
 use ragwort_types::VersionedContract;
 use ragwort_types::VmIncarnation;
@@ -41,8 +43,12 @@
     revision: CatalogRevision,
     /// Deltas from before this revision lack departures that were forgotten.
     pub(crate) delta_floor: CatalogRevision,
-    ledger: ChangeLedger,
-    contract_stamps: BTreeMap<CustomerName, CatalogRevision>,
+    pub(crate) ledger: ChangeLedger,
+    pub(crate) contract_stamps: BTreeMap<CustomerName, CatalogRevision>,
+    /// Contracts that a document left out, with the revision at which they went.
+    pub(crate) retired: BTreeMap<CustomerName, CatalogRevision>,
+    pub(crate) document: Option<DocumentCopy>,
+    pub(crate) terms: BTreeMap<GroupName, StampedItem<GroupTerms>>,
     pub(crate) members: BTreeMap<VmName, StampedItem<MemberRecord>>,
     pub(crate) departures: BTreeMap<VmName, StampedItem<VmIncarnation>>,
     pub(crate) groups: BTreeMap<GroupName, StampedItem<GroupRecord>>,
@@ -58,6 +64,12 @@
     delta_floor: CatalogRevision,
     ledger: ChangeLedger,
     contract_stamps: BTreeMap<CustomerName, CatalogRevision>,
+    #[serde(default)]
+    retired: BTreeMap<CustomerName, CatalogRevision>,
+    #[serde(default)]
+    document: Option<DocumentCopy>,
+    #[serde(default)]
+    terms: BTreeMap<GroupName, StampedItem<GroupTerms>>,
     members: BTreeMap<VmName, StampedItem<MemberRecord>>,
     departures: BTreeMap<VmName, StampedItem<VmIncarnation>>,
     groups: BTreeMap<GroupName, StampedItem<GroupRecord>>,
@@ -72,6 +84,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ItemKey {
     Contract(CustomerName),
+    Retired(CustomerName),
+    Terms(GroupName),
     Member(VmName),
     Departure(VmName),
     Group(GroupName),
@@ -172,6 +186,8 @@
                 self.stamp_contract(revision, &change.contract.customer, &outcome);
                 outcome
             }
+            CatalogCommand::ApplyDocument(document) => self.apply_document(revision, document),
+            CatalogCommand::IssueToken(request) => self.issue_token(revision, request),
             CatalogCommand::AdmitMember(member) => self.admit_member(revision, member),
             CatalogCommand::RemoveMember(id) => self.remove_member(revision, id),
             CatalogCommand::PlaceGroup(placement) => self.place_group(revision, placement),
@@ -210,7 +226,7 @@
         self.changes
             .values()
             .flatten()
-            .filter(|key| !matches!(key, ItemKey::Departure(_)))
+            .filter(|key| !matches!(key, ItemKey::Departure(_) | ItemKey::Retired(_)))
             .filter_map(|key| self.item(key))
             .collect()
     }
@@ -221,6 +237,11 @@
                 let contract = self.ledger.contract(customer)?;
                 Some(CatalogItem::Contract(Box::new(contract.clone())))
             }
+            ItemKey::Retired(customer) => Some(CatalogItem::ContractGone(customer.clone())),
+            ItemKey::Terms(group) => {
+                let terms = self.group_terms(group)?;
+                Some(CatalogItem::GroupTerms(terms.clone()))
+            }
             ItemKey::Member(vm) => Some(CatalogItem::Member(self.member(vm)?.clone())),
             ItemKey::Departure(vm) => Some(CatalogItem::MemberGone(vm.clone())),
             ItemKey::Group(group) => {
@@ -243,6 +264,7 @@
         if acceptance.revision != revision {
             return;
         }
+        self.forget_retired(customer);
         let former = self.contract_stamps.insert(customer.clone(), revision);
         self.note_change(revision, former, ItemKey::Contract(customer.clone()));
     }
@@ -307,6 +329,9 @@
             delta_floor: image.delta_floor,
             ledger: image.ledger,
             contract_stamps: image.contract_stamps,
+            retired: image.retired,
+            document: image.document,
+            terms: image.terms,
             members: image.members,
             departures: image.departures,
             groups: image.groups,
@@ -327,7 +352,12 @@
         let departures = departures.map(|(vm, gone)| (gone.stamp, ItemKey::Departure(vm.clone())));
         let groups = self.groups.iter();
         let groups = groups.map(|(name, group)| (group.stamp, ItemKey::Group(name.clone())));
-        let items = contracts.chain(members).chain(departures).chain(groups);
+        let retired = self.retired.iter();
+        let retired = retired.map(|(name, stamp)| (*stamp, ItemKey::Retired(name.clone())));
+        let terms = self.terms.iter();
+        let terms = terms.map(|(name, terms)| (terms.stamp, ItemKey::Terms(name.clone())));
+        let configured = contracts.chain(retired).chain(terms);
+        let items = configured.chain(members).chain(departures).chain(groups);
         let items: Vec<(CatalogRevision, ItemKey)> = items.collect();
         for (stamp, key) in items {
             self.index_change(stamp, key);
--- a/crates/control/src/contracts.rs
+++ b/crates/control/src/contracts.rs
@@ -10,9 +10,11 @@
 use crate::answers::FoundAnswer;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
+use ragwort_types::ChangeId;
 use ragwort_types::ContractAcceptance;
 use ragwort_types::ContractChange;
 use ragwort_types::ContractVersion;
+use ragwort_types::CustomerContract;
 use ragwort_types::CustomerName;
 use ragwort_types::VersionedContract;
 use serde::Deserialize;
@@ -90,6 +92,27 @@
         }
     }
 
+    /// Puts a contract of a document in force; false if it was so before.
+    pub(crate) fn put_contract(&mut self, contract: &CustomerContract, source: ChangeId) -> bool {
+        let held = self.contracts.get(&contract.customer);
+        if held.is_some_and(|held| held.contract == *contract) {
+            return false;
+        }
+        let version = held.map_or(ContractVersion(0), |held| held.version);
+        let fresh = VersionedContract {
+            version: version.next(),
+            change_id: source,
+            contract: contract.clone(),
+        };
+        self.contracts.insert(contract.customer.clone(), fresh);
+        true
+    }
+
+    /// Drops a contract that a document left out.
+    pub(crate) fn drop_contract(&mut self, customer: &CustomerName) {
+        self.contracts.remove(customer);
+    }
+
     fn accept_change(
         &mut self,
         revision: CatalogRevision,
--- a/crates/control/src/copy.rs
+++ b/crates/control/src/copy.rs
@@ -10,6 +10,7 @@
 use ragwort_types::CustomerName;
 use ragwort_types::GroupName;
 use ragwort_types::GroupRecord;
+use ragwort_types::GroupTerms;
 use ragwort_types::MemberRecord;
 use ragwort_types::VersionedContract;
 use ragwort_types::VmName;
@@ -75,6 +76,7 @@
     contracts: BTreeMap<CustomerName, VersionedContract>,
     members: BTreeMap<VmName, MemberRecord>,
     groups: BTreeMap<GroupName, GroupRecord>,
+    terms: BTreeMap<GroupName, GroupTerms>,
 }
 
 impl CatalogCopy {
@@ -98,6 +100,11 @@
         self.contracts.values()
     }
 
+    /// Returns a group's terms.
+    pub fn group_terms(&self, group: &GroupName) -> Option<&GroupTerms> {
+        self.terms.get(group)
+    }
+
     /// Returns a member.
     pub fn member(&self, vm: &VmName) -> Option<&MemberRecord> {
         self.members.get(vm)
@@ -167,6 +174,26 @@
             self.members.remove(&vm);
             changes.vms.push(vm);
         }
+        self.drop_unlisted_contracts(items, changes);
+    }
+
+    fn drop_unlisted_contracts(&mut self, items: &[CatalogItem], changes: &mut CopyChanges) {
+        let listed: BTreeSet<&CustomerName> = items
+            .iter()
+            .filter_map(|item| match item {
+                CatalogItem::Contract(held) => Some(&held.contract.customer),
+                _ => None,
+            })
+            .collect();
+        let held = self.contracts.keys();
+        let gone: Vec<CustomerName> = held
+            .filter(|customer| !listed.contains(customer))
+            .cloned()
+            .collect();
+        for customer in gone {
+            self.contracts.remove(&customer);
+            changes.customers.push(customer);
+        }
     }
 
     fn apply_item(&mut self, item: &CatalogItem, changes: &mut CopyChanges) {
@@ -180,6 +207,14 @@
                     changes.customers.push(customer);
                 }
             }
+            CatalogItem::ContractGone(customer) => {
+                if self.contracts.remove(customer).is_some() {
+                    changes.customers.push(customer.clone());
+                }
+            }
+            CatalogItem::GroupTerms(terms) => {
+                self.terms.insert(terms.group.clone(), terms.clone());
+            }
             CatalogItem::Member(member) => {
                 let vm = member.id.vm.clone();
                 let former = self.members.insert(vm.clone(), member.clone());
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -13,6 +13,7 @@
 use ragwort_types::PlacementEpoch;
 use ragwort_types::PrimaryRecord;
 use ragwort_types::TermStart;
+use ragwort_types::TokenRequest;
 use smallvec::SmallVec;
 
 impl CatalogState {
@@ -92,6 +93,23 @@
         CatalogOutcome::Done(revision)
     }
 
+    /// Issues a number that is higher than every one issued before: the entry's own index.
+    ///
+    /// A former leaseholder gets none. Its order to promote would otherwise be taken for newer than
+    /// its successor's, and the group would end with an instance that nobody sends writes to.
+    pub(crate) fn issue_token(
+        &self,
+        revision: CatalogRevision,
+        request: &TokenRequest,
+    ) -> CatalogOutcome {
+        match self.group(&request.group) {
+            Some(record) if record.placement.epoch == request.epoch => {
+                CatalogOutcome::Done(revision)
+            }
+            _ => CatalogOutcome::Stale,
+        }
+    }
+
     pub(crate) fn add_instance(
         &mut self,
         revision: CatalogRevision,
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -194,6 +194,11 @@
 fn text_size(answer: &StatementAnswer) -> usize {
     match answer {
         StatementAnswer::Done(_) => 0,
+        StatementAnswer::Faulted(fault) => fault.text.len(),
+        StatementAnswer::Tagged(rows) => {
+            let texts = rows.rows.iter().map(String::len);
+            texts.sum::<usize>() + rows.tag.len()
+        }
         StatementAnswer::Failed(error) => error.sqlstate.len() + error.message.len(),
         StatementAnswer::Rows(set) => {
             let columns: usize = set.columns.iter().map(String::len).sum();
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -44,7 +44,7 @@
     live: &BTreeSet<VmName>,
     unplaced: &[GroupName],
 ) -> Vec<GroupPlacement> {
-    let usable = |member: &&MemberRecord| !member.draining && live.contains(&member.id.vm);
+    let usable = |member: &&MemberRecord| can_lead(member) && live.contains(&member.id.vm);
     let members: Vec<&MemberRecord> = catalog.members().filter(usable).collect();
     let mut planner = PlacementPlanner::new(&members, catalog.groups(), unplaced.len());
     planner.learn_domains(catalog.members());
@@ -68,7 +68,7 @@
 /// The leaseholder proposes each placement itself, after it has stopped serving the group: until
 /// its lease ends only it knows when nothing is in flight.
 pub fn plan_handovers(copy: &CatalogCopy, vm: &VmName) -> Vec<GroupPlacement> {
-    let usable = |member: &&MemberRecord| !member.draining && member.id.vm != *vm;
+    let usable = |member: &&MemberRecord| can_lead(member) && member.id.vm != *vm;
     let others: Vec<&MemberRecord> = copy.members().filter(usable).collect();
     let draining = copy.member(vm).is_none_or(|member| member.draining);
     let mut planner = PlacementPlanner::new(&others, copy.groups(), 0);
@@ -261,6 +261,11 @@
     }
 }
 
+/// Says whether a member may be given groups.
+fn can_lead(member: &MemberRecord) -> bool {
+    member.roles.leaseholder && !member.draining
+}
+
 fn same_set(planned: &GroupPlacement, present: &GroupPlacement) -> bool {
     let holds = |vm: &VmName| present.standbys.contains(vm);
     planned.standbys.len() == present.standbys.len() && planned.standbys.iter().all(holds)
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -191,7 +191,10 @@
             CommandOutcome::refused("change id was used before for another content")
                 .with_value(value)
         }
-        CatalogOutcome::Done(_) | CatalogOutcome::Stale => {
+        CatalogOutcome::Done(_)
+        | CatalogOutcome::Stale
+        | CatalogOutcome::DocumentAccepted(_)
+        | CatalogOutcome::DocumentInvalid(_) => {
             CommandOutcome::refused("control answered another command").with_value(value)
         }
     }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,9 +1,12 @@
 //! The commands other than `contract apply`.
 
 use crate::apply::apply_contract;
+use crate::document::apply_document;
+use crate::document::show_document;
 use crate::options::AddressList;
 use crate::options::CommandOptions;
 use crate::options::ContractAction;
+use crate::options::DocumentAction;
 use crate::options::OperatorCommand;
 use crate::outcome::CommandOutcome;
 use crate::remote::CallFault;
@@ -26,6 +29,10 @@
         OperatorCommand::Status(_) => status(addresses).await,
         OperatorCommand::Dump(_) => dump(addresses).await,
         OperatorCommand::Drain(_) => drain(addresses).await,
+        OperatorCommand::Document(document) => match document.action {
+            DocumentAction::Apply(apply) => return apply_document(addresses, &apply.file).await,
+            DocumentAction::Get(_) => return show_document(addresses).await,
+        },
         OperatorCommand::Contract(contract) => match contract.action {
             ContractAction::Apply(apply) => return apply_contract(addresses, apply).await,
             ContractAction::Get(get) => show_contract(addresses, &get.customer).await,
--- /dev/null
+++ b/crates/ctl/src/document.rs
@@ -0,0 +1,111 @@
+//! `document`: the whole configuration in one step.
+//!
+//! The highest version wins, so the same document may be sent to one daemon after the other.
+
+use crate::commands::to_value;
+use crate::options::AddressList;
+use crate::outcome::CommandOutcome;
+use crate::remote::CallFault;
+use crate::remote::open_client;
+use ragwort_rpc::OperatorApiClient;
+use ragwort_types::ContractDocument;
+use ragwort_types::CustomerContract;
+use ragwort_types::DocumentReading;
+use ragwort_types::DocumentReply;
+use ragwort_types::DocumentVersion;
+use ragwort_types::GroupTerms;
+use serde::Deserialize;
+use std::fs;
+use std::path::Path;
+
+/// A document's file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DocumentFile {
+    version: DocumentVersion,
+    contracts: Vec<CustomerContract>,
+    groups: Vec<GroupTerms>,
+}
+
+/// Applies a whole configuration.
+pub async fn apply_document(addresses: &AddressList, path: &Path) -> CommandOutcome {
+    let document = match read_document(path) {
+        Ok(document) => document,
+        Err(reason) => return CommandOutcome::refused(format!("{}: {reason}", path.display())),
+    };
+    let mut doubt = None;
+    for address in &addresses.0 {
+        let sent = match open_client(*address).await {
+            Ok(client) => client.apply_document(document.clone()).await,
+            Err(_) => continue,
+        };
+        match sent.map_err(CallFault::from) {
+            Ok(DocumentReply::Unknown) => {
+                doubt = Some("no control leader has answered".to_owned());
+            }
+            Ok(reply) => return report_reply(&document, &reply),
+            Err(fault) => doubt = Some(fault.to_string()),
+        }
+    }
+    match doubt {
+        Some(reason) => CommandOutcome::unknown(format!("{reason}; send the same document again")),
+        None => CommandOutcome::refused("no daemon takes a connection"),
+    }
+}
+
+fn report_reply(document: &ContractDocument, reply: &DocumentReply) -> CommandOutcome {
+    let value = to_value(reply);
+    match reply {
+        DocumentReply::Accepted(acceptance) if acceptance.in_force == document.version => {
+            CommandOutcome::done(format!("accepted: version={}", document.version), value)
+        }
+        DocumentReply::Accepted(acceptance) => CommandOutcome::done(
+            format!("overtaken: version {} is in force", acceptance.in_force),
+            value,
+        ),
+        DocumentReply::Invalid(faults) => {
+            CommandOutcome::refused(faults.join("\n")).with_value(value)
+        }
+        DocumentReply::Unknown => CommandOutcome::unknown("outcome unknown").with_value(value),
+    }
+}
+
+fn read_document(path: &Path) -> Result<ContractDocument, String> {
+    let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
+    let file: DocumentFile = serde_saphyr::from_str(&text).map_err(|error| error.to_string())?;
+    let document = ContractDocument {
+        version: file.version,
+        source: text.into(),
+        contracts: file.contracts,
+        groups: file.groups,
+    };
+    let faults: Vec<String> = document
+        .find_faults()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    match faults.is_empty() {
+        true => Ok(document),
+        false => Err(faults.join("\n")),
+    }
+}
+
+/// Shows the configuration that a majority of the control VMs confirms to be the newest.
+pub async fn show_document(addresses: &AddressList) -> CommandOutcome {
+    for address in &addresses.0 {
+        let Ok(client) = open_client(*address).await else {
+            continue;
+        };
+        match client.read_document().await {
+            Ok(DocumentReading::Newest(document)) => {
+                let value = to_value(&document);
+                return CommandOutcome::done(document.source.to_string(), value);
+            }
+            Ok(DocumentReading::Empty) => {
+                return CommandOutcome::refused("no document was ever accepted");
+            }
+            Ok(DocumentReading::Unsure) | Err(_) => {}
+        }
+    }
+    CommandOutcome::refused("no control leader could confirm which document is the newest")
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -13,6 +13,7 @@
 
 mod apply;
 mod commands;
+mod document;
 mod options;
 mod outcome;
 mod remote;
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -62,6 +62,8 @@
     Form(FormCommand),
     /// Works on contracts.
     Contract(ContractCommand),
+    /// Works on the whole configuration.
+    Document(DocumentCommand),
     /// Shows the system.
     Status(StatusCommand),
     /// Shows one process.
@@ -111,6 +113,39 @@
     List(ListCommand),
 }
 
+/// apply or show the whole configuration
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "document")]
+pub struct DocumentCommand {
+    /// what to do with it
+    #[argh(subcommand)]
+    pub action: DocumentAction,
+}
+
+/// What to do with the whole configuration.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum DocumentAction {
+    /// Applies one.
+    Apply(ApplyDocumentCommand),
+    /// Shows the newest.
+    Get(GetDocumentCommand),
+}
+
+/// replace the whole configuration from a YAML file; the highest version wins
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyDocumentCommand {
+    /// the document's file
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// show the whole configuration, confirmed by a majority of the control VMs
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+pub struct GetDocumentCommand {}
+
 /// apply a contract from a YAML file
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "apply")]
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -12,9 +12,15 @@
 use ragwort_types::CommandReply;
 use ragwort_types::ContractAcceptance;
 use ragwort_types::ContractChange;
+use ragwort_types::ContractDocument;
 use ragwort_types::ContractVersion;
 use ragwort_types::CustomerContract;
 use ragwort_types::CustomerName;
+use ragwort_types::DocumentAcceptance;
+use ragwort_types::DocumentCopy;
+use ragwort_types::DocumentReading;
+use ragwort_types::DocumentReply;
+use ragwort_types::DocumentVersion;
 use ragwort_types::ForceStatus;
 use ragwort_types::FormReply;
 use ragwort_types::NodeStatus;
@@ -72,6 +78,9 @@
 struct Script {
     applies: VecDeque<ApplyAnswer>,
     changes: Vec<ContractChange>,
+    documents: Vec<ContractDocument>,
+    document_replies: VecDeque<DocumentReply>,
+    reading: Option<DocumentReading>,
     present: Option<VersionedContract>,
     asked_in_force: u32,
     in_force_after: u32,
@@ -111,6 +120,20 @@
         }
     }
 
+    async fn apply_document(&self, document: ContractDocument) -> RpcResult<DocumentReply> {
+        let mut script = self.0.lock().unwrap();
+        script.documents.push(document);
+        match script.document_replies.pop_front() {
+            Some(reply) => Ok(reply),
+            None => Err(ErrorObjectOwned::owned(-32_000, "lost", None::<()>)),
+        }
+    }
+
+    async fn read_document(&self) -> RpcResult<DocumentReading> {
+        let script = self.0.lock().unwrap();
+        Ok(script.reading.clone().unwrap_or(DocumentReading::Unsure))
+    }
+
     async fn force_status(&self, acceptance: ContractAcceptance) -> RpcResult<ForceStatus> {
         let mut script = self.0.lock().unwrap();
         script.asked_in_force += 1;
@@ -488,3 +511,89 @@
     assert_eq!(run.code, 0);
     assert!(run.out.contains("Exit codes"));
 }
+
+fn document_text(version: u64) -> String {
+    let contract = CONTRACT.replace('\n', "\n    ");
+    let terms =
+        "{ group: cases, connections: 16, synchronous_replicas: 0, idle_transaction_ms: 3000 }";
+    format!(
+        "version: {version}\ncontracts:\n  - {}\ngroups:\n  - {terms}\n",
+        contract.trim_end()
+    )
+}
+
+fn accepted(version: u64) -> DocumentReply {
+    DocumentReply::Accepted(DocumentAcceptance {
+        in_force: DocumentVersion(version),
+    })
+}
+
+/// Runs `document apply` against a daemon that replies so.
+async fn apply_document(text: &str, reply: Option<DocumentReply>) -> (Run, FakeDaemon) {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    daemon.set(|script| script.document_replies.extend(reply));
+    let file = ContractFile::new(text);
+    let run = run(&address.to_string(), &["document", "apply", file.path()]).await;
+    (run, daemon)
+}
+
+#[tokio::test]
+async fn document_is_sent_whole_with_its_text() {
+    let text = document_text(7);
+    let (run, daemon) = apply_document(&text, Some(accepted(7))).await;
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(run.out.contains("accepted: version=7"));
+    let documents = daemon.0.lock().unwrap().documents.clone();
+    assert_eq!(documents[0].version, DocumentVersion(7));
+    assert_eq!(documents[0].contracts, [contract()]);
+    assert_eq!(&*documents[0].source, text);
+}
+
+/// Two operators race; the other one's version is higher. The command must not claim that this one
+/// is in force.
+#[tokio::test]
+async fn overtaken_document_says_so() {
+    let (run, _) = apply_document(&document_text(7), Some(accepted(9))).await;
+    assert_eq!(run.code, 0, "{}", run.err);
+    assert!(run.out.contains("overtaken: version 9 is in force"));
+}
+
+/// The daemon's answer is lost. The document may be in force, so the operator is told to send it
+/// again and not that it was refused.
+#[tokio::test]
+async fn document_without_an_answer_is_in_doubt() {
+    let (run, _) = apply_document(&document_text(7), None).await;
+    assert_eq!(run.code, 3, "{}", run.err);
+    assert!(run.err.contains("send the same document again"));
+}
+
+#[tokio::test]
+async fn faulty_document_is_not_sent() {
+    let text = document_text(7).replace("group: cases", "group: others");
+    let (run, daemon) = apply_document(&text, Some(accepted(7))).await;
+    assert_eq!(run.code, 1);
+    assert!(
+        run.err.contains("contract of omuti: unknown group cases"),
+        "{}",
+        run.err
+    );
+    assert!(daemon.0.lock().unwrap().documents.is_empty());
+}
+
+#[tokio::test]
+async fn newest_document_is_shown_as_it_was_written() {
+    let daemon = FakeDaemon::default();
+    let (address, _server) = serve(&daemon).await;
+    let unsure = run(&address.to_string(), &["document", "get"]).await;
+    assert_eq!(unsure.code, 1);
+    let text = document_text(7);
+    let copy = DocumentCopy {
+        version: DocumentVersion(7),
+        source: text.as_str().into(),
+    };
+    daemon.set(|script| script.reading = Some(DocumentReading::Newest(copy)));
+    let shown = run(&address.to_string(), &["document", "get"]).await;
+    assert_eq!(shown.code, 0);
+    assert_eq!(shown.out.trim_end(), text.trim_end());
+}
--- a/crates/daemon/src/callers/running.rs
+++ b/crates/daemon/src/callers/running.rs
@@ -179,6 +179,10 @@
             RequestVerdict::Ran(StatementAnswer::Failed(error)) => {
                 StatementOutcome::Failed(CallerError::from(&error))
             }
+            // Groups behind this edge have endpoints that never answer so.
+            RequestVerdict::Ran(StatementAnswer::Tagged(_) | StatementAnswer::Faulted(_)) => {
+                StatementOutcome::Failed(CallerError::from(DoubtCause::AnswerMismatch))
+            }
             RequestVerdict::NotRun(refusal) => StatementOutcome::Failed(CallerError::from(refusal)),
             RequestVerdict::MayHaveRun(cause) => StatementOutcome::Failed(CallerError::from(cause)),
         }
@@ -202,6 +206,7 @@
             parameters,
             step,
             spent_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            context: None,
         }
     }
 
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,29 +1,32 @@
-//! The process's monotonic clock.
+//! The process's clock for leases and ages.
 
 use ragwort_control::ClockTime;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use std::time::Duration;
-use std::time::Instant;
 
-/// Reads the time since the process started. Clones share the origin.
+/// Reads the time since the process started, by the system's boot-time clock. Clones share the
+/// origin.
 ///
-/// The clock goes on while the process is stopped by a signal, so that a thawed process sees that
-/// its lease has ended.
+/// The clock goes on while the process is stopped by a signal and also while the whole VM is
+/// suspended. The usual monotonic clock stands still in a suspended VM: a leaseholder that wakes up
+/// would believe in a lease that ended long ago, and serve reads that lack its successor's writes.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeClock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl NodeClock {
     /// Starts a clock at zero.
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: read_boot_time(),
         }
     }
 
     /// Returns the present moment.
     pub fn now(self) -> ClockTime {
-        ClockTime::from(self.origin.elapsed())
+        ClockTime::from(read_boot_time().saturating_sub(self.origin))
     }
 
     /// Returns how long it is until `moment`; zero if it has passed.
@@ -31,3 +34,10 @@
         moment.since(self.now())
     }
 }
+
+fn read_boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -29,6 +29,13 @@
         reply: oneshot::Sender<CommandReply>,
     ) {
         if self.node.is_leader() {
+            // With fewer voters than the system is to have, the loss of as many disks as it must
+            // survive could take an accepted configuration with it.
+            let document = matches!(request.command, CatalogCommand::ApplyDocument(_));
+            if document && self.node.voters().len() < self.settings.least_voters() {
+                let _ = reply.send(CommandReply::NoLeader);
+                return;
+            }
             self.propose(&request.command, Some(reply));
             return;
         }
@@ -97,6 +104,9 @@
             .map_err(|error| ControlFault::Damaged(format!("entry {}: {error}", mark.index.0)))?;
         let revision = CatalogRevision(mark.index.0);
         let outcome = self.catalog.apply(revision, &command);
+        if matches!(command, CatalogCommand::AdmitMember(_)) {
+            self.learn_members();
+        }
         log_event!(
             Level::Info,
             "committed",
@@ -125,6 +135,8 @@
 fn name_command(command: &CatalogCommand) -> &'static str {
     match command {
         CatalogCommand::ApplyContract(_) => "apply_contract",
+        CatalogCommand::ApplyDocument(_) => "apply_document",
+        CatalogCommand::IssueToken(_) => "issue_token",
         CatalogCommand::AdmitMember(_) => "admit_member",
         CatalogCommand::RemoveMember(_) => "remove_member",
         CatalogCommand::PlaceGroup(_) => "place_group",
@@ -143,6 +155,8 @@
         CatalogOutcome::ContractUnknown => "unknown_customer",
         CatalogOutcome::ContractFaulty(_) => "faulty",
         CatalogOutcome::ChangeIdReused => "change_id_reused",
+        CatalogOutcome::DocumentAccepted(_) => "accepted",
+        CatalogOutcome::DocumentInvalid(_) => "invalid",
         CatalogOutcome::Done(_) => "done",
         CatalogOutcome::Stale => "stale",
     }
--- a/crates/daemon/src/control/event.rs
+++ b/crates/daemon/src/control/event.rs
@@ -8,6 +8,8 @@
 use ragwort_types::CommandRequest;
 use ragwort_types::ContractAcceptance;
 use ragwort_types::ControlIdentity;
+use ragwort_types::ControlPeer;
+use ragwort_types::DocumentReading;
 use ragwort_types::ForceStatus;
 use ragwort_types::GroupName;
 use ragwort_types::HeartbeatBatch;
@@ -36,6 +38,10 @@
     Force(ContractAcceptance, oneshot::Sender<Option<ForceStatus>>),
     /// Which voter this is.
     Identity(oneshot::Sender<ControlIdentity>),
+    /// Where other control VMs are.
+    Learned(Vec<ControlPeer>),
+    /// The newest document; asked on by a follower only if it wasn't asked on before.
+    ReadDocument(DocumentQuestion, oneshot::Sender<DocumentReading>),
     /// Write the first voter set.
     Form(Vec<MemberId>, oneshot::Sender<bool>),
     /// The state, for operators.
@@ -44,6 +50,15 @@
     BatchAnswered(Vec<WaitingHeartbeat>, Option<Vec<HeartbeatReply>>),
 }
 
+/// Whether a question for the newest document was passed on by another control VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DocumentQuestion {
+    /// It comes from outside, and may be passed on to the leader.
+    Direct,
+    /// It was passed on, and is answered here or not at all.
+    PassedOn,
+}
+
 /// A heartbeat that waits for its reply.
 #[derive(Debug)]
 pub struct WaitingHeartbeat {
@@ -71,6 +86,12 @@
     pub(super) reply: Option<oneshot::Sender<CommandReply>>,
 }
 
+/// What waits until leadership is confirmed.
+pub(super) enum UnconfirmedRead {
+    Heartbeats(Vec<UnconfirmedBatch>),
+    Document(oneshot::Sender<DocumentReading>),
+}
+
 /// Why the control role can't start or go on.
 #[derive(Debug)]
 pub enum ControlFault {
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -4,6 +4,7 @@
 use super::event::ControlEvent;
 use super::event::OwedReply;
 use super::event::UnconfirmedBatch;
+use super::event::UnconfirmedRead;
 use super::event::WaitingHeartbeat;
 use jsonrpsee_ws_client::WsClient;
 use ragwort_control::LeaseDecision;
@@ -42,7 +43,8 @@
         let batches = std::mem::take(&mut self.unconfirmed);
         match self.node.confirm_read() {
             Ok(ticket) => {
-                self.confirming.insert(ticket, batches);
+                let read = UnconfirmedRead::Heartbeats(batches);
+                self.confirming.insert(ticket, read);
             }
             Err(_) => batches.into_iter().for_each(refuse_batch),
         }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,26 +5,31 @@
 //! before the writes that it was produced with are synced.
 
 mod commands;
+mod documents;
 mod event;
 mod heartbeats;
+mod peers;
+mod voters;
 
 pub use event::ControlEvent;
 pub use event::ControlFault;
+pub use event::DocumentQuestion;
 
 use crate::clock::NodeClock;
 use crate::disk::LogFile;
+use crate::disk::LogWriter;
 use crate::log_event;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
 use event::OwedReply;
 use event::PlacementInput;
 use event::UnconfirmedBatch;
+use event::UnconfirmedRead;
 use event::WaitingCommand;
 use event::WaitingHeartbeat;
 use heartbeats::refuse_batch;
-use jsonrpsee_ws_client::WsClient;
 use log::Level;
-use ragwort_control::AgreementMessage;
+use peers::PeerBook;
 use ragwort_control::AgreementNode;
 use ragwort_control::AgreementOutput;
 use ragwort_control::AgreementSettings;
@@ -35,19 +40,16 @@
 use ragwort_control::VoterId;
 use ragwort_control::encode_record;
 use ragwort_control::plan_placements;
-use ragwort_rpc::PeerApiClient;
-use ragwort_types::AgreementEnvelope;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CommandReply;
 use ragwort_types::ControlIdentity;
+use ragwort_types::DocumentReading;
 use ragwort_types::GroupName;
 use ragwort_types::MemberId;
 use ragwort_types::VmIncarnation;
-use ragwort_types::VmName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::io;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,10 +66,6 @@
 /// thousand placement changes a day that is several times a day.
 const COMPACT_ENTRIES: u64 = 1_000;
 
-/// Messages that may wait for one peer. Older ones are worthless once newer ones are due, and the
-/// agreed log sends again what it needs.
-const PEER_QUEUE: usize = 256;
-
 /// How many ticks pass between two looks at members and placements.
 const CARE_TICKS: u64 = 2;
 
@@ -79,7 +77,9 @@
     settings: Arc<DaemonSettings>,
     clock: NodeClock,
     links: PeerLinks,
-    file: LogFile,
+    writer: LogWriter,
+    /// The log file's length, in bytes.
+    log_bytes: u64,
     node: AgreementNode,
     catalog: CatalogState,
     ledger: Option<LeaseLedger>,
@@ -93,13 +93,13 @@
     settled: Option<PlacementInput>,
     gathered: Vec<WaitingHeartbeat>,
     unconfirmed: Vec<UnconfirmedBatch>,
-    confirming: BTreeMap<ReadTicket, Vec<UnconfirmedBatch>>,
+    confirming: BTreeMap<ReadTicket, UnconfirmedRead>,
     /// The tick in which leadership was last asked to be confirmed.
     confirmed_tick: u64,
     owed: Vec<OwedReply>,
     events: mpsc::Sender<ControlEvent>,
     inbox: mpsc::Receiver<ControlEvent>,
-    peers: BTreeMap<VmName, mpsc::Sender<AgreementEnvelope>>,
+    peers: PeerBook,
     children: JoinSet<()>,
 }
 
@@ -131,13 +131,18 @@
         }
         let snapshot = restored.state.snapshot();
         let restored_snapshot = snapshot.map_or(0, |snapshot| snapshot.mark.index.0);
-        let node = start_node(&settings, restored.state, fresh)?;
+        let mut peers = PeerBook::new(&settings);
+        peers.learn_from_log(&restored.state);
+        let node = start_node(&settings, &peers, restored.state, fresh)?;
+        let log_bytes = file.length();
+        let writer = LogWriter::start(file).map_err(ControlFault::Disk)?;
         let (events, inbox) = mpsc::channel(4_096);
         let task = Self {
             settings,
             clock,
             links,
-            file,
+            writer,
+            log_bytes,
             node,
             catalog: CatalogState::new(),
             ledger: None,
@@ -154,7 +159,7 @@
             owed: Vec::new(),
             events: events.clone(),
             inbox,
-            peers: BTreeMap::new(),
+            peers,
             children: JoinSet::new(),
         };
         Ok((task, events))
@@ -167,11 +172,10 @@
     /// Returns a fault if the log file can't be written: a control VM that can't keep what it
     /// acknowledges must not go on.
     pub async fn run(mut self, mut stop: watch::Receiver<bool>) -> Result<(), ControlFault> {
-        self.start_senders();
         let mut ticker = interval(Duration::from_millis(self.settings.timing.tick_ms));
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(EVENTS_AT_ONCE);
-        self.pump()?;
+        self.pump().await?;
         loop {
             tokio::select! {
                 _ = ticker.tick() => self.take_tick(),
@@ -187,27 +191,13 @@
                     }
                 }
             }
-            self.pump()?;
+            self.pump().await?;
         }
-        self.peers.clear();
+        self.peers.close();
         self.children.shutdown().await;
         Ok(())
     }
 
-    fn start_senders(&mut self) {
-        for control in &self.settings.control {
-            if control.vm == self.settings.vm {
-                continue;
-            }
-            let (sender, queue) = mpsc::channel(PEER_QUEUE);
-            self.peers.insert(control.vm.clone(), sender);
-            let limit = Duration::from_millis(self.settings.timing.lease_ms);
-            let links = self.links.clone();
-            self.children
-                .spawn(send_messages(links, control.address, limit, queue));
-        }
-    }
-
     fn take_tick(&mut self) {
         self.ticks += 1;
         self.node.tick();
@@ -221,10 +211,7 @@
 
     fn take_event(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Agree(envelope) => match AgreementMessage::from_text(&envelope.payload) {
-                Ok(message) => self.node.receive(message),
-                Err(error) => log_event!(Level::Warn, "agreement_message_bad", error = error),
-            },
+            ControlEvent::Agree(envelope) => self.take_envelope(&envelope),
             ControlEvent::Propose(request, reply) => self.take_command(request, reply),
             ControlEvent::Heartbeat(request, reply) => {
                 self.gathered.push(WaitingHeartbeat { request, reply });
@@ -239,6 +226,8 @@
             ControlEvent::Identity(reply) => {
                 let _ = reply.send(self.identify());
             }
+            ControlEvent::Learned(known) => self.learn_peers(known),
+            ControlEvent::ReadDocument(question, reply) => self.read_document(question, reply),
             ControlEvent::Form(voters, reply) => {
                 let _ = reply.send(self.form(&voters));
             }
@@ -250,31 +239,31 @@
     }
 
     /// Does what the agreed log asks for, until it asks for nothing more.
-    fn pump(&mut self) -> Result<(), ControlFault> {
+    async fn pump(&mut self) -> Result<(), ControlFault> {
         loop {
             self.confirm_leadership();
             let output = self.node.take_output();
             if output.is_empty() {
                 break;
             }
-            self.keep_writes(&output).map_err(ControlFault::Disk)?;
+            self.keep_writes(&output).await?;
             self.take_output(output)?;
         }
         self.follow_role();
-        self.compact()?;
+        self.compact().await?;
         self.pay_owed_replies();
         Ok(())
     }
 
-    fn keep_writes(&mut self, output: &AgreementOutput) -> io::Result<()> {
+    /// Waits until the output's writes are on the disk. Only this task waits; the rest of the daemon
+    /// goes on.
+    async fn keep_writes(&mut self, output: &AgreementOutput) -> Result<(), ControlFault> {
         if output.writes.is_empty() {
             return Ok(());
         }
-        // The sync blocks this thread; the runtime moves its other tasks to another one meanwhile.
-        tokio::task::block_in_place(|| {
-            self.file.append(&encode_record(&output.writes))?;
-            self.file.sync()
-        })
+        let kept = self.writer.append(encode_record(&output.writes)).await;
+        self.log_bytes = kept.ok_or_else(writer_ended)?;
+        Ok(())
     }
 
     /// Does what the agreed log hands out.
@@ -285,30 +274,39 @@
     /// from there on: this VM would answer with contracts that no other VM has.
     fn take_output(&mut self, output: AgreementOutput) -> Result<(), ControlFault> {
         for outbound in output.messages {
-            if let Some(queue) = self.peers.get(&outbound.to) {
-                let _ = queue.try_send(AgreementEnvelope {
-                    from: self.settings.vm.clone(),
-                    to: outbound.to.clone(),
-                    payload: outbound.message.to_text(),
-                });
-            }
+            self.send_message(&outbound.to, &outbound.message);
         }
         if let Some(snapshot) = output.install {
             self.compacted = snapshot.mark.index.0;
             let catalog = CatalogState::from_snapshot(&snapshot.data);
             self.catalog = catalog.map_err(|error| ControlFault::Damaged(error.to_string()))?;
+            self.learn_members();
         }
         for entry in output.committed {
             self.apply_entry(entry.mark, entry.data.as_deref())?;
         }
         for ticket in output.confirmed_reads {
-            for batch in self.confirming.remove(&ticket).unwrap_or_default() {
-                self.answer_batch(batch);
+            match self.confirming.remove(&ticket) {
+                Some(UnconfirmedRead::Heartbeats(batches)) => {
+                    for batch in batches {
+                        self.answer_batch(batch);
+                    }
+                }
+                Some(UnconfirmedRead::Document(reply)) => {
+                    let _ = reply.send(self.show_document());
+                }
+                None => {}
             }
         }
         for ticket in output.lost_reads {
-            for batch in self.confirming.remove(&ticket).unwrap_or_default() {
-                refuse_batch(batch);
+            match self.confirming.remove(&ticket) {
+                Some(UnconfirmedRead::Heartbeats(batches)) => {
+                    batches.into_iter().for_each(refuse_batch);
+                }
+                Some(UnconfirmedRead::Document(reply)) => {
+                    let _ = reply.send(DocumentReading::Unsure);
+                }
+                None => {}
             }
         }
         Ok(())
@@ -325,6 +323,7 @@
         };
         let mut commands = ledger.due_commands(now, &self.catalog);
         let live = ledger.live_members(now, &self.catalog);
+        self.care_for_voters(&live);
         self.unplaced
             .retain(|group| self.catalog.group(group).is_none());
         let unplaced: Vec<GroupName> = self.unplaced.iter().cloned().collect();
@@ -376,7 +375,7 @@
         }
     }
 
-    fn compact(&mut self) -> Result<(), ControlFault> {
+    async fn compact(&mut self) -> Result<(), ControlFault> {
         let applied = self.node.commit_index();
         // Entries that aren't committed yet must stay, however many they are.
         let covered = applied.0.saturating_sub(self.compacted);
@@ -391,20 +390,16 @@
         self.compacted = applied.0;
         let output = self.node.take_output();
         let records = self.node.durable_state().to_records();
-        let rewritten = tokio::task::block_in_place(|| self.file.rewrite(&records));
-        rewritten.map_err(ControlFault::Disk)?;
+        self.log_bytes = self
+            .writer
+            .rewrite(records)
+            .await
+            .ok_or_else(writer_ended)?;
         self.take_output(output)?;
-        log_event!(Level::Info, "log_compacted", bytes = self.file.length());
+        log_event!(Level::Info, "log_compacted", bytes = self.log_bytes);
         Ok(())
     }
 
-    fn leader_address(&self) -> Option<SocketAddr> {
-        let leader = self.node.leader()?;
-        let mut control = self.settings.control.iter();
-        let found = control.find(|control| control.vm == leader.vm)?;
-        Some(found.address).filter(|_| leader.vm != self.settings.vm)
-    }
-
     fn identify(&self) -> ControlIdentity {
         let id = self.node.id();
         ControlIdentity {
@@ -413,6 +408,9 @@
                 incarnation: id.incarnation,
             },
             empty: self.node.voters().is_empty(),
+            known: self.peers.known(),
+            voters: self.node.voters().iter().map(to_member_id).collect(),
+            led: self.node.leader().is_some(),
         }
     }
 
@@ -434,7 +432,7 @@
             "term": self.node.term().0,
             "commit_index": self.node.commit_index().0,
             "entries": self.node.entry_count(),
-            "log_bytes": self.file.length(),
+            "log_bytes": self.log_bytes,
             "voters": names(self.node.voters()),
             "learners": names(self.node.learners()),
             "catalog_revision": self.catalog.revision().0,
@@ -449,8 +447,20 @@
     }
 }
 
+fn to_member_id(voter: &VoterId) -> MemberId {
+    MemberId {
+        vm: voter.vm.clone(),
+        incarnation: voter.incarnation,
+    }
+}
+
+fn writer_ended() -> ControlFault {
+    ControlFault::Disk(io::Error::other("the log's thread has ended"))
+}
+
 fn start_node(
     settings: &DaemonSettings,
+    peers: &PeerBook,
     state: DurableState,
     fresh: VmIncarnation,
 ) -> Result<AgreementNode, ControlFault> {
@@ -458,27 +468,8 @@
         vm: settings.vm.clone(),
         incarnation: fresh,
     };
-    let others = settings.control.iter().map(|control| control.vm.clone());
-    let peers = others.filter(|vm| *vm != settings.vm).collect();
-    let mut agreement = AgreementSettings::new(id, peers, fresh.0);
+    let mut agreement = AgreementSettings::new(id, peers.names(), fresh.0);
     agreement.election_ticks = settings.timing.election_ticks as u32;
     agreement.heartbeat_ticks = settings.timing.agreement_heartbeat_ticks as u32;
     AgreementNode::start(agreement, state).map_err(|error| ControlFault::Foreign(error.to_string()))
 }
-
-/// Sends one peer's messages in their order; a peer that doesn't answer costs only its own queue.
-async fn send_messages(
-    links: PeerLinks,
-    address: SocketAddr,
-    limit: Duration,
-    mut queue: mpsc::Receiver<AgreementEnvelope>,
-) {
-    while let Some(envelope) = queue.recv().await {
-        let call = |client: Arc<WsClient>| async move { client.agree(envelope).await };
-        if links.call(address, limit, call).await.is_err() {
-            // What has gathered meanwhile is out of date: the peer needs the present state, not a
-            // replay of the time in which it was silent.
-            while queue.try_recv().is_ok() {}
-        }
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/control/peers.rs
@@ -0,0 +1,201 @@
+//! The other control VMs: where they are, and the messages on their way to them.
+//!
+//! Nobody lists the control VMs. This VM learns of them from the settings, from whoever speaks to
+//! it, from the catalog, and at its start from its own log, since after a restart of all control
+//! VMs at once no catalog is known before they have found each other.
+
+use super::ControlTask;
+use crate::log_event;
+use crate::peers::PeerLinks;
+use crate::settings::DaemonSettings;
+use jsonrpsee_ws_client::WsClient;
+use log::Level;
+use ragwort_control::AgreementMessage;
+use ragwort_control::CatalogState;
+use ragwort_control::DurableState;
+use ragwort_control::agreement::EntryPayload;
+use ragwort_rpc::PeerApiClient;
+use ragwort_types::AgreementEnvelope;
+use ragwort_types::CatalogCommand;
+use ragwort_types::ControlPeer;
+use ragwort_types::MemberRecord;
+use ragwort_types::VmName;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Messages that may wait for one peer. Older ones are worthless once newer ones are due, and the
+/// agreed log sends again what it needs.
+const PEER_QUEUE: usize = 256;
+
+/// The control VMs that this one knows, without itself.
+pub(super) struct PeerBook {
+    own: VmName,
+    entries: BTreeMap<VmName, PeerEntry>,
+}
+
+struct PeerEntry {
+    address: SocketAddr,
+    /// The queue of the task that sends to this address; none before the first message.
+    queue: Option<mpsc::Sender<AgreementEnvelope>>,
+}
+
+impl PeerBook {
+    pub(super) fn new(settings: &DaemonSettings) -> Self {
+        let mut book = Self {
+            own: settings.vm.clone(),
+            entries: BTreeMap::new(),
+        };
+        for control in &settings.control {
+            book.learn(&control.vm, control.address);
+        }
+        book
+    }
+
+    /// Learns what the log's entries say of members, committed or not: a wrong address only costs a
+    /// vain message.
+    pub(super) fn learn_from_log(&mut self, state: &DurableState) {
+        if let Some(snapshot) = state.snapshot()
+            && let Ok(catalog) = CatalogState::from_snapshot(&snapshot.data)
+        {
+            catalog
+                .members()
+                .for_each(|member| self.learn_member(member));
+        }
+        for entry in state.entries() {
+            if let EntryPayload::Data(text) = &entry.payload
+                && let Ok(CatalogCommand::AdmitMember(member)) = serde_json::from_str(text)
+            {
+                self.learn_member(&member);
+            }
+        }
+    }
+
+    pub(super) fn learn_member(&mut self, member: &MemberRecord) {
+        if member.roles.control {
+            self.learn(&member.id.vm, member.peer_address);
+        }
+    }
+
+    /// Notes where a control VM is and says whether that is new.
+    pub(super) fn learn(&mut self, vm: &VmName, address: SocketAddr) -> bool {
+        let known = self
+            .entries
+            .get(vm)
+            .is_some_and(|entry| entry.address == address);
+        if known || *vm == self.own {
+            return false;
+        }
+        let entry = PeerEntry {
+            address,
+            queue: None,
+        };
+        self.entries.insert(vm.clone(), entry);
+        true
+    }
+
+    pub(super) fn known(&self) -> Vec<ControlPeer> {
+        let entries = self.entries.iter();
+        let peers = entries.map(|(vm, entry)| ControlPeer {
+            vm: vm.clone(),
+            address: entry.address,
+        });
+        peers.collect()
+    }
+
+    pub(super) fn names(&self) -> Vec<VmName> {
+        self.entries.keys().cloned().collect()
+    }
+
+    fn address(&self, vm: &VmName) -> Option<SocketAddr> {
+        self.entries.get(vm).map(|entry| entry.address)
+    }
+
+    /// Ends the sending tasks.
+    pub(super) fn close(&mut self) {
+        self.entries.clear();
+    }
+}
+
+impl ControlTask {
+    pub(super) fn take_envelope(&mut self, envelope: &AgreementEnvelope) {
+        if let Some(address) = envelope.from_address {
+            self.learn_peer(&envelope.from, address);
+        }
+        match AgreementMessage::from_text(&envelope.payload) {
+            Ok(message) => self.node.receive(message),
+            Err(error) => log_event!(Level::Warn, "agreement_message_bad", error = error),
+        }
+    }
+
+    pub(super) fn learn_peers(&mut self, known: Vec<ControlPeer>) {
+        for peer in known {
+            self.learn_peer(&peer.vm, peer.address);
+        }
+    }
+
+    /// Learns from the catalog where the members with the control role are.
+    pub(super) fn learn_members(&mut self) {
+        let members = self.catalog.members().filter(|member| member.roles.control);
+        let members: Vec<(VmName, SocketAddr)> = members
+            .map(|member| (member.id.vm.clone(), member.peer_address))
+            .collect();
+        for (vm, address) in members {
+            self.learn_peer(&vm, address);
+        }
+    }
+
+    fn learn_peer(&mut self, vm: &VmName, address: SocketAddr) {
+        if self.peers.learn(vm, address) {
+            log_event!(Level::Info, "control_found", vm = vm, address = address);
+            self.node.set_peers(self.peers.names());
+        }
+    }
+
+    pub(super) fn send_message(&mut self, to: &VmName, message: &AgreementMessage) {
+        let envelope = AgreementEnvelope {
+            from: self.settings.vm.clone(),
+            from_address: Some(self.settings.listen.peers),
+            to: to.clone(),
+            payload: message.to_text(),
+        };
+        let limit = Duration::from_millis(self.settings.timing.lease_ms);
+        let Some(entry) = self.peers.entries.get_mut(to) else {
+            return;
+        };
+        let queue = entry.queue.get_or_insert_with(|| {
+            let (sender, queue) = mpsc::channel(PEER_QUEUE);
+            let links = self.links.clone();
+            self.children
+                .spawn(send_messages(links, entry.address, limit, queue));
+            sender
+        });
+        // A full queue drops the newest message, which the agreed log sends again.
+        let _ = queue.try_send(envelope);
+    }
+
+    /// Returns where the leader is, if it's another VM whose address is known.
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.node.leader()?;
+        self.peers.address(&leader.vm)
+    }
+}
+
+/// Sends one peer's messages in their order; a peer that doesn't answer costs only its own queue.
+async fn send_messages(
+    links: PeerLinks,
+    address: SocketAddr,
+    limit: Duration,
+    mut queue: mpsc::Receiver<AgreementEnvelope>,
+) {
+    while let Some(envelope) = queue.recv().await {
+        let call = |client: Arc<WsClient>| async move { client.agree(envelope).await };
+        if links.call(address, limit, call).await.is_err() {
+            // What has gathered meanwhile is out of date: the peer needs the present state, not a
+            // replay of the time in which it was silent.
+            while queue.try_recv().is_ok() {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edges/services.rs
@@ -0,0 +1,62 @@
+//! What answers the outside beside callers: readiness, announcements, operators.
+
+use crate::server::ServerRoutes;
+use async_trait::async_trait;
+use ragwort_types::AnnouncementReply;
+use ragwort_types::ContractDocument;
+use ragwort_types::DocumentReading;
+use ragwort_types::DocumentReply;
+use ragwort_types::EndpointAnnouncement;
+use std::io;
+use std::net::SocketAddr;
+use tokio::sync::watch;
+
+/// Serves the outside by the daemon's [`NodeServices`].
+#[async_trait]
+pub trait ServiceEdge: Send + Sync + 'static {
+    /// Serves until `stop` holds true.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if an address can't be listened on.
+    async fn serve(&self, services: NodeServices, stop: watch::Receiver<bool>) -> io::Result<()>;
+
+    /// Returns the seeds as the settings name them now.
+    ///
+    /// The daemon asks again when it is told that its settings have changed, and now and then
+    /// without being told. `None` means that they can't be read.
+    fn read_seeds(&self) -> Option<Vec<SocketAddr>>;
+}
+
+/// What the daemon does for the outside. Clones lead to the same daemon.
+#[derive(Clone)]
+pub struct NodeServices {
+    routes: ServerRoutes,
+    ready: watch::Receiver<bool>,
+}
+
+impl NodeServices {
+    pub(crate) fn new(routes: ServerRoutes, ready: watch::Receiver<bool>) -> Self {
+        Self { routes, ready }
+    }
+
+    /// Says whether the VM takes callers.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow()
+    }
+
+    /// Takes an endpoint's announcement to the VMs that serve its group.
+    pub async fn announce(&self, announcement: EndpointAnnouncement) -> AnnouncementReply {
+        self.routes.spread_announcement(announcement).await
+    }
+
+    /// Replaces the whole configuration; the highest version wins.
+    pub async fn apply_document(&self, document: ContractDocument) -> DocumentReply {
+        self.routes.replace_document(document).await
+    }
+
+    /// Returns the configuration that a majority confirms to be the newest.
+    pub async fn read_document(&self) -> DocumentReading {
+        self.routes.find_document().await
+    }
+}
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -301,7 +301,7 @@
 }
 
 /// Returns a hash of a text, by which the scheduler tells sessions apart.
-pub(super) fn hash_text(text: &str) -> u64 {
+pub(crate) fn hash_text(text: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     text.hash(&mut hasher);
     hasher.finish()
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -19,12 +19,16 @@
 mod request;
 mod ticking;
 
+pub(crate) use intake::hash_text;
+
 use crate::clock::NodeClock;
 use crate::connection::ConnectionEvent;
+use crate::directory::ControlDirectory;
 use crate::log_event;
 use crate::member::MemberView;
 use crate::metrics::DaemonMetrics;
 use crate::peers::PeerLinks;
+use crate::proposer::CommandProposer;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use describing::ActiveShape;
@@ -96,12 +100,25 @@
     pub clock: NodeClock,
     /// Links to other VMs and to agents.
     pub links: PeerLinks,
+    /// Where the control VMs are.
+    pub directory: ControlDirectory,
     /// The journals that this VM holds as a standby.
     pub standby: mpsc::Sender<StandbyEvent>,
     /// The metrics.
     pub metrics: DaemonMetrics,
 }
 
+impl GroupContext {
+    /// Returns what brings commands to the control VMs.
+    pub(crate) fn proposer(&self) -> CommandProposer {
+        CommandProposer {
+            links: self.links.clone(),
+            directory: self.directory.clone(),
+            limit: Duration::from_millis(self.settings.timing.lease_ms),
+        }
+    }
+}
+
 /// What a group's task is asked or told from outside.
 #[derive(Debug)]
 pub enum GroupEvent {
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -22,12 +22,10 @@
 use ragwort_control::PromotionState;
 use ragwort_control::WriteTicket;
 use ragwort_rpc::AgentApiClient;
-use ragwort_rpc::PeerApiClient;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
-use ragwort_types::CommandRequest;
 use ragwort_types::DoubtCause;
 use ragwort_types::FenceReply;
 use ragwort_types::GroupRecord;
@@ -322,31 +320,11 @@
 
     /// Proposes a command at the control VMs, after a pause.
     pub(super) fn propose(&mut self, command: CatalogCommand, pause: Duration) {
-        let control = self.context.settings.control.clone();
-        let own = control
-            .iter()
-            .position(|one| one.vm == self.context.settings.vm);
-        let links = self.context.links.clone();
+        let proposer = self.context.proposer();
         let notices = self.notices.clone();
-        let limit = Duration::from_millis(self.context.settings.timing.lease_ms);
         self.children.spawn(async move {
             sleep(pause).await;
-            let mut reply = CommandReply::NoLeader;
-            let first = own.unwrap_or(0);
-            for offset in 0..control.len() {
-                let address = control[(first + offset) % control.len()].address;
-                let request = CommandRequest {
-                    forwarded: false,
-                    command: command.clone(),
-                };
-                let call = |client: Arc<WsClient>| async move { client.propose(request).await };
-                reply = match links.call(address, limit, call).await {
-                    Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable) => continue,
-                    Ok(answer) => answer,
-                    Err(LinkError::Lost | LinkError::Rejected(_)) => CommandReply::Unknown,
-                };
-                break;
-            }
+            let reply = proposer.propose(&command).await;
             let notice = GroupNotice::Command(Box::new(command), reply);
             let _ = notices.send(notice).await;
         });
@@ -400,6 +378,8 @@
             CatalogCommand::PlaceGroup(_) => self.take_handover_reply(&reply),
             CatalogCommand::ConfirmJournal(mark) => self.take_journal_mark(mark, &reply),
             CatalogCommand::ApplyContract(_)
+            | CatalogCommand::ApplyDocument(_)
+            | CatalogCommand::IssueToken(_)
             | CatalogCommand::AdmitMember(_)
             | CatalogCommand::RemoveMember(_) => {}
         }
--- a/crates/daemon/src/leaseholders.rs
+++ b/crates/daemon/src/leaseholders.rs
@@ -4,12 +4,14 @@
 //! too, so that it knows the endpoints at once when it takes a group over.
 
 use crate::clock::NodeClock;
+use crate::edges::NodeEdges;
 use crate::gateway::reply_with;
 use crate::group::GroupContext;
 use crate::group::GroupEvent;
 use crate::group::spawn_group;
 use crate::log_event;
 use crate::member::MemberView;
+use crate::native::spawn_native_group;
 use log::Level;
 use ragwort_control::ClockTime;
 use ragwort_types::AnnouncementReply;
@@ -87,12 +89,14 @@
     first_heard: BTreeMap<GroupName, ClockTime>,
     groups: BTreeMap<GroupName, GroupHandle>,
     placements: BTreeMap<GroupName, GroupPlacement>,
+    edges: NodeEdges,
 }
 
 impl LeaseholderManager {
     /// Creates a manager without groups.
     pub fn new(
         context: Arc<GroupContext>,
+        edges: NodeEdges,
         view: watch::Receiver<MemberView>,
         unplaced: watch::Sender<Vec<GroupName>>,
     ) -> Self {
@@ -105,6 +109,7 @@
             first_heard: BTreeMap::new(),
             groups: BTreeMap::new(),
             placements: BTreeMap::new(),
+            edges,
         }
     }
 
@@ -188,6 +193,14 @@
     fn take_announcement(&mut self, announcement: EndpointAnnouncement) -> AnnouncementReply {
         let now = self.clock.now();
         let group = announcement.group.clone();
+        // One that was delayed on its way would bring back a role or a state that is over.
+        if self.is_overtaken(&announcement) {
+            let view = self.view.borrow();
+            let record = view.copy.group(&group);
+            return record.map_or_else(AnnouncementReply::default, |record| {
+                self.direct_announcer(&view, record)
+            });
+        }
         self.first_heard.entry(group.clone()).or_insert(now);
         if let Some(handle) = self.groups.get(&group) {
             let event = GroupEvent::Announced(Box::new(announcement.clone()));
@@ -206,12 +219,19 @@
         }
     }
 
+    fn is_overtaken(&self, announcement: &EndpointAnnouncement) -> bool {
+        let instances = self.heard.get(&announcement.group);
+        let known = instances.and_then(|instances| instances.get(&announcement.instance));
+        known.is_some_and(|known| known.announcement.sequence > announcement.sequence)
+    }
+
     fn direct_announcer(&self, view: &MemberView, record: &GroupRecord) -> AnnouncementReply {
         let leaseholder = std::iter::once(&record.placement.leaseholder);
         let vms = leaseholder.chain(&record.placement.standbys);
         let members = vms.filter_map(|vm| view.copy.member(vm));
         AnnouncementReply {
             announce_to: members.map(|member| member.peer_address).collect(),
+            leaseholder_told: record.placement.leaseholder == self.context.settings.vm,
         }
     }
 
@@ -270,7 +290,14 @@
             }
             let context = Arc::clone(&self.context);
             let previous = self.placements.get(group).cloned();
-            let task = spawn_group(context, record.clone(), previous, self.view.clone(), events);
+            let view = self.view.clone();
+            let record = record.clone();
+            let task = match self.edges.clone() {
+                NodeEdges::Postgres => spawn_group(context, record, previous, view, events),
+                NodeEdges::Native(edges) => {
+                    spawn_native_group(context, edges, record, view, events)
+                }
+            };
             self.groups
                 .insert(group.clone(), GroupHandle { inbox, task });
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,9 @@
 //! 3. [`group`] is the leaseholder: contract, request key, queue, endpoint [`connection`], majority,
 //!    journal, and the verdict back.
 //!
+//! Where databases keep terms of their own, [`sessions`] and `native` stand in for [`callers`] and
+//! [`group`], and the bytes are a matter of the [`edges`].
+//!
 //! [`control`] drives the agreed log on the VMs that have a [`disk`]; [`standby`] holds journals for
 //! other leaseholders. [`node`] starts all tasks and joins them at the end.
 //!
@@ -27,20 +30,26 @@
 pub mod clock;
 pub mod connection;
 pub mod control;
+pub mod directory;
 pub mod disk;
 pub mod dump;
+pub mod edges;
+pub mod formation;
 pub mod gateway;
 pub mod group;
 pub mod leaseholders;
 pub mod logs;
 pub mod member;
 pub mod metrics;
+mod native;
 pub mod node;
 pub mod peers;
 pub mod platform;
+mod proposer;
 pub mod readiness;
 pub mod server;
 pub mod service;
+pub mod sessions;
 pub mod settings;
 mod settings_tree;
 pub mod sockets;
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,6 +1,8 @@
-//! The log: one line of key=value pairs for each event.
+//! The log: one line of key=value pairs for each event, on standard output.
 //!
-//! Lines of libraries are left out, because they don't have this form.
+//! Lines of libraries are left out, because they don't have this form. Writing never blocks: lines
+//! wait in a bounded buffer for a thread of its own, and those that find it full are dropped and
+//! counted.
 
 use crate::log_event;
 use crate::settings::LogSettings;
@@ -14,10 +16,23 @@
 use std::fmt::Write;
 use std::fs::OpenOptions;
 use std::io;
+use std::mem;
 use std::panic;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+/// Lines that may wait to be written. At 200 bytes a line that is under one megabyte.
+const WAITING_LINES: usize = 4_096;
+
+/// The most bytes that are put together for one write. A write for each line would cost a system
+/// call each.
+const WRITE_BYTES: usize = 64 * 1024;
+
 /// The target of the daemon's own lines.
 pub const LOG_TARGET: &str = "ragwortgated";
 
@@ -48,7 +63,7 @@
 pub fn set_up_log(settings: &LogSettings) -> Result<(), LogFault> {
     let config = line_config();
     let set = match &settings.file {
-        None => WriteLogger::init(settings.level, config, io::stderr()),
+        None => WriteLogger::init(settings.level, config, LogPipe::start(io::stdout())),
         Some(path) => {
             let file = OpenOptions::new()
                 .create(true)
@@ -61,6 +76,67 @@
     set.map_err(LogFault::AlreadySet)
 }
 
+/// Lines on their way to a writer that may be slow.
+///
+/// Whoever reads the daemon's standard output can stop reading. A blocking write would then stop
+/// the daemon: callers would see requests hang for a reason that is none of theirs.
+pub struct LogPipe {
+    lines: mpsc::SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+    line: Vec<u8>,
+}
+
+impl LogPipe {
+    /// Starts the thread that writes. It ends with the process, as the log does.
+    pub fn start(output: impl io::Write + Send + 'static) -> Self {
+        let (lines, queue) = mpsc::sync_channel(WAITING_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&dropped);
+        thread::spawn(move || write_lines(output, &queue, &counter));
+        Self {
+            lines,
+            dropped,
+            line: Vec::new(),
+        }
+    }
+}
+
+impl io::Write for LogPipe {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") && self.lines.try_send(mem::take(&mut self.line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(mut output: impl io::Write, queue: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut text = Vec::new();
+    while let Ok(line) = queue.recv() {
+        text.extend_from_slice(&line);
+        while text.len() < WRITE_BYTES
+            && let Ok(line) = queue.try_recv()
+        {
+            text.extend_from_slice(&line);
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let line = EventLine::new(Level::Warn, "log_lines_dropped").with("count", &lost);
+            text.extend_from_slice(line.as_str().as_bytes());
+            text.push(b'\n');
+        }
+        // There is no place left to report that the log itself can't be written.
+        let _ = output.write_all(&text);
+        let _ = output.flush();
+        text.clear();
+    }
+}
+
 /// Makes panics write one line of the log in place of the language's own report.
 ///
 /// A caller with malformed messages can make the codec panic; each such panic is caught, but would
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use log::Level;
+use ragwortgated::edges::NodeEdges;
 use ragwortgated::log_event;
 use ragwortgated::logs::log_panics;
 use ragwortgated::logs::set_up_log;
@@ -53,7 +54,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run_node(Arc::new(settings))) {
+    match runtime.block_on(run_node(Arc::new(settings), NodeEdges::Postgres)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             log_event!(Level::Error, "failed", fault = fault);
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -5,6 +5,7 @@
 //! shorter than control does.
 
 use crate::clock::NodeClock;
+use crate::directory::ControlDirectory;
 use crate::log_event;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
@@ -22,6 +23,7 @@
 use ragwort_types::LeaseGrant;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
+use ragwort_types::MemberRoles;
 use ragwort_types::VmIncarnation;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,6 +58,8 @@
     pub clock: NodeClock,
     /// Links to the control VMs.
     pub links: PeerLinks,
+    /// Where the control VMs are.
+    pub directory: ControlDirectory,
     /// Where the view is published.
     pub view: watch::Sender<MemberView>,
     /// The groups whose endpoints announce here and that have no placement.
@@ -81,10 +85,17 @@
     ///
     /// Returns false if another process has joined under this VM's name.
     pub async fn run(mut self, id: MemberId) -> bool {
-        let mut control = self.first_control(&id);
+        let mut turn = 0;
         let mut attached = false;
         loop {
-            let address = self.settings.control[control].address;
+            let addresses = self.directory.addresses();
+            let Some(address) = addresses.get(turn % addresses.len().max(1)).copied() else {
+                // Without any address there is nobody to ask; new settings may bring one.
+                if !self.wait_next(false, self.clock.now()).await {
+                    return true;
+                }
+                continue;
+            };
             let sent = self.clock.now();
             let mut due = self.pace(sent);
             match self.send_heartbeat(&id, address).await {
@@ -98,7 +109,11 @@
                     }
                     attached = true;
                 }
-                Some(HeartbeatReply::NotYet) => attached = false,
+                Some(HeartbeatReply::NotYet) => {
+                    attached = false;
+                    // A control VM that was removed from the voters knows no leader for good.
+                    turn += 1;
+                }
                 Some(HeartbeatReply::Superseded) => {
                     log_event!(
                         Level::Warn,
@@ -114,7 +129,7 @@
                         log_event!(Level::Warn, "heartbeat_lost", vm = id.vm, control = address);
                     }
                     attached = false;
-                    control = (control + 1) % self.settings.control.len();
+                    turn += 1;
                 }
             }
             if !self.wait_next(attached, due).await {
@@ -124,22 +139,16 @@
         }
     }
 
-    /// Spreads the members over the control VMs; a control VM speaks to itself.
-    fn first_control(&self, id: &MemberId) -> usize {
-        let own = self
-            .settings
-            .control
-            .iter()
-            .position(|control| control.vm == id.vm);
-        own.unwrap_or_else(|| id.incarnation.0 as usize % self.settings.control.len())
-    }
-
     fn describe_self(&self, id: &MemberId) -> MemberRecord {
         MemberRecord {
             id: id.clone(),
             domain: self.settings.domain.clone(),
             peer_address: self.settings.listen.peers,
             draining: *self.draining.borrow(),
+            roles: MemberRoles {
+                control: self.settings.roles.control,
+                leaseholder: self.settings.roles.leaseholder,
+            },
         }
     }
 
@@ -220,7 +229,7 @@
         self.view.send_modify(|view| view.lease.supersede());
         let command = CatalogCommand::RemoveMember(id.clone());
         let limit = Duration::from_millis(self.settings.timing.lease_ms);
-        for control in &self.settings.control {
+        for address in self.directory.addresses() {
             let request = CommandRequest {
                 forwarded: false,
                 command: command.clone(),
@@ -228,7 +237,7 @@
             let call = |client: Arc<jsonrpsee_ws_client::WsClient>| async move {
                 client.propose(request).await
             };
-            let reply = self.links.call(control.address, limit, call).await;
+            let reply = self.links.call(address, limit, call).await;
             if matches!(reply, Ok(CommandReply::Committed(_))) {
                 return;
             }
--- /dev/null
+++ b/crates/daemon/src/native/handover.rs
@@ -0,0 +1,84 @@
+//! Hands the group over when this VM drains or leads more than its share.
+
+use super::NativeTask;
+use crate::log_event;
+use log::Level;
+use ragwort_control::ClockTime;
+use ragwort_control::plan_handovers;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::CommandReply;
+use ragwort_types::GroupPlacement;
+use std::time::Duration;
+
+/// How long open transactions may go on before they are cut by the handover, as a part of the drain
+/// time: the rest is left for the handover itself.
+const DRAIN_PART: u32 = 2;
+
+/// The course of a handover.
+#[derive(Debug, Default)]
+pub(super) struct HandoverCourse {
+    plan: Option<GroupPlacement>,
+    begun: ClockTime,
+    /// The revision that was looked at last; the same again plans the same.
+    seen: Option<CatalogRevision>,
+    proposed: bool,
+}
+
+impl HandoverCourse {
+    /// Says whether nothing new is taken in any more.
+    pub(super) fn is_begun(&self) -> bool {
+        self.plan.is_some()
+    }
+}
+
+impl NativeTask {
+    /// Begins, continues or proposes a handover.
+    pub(super) fn tick_handover(&mut self) {
+        let now = self.now();
+        if self.handover.plan.is_none() && self.may_serve() {
+            self.look_for_handover(now);
+        }
+        let drain = Duration::from_millis(self.context.settings.timing.drain_ms);
+        let waited = now.since(self.handover.begun) >= drain / DRAIN_PART;
+        let idle = self.requests.is_empty() && self.transactions.is_empty();
+        if self.handover.proposed || !(idle || waited) {
+            return;
+        }
+        if let Some(plan) = self.handover.plan.clone() {
+            self.handover.proposed = true;
+            self.propose(CatalogCommand::PlaceGroup(plan));
+        }
+    }
+
+    fn look_for_handover(&mut self, now: ClockTime) {
+        let copy = self.view.borrow().copy.clone();
+        if self.handover.seen == Some(copy.revision()) {
+            return;
+        }
+        self.handover.seen = Some(copy.revision());
+        let plans = plan_handovers(&copy, &self.context.settings.vm);
+        let Some(plan) = plans.into_iter().find(|plan| plan.group == self.group) else {
+            return;
+        };
+        log_event!(
+            Level::Info,
+            "handover_begun",
+            group = self.group,
+            successor = plan.leaseholder,
+        );
+        self.handover.plan = Some(plan);
+        self.handover.begun = now;
+    }
+
+    /// Takes the answer to the proposed placement.
+    pub(super) fn take_handover_reply(&mut self, reply: &CommandReply) {
+        match reply {
+            // The view shows the new placement soon, which ends this task.
+            CommandReply::Committed(CatalogOutcome::Done(_)) => {}
+            CommandReply::Committed(_) => self.handover = HandoverCourse::default(),
+            CommandReply::NoLeader | CommandReply::Unknown => self.handover.proposed = false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/native/ticking.rs
@@ -0,0 +1,105 @@
+//! What the leaseholder looks at by time.
+
+use super::NativeTask;
+use super::pool::ConnectionWork;
+use ragwort_types::TransactionId;
+use std::time::Duration;
+
+/// How many ticks pass between two looks at the metrics.
+const METRICS_TICKS: u64 = 100;
+
+/// How many ticks pass between two looks at a promotion that was ordered.
+const PROMOTION_TICKS: u64 = 5;
+
+/// How many ticks pass between two looks at idle connections and claims without a term.
+const CARE_TICKS: u64 = 20;
+
+impl NativeTask {
+    pub(super) fn take_tick(&mut self) {
+        self.ticks += 1;
+        self.end_idle_transactions();
+        self.drop_silent_endpoints();
+        self.report_positions();
+        self.watch_primary();
+        self.tick_handover();
+        if self.ticks.is_multiple_of(PROMOTION_TICKS) {
+            self.watch_promotion();
+        }
+        if self.ticks.is_multiple_of(CARE_TICKS) {
+            self.ask_claimants();
+            self.prove_idle_connections();
+        }
+        if self.ticks.is_multiple_of(METRICS_TICKS) {
+            self.show_metrics();
+        }
+    }
+
+    fn drop_silent_endpoints(&mut self) {
+        let lost = Duration::from_millis(self.context.settings.timing.announce_lost_ms);
+        for instance in self.pool.find_silent(self.now(), lost) {
+            self.drop_endpoint(&instance);
+        }
+    }
+
+    /// Asks those that call themselves the primary and whose report was lost.
+    fn ask_claimants(&mut self) {
+        for instance in self.pool.names() {
+            self.ask_claimant(&instance);
+        }
+    }
+
+    /// Makes connections that were idle for long show that they still answer.
+    ///
+    /// Something on the path may have forgotten an idle connection: it looks open and never answers.
+    /// This finds that before a caller's statement does.
+    fn prove_idle_connections(&mut self) {
+        let now = self.now();
+        let limit = Duration::from_millis(self.context.settings.timing.idle_ping_ms);
+        let idle = self
+            .pool
+            .connections()
+            .filter(|(_, one)| one.is_idle() && now.since(one.last_used) >= limit);
+        let idle: Vec<_> = idle.map(|(id, one)| (id, one.instance.clone())).collect();
+        for (id, instance) in idle {
+            if self.order_proof(id) {
+                self.scheduler.connection_doubted(&instance);
+            }
+        }
+    }
+
+    /// Ends the transactions whose callers have gone without a word: each holds one of the
+    /// endpoint's few connections.
+    fn end_idle_transactions(&mut self) {
+        let now = self.now();
+        let limit = self.idle_transaction_limit();
+        let idle = self.transactions.iter().filter(|(_, transaction)| {
+            let running = self
+                .pool
+                .connection(transaction.link)
+                .is_some_and(|one| one.work != ConnectionWork::Nothing);
+            now.since(transaction.last_used) > limit && !running
+        });
+        let idle: Vec<TransactionId> = idle.map(|(id, _)| *id).collect();
+        for id in idle {
+            self.end_transaction(id);
+        }
+    }
+
+    fn idle_transaction_limit(&self) -> Duration {
+        let default = self.context.settings.timing.idle_transaction_ms;
+        let view = self.view.borrow();
+        let terms = view.copy.group_terms(&self.group);
+        Duration::from_millis(terms.map_or(default, |terms| terms.idle_transaction_ms))
+    }
+
+    fn show_metrics(&self) {
+        let metrics = &self.context.metrics;
+        let state = self.scheduler.snapshot(self.now());
+        let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
+        metrics.set_queue_length(&self.group, waiting);
+        metrics.set_endpoint_connections(&self.group, self.pool.connection_count());
+        if let Some((_, term)) = &self.leading {
+            metrics.set_group_term(&self.group, *term);
+        }
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,8 +6,12 @@
 use crate::control::ControlEvent;
 use crate::control::ControlFault;
 use crate::control::ControlTask;
+use crate::directory::ControlDirectory;
 use crate::dump::NodeDump;
 use crate::dump::answer_dumps;
+use crate::edges::NodeEdges;
+use crate::edges::NodeServices;
+use crate::formation::FormationTask;
 use crate::gateway::Gateway;
 use crate::group::GroupContext;
 use crate::leaseholders::LeaseholderEvent;
@@ -24,6 +28,7 @@
 use crate::server::ServerRoutes;
 use crate::server::start_server;
 use crate::service::GatewayService;
+use crate::sessions::edge::SessionEdge;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use crate::standby::spawn_standby;
@@ -55,6 +60,10 @@
 /// Messages that may wait for the leaseholders' manager, which takes them in at once.
 const LEASEHOLDER_QUEUE: usize = 8_192;
 
+/// How often the settings are looked at for other seeds without a signal. Seeds matter only to a VM
+/// that has lost all others.
+const SEEDS_EVERY: Duration = Duration::from_secs(5);
+
 /// Dumps that may be asked for at once.
 const DUMP_QUEUE: usize = 16;
 
@@ -108,6 +117,8 @@
     id: MemberId,
     switches: StopSwitches,
     view: watch::Receiver<MemberView>,
+    directory: ControlDirectory,
+    edges: NodeEdges,
 }
 
 /// The addresses that must be free before anything starts.
@@ -118,9 +129,10 @@
 
 impl NodeListeners {
     async fn bind(settings: &DaemonSettings) -> Result<Self, NodeFault> {
-        let callers = match settings.roles.gateway {
-            true => Some(bind("callers", settings.listen.callers).await?),
-            false => None,
+        let address = settings.listen.callers;
+        let callers = match address.filter(|_| settings.roles.gateway) {
+            Some(address) => Some(bind("callers", address).await?),
+            None => None,
         };
         Ok(Self {
             platform: bind("the platform", settings.listen.platform).await?,
@@ -136,6 +148,8 @@
     manager: JoinHandle<()>,
     member: JoinHandle<bool>,
     callers: Option<JoinHandle<()>>,
+    /// What answers the outside beside callers.
+    services: Option<JoinHandle<()>>,
     /// Tasks that end when all others have.
     helpers: JoinSet<()>,
 }
@@ -146,8 +160,9 @@
 ///
 /// Returns a fault if an address can't be listened on, the data folder can't be used, or another
 /// process has joined under this VM's name.
-pub async fn run_node(settings: Arc<DaemonSettings>) -> Result<(), NodeFault> {
+pub async fn run_node(settings: Arc<DaemonSettings>, edges: NodeEdges) -> Result<(), NodeFault> {
     let listeners = NodeListeners::bind(&settings).await?;
+    let (seed_sender, seeds) = watch::channel(settings.seeds().to_vec());
     let (view_sender, view) = watch::channel(MemberView {
         copy: Arc::new(CatalogCopy::new()),
         lease: MemberLease::new(),
@@ -159,10 +174,13 @@
         links: PeerLinks::new(Duration::from_millis(settings.timing.connect_timeout_ms)),
         id: create_member_id(&settings),
         switches: StopSwitches::new(),
+        directory: ControlDirectory::new(Arc::clone(&settings), seeds, view.clone()),
         settings,
         view,
+        edges,
     };
     let mut tasks = NodeTasks::start(&base, listeners, view_sender).await?;
+    start_seed_watch(&base, seed_sender, &mut tasks.helpers);
     log_event!(
         Level::Info,
         "started",
@@ -190,6 +208,9 @@
             Some((sender, task)) => (Some(sender), Some(task)),
             None => (None, None),
         };
+        if let Some(control) = &control_sender {
+            start_formation(base, control.clone(), &mut helpers);
+        }
         let gateway = Arc::new(Gateway::new(
             base.clock,
             base.links.clone(),
@@ -209,18 +230,20 @@
             leaseholders: leaseholders.clone(),
             standby: standby.clone(),
         };
-        let server = start_server(ServerRoutes {
+        let routes = ServerRoutes {
             settings: Arc::clone(&base.settings),
             control: control_sender,
             leaseholders,
             standby: standby.clone(),
             gateway: Arc::clone(&gateway),
             links: base.links.clone(),
+            directory: base.directory.clone(),
             view: base.view.clone(),
             drain: base.switches.drain.clone(),
             dump: dump.clone(),
-        });
-        let server = server.await;
+        };
+        let services = start_services(base, NodeServices::new(routes.clone(), ready.clone()));
+        let server = start_server(routes).await;
         let server = server.map_err(|error| NodeFault::Listen("other VMs", error))?;
         let (unplaced_sender, unplaced) = watch::channel(Vec::new());
         let manager = start_manager(base, standby, unplaced_sender, leaseholder_events);
@@ -236,6 +259,7 @@
             manager,
             member,
             callers,
+            services,
             helpers,
         })
     }
@@ -259,6 +283,9 @@
             let _ = self.member.await;
         }
         base.switches.rest.send_replace(true);
+        if let Some(services) = self.services {
+            join_quietly(services).await;
+        }
         let _ = self.server.stop();
         self.server.stopped().await;
         while self.helpers.join_next().await.is_some() {}
@@ -284,10 +311,12 @@
         settings: Arc::clone(&base.settings),
         clock: base.clock,
         links: base.links.clone(),
+        directory: base.directory.clone(),
         standby,
         metrics: base.metrics.clone(),
     });
-    let manager = LeaseholderManager::new(context, base.view.clone(), unplaced);
+    let edges = base.edges.clone();
+    let manager = LeaseholderManager::new(context, edges, base.view.clone(), unplaced);
     tokio::spawn(manager.run(events, base.switches.leaseholders.subscribe()))
 }
 
@@ -300,6 +329,7 @@
         settings: Arc::clone(&base.settings),
         clock: base.clock,
         links: base.links.clone(),
+        directory: base.directory.clone(),
         view,
         unplaced,
         draining: base.switches.drain.subscribe(),
@@ -381,12 +411,103 @@
     let timing = &base.settings.timing;
     let limits = CallerLimits::from_settings(&base.settings.limits, timing.drain_ms);
     let (service, cancels) = GatewayService::start(gateway, base.clock, base.view.clone());
-    let edge = CallerEdge::new(listener, limits, Arc::new(service), base.metrics.clone());
+    let service = Arc::new(service);
+    let metrics = base.metrics.clone();
     let drain = base.switches.drain.subscribe();
-    tokio::spawn(async move {
-        edge.run(drain).await;
-        let _ = cancels.await;
-    })
+    match base.edges.clone() {
+        NodeEdges::Postgres => tokio::spawn(async move {
+            CallerEdge::new(listener, limits, service, metrics)
+                .run(drain)
+                .await;
+            let _ = cancels.await;
+        }),
+        NodeEdges::Native(edges) => {
+            let edge = SessionEdge {
+                listener,
+                limits,
+                protocol: edges.callers,
+                service,
+                metrics,
+                vm: base.settings.vm.clone(),
+            };
+            tokio::spawn(async move {
+                edge.run(drain).await;
+                let _ = cancels.await;
+            })
+        }
+    }
+}
+
+/// Starts what answers the outside beside callers, where that was brought along.
+fn start_services(base: &NodeBase, services: NodeServices) -> Option<JoinHandle<()>> {
+    let NodeEdges::Native(edges) = base.edges.clone() else {
+        return None;
+    };
+    let stop = base.switches.rest.subscribe();
+    Some(tokio::spawn(async move {
+        if let Err(error) = edges.services.serve(services, stop).await {
+            log_event!(Level::Error, "services_failed", error = error);
+        }
+    }))
+}
+
+fn start_formation(
+    base: &NodeBase,
+    control: mpsc::Sender<ControlEvent>,
+    helpers: &mut JoinSet<()>,
+) {
+    if base.settings.formation.is_none() {
+        return;
+    }
+    let formation = FormationTask {
+        settings: Arc::clone(&base.settings),
+        links: base.links.clone(),
+        directory: base.directory.clone(),
+        control,
+        stop: base.switches.rest.subscribe(),
+    };
+    helpers.spawn(formation.run());
+}
+
+/// Follows the seeds in the settings, which may change with or without a signal.
+fn start_seed_watch(
+    base: &NodeBase,
+    seeds: watch::Sender<Vec<SocketAddr>>,
+    helpers: &mut JoinSet<()>,
+) {
+    let edges = base.edges.clone();
+    let mut stop = base.switches.rest.subscribe();
+    helpers.spawn(async move {
+        let NodeEdges::Native(edges) = edges else {
+            let _ = stop.wait_for(|set| *set).await;
+            return;
+        };
+        let mut reloads = signal(SignalKind::hangup()).ok();
+        loop {
+            let told = async {
+                match &mut reloads {
+                    Some(signals) => signals.recv().await.is_some(),
+                    None => std::future::pending().await,
+                }
+            };
+            let asked = tokio::select! {
+                told = told => told,
+                () = sleep(SEEDS_EVERY) => false,
+                _ = stop.wait_for(|set| *set) => return,
+            };
+            let read = edges.services.read_seeds();
+            let changed = read.is_some_and(|fresh| {
+                seeds.send_if_modified(|known| {
+                    let changed = *known != fresh;
+                    *known = fresh;
+                    changed
+                })
+            });
+            if asked || changed {
+                log_event!(Level::Info, "settings_reloaded", seeds_changed = changed);
+            }
+        }
+    });
 }
 
 /// Waits for a signal or an operator's drain, or for the membership to end by itself.
--- /dev/null
+++ b/crates/daemon/src/proposer.rs
@@ -0,0 +1,41 @@
+//! Brings a command to the control VMs.
+
+use crate::directory::ControlDirectory;
+use crate::peers::LinkError;
+use crate::peers::PeerLinks;
+use jsonrpsee_ws_client::WsClient;
+use ragwort_rpc::PeerApiClient;
+use ragwort_types::CatalogCommand;
+use ragwort_types::CommandReply;
+use ragwort_types::CommandRequest;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Proposes commands for tasks of this VM.
+pub(crate) struct CommandProposer {
+    pub(crate) links: PeerLinks,
+    pub(crate) directory: ControlDirectory,
+    /// How long one control VM may take to answer.
+    pub(crate) limit: Duration,
+}
+
+impl CommandProposer {
+    /// Asks one control VM after the other until one has proposed the command.
+    ///
+    /// An answer lost on its way is reported as unknown: the command may be committed.
+    pub(crate) async fn propose(&self, command: &CatalogCommand) -> CommandReply {
+        for address in self.directory.addresses() {
+            let request = CommandRequest {
+                forwarded: false,
+                command: command.clone(),
+            };
+            let call = |client: Arc<WsClient>| async move { client.propose(request).await };
+            match self.links.call(address, self.limit, call).await {
+                Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable) => {}
+                Ok(answer) => return answer,
+                Err(LinkError::Lost | LinkError::Rejected(_)) => return CommandReply::Unknown,
+            }
+        }
+        CommandReply::NoLeader
+    }
+}
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -3,6 +3,8 @@
 //! Each call becomes a message to the task that owns the matter, and waits for its answer.
 
 use crate::control::ControlEvent;
+use crate::control::DocumentQuestion;
+use crate::directory::ControlDirectory;
 use crate::dump::NodeDump;
 use crate::gateway::Gateway;
 use crate::gateway::reply_with;
@@ -13,6 +15,7 @@
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use async_trait::async_trait;
+use futures::future::join_all;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::server::Server;
@@ -28,16 +31,21 @@
 use ragwort_types::AgreementEnvelope;
 use ragwort_types::AnnouncementReply;
 use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogOutcome;
 use ragwort_types::CommandReply;
 use ragwort_types::CommandRequest;
 use ragwort_types::ContractAcceptance;
 use ragwort_types::ContractChange;
+use ragwort_types::ContractDocument;
 use ragwort_types::ControlIdentity;
 use ragwort_types::CustomerName;
+use ragwort_types::DocumentReading;
+use ragwort_types::DocumentReply;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::ForceStatus;
 use ragwort_types::FormReply;
 use ragwort_types::GroupName;
+use ragwort_types::GroupPlacement;
 use ragwort_types::HeartbeatBatch;
 use ragwort_types::HeartbeatReply;
 use ragwort_types::HeartbeatRequest;
@@ -56,6 +64,7 @@
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
 use ragwort_types::VersionedContract;
+use ragwort_types::VmName;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -63,6 +72,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// Connections that this VM answers: other VMs, endpoints' agents, operators. At 630 VMs every one
 /// may hold a link for statements and one for control, and an agent per instance one more.
@@ -74,6 +84,10 @@
 /// How long a call of one task may take before the caller is told that it failed.
 const OPERATOR_LIMIT: Duration = Duration::from_secs(5);
 
+/// How long a VM may take to take an announcement that is passed on to it. The endpoint that waits
+/// for the answer gives up after a second and asks elsewhere.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(700);
+
 /// The ways from the server to the tasks of this daemon.
 #[derive(Clone)]
 pub struct ServerRoutes {
@@ -89,6 +103,8 @@
     pub gateway: Arc<Gateway>,
     /// Links to other VMs.
     pub links: PeerLinks,
+    /// Where the control VMs are.
+    pub directory: ControlDirectory,
     /// What this VM knows.
     pub view: watch::Receiver<MemberView>,
     /// Starts the drain.
@@ -158,13 +174,13 @@
     /// resend under the same id gets the first answer.
     pub async fn propose_anywhere(&self, command: &CatalogCommand) -> CommandReply {
         let mut worst = CommandReply::NoLeader;
-        for control in &self.settings.control {
+        for address in self.directory.addresses() {
             let request = CommandRequest {
                 forwarded: false,
                 command: command.clone(),
             };
             let call = |client: Arc<WsClient>| async move { client.propose(request).await };
-            match self.links.call(control.address, OPERATOR_LIMIT, call).await {
+            match self.links.call(address, OPERATOR_LIMIT, call).await {
                 Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable) => {}
                 Ok(CommandReply::Committed(outcome)) => return CommandReply::Committed(outcome),
                 Ok(CommandReply::Unknown) | Err(LinkError::Lost | LinkError::Rejected(_)) => {
@@ -175,6 +191,98 @@
         worst
     }
 
+    /// Proposes a whole configuration.
+    pub async fn replace_document(&self, document: ContractDocument) -> DocumentReply {
+        // A faulty one needs no entry in the log: its faults follow from its content.
+        let faults = document.find_faults();
+        if !faults.is_empty() {
+            return DocumentReply::Invalid(faults.iter().map(ToString::to_string).collect());
+        }
+        let command = CatalogCommand::ApplyDocument(Box::new(document));
+        match self.propose_anywhere(&command).await {
+            CommandReply::Committed(CatalogOutcome::DocumentAccepted(acceptance)) => {
+                DocumentReply::Accepted(acceptance)
+            }
+            CommandReply::Committed(CatalogOutcome::DocumentInvalid(faults)) => {
+                DocumentReply::Invalid(faults)
+            }
+            CommandReply::Committed(_) | CommandReply::NoLeader | CommandReply::Unknown => {
+                DocumentReply::Unknown
+            }
+        }
+    }
+
+    /// Returns the whole configuration, confirmed by a majority.
+    pub async fn find_document(&self) -> DocumentReading {
+        if self.control.is_none() {
+            return self.ask_for_document().await;
+        }
+        let question = DocumentQuestion::Direct;
+        let asking = self.ask_control(|reply| ControlEvent::ReadDocument(question, reply));
+        match timeout(OPERATOR_LIMIT, asking).await {
+            Ok(Ok(reading)) => reading,
+            Ok(Err(_)) | Err(_) => DocumentReading::Unsure,
+        }
+    }
+
+    async fn ask_for_document(&self) -> DocumentReading {
+        for address in self.directory.addresses() {
+            let call = |client: Arc<WsClient>| async move { client.leader_document().await };
+            match self.links.call(address, OPERATOR_LIMIT, call).await {
+                Ok(DocumentReading::Unsure) | Err(_) => {}
+                Ok(reading) => return reading,
+            }
+        }
+        DocumentReading::Unsure
+    }
+
+    /// Takes an announcement in, and passes it on to the VMs that serve the group.
+    ///
+    /// An endpoint may announce itself to any VM. Only the group's leaseholder can keep work away
+    /// from one that leaves, so the reply says whether it was told.
+    pub async fn spread_announcement(
+        &self,
+        announcement: EndpointAnnouncement,
+    ) -> AnnouncementReply {
+        let group = announcement.group.clone();
+        let passed = announcement.clone();
+        let own = self
+            .ask_leaseholders(|reply| LeaseholderEvent::Announce(Box::new(announcement), reply))
+            .await;
+        let mut reply = own.unwrap_or_default();
+        let Some(placement) = self.find_placement(&group) else {
+            return reply;
+        };
+        reply.leaseholder_told = placement.leaseholder == self.settings.vm;
+        let standbys = placement.standbys.iter();
+        let vms = standbys.chain([&placement.leaseholder]);
+        let passing = vms
+            .filter(|vm| **vm != self.settings.vm)
+            .map(|vm| self.pass_on(vm, passed.clone()));
+        let told = join_all(passing).await;
+        reply.leaseholder_told |= told.contains(&Some(placement.leaseholder.clone()));
+        reply
+    }
+
+    fn find_placement(&self, group: &GroupName) -> Option<GroupPlacement> {
+        let view = self.view.borrow();
+        // A copy that is out of date may name a former leaseholder, which can't keep work away.
+        let record = view.copy.group(group);
+        let present = view.may_serve(self.dump.clock.now());
+        record
+            .filter(|_| present)
+            .map(|record| record.placement.clone())
+    }
+
+    /// Passes an announcement on to a VM and returns that VM if it has taken it.
+    async fn pass_on(&self, vm: &VmName, announcement: EndpointAnnouncement) -> Option<VmName> {
+        let address = self.view.borrow().copy.member(vm)?.peer_address;
+        let call =
+            |client: Arc<WsClient>| async move { client.pass_announcement(announcement).await };
+        let taken = self.links.call(address, ANNOUNCE_LIMIT, call).await;
+        taken.is_ok().then(|| vm.clone())
+    }
+
     async fn form_voters_everywhere(&self) -> FormReply {
         let mut voters = Vec::new();
         for control in &self.settings.control {
@@ -280,6 +388,17 @@
         self.ask_control(ControlEvent::Identity).await.map(Some)
     }
 
+    async fn leader_document(&self) -> RpcResult<DocumentReading> {
+        self.ask_control(|reply| ControlEvent::ReadDocument(DocumentQuestion::PassedOn, reply))
+            .await
+    }
+
+    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<()> {
+        self.ask_leaseholders(|reply| LeaseholderEvent::Announce(Box::new(announcement), reply))
+            .await
+            .map(|_| ())
+    }
+
     async fn form_voters(&self, voters: Vec<MemberId>) -> RpcResult<bool> {
         self.ask_control(|reply| ControlEvent::Form(voters, reply))
             .await
@@ -309,6 +428,14 @@
             .await)
     }
 
+    async fn apply_document(&self, document: ContractDocument) -> RpcResult<DocumentReply> {
+        Ok(self.replace_document(document).await)
+    }
+
+    async fn read_document(&self) -> RpcResult<DocumentReading> {
+        Ok(self.find_document().await)
+    }
+
     async fn force_status(&self, acceptance: ContractAcceptance) -> RpcResult<ForceStatus> {
         if self.control.is_some()
             && let Some(status) = self
@@ -318,14 +445,11 @@
             return Ok(status);
         }
         // Only the leader knows; it answers without asking on, so this can't go in a circle.
-        for control in self
-            .settings
-            .control
-            .iter()
-            .filter(|one| one.vm != self.settings.vm)
-        {
+        let own = self.settings.listen.peers;
+        let others = self.directory.addresses().into_iter();
+        for address in others.filter(|address| *address != own) {
             let call = |client: Arc<WsClient>| async move { client.leader_force(acceptance).await };
-            let reply = self.links.call(control.address, OPERATOR_LIMIT, call).await;
+            let reply = self.links.call(address, OPERATOR_LIMIT, call).await;
             if let Ok(Some(status)) = reply {
                 return Ok(status);
             }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -10,9 +10,11 @@
 use crate::gateway::find_terms;
 use crate::gateway::reply_with;
 use crate::member::MemberView;
+use crate::sessions::SessionService;
 use async_trait::async_trait;
 use ragwort_policy::CustomerTerms;
 use ragwort_policy::FlightLimiter;
+use ragwort_types::CustomerContract;
 use ragwort_types::CustomerName;
 use ragwort_types::GroupName;
 use ragwort_types::Refusal;
@@ -112,25 +114,14 @@
     }
 }
 
-#[async_trait]
-impl StatementService for GatewayService {
-    fn open_session(&self, opening: &SessionOpening) -> Result<(), SessionRefusal> {
-        let view = self.view.borrow();
-        if view.draining {
-            return Err(SessionRefusal::Draining);
-        }
-        if !view.may_serve(self.clock.now()) {
-            return Err(SessionRefusal::NotReady {
-                come_back_after_ms: LEASE_RETURN_MS,
-            });
-        }
-        let contract = view.copy.contract(&opening.customer);
-        let contract = &contract.ok_or(SessionRefusal::NoContract)?.contract;
-        if !contract.groups.contains(&opening.group) {
-            return Err(SessionRefusal::UnknownGroup);
-        }
+impl GatewayService {
+    /// Counts one more session of a customer, if its contract allows.
+    fn count_session(&self, contract: &CustomerContract) -> Result<(), SessionRefusal> {
         let mut tables = self.tables();
-        let open = tables.sessions.entry(opening.customer.clone()).or_default();
+        let open = tables
+            .sessions
+            .entry(contract.customer.clone())
+            .or_default();
         if *open >= contract.session_limit {
             return Err(SessionRefusal::TooManySessions {
                 come_back_after_ms: SESSION_RETURN_MS,
@@ -140,12 +131,68 @@
         Ok(())
     }
 
-    fn close_session(&self, opening: &SessionOpening) {
+    /// Says whether this gateway takes sessions now.
+    fn check_ready(&self, view: &MemberView) -> Result<(), SessionRefusal> {
+        if view.draining {
+            return Err(SessionRefusal::Draining);
+        }
+        match view.may_serve(self.clock.now()) {
+            true => Ok(()),
+            false => Err(SessionRefusal::NotReady {
+                come_back_after_ms: LEASE_RETURN_MS,
+            }),
+        }
+    }
+
+    fn discount_session(&self, customer: &CustomerName) {
         let mut tables = self.tables();
-        if let Some(open) = tables.sessions.get_mut(&opening.customer) {
+        if let Some(open) = tables.sessions.get_mut(customer) {
             *open = open.saturating_sub(1);
         }
     }
+}
+
+#[async_trait]
+impl SessionService for GatewayService {
+    fn admit(&self, database: &CustomerName) -> Result<(), SessionRefusal> {
+        let view = self.view.borrow();
+        self.check_ready(&view)?;
+        let contract = view.copy.contract(database);
+        let contract = &contract.ok_or(SessionRefusal::NoContract)?.contract;
+        self.count_session(contract)
+    }
+
+    fn release(&self, database: &CustomerName) {
+        self.discount_session(database);
+    }
+
+    fn find_group(&self, database: &CustomerName) -> Option<GroupName> {
+        let view = self.view.borrow();
+        let contract = view.copy.contract(database)?;
+        contract.contract.groups.first().cloned()
+    }
+
+    async fn run(&self, request: StatementRequest) -> StatementReply {
+        StatementService::execute(self, request).await
+    }
+}
+
+#[async_trait]
+impl StatementService for GatewayService {
+    fn open_session(&self, opening: &SessionOpening) -> Result<(), SessionRefusal> {
+        let view = self.view.borrow();
+        self.check_ready(&view)?;
+        let contract = view.copy.contract(&opening.customer);
+        let contract = &contract.ok_or(SessionRefusal::NoContract)?.contract;
+        if !contract.groups.contains(&opening.group) {
+            return Err(SessionRefusal::UnknownGroup);
+        }
+        self.count_session(contract)
+    }
+
+    fn close_session(&self, opening: &SessionOpening) {
+        self.discount_session(&opening.customer);
+    }
 
     async fn execute(&self, request: StatementRequest) -> StatementReply {
         let (id, group, customer) = (request.id, request.group.clone(), request.customer.clone());
--- /dev/null
+++ b/crates/daemon/src/sessions/edge.rs
@@ -0,0 +1,116 @@
+//! Accepts callers' connections and joins their tasks.
+
+use crate::callers::CallerLimits;
+use crate::callers::DrainOrder;
+use crate::edges::CallerProtocol;
+use crate::log_event;
+use crate::metrics::DaemonMetrics;
+use crate::platform::wait_until_true;
+use crate::sessions::SessionService;
+use crate::sessions::session::SessionSocket;
+use crate::sessions::session::SessionTask;
+use crate::sockets::tune_stream;
+use log::Level;
+use ragwort_types::SessionName;
+use ragwort_types::VmName;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// How long to wait after a failed accept. A process without free descriptors fails each accept at
+/// once; trying again at once would keep a core busy and the log full.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers on one address and runs a task for each connection.
+pub struct SessionEdge {
+    /// The bound listener.
+    pub listener: TcpListener,
+    /// The edge's limits.
+    pub limits: CallerLimits,
+    /// How callers speak.
+    pub protocol: Arc<dyn CallerProtocol>,
+    /// What runs their statements.
+    pub service: Arc<dyn SessionService>,
+    /// The metrics.
+    pub metrics: DaemonMetrics,
+    /// This VM, for sessions' names.
+    pub vm: VmName,
+}
+
+impl SessionEdge {
+    /// Serves callers until `drain` holds true and every connection's task is joined.
+    ///
+    /// From the drain on sessions are closed between transactions. A transaction that is still open
+    /// after the drain's limit is rolled back between two statements; a statement in flight is
+    /// always waited for.
+    pub async fn run(self, drain: watch::Receiver<bool>) {
+        let (order, _) = watch::channel(DrainOrder::Serve);
+        let mut tasks = JoinSet::new();
+        let mut drain = std::pin::pin!(wait_until_true(drain));
+        let mut last_call = std::pin::pin!(sleep(Duration::MAX));
+        let mut accepted_count = 0_u64;
+        loop {
+            let present = *order.borrow();
+            if present > DrainOrder::Serve && tasks.is_empty() {
+                break;
+            }
+            tokio::select! {
+                accepted = self.listener.accept() => {
+                    accepted_count += 1;
+                    let accepted = accepted.map(|(stream, _)| stream);
+                    self.take_connection(accepted, accepted_count, &order, &mut tasks).await;
+                }
+                Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
+                () = &mut drain, if present == DrainOrder::Serve => {
+                    log_event!(Level::Info, "callers_draining", connections = tasks.len());
+                    order.send_replace(DrainOrder::EndIdle);
+                    last_call.as_mut().reset(Instant::now() + self.limits.drain);
+                }
+                () = &mut last_call, if present == DrainOrder::EndIdle => {
+                    log_event!(Level::Warn, "drain_limit_met", connections = tasks.len());
+                    order.send_replace(DrainOrder::EndAll);
+                }
+            }
+        }
+        log_event!(Level::Info, "callers_drained");
+    }
+
+    async fn take_connection(
+        &self,
+        accepted: io::Result<TcpStream>,
+        number: u64,
+        order: &watch::Sender<DrainOrder>,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let tuned = accepted.and_then(|stream| {
+            tune_stream(&stream, self.limits.statement)?;
+            Ok(stream)
+        });
+        let stream = match tuned {
+            Ok(stream) => stream,
+            Err(error) => {
+                log_event!(Level::Warn, "accept_failed", error = error);
+                return sleep(ACCEPT_PAUSE).await;
+            }
+        };
+        if tasks.len() >= self.limits.connections {
+            self.metrics.count_caller_fault("turned_away");
+            return;
+        }
+        let task = SessionTask {
+            socket: SessionSocket::new(stream, Arc::clone(&self.protocol), self.limits),
+            limits: self.limits,
+            service: Arc::clone(&self.service),
+            metrics: self.metrics.clone(),
+            order: order.subscribe(),
+            name: SessionName::from(format!("{}-{number}", self.vm)),
+        };
+        tasks.spawn(task.run());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sessions/mod.rs
@@ -0,0 +1,46 @@
+//! Sessions of callers that share connections without knowing it.
+//!
+//! The bytes are a [`CallerProtocol`](crate::edges::CallerProtocol)'s matter. Here is what a session
+//! is: its values, its prepared statements, its transaction, and the position of its last write.
+//! [`state`] holds that and decides what a statement becomes; [`edge`] accepts connections and runs
+//! one task for each.
+
+pub mod edge;
+mod session;
+pub mod state;
+
+use crate::callers::SessionRefusal;
+use async_trait::async_trait;
+use ragwort_types::CustomerName;
+use ragwort_types::GroupName;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+
+/// The kind of statements that read, in contracts that tell kinds apart by what they do.
+pub const READ_KIND: &str = "read";
+
+/// The kind of statements that write.
+pub const WRITE_KIND: &str = "write";
+
+/// The kind of statements that end a transaction.
+pub const END_KIND: &str = "end";
+
+/// What runs sessions' statements: the gateway in the daemon, a fake in tests.
+#[async_trait]
+pub trait SessionService: Send + Sync + 'static {
+    /// Admits a session under a database's name, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the session is not admitted.
+    fn admit(&self, database: &CustomerName) -> Result<(), SessionRefusal>;
+
+    /// Takes note that an admitted session has ended; called once for each.
+    fn release(&self, database: &CustomerName);
+
+    /// Returns the group that serves a database's name now.
+    fn find_group(&self, database: &CustomerName) -> Option<GroupName>;
+
+    /// Runs a statement to its final verdict.
+    async fn run(&self, request: StatementRequest) -> StatementReply;
+}
--- /dev/null
+++ b/crates/daemon/src/sessions/session.rs
@@ -0,0 +1,344 @@
+//! One caller's connection, from its first byte to its last.
+
+use crate::callers::CallerLimits;
+use crate::callers::DrainOrder;
+use crate::callers::SessionRefusal;
+use crate::edges::CallerAnswer;
+use crate::edges::CallerError;
+use crate::edges::CallerErrorSort;
+use crate::edges::CallerMessage;
+use crate::edges::CallerProtocol;
+use crate::edges::ProtocolFault;
+use crate::edges::SessionState;
+use crate::log_event;
+use crate::metrics::DaemonMetrics;
+use crate::sessions::SessionService;
+use crate::sessions::state::CallerSession;
+use crate::sessions::state::SessionStep;
+use crate::sessions::state::StatementDraft;
+use bytes::BytesMut;
+use log::Level;
+use ragwort_types::CustomerName;
+use ragwort_types::GroupName;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestMarks;
+use ragwort_types::RequestVerdict;
+use ragwort_types::SessionName;
+use ragwort_types::StatementId;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+use std::sync::Arc;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// The bytes read at once. Statements take some hundred bytes.
+const READ_BYTES: usize = 1_024;
+
+/// All that one connection's task owns.
+pub(super) struct SessionTask {
+    pub(super) socket: SessionSocket,
+    pub(super) limits: CallerLimits,
+    pub(super) service: Arc<dyn SessionService>,
+    pub(super) metrics: DaemonMetrics,
+    pub(super) order: watch::Receiver<DrainOrder>,
+    /// Unique among this gateway's sessions.
+    pub(super) name: SessionName,
+}
+
+/// Why a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SocketEnd {
+    /// The caller closed it, or it broke.
+    Closed,
+    /// The caller was too slow.
+    Slow,
+    /// The bytes are no message.
+    Fault(ProtocolFault),
+}
+
+impl SessionTask {
+    /// Serves the connection to its end.
+    pub(super) async fn run(mut self) {
+        let _count = self.metrics.open_caller_connection();
+        let opening = timeout(self.limits.startup, self.socket.read()).await;
+        let database = match opening {
+            Ok(Ok(CallerMessage::Open { database, .. })) => CustomerName::from(database),
+            Ok(Ok(CallerMessage::Close) | Err(SocketEnd::Closed)) => return,
+            Ok(Ok(CallerMessage::Statement { .. })) => {
+                return self
+                    .turn_away(CallerErrorSort::Malformed, 0, "session isn't open")
+                    .await;
+            }
+            Ok(Err(end)) => return self.end_with_fault(end).await,
+            Err(_) => {
+                self.metrics.count_caller_fault("slow_startup");
+                return;
+            }
+        };
+        if let Err(refusal) = self.service.admit(&database) {
+            return self.refuse(&database, refusal).await;
+        }
+        let admitted = AdmittedSession {
+            service: Arc::clone(&self.service),
+            database,
+        };
+        self.converse(&admitted.database).await;
+    }
+
+    async fn refuse(&mut self, database: &CustomerName, refusal: SessionRefusal) {
+        self.metrics.count_caller_fault("refused");
+        log_event!(
+            Level::Info,
+            "session_refused",
+            customer = database,
+            cause = format!("{refusal:?}"),
+        );
+        let (sort, after, text) = match refusal {
+            SessionRefusal::NoContract | SessionRefusal::UnknownGroup => {
+                (CallerErrorSort::NoDatabase, 0, "no such database")
+            }
+            SessionRefusal::TooManySessions { come_back_after_ms } => (
+                CallerErrorSort::Busy,
+                come_back_after_ms,
+                "too many sessions are open",
+            ),
+            SessionRefusal::Draining => (CallerErrorSort::Busy, 0, "gateway is shutting down"),
+            SessionRefusal::NotReady { come_back_after_ms } => (
+                CallerErrorSort::Busy,
+                come_back_after_ms,
+                "gateway has no lease",
+            ),
+        };
+        self.turn_away(sort, after, text).await;
+    }
+
+    async fn turn_away(&mut self, sort: CallerErrorSort, come_back_after_ms: u64, text: &str) {
+        let error = CallerError {
+            sort,
+            come_back_after_ms,
+            text: text.to_owned(),
+        };
+        // The connection ends here whether or not the caller reads why.
+        let _ = self.socket.send(&CallerAnswer::Turned(error)).await;
+        self.socket.close().await;
+    }
+
+    async fn end_with_fault(&mut self, end: SocketEnd) {
+        match end {
+            SocketEnd::Closed => {}
+            SocketEnd::Slow => self.metrics.count_caller_fault("slow_sender"),
+            SocketEnd::Fault(fault) => {
+                self.metrics.count_caller_fault("malformed");
+                let sort = match fault {
+                    ProtocolFault::TooLong => CallerErrorSort::TooLong,
+                    ProtocolFault::NotText | ProtocolFault::Malformed => CallerErrorSort::Malformed,
+                };
+                self.turn_away(sort, 0, &fault.to_string()).await;
+            }
+        }
+    }
+
+    async fn converse(&mut self, database: &CustomerName) {
+        let mut session = CallerSession::default();
+        if self.socket.send(&CallerAnswer::Opened).await.is_err() {
+            return;
+        }
+        let end = self.serve_statements(database, &mut session).await;
+        // A transaction whose caller has gone would hold a connection until it is found idle.
+        if let Some(draft) = session.take_left_open(true) {
+            self.execute(database, &draft).await;
+        }
+        match end {
+            Some(end) => self.end_with_fault(end).await,
+            None => self.socket.close().await,
+        }
+    }
+
+    /// Serves statements until the session ends; `None` if it was ended in order.
+    async fn serve_statements(
+        &mut self,
+        database: &CustomerName,
+        session: &mut CallerSession,
+    ) -> Option<SocketEnd> {
+        loop {
+            let message = match self.next_message(session.state()).await {
+                Ok(Some(message)) => message,
+                Ok(None) => return None,
+                Err(end) => return Some(end),
+            };
+            let (id, statement) = match message {
+                CallerMessage::Statement { id, statement } => (id, statement),
+                CallerMessage::Close => return None,
+                CallerMessage::Open { .. } => {
+                    return Some(SocketEnd::Fault(ProtocolFault::Malformed));
+                }
+            };
+            let answer = match session.take(id, statement) {
+                SessionStep::Answer(answer) => answer,
+                SessionStep::Run(draft) => {
+                    let reply = self.execute(database, &draft).await;
+                    let clean_up = draft.to_clean_up(&reply.verdict);
+                    let answer = session.finish(&draft, reply);
+                    if let Some(draft) = clean_up {
+                        self.execute(database, &draft).await;
+                    }
+                    answer
+                }
+            };
+            if self.socket.send(&answer).await.is_err() {
+                return Some(SocketEnd::Closed);
+            }
+        }
+    }
+
+    /// Waits for the next message; `None` if the session is to end between two statements.
+    async fn next_message(
+        &mut self,
+        state: SessionState,
+    ) -> Result<Option<CallerMessage>, SocketEnd> {
+        let idle = state == SessionState::Idle;
+        loop {
+            // What has arrived already was asked before the session was told to end.
+            if let Some(message) = self.socket.take_buffered()? {
+                return Ok(Some(message));
+            }
+            let order = *self.order.borrow_and_update();
+            if order == DrainOrder::EndAll || (order == DrainOrder::EndIdle && idle) {
+                return Ok(None);
+            }
+            tokio::select! {
+                message = self.socket.read() => return message.map(Some),
+                changed = self.order.changed() => {
+                    if changed.is_err() {
+                        return Ok(None);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn execute(&self, database: &CustomerName, draft: &StatementDraft) -> StatementReply {
+        let id = StatementId::fresh();
+        let Some(group) = self.service.find_group(database) else {
+            return StatementReply {
+                id,
+                verdict: RequestVerdict::refused(RefusalCause::Contract, 0),
+                served_by: None,
+            };
+        };
+        let request = self.describe(id, database, group, draft);
+        self.service.run(request).await
+    }
+
+    fn describe(
+        &self,
+        id: StatementId,
+        database: &CustomerName,
+        group: GroupName,
+        draft: &StatementDraft,
+    ) -> StatementRequest {
+        StatementRequest {
+            id,
+            customer: database.clone(),
+            session: self.name.clone(),
+            group,
+            marks: RequestMarks {
+                kind: Some(draft.kind.into()),
+                ..RequestMarks::default()
+            },
+            text: draft.text.clone(),
+            parameters: None,
+            step: draft.step,
+            spent_ms: 0,
+            context: Some(Box::new(draft.context.clone())),
+        }
+    }
+}
+
+/// A caller's socket with what was read from it.
+pub(super) struct SessionSocket {
+    stream: TcpStream,
+    protocol: Arc<dyn CallerProtocol>,
+    limits: CallerLimits,
+    received: BytesMut,
+    sent: BytesMut,
+}
+
+impl SessionSocket {
+    pub(super) fn new(
+        stream: TcpStream,
+        protocol: Arc<dyn CallerProtocol>,
+        limits: CallerLimits,
+    ) -> Self {
+        Self {
+            stream,
+            protocol,
+            limits,
+            received: BytesMut::new(),
+            sent: BytesMut::new(),
+        }
+    }
+
+    /// Takes a message that has arrived as a whole.
+    fn take_buffered(&mut self) -> Result<Option<CallerMessage>, SocketEnd> {
+        let message = self.protocol.decode(&mut self.received);
+        message.map_err(SocketEnd::Fault)
+    }
+
+    /// Reads the next message. It may be given up between two bytes and called again.
+    async fn read(&mut self) -> Result<CallerMessage, SocketEnd> {
+        loop {
+            if let Some(message) = self.take_buffered()? {
+                return Ok(message);
+            }
+            if self.received.is_empty() {
+                self.fill().await?;
+                continue;
+            }
+            // A message that has begun must end: its sender holds a connection and memory.
+            let limit = self.limits.statement;
+            let filled = timeout(limit, self.fill()).await;
+            filled.map_err(|_| SocketEnd::Slow)??;
+        }
+    }
+
+    async fn fill(&mut self) -> Result<(), SocketEnd> {
+        self.received.reserve(READ_BYTES);
+        match self.stream.read_buf(&mut self.received).await {
+            Ok(count) if count > 0 => Ok(()),
+            Ok(_) | Err(_) => Err(SocketEnd::Closed),
+        }
+    }
+
+    async fn send(&mut self, answer: &CallerAnswer) -> Result<(), SocketEnd> {
+        self.sent.clear();
+        self.protocol.encode(answer, &mut self.sent);
+        let writing = self.stream.write_all(&self.sent);
+        match timeout(self.limits.statement, writing).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(SocketEnd::Closed),
+            Err(_) => Err(SocketEnd::Slow),
+        }
+    }
+
+    async fn close(&mut self) {
+        // The caller may have closed it first.
+        let _ = self.stream.shutdown().await;
+    }
+}
+
+/// A session that the service has admitted; dropping it tells the service that it has ended, even
+/// when the task fails.
+struct AdmittedSession {
+    service: Arc<dyn SessionService>,
+    database: CustomerName,
+}
+
+impl Drop for AdmittedSession {
+    fn drop(&mut self) {
+        self.service.release(&self.database);
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::settings_tree::SectionReader;
 use crate::settings_tree::TreeNode;
+use crate::settings_tree::TreeValue;
 use crate::settings_tree::parse_tree;
 use log::LevelFilter;
 use ragwort_types::DomainName;
@@ -59,8 +60,10 @@
     pub roles: RoleSettings,
     /// Where the daemon listens.
     pub listen: ListenSettings,
-    /// The control VMs.
+    /// The control VMs, where an operator lists and forms them.
     pub control: Vec<ControlAddress>,
+    /// How the control VMs find one another, where nobody lists them.
+    pub formation: Option<FormationSettings>,
     /// Where a control VM keeps its files.
     pub data_folder: Option<PathBuf>,
     /// Intervals and time-outs.
@@ -71,20 +74,33 @@
     pub log: LogSettings,
 }
 
-/// What a daemon does; each daemon can be a leaseholder.
+/// What a daemon does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RoleSettings {
     /// Whether it takes callers' connections.
     pub gateway: bool,
     /// Whether it holds the agreed log.
     pub control: bool,
+    /// Whether it may lead groups.
+    pub leaseholder: bool,
+}
+
+/// How control VMs that nobody lists find one another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FormationSettings {
+    /// Addresses for other VMs of some control VMs; some may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time. Only then may a log be formed.
+    pub first_start: bool,
+    /// With fewer voters than this no configuration is accepted.
+    pub least_voters: usize,
 }
 
 /// Where a daemon listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListenSettings {
-    /// For callers, by PostgreSQL's protocol.
-    pub callers: SocketAddr,
+    /// For callers; only a gateway has it.
+    pub callers: Option<SocketAddr>,
     /// For other VMs, endpoints' agents and operators.
     pub peers: SocketAddr,
     /// For the platform: readiness, metrics, dump.
@@ -175,7 +191,7 @@
 pub struct LogSettings {
     /// The least level that is written.
     pub level: LevelFilter,
-    /// The file; standard error if none.
+    /// The file; standard output if none.
     pub file: Option<PathBuf>,
 }
 
@@ -189,6 +205,27 @@
 }
 
 impl DaemonSettings {
+    /// Returns the seeds of the formation; none where an operator lists the control VMs.
+    pub fn seeds(&self) -> &[SocketAddr] {
+        self.formation
+            .as_ref()
+            .map_or(&[], |formation| &formation.seeds)
+    }
+
+    /// Says whether this VM may take part in forming a log without an operator.
+    pub fn is_first_start(&self) -> bool {
+        self.formation
+            .as_ref()
+            .is_some_and(|formation| formation.first_start)
+    }
+
+    /// Returns the number of voters below which no configuration is accepted.
+    pub fn least_voters(&self) -> usize {
+        self.formation
+            .as_ref()
+            .map_or(1, |formation| formation.least_voters)
+    }
+
     /// Reads settings from a file.
     ///
     /// # Errors
@@ -224,8 +261,11 @@
     let vm = take_name(&mut root, "vm", "a VM's name");
     let domain = take_name(&mut root, "domain", "a failure domain's name");
     let roles = read_roles(root.take_required_section("roles"), faults);
-    let listen = read_listen(root.take_required_section("listen"), faults);
-    let control = read_control(&mut root, faults);
+    let listen = read_listen(root.take_required_section("listen"), roles, faults);
+    let formation = root
+        .take_section("formation")
+        .map(|section| read_formation(section, faults));
+    let control = read_control(&mut root, formation.is_some(), faults);
     let data_folder = take_path(&mut root, "data_folder");
     let timing = read_timing(root.take_optional_section("timing"), faults);
     let limits = read_limits(root.take_optional_section("limits"), faults);
@@ -234,7 +274,7 @@
         let message = "data_folder: expected a folder, because roles.control is true".to_owned();
         root.note(root.location(), message);
     }
-    if let (Some(vm), Some(listen)) = (&vm, &listen) {
+    if let (Some(vm), Some(listen), None) = (&vm, &listen, &formation) {
         check_own_control_address(&mut root, vm, roles, listen, &control);
     }
     faults.extend(root.finish());
@@ -244,6 +284,7 @@
         roles,
         listen: listen?,
         control,
+        formation,
         data_folder,
         timing,
         limits,
@@ -268,27 +309,59 @@
     Some(path.value)
 }
 
-fn take_flag(section: &mut SectionReader, key: &'static str) -> bool {
+fn take_flag(section: &mut SectionReader, key: &'static str, default: bool) -> bool {
     section
         .take_scalar::<bool>(key, "true or false")
-        .is_some_and(|flag| flag.value)
+        .map_or(default, |flag| flag.value)
 }
 
 fn read_roles(mut section: SectionReader, faults: &mut Vec<SettingFault>) -> RoleSettings {
     let roles = RoleSettings {
-        gateway: take_flag(&mut section, "gateway"),
-        control: take_flag(&mut section, "control"),
+        gateway: take_flag(&mut section, "gateway", false),
+        control: take_flag(&mut section, "control", false),
+        leaseholder: take_flag(&mut section, "leaseholder", true),
     };
     faults.extend(section.finish());
     roles
 }
 
+fn read_formation(mut section: SectionReader, faults: &mut Vec<SettingFault>) -> FormationSettings {
+    let mut seeds = Vec::new();
+    for node in section.take_list("seeds") {
+        let location = node.referenced;
+        let address = match node.value {
+            TreeValue::Scalar(text) => text.parse().ok(),
+            TreeValue::Empty | TreeValue::List(_) | TreeValue::Map(_) => None,
+        };
+        match address {
+            Some(address) => seeds.push(address),
+            None => section.note(
+                location,
+                "formation.seeds: expected IP addresses with ports".to_owned(),
+            ),
+        }
+    }
+    let most = MOST_CONTROL_VMS as u64;
+    let settings = FormationSettings {
+        seeds,
+        first_start: take_flag(&mut section, "first_start", false),
+        least_voters: section.take_number("least_voters", 1, 1..=most) as usize,
+    };
+    faults.extend(section.finish());
+    settings
+}
+
 fn read_listen(
     mut section: SectionReader,
+    roles: RoleSettings,
     faults: &mut Vec<SettingFault>,
 ) -> Option<ListenSettings> {
     const EXPECTED: &str = "an IP address and a port, such as 127.0.0.1:6432";
-    let callers = section.take_required::<SocketAddr>("callers", EXPECTED);
+    let callers = match roles.gateway {
+        true => section.take_required::<SocketAddr>("callers", EXPECTED),
+        false => section.take_scalar::<SocketAddr>("callers", EXPECTED),
+    };
+    let complete = callers.is_some() || !roles.gateway;
     let peers = section.take_required::<SocketAddr>("peers", EXPECTED);
     let platform = section.take_required::<SocketAddr>("platform", EXPECTED);
     let mut seen = BTreeSet::new();
@@ -304,17 +377,25 @@
         }
     }
     faults.extend(section.finish());
+    if !complete {
+        return None;
+    }
     Some(ListenSettings {
-        callers: callers?.value,
+        callers: callers.map(|address| address.value),
         peers: peers?.value,
         platform: platform?.value,
     })
 }
 
-fn read_control(root: &mut SectionReader, faults: &mut Vec<SettingFault>) -> Vec<ControlAddress> {
+fn read_control(
+    root: &mut SectionReader,
+    formed_by_seeds: bool,
+    faults: &mut Vec<SettingFault>,
+) -> Vec<ControlAddress> {
     let nodes = root.take_list("control");
     let count = nodes.len();
-    if count == 0 || count > MOST_CONTROL_VMS {
+    let missing = count == 0 && !formed_by_seeds;
+    if missing || count > MOST_CONTROL_VMS {
         let message =
             format!("control: expected 1 to {MOST_CONTROL_VMS} control VMs, found {count}");
         root.note(root.location(), message);
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -27,6 +27,7 @@
 use ragwort_types::LogPosition;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
+use ragwort_types::MemberRoles;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::RepeatRule;
 use ragwort_types::RequestKey;
@@ -42,6 +43,7 @@
 use ragwort_types::VersionedContract;
 use ragwort_types::VmIncarnation;
 use ragwortgated::clock::NodeClock;
+use ragwortgated::directory::ControlDirectory;
 use ragwortgated::group::GroupContext;
 use ragwortgated::group::GroupEvent;
 use ragwortgated::group::spawn_group;
@@ -159,6 +161,7 @@
             domain: "windhoek-a".into(),
             peer_address: address,
             draining: false,
+            roles: MemberRoles::default(),
         };
         items.push(CatalogItem::Member(member));
     }
@@ -253,6 +256,7 @@
 
     pub fn into_request(self) -> StatementRequest {
         StatementRequest {
+            context: None,
             id: StatementId::fresh(),
             customer: "omuti".into(),
             session: self.session,
@@ -315,8 +319,12 @@
         let clock = NodeClock::start();
         let links = PeerLinks::new(Duration::from_secs(5));
         let control = FakePeer::start(PeerScript::Hang).await;
+        let settings = Arc::new(create_settings(timing, control.address));
+        let (_, seeds) = watch::channel(Vec::new());
+        let directory = ControlDirectory::new(settings.clone(), seeds, view.subscribe());
         let context = GroupContext {
-            settings: Arc::new(create_settings(timing, control.address)),
+            settings,
+            directory,
             clock,
             links: links.clone(),
             standby: own,
@@ -371,6 +379,7 @@
                 _ => endpoint.data_address(),
             };
             let announcement = EndpointAnnouncement {
+                sequence: 0,
                 group: "cases".into(),
                 instance: format!("cases-{}", index + 1).into(),
                 domain: "windhoek-a".into(),
--- a/crates/lab/tests/announce.rs
+++ b/crates/lab/tests/announce.rs
@@ -36,7 +36,10 @@
         // The test may have heard enough.
         let _ = self.heard.send(announcement);
         let announce_to = self.announce_to.borrow().clone();
-        Ok(AnnouncementReply { announce_to })
+        Ok(AnnouncementReply {
+            announce_to,
+            leaseholder_told: true,
+        })
     }
 }
 
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -62,7 +62,7 @@
         self.access == AccessMode::Read
             && !self.needs_primary
             && !self.max_age.is_zero()
-            && self.step == RequestStep::Single
+            && matches!(self.step, RequestStep::Single | RequestStep::Opens)
     }
 }
 
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,8 +11,11 @@
 use ragwort_types::CommandRequest;
 use ragwort_types::ContractAcceptance;
 use ragwort_types::ContractChange;
+use ragwort_types::ContractDocument;
 use ragwort_types::ControlIdentity;
 use ragwort_types::CustomerName;
+use ragwort_types::DocumentReading;
+use ragwort_types::DocumentReply;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::FenceReply;
 use ragwort_types::ForceStatus;
@@ -89,6 +92,10 @@
     #[method(name = "controlIdentity")]
     async fn control_identity(&self) -> RpcResult<Option<ControlIdentity>>;
 
+    /// Says which document is the newest, if the asked VM leads the control VMs.
+    #[method(name = "leaderDocument")]
+    async fn leader_document(&self) -> RpcResult<DocumentReading>;
+
     /// Writes the first voter set; false if the log isn't empty.
     #[method(name = "formVoters")]
     async fn form_voters(&self, voters: Vec<MemberId>) -> RpcResult<bool>;
@@ -97,6 +104,10 @@
     #[method(name = "probeInstance")]
     async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool>;
 
+    /// Takes an announcement that another VM passes on.
+    #[method(name = "passAnnouncement")]
+    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<()>;
+
     /// Answers at once, to tell a silent connection from a live one.
     #[method(name = "ping")]
     async fn ping(&self) -> RpcResult<()>;
@@ -109,6 +120,14 @@
     #[method(name = "applyContract")]
     async fn apply_contract(&self, change: ContractChange) -> RpcResult<CommandReply>;
 
+    /// Replaces the whole configuration; the highest version wins.
+    #[method(name = "applyDocument")]
+    async fn apply_document(&self, document: ContractDocument) -> RpcResult<DocumentReply>;
+
+    /// Returns the whole configuration that a majority confirms to be the newest.
+    #[method(name = "readDocument")]
+    async fn read_document(&self) -> RpcResult<DocumentReading>;
+
     /// Says how far an accepted change has come.
     #[method(name = "forceStatus")]
     async fn force_status(&self, acceptance: ContractAcceptance) -> RpcResult<ForceStatus>;
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -2,10 +2,14 @@
 
 use crate::CatalogRevision;
 use crate::ContractChange;
+use crate::ContractDocument;
 use crate::ContractVersion;
+use crate::CustomerName;
+use crate::DocumentAcceptance;
 use crate::DomainName;
 use crate::GroupName;
 use crate::GroupTerm;
+use crate::GroupTerms;
 use crate::InstanceName;
 use crate::LogPosition;
 use crate::PlacementEpoch;
@@ -25,6 +29,8 @@
 pub enum CatalogCommand {
     /// An operator changes a contract.
     ApplyContract(ContractChange),
+    /// An operator replaces the whole configuration.
+    ApplyDocument(Box<ContractDocument>),
     /// A VM joins, or returns with a new process.
     AdmitMember(MemberRecord),
     /// A VM's lease has ended, or it drained. Refused if another process has joined under the
@@ -40,6 +46,8 @@
     BeginTerm(TermStart),
     /// A leaseholder has promoted an instance.
     RecordPrimary(PrimaryRecord),
+    /// A leaseholder is about to order a promotion from a database that keeps terms of its own.
+    IssueToken(TokenRequest),
     /// A leaseholder's standbys hold its whole journal; it dispatches only from then on.
     ConfirmJournal(JournalMark),
 }
@@ -64,6 +72,28 @@
     pub peer_address: SocketAddr,
     /// Whether it is shutting down and takes no new groups.
     pub draining: bool,
+    /// What it may be used for.
+    #[serde(default)]
+    pub roles: MemberRoles,
+}
+
+/// What a member may be used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRoles {
+    /// Whether it holds the agreed log.
+    pub control: bool,
+    /// Whether it may lead groups and hold their journals. A VM with a slow processor or a narrow
+    /// link can't carry a group's traffic.
+    pub leaseholder: bool,
+}
+
+impl Default for MemberRoles {
+    fn default() -> Self {
+        Self {
+            control: false,
+            leaseholder: true,
+        }
+    }
 }
 
 /// Which VMs serve a group.
@@ -118,6 +148,17 @@
     pub start: LogPosition,
 }
 
+/// Asks for a number that no other order to promote has.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenRequest {
+    /// The group.
+    pub group: GroupName,
+    /// The leaseholder's epoch.
+    pub epoch: PlacementEpoch,
+    /// The instance that is to be promoted.
+    pub instance: InstanceName,
+}
+
 /// The epoch in which a group's journal is whole at every standby.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JournalMark {
@@ -140,6 +181,10 @@
     ContractFaulty(Vec<String>),
     /// The change id was used before for another content.
     ChangeIdReused,
+    /// The document is in force, or one with a version at least as high is.
+    DocumentAccepted(DocumentAcceptance),
+    /// The document is invalid; each fault in words.
+    DocumentInvalid(Vec<String>),
     /// Done at this revision.
     Done(CatalogRevision),
     /// The command was built on a state that has changed since.
@@ -180,6 +225,10 @@
 pub enum CatalogItem {
     /// A contract was put in force.
     Contract(Box<VersionedContract>),
+    /// A contract is in force no more.
+    ContractGone(CustomerName),
+    /// A group's terms were set.
+    GroupTerms(GroupTerms),
     /// A member joined or changed.
     Member(MemberRecord),
     /// A member left.
--- a/crates/types/src/contract.rs
+++ b/crates/types/src/contract.rs
@@ -60,7 +60,7 @@
 }
 
 /// Whether a request reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AccessMode {
     /// The request changes nothing.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,17 +32,21 @@
 mod catalog;
 mod clock;
 mod contract;
+mod document;
 mod messages;
 mod names;
 mod position;
+mod session;
 mod shape;
 mod verdict;
 
 pub use catalog::*;
 pub use clock::ClockTime;
 pub use contract::*;
+pub use document::*;
 pub use messages::*;
 pub use names::*;
 pub use position::*;
+pub use session::*;
 pub use shape::*;
 pub use verdict::*;
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -16,6 +16,7 @@
 use crate::RequestKey;
 use crate::RequestVerdict;
 use crate::ServedBy;
+use crate::SessionContext;
 use crate::SessionName;
 use crate::StatementId;
 use crate::TransactionId;
@@ -45,6 +46,9 @@
     pub step: TransactionStep,
     /// The time that the gateway has already spent on it, in milliseconds.
     pub spent_ms: u64,
+    /// What it needs of its session, where sessions share connections without a driver's help.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub context: Option<Box<SessionContext>>,
 }
 
 /// What a caller may say about one statement.
@@ -274,6 +278,10 @@
     pub connections: u32,
     /// What it knows of itself.
     pub status: InstanceStatus,
+    /// Raised with each announcement of the instance, so that one that was delayed on its way is
+    /// known as such; zero if the endpoint counts nothing.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 /// What an endpoint's agent says of its instance.
@@ -303,6 +311,10 @@
 pub struct AnnouncementReply {
     /// The group's leaseholder and standbys; empty while the group has no placement.
     pub announce_to: Vec<SocketAddr>,
+    /// Whether the group's leaseholder has taken the announcement. One that it hasn't taken changes
+    /// nothing yet: an endpoint that leaves may still be sent work.
+    #[serde(default)]
+    pub leaseholder_told: bool,
 }
 
 /// The answer to a fence or promotion by an endpoint's agent.
@@ -328,6 +340,9 @@
 pub struct AgreementEnvelope {
     /// The sender.
     pub from: VmName,
+    /// Where the sender answers other VMs; the receiver may know it by its name only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub from_address: Option<SocketAddr>,
     /// The receiver.
     pub to: VmName,
     /// The message, encoded by the control crate.
@@ -360,6 +375,24 @@
     pub id: crate::MemberId,
     /// Whether its agreed log is empty.
     pub empty: bool,
+    /// The other control VMs that it knows.
+    #[serde(default)]
+    pub known: Vec<ControlPeer>,
+    /// The voters of its log.
+    #[serde(default)]
+    pub voters: Vec<crate::MemberId>,
+    /// Whether it knows a leader.
+    #[serde(default)]
+    pub led: bool,
+}
+
+/// A control VM and where it answers other VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlPeer {
+    /// The VM.
+    pub vm: VmName,
+    /// Its address for other VMs.
+    pub address: SocketAddr,
 }
 
 /// The answer to an operator's wish to form the first voter set of the control VMs.
--- a/crates/types/src/verdict.rs
+++ b/crates/types/src/verdict.rs
@@ -1,5 +1,6 @@
 //! What a caller is told about its request.
 
+use crate::EndpointFault;
 use crate::InstanceName;
 use crate::LogPosition;
 use serde::Deserialize;
@@ -116,10 +117,23 @@
     Rows(RowSet),
     /// A statement without rows ended; the number is the count of affected rows.
     Done(u64),
+    /// The statement ended with rows and a tag that are passed on as the endpoint wrote them.
+    Tagged(TaggedRows),
+    /// The endpoint reported a fault of a sort that it has for all statements.
+    Faulted(EndpointFault),
     /// The endpoint ran the statement and reported an error of its own.
     Failed(DatabaseError),
 }
 
+/// An answer that is passed on as the endpoint wrote it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaggedRows {
+    /// The rows, one text each.
+    pub rows: Vec<String>,
+    /// The text that completes the answer.
+    pub tag: String,
+}
+
 /// The rows of an answer, in text form.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowSet {
