Let a restarted process take its predecessor's place at once; reads that waited see what the primary holds

Ruled out: a floor at the moment of dispatch only (the scheduler would go on choosing replicas that must refuse).

--- a/crates/control/examples/catalog_slopes.rs
+++ b/crates/control/examples/catalog_slopes.rs
@@ -22,7 +22,7 @@
 use ragwort_types::LengthClass;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
-use ragwort_types::MemberRoles;
+use ragwort_types::MemberTraits;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::RepeatRule;
 use ragwort_types::UrgencyClass;
@@ -226,7 +226,7 @@
         domain: format!("domain-{}", number % 10).into(),
         peer_address: "10.11.12.13:7400".parse().unwrap(),
         draining: false,
-        roles: MemberRoles::default(),
+        traits: MemberTraits::default(),
     }
 }
 
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -16,7 +16,6 @@
 use ragwort_types::ForceStatus;
 use ragwort_types::HeartbeatRequest;
 use ragwort_types::LeaseGrant;
-use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
 use ragwort_types::VmIncarnation;
 use ragwort_types::VmName;
@@ -169,7 +168,7 @@
         if self.latest_incarnation(&id.vm, catalog) > id.incarnation {
             return LeaseDecision::Superseded;
         }
-        if !self.belongs_in_records(id, catalog) {
+        if !self.belongs_in_records(&heartbeat.member, catalog) {
             self.note_heartbeat(now, heartbeat, HeartbeatSide::Successor);
             return LeaseDecision::NotYet;
         }
@@ -281,7 +280,8 @@
         }
     }
 
-    fn latest_incarnation(&self, vm: &VmName, catalog: &CatalogState) -> VmIncarnation {
+    /// Returns the latest incarnation of a VM that is known.
+    pub fn latest_incarnation(&self, vm: &VmName, catalog: &CatalogState) -> VmIncarnation {
         let known = catalog.member(vm).map(|member| member.id.incarnation);
         let record = self.records.get(vm);
         let heard = record.map(|record| record.member.id.incarnation);
@@ -291,9 +291,9 @@
     }
 
     /// Says whether no earlier process stands between this one and a lease.
-    fn belongs_in_records(&self, id: &MemberId, catalog: &CatalogState) -> bool {
-        match catalog.member(&id.vm) {
-            Some(known) => known.id == *id,
+    fn belongs_in_records(&self, member: &MemberRecord, catalog: &CatalogState) -> bool {
+        match catalog.member(&member.id.vm) {
+            Some(known) => known.id == member.id || member.succeeds_at_once(known),
             None => true,
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 //! use ragwort_types::CatalogRevision;
 //! use ragwort_types::MemberId;
 //! use ragwort_types::MemberRecord;
+//! use ragwort_types::MemberTraits;
 //! use ragwort_types::VmIncarnation;
 //! use ragwort_types::VmName;
 //!
@@ -25,6 +26,7 @@
 //!     domain: "east".into(),
 //!     peer_address: "127.0.0.1:7000".parse().unwrap(),
 //!     draining: false,
+//!     traits: MemberTraits::default(),
 //! };
 //! let mut state = CatalogState::new();
 //! state.apply(CatalogRevision(1), &CatalogCommand::AdmitMember(member));
@@ -120,8 +122,8 @@
 pub use placement::load_cap;
 pub use placement::plan_handovers;
 pub use placement::plan_placements;
-pub use positions::LagEstimate;
 pub use positions::PositionHistory;
+pub use positions::ReplicaEstimate;
 pub use promotion::GroupPromotion;
 pub use promotion_chart::PromotionEvent;
 pub use promotion_chart::PromotionGuard;
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -26,7 +26,9 @@
         let vm = &member.id.vm;
         let former = self.members.get(vm);
         let departed = self.departures.get(vm);
+        let succeeds = former.is_some_and(|former| member.succeeds_at_once(&former.item));
         match (former, departed) {
+            _ if succeeds => {}
             (Some(former), _) if former.item == *member => {
                 return CatalogOutcome::Done(former.stamp);
             }
@@ -43,7 +45,7 @@
             }
             _ => {}
         }
-        if former.is_none() {
+        if former.is_none() || succeeds {
             self.raise_held_epochs(revision, vm);
         }
         let former = self.members.get(vm).map(|former| former.stamp);
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -263,7 +263,7 @@
 
 /// Says whether a member may be given groups.
 fn can_lead(member: &MemberRecord) -> bool {
-    member.roles.leaseholder && !member.draining
+    member.traits.leaseholder && !member.draining
 }
 
 fn same_set(planned: &GroupPlacement, present: &GroupPlacement) -> bool {
--- a/crates/control/tests/state/common.rs
+++ b/crates/control/tests/state/common.rs
@@ -20,7 +20,7 @@
 use ragwort_types::LogPosition;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
-use ragwort_types::MemberRoles;
+use ragwort_types::MemberTraits;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::PrimaryRecord;
 use ragwort_types::RepeatRule;
@@ -141,7 +141,7 @@
         domain: format!("domain-{}", number % 3).into(),
         peer_address: "127.0.0.1:7000".parse().unwrap(),
         draining: false,
-        roles: MemberRoles::default(),
+        traits: MemberTraits::default(),
     }
 }
 
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -78,7 +78,11 @@
                 delta: None,
             }),
             LeaseDecision::NotYet => HeartbeatReply::NotYet,
-            LeaseDecision::Superseded => HeartbeatReply::Superseded,
+            LeaseDecision::Superseded => {
+                let vm = &request.member.id.vm;
+                let latest = ledger.latest_incarnation(vm, &self.catalog);
+                HeartbeatReply::Superseded(latest)
+            }
         }
     }
 
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -74,7 +74,7 @@
     }
 
     pub(super) fn learn_member(&mut self, member: &MemberRecord) {
-        if member.roles.control {
+        if member.traits.control {
             self.learn(&member.id.vm, member.peer_address);
         }
     }
@@ -138,7 +138,10 @@
 
     /// Learns from the catalog where the members with the control role are.
     pub(super) fn learn_members(&mut self) {
-        let members = self.catalog.members().filter(|member| member.roles.control);
+        let members = self
+            .catalog
+            .members()
+            .filter(|member| member.traits.control);
         let members: Vec<(VmName, SocketAddr)> = members
             .map(|member| (member.id.vm.clone(), member.peer_address))
             .collect();
--- a/crates/daemon/src/control/voters.rs
+++ b/crates/daemon/src/control/voters.rs
@@ -28,7 +28,10 @@
         if count >= MOST_VOTERS {
             return None;
         }
-        let mut members = self.catalog.members().filter(|member| member.roles.control);
+        let mut members = self
+            .catalog
+            .members()
+            .filter(|member| member.traits.control);
         let joiner = members.find(|member| {
             let vm = &member.id.vm;
             live.contains(vm) && !self.node.is_member(vm) && !member.draining
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -44,7 +44,7 @@
             list.push(self.settings.listen.peers);
         }
         let view = self.view.borrow();
-        let members = view.copy.members().filter(|member| member.roles.control);
+        let members = view.copy.members().filter(|member| member.traits.control);
         let mut known: ControlList = members.map(|member| member.peer_address).collect();
         // Each VM begins at another one, so that a thousand members don't all ask the same.
         if !known.is_empty() {
@@ -73,7 +73,7 @@
     /// Returns the members of the catalog's copy that hold the agreed log.
     pub fn members(&self) -> Vec<MemberRecord> {
         let view = self.view.borrow();
-        let members = view.copy.members().filter(|member| member.roles.control);
+        let members = view.copy.members().filter(|member| member.traits.control);
         members.cloned().collect()
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -41,7 +41,7 @@
 pub mod logs;
 pub mod member;
 pub mod metrics;
-mod native;
+pub mod native;
 pub mod node;
 pub mod peers;
 pub mod platform;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -23,7 +23,7 @@
 use ragwort_types::LeaseGrant;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
-use ragwort_types::MemberRoles;
+use ragwort_types::MemberTraits;
 use ragwort_types::VmIncarnation;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,6 +31,11 @@
 use std::time::SystemTime;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// How many control VMs can be asked in vain before the lease is over. One that has lost power
+/// answers nothing at all, not even that nobody listens.
+const ATTEMPTS_IN_LEASE: u64 = 3;
 
 /// What this VM knows of the system.
 #[derive(Clone)]
@@ -84,9 +89,10 @@
     /// Sends heartbeats until told to stop, then leaves the membership.
     ///
     /// Returns false if another process has joined under this VM's name.
-    pub async fn run(mut self, id: MemberId) -> bool {
+    pub async fn run(mut self, mut id: MemberId) -> bool {
         let mut turn = 0;
         let mut attached = false;
+        let mut ever_attached = false;
         loop {
             let addresses = self.directory.addresses();
             let Some(address) = addresses.get(turn % addresses.len().max(1)).copied() else {
@@ -108,13 +114,20 @@
                         log_event!(Level::Info, "lease_granted", vm = id.vm, control = address);
                     }
                     attached = true;
+                    ever_attached = true;
                 }
                 Some(HeartbeatReply::NotYet) => {
                     attached = false;
                     // A control VM that was removed from the voters knows no leader for good.
                     turn += 1;
                 }
-                Some(HeartbeatReply::Superseded) => {
+                // The wall clock, from which the incarnation was taken, went back since the former
+                // process started. This one holds nothing yet, so it may take a later one.
+                Some(HeartbeatReply::Superseded(latest)) if !ever_attached => {
+                    log_event!(Level::Warn, "clock_went_back", vm = id.vm, known = latest);
+                    id.incarnation = latest.next();
+                }
+                Some(HeartbeatReply::Superseded(_)) => {
                     log_event!(
                         Level::Warn,
                         "superseded",
@@ -145,9 +158,11 @@
             domain: self.settings.domain.clone(),
             peer_address: self.settings.listen.peers,
             draining: *self.draining.borrow(),
-            roles: MemberRoles {
+            traits: MemberTraits {
                 control: self.settings.roles.control,
                 leaseholder: self.settings.roles.leaseholder,
+                // The peers address was bound before the first heartbeat.
+                exclusive: true,
             },
         }
     }
@@ -163,11 +178,12 @@
             unplaced_groups: self.unplaced.borrow_and_update().clone(),
         };
         let sent = self.clock.now();
-        let limit = Duration::from_millis(self.settings.timing.lease_ms / 2);
+        let limit = Duration::from_millis(self.settings.timing.lease_ms / ATTEMPTS_IN_LEASE);
         let call = |client: Arc<jsonrpsee_ws_client::WsClient>| async move {
             client.heartbeat(request).await
         };
-        let reply = self.links.call(address, limit, call).await.ok()?;
+        let calling = timeout(limit, self.links.call(address, limit, call));
+        let reply = calling.await.ok()?.ok()?;
         if let HeartbeatReply::Granted(grant) = &reply {
             self.take_grant(sent, grant);
         }
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -1,12 +1,14 @@
 //! Takes statements in: lease, contract, what they must see, then the scheduler's decision.
 
 use super::NativeTask;
+use super::dispatch::held_transaction;
 use super::request::NativeRequest;
 use crate::gateway::find_deadline;
 use crate::gateway::find_terms;
 use crate::gateway::reply_with;
 use crate::group::hash_text;
 use ragwort_control::ClockTime;
+use ragwort_policy::AbandonEffect;
 use ragwort_policy::ArrivalDecision;
 use ragwort_policy::RequestProfile;
 use ragwort_policy::RequestStep;
@@ -122,14 +124,47 @@
     fn enqueue(&mut self, now: ClockTime, active: NativeRequest) {
         self.last_ticket += 1;
         let ticket = RequestTicket(self.last_ticket);
-        let profile = self.describe_request(ticket, &active);
         self.tickets.insert(active.request.id, ticket);
         self.requests.insert(ticket, active);
+        self.arrive(now, ticket);
+    }
+
+    /// Hands a statement to the scheduler.
+    fn arrive(&mut self, now: ClockTime, ticket: RequestTicket) {
+        let Some(active) = self.requests.get(&ticket) else {
+            return;
+        };
+        let profile = self.describe_request(ticket, active);
         if let ArrivalDecision::Refused(refusal) = self.scheduler.arrive(now, profile) {
             self.settle(ticket, RequestVerdict::NotRun(refusal));
         }
     }
 
+    /// Tells waiting statements what they must see now that a primary was found.
+    ///
+    /// A read that came while none was known was told too little: a replica that is far behind would
+    /// serve it, and its caller would see what was overtaken long ago.
+    pub(super) fn raise_floors(&mut self) {
+        let now = self.now();
+        let waiting = self.requests.iter().filter(|(_, active)| {
+            active.running.is_none() && held_transaction(active.request.step).is_none()
+        });
+        let waiting: Vec<RequestTicket> = waiting.map(|(ticket, _)| *ticket).collect();
+        for ticket in waiting {
+            let Some(active) = self.requests.get(&ticket) else {
+                continue;
+            };
+            let floor = self.find_floor(now, &active.context, &active.terms);
+            if self.scheduler.abandon(ticket) != AbandonEffect::Removed {
+                continue;
+            }
+            if let Some(active) = self.requests.get_mut(&ticket) {
+                active.floor = floor;
+            }
+            self.arrive(now, ticket);
+        }
+    }
+
     fn describe_request(&self, ticket: RequestTicket, active: &NativeRequest) -> RequestProfile {
         let request = &active.request;
         let step = self.scheduler_step(request.step);
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -34,9 +34,9 @@
 use log::Level;
 use pool::NativePool;
 use ragwort_control::ClockTime;
-use ragwort_control::LagEstimate;
 use ragwort_control::PositionHistory;
 use ragwort_control::PrimaryReplacement;
+use ragwort_control::ReplicaEstimate;
 use ragwort_control::RoleBoard;
 use ragwort_policy::CustomerTerms;
 use ragwort_policy::GroupScheduler;
@@ -95,7 +95,7 @@
     /// The primary whose positions `history` holds, and its term.
     leading: Option<(InstanceName, GroupTerm)>,
     history: PositionHistory,
-    lags: BTreeMap<InstanceName, LagEstimate>,
+    replicas: BTreeMap<InstanceName, ReplicaEstimate>,
     replacement: PrimaryReplacement,
     /// The primary that doesn't answer any more.
     suspect: Option<InstanceName>,
@@ -112,7 +112,7 @@
 }
 
 /// Starts a group's task; it ends when the group is placed elsewhere or `events` is closed.
-pub(crate) fn spawn_native_group(
+pub fn spawn_native_group(
     context: Arc<GroupContext>,
     edges: NativeEdges,
     record: GroupRecord,
@@ -138,7 +138,7 @@
         roles: RoleBoard::default(),
         leading: None,
         history: PositionHistory::default(),
-        lags: BTreeMap::new(),
+        replicas: BTreeMap::new(),
         replacement: PrimaryReplacement::default(),
         suspect: None,
         handover: HandoverCourse::default(),
@@ -284,9 +284,9 @@
 
     fn dump(&self) -> serde_json::Value {
         let now = self.now();
-        let lags = self.lags.iter();
+        let lags = self.replicas.iter();
         let lags =
-            lags.map(|(name, lag)| (name.to_string(), (lag.lag().as_millis() as u64).into()));
+            lags.map(|(name, lag)| (name.to_string(), (lag.lag(now).as_millis() as u64).into()));
         let leading = self.leading.as_ref();
         serde_json::json!({
             "record": self.record,
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -80,11 +80,9 @@
             self.clear_suspicion();
         }
         let leads = self.is_leading(instance);
-        if let Some(position) = position.filter(|_| !leads)
-            && position >= self.history.start()
-        {
-            let seen = self.history.lag_of(now, position);
-            self.lags.entry(instance.clone()).or_default().learn(seen);
+        if let Some(position) = position.filter(|_| !leads) {
+            let replica = self.replicas.entry(instance.clone()).or_default();
+            replica.learn(now, position, &self.history);
         }
     }
 
@@ -280,16 +278,17 @@
                 self.follow_roles();
             }
             FaultSort::Lagging => {
-                let lag = self.lags.entry(instance.clone()).or_default();
-                lag.refuse();
-                let lag_ms = lag.lag().as_millis();
                 let floor = self.requests.get(&ticket).map(|active| active.floor);
+                let wanted = floor.unwrap_or_default();
+                let replica = self.replicas.entry(instance.clone()).or_default();
+                replica.refuse(now, wanted);
+                let lag_ms = replica.lag(now).as_millis();
                 log_event!(
                     Level::Info,
                     "replica_lagging",
                     group = self.group,
                     instance = instance,
-                    wanted = floor.unwrap_or_default(),
+                    wanted = wanted,
                     lag_ms = lag_ms,
                 );
                 self.report_positions();
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -201,12 +201,18 @@
             // Nothing is read from replicas before this is known: they could lack what a former
             // leaseholder has acknowledged.
             self.history.begin(start);
+            // What replicas showed before may have been rolled back.
+            self.replicas.clear();
             self.suspect = None;
         }
+        let began = found.is_some() && self.leading != found;
         if found.is_some() {
             self.leading = found;
         }
         self.refresh_endpoints();
+        if began {
+            self.raise_floors();
+        }
         let usable = self.find_usable_primary();
         if let Some(primary) = &usable {
             let may_stay = !self.roles.is_leaving(primary);
@@ -284,9 +290,10 @@
                     .report_position(now, &instance, newest, Duration::ZERO);
                 continue;
             }
-            let lag = self.lags.get(&instance).copied().unwrap_or_default().lag();
-            let assumed = self.history.required(now, lag);
-            self.scheduler.report_position(now, &instance, assumed, lag);
+            let replica = self.replicas.get(&instance).copied().unwrap_or_default();
+            let assumed = replica.assume(now, &self.history);
+            self.scheduler
+                .report_position(now, &instance, assumed, replica.lag(now));
         }
     }
 
@@ -514,7 +521,7 @@
         );
         self.pool.remove_endpoint(instance);
         self.roles.forget(instance);
-        self.lags.remove(instance);
+        self.replicas.remove(instance);
         self.scheduler.remove_endpoint(now, instance);
         for id in self.pool.links_of(instance) {
             self.retire_connection(id);
--- /dev/null
+++ b/crates/daemon/tests/native/bench.rs
@@ -0,0 +1,488 @@
+//! A running leaseholder with scripted endpoints, a hand-made catalog and a promotion service.
+
+use crate::cases::wait_until;
+use crate::codec::TestLines;
+use crate::endpoint::ScriptedEndpoint;
+use async_trait::async_trait;
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerHandle;
+use ragwort_control::CatalogCopy;
+use ragwort_control::MemberLease;
+use ragwort_types::AccessMode;
+use ragwort_types::CatalogDelta;
+use ragwort_types::CatalogItem;
+use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
+use ragwort_types::ChangeId;
+use ragwort_types::CommandReply;
+use ragwort_types::ContractVersion;
+use ragwort_types::CustomerContract;
+use ragwort_types::EndpointAnnouncement;
+use ragwort_types::GroupPlacement;
+use ragwort_types::GroupRecord;
+use ragwort_types::GroupTerm;
+use ragwort_types::GroupTerms;
+use ragwort_types::InstanceRole;
+use ragwort_types::InstanceStatus;
+use ragwort_types::KindTerms;
+use ragwort_types::LeaseGrant;
+use ragwort_types::LengthClass;
+use ragwort_types::LogPosition;
+use ragwort_types::MemberId;
+use ragwort_types::MemberRecord;
+use ragwort_types::MemberTraits;
+use ragwort_types::PlacementEpoch;
+use ragwort_types::RepeatRule;
+use ragwort_types::RequestMarks;
+use ragwort_types::RequestVerdict;
+use ragwort_types::SessionContext;
+use ragwort_types::SessionValues;
+use ragwort_types::StatementAct;
+use ragwort_types::StatementAnswer;
+use ragwort_types::StatementId;
+use ragwort_types::StatementReply;
+use ragwort_types::StatementRequest;
+use ragwort_types::TransactionMode;
+use ragwort_types::TransactionStep;
+use ragwort_types::UrgencyClass;
+use ragwort_types::VersionedContract;
+use ragwort_types::VmIncarnation;
+use ragwortgated::clock::NodeClock;
+use ragwortgated::directory::ControlDirectory;
+use ragwortgated::edges::CallerAnswer;
+use ragwortgated::edges::CallerMessage;
+use ragwortgated::edges::CallerProtocol;
+use ragwortgated::edges::NativeEdges;
+use ragwortgated::edges::NodeServices;
+use ragwortgated::edges::PromotionOrder;
+use ragwortgated::edges::PromotionReply;
+use ragwortgated::edges::PromotionService;
+use ragwortgated::edges::ProtocolFault;
+use ragwortgated::edges::ServiceEdge;
+use ragwortgated::group::GroupContext;
+use ragwortgated::group::GroupEvent;
+use ragwortgated::member::MemberView;
+use ragwortgated::metrics::DaemonMetrics;
+use ragwortgated::native::spawn_native_group;
+use ragwortgated::peers::PeerLinks;
+use ragwortgated::settings::DaemonSettings;
+use ragwortgated::standby::spawn_standby;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// A deadline that no healthy statement comes near, in milliseconds.
+const LONG_MS: u64 = 30_000;
+
+/// The kinds of the contract: reads of any age, reads that see everything, and writes.
+pub const AGED: &str = "aged";
+pub const FRESH: &str = "fresh";
+pub const WRITE: &str = "write";
+
+/// Takes orders to promote as the test says, and notes them.
+#[derive(Default)]
+pub struct ScriptedPromotions {
+    pub orders: Mutex<Vec<PromotionOrder>>,
+    pub replies: Mutex<Vec<PromotionReply>>,
+}
+
+#[async_trait]
+impl PromotionService for ScriptedPromotions {
+    async fn promote(&self, order: &PromotionOrder) -> PromotionReply {
+        self.orders.lock().unwrap().push(order.clone());
+        let reply = self.replies.lock().unwrap().pop();
+        reply.unwrap_or(PromotionReply::Accepted)
+    }
+}
+
+/// Sides that the leaseholder alone doesn't use.
+struct UnusedSides;
+
+impl CallerProtocol for UnusedSides {
+    fn decode(&self, _: &mut bytes::BytesMut) -> Result<Option<CallerMessage>, ProtocolFault> {
+        Ok(None)
+    }
+
+    fn encode(&self, _: &CallerAnswer, _: &mut bytes::BytesMut) {}
+}
+
+#[async_trait]
+impl ServiceEdge for UnusedSides {
+    async fn serve(&self, _: NodeServices, _: watch::Receiver<bool>) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn read_seeds(&self) -> Option<Vec<SocketAddr>> {
+        None
+    }
+}
+
+/// What is asked of the leaseholder.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    kind: &'static str,
+    text: String,
+    act: StatementAct,
+    step: TransactionStep,
+    opens: Option<TransactionMode>,
+    values: SessionValues,
+    last_write: Option<LogPosition>,
+}
+
+impl Ask {
+    pub fn new(kind: &'static str, text: &str) -> Self {
+        let access = match kind {
+            WRITE => AccessMode::Write,
+            _ => AccessMode::Read,
+        };
+        Self {
+            kind,
+            text: text.to_owned(),
+            act: StatementAct::Text(access),
+            step: TransactionStep::Single,
+            opens: None,
+            values: SessionValues::new(),
+            last_write: None,
+        }
+    }
+
+    pub fn last_write(mut self, position: LogPosition) -> Self {
+        self.last_write = Some(position);
+        self
+    }
+
+    pub fn value(mut self, name: &str, value: &str) -> Self {
+        self.values.insert(name.to_owned(), value.to_owned());
+        self
+    }
+
+    pub fn step(mut self, step: TransactionStep) -> Self {
+        self.step = step;
+        if matches!(step, TransactionStep::Begin(_)) {
+            self.opens = Some(TransactionMode::ReadWrite);
+        }
+        if matches!(step, TransactionStep::Commit(_)) {
+            self.act = StatementAct::Commit;
+        }
+        self
+    }
+
+    fn into_request(self) -> StatementRequest {
+        StatementRequest {
+            id: StatementId::fresh(),
+            customer: "omuti".into(),
+            session: "clerk".into(),
+            group: "cases".into(),
+            marks: RequestMarks {
+                kind: Some(self.kind.into()),
+                ..RequestMarks::default()
+            },
+            text: self.text,
+            parameters: None,
+            step: self.step,
+            spent_ms: 0,
+            context: Some(Box::new(SessionContext {
+                caller_id: "a1".to_owned(),
+                act: self.act,
+                opens: self.opens,
+                values: self.values,
+                last_write: self.last_write,
+            })),
+        }
+    }
+}
+
+/// The running leaseholder and all around it.
+pub struct NativeBench {
+    pub endpoints: Vec<ScriptedEndpoint>,
+    pub promotions: Arc<ScriptedPromotions>,
+    pub view: watch::Sender<MemberView>,
+    inbox: mpsc::Sender<GroupEvent>,
+    sequence: u64,
+    _control: ServerHandle,
+    _task: JoinHandle<()>,
+    _standby: JoinHandle<()>,
+}
+
+pub fn position(index: u64) -> LogPosition {
+    LogPosition::new(GroupTerm(1), index)
+}
+
+impl NativeBench {
+    /// Starts with a primary and two replicas whose logs have these lengths; none is announced yet.
+    pub async fn start(lengths: [u64; 3]) -> Self {
+        let mut endpoints = Vec::new();
+        for (index, length) in lengths.into_iter().enumerate() {
+            let role = match index {
+                0 => InstanceRole::Primary,
+                _ => InstanceRole::Replica,
+            };
+            let name = format!("cases-{}", index + 1);
+            endpoints.push(ScriptedEndpoint::start(&name, role, position(length)).await);
+        }
+        let (control_address, control) = start_control().await;
+        let settings = Arc::new(create_settings(control_address));
+        let record = create_record();
+        let (view, _) = watch::channel(create_view(&record));
+        let (_, seeds) = watch::channel(Vec::new());
+        let (standby, standby_task) = spawn_standby(view.subscribe());
+        let context = Arc::new(GroupContext {
+            directory: ControlDirectory::new(Arc::clone(&settings), seeds, view.subscribe()),
+            settings,
+            clock: NodeClock::start(),
+            links: PeerLinks::new(Duration::from_secs(5)),
+            standby,
+            metrics: DaemonMetrics::new(),
+        });
+        let promotions = Arc::new(ScriptedPromotions::default());
+        let edges = NativeEdges {
+            callers: Arc::new(UnusedSides),
+            endpoints: Arc::new(TestLines),
+            promotions: promotions.clone(),
+            services: Arc::new(UnusedSides),
+        };
+        let (inbox, events) = mpsc::channel(64);
+        let task = spawn_native_group(context, edges, record, view.subscribe(), events);
+        Self {
+            endpoints,
+            promotions,
+            view,
+            inbox,
+            sequence: 0,
+            _control: control,
+            _task: task,
+            _standby: standby_task,
+        }
+    }
+
+    /// Announces an endpoint as it stands.
+    pub async fn announce(&mut self, index: usize, leaving: bool) {
+        self.sequence += 1;
+        let (name, role) = {
+            let script = self.endpoints[index].script();
+            (script.name.clone(), script.role)
+        };
+        let address = self.endpoints[index].address;
+        let announcement = EndpointAnnouncement {
+            group: "cases".into(),
+            instance: name.as_str().into(),
+            domain: "north".into(),
+            data_address: address,
+            agent_address: address,
+            slots: 2,
+            connections: 16,
+            status: InstanceStatus {
+                role,
+                fenced_term: GroupTerm(0),
+                position: LogPosition::default(),
+                leaving,
+            },
+            sequence: self.sequence,
+        };
+        let event = GroupEvent::Announced(Box::new(announcement));
+        self.inbox.send(event).await.unwrap();
+    }
+
+    /// Announces all endpoints and waits until a write is served.
+    pub async fn settle(&mut self) {
+        for index in 0..self.endpoints.len() {
+            self.announce(index, false).await;
+        }
+        let reply = self.ask(Ask::new(WRITE, "write settled")).await;
+        assert!(matches!(reply.verdict, RequestVerdict::Ran(_)), "{reply:?}");
+    }
+
+    /// Sends a statement; its reply comes by the receiver.
+    pub async fn send(&self, ask: Ask) -> oneshot::Receiver<StatementReply> {
+        let (reply, answer) = oneshot::channel();
+        let event = GroupEvent::Statement(Box::new(ask.into_request()), reply);
+        self.inbox.send(event).await.unwrap();
+        answer
+    }
+
+    /// Sends a statement and waits for its reply.
+    pub async fn ask(&self, ask: Ask) -> StatementReply {
+        self.send(ask).await.await.unwrap()
+    }
+
+    /// Waits until the leaseholder shows this state in its dump.
+    pub async fn wait_for(&self, holds: impl Fn(&serde_json::Value) -> bool) {
+        loop {
+            let (reply, answer) = oneshot::channel();
+            self.inbox.send(GroupEvent::Dump(reply)).await.unwrap();
+            if holds(&answer.await.unwrap()) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Waits until an endpoint was sent a command that begins so.
+    pub async fn wait_for_command(&self, index: usize, start: &str) {
+        wait_until(|| {
+            let script = self.endpoints[index].script();
+            script
+                .commands
+                .iter()
+                .any(|(_, line)| line.starts_with(start))
+        })
+        .await;
+    }
+
+    /// Counts how often a statement ran on all endpoints together.
+    pub fn count_runs(&self, text: &str) -> usize {
+        let scripts = self.endpoints.iter().map(ScriptedEndpoint::script);
+        scripts
+            .map(|script| script.ran.iter().filter(|ran| ran.text == text).count())
+            .sum()
+    }
+}
+
+/// Says whether a verdict is the endpoint's own answer.
+pub fn is_served(reply: &StatementReply) -> bool {
+    matches!(
+        reply.verdict,
+        RequestVerdict::Ran(StatementAnswer::Tagged(_))
+    )
+}
+
+/// Starts a control VM that commits every command at the next revision.
+async fn start_control() -> (SocketAddr, ServerHandle) {
+    let mut module = RpcModule::new(AtomicU64::new(100));
+    module
+        .register_method(
+            "peer_propose",
+            |_, revision, _| -> RpcResult<serde_json::Value> {
+                let next = revision.fetch_add(1, Ordering::Relaxed);
+                let outcome = CatalogOutcome::Done(CatalogRevision(next));
+                Ok(serde_json::to_value(CommandReply::Committed(outcome)).unwrap())
+            },
+        )
+        .unwrap();
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let address = server.local_addr().unwrap();
+    (address, server.start(module))
+}
+
+fn create_settings(control: SocketAddr) -> DaemonSettings {
+    let text = format!(
+        "
+vm: vm-1
+domain: north
+roles: {{ gateway: false }}
+listen: {{ peers: 127.0.0.1:2, platform: 127.0.0.1:3 }}
+control:
+  - {{ vm: vm-9, address: {control} }}
+timing: {{ announce_lost_ms: 60000, connect_timeout_ms: 400, idle_ping_ms: 60000 }}
+"
+    );
+    DaemonSettings::from_yaml(&text).unwrap()
+}
+
+fn create_record() -> GroupRecord {
+    GroupRecord {
+        placement: GroupPlacement {
+            group: "cases".into(),
+            epoch: PlacementEpoch(1),
+            leaseholder: "vm-1".into(),
+            standbys: Default::default(),
+        },
+        term: GroupTerm(0),
+        term_epoch: PlacementEpoch(0),
+        primary: None,
+        start: LogPosition::default(),
+        instances: Default::default(),
+        journal_epoch: PlacementEpoch(0),
+    }
+}
+
+fn create_contract() -> CustomerContract {
+    let fresh = KindTerms {
+        access: AccessMode::Read,
+        repeat: RepeatRule::Idempotent,
+        urgency: UrgencyClass::Ordinary,
+        length: LengthClass::Short,
+        max_age_ms: 0,
+        deadline_ms: LONG_MS,
+    };
+    let aged = KindTerms {
+        max_age_ms: 2_500,
+        ..fresh
+    };
+    let write = KindTerms {
+        access: AccessMode::Write,
+        repeat: RepeatRule::Never,
+        ..fresh
+    };
+    let kinds = [(AGED, aged), (FRESH, fresh), (WRITE, write)];
+    CustomerContract {
+        customer: "omuti".into(),
+        groups: vec!["cases".into()],
+        kinds: kinds.map(|(name, terms)| (name.into(), terms)).into(),
+        default_kind: WRITE.into(),
+        slot_share: 1,
+        connection_limit: 16,
+        queue_limit: 64,
+        session_limit: 64,
+    }
+}
+
+fn create_view(record: &GroupRecord) -> MemberView {
+    let contract = VersionedContract {
+        version: ContractVersion(1),
+        change_id: ChangeId::fresh(),
+        contract: create_contract(),
+    };
+    let member = MemberRecord {
+        id: MemberId {
+            vm: "vm-1".into(),
+            incarnation: VmIncarnation(1),
+        },
+        domain: "north".into(),
+        peer_address: "127.0.0.1:2".parse().unwrap(),
+        draining: false,
+        traits: MemberTraits::default(),
+    };
+    let terms = GroupTerms {
+        group: "cases".into(),
+        connections: 16,
+        synchronous_replicas: 0,
+        idle_transaction_ms: 60_000,
+    };
+    let items = vec![
+        CatalogItem::Contract(Box::new(contract)),
+        CatalogItem::Group(Box::new(record.clone())),
+        CatalogItem::Member(member),
+        CatalogItem::GroupTerms(terms),
+    ];
+    let revision = CatalogRevision(1);
+    let mut copy = CatalogCopy::new();
+    let delta = CatalogDelta {
+        from: None,
+        to: revision,
+        items,
+    };
+    copy.apply_delta(&delta).unwrap();
+    let mut lease = MemberLease::new();
+    let grant = LeaseGrant {
+        lease_ms: 3_600_000,
+        revision,
+        delta: None,
+    };
+    lease.renew(Default::default(), &grant, revision);
+    MemberView {
+        copy: Arc::new(copy),
+        lease,
+        draining: false,
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/native/codec.rs
@@ -0,0 +1,121 @@
+//! A protocol of single words and lines, for scripted endpoints.
+
+use bytes::Buf;
+use bytes::BytesMut;
+use ragwort_types::EndpointFault;
+use ragwort_types::FaultSort;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceRole;
+use ragwort_types::LogPosition;
+use ragwort_types::TransactionMode;
+use ragwortgated::edges::EndpointCommand;
+use ragwortgated::edges::EndpointEnd;
+use ragwortgated::edges::EndpointMessage;
+use ragwortgated::edges::EndpointProtocol;
+use ragwortgated::edges::EndpointReport;
+use ragwortgated::edges::ProtocolFault;
+use ragwortgated::edges::SessionState;
+
+/// The faults that scripts use, by the word that stands for them.
+const FAULTS: [(&str, FaultSort); 4] = [
+    ("lagging", FaultSort::Lagging),
+    ("readonly", FaultSort::ReadOnly),
+    ("wrong", FaultSort::WrongInstance),
+    ("failed", FaultSort::Failed),
+];
+
+pub struct TestLines;
+
+pub fn fault_word(sort: FaultSort) -> &'static str {
+    let found = FAULTS.iter().find(|(_, known)| *known == sort);
+    found.expect("scripts use few faults").0
+}
+
+pub fn read_position(text: &str) -> Option<LogPosition> {
+    let (term, index) = text.split_once('/')?;
+    Some(LogPosition::new(
+        GroupTerm(term.parse().ok()?),
+        index.parse().ok()?,
+    ))
+}
+
+fn show(after: &Option<LogPosition>) -> String {
+    after.map_or_else(|| "-".to_owned(), |position| position.to_string())
+}
+
+impl EndpointProtocol for TestLines {
+    fn encode(&self, command: &EndpointCommand, buffer: &mut BytesMut) {
+        let line = match command {
+            EndpointCommand::Open { instance, .. } => format!("open {instance}"),
+            EndpointCommand::Begin { mode, after } => {
+                let mode = match mode {
+                    TransactionMode::ReadOnly => "ro",
+                    TransactionMode::ReadWrite => "rw",
+                };
+                format!("begin {} {mode}", show(after))
+            }
+            EndpointCommand::Run { text, after, .. } => format!("run {} {text}", show(after)),
+            EndpointCommand::Execute {
+                shape, arguments, ..
+            } => format!("execute {} {arguments}", shape.shape),
+            EndpointCommand::Commit { .. } => "commit".to_owned(),
+            EndpointCommand::Rollback => "rollback".to_owned(),
+            EndpointCommand::Set { name, value } => format!("set {name} {value}"),
+            EndpointCommand::Prepare(shape) => format!("prepare {}", shape.shape),
+            EndpointCommand::Reset => "reset".to_owned(),
+            EndpointCommand::Describe => "describe".to_owned(),
+            EndpointCommand::Pause(term) => format!("pause {term}"),
+            EndpointCommand::Resume => "resume".to_owned(),
+            EndpointCommand::StepDown(term) => format!("stepdown {term}"),
+        };
+        buffer.extend_from_slice(line.as_bytes());
+        buffer.extend_from_slice(b"\n");
+    }
+
+    fn decode(&self, buffer: &mut BytesMut) -> Result<Option<EndpointMessage>, ProtocolFault> {
+        let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
+            return Ok(None);
+        };
+        let line = buffer.split_to(end);
+        buffer.advance(1);
+        let line = std::str::from_utf8(&line).map_err(|_| ProtocolFault::NotText)?;
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        Ok(Some(match word {
+            "row" => EndpointMessage::Row(rest.to_owned()),
+            "done" => EndpointMessage::Complete(rest.to_owned()),
+            "fault" => {
+                let known = FAULTS.iter().find(|(name, _)| *name == rest);
+                EndpointMessage::Fault(EndpointFault {
+                    sort: known.ok_or(ProtocolFault::Malformed)?.1,
+                    text: rest.to_owned(),
+                })
+            }
+            "ready" => {
+                let (state, position) = rest.split_once(' ').ok_or(ProtocolFault::Malformed)?;
+                EndpointMessage::Ready(EndpointEnd {
+                    state: match state {
+                        "open" => SessionState::Open,
+                        "failed" => SessionState::Failed,
+                        _ => SessionState::Idle,
+                    },
+                    position: read_position(position),
+                })
+            }
+            _ => return Err(ProtocolFault::Malformed),
+        }))
+    }
+
+    fn read_report(&self, row: &str) -> Option<EndpointReport> {
+        let mut words = row.split(' ');
+        let role = match words.next()? {
+            "primary" => InstanceRole::Primary,
+            _ => InstanceRole::Replica,
+        };
+        let received = read_position(words.next()?)?;
+        Some(EndpointReport {
+            role,
+            term: received.term,
+            received,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/native/endpoint.rs
@@ -0,0 +1,174 @@
+//! A scripted endpoint: a log of a certain length, a role, and faults on demand.
+
+use crate::codec::fault_word;
+use crate::codec::read_position;
+use ragwort_types::FaultSort;
+use ragwort_types::InstanceRole;
+use ragwort_types::LogPosition;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// What an endpoint does and has seen.
+pub struct EndpointScript {
+    pub name: String,
+    pub role: InstanceRole,
+    pub position: LogPosition,
+    /// Whether it holds back what it is asked about itself.
+    pub hides: bool,
+    /// Whether it answers nothing any more, on any connection.
+    pub silent: bool,
+    /// The fault of the next statements with this text.
+    pub faults: Vec<(String, FaultSort)>,
+    /// All statements that ran: connection, text, and where the log stood.
+    pub ran: Vec<RanStatement>,
+    /// Every command with its connection.
+    pub commands: Vec<(usize, String)>,
+    connections: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RanStatement {
+    pub connection: usize,
+    pub text: String,
+    pub position: LogPosition,
+}
+
+pub struct ScriptedEndpoint {
+    pub address: SocketAddr,
+    script: Arc<Mutex<EndpointScript>>,
+    task: Option<JoinHandle<()>>,
+}
+
+impl ScriptedEndpoint {
+    pub async fn start(name: &str, role: InstanceRole, position: LogPosition) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let script = Arc::new(Mutex::new(EndpointScript {
+            name: name.to_owned(),
+            role,
+            position,
+            hides: false,
+            silent: false,
+            faults: Vec::new(),
+            ran: Vec::new(),
+            commands: Vec::new(),
+            connections: 0,
+        }));
+        let task = tokio::spawn(serve(listener, Arc::clone(&script)));
+        Self {
+            address,
+            script,
+            task: Some(task),
+        }
+    }
+
+    pub fn script(&self) -> MutexGuard<'_, EndpointScript> {
+        self.script.lock().unwrap()
+    }
+
+    /// Ends the process: connections break and nobody listens any more.
+    pub async fn kill(&mut self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, script: Arc<Mutex<EndpointScript>>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let number = {
+            let mut script = script.lock().unwrap();
+            script.connections += 1;
+            script.connections
+        };
+        connections.spawn(answer(stream, number, Arc::clone(&script)));
+    }
+}
+
+async fn answer(stream: TcpStream, number: usize, script: Arc<Mutex<EndpointScript>>) {
+    let (reading, mut writing) = stream.into_split();
+    let mut lines = BufReader::new(reading).lines();
+    let mut state = "idle";
+    while let Ok(Some(line)) = lines.next_line().await {
+        while is_held(&script, &line) {
+            sleep(Duration::from_millis(2)).await;
+        }
+        let reply = script.lock().unwrap().reply(number, &line, &mut state);
+        if writing.write_all(reply.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn is_held(script: &Mutex<EndpointScript>, line: &str) -> bool {
+    let script = script.lock().unwrap();
+    script.silent || (script.hides && line == "describe")
+}
+
+impl EndpointScript {
+    fn reply(&mut self, connection: usize, line: &str, state: &mut &'static str) -> String {
+        self.commands.push((connection, line.to_owned()));
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let body = match word {
+            "open" if rest != self.name => return "fault wrong\n".to_owned(),
+            "describe" => {
+                let role = match self.role {
+                    InstanceRole::Primary => "primary",
+                    InstanceRole::Replica => "replica",
+                };
+                format!("row {role} {}\ndone -\n", self.position)
+            }
+            "begin" => {
+                *state = "open";
+                "done -\n".to_owned()
+            }
+            "commit" | "rollback" => {
+                *state = "idle";
+                self.run(connection, "-", word)
+            }
+            "run" | "execute" => {
+                let (after, text) = rest.split_once(' ').unwrap_or(("-", rest));
+                self.run(connection, after, text)
+            }
+            _ => "done -\n".to_owned(),
+        };
+        format!("{body}ready {state} {}\n", self.position)
+    }
+
+    fn run(&mut self, connection: usize, after: &str, text: &str) -> String {
+        if read_position(after).is_some_and(|after| after > self.position) {
+            return format!("fault {}\n", fault_word(FaultSort::Lagging));
+        }
+        if let Some(place) = self.faults.iter().position(|(known, _)| known == text) {
+            let (_, sort) = self.faults.remove(place);
+            return format!("fault {}\n", fault_word(sort));
+        }
+        let writes = text.starts_with("write") || text == "commit";
+        if writes && self.role == InstanceRole::Replica {
+            return format!("fault {}\n", fault_word(FaultSort::ReadOnly));
+        }
+        if writes {
+            self.position.index += 1;
+        }
+        self.ran.push(RanStatement {
+            connection,
+            text: text.to_owned(),
+            position: self.position,
+        });
+        format!("row {text}\ndone {}\n", self.name)
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/native/main.rs
@@ -0,0 +1,8 @@
+//! The leaseholder of a group whose databases keep terms of their own, against scripted endpoints.
+
+#[macro_use]
+mod cases;
+mod bench;
+mod codec;
+mod endpoint;
+mod freshness;
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -27,7 +27,7 @@
 use ragwort_types::LogPosition;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
-use ragwort_types::MemberRoles;
+use ragwort_types::MemberTraits;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::RepeatRule;
 use ragwort_types::RequestKey;
@@ -161,7 +161,7 @@
             domain: "windhoek-a".into(),
             peer_address: address,
             draining: false,
-            roles: MemberRoles::default(),
+            traits: MemberTraits::default(),
         };
         items.push(CatalogItem::Member(member));
     }
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -72,26 +72,42 @@
     pub peer_address: SocketAddr,
     /// Whether it is shutting down and takes no new groups.
     pub draining: bool,
-    /// What it may be used for.
+    /// What it may be used for, and what is known of its process.
     #[serde(default)]
-    pub roles: MemberRoles,
+    pub traits: MemberTraits,
 }
 
-/// What a member may be used for.
+/// What a member may be used for, and what is known of its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberRoles {
+pub struct MemberTraits {
     /// Whether it holds the agreed log.
     pub control: bool,
     /// Whether it may lead groups and hold their journals. A VM with a slow processor or a narrow
     /// link can't carry a group's traffic.
     pub leaseholder: bool,
+    /// Whether no other process of the VM can be running: it listens where the former one did.
+    pub exclusive: bool,
 }
 
-impl Default for MemberRoles {
+impl MemberRecord {
+    /// Says whether this process can take its predecessor's place at once, because that one has
+    /// ended for certain.
+    ///
+    /// Otherwise its lease may run, and two processes would serve one group. Where both listen at
+    /// one address and nothing else may, the later one's being there shows that the former is gone.
+    pub fn succeeds_at_once(&self, former: &MemberRecord) -> bool {
+        let exclusive = self.traits.exclusive && former.traits.exclusive;
+        let same_place = self.id.vm == former.id.vm && self.peer_address == former.peer_address;
+        exclusive && same_place && self.id.incarnation > former.id.incarnation
+    }
+}
+
+impl Default for MemberTraits {
     fn default() -> Self {
         Self {
             control: false,
             leaseholder: true,
+            exclusive: false,
         }
     }
 }
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -20,6 +20,7 @@
 use crate::SessionName;
 use crate::StatementId;
 use crate::TransactionId;
+use crate::VmIncarnation;
 use crate::VmName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -120,8 +121,9 @@
     Granted(LeaseGrant),
     /// The member isn't in the catalog yet, or control has no leader; ask again.
     NotYet,
-    /// Another process has joined under this VM's name; this one must stop.
-    Superseded,
+    /// A process of this VM with this later incarnation was known. One that has held a lease must
+    /// stop; one that has just started only has a clock that went back.
+    Superseded(VmIncarnation),
 }
 
 /// A granted lease.
