--- a/crates/control/tests/agreement_failures.rs
+++ b/crates/control/tests/agreement_failures.rs
@@ -235,6 +235,31 @@
         network.expect_recovery();
     }
 
+    /// A VM was away for so long that it was removed from the voters; its disk is whole. It still
+    /// believes to be a voter and asks for votes, which nobody gives. Once the leader lets its VM
+    /// join again it must be caught up and vote, or the log would go on with one voter less for good.
+    removed_voter_returns_with_its_disk(network, leader) of 5 {
+        let away = (leader + 1) % 5;
+        let vm = network.vms[away].name.clone();
+        network.commit_at(leader, 5);
+        network.crash(away);
+        network.run(40);
+        network.vms[leader].node_mut().remove_vm(&vm).unwrap();
+        network.run(20);
+        network.commit_at(leader, 20);
+        network.restart(away);
+        network.run(60);
+        assert!(!network.vms[leader].node().is_member(&vm));
+        network.vms[leader].node_mut().admit_vm(vm).unwrap();
+        network.run_until(300, "it votes again", |network| {
+            let node = network.vms[leader].node();
+            node.voters().len() == 5 && node.repairs_pending().is_empty()
+        });
+        let present = network.wait_for_leader();
+        network.commit_at(present, 3);
+        network.expect_recovery();
+    }
+
     /// The clock of a VM that lost its disk has gone back, so that its new incarnation is lower
     /// than the lost one. It learns the latest and takes a later one, instead of being taken for a
     /// leftover and refused for good.
--- a/crates/control/tests/state/charts.rs
+++ b/crates/control/tests/state/charts.rs
@@ -3,6 +3,7 @@
 use ragwort_control::ChartName;
 use ragwort_control::StateChart;
 use ragwort_control::promotion_chart;
+use ragwort_control::replacement_chart;
 use ragwort_control::vocabulary::ConnectionAction;
 use ragwort_control::vocabulary::ConnectionEvent;
 use ragwort_control::vocabulary::ConnectionGuard;
@@ -21,6 +22,7 @@
         assert_eq!(membership_chart().find_gaps(), none);
         assert_eq!(drain_chart().find_gaps(), none);
         assert_eq!(connection_chart().find_gaps(), none);
+        assert_eq!(replacement_chart().find_gaps(), none);
     }
 }
 
--- a/crates/control/tests/state/leases.rs
+++ b/crates/control/tests/state/leases.rs
@@ -74,15 +74,20 @@
     lease: MemberLease,
     copy: CatalogCopy,
     stopped: BTreeMap<GroupName, GroupPlacement>,
+    /// Whether the process is gone; its last messages may still arrive.
+    ended: bool,
 }
 
 impl ProcessModel {
-    fn new(vm: u8, incarnation: u64) -> Self {
+    fn new(vm: u8, incarnation: u64, exclusive: bool) -> Self {
+        let mut record = member(u64::from(vm), incarnation);
+        record.traits.exclusive = exclusive;
         Self {
-            record: member(u64::from(vm), incarnation),
+            record,
             lease: MemberLease::new(),
             copy: CatalogCopy::new(),
             stopped: BTreeMap::new(),
+            ended: false,
         }
     }
 
@@ -119,20 +124,25 @@
     proposals: Vec<CatalogCommand>,
     now: ClockTime,
     served: usize,
+    /// Whether a restarted process shows that its predecessor has ended.
+    exclusive: bool,
 }
 
 impl LeaseModel {
-    fn new() -> Self {
+    fn new(exclusive: bool) -> Self {
         Self {
             script: CatalogScript::with_members(0),
             ledger: LeaseLedger::new(ClockTime::from_millis(0), LEASE, ELECTION),
             former: None,
-            processes: (0..VMS).map(|vm| ProcessModel::new(vm, 1)).collect(),
+            processes: (0..VMS)
+                .map(|vm| ProcessModel::new(vm, 1, exclusive))
+                .collect(),
             heartbeats: Vec::new(),
             grants: Vec::new(),
             proposals: Vec::new(),
             now: ClockTime::from_millis(1),
             served: 0,
+            exclusive,
         }
     }
 
@@ -157,11 +167,7 @@
                 }
             }
             LeaseStep::Elect(byte) => self.elect(byte),
-            LeaseStep::Restart(byte) => {
-                let incarnation = 1 + self.processes.len() as u64;
-                self.processes
-                    .push(ProcessModel::new(byte % VMS, incarnation));
-            }
+            LeaseStep::Restart(byte) => self.restart(byte % VMS),
             LeaseStep::Drain(byte) => self.drain(usize::from(byte) % self.processes.len()),
             LeaseStep::Wait(millis) => {
                 self.now = self.now + Duration::from_millis(u64::from(millis));
@@ -170,8 +176,23 @@
         self.check();
     }
 
+    fn restart(&mut self, vm: u8) {
+        let incarnation = 1 + self.processes.len() as u64;
+        let fresh = ProcessModel::new(vm, incarnation, self.exclusive);
+        let former = self.processes.iter_mut();
+        let former = former.filter(|process| process.record.id.vm == fresh.record.id.vm);
+        for process in former.filter(|_| self.exclusive) {
+            process.lease.supersede();
+            process.ended = true;
+        }
+        self.processes.push(fresh);
+    }
+
     fn send(&mut self, process: usize) {
         let sender = &self.processes[process];
+        if sender.ended {
+            return;
+        }
         let request = HeartbeatRequest {
             member: sender.record.clone(),
             revision: sender.copy.revision(),
@@ -263,13 +284,29 @@
     }
 }
 
+case! {
+    /// Daemons are killed and started again at the address where they listened before, which shows
+    /// that the former process has ended. They take its place at once; even so, with messages of the
+    /// former process still on their way, no group may be led by two processes.
+    successors_at_once_lead_alone {
+        let served = run_seeds(0x6c65_4000, 2_000, 400, |steps: Vec<LeaseStep>| {
+            let mut model = LeaseModel::new(true);
+            for step in steps {
+                model.step(step);
+            }
+            model.served
+        });
+        assert!(served > 100_000, "groups were led at {served} checks only");
+    }
+}
+
 case! {
     /// Heartbeats, grants and proposals are late, daemons restart beside their former process,
     /// leaders change and the former one goes on for a while. Two leaders of one group at a time
     /// would both acknowledge writes, and callers would lose some of them.
     no_group_is_led_by_two_processes {
         let served = run_seeds(0x6c65_0000, 2_000, 400, |steps: Vec<LeaseStep>| {
-            let mut model = LeaseModel::new();
+            let mut model = LeaseModel::new(false);
             for step in steps {
                 model.step(step);
             }
--- a/crates/control/tests/state/membership.rs
+++ b/crates/control/tests/state/membership.rs
@@ -179,6 +179,65 @@
     }
 }
 
+/// A heartbeat of a process that listens where nothing else may.
+fn exclusive_heartbeat(number: u64, incarnation: u64, revision: u64) -> HeartbeatRequest {
+    let mut request = heartbeat(number, incarnation, revision);
+    request.member.traits.exclusive = true;
+    request
+}
+
+case! {
+    /// All control VMs lose power and come back. Their processes listen where the former ones did,
+    /// so those have ended for certain. If they waited for the former leases all the same, callers
+    /// would be refused for seconds after everything is up again.
+    process_at_its_predecessors_address_takes_its_place_at_once {
+        let mut script = CatalogScript::with_members(0);
+        let mut ledger = ledger();
+        let first = exclusive_heartbeat(1, 1, 0);
+        ledger.receive(at(10), &first, &script.state);
+        for command in ledger.due_commands(at(11), &script.state) {
+            script.expect_done(command);
+        }
+        script.expect_done(CatalogCommand::AdmitMember(member(2, 1)));
+        let names = [GroupName::from("cases")];
+        let live = live_members(&script);
+        let plan = plan_placements(&script.state, &live, &names).remove(0);
+        let epoch = plan.epoch;
+        script.expect_done(CatalogCommand::PlaceGroup(plan));
+        let mut successor = LeaseLedger::new(at(100), LEASE, ELECTION);
+        let back = exclusive_heartbeat(1, 2, 0);
+        assert_eq!(successor.receive(at(101), &back, &script.state), LeaseDecision::NotYet);
+        let due = successor.due_commands(at(102), &script.state);
+        assert_eq!(due, vec![CatalogCommand::AdmitMember(back.member.clone())]);
+        script.expect_done(due[0].clone());
+        // What the former process holds of the group's journal is gone with it.
+        let record = script.state.group(&names[0]).unwrap();
+        assert!(record.placement.epoch > epoch);
+        let revision = script.state.revision().0;
+        let granted = successor.receive(at(103), &exclusive_heartbeat(1, 2, revision), &script.state);
+        assert_eq!(granted, LeaseDecision::Grant(LEASE));
+        let former = successor.receive(at(104), &first, &script.state);
+        assert_eq!(former, LeaseDecision::Superseded);
+    }
+}
+
+case! {
+    /// A VM's name turns up at another address while the former process may run. It must wait for
+    /// the former lease like any other.
+    process_at_another_address_waits {
+        let mut script = CatalogScript::with_members(0);
+        let mut ledger = ledger();
+        ledger.receive(at(10), &exclusive_heartbeat(1, 1, 0), &script.state);
+        for command in ledger.due_commands(at(11), &script.state) {
+            script.expect_done(command);
+        }
+        let mut moved = exclusive_heartbeat(1, 2, 0);
+        moved.member.peer_address = "127.0.0.2:7000".parse().unwrap();
+        assert_eq!(ledger.receive(at(12), &moved, &script.state), LeaseDecision::NotYet);
+        assert!(ledger.due_commands(at(13), &script.state).is_empty());
+    }
+}
+
 case! {
     /// A change is accepted while one member is silent and another can't apply deltas. The operator
     /// must see "in force" once both leases have ended, and not before.
--- /dev/null
+++ b/crates/control/tests/state/native_roles.rs
@@ -0,0 +1,83 @@
+//! Which instance is taken for the primary when instances disagree.
+
+use ragwort_control::ClockTime;
+use ragwort_control::RoleBoard;
+use ragwort_control::RoleReport;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceName;
+use ragwort_types::InstanceRole;
+use ragwort_types::LogPosition;
+
+const NOW: ClockTime = ClockTime(1);
+
+fn name(number: u64) -> InstanceName {
+    InstanceName::from(format!("cases-{number}"))
+}
+
+fn report(role: InstanceRole, term: u64) -> RoleReport {
+    RoleReport {
+        role,
+        term: GroupTerm(term),
+        received: LogPosition::new(GroupTerm(term), 10),
+    }
+}
+
+fn claim(board: &mut RoleBoard, number: u64, term: u64) {
+    board.hear(NOW, &name(number), InstanceRole::Primary, false);
+    board.take_report(NOW, &name(number), report(InstanceRole::Primary, term));
+}
+
+fn primary(board: &RoleBoard) -> Option<(InstanceName, u64)> {
+    let found = board.primary();
+    found.map(|(instance, term)| (instance.clone(), term.0))
+}
+
+case! {
+    /// A former primary behind a cut goes on calling itself the primary, and its announcements come
+    /// by another way. Writes must go to the one of the later term.
+    later_term_decides {
+        let mut board = RoleBoard::default();
+        claim(&mut board, 1, 3);
+        claim(&mut board, 2, 4);
+        assert_eq!(primary(&board), Some((name(2), 4)));
+        board.hear(NOW, &name(1), InstanceRole::Primary, false);
+        assert_eq!(primary(&board), Some((name(2), 4)));
+    }
+}
+
+case! {
+    /// An instance calls itself the primary and hasn't said in which term. It may be one that was
+    /// replaced long ago: what it holds must not be taken for all that there is.
+    claim_without_a_term_counts_for_nothing {
+        let mut board = RoleBoard::default();
+        board.hear(NOW, &name(1), InstanceRole::Primary, false);
+        assert_eq!(primary(&board), None);
+        assert!(board.needs_report(&name(1)));
+    }
+}
+
+case! {
+    /// The primary of term 4 is gone, and that of term 3 still calls itself the primary. It lacks
+    /// what was acknowledged since, so the group has no primary rather than this one.
+    earlier_primary_is_not_taken_back {
+        let mut board = RoleBoard::default();
+        claim(&mut board, 1, 3);
+        claim(&mut board, 2, 4);
+        board.forget(&name(2));
+        assert_eq!(primary(&board), None);
+    }
+}
+
+case! {
+    /// The primary refuses a write: it was replaced and hasn't announced that yet. It must be asked
+    /// before it is trusted again.
+    refused_write_ends_a_claim {
+        let mut board = RoleBoard::default();
+        claim(&mut board, 1, 3);
+        board.see_refused_write(NOW, &name(1));
+        assert_eq!(primary(&board), None);
+        board.hear(NOW, &name(1), InstanceRole::Primary, false);
+        assert!(board.needs_report(&name(1)));
+        assert_eq!(primary(&board), None);
+    }
+}
