--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -267,12 +267,17 @@
 
     /// Announces an endpoint as it stands.
     pub async fn announce(&mut self, index: usize, leaving: bool) {
+        let address = self.endpoints[index].address;
+        self.announce_at(index, leaving, address).await;
+    }
+
+    /// Announces an endpoint at an address that need not be its own.
+    pub async fn announce_at(&mut self, index: usize, leaving: bool, address: SocketAddr) {
         self.sequence += 1;
         let (name, role) = {
             let script = self.endpoints[index].script();
             (script.name.clone(), script.role)
         };
-        let address = self.endpoints[index].address;
         let announcement = EndpointAnnouncement {
             group: "cases".into(),
             instance: name.as_str().into(),
@@ -339,6 +344,61 @@
         .await;
     }
 
+    /// Waits until an endpoint holds back a command.
+    pub async fn wait_for_held(&self, index: usize, line: &str) {
+        wait_until(|| {
+            let script = self.endpoints[index].script();
+            script.held.iter().any(|held| held == line)
+        })
+        .await;
+    }
+
+    /// Waits until some endpoint holds back a command with this text, and returns its place.
+    pub async fn wait_for_any_held(&self, text: &str) -> usize {
+        let mut found = None;
+        wait_until(|| {
+            let scripts = self.endpoints.iter().map(ScriptedEndpoint::script);
+            let mut held = scripts.map(|script| script.held.join("\n"));
+            found = held.position(|held| held.contains(text));
+            found.is_some()
+        })
+        .await;
+        found.unwrap()
+    }
+
+    /// Waits until an order to promote was given, and returns the instance's place.
+    pub async fn wait_for_order(&self) -> usize {
+        let mut found = None;
+        wait_until(|| {
+            let orders = self.promotions.orders.lock().unwrap();
+            found = orders.first().map(|order| order.instance.clone());
+            found.is_some()
+        })
+        .await;
+        let found = found.unwrap();
+        let scripts = self.endpoints.iter().map(ScriptedEndpoint::script);
+        let mut names = scripts.map(|script| script.name.clone());
+        names.position(|name| name == found.as_str()).unwrap()
+    }
+
+    /// Makes an instance the primary of the next term, and announces it.
+    pub async fn promote(&mut self, index: usize) {
+        {
+            let mut script = self.endpoints[index].script();
+            script.role = InstanceRole::Primary;
+            script.position = LogPosition::new(GroupTerm(2), script.position.index);
+        }
+        self.announce(index, false).await;
+    }
+
+    /// Shows the leaseholder that another VM leads the group.
+    pub fn place_elsewhere(&self) {
+        let mut record = create_record();
+        record.placement.leaseholder = "vm-2".into();
+        record.placement.epoch = PlacementEpoch(2);
+        self.view.send_replace(create_view(&record));
+    }
+
     /// Counts how often a statement ran on all endpoints together.
     pub fn count_runs(&self, text: &str) -> usize {
         let scripts = self.endpoints.iter().map(ScriptedEndpoint::script);
--- a/crates/daemon/tests/native/endpoint.rs
+++ b/crates/daemon/tests/native/endpoint.rs
@@ -34,6 +34,8 @@
     pub ran: Vec<RanStatement>,
     /// Every command with its connection.
     pub commands: Vec<(usize, String)>,
+    /// The commands that came while it was silent.
+    pub held: Vec<String>,
     connections: usize,
 }
 
@@ -63,6 +65,7 @@
             faults: Vec::new(),
             ran: Vec::new(),
             commands: Vec::new(),
+            held: Vec::new(),
             connections: 0,
         }));
         let task = tokio::spawn(serve(listener, Arc::clone(&script)));
@@ -104,6 +107,9 @@
     let mut lines = BufReader::new(reading).lines();
     let mut state = "idle";
     while let Ok(Some(line)) = lines.next_line().await {
+        if is_held(&script, &line) {
+            script.lock().unwrap().held.push(line.clone());
+        }
         while is_held(&script, &line) {
             sleep(Duration::from_millis(2)).await;
         }
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -4,5 +4,7 @@
 mod cases;
 mod bench;
 mod codec;
+mod connections;
 mod endpoint;
+mod failover;
 mod freshness;
