Let a leaseholder without an endpoint in its failure domain hand the group over

Cause: leaseholders were placed by hash alone; one in a domain without an endpoint sent every statement between domains twice. Change: with the endpoints noted in the catalog, a successor is the VM nearest to a replica, and a leaseholder with no endpoint near hands over, at most each two seconds. The nearer place costs nothing while nothing was served yet.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -13,6 +13,8 @@
 use crate::CatalogState;
 use crate::digest::digest_bytes;
 use crate::digest::mix_bits;
+use crate::proximity::EndpointProximity;
+use crate::proximity::judge_proximity;
 use ragwort_types::DomainName;
 use ragwort_types::GroupName;
 use ragwort_types::GroupPlacement;
@@ -50,9 +52,8 @@
     planner.learn_domains(catalog.members());
     let mut plans = Vec::new();
     for record in catalog.groups() {
-        let present = &record.placement;
-        let kept = catalog.member(&present.leaseholder).is_some();
-        plans.extend(planner.replan_group(present, kept));
+        let kept = catalog.member(&record.placement.leaseholder).is_some();
+        plans.extend(planner.replan_group(record, kept));
     }
     for group in unplaced {
         if catalog.group(group).is_none() {
@@ -75,17 +76,45 @@
     planner.learn_domains(copy.members());
     let own = |record: &&GroupRecord| record.placement.leaseholder == *vm;
     let mut led: Vec<&GroupRecord> = copy.groups().filter(own).collect();
+    if !draining {
+        planner.count_keeper(copy.groups().count());
+    }
     let kept = match draining {
         true => 0,
-        false => load_cap(copy.groups().count(), others.len() + 1),
+        false => planner.lead_cap,
     };
     led.sort_by_key(|record| std::cmp::Reverse(score(&record.placement.group, vm)));
     let excess = led.into_iter().skip(kept);
     excess
-        .filter_map(|record| planner.hand_over_group(&record.placement))
+        .filter_map(|record| planner.hand_over_group(record))
         .collect()
 }
 
+/// Plans the groups that a leaseholder should hand over because their endpoints are far from it.
+///
+/// `unused` says that it has served nothing yet, so that a move costs nobody a pause.
+pub fn plan_approaches(copy: &CatalogCopy, vm: &VmName, unused: bool) -> Vec<GroupPlacement> {
+    let Some(own) = copy.member(vm) else {
+        return Vec::new();
+    };
+    let usable = |member: &&MemberRecord| can_lead(member) && member.id.vm != *vm;
+    let others: Vec<&MemberRecord> = copy.members().filter(usable).collect();
+    let mut planner = PlacementPlanner::new(&others, copy.groups(), 0);
+    planner.learn_domains(copy.members());
+    planner.count_keeper(copy.groups().count());
+    let led = copy
+        .groups()
+        .filter(|record| record.placement.leaseholder == *vm);
+    let mut plans = Vec::new();
+    for record in led {
+        let present = judge_proximity(record, &own.domain);
+        if present == EndpointProximity::Remote || unused {
+            plans.extend(planner.approach_endpoints(record, present));
+        }
+    }
+    plans
+}
+
 /// Returns the most groups that one of `vms` VMs should lead of `groups`.
 pub fn load_cap(groups: usize, vms: usize) -> usize {
     (groups * LOAD_PERCENT).div_ceil(vms.max(1) * 100)
@@ -128,6 +157,14 @@
         planner
     }
 
+    /// Counts the VM that hands groups over among those that share the load.
+    ///
+    /// Without it the others' cap would be higher than its own: each of two VMs would hand a group to
+    /// the other, which sheds it as too much, and its callers would be refused without end.
+    fn count_keeper(&mut self, groups: usize) {
+        self.lead_cap = load_cap(groups, self.usable.len() + 1);
+    }
+
     fn learn_domains(&mut self, members: impl Iterator<Item = &'a MemberRecord>) {
         let named = members.map(|member| (&member.id.vm, &member.domain));
         self.domains.extend(named);
@@ -151,14 +188,15 @@
         }
     }
 
-    fn replan_group(&mut self, present: &GroupPlacement, kept: bool) -> Option<GroupPlacement> {
+    fn replan_group(&mut self, record: &GroupRecord, kept: bool) -> Option<GroupPlacement> {
+        let present = &record.placement;
         if kept && self.is_settled(present) {
             return None;
         }
         self.uncount_placement(present);
         let leaseholder = match kept {
             true => Some(present.leaseholder.clone()),
-            false => self.choose_successor(present),
+            false => self.choose_successor(record),
         };
         let planned = leaseholder.map(|vm| self.fill_placement(present, vm));
         let changed = planned.filter(|planned| {
@@ -196,17 +234,56 @@
         Some(planned)
     }
 
-    fn hand_over_group(&mut self, present: &GroupPlacement) -> Option<GroupPlacement> {
+    fn hand_over_group(&mut self, record: &GroupRecord) -> Option<GroupPlacement> {
+        let present = &record.placement;
         self.uncount_placement(present);
         let planned = self
-            .choose_successor(present)
+            .choose_successor(record)
             .map(|vm| self.fill_placement(present, vm));
         self.count_placement(planned.as_ref().unwrap_or(present));
         planned
     }
 
-    /// Chooses who leads next: a usable standby before any other VM, because it holds the journal.
-    fn choose_successor(&self, present: &GroupPlacement) -> Option<VmName> {
+    /// Hands a group to a VM that is nearer to its endpoints, if one has room for it.
+    fn approach_endpoints(
+        &mut self,
+        record: &GroupRecord,
+        present: EndpointProximity,
+    ) -> Option<GroupPlacement> {
+        let (vm, proximity) = self.choose_nearest(record)?;
+        let room = self.led.get(&vm).copied().unwrap_or(0) < self.lead_cap;
+        if proximity <= present || !room {
+            return None;
+        }
+        self.uncount_placement(&record.placement);
+        let planned = self.fill_placement(&record.placement, vm);
+        self.count_placement(&planned);
+        Some(planned)
+    }
+
+    /// Returns the VM that is nearest to a group's endpoints among those with room for it.
+    fn choose_nearest(&self, record: &GroupRecord) -> Option<(VmName, EndpointProximity)> {
+        let group = &record.placement.group;
+        let ranked = self.usable.iter().map(|(vm, member)| {
+            let load = self.led.get(*vm).copied().unwrap_or(0);
+            let proximity = judge_proximity(record, &member.domain);
+            let room = load < self.lead_cap;
+            let rank = (room, proximity, std::cmp::Reverse(load), score(group, vm));
+            (rank, *vm)
+        });
+        let ((_, proximity, _, _), vm) = ranked.max()?;
+        Some((vm.clone(), proximity))
+    }
+
+    /// Chooses who leads next.
+    ///
+    /// Where a journal is kept it is a usable standby before any other VM, because it holds the
+    /// journal. Where the endpoints are noted there is no journal, and the nearest VM leads.
+    fn choose_successor(&self, record: &GroupRecord) -> Option<VmName> {
+        if !record.endpoints.is_empty() {
+            return self.choose_nearest(record).map(|(vm, _)| vm);
+        }
+        let present = &record.placement;
         let holders = present.standbys.iter();
         let usable = holders.filter(|vm| self.usable.contains_key(vm));
         let best = usable.min_by_key(|vm| {
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -14,5 +14,6 @@
 mod native_roles;
 mod positions;
 mod promotion;
+mod proximity;
 mod quorum;
 mod replacement;
--- a/crates/daemon/src/native/handover.rs
+++ b/crates/daemon/src/native/handover.rs
@@ -1,9 +1,10 @@
-//! Hands the group over when this VM drains or leads more than its share.
+//! Hands the group over when this VM drains, leads more than its share, or is far from endpoints.
 
 use super::NativeTask;
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_control::plan_approaches;
 use ragwort_control::plan_handovers;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
@@ -16,6 +17,10 @@
 /// time: the rest is left for the handover itself.
 const DRAIN_PART: u32 = 2;
 
+/// How long a leaseholder keeps a group that it has just taken over, unless it drains. Each move
+/// costs callers a pause of some 300 ms, so that moves in a row are bounded to a seventh of the time.
+const SETTLED_TIME: Duration = Duration::from_secs(2);
+
 /// The course of a handover.
 #[derive(Debug, Default)]
 pub(super) struct HandoverCourse {
@@ -54,12 +59,17 @@
 
     fn look_for_handover(&mut self, now: ClockTime) {
         let copy = self.view.borrow().copy.clone();
-        if self.handover.seen == Some(copy.revision()) {
+        let vm = &self.context.settings.vm;
+        let drains = copy.member(vm).is_none_or(|member| member.draining);
+        let settled = now.since(self.taken) >= SETTLED_TIME;
+        if self.handover.seen == Some(copy.revision()) || !(settled || drains) {
             return;
         }
         self.handover.seen = Some(copy.revision());
-        let plans = plan_handovers(&copy, &self.context.settings.vm);
-        let Some(plan) = plans.into_iter().find(|plan| plan.group == self.group) else {
+        let due = plan_handovers(&copy, vm);
+        let better = plan_approaches(&copy, vm, self.last_ticket == 0);
+        let mut plans = due.into_iter().chain(better);
+        let Some(plan) = plans.find(|plan| plan.group == self.group) else {
             return;
         };
         log_event!(
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -103,6 +103,8 @@
     suspect: Option<InstanceName>,
     /// Since when there has been no primary that may be used.
     headless_since: Option<ClockTime>,
+    /// When this VM took the group over.
+    taken: ClockTime,
     handover: HandoverCourse,
     notes: NotesCourse,
     requests: HashMap<RequestTicket, NativeRequest>,
@@ -133,6 +135,7 @@
     let task = NativeTask {
         pool: NativePool::new(group.clone(), protocol, open_limit, link_events),
         headless_since: Some(context.clock.now()),
+        taken: context.clock.now(),
         context,
         edges,
         group,
