Compress long texts between control VMs

Cause: a configuration travels within a command, a message and a call, and each escapes the quotes of the one inside; a change took many times its own size.

--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -5,6 +5,8 @@
 //! VMs at once no catalog is known before they have found each other.
 
 use super::ControlTask;
+use crate::compact::compact_text;
+use crate::compact::expand_text;
 use crate::log_event;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
@@ -124,7 +126,14 @@
         if let Some(address) = envelope.from_address {
             self.learn_peer(&envelope.from, address);
         }
-        match AgreementMessage::from_text(&envelope.payload) {
+        let text = match expand_text(&envelope.payload) {
+            Ok(text) => text,
+            Err(error) => {
+                log_event!(Level::Warn, "agreement_message_bad", error = error);
+                return;
+            }
+        };
+        match AgreementMessage::from_text(&text) {
             Ok(message) => self.node.receive(message),
             Err(error) => log_event!(Level::Warn, "agreement_message_bad", error = error),
         }
@@ -162,7 +171,7 @@
             from: self.settings.vm.clone(),
             from_address: Some(self.settings.listen.peers),
             to: to.clone(),
-            payload: message.to_text(),
+            payload: compact_text(message.to_text()),
         };
         let limit = Duration::from_millis(self.settings.timing.lease_ms);
         let Some(entry) = self.peers.entries.get_mut(to) else {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 
 pub mod callers;
 pub mod clock;
+pub mod compact;
 pub mod connection;
 pub mod control;
 pub mod directory;
