--- a/crates/lab/src/lab_rpc.rs
+++ b/crates/lab/src/lab_rpc.rs
@@ -1,4 +1,4 @@
-//! The lab's own calls on an agent's port, beside those of `ragwort_types::rpc`.
+//! The lab's own calls on an agent's port, beside those of `ragwort_rpc`.
 
 use crate::faults::FaultRequest;
 use crate::faults::FaultState;
