Take callers until the balancer has noticed that a VM drains

Cause: on SIGTERM a gateway said that it wasn't ready and closed its door in the same 100 ms, though the balancer goes by two probes a second apart. The pause of 500 ms that stood in the code had no effect, as callers followed the same switch.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -53,10 +53,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// How long the platform's balancer is given to see that the VM isn't ready any more, before
-/// sessions are closed. Platforms commonly probe once a second.
-const READINESS_LEAD: Duration = Duration::from_millis(500);
-
 /// Messages that may wait for the leaseholders' manager, which takes them in at once.
 const LEASEHOLDER_QUEUE: usize = 8_192;
 
@@ -90,7 +86,9 @@
 
 /// The switches by which the parent ends its tasks, in this order.
 struct StopSwitches {
+    /// The VM isn't ready any more; it still takes callers.
     drain: watch::Sender<bool>,
+    callers: watch::Sender<bool>,
     leaseholders: watch::Sender<bool>,
     member: watch::Sender<bool>,
     rest: watch::Sender<bool>,
@@ -101,6 +99,7 @@
         let switch = || watch::channel(false).0;
         Self {
             drain: switch(),
+            callers: switch(),
             leaseholders: switch(),
             member: switch(),
             rest: switch(),
@@ -269,10 +268,13 @@
     async fn shut_down(mut self, base: &NodeBase, ended: &EndCause) -> Result<(), ControlFault> {
         if let EndCause::Drain = ended {
             log_event!(Level::Info, "drain_started", vm = base.settings.vm);
-            sleep(READINESS_LEAD).await;
         }
         base.switches.drain.send_replace(true);
         if let Some(callers) = self.callers {
+            if let EndCause::Drain = ended {
+                await_notice(&base.settings).await;
+            }
+            base.switches.callers.send_replace(true);
             join_quietly(callers).await;
         }
         await_handover(&base.settings, &base.view, ended).await;
@@ -296,6 +298,14 @@
     }
 }
 
+/// Goes on taking callers until the platform's balancer has seen that the VM isn't ready any more.
+///
+/// The balancer sends new callers here until then. They would find nobody listening, and where this
+/// is the only gateway of a failure domain, all of the domain's callers would for seconds.
+async fn await_notice(settings: &DaemonSettings) {
+    sleep(Duration::from_millis(settings.timing.drain_notice_ms)).await;
+}
+
 /// Waits for a task's end; a task that panicked has logged that itself.
 async fn join_quietly(task: JoinHandle<()>) {
     let _ = task.await;
@@ -410,10 +420,11 @@
 fn start_callers(base: &NodeBase, listener: TcpListener, gateway: Arc<Gateway>) -> JoinHandle<()> {
     let timing = &base.settings.timing;
     let limits = CallerLimits::from_settings(&base.settings.limits, timing.drain_ms);
-    let (service, cancels) = GatewayService::start(gateway, base.clock, base.view.clone());
+    let closing = base.switches.callers.subscribe();
+    let (service, cancels) = GatewayService::start(gateway, base.clock, base.view.clone(), closing);
     let service = Arc::new(service);
     let metrics = base.metrics.clone();
-    let drain = base.switches.drain.subscribe();
+    let drain = base.switches.callers.subscribe();
     match base.edges.clone() {
         NodeEdges::Postgres => tokio::spawn(async move {
             CallerEdge::new(listener, limits, service, metrics)
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -48,6 +48,8 @@
     gateway: Arc<Gateway>,
     clock: NodeClock,
     view: watch::Receiver<MemberView>,
+    /// Whether callers are being turned away for good.
+    closing: watch::Receiver<bool>,
     tables: Mutex<ServiceTables>,
     cancels: mpsc::Sender<CancelOrder>,
 }
@@ -72,6 +74,7 @@
         gateway: Arc<Gateway>,
         clock: NodeClock,
         view: watch::Receiver<MemberView>,
+        closing: watch::Receiver<bool>,
     ) -> (Self, JoinHandle<()>) {
         let (cancels, mut orders) = mpsc::channel::<CancelOrder>(CANCEL_QUEUE);
         let carrier = Arc::clone(&gateway);
@@ -84,6 +87,7 @@
             gateway,
             clock,
             view,
+            closing,
             tables: Mutex::default(),
             cancels,
         };
@@ -133,7 +137,7 @@
 
     /// Says whether this gateway takes sessions now.
     fn check_ready(&self, view: &MemberView) -> Result<(), SessionRefusal> {
-        if view.draining {
+        if *self.closing.borrow() {
             return Err(SessionRefusal::Draining);
         }
         match view.may_serve(self.clock.now()) {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -137,6 +137,8 @@
     pub idle_ping_ms: u64,
     /// How long a transaction may run no statement before it is ended.
     pub idle_transaction_ms: u64,
+    /// How long callers are still taken at shutdown after the VM has said that it isn't ready.
+    pub drain_notice_ms: u64,
     /// How long work in flight may take at shutdown.
     pub drain_ms: u64,
     /// How long a connection may take to open.
@@ -155,6 +157,8 @@
             announce_lost_ms: 1_500,
             idle_ping_ms: 1_000,
             idle_transaction_ms: 60_000,
+            // Balancers commonly probe once a second.
+            drain_notice_ms: 500,
             drain_ms: 10_000,
             connect_timeout_ms: 1_000,
         }
@@ -484,6 +488,11 @@
             default.idle_transaction_ms,
             1..=HOUR_MS,
         ),
+        drain_notice_ms: section.take_number(
+            "drain_notice_ms",
+            default.drain_notice_ms,
+            0..=HOUR_MS,
+        ),
         drain_ms: section.take_number("drain_ms", default.drain_ms, 1..=HOUR_MS),
         connect_timeout_ms: section.take_number(
             "connect_timeout_ms",
