--- a/crates/daemon/tests/pieces/shapes.rs
+++ b/crates/daemon/tests/pieces/shapes.rs
@@ -63,7 +63,9 @@
         let (_, view) = watch::channel(view);
         let lease = Duration::from_secs(1);
         let gateway = Gateway::new(group.clock, group.links.clone(), view.clone(), lease);
-        let (service, cancels) = GatewayService::start(Arc::new(gateway), group.clock, view);
+        let (_, closing) = watch::channel(false);
+        let (service, cancels) =
+            GatewayService::start(Arc::new(gateway), group.clock, view, closing);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let limits = CallerLimits {
