Log each failed request at the gateway that gave it up

Cause: a request that never reached its leaseholder left no line with its id. The gateway now writes request_failed with the id, the cause, the placement's epoch, the catalog's revision and whether it held a lease.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -5,14 +5,17 @@
 //! statement whose reply was lost.
 
 use crate::clock::NodeClock;
+use crate::log_event;
 use crate::member::MemberView;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
 use jsonrpsee_ws_client::WsClient;
+use log::Level;
 use ragwort_control::ClockTime;
 use ragwort_rpc::PeerApiClient;
 use ragwort_types::AccessMode;
 use ragwort_types::CustomerContract;
+use ragwort_types::CustomerName;
 use ragwort_types::DoubtCause;
 use ragwort_types::GroupName;
 use ragwort_types::GroupRecord;
@@ -74,6 +77,25 @@
     relays: Vec<SocketAddr>,
 }
 
+/// What a statement is called in the log.
+struct RequestNames {
+    id: String,
+    customer: CustomerName,
+    group: GroupName,
+}
+
+impl From<&StatementRequest> for RequestNames {
+    fn from(request: &StatementRequest) -> Self {
+        let context = request.context.as_ref();
+        let id = context.map(|context| context.caller_id.clone());
+        Self {
+            id: id.unwrap_or_else(|| request.id.to_string()),
+            customer: request.customer.clone(),
+            group: request.group.clone(),
+        }
+    }
+}
+
 impl Gateway {
     /// Creates a gateway that looks up contracts and placements in `view`.
     ///
@@ -97,6 +119,44 @@
     /// Brings a statement to its group's leaseholder and returns the reply.
     pub async fn execute(&self, request: StatementRequest) -> StatementReply {
         let started = self.clock.now();
+        let known = RequestNames::from(&request);
+        let reply = self.bring(request, started).await;
+        self.log_failure(&known, &reply, started);
+        reply
+    }
+
+    /// Logs what became of a statement that has no answer of an endpoint.
+    ///
+    /// Its leaseholder has its own line, if the statement got there; this one says what the gateway
+    /// knew when it gave up.
+    fn log_failure(&self, known: &RequestNames, reply: &StatementReply, started: ClockTime) {
+        let (outcome, cause) = match &reply.verdict {
+            RequestVerdict::Ran(_) => return,
+            RequestVerdict::NotRun(refusal) => ("refused", refusal.cause.to_string()),
+            RequestVerdict::MayHaveRun(cause) => ("in_doubt", cause.to_string()),
+        };
+        let view = self.view.borrow();
+        let placement = view
+            .copy
+            .group(&known.group)
+            .map(|record| &record.placement);
+        log_event!(
+            Level::Info,
+            "request_failed",
+            id = known.id,
+            customer = known.customer,
+            group = known.group,
+            outcome = outcome,
+            cause = cause,
+            took_ms = self.clock.now().since(started).as_millis(),
+            leaseholder = placement.map_or("none", |placement| placement.leaseholder.as_str()),
+            epoch = placement.map_or(0, |placement| placement.epoch.0),
+            revision = view.copy.revision(),
+            lease_held = view.may_serve(self.clock.now()),
+        );
+    }
+
+    async fn bring(&self, request: StatementRequest, started: ClockTime) -> StatementReply {
         let view = self.view.borrow().clone();
         if !view.may_serve(started) {
             return self.refuse(&request, RefusalCause::NoLease);
