--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -52,6 +52,10 @@
 /// the lease is what that takes when nothing else fails.
 const TAKEOVER_LEASES: f64 = 1.5;
 
+/// The same when the group is handed over and its next leaseholder answers: that one learns of its
+/// placement with its next heartbeat, of which a lease holds three or more.
+const HANDOVER_LEASES: f64 = 0.5;
+
 /// A statement's way through one gateway.
 pub struct Gateway {
     clock: NodeClock,
@@ -67,6 +71,8 @@
     Replied(StatementReply),
     /// The statement was not handed over, or the other side said that it did not take it.
     NotTaken(RefusalCause),
+    /// The VM that is to lead the group answers and doesn't lead it yet.
+    NotLeading,
     /// The statement was handed over and the reply was lost.
     ReplyLost,
 }
@@ -182,6 +188,7 @@
         {
             HandOver::Replied(reply) => reply,
             HandOver::NotTaken(cause) => self.refuse(&request, cause),
+            HandOver::NotLeading => self.refuse(&request, RefusalCause::NoLeaseholder),
             HandOver::ReplyLost => doubt(&request),
         }
     }
@@ -210,7 +217,7 @@
                 let lost = ShapeOutcome::refused(RefusalCause::TransactionLost, 0);
                 return shape_reply(&request, lost);
             }
-            let end = self.note_outage(&request.group);
+            let end = self.note_outage(&request.group, TAKEOVER_LEASES);
             if end >= deadline || end <= self.clock.now() {
                 return self.refuse_describe(&request);
             }
@@ -292,22 +299,23 @@
             let now = self.clock.now();
             let limit = deadline.since(now) + REPLY_GRACE;
             request.spent_ms = now.since(started).as_millis() as u64;
-            let cause = match self.try_once(&request, limit).await {
+            let (cause, leases) = match self.try_once(&request, limit).await {
                 HandOver::Replied(reply) => {
                     self.end_outage(&request.group);
                     return settle_reply(&request, reply, terms, sent_before);
                 }
-                HandOver::NotTaken(cause) => cause,
+                HandOver::NotTaken(cause) => (cause, TAKEOVER_LEASES),
+                HandOver::NotLeading => (RefusalCause::NoLeaseholder, HANDOVER_LEASES),
                 HandOver::ReplyLost if is_resendable(&request, terms) => {
                     sent_before = true;
-                    RefusalCause::NoLeaseholder
+                    (RefusalCause::NoLeaseholder, TAKEOVER_LEASES)
                 }
                 HandOver::ReplyLost => return doubt(&request),
             };
             if let Some(lost) = lose_transaction(&request) {
                 return lost;
             }
-            let end = self.note_outage(&request.group);
+            let end = self.note_outage(&request.group, leases);
             if end >= deadline || end <= self.clock.now() {
                 // A read leaves nothing behind, and an idempotent write may have run by now.
                 if sent_before && terms.access == AccessMode::Write {
@@ -336,7 +344,7 @@
         // another failure domain usually still reaches it.
         for relay in target.relays {
             let relayed = self.hand_over(request, relay, limit, true).await;
-            if !matches!(relayed, HandOver::NotTaken(_)) {
+            if !matches!(relayed, HandOver::NotTaken(_) | HandOver::NotLeading) {
                 return relayed;
             }
         }
@@ -362,7 +370,10 @@
             Ok(reply) if reply.id != request.id => HandOver::ReplyLost,
             Ok(reply) => match reply.verdict {
                 RequestVerdict::NotRun(refusal) if is_misrouted(refusal.cause) => {
-                    HandOver::NotTaken(refusal.cause)
+                    match refusal.cause {
+                        RefusalCause::NoLeaseholder if !relayed => HandOver::NotLeading,
+                        cause => HandOver::NotTaken(cause),
+                    }
                 }
                 _ => HandOver::Replied(reply),
             },
@@ -387,12 +398,12 @@
     }
 
     /// Notes that a group has no reachable leaseholder and returns when that should be over.
-    fn note_outage(&self, group: &GroupName) -> ClockTime {
+    fn note_outage(&self, group: &GroupName, leases: f64) -> ClockTime {
         let mut outages = self.outages.lock().expect("no holder of this lock panics");
         let since = *outages
             .entry(group.clone())
             .or_insert_with(|| self.clock.now());
-        since + self.lease.mul_f64(TAKEOVER_LEASES)
+        since + self.lease.mul_f64(leases)
     }
 
     fn end_outage(&self, group: &GroupName) {
@@ -408,7 +419,7 @@
 
     /// Returns when a takeover of the group can be over, in milliseconds from now.
     fn return_after(&self, group: &GroupName) -> u64 {
-        let end = self.note_outage(group);
+        let end = self.note_outage(group, TAKEOVER_LEASES);
         let left = self.clock.until(end).max(self.lease / 4);
         left.as_millis() as u64
     }
--- a/crates/daemon/tests/pieces/gateway.rs
+++ b/crates/daemon/tests/pieces/gateway.rs
@@ -38,6 +38,9 @@
 /// A lease whose takeover ends well before a statement's deadline.
 const USUAL_LEASE: Duration = Duration::from_secs(20);
 
+/// A lease whose takeover ends after a statement's deadline of 50 s, and whose handover before it.
+const LONG_LEASE: Duration = Duration::from_secs(40);
+
 /// The verdict of a statement that ran.
 const DONE: RequestVerdict = RequestVerdict::Ran(StatementAnswer::Done(1));
 
@@ -51,6 +54,10 @@
     /// The leaseholder's VM is down and its successor takes over in time. The statement was not
     /// handed over, so it goes to the successor, and its caller notices a short wait.
     statement_goes_to_the_successor_within_its_deadline => successor_case();
+    /// The group was handed over, and its next leaseholder hasn't learned of it yet. That takes a
+    /// heartbeat, which the statement has time for; refusing it would make a planned change of
+    /// leaseholder a public incident.
+    handover_is_waited_for => handover_case();
     /// The leaseholder is lost while it has a grant without a key. It may have run, and nobody
     /// could know it again, so it isn't sent twice.
     lost_reply_of_an_unkeyed_write_leaves_doubt => unkeyed_case();
@@ -145,6 +152,17 @@
     peer.stop().await;
 }
 
+async fn handover_case() {
+    let refused = RequestVerdict::refused(RefusalCause::NoLeaseholder, 0);
+    let peer = FakePeer::start(PeerScript::Reply(refused)).await;
+    let bench = GatewayBench::new([peer.address, NOWHERE, NOWHERE], LONG_LEASE);
+    let running = bench.start(grant());
+    peer.wait_taken(2).await;
+    peer.set_script(PeerScript::Reply(DONE));
+    assert_eq!(running.await.unwrap().verdict, DONE);
+    peer.stop().await;
+}
+
 /// A leaseholder that takes statements, never replies, and is lost when the test says so.
 async fn start_doomed() -> (FakePeer, CutRelay) {
     let peer = FakePeer::start(PeerScript::Hang).await;
--- a/crates/daemon/tests/pieces/peer.rs
+++ b/crates/daemon/tests/pieces/peer.rs
@@ -94,6 +94,11 @@
         self.state.holds.send_replace(holds);
     }
 
+    /// Changes what the peer does with statements from now on.
+    pub fn set_script(&self, script: PeerScript) {
+        *self.state.script.lock().unwrap() = script;
+    }
+
     pub fn taken(&self) -> Vec<TakenCall> {
         self.state.taken.borrow().clone()
     }
