--- /dev/null
+++ b/crates/daemon/tests/sessions.rs
@@ -0,0 +1,246 @@
+//! What a session's statements become, and what its caller is told.
+
+use ragwort_types::AccessMode;
+use ragwort_types::DoubtCause;
+use ragwort_types::GroupTerm;
+use ragwort_types::LogPosition;
+use ragwort_types::PreparedShape;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestVerdict;
+use ragwort_types::ServedBy;
+use ragwort_types::StatementAct;
+use ragwort_types::StatementAnswer;
+use ragwort_types::StatementId;
+use ragwort_types::StatementReply;
+use ragwort_types::TaggedRows;
+use ragwort_types::TransactionMode;
+use ragwort_types::TransactionStep;
+use ragwortgated::edges::CallerAnswer;
+use ragwortgated::edges::CallerErrorSort;
+use ragwortgated::edges::CallerStatement;
+use ragwortgated::edges::SessionState;
+use ragwortgated::sessions::state::CallerSession;
+use ragwortgated::sessions::state::SessionStep;
+use ragwortgated::sessions::state::StatementDraft;
+
+macro_rules! case {
+    ($(#[$doc:meta])* $name:ident $body:block) => {
+        $(#[$doc])*
+        #[test]
+        fn $name() $body
+    };
+}
+
+fn write(text: &str) -> CallerStatement {
+    CallerStatement::Run {
+        access: AccessMode::Write,
+        text: text.to_owned(),
+    }
+}
+
+fn read(text: &str) -> CallerStatement {
+    CallerStatement::Run {
+        access: AccessMode::Read,
+        text: text.to_owned(),
+    }
+}
+
+/// Takes a statement that must go to the leaseholder.
+fn draft(session: &mut CallerSession, statement: CallerStatement) -> StatementDraft {
+    match session.take("a1".to_owned(), statement) {
+        SessionStep::Run(draft) => draft,
+        SessionStep::Answer(answer) => panic!("answered at the gateway: {answer:?}"),
+    }
+}
+
+/// Takes a statement that the gateway must answer itself.
+fn answer(session: &mut CallerSession, statement: CallerStatement) -> CallerAnswer {
+    match session.take("a1".to_owned(), statement) {
+        SessionStep::Answer(answer) => answer,
+        SessionStep::Run(draft) => panic!("sent on: {draft:?}"),
+    }
+}
+
+fn reply(verdict: RequestVerdict, index: Option<u64>) -> StatementReply {
+    StatementReply {
+        id: StatementId::fresh(),
+        verdict,
+        served_by: index.map(|index| ServedBy {
+            instance: "cases-1".into(),
+            replica: false,
+            position: LogPosition::new(GroupTerm(1), index),
+        }),
+    }
+}
+
+fn served(index: u64) -> StatementReply {
+    let rows = StatementAnswer::Tagged(TaggedRows::default());
+    reply(RequestVerdict::Ran(rows), Some(index))
+}
+
+fn refused(cause: RefusalCause) -> StatementReply {
+    reply(RequestVerdict::refused(cause, 70), None)
+}
+
+fn error_sort(answer: &CallerAnswer) -> CallerErrorSort {
+    match answer {
+        CallerAnswer::Failed { error, .. } => error.sort,
+        _ => panic!("no error: {answer:?}"),
+    }
+}
+
+case! {
+    /// A clerk saves a record and reads it. The read must carry the position of the write, or a
+    /// replica that lacks it could answer.
+    read_carries_the_position_of_the_last_write {
+        let mut session = CallerSession::default();
+        let saved = draft(&mut session, write("w"));
+        session.finish(&saved, served(7));
+        let shown = draft(&mut session, read("r"));
+        assert_eq!(shown.context.last_write, Some(LogPosition::new(GroupTerm(1), 7)));
+    }
+}
+
+case! {
+    /// A write was refused, or its outcome is unknown. No position is known of it; the one before
+    /// must not be forgotten for it.
+    failed_write_keeps_the_position_before {
+        let mut session = CallerSession::default();
+        let saved = draft(&mut session, write("w"));
+        session.finish(&saved, served(7));
+        let lost = draft(&mut session, write("w"));
+        session.finish(&lost, refused(RefusalCause::Overload));
+        let shown = draft(&mut session, read("r"));
+        assert_eq!(shown.context.last_write, Some(LogPosition::new(GroupTerm(1), 7)));
+    }
+}
+
+case! {
+    /// A transaction is begun and nothing follows for a while. It must not hold one of the few
+    /// connections until its first statement says where it runs.
+    begin_takes_no_connection {
+        let mut session = CallerSession::default();
+        let begun = answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        assert!(matches!(begun, CallerAnswer::Complete { state: SessionState::Open, .. }));
+        let first = draft(&mut session, write("w"));
+        assert!(matches!(first.step, TransactionStep::Begin(_)));
+        assert_eq!(first.context.opens, Some(TransactionMode::ReadWrite));
+    }
+}
+
+case! {
+    /// The statements of one transaction go to its one connection, and the commit with them.
+    transaction_keeps_its_id {
+        let mut session = CallerSession::default();
+        answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        let first = draft(&mut session, write("w"));
+        session.finish(&first, served(3));
+        let TransactionStep::Begin(id) = first.step else {
+            panic!("{:?}", first.step);
+        };
+        let second = draft(&mut session, write("w"));
+        assert_eq!(second.step, TransactionStep::Within(id));
+        session.finish(&second, served(4));
+        let commit = draft(&mut session, CallerStatement::Commit);
+        assert_eq!(commit.step, TransactionStep::Commit(id));
+        session.finish(&commit, served(5));
+        assert_eq!(session.state(), SessionState::Idle);
+    }
+}
+
+case! {
+    /// A statement of a transaction fails. Until its end the session takes nothing else: a
+    /// statement that ran outside of it would be kept although the caller rolls back.
+    failed_transaction_takes_only_its_end {
+        let mut session = CallerSession::default();
+        answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        let first = draft(&mut session, write("w"));
+        let told = session.finish(&first, refused(RefusalCause::TransactionLost));
+        assert_eq!(error_sort(&told), CallerErrorSort::Aborted);
+        assert_eq!(session.state(), SessionState::Failed);
+        let further = answer(&mut session, write("w"));
+        assert_eq!(error_sort(&further), CallerErrorSort::Malformed);
+        answer(&mut session, CallerStatement::Rollback);
+        assert_eq!(session.state(), SessionState::Idle);
+    }
+}
+
+case! {
+    /// The answer to a commit is lost. The caller must hear that the outcome is unknown, never that
+    /// nothing was kept.
+    lost_commit_is_in_doubt {
+        let mut session = CallerSession::default();
+        answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        let first = draft(&mut session, write("w"));
+        session.finish(&first, served(3));
+        let commit = draft(&mut session, CallerStatement::Commit);
+        let lost = reply(RequestVerdict::MayHaveRun(DoubtCause::LeaseLost), None);
+        assert_eq!(error_sort(&session.finish(&commit, lost)), CallerErrorSort::InDoubt);
+    }
+}
+
+case! {
+    /// A caller goes away in the middle of a transaction. Its connection must be freed at once, or
+    /// others wait for it until the transaction's idle time has passed.
+    transaction_of_a_caller_who_left_is_rolled_back {
+        let mut session = CallerSession::default();
+        answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        let first = draft(&mut session, write("w"));
+        session.finish(&first, served(3));
+        let left = session.take_left_open(true).unwrap();
+        assert!(matches!(left.step, TransactionStep::Rollback(_)));
+        assert_eq!(session.take_left_open(true), None);
+    }
+}
+
+case! {
+    /// Two callers prepare different statements under one name. Each runs its own, since the name
+    /// belongs to the session and the shape travels with the statement.
+    prepared_names_belong_to_their_session {
+        let mut sessions = [CallerSession::default(), CallerSession::default()];
+        for (number, session) in sessions.iter_mut().enumerate() {
+            let shape = PreparedShape {
+                access: AccessMode::Read,
+                shape: format!("shape-{number}"),
+            };
+            let name = "get".to_owned();
+            answer(session, CallerStatement::Prepare { name, shape });
+        }
+        for (number, session) in sessions.iter_mut().enumerate() {
+            let statement = CallerStatement::Execute {
+                name: "get".to_owned(),
+                arguments: "7".to_owned(),
+            };
+            let run = draft(session, statement);
+            let StatementAct::Prepared(shape) = run.context.act else {
+                panic!("{:?}", run.context.act);
+            };
+            assert_eq!(shape.shape, format!("shape-{number}"));
+        }
+    }
+}
+
+case! {
+    /// A caller sets value after value. What it set travels with each of its statements, so there
+    /// is a bound, and beyond it the caller hears of it.
+    values_are_bounded {
+        let mut session = CallerSession::default();
+        for number in 0..1_024 {
+            let set = CallerStatement::Set {
+                name: format!("v{number}"),
+                value: "1".to_owned(),
+            };
+            assert!(matches!(answer(&mut session, set), CallerAnswer::Complete { .. }));
+        }
+        let one_more = CallerStatement::Set {
+            name: "more".to_owned(),
+            value: "1".to_owned(),
+        };
+        assert_eq!(error_sort(&answer(&mut session, one_more)), CallerErrorSort::Busy);
+        let known = CallerStatement::Set {
+            name: "v7".to_owned(),
+            value: "2".to_owned(),
+        };
+        assert!(matches!(answer(&mut session, known), CallerAnswer::Complete { .. }));
+    }
+}
