End although a sender has sent half a request

Cause: the end of the HTTP interfaces waits for their open requests, and a sender that stops in the middle of a body never ends its own. A VM that was shut down meanwhile didn't end until it was killed; seen by the new test, which hung for its whole minute. Also tested: two hundred silent connections, bodies that make no sense or are too long.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -53,6 +53,10 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+/// How long the services may take to answer what they were asked before the end. A configuration is
+/// acknowledged in some 30 ms; a commit that waits for a slow disk takes a few hundred.
+const SERVICES_END: Duration = Duration::from_secs(1);
+
 /// Messages that may wait for the leaseholders' manager, which takes them in at once.
 const LEASEHOLDER_QUEUE: usize = 8_192;
 
@@ -285,11 +289,16 @@
             let _ = self.member.await;
         }
         base.switches.rest.send_replace(true);
-        if let Some(services) = self.services {
-            join_quietly(services).await;
-        }
+        let whole = match self.services {
+            Some(services) => end_services(services).await,
+            None => true,
+        };
         let _ = self.server.stop();
         self.server.stopped().await;
+        if !whole {
+            // A service that was cut may still hold the senders by whose end helpers know theirs.
+            self.helpers.abort_all();
+        }
         while self.helpers.join_next().await.is_some() {}
         match self.control {
             Some(task) => task.await.unwrap_or(Ok(())),
@@ -306,6 +315,23 @@
     sleep(Duration::from_millis(settings.timing.drain_notice_ms)).await;
 }
 
+/// Waits until the services have answered what they were asked, for a bounded time; false if they
+/// were cut.
+///
+/// A sender that has sent half a request and says nothing more would hold up the end until the
+/// platform kills the process in the middle of what it still has to do.
+async fn end_services(mut services: JoinHandle<()>) -> bool {
+    if timeout(SERVICES_END, &mut services).await.is_ok() {
+        return true;
+    }
+    let limit_ms = SERVICES_END.as_millis();
+    log_event!(Level::Warn, "services_cut", limit_ms = limit_ms);
+    services.abort();
+    // It ends as cancelled.
+    let _ = services.await;
+    false
+}
+
 /// Waits for a task's end; a task that panicked has logged that itself.
 async fn join_quietly(task: JoinHandle<()>) {
     let _ = task.await;
