--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -81,7 +81,7 @@
 use std::mem;
 
 /// A node that has heard of no leader since its start waits the usual election time divided by this.
-/// At the usual 500 ms that leaves 170 ms, ten times what a vote takes with its sync to disk.
+/// At the usual 500 ms that leaves 170 ms for a round trip and a sync to disk.
 const FIRST_WAIT_PART: u64 = 3;
 
 /// One node of the agreed log.
--- a/crates/control/src/proximity.rs
+++ b/crates/control/src/proximity.rs
@@ -9,7 +9,7 @@
 //! # Grounds for its figures
 //!
 //! Reads are most of what is asked, and replicas serve them; so a replica nearby counts for more
-//! than the primary. A move costs a pause of some 300 ms. A leaseholder that serves moves only if
+//! than the primary. A move costs callers a pause. A leaseholder that serves moves only if
 //! no endpoint at all is near; one that has served nothing yet moves to the best place.
 
 use ragwort_types::DomainName;
--- a/crates/daemon/src/native/handover.rs
+++ b/crates/daemon/src/native/handover.rs
@@ -18,7 +18,7 @@
 const DRAIN_PART: u32 = 2;
 
 /// How long a leaseholder keeps a group that it has just taken over, unless it drains. Each move
-/// costs callers a pause of some 300 ms, so that moves in a row are bounded to a seventh of the time.
+/// costs callers a pause; groups that moved many times a second were served by nobody.
 const SETTLED_TIME: Duration = Duration::from_secs(2);
 
 /// The course of a handover.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -53,8 +53,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// How long the services may take to answer what they were asked before the end. A configuration is
-/// acknowledged in some 30 ms; a commit that waits for a slow disk takes a few hundred.
+/// How long the services may take to answer what they were asked before the end. It is
+/// a guess at what a commit on a slow disk needs, far below the time until a platform kills.
 const SERVICES_END: Duration = Duration::from_secs(1);
 
 /// Messages that may wait for the leaseholders' manager, which takes them in at once.
