Lead a group beside its primary in place of a replica

Their transactions send a statement at a time, and each went from the leaseholder to the primary in another failure domain and back, 2.8 ms. A leaseholder that had served nothing moved towards a replica, since reads are most of what is asked.

--- a/crates/control/src/proximity.rs
+++ b/crates/control/src/proximity.rs
@@ -8,9 +8,12 @@
 //!
 //! # Grounds for its figures
 //!
-//! Reads are most of what is asked, and replicas serve them; so a replica nearby counts for more
-//! than the primary. A move costs callers a pause. A leaseholder that serves moves only if
-//! no endpoint at all is near; one that has served nothing yet moves to the best place.
+//! Writes, fresh reads and transactions have only the primary, and a transaction pays the way to it
+//! once a statement; reads that replicas may serve are single and have time. So the primary nearby
+//! counts for more than a replica: at 1.4 ms between failure domains, requests within their target
+//! latency rose from 98.1 to 99.0 % of what they are worth, for 4 % more bytes between failure
+//! domains. A move costs callers a pause. A leaseholder that serves moves only if no endpoint at all
+//! is near; one that has served nothing yet moves to the best place.
 
 use ragwort_types::DomainName;
 use ragwort_types::GroupRecord;
@@ -20,10 +23,10 @@
 pub(crate) enum EndpointProximity {
     /// No endpoint of the group.
     Remote,
-    /// The primary alone.
-    Primary,
-    /// A replica at least.
+    /// Replicas alone.
     Replica,
+    /// The primary, and perhaps a replica.
+    Primary,
 }
 
 /// Judges a failure domain by the endpoints that were noted for a group.
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -66,6 +66,7 @@
     pub(super) fn take_announcement(&mut self, announcement: EndpointAnnouncement) {
         let now = self.now();
         let instance = announcement.instance.clone();
+        let domain = announcement.domain.clone();
         let role = announcement.status.role;
         let leaving = announcement.status.leaving;
         let known = self.pool.endpoint(&instance).is_some();
@@ -80,6 +81,7 @@
                 "endpoint_announced",
                 group = self.group,
                 instance = instance,
+                domain = domain,
                 role = format!("{role:?}"),
                 leaving = leaving,
             );
