Replace a noted primary that is dead, and order again what stays unanswered

Change: a noted primary that two connections don't find is replaced; an order without an answer after 0.4 s is followed by another with a higher number, after the instances were asked again; the scheduler is told when a primary can be expected and refuses at once what can't wait so long, with that time as the time to come back. Ruled out: the new link's silence (the statements reached the leaseholder).

--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -103,6 +103,10 @@
     suspect: Option<InstanceName>,
     /// Since when there has been no primary that may be used.
     headless_since: Option<ClockTime>,
+    /// When the last promotion was ordered, until it shows.
+    ordered_at: Option<ClockTime>,
+    /// How long promotions take once they were ordered.
+    promotion_time: Duration,
     /// When this VM took the group over.
     taken: ClockTime,
     handover: HandoverCourse,
@@ -148,6 +152,8 @@
         replicas: BTreeMap::new(),
         replacement: PrimaryReplacement::default(),
         suspect: None,
+        ordered_at: None,
+        promotion_time: primary::PROMOTION_PRIOR,
         handover: HandoverCourse::default(),
         notes: NotesCourse::default(),
         requests: HashMap::new(),
@@ -305,6 +311,7 @@
             "newest": self.history.newest().to_string(),
             "lag_ms": lags.collect::<serde_json::Map<String, serde_json::Value>>(),
             "replacement": format!("{:?}", self.replacement.state()),
+            "replaced": self.replacement.replaced(),
             "handing_over": self.handover.is_begun(),
             "scheduler": self.scheduler.snapshot(now),
             "requests": self.requests.len(),
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -55,8 +55,14 @@
 /// The same when the primary leaves and can still send what is missing.
 const LEAVING_PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// How long an order to promote may take to be answered.
-const ORDER_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long an order to promote may take to be answered. It is answered within 20 ms or not at all,
+/// and one that isn't may be carried out many seconds later; the group has no primary until the next
+/// order, 2.5 s later if it were waited for.
+const ORDER_LIMIT: Duration = Duration::from_millis(400);
+
+/// How long a promotion takes once it was ordered, before one was seen. Databases take 600 to
+/// 1,000 ms.
+pub(super) const PROMOTION_PRIOR: Duration = Duration::from_millis(1_000);
 
 /// How long an instance may take to report about itself.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
@@ -203,6 +209,7 @@
             // Nothing is read from replicas before this is known: they could lack what a former
             // leaseholder has acknowledged.
             self.history.begin(start);
+            self.learn_promotion(now);
             // What replicas showed before may have been rolled back.
             self.replicas.clear();
             self.suspect = None;
@@ -362,8 +369,62 @@
     fn replace_missing(&mut self, now: ClockTime) {
         let since = self.headless_since.unwrap_or(now);
         let known = self.pool.endpoints().count();
-        if known > 0 && now.since(since) >= HEADLESS_TIME {
+        if known == 0 {
+            return;
+        }
+        if now.since(since) >= HEADLESS_TIME {
             self.replace(None, "missing", DEAD_PATIENCE);
+        } else if let Some(noted) = self.record.primary.clone() {
+            self.check_noted_primary(now, &noted);
+        }
+    }
+
+    /// Replaces the primary that a former leaseholder has noted if it can't be reached.
+    ///
+    /// It may have died together with that leaseholder. Waiting for its announcements would leave the
+    /// group without a primary for twice as long.
+    fn check_noted_primary(&mut self, now: ClockTime, noted: &InstanceName) {
+        let Some(endpoint) = self.pool.endpoint(noted) else {
+            return;
+        };
+        let failed = endpoint.failed_opens;
+        let probing = endpoint.probing;
+        let silent = probing.is_some_and(|since| now.since(since) >= PROBE_TIME);
+        if failed >= FAILED_OPENS || (failed > 0 && silent) {
+            self.replace(
+                Some(&noted.clone()),
+                "noted and out of reach",
+                DEAD_PATIENCE,
+            );
+        } else if failed > 0
+            && probing.is_none()
+            && self.pool.open_connection(now, noted)
+            && let Some(endpoint) = self.pool.endpoint_mut(noted)
+        {
+            endpoint.probing = Some(now);
+        }
+    }
+
+    /// Tells the scheduler when a primary can be expected, so that writes that can't wait for it are
+    /// refused at once.
+    pub(super) fn foresee_primary(&mut self) {
+        let now = self.now();
+        let due = match (self.headless_since, self.ordered_at) {
+            (None, _) => None,
+            (Some(_), Some(ordered)) if self.replacement.state() == ReplacementState::Watching => {
+                Some(ordered + self.promotion_time)
+            }
+            // Its connections may show any moment that there is one after all.
+            (Some(_), _) if self.replacement.state() == ReplacementState::Steady => None,
+            (Some(_), _) => Some(now + self.promotion_time),
+        };
+        self.scheduler.expect_primary(due);
+    }
+
+    /// Learns how long promotions take here.
+    fn learn_promotion(&mut self, now: ClockTime) {
+        if let Some(ordered) = self.ordered_at.take() {
+            self.promotion_time = (self.promotion_time + now.since(ordered)) / 2;
         }
     }
 
@@ -476,7 +537,10 @@
             reply = format!("{reply:?}"),
         );
         let event = match reply {
-            PromotionReply::Accepted => ReplacementEvent::OrderAccepted,
+            PromotionReply::Accepted => {
+                self.ordered_at = Some(now);
+                ReplacementEvent::OrderAccepted
+            }
             PromotionReply::Overtaken => ReplacementEvent::OrderOvertaken,
             PromotionReply::Unavailable => ReplacementEvent::OrderUntaken,
             PromotionReply::Unknown => ReplacementEvent::OrderUnknown,
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -21,6 +21,7 @@
         self.drop_silent_endpoints();
         self.report_positions();
         self.watch_primary();
+        self.foresee_primary();
         self.tick_handover();
         self.tick_notes();
         if self.ticks.is_multiple_of(PROMOTION_TICKS) {
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -14,6 +14,10 @@
     /// A primary was replaced behind a cut, and answers the new leaseholder first. What is written
     /// there is lost with it, so nothing is sent to it.
     noted_term_keeps_writes_from_a_replaced_primary => replaced_case();
+    /// A rack is lost, with the leaseholder's VM and the primary. The next leaseholder finds nobody where
+    /// the primary was, and replaces it without waiting for the time in which one that lives would
+    /// announce itself: callers can't write for so long.
+    noted_primary_that_is_dead_is_replaced => dead_noted_case();
     /// Endpoints announce themselves. What is known of them is noted once, for a successor, and not
     /// with each announcement: a note goes to every VM.
     endpoints_are_noted_once => noting_case();
@@ -38,6 +42,14 @@
     assert!(bench.endpoints[0].script().ran.is_empty());
 }
 
+async fn dead_noted_case() {
+    let mut bench = NativeBench::start_with_dead_primary([5, 5, 6]).await;
+    assert_eq!(bench.wait_for_order().await, 2);
+    bench.wait_for(|dump| dump["replaced"] == "cases-1").await;
+    bench.promote(2).await;
+    assert!(is_served(&bench.ask(Ask::new(WRITE, "write after")).await));
+}
+
 async fn noting_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -55,6 +55,8 @@
     pub(crate) returns: ReturnPlanner,
     pub(crate) next_review: ClockTime,
     pub(crate) primary_lost: Option<ClockTime>,
+    /// When a primary is expected, where that is known.
+    pub(crate) primary_due: Option<ClockTime>,
     pub(crate) pin_hold: Duration,
     /// The mean run of all kinds, for the time at which refused callers are to come back.
     pub(crate) mean_run: Duration,
@@ -93,6 +95,7 @@
             returns,
             next_review: ClockTime::default(),
             primary_lost: Some(ClockTime::default()),
+            primary_due: None,
             pin_hold: PIN_HOLD_PRIOR,
             mean_run: MEAN_RUN_PRIOR,
             pending: Vec::new(),
@@ -135,6 +138,13 @@
         self.note_primary(now);
     }
 
+    /// Notes when a group without a primary is expected to have one, where that is known.
+    ///
+    /// Requests that need one and can't wait so long are refused by the next poll.
+    pub fn expect_primary(&mut self, due: Option<ClockTime>) {
+        self.primary_due = due;
+    }
+
     /// Notes what an instance holds, and a bound of its data's age at this moment.
     pub fn report_position(
         &mut self,
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -112,7 +112,12 @@
         let slots = self.usable_slots().max(1);
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         let run = self.mean_run / slots;
-        self.returns.refuse(now, ticket, cause, run * waiting, run)
+        let mut backlog = run * waiting;
+        if cause == RefusalCause::NoPrimary {
+            let back = self.foresee_primary(now);
+            backlog += back.map_or(Duration::ZERO, |back| back.since(now));
+        }
+        self.returns.refuse(now, ticket, cause, backlog, run)
     }
 
     /// Notes since when the group has no primary.
@@ -386,17 +391,23 @@
                 None => Some(RefusalCause::TransactionLost),
             };
         }
-        let lost = self.primary_lost?;
+        let back = self.foresee_primary(now)?;
         if replica {
             return None;
         }
-        let back = (lost + PROMOTION_TIME).max(now + PROMOTION_REST);
         let estimate = self.estimates.get(request.kind);
         let deadline = request.profile.deadline;
         let late = misses_deadline(back, estimate.expected(), estimate.deviation(), deadline);
         (late && self.settings.modules.early_refusal).then_some(RefusalCause::NoPrimary)
     }
 
+    /// Returns when a group without a primary is expected to have one.
+    fn foresee_primary(&self, now: ClockTime) -> Option<ClockTime> {
+        let lost = self.primary_lost?;
+        let back = self.primary_due.unwrap_or(lost + PROMOTION_TIME);
+        Some(back.max(now + PROMOTION_REST))
+    }
+
     /// Returns the slots of the endpoints that take fresh work.
     pub(crate) fn usable_slots(&self) -> u32 {
         let records = self.endpoints.records().iter();
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -507,3 +507,40 @@
         scheduler.finished(now, RequestTicket(ticket), FinishOutcome::Answered);
     }
 }
+
+/// A primary is dead and its successor is known to need 700 ms more. A write that has half a second is
+/// told so at once, with when to come back; one that has a second waits and is served.
+#[test]
+fn writes_wait_for_a_primary_that_comes_in_time() {
+    let mut scheduler = ready_group(20);
+    scheduler.set_endpoint(START, endpoint(PRIMARY, EndpointRole::Unusable));
+    scheduler.expect_primary(Some(START + Duration::from_millis(700)));
+    let patient = RequestProfile {
+        deadline: START + Duration::from_secs(1),
+        ..write(1, START)
+    };
+    scheduler.arrive(START, patient);
+    scheduler.arrive(START, write(2, START));
+    let refused = refusals(&scheduler.poll(START));
+    assert_eq!(refused.len(), 1);
+    let (ticket, cause, come_back_after_ms) = refused[0];
+    assert_eq!((ticket, cause), (2, RefusalCause::NoPrimary));
+    assert!(come_back_after_ms >= 700, "{come_back_after_ms}");
+    let later = START + Duration::from_millis(650);
+    scheduler.set_endpoint(later, endpoint(PRIMARY, EndpointRole::Primary));
+    scheduler.expect_primary(None);
+    assert_eq!(dispatches(&scheduler.poll(later)), [(1, PRIMARY)]);
+}
+
+/// A promotion was ordered and nobody knows whether it will be carried out. Each write would wait until
+/// its deadline for nothing; the next order's primary can't be there in its time.
+#[test]
+fn writes_are_refused_while_no_promotion_is_under_way() {
+    let mut scheduler = ready_group(20);
+    scheduler.set_endpoint(START, endpoint(PRIMARY, EndpointRole::Unusable));
+    let later = START + Duration::from_secs(3);
+    scheduler.expect_primary(Some(later + Duration::from_secs(1)));
+    scheduler.arrive(later, write(1, later));
+    let refused = refusals(&scheduler.poll(later));
+    assert_eq!(refused[0].1, RefusalCause::NoPrimary);
+}
