Bring statements by another gateway when this one is cut off

Change: gateways take statements from each other; one whose heartbeats go unanswered prepares links to three others, those of its failure domain first, and hands statements over. Neither lease nor contract rests on it: the leaseholder checks both. It takes sessions without a lease unless it reaches no other gateway, and never says that there is no such database then.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -5,6 +5,7 @@
 //! statement whose reply was lost.
 
 use crate::clock::NodeClock;
+use crate::group::hash_text;
 use crate::log_event;
 use crate::member::MemberView;
 use crate::peers::LinkError;
@@ -22,6 +23,7 @@
 use ragwort_types::GroupName;
 use ragwort_types::GroupRecord;
 use ragwort_types::KindTerms;
+use ragwort_types::MemberRecord;
 use ragwort_types::RefusalCause;
 use ragwort_types::RepeatRule;
 use ragwort_types::RequestMarks;
@@ -34,6 +36,7 @@
 use ragwort_types::StatementRequest;
 use ragwort_types::TransactionStep;
 use ragwort_types::VmName;
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -62,6 +65,14 @@
 /// placement with its next heartbeat, of which a lease holds three or more.
 const HANDOVER_LEASES: f64 = 0.5;
 
+/// Other gateways that are tried for one statement when this one is cut off. Each that is cut off as
+/// well says so within a round trip.
+const MOST_DETOURS: usize = 3;
+
+/// For how long a vain attempt to reach another gateway tells of the next: after it, one session is let
+/// in to find out.
+const ISOLATION_TIME: Duration = Duration::from_millis(500);
+
 /// A statement's way through one gateway.
 pub struct Gateway {
     clock: NodeClock,
@@ -69,6 +80,10 @@
     view: watch::Receiver<MemberView>,
     lease: Duration,
     outages: Mutex<HashMap<GroupName, ClockTime>>,
+    /// When no other gateway was reached last, unless one has been since.
+    isolated: Mutex<Option<ClockTime>>,
+    /// Differs between gateways.
+    mix: u64,
 }
 
 /// The ways from a gateway to other VMs.
@@ -78,6 +93,8 @@
     pub peers: PeerLinks,
     /// Statements.
     pub statements: Arc<StatementLinks>,
+    /// The VM whose links these are.
+    pub vm: VmName,
 }
 
 /// How one attempt to hand a statement over ended.
@@ -105,6 +122,15 @@
     statements: Option<SocketAddr>,
 }
 
+impl From<&MemberRecord> for PeerPlace {
+    fn from(member: &MemberRecord) -> Self {
+        Self {
+            calls: member.peer_address,
+            statements: member.statement_address,
+        }
+    }
+}
+
 /// What a statement is called in the log.
 struct RequestNames {
     id: String,
@@ -137,10 +163,12 @@
     ) -> Self {
         Self {
             clock,
+            mix: hash_text(links.vm.as_str()),
             links,
             view,
             lease,
             outages: Mutex::default(),
+            isolated: Mutex::default(),
         }
     }
 
@@ -186,13 +214,15 @@
 
     async fn bring(&self, request: StatementRequest, started: ClockTime) -> StatementReply {
         let view = self.view.borrow().clone();
-        if !view.may_serve(started) {
-            return self.refuse(&request, RefusalCause::NoLease);
-        }
         let contract = view.copy.contract(&request.customer);
-        let Some(terms) = contract.and_then(|held| find_terms(&held.contract, &request.marks))
-        else {
-            return reply_with(&request, RequestVerdict::refused(RefusalCause::Contract, 0));
+        let terms = contract.and_then(|held| find_terms(&held.contract, &request.marks));
+        let terms = match terms {
+            Some(terms) => terms,
+            None if view.may_serve(started) => {
+                return reply_with(&request, RequestVerdict::refused(RefusalCause::Contract, 0));
+            }
+            // The contract may have come since this copy of the catalog.
+            None => return self.refuse(&request, RefusalCause::NoLease),
         };
         let deadline = started + find_deadline(&terms, &request.marks);
         self.attempt_until(request, &terms, started, deadline).await
@@ -354,8 +384,14 @@
     }
 
     async fn try_once(&self, request: &StatementRequest, limit: Duration) -> HandOver {
-        if !self.view.borrow().may_serve(self.clock.now()) {
-            return HandOver::NotTaken(RefusalCause::NoLease);
+        let remaining = self.view.borrow().lease.remaining(self.clock.now());
+        // Several heartbeats in a row had no answer: it may be this VM that is cut off.
+        let lonely = remaining < self.lease / 2;
+        if lonely {
+            self.prepare_detours();
+        }
+        if remaining.is_zero() {
+            return self.try_detours(request, limit).await;
         }
         let Some(target) = self.find_target(&request.group) else {
             return HandOver::NotTaken(RefusalCause::NoLeaseholder);
@@ -366,6 +402,9 @@
         let HandOver::NotTaken(RefusalCause::NoLeaseholder) = direct else {
             return direct;
         };
+        if lonely {
+            return self.try_detours(request, limit).await;
+        }
         // The path between this VM and the leaseholder may be cut while both live: a standby in
         // another failure domain usually still reaches it.
         for relay in target.relays {
@@ -377,6 +416,64 @@
         direct
     }
 
+    /// Hands a statement to another gateway, which brings it to the leaseholder.
+    ///
+    /// A gateway that is cut off from every control VM and leaseholder, but not from its callers, would
+    /// refuse them for as long, and the balancer goes on sending new ones where most gateways of a
+    /// failure domain are cut off. The other gateway goes by its own copy of the catalog, and the
+    /// leaseholder checks lease and contract, so nothing rests on what this one knows.
+    async fn try_detours(&self, request: &StatementRequest, limit: Duration) -> HandOver {
+        for place in self.list_detours() {
+            let relayed = self.hand_over(request, place, limit, true).await;
+            if !matches!(relayed, HandOver::NotTaken(_) | HandOver::NotLeading) {
+                self.note_isolation(false);
+                return relayed;
+            }
+        }
+        self.note_isolation(true);
+        HandOver::NotTaken(RefusalCause::NoLease)
+    }
+
+    /// Connects to other gateways, so that a statement needn't wait for that later.
+    fn prepare_detours(&self) {
+        let places = self.list_detours();
+        for address in places.into_iter().filter_map(|place| place.statements) {
+            self.links.statements.prepare(address);
+        }
+    }
+
+    fn note_isolation(&self, isolated: bool) {
+        let now = isolated.then(|| self.clock.now());
+        *self.isolated.lock().expect("no holder of this lock panics") = now;
+    }
+
+    /// Says whether a new session would be refused all of its statements: this gateway has no lease,
+    /// and lately reached no other gateway either.
+    pub fn is_isolated(&self) -> bool {
+        let now = self.clock.now();
+        let isolated = *self.isolated.lock().expect("no holder of this lock panics");
+        let lately = isolated.is_some_and(|at| now.since(at) < ISOLATION_TIME);
+        lately && !self.view.borrow().may_serve(now)
+    }
+
+    /// Lists other gateways, those of this failure domain first. Control VMs are left out: this one is
+    /// cut off from them.
+    fn list_detours(&self) -> SmallVec<[PeerPlace; MOST_DETOURS]> {
+        let view = self.view.borrow();
+        let own = view.copy.member(&self.links.vm);
+        let own = own.map(|member| &member.domain);
+        let others = view.copy.members().filter(|member| {
+            let gateway = !member.traits.control && !member.draining;
+            gateway && member.id.vm != self.links.vm && member.statement_address.is_some()
+        });
+        let mut others: Vec<_> = others.collect();
+        let (near, mix) = (|one: &MemberRecord| Some(&one.domain) == own, self.mix);
+        // Each gateway has an order of its own, so that not all come to the same one.
+        others.sort_by_key(|one| (!near(one), hash_text(one.id.vm.as_str()) ^ mix));
+        let places = others.into_iter().map(PeerPlace::from);
+        places.take(MOST_DETOURS).collect()
+    }
+
     async fn hand_over(
         &self,
         request: &StatementRequest,
@@ -427,12 +524,7 @@
     fn find_target(&self, group: &GroupName) -> Option<RouteTarget> {
         let view = self.view.borrow();
         let record: &GroupRecord = view.copy.group(group)?;
-        let place = |vm: &VmName| {
-            view.copy.member(vm).map(|member| PeerPlace {
-                calls: member.peer_address,
-                statements: member.statement_address,
-            })
-        };
+        let place = |vm: &VmName| view.copy.member(vm).map(PeerPlace::from);
         Some(RouteTarget {
             leaseholder: place(&record.placement.leaseholder)?,
             relays: record.placement.standbys.iter().filter_map(place).collect(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -232,6 +232,7 @@
             GatewayLinks {
                 peers: base.links.clone(),
                 statements: Arc::clone(&base.statement_links),
+                vm: base.settings.vm.clone(),
             },
             base.view.clone(),
             Duration::from_millis(base.settings.timing.lease_ms),
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -135,14 +135,23 @@
         Ok(())
     }
 
-    /// Says whether this gateway takes sessions now.
-    fn check_ready(&self, view: &MemberView) -> Result<(), SessionRefusal> {
+    /// Finds the contract of a session that is to be opened.
+    ///
+    /// A gateway without a lease takes the sessions of customers that it knows: it may still bring their
+    /// statements to another gateway, and the balancer sends callers here when few others are ready. It
+    /// never says that there is no such customer; that may have changed since.
+    fn find_contract<'v>(
+        &self,
+        view: &'v MemberView,
+        customer: &CustomerName,
+    ) -> Result<&'v CustomerContract, SessionRefusal> {
         if *self.closing.borrow() {
             return Err(SessionRefusal::Draining);
         }
-        match view.may_serve(self.clock.now()) {
-            true => Ok(()),
-            false => Err(SessionRefusal::NotReady {
+        match view.copy.contract(customer) {
+            Some(held) if !self.gateway.is_isolated() => Ok(&held.contract),
+            None if view.may_serve(self.clock.now()) => Err(SessionRefusal::NoContract),
+            Some(_) | None => Err(SessionRefusal::NotReady {
                 come_back_after_ms: LEASE_RETURN_MS,
             }),
         }
@@ -160,10 +169,7 @@
 impl SessionService for GatewayService {
     fn admit(&self, database: &CustomerName) -> Result<(), SessionRefusal> {
         let view = self.view.borrow();
-        self.check_ready(&view)?;
-        let contract = view.copy.contract(database);
-        let contract = &contract.ok_or(SessionRefusal::NoContract)?.contract;
-        self.count_session(contract)
+        self.count_session(self.find_contract(&view, database)?)
     }
 
     fn release(&self, database: &CustomerName) {
@@ -185,9 +191,7 @@
 impl StatementService for GatewayService {
     fn open_session(&self, opening: &SessionOpening) -> Result<(), SessionRefusal> {
         let view = self.view.borrow();
-        self.check_ready(&view)?;
-        let contract = view.copy.contract(&opening.customer);
-        let contract = &contract.ok_or(SessionRefusal::NoContract)?.contract;
+        let contract = self.find_contract(&view, &opening.customer)?;
         if !contract.groups.contains(&opening.group) {
             return Err(SessionRefusal::UnknownGroup);
         }
--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -61,10 +61,16 @@
     Relay,
 }
 
-struct LinkCall {
-    sort: CallSort,
-    request: StatementRequest,
-    reply: oneshot::Sender<CallReply>,
+/// What a link's task is asked.
+enum LinkCall {
+    /// To make a call.
+    Statement {
+        sort: CallSort,
+        request: Box<StatementRequest>,
+        reply: oneshot::Sender<CallReply>,
+    },
+    /// To be connected when a call comes.
+    Prepare,
 }
 
 /// The links of one gateway, by the leaseholders' addresses for statements.
@@ -100,9 +106,9 @@
         limit: Duration,
     ) -> CallReply {
         let (reply, answer) = oneshot::channel();
-        let call = LinkCall {
+        let call = LinkCall::Statement {
             sort,
-            request,
+            request: Box::new(request),
             reply,
         };
         if self.link(address).try_send(call).is_err() {
@@ -114,6 +120,12 @@
         }
     }
 
+    /// Connects to a VM ahead of the first call for it, or finds out that it can't be reached.
+    pub fn prepare(&self, address: SocketAddr) {
+        // A full queue belongs to a link that is in use.
+        let _ = self.link(address).try_send(LinkCall::Prepare);
+    }
+
     /// Closes all links and joins their tasks.
     pub async fn shut_down(&self) {
         self.links
@@ -294,8 +306,10 @@
 }
 
 fn refuse(call: LinkCall) {
-    // A caller that is gone needs no answer.
-    let _ = call.reply.send(Err(LinkError::Unreachable));
+    if let LinkCall::Statement { reply, .. } = call {
+        // A caller that is gone needs no answer.
+        let _ = reply.send(Err(LinkError::Unreachable));
+    }
 }
 
 impl OpenLink {
@@ -376,23 +390,28 @@
     }
 
     fn take_call(&mut self, call: LinkCall, now: ClockTime) {
+        let LinkCall::Statement {
+            sort,
+            request,
+            reply,
+        } = call
+        else {
+            return;
+        };
         // A caller that is gone wants nothing run any more.
-        if call.reply.is_closed() {
+        if reply.is_closed() {
             return;
         }
         self.last_call += 1;
-        let frame = match call.sort {
-            CallSort::Execute => StatementFrame::Execute(self.last_call, call.request),
-            CallSort::Relay => StatementFrame::Relay(self.last_call, call.request),
+        let frame = match sort {
+            CallSort::Execute => StatementFrame::Execute(self.last_call, *request),
+            CallSort::Relay => StatementFrame::Relay(self.last_call, *request),
         };
         if let Err(error) = self.codec.encode(&frame, &mut self.unsent) {
-            let _ = call.reply.send(Err(LinkError::Rejected(error.to_string())));
+            let _ = reply.send(Err(LinkError::Rejected(error.to_string())));
             return;
         }
-        let owed = OwedReply {
-            since: now,
-            reply: call.reply,
-        };
+        let owed = OwedReply { since: now, reply };
         self.owed.insert(self.last_call, owed);
     }
 
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -147,13 +147,13 @@
 
 /// Creates what a VM knows: the contract, three members at these addresses, the group's record.
 pub fn create_view(addresses: [SocketAddr; 3], record: &GroupRecord, lease: bool) -> MemberView {
-    create_view_with(addresses, None, record, lease)
+    create_view_with(addresses, [None; 3], record, lease)
 }
 
-/// The same, and the address at which the first member takes statements.
+/// The same, and the addresses at which the members take statements.
 pub fn create_view_with(
     addresses: [SocketAddr; 3],
-    statements: Option<SocketAddr>,
+    statements: [Option<SocketAddr>; 3],
     record: &GroupRecord,
     lease: bool,
 ) -> MemberView {
@@ -174,7 +174,7 @@
             },
             domain: "windhoek-a".into(),
             peer_address: address,
-            statement_address: statements.filter(|_| index == 0),
+            statement_address: statements[index],
             draining: false,
             traits: MemberTraits::default(),
         };
@@ -536,5 +536,6 @@
     GatewayLinks {
         peers,
         statements: StatementLinks::new(NodeClock::start(), Duration::from_secs(5)),
+        vm: "gateway".into(),
     }
 }
--- a/crates/daemon/tests/pieces/statements.rs
+++ b/crates/daemon/tests/pieces/statements.rs
@@ -49,6 +49,9 @@
 /// The text of a statement that the leaseholder never replies to.
 const HANGS: &str = "hangs";
 
+/// The text of a statement that the VM can bring to its leaseholder.
+const DETOUR: &str = "detour";
+
 /// The text of a statement whose reply the leaseholder has lost.
 const LOSES: &str = "loses";
 
@@ -78,6 +81,10 @@
     other_bytes_end_their_own_connection_only => garbage_case();
     /// A gateway finds a leaseholder's address for statements in the catalog and uses it.
     gateway_uses_the_link => gateway_case();
+    /// A gateway is cut off from every control VM and leaseholder for seconds, and its lease has ended. Its
+    /// callers would all be refused meanwhile. Another gateway brings their statements to the leaseholder;
+    /// where that one is cut off too, the next one is asked, and if none is left the refusal is true.
+    gateway_that_is_cut_off_goes_by_another => detour_case();
 }
 
 /// A leaseholder that answers each statement with the length of its text.
@@ -102,11 +109,11 @@
     }
 
     async fn bring_on(&self, request: StatementRequest) -> StatementReply {
-        let verdict = RequestVerdict::refused(RefusalCause::NoLeaseholder, 7);
-        StatementReply {
-            verdict,
-            ..answer(&request, 0)
+        let mut reply = answer(&request, request.text.len() as u64);
+        if request.text != DETOUR {
+            reply.verdict = RequestVerdict::refused(RefusalCause::NoLeaseholder, 7);
         }
+        reply
     }
 }
 
@@ -339,7 +346,8 @@
     let leaseholder = Leaseholder::start().await;
     let links = plain_links(PeerLinks::new(LONG));
     let record = create_record("vm-1", 1);
-    let view = create_view_with([NOWHERE; 3], Some(leaseholder.address), &record, true);
+    let statements = [Some(leaseholder.address), None, None];
+    let view = create_view_with([NOWHERE; 3], statements, &record, true);
     let (_view, views) = watch::channel(view);
     let gateway = Gateway::new(NodeClock::start(), links.clone(), views, LONG);
     let reply = gateway.execute(request("xyz")).await;
@@ -347,3 +355,31 @@
     links.statements.shut_down().await;
     leaseholder.stop().await;
 }
+
+async fn detour_case() {
+    let other = Leaseholder::start().await;
+    let links = plain_links(PeerLinks::new(LONG));
+    let record = create_record("vm-1", 1);
+    let statements = [Some(NOWHERE), Some(NOWHERE), Some(other.address)];
+    let view = create_view_with([NOWHERE; 3], statements, &record, false);
+    let (_view, views) = watch::channel(view);
+    // No takeover could end before a statement's deadline.
+    let gateway = Gateway::new(NodeClock::start(), links.clone(), views, HOUR);
+    let reply = gateway.execute(request(DETOUR)).await;
+    let done = StatementAnswer::Done(DETOUR.len() as u64);
+    assert_eq!(reply.verdict, RequestVerdict::Ran(done));
+    let refused = gateway.execute(request("x")).await;
+    let RequestVerdict::NotRun(refusal) = refused.verdict else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(refusal.cause, RefusalCause::NoLease);
+    assert!(refusal.come_back_after_ms > 0);
+    assert!(gateway.is_isolated());
+    assert!(matches!(
+        gateway.execute(request(DETOUR)).await.verdict,
+        RequestVerdict::Ran(_)
+    ));
+    assert!(!gateway.is_isolated());
+    links.statements.shut_down().await;
+    other.stop().await;
+}
