--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -73,6 +73,9 @@
 /// in to find out.
 const ISOLATION_TIME: Duration = Duration::from_millis(500);
 
+/// The pause after a vain attempt to reach another gateway; statements that come within it don't try.
+const DETOUR_PAUSE: Duration = Duration::from_millis(200);
+
 /// A statement's way through one gateway.
 pub struct Gateway {
     clock: NodeClock,
@@ -423,6 +426,11 @@
     /// failure domain are cut off. The other gateway goes by its own copy of the catalog, and the
     /// leaseholder checks lease and contract, so nothing rests on what this one knows.
     async fn try_detours(&self, request: &StatementRequest, limit: Duration) -> HandOver {
+        // When control is lost to all, each waiting statement would go round all gateways many times a
+        // second, and all of them would be slow to come back.
+        if self.was_isolated_within(DETOUR_PAUSE) {
+            return HandOver::NotTaken(RefusalCause::NoLease);
+        }
         for place in self.list_detours() {
             let relayed = self.hand_over(request, place, limit, true).await;
             if !matches!(relayed, HandOver::NotTaken(_) | HandOver::NotLeading) {
@@ -450,10 +458,13 @@
     /// Says whether a new session would be refused all of its statements: this gateway has no lease,
     /// and lately reached no other gateway either.
     pub fn is_isolated(&self) -> bool {
-        let now = self.clock.now();
+        let lately = self.was_isolated_within(ISOLATION_TIME);
+        lately && !self.view.borrow().may_serve(self.clock.now())
+    }
+
+    fn was_isolated_within(&self, time: Duration) -> bool {
         let isolated = *self.isolated.lock().expect("no holder of this lock panics");
-        let lately = isolated.is_some_and(|at| now.since(at) < ISOLATION_TIME);
-        lately && !self.view.borrow().may_serve(now)
+        isolated.is_some_and(|at| self.clock.now().since(at) < time)
     }
 
     /// Lists other gateways, those of this failure domain first. Control VMs are left out: this one is
