Let sessions wait while a gateway starts

Change: a gateway that has no catalog yet lets a session wait for up to 0.8 s. Their statements now say how long their callers waited, which counts against the target.

--- a/crates/daemon/src/callers/answers.rs
+++ b/crates/daemon/src/callers/answers.rs
@@ -177,7 +177,8 @@
                     .with_come_back(come_back_after_ms)
             }
             SessionRefusal::Draining => Self::not_run("57P01", "gateway is shutting down"),
-            SessionRefusal::NotReady { come_back_after_ms } => {
+            SessionRefusal::Starting { come_back_after_ms }
+            | SessionRefusal::NotReady { come_back_after_ms } => {
                 Self::not_run("57P03", "gateway isn't ready").with_come_back(come_back_after_ms)
             }
         }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -67,6 +67,11 @@
     },
     /// The gateway is shutting down.
     Draining,
+    /// The gateway has just started and knows nothing yet; it will within moments.
+    Starting {
+        /// The time to wait before asking again, in milliseconds.
+        come_back_after_ms: u64,
+    },
     /// The gateway doesn't take work now, as without a lease.
     NotReady {
         /// The time to wait before asking again, in milliseconds; zero if unknown.
--- a/crates/daemon/src/callers/running.rs
+++ b/crates/daemon/src/callers/running.rs
@@ -206,6 +206,7 @@
             parameters,
             step,
             spent_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            waited_ms: 0,
             context: None,
         }
     }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -584,9 +584,13 @@
 
 /// Returns until when the answer to a statement is worth most, at the leaseholder that took it in
 /// at `arrived`.
-pub fn find_target(arrived: ClockTime, terms: &KindTerms, spent_ms: u64) -> Option<ClockTime> {
+pub fn find_target(
+    arrived: ClockTime,
+    terms: &KindTerms,
+    request: &StatementRequest,
+) -> Option<ClockTime> {
     let target = Duration::from_millis(terms.target_ms?);
-    let spent = Duration::from_millis(spent_ms) + WAY_BACK;
+    let spent = Duration::from_millis(request.spent_ms + request.waited_ms) + WAY_BACK;
     Some(arrived + target.saturating_sub(spent))
 }
 
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -259,7 +259,7 @@
             min_position: required.unwrap_or_default(),
             max_age: Duration::from_millis(active.terms.max_age_ms),
             deadline: active.deadline,
-            target: find_target(active.arrived, &active.terms, active.request.spent_ms),
+            target: find_target(active.arrived, &active.terms, &active.request),
             step,
         }
     }
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -190,7 +190,7 @@
             min_position: active.floor,
             max_age: Duration::from_millis(active.terms.max_age_ms),
             deadline: active.deadline,
-            target: find_target(active.arrived, &active.terms, active.request.spent_ms),
+            target: find_target(active.arrived, &active.terms, &active.request),
             step,
         }
     }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -14,6 +14,7 @@
 use async_trait::async_trait;
 use ragwort_policy::CustomerTerms;
 use ragwort_policy::FlightLimiter;
+use ragwort_types::CatalogRevision;
 use ragwort_types::CustomerContract;
 use ragwort_types::CustomerName;
 use ragwort_types::GroupName;
@@ -151,6 +152,11 @@
         match view.copy.contract(customer) {
             Some(held) if !self.gateway.is_isolated() => Ok(&held.contract),
             None if view.may_serve(self.clock.now()) => Err(SessionRefusal::NoContract),
+            None if view.copy.revision() == CatalogRevision::default() => {
+                Err(SessionRefusal::Starting {
+                    come_back_after_ms: LEASE_RETURN_MS,
+                })
+            }
             Some(_) | None => Err(SessionRefusal::NotReady {
                 come_back_after_ms: LEASE_RETURN_MS,
             }),
--- a/crates/daemon/src/sessions/edge.rs
+++ b/crates/daemon/src/sessions/edge.rs
@@ -110,6 +110,7 @@
             metrics: self.metrics.clone(),
             order: order.subscribe(),
             name: SessionName::from(format!("{}-{number}", self.vm)),
+            waited: Duration::ZERO,
         };
         tasks.spawn(task.run());
     }
--- a/crates/daemon/src/sessions/session.rs
+++ b/crates/daemon/src/sessions/session.rs
@@ -28,15 +28,25 @@
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 /// The bytes read at once. Statements take some hundred bytes.
 const READ_BYTES: usize = 1_024;
 
+/// How long a session may wait for a gateway that starts. First leases are there after 0.5 s; callers
+/// give an opening up after 2 s and have their own deadlines before.
+const START_PATIENCE: Duration = Duration::from_millis(800);
+
+/// How often a session looks meanwhile whether the gateway has started.
+const START_LOOK: Duration = Duration::from_millis(20);
+
 /// All that one connection's task owns.
 pub(super) struct SessionTask {
     pub(super) socket: SessionSocket,
@@ -46,6 +56,8 @@
     pub(super) order: watch::Receiver<DrainOrder>,
     /// Unique among this gateway's sessions.
     pub(super) name: SessionName,
+    /// How long the caller has waited for its session, until it has the answer to a statement.
+    pub(super) waited: Duration,
 }
 
 /// Why a connection ends.
@@ -78,9 +90,11 @@
                 return;
             }
         };
-        if let Err(refusal) = self.service.admit(&database) {
+        let asked = Instant::now();
+        if let Err(refusal) = self.admit(&database).await {
             return self.refuse(&database, refusal).await;
         }
+        self.waited = asked.elapsed();
         let admitted = AdmittedSession {
             service: Arc::clone(&self.service),
             database,
@@ -88,6 +102,23 @@
         self.converse(&admitted.database).await;
     }
 
+    /// Admits the session, and waits for that while the gateway starts.
+    ///
+    /// When all gateways have lost power, callers come back the moment that they listen, which is some
+    /// hundred milliseconds before the first leases. Refused then, they use up their attempts on every
+    /// gateway; a moment later they would have been served.
+    async fn admit(&self, database: &CustomerName) -> Result<(), SessionRefusal> {
+        let patience = Instant::now() + START_PATIENCE;
+        loop {
+            match self.service.admit(database) {
+                Err(SessionRefusal::Starting { .. }) if Instant::now() < patience => {
+                    sleep(START_LOOK).await;
+                }
+                admitted => return admitted,
+            }
+        }
+    }
+
     async fn refuse(&mut self, database: &CustomerName, refusal: SessionRefusal) {
         self.metrics.count_caller_fault("refused");
         log_event!(
@@ -106,6 +137,11 @@
                 "too many sessions are open",
             ),
             SessionRefusal::Draining => (CallerErrorSort::Busy, 0, "gateway is shutting down"),
+            SessionRefusal::Starting { come_back_after_ms } => (
+                CallerErrorSort::Busy,
+                come_back_after_ms,
+                "gateway is starting",
+            ),
             SessionRefusal::NotReady { come_back_after_ms } => (
                 CallerErrorSort::Busy,
                 come_back_after_ms,
@@ -181,6 +217,7 @@
                 SessionStep::Run(draft) => {
                     let reply = self.execute(database, &draft).await;
                     let clean_up = draft.to_clean_up(&reply.verdict);
+                    self.waited = Duration::ZERO;
                     let answer = session.finish(&draft, reply);
                     if let Some(draft) = clean_up {
                         self.execute(database, &draft).await;
@@ -253,6 +290,7 @@
             parameters: None,
             step: draft.step,
             spent_ms: 0,
+            waited_ms: self.waited.as_millis() as u64,
             context: Some(Box::new(draft.context.clone())),
         }
     }
--- a/crates/daemon/tests/callers/verdicts.rs
+++ b/crates/daemon/tests/callers/verdicts.rs
@@ -124,6 +124,7 @@
     group_outside_contract: SessionRefusal::UnknownGroup => "3D000";
     too_many_sessions: SessionRefusal::TooManySessions { come_back_after_ms: 5 } => "53300";
     session_while_draining: SessionRefusal::Draining => "57P01";
+    session_at_a_start: SessionRefusal::Starting { come_back_after_ms: 5 } => "57P03";
     session_without_lease: SessionRefusal::NotReady { come_back_after_ms: 5 } => "57P03";
 }
 
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -194,6 +194,7 @@
             parameters: None,
             step: self.step,
             spent_ms: 0,
+            waited_ms: 0,
             context: Some(Box::new(SessionContext {
                 caller_id: "a1".to_owned(),
                 act: self.act,
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -281,6 +281,7 @@
             parameters: None,
             step: self.step,
             spent_ms: 0,
+            waited_ms: 0,
         }
     }
 }
--- a/crates/rpc/tests/frames.rs
+++ b/crates/rpc/tests/frames.rs
@@ -38,6 +38,7 @@
         parameters: None,
         step,
         spent_ms: 3,
+        waited_ms: 0,
         context: Some(Box::new(SessionContext {
             caller_id: "5c0e7a21d94b36f8".into(),
             act: StatementAct::Text(AccessMode::Write),
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -63,6 +63,10 @@
     /// The time that the gateway has already spent on it, in milliseconds.
     #[serde(rename = "z", default, skip_serializing_if = "is_zero")]
     pub spent_ms: u64,
+    /// The time that its caller has waited before it for its session to open, in milliseconds. It counts
+    /// against the target, which is its caller's, and not against the deadline, which is the statement's.
+    #[serde(rename = "y", default, skip_serializing_if = "is_zero")]
+    pub waited_ms: u64,
     /// What it needs of its session, where sessions share connections without a driver's help.
     #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
     pub context: Option<Box<SessionContext>>,
--- a/crates/types/tests/statement_size.rs
+++ b/crates/types/tests/statement_size.rs
@@ -37,6 +37,7 @@
         parameters: None,
         step,
         spent_ms: 3,
+        waited_ms: 0,
         context: Some(Box::new(SessionContext {
             caller_id: "18351db4f02480e1".to_owned(),
             act: StatementAct::Text(AccessMode::Read),
