Send idle sessions away from a gateway that reaches nobody

Change: a gateway that has had no lease and reached no other gateway for as long as the balancer needs to notice (timing.drain_notice_ms) closes sessions between transactions, as at a drain, until it reaches somebody again.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -41,6 +41,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -83,8 +84,8 @@
     view: watch::Receiver<MemberView>,
     lease: Duration,
     outages: Mutex<HashMap<GroupName, ClockTime>>,
-    /// When no other gateway was reached last, unless one has been since.
-    isolated: Mutex<Option<ClockTime>>,
+    /// The vain attempts to reach another gateway since one was reached.
+    isolation: Mutex<Option<GatewayIsolation>>,
     /// Differs between gateways.
     mix: u64,
 }
@@ -100,6 +101,13 @@
     pub vm: VmName,
 }
 
+/// Since when this gateway has reached no other, and when that was last seen.
+#[derive(Clone, Copy)]
+struct GatewayIsolation {
+    since: ClockTime,
+    last: ClockTime,
+}
+
 /// How one attempt to hand a statement over ended.
 enum HandOver {
     /// The leaseholder replied.
@@ -171,7 +179,7 @@
             view,
             lease,
             outages: Mutex::default(),
-            isolated: Mutex::default(),
+            isolation: Mutex::default(),
         }
     }
 
@@ -451,8 +459,19 @@
     }
 
     fn note_isolation(&self, isolated: bool) {
-        let now = isolated.then(|| self.clock.now());
-        *self.isolated.lock().expect("no holder of this lock panics") = now;
+        let now = self.clock.now();
+        let mut isolation = self.isolation();
+        let since = match *isolation {
+            Some(known) if self.clock.now().since(known.last) < ISOLATION_TIME => known.since,
+            Some(_) | None => now,
+        };
+        *isolation = isolated.then_some(GatewayIsolation { since, last: now });
+    }
+
+    fn isolation(&self) -> MutexGuard<'_, Option<GatewayIsolation>> {
+        self.isolation
+            .lock()
+            .expect("no holder of this lock panics")
     }
 
     /// Says whether a new session would be refused all of its statements: this gateway has no lease,
@@ -462,9 +481,19 @@
         lately && !self.view.borrow().may_serve(self.clock.now())
     }
 
+    /// Says whether this gateway has been isolated for a time.
+    pub fn is_isolated_for(&self, time: Duration) -> bool {
+        let now = self.clock.now();
+        let long = self
+            .isolation()
+            .is_some_and(|isolation| now.since(isolation.since) >= time);
+        long && self.is_isolated()
+    }
+
     fn was_isolated_within(&self, time: Duration) -> bool {
-        let isolated = *self.isolated.lock().expect("no holder of this lock panics");
-        isolated.is_some_and(|at| self.clock.now().since(at) < time)
+        let now = self.clock.now();
+        self.isolation()
+            .is_some_and(|isolation| now.since(isolation.last) < time)
     }
 
     /// Lists other gateways, those of this failure domain first. Control VMs are left out: this one is
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -489,6 +489,7 @@
                 service,
                 metrics,
                 vm: base.settings.vm.clone(),
+                notice: Duration::from_millis(timing.drain_notice_ms),
             };
             tokio::spawn(async move {
                 edge.run(drain).await;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -31,6 +31,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -182,6 +183,10 @@
         self.discount_session(database);
     }
 
+    fn sends_sessions_away(&self, notice: Duration) -> bool {
+        self.gateway.is_isolated_for(notice)
+    }
+
     fn find_group(&self, database: &CustomerName) -> Option<GroupName> {
         let view = self.view.borrow();
         let contract = view.copy.contract(database)?;
--- a/crates/daemon/src/sessions/edge.rs
+++ b/crates/daemon/src/sessions/edge.rs
@@ -21,12 +21,17 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 use tokio::time::sleep;
 
 /// How long to wait after a failed accept. A process without free descriptors fails each accept at
 /// once; trying again at once would keep a core busy and the log full.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How often it's looked whether sessions are better served elsewhere.
+const ISOLATION_LOOK: Duration = Duration::from_millis(100);
+
 /// Accepts callers on one address and runs a task for each connection.
 pub struct SessionEdge {
     /// The bound listener.
@@ -41,6 +46,8 @@
     pub metrics: DaemonMetrics,
     /// This VM, for sessions' names.
     pub vm: VmName,
+    /// The time in which the balancer notices that this VM isn't ready.
+    pub notice: Duration,
 }
 
 impl SessionEdge {
@@ -49,15 +56,22 @@
     /// From the drain on sessions are closed between transactions. A transaction that is still open
     /// after the drain's limit is rolled back between two statements; a statement in flight is
     /// always waited for.
+    ///
+    /// While this gateway reaches nobody, sessions are closed between transactions as well: their
+    /// callers would be refused for as long as the cut lasts, and come back by another gateway once the
+    /// balancer has noticed.
     pub async fn run(self, drain: watch::Receiver<bool>) {
         let (order, _) = watch::channel(DrainOrder::Serve);
         let mut tasks = JoinSet::new();
         let mut drain = std::pin::pin!(wait_until_true(drain));
         let mut last_call = std::pin::pin!(sleep(Duration::MAX));
         let mut accepted_count = 0_u64;
+        let mut draining = false;
+        let mut look = interval(ISOLATION_LOOK);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let present = *order.borrow();
-            if present > DrainOrder::Serve && tasks.is_empty() {
+            if draining && tasks.is_empty() {
                 break;
             }
             tokio::select! {
@@ -67,12 +81,14 @@
                     self.take_connection(accepted, accepted_count, &order, &mut tasks).await;
                 }
                 Some(_) = tasks.join_next(), if !tasks.is_empty() => {}
-                () = &mut drain, if present == DrainOrder::Serve => {
+                _ = look.tick(), if !draining => self.send_away(&order, tasks.len()),
+                () = &mut drain, if !draining => {
+                    draining = true;
                     log_event!(Level::Info, "callers_draining", connections = tasks.len());
                     order.send_replace(DrainOrder::EndIdle);
                     last_call.as_mut().reset(Instant::now() + self.limits.drain);
                 }
-                () = &mut last_call, if present == DrainOrder::EndIdle => {
+                () = &mut last_call, if draining && present == DrainOrder::EndIdle => {
                     log_event!(Level::Warn, "drain_limit_met", connections = tasks.len());
                     order.send_replace(DrainOrder::EndAll);
                 }
@@ -81,6 +97,23 @@
         log_event!(Level::Info, "callers_drained");
     }
 
+    /// Closes idle sessions while this gateway reaches nobody, and stops when it does again.
+    fn send_away(&self, order: &watch::Sender<DrainOrder>, connections: usize) {
+        let wanted = match self.service.sends_sessions_away(self.notice) {
+            true => DrainOrder::EndIdle,
+            false => DrainOrder::Serve,
+        };
+        if order.send_if_modified(|present| std::mem::replace(present, wanted) != wanted) {
+            let away = wanted == DrainOrder::EndIdle;
+            log_event!(
+                Level::Warn,
+                "callers_sent_away",
+                away = away,
+                connections = connections,
+            );
+        }
+    }
+
     async fn take_connection(
         &self,
         accepted: io::Result<TcpStream>,
--- a/crates/daemon/src/sessions/mod.rs
+++ b/crates/daemon/src/sessions/mod.rs
@@ -15,6 +15,7 @@
 use ragwort_types::GroupName;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
+use std::time::Duration;
 
 /// The kind of statements that read, in contracts that tell kinds apart by what they do.
 pub const READ_KIND: &str = "read";
@@ -38,6 +39,10 @@
     /// Takes note that an admitted session has ended; called once for each.
     fn release(&self, database: &CustomerName);
 
+    /// Says whether sessions are better served by another gateway: this one has reached nobody for
+    /// `notice`.
+    fn sends_sessions_away(&self, notice: Duration) -> bool;
+
     /// Returns the group that serves a database's name now.
     fn find_group(&self, database: &CustomerName) -> Option<GroupName>;
 
