Decide on isolation apart from input and output

A statement whose leaseholder is out of reach while detours are vain names that cause and not a lease that it has. Behaviour is the same otherwise.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -5,7 +5,8 @@
 //! statement whose reply was lost.
 
 use crate::clock::NodeClock;
-use crate::group::hash_text;
+use crate::detours::MOST_DETOURS;
+use crate::detours::list_detours;
 use crate::log_event;
 use crate::member::MemberView;
 use crate::peers::LinkError;
@@ -15,6 +16,7 @@
 use jsonrpsee_ws_client::WsClient;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_policy::IsolationWatch;
 use ragwort_rpc::PeerApiClient;
 use ragwort_types::AccessMode;
 use ragwort_types::CustomerContract;
@@ -66,17 +68,6 @@
 /// placement with its next heartbeat, of which a lease holds three or more.
 const HANDOVER_LEASES: f64 = 0.5;
 
-/// Other gateways that are tried for one statement when this one is cut off. Each that is cut off as
-/// well says so within a round trip.
-const MOST_DETOURS: usize = 3;
-
-/// For how long a vain attempt to reach another gateway tells of the next: after it, one session is let
-/// in to find out.
-const ISOLATION_TIME: Duration = Duration::from_millis(500);
-
-/// The pause after a vain attempt to reach another gateway; statements that come within it don't try.
-const DETOUR_PAUSE: Duration = Duration::from_millis(200);
-
 /// A statement's way through one gateway.
 pub struct Gateway {
     clock: NodeClock,
@@ -84,10 +75,8 @@
     view: watch::Receiver<MemberView>,
     lease: Duration,
     outages: Mutex<HashMap<GroupName, ClockTime>>,
-    /// The vain attempts to reach another gateway since one was reached.
-    isolation: Mutex<Option<GatewayIsolation>>,
-    /// Differs between gateways.
-    mix: u64,
+    /// What is known of this gateway's reach while it has no lease.
+    isolation: Mutex<IsolationWatch>,
 }
 
 /// The ways from a gateway to other VMs.
@@ -101,13 +90,6 @@
     pub vm: VmName,
 }
 
-/// Since when this gateway has reached no other, and when that was last seen.
-#[derive(Clone, Copy)]
-struct GatewayIsolation {
-    since: ClockTime,
-    last: ClockTime,
-}
-
 /// How one attempt to hand a statement over ended.
 enum HandOver {
     /// The leaseholder replied.
@@ -174,7 +156,6 @@
     ) -> Self {
         Self {
             clock,
-            mix: hash_text(links.vm.as_str()),
             links,
             view,
             lease,
@@ -414,7 +395,10 @@
             return direct;
         };
         if lonely {
-            return self.try_detours(request, limit).await;
+            return match self.try_detours(request, limit).await {
+                HandOver::NotTaken(_) => direct,
+                taken => taken,
+            };
         }
         // The path between this VM and the leaseholder may be cut while both live: a standby in
         // another failure domain usually still reaches it.
@@ -434,41 +418,35 @@
     /// failure domain are cut off. The other gateway goes by its own copy of the catalog, and the
     /// leaseholder checks lease and contract, so nothing rests on what this one knows.
     async fn try_detours(&self, request: &StatementRequest, limit: Duration) -> HandOver {
-        // When control is lost to all, each waiting statement would go round all gateways many times a
-        // second, and all of them would be slow to come back.
-        if self.was_isolated_within(DETOUR_PAUSE) {
+        if !self.isolation().may_try(self.clock.now()) {
             return HandOver::NotTaken(RefusalCause::NoLease);
         }
-        for place in self.list_detours() {
+        for place in self.find_detours() {
             let relayed = self.hand_over(request, place, limit, true).await;
             if !matches!(relayed, HandOver::NotTaken(_) | HandOver::NotLeading) {
-                self.note_isolation(false);
+                self.isolation().note_reached();
                 return relayed;
             }
         }
-        self.note_isolation(true);
+        self.isolation().note_vain(self.clock.now());
         HandOver::NotTaken(RefusalCause::NoLease)
     }
 
     /// Connects to other gateways, so that a statement needn't wait for that later.
     fn prepare_detours(&self) {
-        let places = self.list_detours();
+        let places = self.find_detours();
         for address in places.into_iter().filter_map(|place| place.statements) {
             self.links.statements.prepare(address);
         }
     }
 
-    fn note_isolation(&self, isolated: bool) {
-        let now = self.clock.now();
-        let mut isolation = self.isolation();
-        let since = match *isolation {
-            Some(known) if self.clock.now().since(known.last) < ISOLATION_TIME => known.since,
-            Some(_) | None => now,
-        };
-        *isolation = isolated.then_some(GatewayIsolation { since, last: now });
+    fn find_detours(&self) -> SmallVec<[PeerPlace; MOST_DETOURS]> {
+        let view = self.view.borrow();
+        let members = list_detours(&view, &self.links.vm);
+        members.into_iter().map(PeerPlace::from).collect()
     }
 
-    fn isolation(&self) -> MutexGuard<'_, Option<GatewayIsolation>> {
+    fn isolation(&self) -> MutexGuard<'_, IsolationWatch> {
         self.isolation
             .lock()
             .expect("no holder of this lock panics")
@@ -477,41 +455,14 @@
     /// Says whether a new session would be refused all of its statements: this gateway has no lease,
     /// and lately reached no other gateway either.
     pub fn is_isolated(&self) -> bool {
-        let lately = self.was_isolated_within(ISOLATION_TIME);
-        lately && !self.view.borrow().may_serve(self.clock.now())
-    }
-
-    /// Says whether this gateway has been isolated for a time.
-    pub fn is_isolated_for(&self, time: Duration) -> bool {
         let now = self.clock.now();
-        let long = self
-            .isolation()
-            .is_some_and(|isolation| now.since(isolation.since) >= time);
-        long && self.is_isolated()
+        !self.view.borrow().may_serve(now) && self.isolation().is_isolated(now)
     }
 
-    fn was_isolated_within(&self, time: Duration) -> bool {
+    /// Says whether that has been so for a time.
+    pub fn is_isolated_for(&self, time: Duration) -> bool {
         let now = self.clock.now();
-        self.isolation()
-            .is_some_and(|isolation| now.since(isolation.last) < time)
-    }
-
-    /// Lists other gateways, those of this failure domain first. Control VMs are left out: this one is
-    /// cut off from them.
-    fn list_detours(&self) -> SmallVec<[PeerPlace; MOST_DETOURS]> {
-        let view = self.view.borrow();
-        let own = view.copy.member(&self.links.vm);
-        let own = own.map(|member| &member.domain);
-        let others = view.copy.members().filter(|member| {
-            let gateway = !member.traits.control && !member.draining;
-            gateway && member.id.vm != self.links.vm && member.statement_address.is_some()
-        });
-        let mut others: Vec<_> = others.collect();
-        let (near, mix) = (|one: &MemberRecord| Some(&one.domain) == own, self.mix);
-        // Each gateway has an order of its own, so that not all come to the same one.
-        others.sort_by_key(|one| (!near(one), hash_text(one.id.vm.as_str()) ^ mix));
-        let places = others.into_iter().map(PeerPlace::from);
-        places.take(MOST_DETOURS).collect()
+        !self.view.borrow().may_serve(now) && self.isolation().is_isolated_for(now, time)
     }
 
     async fn hand_over(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod clock;
 pub mod connection;
 pub mod control;
+mod detours;
 pub mod directory;
 pub mod disk;
 pub mod dump;
