Serve single statements while a handover waits for open transactions

From handover_begun to group_left it took 0.96 s until its open transactions had ended, and every new statement of its callers was refused meanwhile ("no lease"). Change: until the last transaction has ended only new transactions are turned away; then nothing is taken in for the moment of the handover. The cause named is now that there is no leaseholder, by which the gateway knows that the next one is about to answer, and waits for it. Ruled out: the lost VM (it had been replaced 2.8 s before), the commit of the placement (20 ms).

--- a/crates/daemon/src/native/handover.rs
+++ b/crates/daemon/src/native/handover.rs
@@ -11,6 +11,7 @@
 use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
 use ragwort_types::GroupPlacement;
+use ragwort_types::TransactionStep;
 use std::time::Duration;
 
 /// How long open transactions may go on before they are cut by the handover, as a part of the drain
@@ -26,16 +27,33 @@
 pub(super) struct HandoverCourse {
     plan: Option<GroupPlacement>,
     begun: ClockTime,
+    /// Whether single statements aren't taken in any more either.
+    closed: bool,
     /// The revision that was looked at last; the same again plans the same.
     seen: Option<CatalogRevision>,
     proposed: bool,
 }
 
 impl HandoverCourse {
-    /// Says whether nothing new is taken in any more.
+    /// Says whether no transaction is opened any more.
     pub(super) fn is_begun(&self) -> bool {
         self.plan.is_some()
     }
+
+    /// Says whether a statement of this step comes too late.
+    ///
+    /// Open transactions take a second to end, in which callers of all other statements would be
+    /// refused: 600 in one handover that only evened the load. So single ones are served until the last
+    /// transaction has ended, and only for the moment of the handover itself nothing is taken in.
+    pub(super) fn turns_away(&self, step: TransactionStep) -> bool {
+        match step {
+            TransactionStep::Single => self.closed,
+            TransactionStep::Begin(_) => self.is_begun(),
+            TransactionStep::Within(_)
+            | TransactionStep::Commit(_)
+            | TransactionStep::Rollback(_) => false,
+        }
+    }
 }
 
 impl NativeTask {
@@ -47,7 +65,9 @@
         }
         let drain = Duration::from_millis(self.context.settings.timing.drain_ms);
         let waited = now.since(self.handover.begun) >= drain / DRAIN_PART;
-        let idle = self.requests.is_empty() && self.transactions.is_empty();
+        let settled = self.transactions.is_empty();
+        self.handover.closed = self.handover.is_begun() && (settled || waited);
+        let idle = self.requests.is_empty() && settled;
         if self.handover.proposed || !(idle || waited) {
             return;
         }
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -78,15 +78,18 @@
     /// Says under which terms a statement may be taken in, if it may.
     fn check_statement(&self, request: &StatementRequest) -> Result<KindTerms, RefusalCause> {
         // A leaseholder whose lease has ended may have a successor that dispatches already.
-        // One that hands over lets open transactions end, and takes nothing else in.
+        // One that hands over lets open transactions end.
         let opens = matches!(
             request.step,
             TransactionStep::Single | TransactionStep::Begin(_)
         );
-        let leaves = self.handover.is_begun() && opens;
-        if !self.may_serve() || leaves {
+        if !self.may_serve() {
             return Err(RefusalCause::NoLease);
         }
+        // The gateway knows by this cause that the next leaseholder is about to answer.
+        if self.handover.turns_away(request.step) {
+            return Err(RefusalCause::NoLeaseholder);
+        }
         if let Some(transaction) = request.step.transaction()
             && !opens
             && !self.transactions.contains_key(&transaction)
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -416,6 +416,12 @@
         self.view.send_replace(create_view(&record));
     }
 
+    /// Makes the VM drain, so that it hands its groups over.
+    pub fn drain(&self) {
+        let view = create_view_at(&create_record(), CatalogRevision(2), true);
+        self.view.send_replace(view);
+    }
+
     /// Waits until so many different notes were proposed, and puts the last in force.
     pub async fn wait_for_notes(&self, count: usize) {
         wait_until(|| self.count_notes() >= count).await;
@@ -568,6 +574,11 @@
 }
 
 fn create_view(record: &GroupRecord) -> MemberView {
+    create_view_at(record, CatalogRevision(1), false)
+}
+
+/// Creates a view with a second member, to which the first hands its groups if it drains.
+fn create_view_at(record: &GroupRecord, revision: CatalogRevision, draining: bool) -> MemberView {
     let contract = VersionedContract {
         version: ContractVersion(1),
         change_id: ChangeId::fresh(),
@@ -581,9 +592,17 @@
         domain: "north".into(),
         peer_address: "127.0.0.1:2".parse().unwrap(),
         statement_address: None,
-        draining: false,
+        draining,
         traits: MemberTraits::default(),
     };
+    let other = MemberRecord {
+        id: MemberId {
+            vm: "vm-2".into(),
+            incarnation: VmIncarnation(1),
+        },
+        draining: false,
+        ..member.clone()
+    };
     let terms = GroupTerms {
         group: "cases".into(),
         connections: 16,
@@ -594,9 +613,9 @@
         CatalogItem::Contract(Box::new(contract)),
         CatalogItem::Group(Box::new(record.clone())),
         CatalogItem::Member(member),
+        CatalogItem::Member(other),
         CatalogItem::GroupTerms(terms),
     ];
-    let revision = CatalogRevision(1);
     let mut copy = CatalogCopy::new();
     let delta = CatalogDelta {
         from: None,
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -6,6 +6,10 @@
 use crate::bench::is_served;
 use ragwort_types::GroupTerm;
 use ragwort_types::LogPosition;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestVerdict;
+use ragwort_types::TransactionId;
+use ragwort_types::TransactionStep;
 
 failure_cases! {
     /// A leaseholder's VM dies, and another takes the group over before any endpoint has announced
@@ -18,6 +22,10 @@
     /// the primary was, and replaces it without waiting for the time in which one that lives would
     /// announce itself: callers can't write for so long.
     noted_primary_that_is_dead_is_replaced => dead_noted_case();
+    /// A VM hands its groups over, and a clerk has a transaction open for a second. Other callers' single
+    /// statements are served meanwhile; they would be refused though nothing is wrong. No new transaction
+    /// is opened, and when the last one has ended the group moves.
+    handover_serves_single_statements_to_its_last_moment => handover_case();
     /// Endpoints announce themselves. What is known of them is noted once, for a successor, and not
     /// with each announcement: a note goes to every VM.
     endpoints_are_noted_once => noting_case();
@@ -50,6 +58,27 @@
     assert!(is_served(&bench.ask(Ask::new(WRITE, "write after")).await));
 }
 
+async fn handover_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    let open = TransactionId::fresh();
+    let begin = Ask::new(WRITE, "write one").step(TransactionStep::Begin(open));
+    assert!(is_served(&bench.ask(begin).await));
+    bench.drain();
+    bench.wait_for(|dump| dump["handing_over"] == true).await;
+    assert!(is_served(&bench.ask(Ask::new(WRITE, "write single")).await));
+    let other = TransactionStep::Begin(TransactionId::fresh());
+    let refused = bench.ask(Ask::new(WRITE, "write two").step(other)).await;
+    let expected = RequestVerdict::refused(RefusalCause::NoLeaseholder, 0);
+    assert_eq!(refused.verdict, expected);
+    let end = Ask::new(WRITE, "COMMIT").step(TransactionStep::Commit(open));
+    assert!(is_served(&bench.ask(end).await));
+    // From then on nothing is taken in, until the next leaseholder answers.
+    while is_served(&bench.ask(Ask::new(WRITE, "write late")).await) {}
+    let refused = bench.ask(Ask::new(WRITE, "write later")).await;
+    assert_eq!(refused.verdict, expected);
+}
+
 async fn noting_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
