--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -14,7 +14,7 @@
 //!
 //! # Grounds for its figures
 //!
-//! After a vain try others wait for [`TRY_PAUSE`], in which a gateway sees some tens of statements. A
+//! After a vain try others wait for [`TRY_PAUSE`], in which a gateway sees a dozen statements. A
 //! vain try tells of new sessions for [`KNOWN_TIME`], after which one is let in to find out.
 
 use crate::ClockTime;
