Take an instance that starts again as new, refuse announcements of other writers

Cause: an instance may now start again under its name and counts its announcements anew. The count alone decided what is late, so a restarted instance stayed as it was known before until its count had caught up, with connections that were gone. Announcements are ordered by start and count; a new start drops connections, positions and the role that were known. A late announcement of the former process changes nothing.

A group that no contract names isn't placed.

--- a/crates/control/tests/state/proximity.rs
+++ b/crates/control/tests/state/proximity.rs
@@ -36,6 +36,7 @@
             position: LogPosition::default(),
             leaving: false,
         },
+        started_ms: 0,
         sequence: 0,
     }
 }
--- a/crates/daemon/src/edges/services.rs
+++ b/crates/daemon/src/edges/services.rs
@@ -1,7 +1,10 @@
 //! What answers the outside beside callers: readiness, announcements, operators.
 
+use crate::log_event;
+use crate::metrics::DaemonMetrics;
 use crate::server::ServerRoutes;
 use async_trait::async_trait;
+use log::Level;
 use ragwort_types::AnnouncementReply;
 use ragwort_types::ContractDocument;
 use ragwort_types::DocumentReading;
@@ -33,11 +36,26 @@
 pub struct NodeServices {
     routes: ServerRoutes,
     ready: watch::Receiver<bool>,
+    metrics: DaemonMetrics,
 }
 
+/// Of so many refused announcements one is logged, so that a sender of thousands can't fill the log.
+const REFUSALS_PER_LINE: u64 = 100;
+
+/// The most characters of a fault that are logged; it may quote what was sent.
+const LONGEST_FAULT: usize = 120;
+
 impl NodeServices {
-    pub(crate) fn new(routes: ServerRoutes, ready: watch::Receiver<bool>) -> Self {
-        Self { routes, ready }
+    pub(crate) fn new(
+        routes: ServerRoutes,
+        ready: watch::Receiver<bool>,
+        metrics: DaemonMetrics,
+    ) -> Self {
+        Self {
+            routes,
+            ready,
+            metrics,
+        }
     }
 
     /// Says whether the VM takes callers.
@@ -50,6 +68,22 @@
         self.routes.spread_announcement(announcement).await
     }
 
+    /// Notes that something announced itself in a way that names no endpoint to use.
+    ///
+    /// Anybody can send such announcements in any number, so only now and then one is logged; the
+    /// metrics count all.
+    pub fn note_refused_announcement(&self, fault: &str) {
+        let refused = self.metrics.count_refused_announcement();
+        if refused % REFUSALS_PER_LINE == 1 {
+            log_event!(
+                Level::Warn,
+                "announcement_refused",
+                fault = fault.chars().take(LONGEST_FAULT).collect::<String>(),
+                refused = refused,
+            );
+        }
+    }
+
     /// Replaces the whole configuration; the highest version wins.
     pub async fn apply_document(&self, document: ContractDocument) -> DocumentReply {
         self.routes.replace_document(document).await
--- a/crates/daemon/src/leaseholders.rs
+++ b/crates/daemon/src/leaseholders.rs
@@ -222,7 +222,7 @@
     fn is_overtaken(&self, announcement: &EndpointAnnouncement) -> bool {
         let instances = self.heard.get(&announcement.group);
         let known = instances.and_then(|instances| instances.get(&announcement.instance));
-        known.is_some_and(|known| known.announcement.sequence > announcement.sequence)
+        known.is_some_and(|known| announcement.is_before(&known.announcement))
     }
 
     fn direct_announcer(&self, view: &MemberView, record: &GroupRecord) -> AnnouncementReply {
@@ -246,8 +246,15 @@
         self.first_heard
             .retain(|group, _| self.heard.contains_key(group));
         let view = self.view.borrow();
+        // Anybody can announce an endpoint of a group that nobody has a contract for.
+        let is_named = |group: &GroupName| {
+            let mut contracts = view.copy.contracts();
+            view.copy.group_terms(group).is_some()
+                || contracts.any(|held| held.contract.groups.contains(group))
+        };
         let settled = self.first_heard.iter().filter(|(group, first)| {
-            now.since(**first) >= SETTLE_TIME && view.copy.group(group).is_none()
+            let unplaced = now.since(**first) >= SETTLE_TIME && view.copy.group(group).is_none();
+            unplaced && is_named(group)
         });
         let unplaced: Vec<GroupName> = settled.map(|(group, _)| group.clone()).collect();
         drop(view);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -75,6 +75,7 @@
     queue_wait: Histogram,
     caller_connections: Gauge,
     caller_faults: Family<FaultLabels, Counter>,
+    refused_announcements: Counter,
     endpoint_connections: Family<GroupLabels, Gauge>,
     lease_held: Gauge,
     groups_led: Gauge,
@@ -101,6 +102,7 @@
             queue_wait: Histogram::new(buckets),
             caller_connections: Gauge::default(),
             caller_faults: Family::default(),
+            refused_announcements: Counter::default(),
             endpoint_connections: Family::default(),
             lease_held: Gauge::default(),
             groups_led: Gauge::default(),
@@ -136,6 +138,11 @@
             "Callers' connections ended by a fault",
             self.caller_faults.clone(),
         );
+        registry.register(
+            "refused_announcements",
+            "Announcements that name no endpoint to use",
+            self.refused_announcements.clone(),
+        );
         registry.register(
             "endpoint_connections",
             "Open connections to endpoints",
@@ -169,6 +176,11 @@
         registry
     }
 
+    /// Counts an announcement that names no endpoint to use; returns how many there were.
+    pub fn count_refused_announcement(&self) -> u64 {
+        self.refused_announcements.inc() + 1
+    }
+
     /// Counts a request's final verdict.
     pub fn count_request(&self, verdict: &RequestVerdict, class: UrgencyClass) {
         let (verdict, cause) = match verdict {
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -36,6 +36,19 @@
     pub(super) probing: Option<ClockTime>,
 }
 
+/// What an announcement brings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndpointNews {
+    /// A later one of the instance was taken before.
+    Overtaken,
+    /// The instance's first one.
+    First,
+    /// The present state of an instance that is known.
+    Known,
+    /// The instance has started again and holds nothing of before.
+    Restart,
+}
+
 /// A connection in the pool.
 #[derive(Debug)]
 pub(super) struct NativeConnection {
@@ -116,19 +129,28 @@
         }
     }
 
-    /// Takes an announcement; false if a later one of the instance was taken before.
-    pub(super) fn take_announcement(
-        &mut self,
-        now: ClockTime,
-        announcement: EndpointAnnouncement,
-    ) -> bool {
+    /// Says what an announcement brings, before it is taken.
+    pub(super) fn judge_announcement(&self, announcement: &EndpointAnnouncement) -> EndpointNews {
+        let Some(known) = self.endpoints.get(&announcement.instance) else {
+            return EndpointNews::First;
+        };
+        let known = &known.announcement;
+        if announcement.is_before(known) {
+            return EndpointNews::Overtaken;
+        }
+        match announcement.is_restart_since(known) {
+            true => EndpointNews::Restart,
+            false => EndpointNews::Known,
+        }
+    }
+
+    /// Takes an announcement that isn't overtaken.
+    pub(super) fn take_announcement(&mut self, now: ClockTime, announcement: EndpointAnnouncement) {
         let instance = announcement.instance.clone();
         match self.endpoints.get_mut(&instance) {
-            Some(known) if known.announcement.sequence > announcement.sequence => false,
             Some(known) => {
                 known.announcement = announcement;
                 known.heard = now;
-                true
             }
             None => {
                 let endpoint = NativeEndpoint {
@@ -139,7 +161,6 @@
                     probing: None,
                 };
                 self.endpoints.insert(instance, endpoint);
-                true
             }
         }
     }
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -8,6 +8,7 @@
 use super::link::LinkPurpose;
 use super::link::LinkResult;
 use super::pool::ConnectionWork;
+use super::pool::EndpointNews;
 use crate::edges::EndpointCommand;
 use crate::edges::PromotionOrder;
 use crate::edges::PromotionReply;
@@ -75,11 +76,27 @@
         let domain = announcement.domain.clone();
         let role = announcement.status.role;
         let leaving = announcement.status.leaving;
-        let known = self.pool.endpoint(&instance).is_some();
+        let news = self.pool.judge_announcement(&announcement);
+        let known = match news {
+            EndpointNews::Overtaken => return,
+            EndpointNews::First => false,
+            EndpointNews::Known => true,
+            // What its former process held, answered or led says nothing of this one: connections,
+            // positions and roles are learned anew.
+            EndpointNews::Restart => {
+                log_event!(
+                    Level::Warn,
+                    "endpoint_restarted",
+                    group = self.group,
+                    instance = instance,
+                    started_ms = announcement.started_ms,
+                );
+                self.drop_endpoint(&instance);
+                false
+            }
+        };
         let left = self.roles.is_leaving(&instance);
-        if !self.pool.take_announcement(now, announcement) {
-            return;
-        }
+        self.pool.take_announcement(now, announcement);
         self.roles.hear(now, &instance, role, leaving);
         if !known || left != leaving {
             log_event!(
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -262,7 +262,10 @@
             drain: base.switches.drain.clone(),
             dump: dump.clone(),
         };
-        let services = start_services(base, NodeServices::new(routes.clone(), ready.clone()));
+        let services = start_services(
+            base,
+            NodeServices::new(routes.clone(), ready.clone(), base.metrics.clone()),
+        );
         if let Some(listener) = listeners.statements {
             let runner = Arc::new(routes.clone());
             let stop = base.switches.rest.subscribe();
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -311,13 +311,37 @@
         let mut announcement = describe(&self.endpoints[index], leaving, self.sequence);
         announcement.data_address = address;
         announcement.agent_address = address;
+        self.announce_as(announcement).await;
+    }
+
+    /// Announces an endpoint as the announcement has it.
+    pub async fn announce_as(&self, announcement: EndpointAnnouncement) {
         let event = GroupEvent::Announced(Box::new(announcement));
         self.inbox.send(event).await.unwrap();
     }
 
+    /// Returns what the process of an endpoint that started at `started_ms` announces as its
+    /// announcement number `sequence`.
+    pub fn describe_process(
+        &self,
+        index: usize,
+        started_ms: u64,
+        sequence: u64,
+    ) -> EndpointAnnouncement {
+        EndpointAnnouncement {
+            started_ms,
+            ..describe(&self.endpoints[index], false, sequence)
+        }
+    }
+
     /// Announces all endpoints and waits until a write is served.
     pub async fn settle(&mut self) {
-        for index in 0..self.endpoints.len() {
+        self.settle_around(usize::MAX).await;
+    }
+
+    /// Announces all endpoints but one and waits until a write is served.
+    pub async fn settle_around(&mut self, left_out: usize) {
+        for index in (0..self.endpoints.len()).filter(|index| *index != left_out) {
             self.announce(index, false).await;
         }
         let reply = self.ask(Ask::new(WRITE, "write settled")).await;
@@ -466,6 +490,7 @@
             position: LogPosition::default(),
             leaving,
         },
+        started_ms: 0,
         sequence,
     }
 }
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -29,6 +29,52 @@
     /// Endpoints announce themselves. What is known of them is noted once, for a successor, and not
     /// with each announcement: a note goes to every VM.
     endpoints_are_noted_once => noting_case();
+    /// An instance crashes and starts again under its name, and counts its announcements from one. Its
+    /// leaseholder would take them for late ones, and go on using connections that are gone: reads
+    /// sent there fail one by one until the count has caught up, minutes later.
+    restarted_instance_is_taken_as_new => restarted_case();
+    /// An announcement of an instance's former process comes late, after it has started again. Taken
+    /// for news, it would bring back a state that is over: here, that the instance is leaving.
+    late_announcement_of_a_former_process_changes_nothing => former_process_case();
+}
+
+fn is_leaving(dump: &serde_json::Value, index: usize) -> bool {
+    dump["scheduler"]["endpoints"][index]["leaving"] == true
+}
+
+fn count_opens(bench: &NativeBench, index: usize) -> usize {
+    let script = bench.endpoints[index].script();
+    let opens = script.commands.iter();
+    opens.filter(|(_, line)| line.starts_with("open")).count()
+}
+
+async fn restarted_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    let mut leaving = bench.describe_process(1, 1_000, 40);
+    leaving.status.leaving = true;
+    bench.announce_as(leaving).await;
+    bench.settle_around(1).await;
+    bench.wait_for(|dump| is_leaving(dump, 1)).await;
+    let opened = count_opens(&bench, 1);
+    bench.announce_as(bench.describe_process(1, 2_000, 1)).await;
+    bench.wait_for(|dump| !is_leaving(dump, 1)).await;
+    bench
+        .wait_for(|dump| dump["connections"]["cases-2"].as_u64() > Some(0))
+        .await;
+    assert!(count_opens(&bench, 1) > opened);
+}
+
+async fn former_process_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.announce_as(bench.describe_process(1, 2_000, 1)).await;
+    bench.settle_around(1).await;
+    let mut late = bench.describe_process(1, 1_000, 40);
+    late.status.leaving = true;
+    bench.announce_as(late).await;
+    // What is announced next is taken in after it.
+    bench.announce(2, true).await;
+    bench.wait_for(|dump| is_leaving(dump, 2)).await;
+    bench.wait_for(|dump| !is_leaving(dump, 1)).await;
 }
 
 async fn noted_case() {
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -395,6 +395,7 @@
                 _ => endpoint.data_address(),
             };
             let announcement = EndpointAnnouncement {
+                started_ms: 0,
                 sequence: 0,
                 group: "cases".into(),
                 instance: format!("cases-{}", index + 1).into(),
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -362,13 +362,13 @@
     wait_for_replicas(&bench).await;
     bench.cut_replication(true).await;
     let put = Ask::new(GRANT, "put case-7 granted").deadline(SHORT_MS);
-    bench.ask(put).await;
+    let written = bench.ask(put).await;
     // The replicas lack a write that is at least so old.
     sleep(Duration::from_millis(100)).await;
     let read = Ask::new(STATUS, "get case-7").session("other");
     let young = bench.ask(read.clone().max_age(50)).await;
     let granted = RequestVerdict::Ran(one_value("value", "granted"));
-    assert_eq!(stands(&young), (&granted, false));
+    assert_eq!(stands(&young), (&granted, false), "after {written:?}");
     let old = bench.ask(read).await;
     assert!(stands(&old).1, "{old:?}");
     bench.stop().await;
--- a/crates/lab/src/endpoint.rs
+++ b/crates/lab/src/endpoint.rs
@@ -168,6 +168,7 @@
         let agent = server.start(AgentService::new(shared.clone()).into_methods());
 
         let announcement = EndpointAnnouncement {
+            started_ms: 0,
             sequence: 0,
             group: settings.group.clone(),
             instance: settings.instance.clone(),
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -330,12 +330,33 @@
     pub connections: u32,
     /// What it knows of itself.
     pub status: InstanceStatus,
-    /// Raised with each announcement of the instance, so that one that was delayed on its way is
+    /// When the instance's process started, in milliseconds since the Unix epoch; zero if the
+    /// endpoint doesn't say.
+    #[serde(default)]
+    pub started_ms: u64,
+    /// Raised with each announcement of one process, so that one that was delayed on its way is
     /// known as such; zero if the endpoint counts nothing.
     #[serde(default)]
     pub sequence: u64,
 }
 
+impl EndpointAnnouncement {
+    /// Says whether it was made before `other`, which is of the same instance.
+    ///
+    /// An instance that starts again counts its announcements anew. If the count alone decided, all
+    /// that it says would pass for late until it has counted as far as before.
+    pub fn is_before(&self, other: &Self) -> bool {
+        (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
+    }
+
+    /// Says whether the instance has started again since it made `earlier`.
+    ///
+    /// It holds nothing of before then: no connection, prepared name or open transaction.
+    pub fn is_restart_since(&self, earlier: &Self) -> bool {
+        earlier.started_ms != 0 && self.started_ms > earlier.started_ms
+    }
+}
+
 /// What an endpoint's agent says of its instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceStatus {
