Go on with detours though one group has no leaseholder

A vain detour for that group made the gateway take itself for isolated, so that the other two groups' statements were refused as well, 130 a second ("no lease"). Change: a gateway that was reached and only knows no leaseholder isn't vain; the pause is that group's. Detours are tried as soon as leaseholder and standbys are out of reach, not only after half a lease without an answer.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -16,6 +16,7 @@
 use jsonrpsee_ws_client::WsClient;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_policy::DetourPauses;
 use ragwort_policy::IsolationWatch;
 use ragwort_rpc::PeerApiClient;
 use ragwort_types::AccessMode;
@@ -77,6 +78,8 @@
     outages: Mutex<HashMap<GroupName, ClockTime>>,
     /// What is known of this gateway's reach while it has no lease.
     isolation: Mutex<IsolationWatch>,
+    /// The groups to which other gateways found no way either.
+    detour_pauses: Mutex<DetourPauses>,
 }
 
 /// The ways from a gateway to other VMs.
@@ -94,6 +97,8 @@
 enum HandOver {
     /// The leaseholder replied.
     Replied(StatementReply),
+    /// No connection to the VM could be had, so that the statement was not handed over.
+    OutOfReach,
     /// The statement was not handed over, or the other side said that it did not take it.
     NotTaken(RefusalCause),
     /// The VM that is to lead the group answers and doesn't lead it yet.
@@ -161,6 +166,7 @@
             lease,
             outages: Mutex::default(),
             isolation: Mutex::default(),
+            detour_pauses: Mutex::default(),
         }
     }
 
@@ -221,9 +227,12 @@
     }
 
     /// Passes a statement on to its leaseholder for a gateway that can't reach it.
+    ///
+    /// A gateway that is cut off itself says so, which tells the asker to try another one; any other
+    /// refusal tells that nobody leads the group.
     pub async fn relay(&self, request: StatementRequest) -> StatementReply {
         let Some(target) = self.find_target(&request.group) else {
-            return self.refuse(&request, RefusalCause::NoLeaseholder);
+            return self.refuse(&request, self.name_outage());
         };
         let limit = Duration::from_millis(ragwort_types::LONGEST_DEADLINE_MS);
         match self
@@ -232,11 +241,27 @@
         {
             HandOver::Replied(reply) => reply,
             HandOver::NotTaken(cause) => self.refuse(&request, cause),
-            HandOver::NotLeading => self.refuse(&request, RefusalCause::NoLeaseholder),
+            HandOver::NotLeading | HandOver::OutOfReach => {
+                self.refuse(&request, self.name_outage())
+            }
             HandOver::ReplyLost => doubt(&request),
         }
     }
 
+    /// Says why no leaseholder can be reached from here.
+    fn name_outage(&self) -> RefusalCause {
+        let remaining = self.view.borrow().lease.remaining(self.clock.now());
+        match self.is_lonely(remaining) {
+            true => RefusalCause::NoLease,
+            false => RefusalCause::NoLeaseholder,
+        }
+    }
+
+    /// Says whether several heartbeats in a row had no answer: it may be this VM that is cut off.
+    fn is_lonely(&self, remaining: Duration) -> bool {
+        remaining < self.lease / 2
+    }
+
     /// Brings a statement that is to be described to its group's leaseholder.
     ///
     /// A description changes nothing, so it is asked for again within its deadline until a
@@ -353,6 +378,7 @@
                     return settle_reply(&request, reply, terms, sent_before);
                 }
                 HandOver::NotTaken(cause) => (cause, TAKEOVER_LEASES),
+                HandOver::OutOfReach => (RefusalCause::NoLeaseholder, TAKEOVER_LEASES),
                 HandOver::NotLeading => (RefusalCause::NoLeaseholder, HANDOVER_LEASES),
                 HandOver::ReplyLost if is_resendable(&request, terms) => {
                     sent_before = true;
@@ -377,9 +403,7 @@
 
     async fn try_once(&self, request: &StatementRequest, limit: Duration) -> HandOver {
         let remaining = self.view.borrow().lease.remaining(self.clock.now());
-        // Several heartbeats in a row had no answer: it may be this VM that is cut off.
-        let lonely = remaining < self.lease / 2;
-        if lonely {
+        if self.is_lonely(remaining) {
             self.prepare_detours();
         }
         if remaining.is_zero() {
@@ -391,24 +415,21 @@
         let direct = self
             .hand_over(request, target.leaseholder, limit, false)
             .await;
-        let HandOver::NotTaken(RefusalCause::NoLeaseholder) = direct else {
+        let HandOver::OutOfReach = direct else {
             return direct;
         };
-        if lonely {
-            return match self.try_detours(request, limit).await {
-                HandOver::NotTaken(_) => direct,
-                taken => taken,
-            };
-        }
         // The path between this VM and the leaseholder may be cut while both live: a standby in
-        // another failure domain usually still reaches it.
+        // another failure domain usually still reaches it, or another gateway does.
         for relay in target.relays {
             let relayed = self.hand_over(request, relay, limit, true).await;
-            if !matches!(relayed, HandOver::NotTaken(_) | HandOver::NotLeading) {
+            if !is_untaken(&relayed) {
                 return relayed;
             }
         }
-        direct
+        match self.try_detours(request, limit).await {
+            HandOver::NotTaken(_) => HandOver::OutOfReach,
+            taken => taken,
+        }
     }
 
     /// Hands a statement to another gateway, which brings it to the leaseholder.
@@ -418,17 +439,41 @@
     /// failure domain are cut off. The other gateway goes by its own copy of the catalog, and the
     /// leaseholder checks lease and contract, so nothing rests on what this one knows.
     async fn try_detours(&self, request: &StatementRequest, limit: Duration) -> HandOver {
-        if !self.isolation().may_try(self.clock.now()) {
+        let now = self.clock.now();
+        if !self.isolation().may_try(now) {
             return HandOver::NotTaken(RefusalCause::NoLease);
         }
+        if !self.detour_pauses().may_try(now, &request.group) {
+            return HandOver::NotTaken(RefusalCause::NoLeaseholder);
+        }
+        let mut reached = false;
         for place in self.find_detours() {
             let relayed = self.hand_over(request, place, limit, true).await;
-            if !matches!(relayed, HandOver::NotTaken(_) | HandOver::NotLeading) {
-                self.isolation().note_reached();
-                return relayed;
+            match relayed {
+                HandOver::OutOfReach | HandOver::NotTaken(RefusalCause::NoLease) => {}
+                HandOver::NotTaken(_) | HandOver::NotLeading => reached = true,
+                taken => {
+                    self.isolation().note_reached();
+                    return taken;
+                }
             }
         }
-        self.isolation().note_vain(self.clock.now());
+        self.note_vain_detour(reached, &request.group)
+    }
+
+    /// Notes that no other gateway could bring a statement to its leaseholder.
+    ///
+    /// Where one was reached that isn't cut off, nobody leads this group, and its statements alone wait
+    /// with the next try. If all waited, half of the gateways would refuse everything for as long as one
+    /// group has no leaseholder.
+    fn note_vain_detour(&self, reached: bool, group: &GroupName) -> HandOver {
+        let now = self.clock.now();
+        if reached {
+            self.isolation().note_reached();
+            self.detour_pauses().note_vain(now, group);
+            return HandOver::NotTaken(RefusalCause::NoLeaseholder);
+        }
+        self.isolation().note_vain(now);
         HandOver::NotTaken(RefusalCause::NoLease)
     }
 
@@ -452,6 +497,12 @@
             .expect("no holder of this lock panics")
     }
 
+    fn detour_pauses(&self) -> MutexGuard<'_, DetourPauses> {
+        self.detour_pauses
+            .lock()
+            .expect("no holder of this lock panics")
+    }
+
     /// Says whether a new session would be refused all of its statements: this gateway has no lease,
     /// and lately reached no other gateway either.
     pub fn is_isolated(&self) -> bool {
@@ -483,7 +534,7 @@
                 }
                 _ => HandOver::Replied(reply),
             },
-            Err(LinkError::Unreachable) => HandOver::NotTaken(RefusalCause::NoLeaseholder),
+            Err(LinkError::Unreachable) => HandOver::OutOfReach,
             Err(LinkError::Lost | LinkError::Rejected(_)) => HandOver::ReplyLost,
         }
     }
@@ -528,7 +579,18 @@
         let since = *outages
             .entry(group.clone())
             .or_insert_with(|| self.clock.now());
-        since + self.lease.mul_f64(leases)
+        since + self.leaseholder_lease(group).mul_f64(leases)
+    }
+
+    /// Returns how long the leaseholder of a group may hold its lease when it is lost.
+    fn leaseholder_lease(&self, group: &GroupName) -> Duration {
+        let view = self.view.borrow();
+        let record = view.copy.group(group);
+        let member = record.and_then(|record| view.copy.member(&record.placement.leaseholder));
+        match member.map(|member| member.lease_ms) {
+            None | Some(0) => self.lease,
+            Some(asked) => Duration::from_millis(asked),
+        }
     }
 
     fn end_outage(&self, group: &GroupName) {
@@ -545,7 +607,7 @@
     /// Returns when a takeover of the group can be over, in milliseconds from now.
     fn return_after(&self, group: &GroupName) -> u64 {
         let end = self.note_outage(group, TAKEOVER_LEASES);
-        let left = self.clock.until(end).max(self.lease / 4);
+        let left = self.clock.until(end).max(self.leaseholder_lease(group) / 4);
         left.as_millis() as u64
     }
 }
@@ -574,6 +636,13 @@
     Some(arrived + target.saturating_sub(spent))
 }
 
+fn is_untaken(attempt: &HandOver) -> bool {
+    matches!(
+        attempt,
+        HandOver::NotTaken(_) | HandOver::NotLeading | HandOver::OutOfReach
+    )
+}
+
 fn is_misrouted(cause: RefusalCause) -> bool {
     matches!(cause, RefusalCause::NoLease | RefusalCause::NoLeaseholder)
 }
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -15,9 +15,13 @@
 //! # Grounds for its figures
 //!
 //! After a vain try others wait for [`TRY_PAUSE`], in which a gateway sees a dozen statements. A
-//! vain try tells of new sessions for [`KNOWN_TIME`], after which one is let in to find out.
+//! vain try tells of new sessions for [`KNOWN_TIME`], after which one is let in to find out. Where
+//! another gateway is reached and only the statement's group has no leaseholder, the pause is that
+//! group's alone.
 
 use crate::ClockTime;
+use ragwort_types::GroupName;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The pause after a vain try; statements that come within it don't try.
@@ -72,3 +76,23 @@
         long && self.is_isolated(now)
     }
 }
+
+/// The groups that have no leaseholder in reach of any gateway that was tried.
+#[derive(Clone, Debug, Default)]
+pub struct DetourPauses {
+    vain: BTreeMap<GroupName, ClockTime>,
+}
+
+impl DetourPauses {
+    /// Notes that another gateway was reached that knows no way to the group's leaseholder either.
+    pub fn note_vain(&mut self, now: ClockTime, group: &GroupName) {
+        self.vain.retain(|_, last| now.since(*last) < TRY_PAUSE);
+        self.vain.insert(group.clone(), now);
+    }
+
+    /// Says whether a statement for the group should try other gateways now.
+    pub fn may_try(&self, now: ClockTime, group: &GroupName) -> bool {
+        let last = self.vain.get(group);
+        last.is_none_or(|last| now.since(*last) >= TRY_PAUSE)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -122,6 +122,7 @@
 pub use gateway_limit::FlightLimiter;
 pub use gateway_limit::GROUP_FLIGHT_LIMIT;
 pub use health::HealthLevel;
+pub use isolation::DetourPauses;
 pub use isolation::IsolationWatch;
 pub use link_watch::ANSWER_TIME;
 pub use link_watch::LinkStep;
--- a/crates/policy/tests/isolation.rs
+++ b/crates/policy/tests/isolation.rs
@@ -1,7 +1,9 @@
 //! A gateway that is cut off: how often others are tried, and when callers are sent away.
 
 use ragwort_policy::ClockTime;
+use ragwort_policy::DetourPauses;
 use ragwort_policy::IsolationWatch;
+use ragwort_types::GroupName;
 use std::time::Duration;
 
 const NOTICE: Duration = Duration::from_secs(2);
@@ -52,3 +54,20 @@
     assert!(watch.is_isolated(at(5_001)));
     assert!(!watch.is_isolated_for(at(5_001), NOTICE));
 }
+
+/// Half of the gateways are cut off from control, and one group of three has lost its leaseholder.
+/// Statements for that group find no way. Those for the others must not wait with them: they were
+/// refused for two seconds, 130 a second, though a neighbour would have brought them.
+#[test]
+fn group_without_a_leaseholder_holds_up_its_own_statements_only() {
+    let mut pauses = DetourPauses::default();
+    let mut isolation = IsolationWatch::default();
+    let (lost, led) = (GroupName::from("lost"), GroupName::from("led"));
+    let now = ClockTime::from_millis(1_000);
+    pauses.note_vain(now, &lost);
+    isolation.note_reached();
+    assert!(!pauses.may_try(now, &lost));
+    assert!(pauses.may_try(now, &led));
+    assert!(isolation.may_try(now));
+    assert!(pauses.may_try(ClockTime::from_millis(1_200), &lost));
+}
