Let leaseholders' leases follow their heartbeats, and end a new leader's grace earlier

What bound: a frozen or powerless leaseholder's groups were taken after 1.04 to 1.94 s: a lease of 1.2 s for everybody, and under a new control leader another election time on top. A new leader waits for one lease of the member and no election time: grants are given only after a majority confirmed the leader after the heartbeat came, and members count from its sending. The model of leases let a former leader take heartbeats sent after its successor's election for one election time. That can't happen; now it may go on for good with those sent before.

--- a/crates/control/examples/catalog_slopes.rs
+++ b/crates/control/examples/catalog_slopes.rs
@@ -226,6 +226,7 @@
         domain: format!("domain-{}", number % 10).into(),
         peer_address: "10.11.12.13:7400".parse().unwrap(),
         statement_address: None,
+        lease_ms: 0,
         draining: false,
         traits: MemberTraits::default(),
     }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -129,14 +129,14 @@
 
 /// The control leader's view of all leases.
 ///
-/// It is made anew by each leader. The caller passes heartbeats on only while it knows that it
-/// leads: it has applied the first entry of its own term, and has heard a majority within the
-/// election timeout.
+/// It is made anew by each leader. The caller passes a heartbeat on only once a majority has confirmed,
+/// after the heartbeat came, that it leads, and it has applied the first entry of its own term.
 #[derive(Clone, Debug)]
 pub struct LeaseLedger {
+    /// The longest lease.
     lease: Duration,
-    /// Until then leases that the former leader granted may run.
-    grace_end: ClockTime,
+    /// Leases that the former leader granted run for one lease from here on at most.
+    elected: ClockTime,
     records: BTreeMap<VmName, HeartbeatRecord>,
     /// Later processes that wait for the end of their predecessor's lease.
     successors: BTreeMap<VmName, HeartbeatRecord>,
@@ -146,12 +146,13 @@
     /// Creates the ledger of a leader that was just elected.
     ///
     /// Leases granted by the former leader are unknown here. Nobody is declared gone until they
-    /// must have ended: a former leader may grant for one `election` time after it lost its
-    /// majority, and what it granted runs for one `lease`.
-    pub fn new(now: ClockTime, lease: Duration, election: Duration) -> Self {
+    /// must have ended. A former leader may still send grants, but only for heartbeats that a majority
+    /// confirmed its leadership after, and so before this election; a member counts its lease from the
+    /// sending of the heartbeat. So each of them ends within one lease of the election.
+    pub fn new(now: ClockTime, lease: Duration) -> Self {
         Self {
             lease,
-            grace_end: now + lease + lease / DRIFT_DIVISOR + election,
+            elected: now,
             records: BTreeMap::new(),
             successors: BTreeMap::new(),
         }
@@ -174,7 +175,10 @@
         }
         self.note_heartbeat(now, heartbeat, HeartbeatSide::Present);
         let known = catalog.member(&id.vm).is_some_and(|known| known.id == *id);
-        let lease = self.lease;
+        // A new leader goes by the catalog, so nothing longer than what stands there is granted.
+        let noted = catalog.member(&id.vm).map(|noted| self.lease_of(noted));
+        let asked = self.lease_of(&heartbeat.member);
+        let lease = noted.map_or(asked, |noted| noted.min(asked));
         let Some(record) = self.records.get_mut(&id.vm) else {
             return LeaseDecision::NotYet;
         };
@@ -197,7 +201,8 @@
             }
         }
         for record in self.records.values() {
-            if record.wants_admission(now, self.lease, catalog) {
+            let lease = self.lease_of(&record.member);
+            if record.wants_admission(now, lease, catalog) {
                 commands.push(CatalogCommand::AdmitMember(record.member.clone()));
             }
         }
@@ -208,7 +213,9 @@
     pub fn live_members(&self, now: ClockTime, catalog: &CatalogState) -> BTreeSet<VmName> {
         let members = catalog.members();
         let live = members.filter(|member| match self.records.get(&member.id.vm) {
-            Some(record) => record.is_live(now, self.lease) && record.member.id == member.id,
+            Some(record) => {
+                record.is_live(now, self.lease_of(member)) && record.member.id == member.id
+            }
             None => false,
         });
         live.map(|member| member.id.vm.clone()).collect()
@@ -249,17 +256,27 @@
 
     /// Says whether a member's lease has surely ended, on the member's clock too.
     fn has_ended(&self, now: ClockTime, member: &MemberRecord) -> bool {
-        if now < self.grace_end {
+        let lease = self.lease_of(member);
+        let whole = lease + lease / DRIFT_DIVISOR;
+        if now < self.elected + whole {
             return false;
         }
         let record = self.records.get(&member.id.vm);
         let own = record.filter(|record| record.member.id == member.id);
         match own.and_then(|record| record.granted) {
-            Some(granted) => now >= granted + self.lease + self.lease / DRIFT_DIVISOR,
+            Some(granted) => now >= granted + whole,
             None => true,
         }
     }
 
+    /// Returns the length of the leases that a member may hold.
+    fn lease_of(&self, member: &MemberRecord) -> Duration {
+        match member.lease_ms {
+            0 => self.lease,
+            asked => Duration::from_millis(asked).min(self.lease),
+        }
+    }
+
     /// Says whether a member is to be removed: its lease has ended and it isn't heard.
     ///
     /// A member that is heard but had no lease granted yet, as right after its admission, stays.
@@ -267,7 +284,9 @@
         let superseded = self.successors.contains_key(&member.id.vm);
         let record = self.records.get(&member.id.vm);
         let heard = record.is_some_and(|record| {
-            record.member.id == member.id && record.is_live(now, self.lease) && !record.condemned
+            record.member.id == member.id
+                && record.is_live(now, self.lease_of(member))
+                && !record.condemned
         });
         self.has_ended(now, member) && (superseded || !heard)
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,6 +26,7 @@
 //!     domain: "east".into(),
 //!     peer_address: "127.0.0.1:7000".parse().unwrap(),
 //!     statement_address: None,
+//!     lease_ms: 0,
 //!     draining: false,
 //!     traits: MemberTraits::default(),
 //! };
@@ -58,6 +59,7 @@
 mod lease;
 mod members;
 mod native_roles;
+mod pace;
 mod placement;
 mod positions;
 mod promotion;
@@ -119,6 +121,8 @@
 pub use lease::MemberLease;
 pub use native_roles::RoleBoard;
 pub use native_roles::RoleReport;
+pub use pace::LEASE_BEATS;
+pub use pace::LeasePace;
 pub use placement::LOAD_PERCENT;
 pub use placement::STANDBY_COUNT;
 pub use placement::load_cap;
--- a/crates/control/tests/state/common.rs
+++ b/crates/control/tests/state/common.rs
@@ -141,6 +141,7 @@
         domain: format!("domain-{}", number % 3).into(),
         peer_address: "127.0.0.1:7000".parse().unwrap(),
         statement_address: None,
+        lease_ms: 0,
         draining: false,
         traits: MemberTraits::default(),
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -361,9 +361,7 @@
                     term = self.node.term()
                 );
                 let lease = Duration::from_millis(timing.lease_ms);
-                let election = timing.tick_ms * timing.election_ticks * 2;
-                let election = Duration::from_millis(election);
-                self.ledger = Some(LeaseLedger::new(self.clock.now(), lease, election));
+                self.ledger = Some(LeaseLedger::new(self.clock.now(), lease));
             }
         } else if self.ledger.take().is_some() {
             log_event!(
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -14,6 +14,7 @@
 use log::Level;
 use ragwort_control::CatalogCopy;
 use ragwort_control::ClockTime;
+use ragwort_control::LeasePace;
 use ragwort_control::MemberLease;
 use ragwort_rpc::PeerApiClient;
 use ragwort_types::CatalogCommand;
@@ -37,7 +38,7 @@
 
 /// How many control VMs can be asked in vain before the lease is over. One that has lost power
 /// answers nothing at all, not even that nobody listens.
-const ATTEMPTS_IN_LEASE: u64 = 3;
+const ATTEMPTS_IN_LEASE: u32 = 3;
 
 /// How long a VM without a lease waits for one control VM before it asks the next one as well: several
 /// times the round trip between failure domains, so that one that answers is asked alone.
@@ -79,6 +80,17 @@
     pub draining: watch::Receiver<bool>,
     /// Ends the task.
     pub stop: watch::Receiver<bool>,
+    /// The lease to ask for.
+    pub pace: LeasePace,
+}
+
+/// Returns the pace at which a process of these settings begins.
+pub fn create_pace(settings: &DaemonSettings) -> LeasePace {
+    let timing = &settings.timing;
+    LeasePace::new(
+        Duration::from_millis(timing.heartbeat_ms),
+        Duration::from_millis(timing.lease_ms),
+    )
 }
 
 /// Creates the identity of this process: the VM's name and the start time.
@@ -109,7 +121,7 @@
                 continue;
             };
             let sent = self.clock.now();
-            let mut due = self.pace(sent);
+            let mut due = self.next_beat(sent);
             let reply = match attached {
                 true => self.send_heartbeat(&id, address).await,
                 false => self.seek_grant(&id, &addresses, &mut turn).await,
@@ -120,6 +132,7 @@
                     if grant.delta.is_some() {
                         due = sent;
                     }
+                    self.note_round(sent);
                     if !attached {
                         log_event!(Level::Info, "lease_granted", vm = id.vm, control = address);
                     }
@@ -168,6 +181,7 @@
             domain: self.settings.domain.clone(),
             peer_address: self.settings.listen.peers,
             statement_address: self.settings.listen.statements,
+            lease_ms: self.pace.lease().as_millis() as u64,
             draining: *self.draining.borrow(),
             traits: MemberTraits {
                 control: self.settings.roles.control,
@@ -238,7 +252,7 @@
         address: SocketAddr,
     ) -> Option<HeartbeatReply> {
         let sent = self.clock.now();
-        let limit = Duration::from_millis(self.settings.timing.lease_ms / ATTEMPTS_IN_LEASE);
+        let limit = self.pace.lease() / ATTEMPTS_IN_LEASE;
         let call = |client: Arc<jsonrpsee_ws_client::WsClient>| async move {
             client.heartbeat(request).await
         };
@@ -271,8 +285,21 @@
         });
     }
 
+    /// Learns from the time that a granted heartbeat took.
+    fn note_round(&mut self, sent: ClockTime) {
+        let took = self.clock.now().since(sent);
+        if self.pace.note_round(took) {
+            log_event!(
+                Level::Info,
+                "lease_lengthened",
+                took_ms = took.as_millis(),
+                lease_ms = self.pace.lease().as_millis(),
+            );
+        }
+    }
+
     /// Returns when the heartbeat after the one sent at `sent` is due.
-    fn pace(&self, sent: ClockTime) -> ClockTime {
+    fn next_beat(&self, sent: ClockTime) -> ClockTime {
         sent + Duration::from_millis(self.settings.timing.heartbeat_ms)
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,6 +21,7 @@
 use crate::member::MemberTask;
 use crate::member::MemberView;
 use crate::member::create_member_id;
+use crate::member::create_pace;
 use crate::metrics::DaemonMetrics;
 use crate::peers::PeerLinks;
 use crate::platform::PlatformView;
@@ -396,6 +397,7 @@
         unplaced,
         draining: base.switches.drain.subscribe(),
         stop: base.switches.member.subscribe(),
+        pace: create_pace(&base.settings),
     };
     tokio::spawn(member.run(base.id.clone()))
 }
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -617,6 +617,7 @@
         domain: "north".into(),
         peer_address: "127.0.0.1:2".parse().unwrap(),
         statement_address: None,
+        lease_ms: 0,
         draining,
         traits: MemberTraits::default(),
     };
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -175,6 +175,7 @@
             domain: "windhoek-a".into(),
             peer_address: address,
             statement_address: statements[index],
+            lease_ms: 0,
             draining: false,
             traits: MemberTraits::default(),
         };
--- a/crates/daemon/tests/pieces/control.rs
+++ b/crates/daemon/tests/pieces/control.rs
@@ -55,6 +55,7 @@
             domain: "north".into(),
             peer_address: "127.0.0.1:10".parse().unwrap(),
             statement_address: None,
+            lease_ms: 0,
             draining: false,
             traits: MemberTraits {
                 control: false,
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -76,6 +76,10 @@
     /// Where it takes statements in compact frames; as remote calls where there is none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub statement_address: Option<SocketAddr>,
+    /// The lease for which it asks, in milliseconds; zero asks for the longest. A process never asks
+    /// for less than before: a lease that it holds could outlast what a new leader reads here.
+    #[serde(default)]
+    pub lease_ms: u64,
     /// Whether it is shutting down and takes no new groups.
     pub draining: bool,
     /// What it may be used for, and what is known of its process.
