--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -132,7 +132,10 @@
                     if grant.delta.is_some() {
                         due = sent;
                     }
-                    self.note_round(sent);
+                    // A search for a control VM takes long without any pause of this VM's own.
+                    if attached {
+                        self.note_round(sent);
+                    }
                     if !attached {
                         log_event!(Level::Info, "lease_granted", vm = id.vm, control = address);
                     }
