--- a/crates/control/src/pace.rs
+++ b/crates/control/src/pace.rs
@@ -16,7 +16,8 @@
 //! A lease lasts for [`LEASE_BEATS`] heartbeats, so that two of them in a row may be lost. A VM whose
 //! own heartbeats took longer than that allows for asks for as much more. It never asks for less
 //! again, because a new control leader goes by what the catalog says of it, and a lease from before
-//! could outlast that. Leaseholders that beat each 150 ms in place of 300 are replaced 0.6 s earlier.
+//! could outlast that. With leases of 0.6 s in place of 1.2 s for leaseholders, five days with faults
+//! were worth 0.676 in place of 0.668 (mean of ten plays of a user's site).
 
 use std::time::Duration;
 
--- a/crates/control/src/replica_estimate.rs
+++ b/crates/control/src/replica_estimate.rs
@@ -8,8 +8,7 @@
 //! # Without it
 //!
 //! A read that is sent to a replica that lacks too much is refused and loses a round trip. One that is
-//! kept from a replica that has enough takes one of the primary's few slots, and with both replicas
-//! given up for too long the primary's slots serve a third of the load.
+//! kept from a replica that has enough takes one of the primary's few slots, which are a third of all.
 //!
 //! # Grounds for its figures
 //!
@@ -130,6 +129,9 @@
     }
 
     /// Learns that the replica lacked a position that it was assumed to hold.
+    ///
+    /// A refusal that told where the replica stands is passed to [`learn`](Self::learn) first, with the
+    /// same reading of the clock; at another one it counts as one that told nothing, and the lag doubles.
     pub fn refuse(&mut self, now: ClockTime, wanted: LogPosition) {
         if self.seen != now {
             // It didn't say where it stands: all that is known is that it's further behind.
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -25,8 +25,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a write whose answer was lost may still be running at its endpoint: longer than a statement
-/// that waits behind another one's lock is let wait by any contract.
+/// How long a write whose answer was lost is taken to run on at its endpoint, which knows no limit of its
+/// own: a guess, many times the deadlines of users' writes (a second).
 const LONGEST_DOUBT: Duration = Duration::from_secs(10);
 
 impl GroupTask {
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -215,8 +215,8 @@
 /// Returns how old data may be, for the scheduler.
 ///
 /// The position that a read must see follows from its age already, so a replica that holds it may serve
-/// the read, whatever its lag is taken for. With the lag as a second condition, replicas that had all
-/// that was asked for served nothing for seconds after an estimate had run high.
+/// the read, whatever its lag is taken for. With the lag as a second condition, a replica that has all
+/// that is asked for would serve nothing until a lag that was taken too high has come down.
 fn find_age(terms: &KindTerms) -> Duration {
     match terms.max_age_ms {
         0 => Duration::ZERO,
--- a/crates/daemon/tests/pieces/statements.rs
+++ b/crates/daemon/tests/pieces/statements.rs
@@ -12,6 +12,7 @@
 use ragwort_lab::relay::RelayMode;
 use ragwort_rpc::FrameCodec;
 use ragwort_rpc::StatementFrame;
+use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::StatementAnswer;
@@ -19,6 +20,8 @@
 use ragwort_types::StatementRequest;
 use ragwortgated::clock::NodeClock;
 use ragwortgated::gateway::Gateway;
+use ragwortgated::gateway::GatewayLinks;
+use ragwortgated::member::MemberView;
 use ragwortgated::peers::LinkError;
 use ragwortgated::peers::PeerLinks;
 use ragwortgated::statements::links::CallSort;
@@ -366,49 +369,70 @@
     leaseholder.stop().await;
 }
 
+/// A gateway that reaches one other gateway and nobody else, and whose lease has ended.
+struct CutOffGateway {
+    gateway: Gateway,
+    other: Leaseholder,
+    links: GatewayLinks,
+    _view: watch::Sender<MemberView>,
+}
+
+impl CutOffGateway {
+    async fn start() -> Self {
+        let other = Leaseholder::start().await;
+        let links = plain_links(PeerLinks::new(LONG));
+        let record = create_record("vm-1", 1);
+        let statements = [Some(NOWHERE), Some(NOWHERE), Some(other.address)];
+        let view = create_view_with([NOWHERE; 3], statements, &record, false);
+        let (sender, views) = watch::channel(view);
+        // No takeover could end before a statement's deadline.
+        let gateway = Gateway::new(NodeClock::start(), links.clone(), views, HOUR);
+        Self {
+            gateway,
+            other,
+            links,
+            _view: sender,
+        }
+    }
+
+    /// Returns how a statement is refused.
+    async fn refuse(&self, text: &str) -> Refusal {
+        let reply = self.gateway.execute(request(text)).await;
+        match reply.verdict {
+            RequestVerdict::NotRun(refusal) => refusal,
+            verdict => panic!("{verdict:?}"),
+        }
+    }
+
+    async fn stop(self) {
+        self.links.statements.shut_down().await;
+        self.other.stop().await;
+    }
+}
+
 async fn unled_case() {
-    let other = Leaseholder::start().await;
-    let links = plain_links(PeerLinks::new(LONG));
-    let record = create_record("vm-1", 1);
-    let statements = [Some(NOWHERE), Some(NOWHERE), Some(other.address)];
-    let view = create_view_with([NOWHERE; 3], statements, &record, false);
-    let (_view, views) = watch::channel(view);
-    let gateway = Gateway::new(NodeClock::start(), links.clone(), views, HOUR);
-    let refused = gateway.execute(request(UNLED)).await;
-    let RequestVerdict::NotRun(refusal) = refused.verdict else {
-        panic!("{refused:?}");
-    };
+    let cut_off = CutOffGateway::start().await;
+    let refusal = cut_off.refuse(UNLED).await;
     assert_eq!(refusal.cause, RefusalCause::NoLeaseholder);
-    assert!(!gateway.is_isolated());
-    links.statements.shut_down().await;
-    other.stop().await;
+    assert!(!cut_off.gateway.is_isolated());
+    cut_off.stop().await;
 }
 
 async fn detour_case() {
-    let other = Leaseholder::start().await;
-    let links = plain_links(PeerLinks::new(LONG));
-    let record = create_record("vm-1", 1);
-    let statements = [Some(NOWHERE), Some(NOWHERE), Some(other.address)];
-    let view = create_view_with([NOWHERE; 3], statements, &record, false);
-    let (_view, views) = watch::channel(view);
-    // No takeover could end before a statement's deadline.
-    let gateway = Gateway::new(NodeClock::start(), links.clone(), views, HOUR);
+    let cut_off = CutOffGateway::start().await;
+    let gateway = &cut_off.gateway;
     let reply = gateway.execute(request(DETOUR)).await;
     let done = StatementAnswer::Done(DETOUR.len() as u64);
     assert_eq!(reply.verdict, RequestVerdict::Ran(done));
-    let refused = gateway.execute(request("x")).await;
-    let RequestVerdict::NotRun(refusal) = refused.verdict else {
-        panic!("{refused:?}");
-    };
+    let refusal = cut_off.refuse("x").await;
     assert_eq!(refusal.cause, RefusalCause::NoLease);
     assert!(refusal.come_back_after_ms > 0);
     assert!(gateway.is_isolated());
-    let taken = other.runner.taken.load(Ordering::SeqCst);
+    let taken = cut_off.other.runner.taken.load(Ordering::SeqCst);
     // It isn't asked again and again, but is asked again.
     while gateway.is_isolated() {
         gateway.execute(request(DETOUR)).await;
     }
-    assert!(other.runner.taken.load(Ordering::SeqCst) <= taken + 2);
-    links.statements.shut_down().await;
-    other.stop().await;
+    assert!(cut_off.other.runner.taken.load(Ordering::SeqCst) <= taken + 2);
+    cut_off.stop().await;
 }
--- a/crates/policy/tests/isolation.rs
+++ b/crates/policy/tests/isolation.rs
@@ -57,7 +57,7 @@
 
 /// Half of the gateways are cut off from control, and one group of three has lost its leaseholder.
 /// Statements for that group find no way. Those for the others must not wait with them: they were
-/// refused for two seconds, 130 a second, though a neighbour would have brought them.
+/// refused, up to 130 a second, though a neighbour would have brought them.
 #[test]
 fn group_without_a_leaseholder_holds_up_its_own_statements_only() {
     let mut pauses = DetourPauses::default();
