Judge replicas by what was seen of the primary, not by the age of what was heard

Symptom: after a takeover, or while one write runs long, writes are refused ('replicas behind') though all instances hold the same; after a write in doubt and a takeover a replica passes for fresh. The bound of a replica's age also grows while nothing is heard, and was taken for the lag of a majority. The other half is the same belief upside down: the primary was taken to stand still unless this process had a write there, which neither a write given up on nor a predecessor's write respects; LONGEST_DOUBT guessed when that ends. Mend: a majority's lag is what it was seen to lack, since when. The primary is never taken to stand still: its statuses and each of its answers, reads too, say where it stands. So nothing has to be known of how long a write in doubt runs, and nothing is handed on at a takeover. An agent is asked without a hold at first. A write that was given up on speaks against the next until a majority holds it. One log line gives the inputs of the refusal.

--- a/crates/control/src/history.rs
+++ b/crates/control/src/history.rs
@@ -22,21 +22,28 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PrimarySighting {
-    /// When the status was asked for: at that moment the primary was at most at the position.
+    /// When the status was last asked for: at that moment the primary was at most at the position.
     asked: ClockTime,
+    /// When the first answer with this position came.
+    seen: ClockTime,
     position: LogPosition,
 }
 
 impl PositionHistory {
-    /// Notes that the primary answered with a position to a request sent at `asked`.
-    pub(crate) fn observe(&mut self, asked: ClockTime, position: LogPosition) {
-        let sighting = PrimarySighting { asked, position };
+    /// Notes that the primary answered with a position, at `seen`, to a request sent at `asked`.
+    pub(crate) fn observe(&mut self, asked: ClockTime, seen: ClockTime, position: LogPosition) {
+        let sighting = PrimarySighting {
+            asked,
+            seen,
+            position,
+        };
+        // The first one stays: without it nothing were known of the age of an instance that stands there.
+        let joins = self.sightings.len() > 1;
         match self.sightings.back_mut() {
             // An answer that was overtaken says less than the one that is noted.
             Some(last) if asked < last.asked || position < last.position => {}
-            Some(last) if last.position == position || last.slot() == sighting.slot() => {
-                *last = sighting;
-            }
+            Some(last) if last.position == position => last.asked = asked,
+            Some(last) if joins && last.slot() == sighting.slot() => *last = sighting,
             _ => self.sightings.push_back(sighting),
         }
         if self.sightings.len() > LONGEST_HISTORY {
@@ -52,6 +59,14 @@
         let last = covered.checked_sub(1)?;
         self.sightings.get(last).map(|sighting| sighting.asked)
     }
+
+    /// Returns since when the primary has been seen beyond a position; `None` if it never was.
+    pub(crate) fn passed_since(&self, position: LogPosition) -> Option<ClockTime> {
+        let covered = self
+            .sightings
+            .partition_point(|sighting| position.covers(sighting.position));
+        self.sightings.get(covered).map(|sighting| sighting.seen)
+    }
 }
 
 impl PrimarySighting {
--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -52,6 +52,22 @@
     TermOver(GroupTerm),
 }
 
+/// What the primary's answer to a statement showed.
+#[derive(Clone, Copy, Debug)]
+struct PrimaryAnswer {
+    /// When the answer came.
+    came: ClockTime,
+    position: LogPosition,
+}
+
+/// A write that no majority held in time.
+#[derive(Clone, Copy, Debug)]
+struct OverdueWrite {
+    position: LogPosition,
+    /// The time that it had.
+    time: Duration,
+}
+
 /// The majority of a group's instances, in one term.
 #[derive(Clone, Debug)]
 pub struct PositionQuorum {
@@ -67,7 +83,11 @@
     /// The primary's first position that this process saw: a former leaseholder may have
     /// acknowledged writes up to it. `None` before that.
     baseline: Option<LogPosition>,
+    /// Where the primary stood by its latest answer to a statement.
+    answered: Option<PrimaryAnswer>,
     waiting: BTreeSet<(LogPosition, WriteTicket)>,
+    /// The last write that was given up on, until a majority holds it.
+    overdue: Option<OverdueWrite>,
     /// Whether a promotion has begun; the present term acknowledges nothing any more.
     suspended: bool,
     last_ticket: u64,
@@ -91,7 +111,9 @@
             reports: BTreeMap::new(),
             acknowledged: LogPosition::default(),
             baseline: None,
+            answered: None,
             waiting: BTreeSet::new(),
+            overdue: None,
             suspended: false,
             last_ticket: 0,
             history: PositionHistory::default(),
@@ -120,6 +142,8 @@
         }
         invariant!(record.term > self.term, "the term fell to {}", record.term);
         self.term = record.term;
+        self.answered = None;
+        self.overdue = None;
         self.confirmations.clear();
         self.suspended = false;
         self.abandon_writes()
@@ -187,26 +211,89 @@
         self.waiting.retain(|(_, waiting)| *waiting != ticket);
     }
 
+    /// Stops waiting for a write that no majority held in the time that it had.
+    pub fn give_up_overdue(&mut self, ticket: WriteTicket, time: Duration) {
+        let mut waiting = self.waiting.iter();
+        let position = waiting.find_map(|(position, held)| (*held == ticket).then_some(*position));
+        if let Some(position) = position {
+            self.overdue = Some(OverdueWrite { position, time });
+        }
+        self.give_up(ticket);
+    }
+
+    /// Says whether a write that had at least as much time was given up on and a majority still lacks it.
+    ///
+    /// Another one would run and end in doubt as well.
+    pub fn is_overdue_beyond(&self, time: Duration) -> bool {
+        let majority = self.majority_position();
+        self.overdue.is_some_and(|overdue| {
+            let held = majority.is_some_and(|majority| majority.covers(overdue.position));
+            !held && overdue.time >= time
+        })
+    }
+
     /// Returns the number of writes that wait.
     pub fn waiting_writes(&self) -> usize {
         self.waiting.len()
     }
 
-    /// Takes an instance's status, from a request that was sent at `sent`.
+    /// Takes an instance's status, from a request that was sent at `sent` and answered at `came`.
     ///
     /// The latest report counts, even if it is lower: an instance that crashed may have lost its
     /// tail, and then doesn't hold it any more.
     pub fn report(
         &mut self,
         sent: ClockTime,
+        came: ClockTime,
         instance: &InstanceName,
         status: InstanceStatus,
     ) -> QuorumProgress {
+        let leads = self.primary.as_ref() == Some(instance);
+        if leads && self.is_overtaken(sent, &status) {
+            return self.progress();
+        }
         let counts = self.counts(&status);
         self.reports.insert(instance.clone(), status);
-        if counts && self.primary.as_ref() == Some(instance) {
+        if counts && leads {
             self.baseline.get_or_insert(status.position);
-            self.history.observe(sent, status.position);
+            self.history.observe(sent, came, status.position);
+        }
+        self.progress()
+    }
+
+    /// Says whether a primary's status was overtaken by its answer to a statement.
+    ///
+    /// It was asked for before that answer came and says less, so it was on its way meanwhile. Taken for
+    /// the present it would hide a write that was answered: one would notice reads of a session that
+    /// wait for a position which nobody seems to hold.
+    fn is_overtaken(&self, sent: ClockTime, status: &InstanceStatus) -> bool {
+        self.answered.is_some_and(|answer| {
+            let same_term = status.fenced_term == answer.position.term;
+            same_term && sent < answer.came && status.position < answer.position
+        })
+    }
+
+    /// Takes what an answer to a statement, sent at `sent`, shows of the present primary's position.
+    ///
+    /// It counts also while nothing is heard of the primary's agent.
+    pub fn note_answer(
+        &mut self,
+        sent: ClockTime,
+        came: ClockTime,
+        instance: &InstanceName,
+        position: LogPosition,
+    ) -> QuorumProgress {
+        if self.primary.as_ref() != Some(instance) || position.term != self.term {
+            return self.progress();
+        }
+        let newest = self.answered.map(|answer| answer.position);
+        let position = newest.map_or(position, |newest| newest.max(position));
+        self.answered = Some(PrimaryAnswer { came, position });
+        self.history.observe(sent, came, position);
+        if let Some(status) = self.reports.get_mut(instance)
+            && status.fenced_term == self.term
+        {
+            status.position = status.position.max(position);
         }
         self.progress()
     }
@@ -322,19 +409,29 @@
         Some(now.since(fresh))
     }
 
-    /// Returns how far a majority is behind the primary: what a write has to wait for at least.
+    /// Returns how long a majority has lacked something that the primary holds: what a write has to wait
+    /// for at least.
     ///
-    /// `None` means that it isn't known, as right after a promotion.
+    /// `None` means that it isn't known, as right after a promotion. Only what was seen counts. The
+    /// [`age_bound`](Self::age_bound) also grows while nothing is heard of a primary that stands still;
+    /// writes that a majority would have held at once were refused by it.
     pub fn majority_lag(&self, now: ClockTime) -> Option<Duration> {
         let instances = self.instances.iter();
-        let mut ages: SmallVec<[Duration; 4]> = instances
+        let mut lags: SmallVec<[Duration; 4]> = instances
             .filter_map(|instance| match self.primary.as_ref() == Some(instance) {
                 true => Some(Duration::ZERO),
-                false => self.age_bound(instance, now),
+                false => self.shown_lag(instance, now),
             })
             .collect();
-        ages.sort_unstable();
-        ages.get(majority(self.instances.len()) - 1).copied()
+        lags.sort_unstable();
+        lags.get(majority(self.instances.len()) - 1).copied()
+    }
+
+    /// Returns how long an instance has lacked something that the primary was seen to hold.
+    fn shown_lag(&self, instance: &InstanceName, now: ClockTime) -> Option<Duration> {
+        let position = self.counted_position(instance)?;
+        let passed = self.history.passed_since(position);
+        Some(passed.map_or(Duration::ZERO, |since| now.since(since)))
     }
 
     /// Returns an instance's position, if it follows the present term.
--- a/crates/control/tests/state/promotion.rs
+++ b/crates/control/tests/state/promotion.rs
@@ -369,7 +369,7 @@
     }
 
     fn report(&mut self, sent: ClockTime, name: &InstanceName, status: InstanceStatus) {
-        let progress = self.quorum.report(sent, name, status);
+        let progress = self.quorum.report(sent, sent, name, status);
         self.acknowledge(progress);
         self.handle(PromotionInput::StatusReported(name.clone(), status));
     }
--- a/crates/control/tests/state/quorum.rs
+++ b/crates/control/tests/state/quorum.rs
@@ -51,12 +51,12 @@
     /// and then would lose the write with the primary; the caller would have to find that out.
     write_waits_for_a_majority {
         let mut quorum = quorum();
-        quorum.report(now(), &name("a"), status(1, 1, 20));
+        quorum.report(now(), now(), &name("a"), status(1, 1, 20));
         let (ticket, progress) = quorum.await_majority(position(20));
         assert!(progress.released.is_empty());
-        let progress = quorum.report(now(), &name("b"), status(1, 1, 19));
+        let progress = quorum.report(now(), now(), &name("b"), status(1, 1, 19));
         assert!(progress.released.is_empty());
-        let progress = quorum.report(now(), &name("c"), status(1, 1, 20));
+        let progress = quorum.report(now(), now(), &name("c"), status(1, 1, 20));
         assert_eq!(progress.released, vec![ticket]);
     }
 }
@@ -67,8 +67,8 @@
     replica_of_a_later_term_isnt_counted {
         let mut quorum = quorum();
         quorum.await_majority(position(20));
-        quorum.report(now(), &name("a"), status(1, 1, 20));
-        let progress = quorum.report(now(), &name("b"), status(2, 1, 20));
+        quorum.report(now(), now(), &name("a"), status(1, 1, 20));
+        let progress = quorum.report(now(), now(), &name("b"), status(2, 1, 20));
         assert!(progress.released.is_empty());
         assert_eq!(progress.later_term, Some(GroupTerm(2)));
     }
@@ -79,10 +79,10 @@
     /// acknowledge a write that it doesn't hold.
     tail_of_an_earlier_term_isnt_counted {
         let mut quorum = quorum();
-        quorum.report(now(), &name("a"), status(1, 1, 8));
+        quorum.report(now(), now(), &name("a"), status(1, 1, 8));
         let (_, progress) = quorum.await_majority(position(8));
         assert!(progress.released.is_empty());
-        let progress = quorum.report(now(), &name("b"), status(1, 0, 90));
+        let progress = quorum.report(now(), now(), &name("b"), status(1, 0, 90));
         assert!(progress.released.is_empty());
     }
 }
@@ -125,16 +125,16 @@
     set_changes_only_while_acknowledged_writes_stay_covered {
         let mut quorum = quorum();
         quorum.await_majority(position(20));
-        quorum.report(now(), &name("a"), status(1, 1, 20));
-        quorum.report(now(), &name("b"), status(1, 1, 20));
-        quorum.report(now(), &name("c"), status(1, 1, 5));
-        quorum.report(now(), &name("d"), status(1, 1, 4));
+        quorum.report(now(), now(), &name("a"), status(1, 1, 20));
+        quorum.report(now(), now(), &name("b"), status(1, 1, 20));
+        quorum.report(now(), now(), &name("c"), status(1, 1, 5));
+        quorum.report(now(), now(), &name("d"), status(1, 1, 4));
         assert_eq!(quorum.acknowledged(), position(20));
         assert!(!quorum.may_add(&name("d")));
         assert!(!quorum.may_remove(&name("b")));
         assert!(quorum.may_remove(&name("c")));
         assert!(!quorum.may_remove(&name("a")), "the primary stays");
-        quorum.report(now(), &name("d"), status(1, 1, 20));
+        quorum.report(now(), now(), &name("d"), status(1, 1, 20));
         assert!(quorum.may_add(&name("d")));
     }
 }
@@ -144,13 +144,13 @@
     /// majority of both sets until it is known.
     unknown_set_change_needs_both_majorities {
         let mut quorum = quorum();
-        quorum.report(now(), &name("d"), status(1, 1, 0));
+        quorum.report(now(), now(), &name("d"), status(1, 1, 0));
         quorum.propose_add(&name("d"));
         quorum.await_majority(position(20));
-        quorum.report(now(), &name("a"), status(1, 1, 20));
-        let progress = quorum.report(now(), &name("b"), status(1, 1, 20));
+        quorum.report(now(), now(), &name("a"), status(1, 1, 20));
+        let progress = quorum.report(now(), now(), &name("b"), status(1, 1, 20));
         assert!(progress.released.is_empty(), "two of four are no majority");
-        let progress = quorum.report(now(), &name("d"), status(1, 1, 20));
+        let progress = quorum.report(now(), now(), &name("d"), status(1, 1, 20));
         assert_eq!(progress.released.len(), 1);
     }
 }
@@ -161,17 +161,17 @@
     age_of_a_replica_grows_from_the_primarys_next_write {
         let mut quorum = quorum();
         let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
-        quorum.report(at(0), &name("b"), status(1, 1, 15));
+        quorum.report(at(0), at(0), &name("b"), status(1, 1, 15));
         assert_eq!(quorum.age_bound(&name("b"), at(0)), None);
-        quorum.report(at(0), &name("a"), status(1, 1, 15));
-        quorum.report(at(100), &name("a"), status(1, 1, 15));
+        quorum.report(at(0), at(0), &name("a"), status(1, 1, 15));
+        quorum.report(at(100), at(100), &name("a"), status(1, 1, 15));
         assert_eq!(quorum.age_bound(&name("b"), at(110)), Some(Duration::from_millis(10)));
-        quorum.report(at(200), &name("a"), status(1, 1, 16));
-        quorum.report(at(300), &name("a"), status(1, 1, 17));
+        quorum.report(at(200), at(200), &name("a"), status(1, 1, 16));
+        quorum.report(at(300), at(300), &name("a"), status(1, 1, 17));
         assert_eq!(quorum.age_bound(&name("b"), at(310)), Some(Duration::from_millis(210)));
-        quorum.report(at(320), &name("b"), status(1, 1, 17));
+        quorum.report(at(320), at(320), &name("b"), status(1, 1, 17));
         assert_eq!(quorum.age_bound(&name("b"), at(330)), Some(Duration::from_millis(30)));
-        quorum.report(at(330), &name("b"), status(2, 1, 17));
+        quorum.report(at(330), at(330), &name("b"), status(2, 1, 17));
         assert_eq!(quorum.age_bound(&name("b"), at(340)), None);
     }
 }
@@ -183,15 +183,116 @@
         let mut quorum = quorum();
         let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
         assert_eq!(quorum.majority_lag(at(0)), None);
-        quorum.report(at(0), &name("a"), status(1, 1, 15));
-        quorum.report(at(0), &name("b"), status(1, 1, 15));
-        quorum.report(at(100), &name("a"), status(1, 1, 16));
-        quorum.report(at(100), &name("c"), status(1, 1, 16));
-        quorum.report(at(200), &name("a"), status(1, 1, 17));
+        quorum.report(at(0), at(0), &name("a"), status(1, 1, 15));
+        quorum.report(at(0), at(0), &name("b"), status(1, 1, 15));
+        quorum.report(at(100), at(100), &name("a"), status(1, 1, 16));
+        quorum.report(at(100), at(100), &name("c"), status(1, 1, 16));
+        quorum.report(at(200), at(200), &name("a"), status(1, 1, 17));
         assert_eq!(quorum.age_bound(&name("b"), at(300)), Some(Duration::from_millis(300)));
-        assert_eq!(quorum.majority_lag(at(300)), Some(Duration::from_millis(200)));
-        quorum.report(at(300), &name("b"), status(1, 1, 17));
         assert_eq!(quorum.majority_lag(at(300)), Some(Duration::from_millis(100)));
+        assert_eq!(quorum.majority_lag(at(350)), Some(Duration::from_millis(150)));
+        quorum.report(at(350), at(350), &name("b"), status(1, 1, 17));
+        assert_eq!(quorum.majority_lag(at(350)), Some(Duration::ZERO));
+    }
+}
+
+case! {
+    /// Agents hold a question until something changes, so their answers are old when they come. The
+    /// instances hold the same. A write was refused because a majority was taken to be behind by as
+    /// much as the answers were old.
+    age_of_a_status_is_no_lag {
+        let mut quorum = quorum();
+        let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
+        for instance in ["a", "b", "c"] {
+            quorum.report(at(0), at(0), &name(instance), status(1, 1, 15));
+        }
+        assert_eq!(quorum.age_bound(&name("b"), at(409)), Some(Duration::from_millis(409)));
+        assert_eq!(quorum.majority_lag(at(409)), Some(Duration::ZERO));
+    }
+}
+
+case! {
+    /// The primary is seen for the first time, and answers a write within the same few milliseconds. A
+    /// replica that stands where the primary began must keep an age: without one it would serve no read.
+    first_sighting_is_kept_beside_a_write {
+        let mut quorum = quorum();
+        let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
+        quorum.report(at(0), at(1), &name("a"), status(1, 1, 15));
+        quorum.report(at(0), at(1), &name("b"), status(1, 1, 15));
+        quorum.note_answer(at(5), at(8), &name("a"), position(16));
+        assert_eq!(quorum.age_bound(&name("b"), at(100)), Some(Duration::from_millis(100)));
+        assert_eq!(quorum.majority_lag(at(100)), Some(Duration::from_millis(92)));
+    }
+}
+
+case! {
+    /// Replication has stopped, and a write that had 400 ms was given up on. A further one with no more
+    /// time can only end in doubt too, until a majority holds the first.
+    write_that_was_given_up_on_speaks_against_the_next {
+        let mut quorum = quorum();
+        let limit = Duration::from_millis(400);
+        let shorter = Duration::from_millis(399);
+        let longer = Duration::from_millis(401);
+        quorum.report(now(), now(), &name("a"), status(1, 1, 20));
+        quorum.report(now(), now(), &name("b"), status(1, 1, 19));
+        let (ticket, _) = quorum.await_majority(position(20));
+        assert!(!quorum.is_overdue_beyond(limit));
+        quorum.give_up_overdue(ticket, limit);
+        assert_eq!(quorum.waiting_writes(), 0);
+        assert!(quorum.is_overdue_beyond(limit));
+        assert!(quorum.is_overdue_beyond(shorter));
+        assert!(!quorum.is_overdue_beyond(longer));
+        quorum.report(now(), now(), &name("b"), status(1, 1, 20));
+        assert!(!quorum.is_overdue_beyond(limit));
+    }
+}
+
+case! {
+    /// The agent was asked where the primary stands, a write ran and was answered, and only then the
+    /// agent's answer arrives. Taken for the present, it would hide the write: its session would find
+    /// no instance that holds it, and a later status of the same place would make replicas look fresh.
+    status_overtaken_by_an_answer_changes_nothing {
+        let mut quorum = quorum();
+        let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
+        quorum.report(at(0), at(0), &name("a"), status(1, 1, 15));
+        quorum.report(at(0), at(0), &name("b"), status(1, 1, 15));
+        quorum.note_answer(at(100), at(110), &name("a"), position(16));
+        quorum.report(at(90), at(90), &name("a"), status(1, 1, 15));
+        assert_eq!(quorum.counted_position(&name("a")), Some(position(16)));
+        assert_eq!(quorum.age_bound(&name("b"), at(200)), Some(Duration::from_millis(200)));
+        quorum.report(at(120), at(120), &name("a"), status(1, 1, 16));
+        assert_eq!(quorum.age_bound(&name("b"), at(200)), Some(Duration::from_millis(200)));
+    }
+}
+
+case! {
+    /// The primary's agent is silent, so nothing that it said counts, when a write is answered on its
+    /// data connection. The write's position must be kept all the same: an agent's answer of before the
+    /// write would else make replicas look fresh that lack it.
+    answer_counts_while_the_agent_is_silent {
+        let mut quorum = quorum();
+        let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
+        quorum.report(at(0), at(0), &name("a"), status(1, 1, 15));
+        quorum.report(at(0), at(0), &name("b"), status(1, 1, 15));
+        quorum.forget(&name("a"));
+        quorum.note_answer(at(100), at(110), &name("a"), position(16));
+        quorum.report(at(105), at(105), &name("a"), status(1, 1, 15));
+        assert_eq!(quorum.age_bound(&name("b"), at(300)), Some(Duration::from_millis(300)));
+        assert_eq!(quorum.majority_lag(at(300)), Some(Duration::from_millis(190)));
+    }
+}
+
+case! {
+    /// An answer of a primary that was replaced arrives in its successor's term, or one of a replica. It
+    /// says nothing of where the present primary stands.
+    answer_of_another_than_the_primary_says_nothing {
+        let mut quorum = quorum();
+        let at = |millis: u64| ClockTime::from_millis(1_000 + millis);
+        quorum.report(at(0), at(0), &name("a"), status(1, 1, 15));
+        quorum.report(at(0), at(0), &name("b"), status(1, 1, 15));
+        quorum.note_answer(at(50), at(60), &name("b"), position(15));
+        quorum.note_answer(at(50), at(60), &name("a"), LogPosition::new(GroupTerm(0), 40));
+        assert_eq!(quorum.age_bound(&name("b"), at(100)), Some(Duration::from_millis(100)));
     }
 }
 
@@ -200,9 +301,9 @@
     /// majority counted with it could be without them.
     replica_before_the_start_of_the_term_isnt_counted {
         let mut quorum = quorum();
-        quorum.report(now(), &name("b"), status(1, 1, 6));
+        quorum.report(now(), now(), &name("b"), status(1, 1, 6));
         assert_eq!(quorum.counted_position(&name("b")), None);
-        quorum.report(now(), &name("b"), status(1, 1, 7));
+        quorum.report(now(), now(), &name("b"), status(1, 1, 7));
         assert_eq!(quorum.counted_position(&name("b")), Some(position(7)));
     }
 }
@@ -212,12 +313,12 @@
     /// an acknowledgement by a primary that has been replaced.
     suspended_term_releases_nothing {
         let mut quorum = quorum();
-        quorum.report(now(), &name("a"), status(1, 1, 20));
+        quorum.report(now(), now(), &name("a"), status(1, 1, 20));
         let (ticket, _) = quorum.await_majority(position(20));
         assert_eq!(quorum.suspend(), vec![ticket]);
         let (_, progress) = quorum.await_majority(position(19));
         assert!(progress.released.is_empty());
-        let progress = quorum.report(now(), &name("b"), status(1, 1, 20));
+        let progress = quorum.report(now(), now(), &name("b"), status(1, 1, 20));
         assert!(progress.released.is_empty());
     }
 }
@@ -233,8 +334,8 @@
         script.begin_term(1, 2);
         script.expect_done(primary_record("b", 1, 2));
         quorum.adopt_record(&record(&script.state));
-        quorum.report(now(), &name("b"), status(2, 2, 30));
-        quorum.report(now(), &name("c"), status(2, 2, 30));
+        quorum.report(now(), now(), &name("b"), status(2, 2, 30));
+        quorum.report(now(), now(), &name("c"), status(2, 2, 30));
         let (ticket, progress) = quorum.await_majority(position(25));
         assert_eq!(progress.abandoned, vec![ticket]);
         assert!(progress.released.is_empty());
--- a/crates/daemon/src/group/confirming.rs
+++ b/crates/daemon/src/group/confirming.rs
@@ -26,13 +26,7 @@
     ///
     /// A primary that was replaced, or dies right after its answer, would otherwise have
     /// acknowledged a write that its successor lacks: the caller's work would be lost.
-    pub(super) fn await_majority(
-        &mut self,
-        ticket: RequestTicket,
-        instance: &InstanceName,
-        position: Option<LogPosition>,
-        dispatched: ClockTime,
-    ) {
+    pub(super) fn await_majority(&mut self, ticket: RequestTicket, position: Option<LogPosition>) {
         let Some(position) = position.filter(|one| one.term == self.quorum.term()) else {
             self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed));
             return;
@@ -43,18 +37,11 @@
             let request = &active.request;
             journal.note_session(&request.customer, &request.session, position);
         }
-        self.written_at = self.context.clock.now();
-        let status = self.quorum.status(instance).copied();
-        let progress = status.map(|mut status| {
-            status.position = status.position.max(position);
-            self.quorum.report(dispatched, instance, status)
-        });
         let (waiting, released) = self.quorum.await_majority(position);
         self.writes.insert(waiting, ticket);
         if let Some(active) = self.requests.get_mut(&ticket) {
             active.stage = RequestStage::AwaitingMajority(waiting);
         }
-        self.take_progress(progress.unwrap_or_default());
         self.take_progress(released);
     }
 
@@ -65,28 +52,31 @@
         asked: ClockTime,
         status: InstanceStatus,
     ) {
-        if self.is_overtaken(instance, asked, status) {
-            return;
-        }
-        let progress = self.quorum.report(asked, instance, status);
+        let came = self.context.clock.now();
+        let progress = self.quorum.report(asked, came, instance, status);
         self.take_progress(progress);
         self.report_position(instance);
         self.set_lost_floor(instance, asked);
     }
 
-    /// Says whether a primary's status was overtaken by its answer to a write.
+    /// Takes what the primary's answer to a statement shows of where it stands.
     ///
-    /// It was asked for before that answer and says less, so it was on its way while the write ran. Taken
-    /// for the present, it would let replicas pass for fresh that lack the write.
-    fn is_overtaken(
-        &self,
+    /// This leaseholder can't know all that writes there: a write that it gave up on may still run, and
+    /// so may its predecessor's. If the primary were taken to stand still meanwhile, replicas that lack
+    /// such a write would pass for fresh, and a read that allows 50 ms would miss what was written long
+    /// before. So only what the primary says counts, and under load it says so with each answer.
+    pub(super) fn note_primary_answer(
+        &mut self,
+        dispatched: ClockTime,
         instance: &InstanceName,
-        asked: ClockTime,
-        status: InstanceStatus,
-    ) -> bool {
-        let primary = self.record.primary.as_ref() == Some(instance);
-        let known = self.quorum.counted_position(instance);
-        primary && asked < self.written_at && known.is_some_and(|known| status.position < known)
+        position: LogPosition,
+    ) {
+        let came = self.context.clock.now();
+        let progress = self
+            .quorum
+            .note_answer(dispatched, came, instance, position);
+        self.take_progress(progress);
+        self.report_position(instance);
     }
 
     /// Sets the position that sessions of a lost journal must read from: the primary's, asked for
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -22,13 +22,8 @@
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::TransactionStep;
-use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a write whose answer was lost is taken to run on at its endpoint, which knows no limit of its
-/// own: a guess, many times the deadlines of users' writes (a second).
-const LONGEST_DOUBT: Duration = Duration::from_secs(10);
-
 impl GroupTask {
     /// Does what the scheduler decides.
     pub(super) fn follow_scheduler(&mut self) {
@@ -184,10 +179,6 @@
             self.quorum.give_up(waiting);
             self.writes.remove(&waiting);
         }
-        let runs_on = matches!(active.stage, RequestStage::Running(_));
-        if runs_on && active.is_write() && matches!(verdict, RequestVerdict::MayHaveRun(_)) {
-            self.doubtful_until = self.context.clock.now() + LONGEST_DOUBT;
-        }
         self.decide_key(&active, &verdict);
         self.context
             .metrics
@@ -255,9 +246,12 @@
                 let outcome = FinishOutcome::NotRun;
                 self.give_back(ticket, outcome, RefusalCause::DeadlinePassed);
             }
-            RequestStage::AwaitingMajority(_)
-            | RequestStage::AwaitingRound(_)
-            | RequestStage::Recording(_) => {
+            RequestStage::AwaitingMajority(waiting) => {
+                let time = active.deadline.since(active.arrived);
+                self.quorum.give_up_overdue(waiting, time);
+                self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed));
+            }
+            RequestStage::AwaitingRound(_) | RequestStage::Recording(_) => {
                 self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed));
             }
             RequestStage::Waiting | RequestStage::Running(_) => {}
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -9,6 +9,8 @@
 use crate::gateway::find_target;
 use crate::gateway::find_terms;
 use crate::gateway::reply_with;
+use crate::log_event;
+use log::Level;
 use ragwort_control::ClockTime;
 use ragwort_control::KeyAdmission;
 use ragwort_policy::ArrivalDecision;
@@ -169,9 +171,43 @@
         };
         let opens = matches!(active.request.step, TransactionStep::Begin(_));
         let writes = active.is_write() && active.request.step == TransactionStep::Single;
-        (opens || writes)
-            && self.is_serving()
-            && self.majority_lag(now) >= active.deadline.since(now)
+        if !(opens || writes) || !self.is_serving() {
+            return false;
+        }
+        let lag = self.majority_lag(now);
+        let left = active.deadline.since(now);
+        let overdue = self.quorum.is_overdue_beyond(left);
+        if lag < left && !overdue {
+            return false;
+        }
+        log_event!(
+            Level::Info,
+            "write_refused_behind",
+            id = active.request.id,
+            group = self.group,
+            lag_ms = lag.as_millis(),
+            left_ms = left.as_millis(),
+            overdue_before = overdue,
+            term = self.quorum.term(),
+            served_ms = self
+                .serving_since
+                .map_or(0, |since| now.since(since).as_millis()),
+            positions = self.list_positions(now),
+        );
+        true
+    }
+
+    /// Lists where each instance stands and how old its data can be, for the log.
+    fn list_positions(&self, now: ClockTime) -> String {
+        let instances = self.record.instances.iter();
+        let texts = instances.map(|instance| {
+            let position = self.quorum.counted_position(instance);
+            let position = position.map_or("unknown".to_owned(), |position| position.to_string());
+            let age = self.quorum.age_bound(instance, now);
+            let age = age.map_or("unknown".to_owned(), |age| age.as_millis().to_string());
+            format!("{instance}:{position}:age_ms={age}")
+        });
+        texts.collect::<Vec<_>>().join(",")
     }
 
     /// Returns how long a write has to wait for a majority at least.
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -163,10 +163,6 @@
     watch: Option<PrimaryWatch>,
     /// Since when the present term is served here.
     serving_since: Option<ClockTime>,
-    /// When the primary last answered a write.
-    written_at: ClockTime,
-    /// Until when a write in doubt may still be running at the primary.
-    doubtful_until: ClockTime,
     round_running: Option<(RoundId, ClockTime)>,
     confirmed_round: RoundId,
     last_ticket: u64,
@@ -223,8 +219,6 @@
         writes: HashMap::new(),
         watch: None,
         serving_since: None,
-        written_at: ClockTime::default(),
-        doubtful_until: ClockTime::default(),
         round_running: None,
         confirmed_round: RoundId(0),
         last_ticket: 0,
--- a/crates/daemon/src/group/outcomes.rs
+++ b/crates/daemon/src/group/outcomes.rs
@@ -191,7 +191,11 @@
         let Some(active) = self.requests.get(&ticket) else {
             return;
         };
-        self.follow_transaction(active.request.step, ticket, connection, &answer);
+        let (step, dispatched) = (active.request.step, active.dispatched);
+        self.follow_transaction(step, ticket, connection, &answer);
+        if let Some(position) = position {
+            self.note_primary_answer(dispatched, instance, position);
+        }
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
@@ -203,10 +207,10 @@
         };
         let failed = matches!(answer, StatementAnswer::Failed(_));
         let verdict = RequestVerdict::Ran(answer);
-        let (write, round, dispatched) = (active.is_write(), active.round, active.dispatched);
+        let (write, round) = (active.is_write(), active.round);
         if write && !failed {
             active.answer = Some((verdict, served));
-            self.await_majority(ticket, instance, position, dispatched);
+            self.await_majority(ticket, position);
             return;
         }
         if let Some(round) = round {
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -132,7 +132,6 @@
             Arc::clone(&self.context),
             instance.clone(),
             announcement.agent_address,
-            announcement.status,
             self.notices.clone(),
         );
         let watcher = self.children.spawn(watch);
@@ -308,19 +307,27 @@
 }
 
 /// Reports an agent's every change, and its silence, until the task is ended.
+///
+/// The first question, and the first one after a silence, is answered at once. If it were held like the
+/// others, nothing would be known of the instance for [`WATCH_HOLD`] after each takeover: replicas would
+/// serve no reads meanwhile, and what is known then would be as old as the hold.
 async fn watch_agent(
     context: Arc<GroupContext>,
     instance: InstanceName,
     address: SocketAddr,
-    announced: InstanceStatus,
     notices: mpsc::Sender<GroupNotice>,
 ) {
-    let mut known = announced;
+    let mut known: Option<InstanceStatus> = None;
     let hold_ms = WATCH_HOLD.as_millis() as u64;
     let grace = Duration::from_millis(context.settings.timing.probe_timeout_ms);
     loop {
         let asked = context.clock.now();
-        let call = |client: Arc<WsClient>| async move { client.wait_change(known, hold_ms).await };
+        let call = |client: Arc<WsClient>| async move {
+            match known {
+                Some(known) => client.wait_change(known, hold_ms).await,
+                None => client.status().await,
+            }
+        };
         let status = context
             .links
             .call(address, WATCH_HOLD + grace, call)
@@ -334,9 +341,9 @@
         if notices.send(GroupNotice::Agent(report)).await.is_err() {
             return;
         }
-        match status {
-            Some(status) => known = status,
-            None => sleep(WATCH_PAUSE).await,
+        known = status;
+        if status.is_none() {
+            sleep(WATCH_PAUSE).await;
         }
     }
 }
--- a/crates/daemon/src/group/ticking.rs
+++ b/crates/daemon/src/group/ticking.rs
@@ -6,7 +6,6 @@
 use super::request::RequestStage;
 use crate::log_event;
 use log::Level;
-use ragwort_types::AccessMode;
 use ragwort_types::TransactionId;
 use std::time::Duration;
 
@@ -31,7 +30,6 @@
                 self.end_transaction(transaction);
             }
         }
-        self.observe_quiet_primary();
         for instance in self.record.instances.clone() {
             self.refresh_endpoint(&instance);
         }
@@ -45,32 +43,6 @@
         }
     }
 
-    /// Notes that the primary stands where it stood, while no write runs.
-    ///
-    /// This leaseholder is the only one that writes, so an idle group's replicas are as fresh as
-    /// its primary; without this their age would seem to grow until the next report. A write in doubt
-    /// may still be running there, unknown to anybody here. If the primary were taken to stand still
-    /// meanwhile, replicas that lack the write would pass for fresh, and a read that allows 50 ms
-    /// would miss what was written long before. Only what the primary says itself counts then.
-    fn observe_quiet_primary(&mut self) {
-        let now = self.context.clock.now();
-        let writing = self.requests.values().any(|active| {
-            !matches!(active.stage, RequestStage::Waiting)
-                && !active.is_fresh_read()
-                && active.terms.access == AccessMode::Write
-        });
-        let doubtful = now < self.doubtful_until;
-        if writing || doubtful || !self.is_serving() || !self.view.borrow().may_serve(now) {
-            return;
-        }
-        let Some(primary) = self.record.primary.clone() else {
-            return;
-        };
-        if let Some(status) = self.quorum.status(&primary).copied() {
-            self.take_status(&primary, now, status);
-        }
-    }
-
     /// Lets a round of reads that got no majority begin again.
     fn restart_lost_round(&mut self) {
         let now = self.context.clock.now();
