--- a/crates/lab/src/lab_set.rs
+++ b/crates/lab/src/lab_set.rs
@@ -3,8 +3,8 @@
 use crate::faults::FaultRequest;
 use crate::lab_contract::build_contract;
 use crate::lab_rpc::LabApiClient;
+use crate::ports::pick_address;
 use crate::process::ChildProcess;
-use crate::process::pick_address;
 use crate::relay::CutRelay;
 use crate::relay::RelayMode;
 use crate::set_calls::SetFault;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod load_plan;
 pub mod load_report;
 pub mod oracle;
+pub mod ports;
 pub mod process;
 pub mod relay;
 pub mod replication;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -4,34 +4,32 @@
 //! [`ChildProcess`] kills the child, frozen or not, and waits for its end, so that a failed test
 //! leaves nothing behind.
 
+pub use crate::ports::pick_address;
+use std::fs;
 use std::fs::File;
 use std::io;
-use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-/// The first port that the picker tries.
-const FIRST_PORT: u16 = 10_000;
+/// The pause between two looks at a child that is to end.
+const POLL_PAUSE: Duration = Duration::from_millis(10);
 
-/// The number of ports that the picker tries: all lie below the range from which the system takes
-/// the ports of outgoing connections, so that none of those can take a picked port first.
-const PORT_COUNT: u16 = 22_000;
+/// The pause between two looks at a child that is to stop.
+const STOP_PAUSE: Duration = Duration::from_millis(1);
 
-/// How far apart two processes of neighbouring ids begin to pick.
-const PORT_STRIDE: u32 = 211;
+/// How many looks a child may take to stop: ten seconds, hundreds of times what was seen.
+const STOP_LOOKS: usize = 10_000;
 
-/// The pause between two looks at a child that is to end.
-const POLL_PAUSE: Duration = Duration::from_millis(10);
+/// The state of a stopped thread, as the system names it.
+const STOPPED_STATE: &str = "T";
 
 /// A child process.
 #[derive(Debug)]
@@ -89,17 +87,28 @@
     ///
     /// Returns the [`io::Error`] of the log file.
     pub fn read_log(&self) -> io::Result<String> {
-        let bytes = std::fs::read(&self.log_file)?;
+        let bytes = fs::read(&self.log_file)?;
         Ok(String::from_utf8_lossy(&bytes).into_owned())
     }
 
-    /// Stops the child where it stands (SIGSTOP).
+    /// Stops the child where it stands (SIGSTOP) and waits until all its threads have stopped.
+    ///
+    /// The signal only asks for the stop. On a busy machine threads of the child went on for up to 27 ms
+    /// after it was sent, and answered requests of callers who took the child for frozen.
     ///
     /// # Errors
     ///
-    /// Returns an error if the child has ended already.
+    /// Returns an error if the child has ended already, or hasn't stopped in a long time.
     pub fn freeze(&mut self) -> io::Result<()> {
-        self.send_signal("STOP")
+        self.send_signal("STOP")?;
+        for _ in 0..STOP_LOOKS {
+            if is_stopped(self.child.id())? {
+                return Ok(());
+            }
+            thread::sleep(STOP_PAUSE);
+        }
+        let message = format!("{} hasn't stopped", self.name);
+        Err(io::Error::new(io::ErrorKind::TimedOut, message))
     }
 
     /// Lets a frozen child go on (SIGCONT).
@@ -175,21 +184,15 @@
     }
 }
 
-/// Picks an address on 127.0.0.1 whose port is free at present.
-///
-/// # Panics
-///
-/// Panics if no port of the range is free.
-pub fn pick_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = (std::process::id() * PORT_STRIDE) % u32::from(PORT_COUNT);
-    for _ in 0..PORT_COUNT {
-        let step = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
-        let offset = (start + step) % u32::from(PORT_COUNT);
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
+/// Says whether all threads of a process have stopped.
+fn is_stopped(id: u32) -> io::Result<bool> {
+    for task in fs::read_dir(format!("/proc/{id}/task"))? {
+        let text = fs::read_to_string(task?.path().join("stat"))?;
+        // The name before the state is in brackets and may hold anything.
+        let state = text.rsplit_once(") ").map(|(_, rest)| rest);
+        if !state.is_some_and(|state| state.starts_with(STOPPED_STATE)) {
+            return Ok(false);
         }
     }
-    panic!("no free port on 127.0.0.1");
+    Ok(true)
 }
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -86,7 +86,7 @@
     pub async fn start(target: SocketAddr, delay: Duration) -> io::Result<Self> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
-        socket.bind(crate::process::pick_address())?;
+        socket.bind(crate::ports::pick_address())?;
         let listener = socket.listen(1024)?;
         let address = listener.local_addr()?;
         let state = Arc::new(watch::Sender::new(RelayState {
--- a/crates/lab/src/scale_set.rs
+++ b/crates/lab/src/scale_set.rs
@@ -6,8 +6,8 @@
 
 use crate::endpoint::EndpointSettings;
 use crate::endpoint::LabEndpoint;
+use crate::ports::pick_address;
 use crate::process::ChildProcess;
-use crate::process::pick_address;
 use crate::relay::CutRelay;
 use crate::relay::RelayTraffic;
 use crate::scale_process::ProcessUse;
--- a/crates/lab/tests/freeze.rs
+++ b/crates/lab/tests/freeze.rs
@@ -3,6 +3,7 @@
 use ragwort_lab::process::ChildProcess;
 use ragwort_lab::process::pick_address;
 use std::fs;
+use std::hint;
 use std::path::Path;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -43,7 +44,11 @@
     thread::scope(|scope| {
         // The machine is busy: a thread that is told to stop has to wait for its turn.
         for _ in 0..thread::available_parallelism().unwrap().get() {
-            scope.spawn(|| while !stop.load(Ordering::Relaxed) {});
+            scope.spawn(|| {
+                while !stop.load(Ordering::Relaxed) {
+                    hint::spin_loop();
+                }
+            });
         }
         for _ in 0..FREEZES {
             child.freeze().unwrap();
