Ask who answers before an endpoint or its agent is used

Cause: links to agents and connections to endpoints were known by address only. On the users' platform connections name the instance that they expect; towards our own endpoints nothing did. Mend: a link to an agent greets with 'identity' once for each connection, a connection to an endpoint asks for the instance with the position, probes and standbys' probes too. What doesn't answer as expected isn't used: the call has not run. The stand-in refuses the name of another database, as databases do.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -5,10 +5,13 @@
 //! statement, and after a commit it is the position that a majority must hold.
 
 use crate::callers::parameters::ColumnText;
+use crate::log_event;
 use futures::FutureExt;
 use futures::TryStreamExt;
+use log::Level;
 use ragwort_types::DatabaseError;
 use ragwort_types::GroupTerm;
+use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use ragwort_types::RowSet;
 use ragwort_types::StatementAnswer;
@@ -45,6 +48,8 @@
     pub address: SocketAddr,
     /// The database name, which is the group's.
     pub database: String,
+    /// The instance that must answer there.
+    pub instance: InstanceName,
     /// The limit for connecting.
     pub connect_timeout: Duration,
     /// How long the connection may be idle before it is pinged.
@@ -196,7 +201,39 @@
     let driver = tokio::spawn(async move {
         let _ = connection.await;
     });
-    Some((client, driver))
+    let greeting = timeout(target.connect_timeout, ask_instance(&client)).await;
+    let found = greeting.ok().flatten();
+    if found.as_deref() == Some(target.instance.as_str()) {
+        return Some((client, driver));
+    }
+    log_event!(
+        Level::Warn,
+        "endpoint_of_another_instance",
+        address = target.address,
+        group = target.database,
+        instance = target.instance,
+        answered = found.as_deref().unwrap_or("nobody"),
+    );
+    drop(client);
+    driver.abort();
+    // It has been told to end.
+    let _ = driver.await;
+    None
+}
+
+/// Asks which instance answers on a connection.
+///
+/// An address is given anew, and the database's name only tells groups apart. A read that is sent to
+/// another instance of the group, for the position that the expected one holds, would miss its session's
+/// write. A connection leads to the same process until it ends, so asking once is enough.
+async fn ask_instance(client: &Client) -> Option<String> {
+    let asking = client.simple_query("show ragwort_position greeting");
+    let messages = asking.await.ok()?;
+    let row = messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => Some(row),
+        _ => None,
+    })?;
+    row.try_get("instance").ok()?.map(str::to_owned)
 }
 
 async fn serve_orders(
--- a/crates/daemon/src/group/confirming.rs
+++ b/crates/daemon/src/group/confirming.rs
@@ -171,9 +171,11 @@
             let notices = self.notices.clone();
             let asked = self.context.clock.now();
             let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms);
+            let expected = self.identify(&instance);
             self.children.spawn(async move {
                 let call = |client: Arc<WsClient>| async move { client.status().await };
-                let status = links.call(address, limit, call).await.ok();
+                let status = links.call_instance(address, &expected, limit, call);
+                let status = status.await.ok();
                 let report = RoundReport {
                     round,
                     instance,
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -56,6 +56,7 @@
 use ragwort_types::GroupName;
 use ragwort_types::GroupPlacement;
 use ragwort_types::GroupRecord;
+use ragwort_types::InstanceIdentity;
 use ragwort_types::InstanceName;
 use ragwort_types::KindName;
 use ragwort_types::PlacementEpoch;
@@ -355,6 +356,14 @@
         }
     }
 
+    /// Returns who must answer on a connection that is meant for one of the group's instances.
+    fn identify(&self, instance: &InstanceName) -> InstanceIdentity {
+        InstanceIdentity {
+            group: self.group.clone(),
+            instance: instance.clone(),
+        }
+    }
+
     fn refresh_all_endpoints(&mut self) {
         let names = self
             .pool
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -14,6 +14,7 @@
 use ragwort_rpc::AgentApiClient;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupName;
+use ragwort_types::InstanceIdentity;
 use ragwort_types::InstanceName;
 use ragwort_types::InstanceStatus;
 use ragwort_types::TransactionId;
@@ -128,9 +129,13 @@
             return false;
         }
         self.remove_endpoint(&instance);
+        let identity = InstanceIdentity {
+            group: self.group.clone(),
+            instance: instance.clone(),
+        };
         let watch = watch_agent(
             Arc::clone(&self.context),
-            instance.clone(),
+            identity,
             announcement.agent_address,
             self.notices.clone(),
         );
@@ -192,6 +197,7 @@
             id,
             address: entry.announcement.data_address,
             database: self.group.to_string(),
+            instance: instance.clone(),
             connect_timeout: Duration::from_millis(timing.connect_timeout_ms),
             idle_ping: Duration::from_millis(timing.idle_ping_ms),
             ping_timeout: Duration::from_millis(timing.probe_timeout_ms) * PING_PROBES,
@@ -313,7 +319,7 @@
 /// serve no reads meanwhile, and what is known then would be as old as the hold.
 async fn watch_agent(
     context: Arc<GroupContext>,
-    instance: InstanceName,
+    identity: InstanceIdentity,
     address: SocketAddr,
     notices: mpsc::Sender<GroupNotice>,
 ) {
@@ -328,13 +334,11 @@
                 None => client.status().await,
             }
         };
-        let status = context
-            .links
-            .call(address, WATCH_HOLD + grace, call)
-            .await
-            .ok();
+        let limit = WATCH_HOLD + grace;
+        let status = context.links.call_instance(address, &identity, limit, call);
+        let status = status.await.ok();
         let report = AgentReport {
-            instance: instance.clone(),
+            instance: identity.instance.clone(),
             asked,
             status,
         };
--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -147,9 +147,11 @@
         let links = self.context.links.clone();
         let notices = self.notices.clone();
         let instance = primary.clone();
+        let expected = self.identify(primary);
         self.children.spawn(async move {
             let call = |client: Arc<WsClient>| async move { client.status().await };
-            let outcome = match links.call(address, LATE_ANSWER, call).await {
+            let answer = links.call_instance(address, &expected, LATE_ANSWER, call);
+            let outcome = match answer.await {
                 Ok(_) => ProbeOutcome::Answered,
                 Err(LinkError::Unreachable) => ProbeOutcome::Refused,
                 Err(_) => ProbeOutcome::Silent,
@@ -168,6 +170,7 @@
         let instance = primary.clone();
         let timing = &self.context.settings.timing;
         let accept = Duration::from_millis(timing.probe_timeout_ms);
+        let expected = self.identify(primary);
         self.children.spawn(async move {
             let report = |outcome| {
                 GroupNotice::Probe(ProbeReport {
@@ -181,7 +184,7 @@
                 return;
             }
             let _ = notices.send(report(ProbeOutcome::Accepted)).await;
-            let answer = probe_answer(address, LATE_ANSWER).await;
+            let answer = probe_answer(address, &expected, LATE_ANSWER).await;
             if answer != ProbeOutcome::Silent {
                 let _ = notices.send(report(answer)).await;
             }
@@ -198,10 +201,12 @@
             let links = self.context.links.clone();
             let notices = self.notices.clone();
             let instance = primary.clone();
+            let expected = self.identify(primary);
             let asked = self.context.clock.now();
             self.children.spawn(async move {
-                let call =
-                    |client: Arc<WsClient>| async move { client.probe_instance(address).await };
+                let call = |client: Arc<WsClient>| async move {
+                    client.probe_instance(address, expected).await
+                };
                 if let Ok(reachable) = links.call(member.peer_address, limit, call).await {
                     let probe = StandbyProbe {
                         instance,
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -419,6 +419,7 @@
         let address = entry.map(|entry| entry.announcement.agent_address);
         let links = self.context.links.clone();
         let notices = self.notices.clone();
+        let expected = self.identify(&instance);
         self.children.spawn(async move {
             let call = |client: Arc<WsClient>| async move {
                 match (order, target) {
@@ -430,7 +431,10 @@
                 }
             };
             let reply = match address {
-                Some(address) => links.call(address, ORDER_LIMIT, call).await,
+                Some(address) => {
+                    let answer = links.call_instance(address, &expected, ORDER_LIMIT, call);
+                    answer.await
+                }
                 None => Err(LinkError::Unreachable),
             };
             let report = OrderReport {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,13 +4,17 @@
 //! fails later may have, and [`LinkError`] says which.
 
 use crate::connecting::connect_stream;
+use crate::log_event;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::client::Error as ClientError;
 use jsonrpsee::rpc_params;
 use jsonrpsee_ws_client::PingConfig;
 use jsonrpsee_ws_client::WsClient;
 use jsonrpsee_ws_client::WsClientBuilder;
+use log::Level;
 use ragwort_control::ProbeOutcome;
+use ragwort_rpc::AgentApiClient;
+use ragwort_types::InstanceIdentity;
 use std::collections::HashMap;
 use std::fmt;
 use std::future::Future;
@@ -79,7 +83,14 @@
 
 #[derive(Default)]
 struct LinkSlot {
-    client: AsyncMutex<Option<Arc<WsClient>>>,
+    link: AsyncMutex<Option<OpenLink>>,
+}
+
+/// A link that is open, and who is known to answer on it.
+struct OpenLink {
+    client: Arc<WsClient>,
+    /// The instance whose agent has answered the greeting.
+    greeted: Option<InstanceIdentity>,
 }
 
 impl PeerLinks {
@@ -107,7 +118,46 @@
         Call: FnOnce(Arc<WsClient>) -> Answer,
         Answer: Future<Output = Result<Reply, ClientError>>,
     {
-        let client = self.connect(address).await?;
+        let client = self.connect(address, None).await?;
+        self.call_on(address, client, limit, call).await
+    }
+
+    /// Makes one call to the agent of an instance, as [`call`](Self::call) does.
+    ///
+    /// The link greets first. An address is given anew, and what answers there may be another group's
+    /// instance: it would be counted for a majority that doesn't hold the write, or promoted in place of
+    /// ours. A connection leads to the same process until it ends, so one greeting for each is enough.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError::Unreachable`] also if somebody else answers there, since the call was not
+    /// made.
+    pub async fn call_instance<Reply, Call, Answer>(
+        &self,
+        address: SocketAddr,
+        expected: &InstanceIdentity,
+        limit: Duration,
+        call: Call,
+    ) -> Result<Reply, LinkError>
+    where
+        Call: FnOnce(Arc<WsClient>) -> Answer,
+        Answer: Future<Output = Result<Reply, ClientError>>,
+    {
+        let client = self.connect(address, Some(expected)).await?;
+        self.call_on(address, client, limit, call).await
+    }
+
+    async fn call_on<Reply, Call, Answer>(
+        &self,
+        address: SocketAddr,
+        client: Arc<WsClient>,
+        limit: Duration,
+        call: Call,
+    ) -> Result<Reply, LinkError>
+    where
+        Call: FnOnce(Arc<WsClient>) -> Answer,
+        Answer: Future<Output = Result<Reply, ClientError>>,
+    {
         let answering = call(Arc::clone(&client));
         match timeout(limit, await_answer(&client, answering)).await {
             Ok(Ok(reply)) => Ok(reply),
@@ -127,32 +177,42 @@
     /// Closes the link to `address`, so that the next call opens a new one.
     pub async fn reopen(&self, address: SocketAddr) {
         let slot = self.slot(address);
-        *slot.client.lock().await = None;
+        *slot.link.lock().await = None;
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Arc<WsClient>, LinkError> {
+    /// Returns the open link to `address`, or opens one; greets on it if an instance is expected there.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        expected: Option<&InstanceIdentity>,
+    ) -> Result<Arc<WsClient>, LinkError> {
         let slot = self.slot(address);
-        let mut client = slot.client.lock().await;
-        if let Some(open) = client.as_ref().filter(|open| open.is_connected()) {
-            return Ok(Arc::clone(open));
+        let mut link = slot.link.lock().await;
+        if let Some(open) = link.as_ref().filter(|open| open.client.is_connected())
+            && (expected.is_none() || open.greeted.as_ref() == expected)
+        {
+            return Ok(Arc::clone(&open.client));
         }
-        *client = None;
-        let opening = open_client(address, self.connect_timeout);
-        let fresh = timeout(self.connect_timeout, opening).await;
-        let fresh = fresh.map_err(|_| LinkError::Unreachable)?;
-        let fresh = Arc::new(fresh.map_err(|_| LinkError::Unreachable)?);
-        *client = Some(Arc::clone(&fresh));
-        Ok(fresh)
+        *link = None;
+        let opening = open_greeted(address, expected, self.connect_timeout);
+        let client = timeout(self.connect_timeout, opening).await;
+        let client = client.map_err(|_| LinkError::Unreachable)?;
+        let client = Arc::new(client.map_err(|_| LinkError::Unreachable)?);
+        *link = Some(OpenLink {
+            client: Arc::clone(&client),
+            greeted: expected.cloned(),
+        });
+        Ok(client)
     }
 
     async fn discard(&self, address: SocketAddr, broken: &Arc<WsClient>) {
         let slot = self.slot(address);
-        let mut client = slot.client.lock().await;
-        if client
+        let mut link = slot.link.lock().await;
+        if link
             .as_ref()
-            .is_some_and(|held| Arc::ptr_eq(held, broken))
+            .is_some_and(|held| Arc::ptr_eq(&held.client, broken))
         {
-            *client = None;
+            *link = None;
         }
     }
 
@@ -206,18 +266,72 @@
     }
 }
 
-/// Says how a handshake on a *new* connection to `address` ends within `limit`.
+/// Says how a handshake with the agent of an instance ends on a *new* connection within `limit`.
 ///
 /// A connection that is accepted and then closed at once comes from a live system whose process is
-/// gone: that counts as refused.
-pub async fn probe_answer(address: SocketAddr, limit: Duration) -> ProbeOutcome {
-    match timeout(limit, open_client(address, limit)).await {
+/// gone: that counts as refused. So does one on which another instance answers.
+pub async fn probe_answer(
+    address: SocketAddr,
+    expected: &InstanceIdentity,
+    limit: Duration,
+) -> ProbeOutcome {
+    match timeout(limit, open_greeted(address, Some(expected), limit)).await {
         Ok(Ok(_)) => ProbeOutcome::Answered,
-        Ok(Err(ClientError::RequestTimeout)) | Err(_) => ProbeOutcome::Silent,
+        Ok(Err(OpenError::Client(ClientError::RequestTimeout))) | Err(_) => ProbeOutcome::Silent,
         Ok(Err(_)) => ProbeOutcome::Refused,
     }
 }
 
+/// Why a link could not be opened.
+#[derive(Debug)]
+enum OpenError {
+    /// The connection or the greeting failed.
+    Client(ClientError),
+    /// This instance answers there in place of the one that is meant.
+    OtherInstance(InstanceIdentity),
+}
+
+impl fmt::Display for OpenError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Client(error) => write!(formatter, "{error}"),
+            Self::OtherInstance(found) => write!(
+                formatter,
+                "instance {} of group {} answers",
+                found.instance, found.group
+            ),
+        }
+    }
+}
+
+/// Connects, and makes sure that the expected instance's agent answers.
+async fn open_greeted(
+    address: SocketAddr,
+    expected: Option<&InstanceIdentity>,
+    limit: Duration,
+) -> Result<WsClient, OpenError> {
+    let client = open_client(address, limit).await;
+    let client = client.map_err(OpenError::Client)?;
+    let Some(expected) = expected else {
+        return Ok(client);
+    };
+    let found = AgentApiClient::identity(&client).await;
+    let found = found.map_err(OpenError::Client)?;
+    if found == *expected {
+        return Ok(client);
+    }
+    let error = OpenError::OtherInstance(found);
+    log_event!(
+        Level::Warn,
+        "agent_of_another_instance",
+        address = address,
+        group = expected.group,
+        instance = expected.instance,
+        cause = error,
+    );
+    Err(error)
+}
+
 async fn open_client(address: SocketAddr, limit: Duration) -> Result<WsClient, ClientError> {
     let stream = connect_stream(address, limit).await;
     let stream = stream.map_err(|error| ClientError::Transport(error.into()))?;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -51,6 +51,7 @@
 use ragwort_types::HeartbeatBatch;
 use ragwort_types::HeartbeatReply;
 use ragwort_types::HeartbeatRequest;
+use ragwort_types::InstanceIdentity;
 use ragwort_types::JournalAppend;
 use ragwort_types::JournalCopy;
 use ragwort_types::JournalReply;
@@ -422,10 +423,17 @@
             .await
     }
 
-    async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool> {
+    async fn probe_instance(
+        &self,
+        agent_address: SocketAddr,
+        expected: InstanceIdentity,
+    ) -> RpcResult<bool> {
         let limit = Duration::from_millis(self.settings.timing.probe_timeout_ms);
         let call = |client: Arc<WsClient>| async move { AgentApiClient::status(&*client).await };
-        Ok(self.links.call(agent_address, limit, call).await.is_ok())
+        let answer = self
+            .links
+            .call_instance(agent_address, &expected, limit, call);
+        Ok(answer.await.is_ok())
     }
 
     async fn ping(&self) -> RpcResult<()> {
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -80,7 +80,7 @@
     1,
 ));
 
-const FIRST_TERM: GroupTerm = GroupTerm(1);
+pub const FIRST_TERM: GroupTerm = GroupTerm(1);
 
 /// Creates the contract: writes that are never repeated by default.
 pub fn create_contract() -> CustomerContract {
@@ -391,27 +391,33 @@
     /// Lets all endpoints announce themselves once.
     pub async fn announce_all(&self) {
         for (index, endpoint) in self.endpoints.iter().enumerate() {
-            let data_address = match (index, &self.data_relay) {
-                (0, Some(relay)) => relay.address(),
-                _ => endpoint.data_address(),
-            };
-            let announcement = EndpointAnnouncement {
-                started_ms: 0,
-                sequence: 0,
-                group: "cases".into(),
-                instance: format!("cases-{}", index + 1).into(),
-                domain: "windhoek-a".into(),
-                data_address,
-                agent_address: endpoint.agent_address(),
-                slots: 2,
-                connections: 16,
-                status: endpoint.shared().instance.status(),
-            };
-            let event = GroupEvent::Announced(Box::new(announcement));
-            self.inbox.send(event).await.unwrap();
+            self.announce_at(index, endpoint.agent_address()).await;
         }
     }
 
+    /// Lets an endpoint announce itself with this address of its agent.
+    pub async fn announce_at(&self, index: usize, agent_address: SocketAddr) {
+        let endpoint = &self.endpoints[index];
+        let data_address = match (index, &self.data_relay) {
+            (0, Some(relay)) => relay.address(),
+            _ => endpoint.data_address(),
+        };
+        let announcement = EndpointAnnouncement {
+            started_ms: 0,
+            sequence: 0,
+            group: "cases".into(),
+            instance: format!("cases-{}", index + 1).into(),
+            domain: "windhoek-a".into(),
+            data_address,
+            agent_address,
+            slots: 2,
+            connections: 16,
+            status: endpoint.shared().instance.status(),
+        };
+        let event = GroupEvent::Announced(Box::new(announcement));
+        self.inbox.send(event).await.unwrap();
+    }
+
     /// Waits until the journal is recovered and the primary serves.
     pub async fn wait_serving(&self) {
         loop {
--- a/crates/daemon/tests/pieces/connection.rs
+++ b/crates/daemon/tests/pieces/connection.rs
@@ -34,6 +34,12 @@
 const SHORT: Duration = Duration::from_millis(100);
 
 failure_cases! {
+    /// An endpoint has died, and another instance of its group listens where it did. A read that is sent
+    /// there for what the dead one held would miss its session's write. The connection must not open.
+    connection_to_another_instance_does_not_open => other_instance_case("cases", "cases-2");
+    /// The same, and the instance belongs to another group: a statement would run in a database that its
+    /// customer has no part in.
+    connection_to_another_group_does_not_open => other_instance_case("files", "cases-1");
     /// A late answer of an earlier statement stands in front of this statement's own. A caller
     /// would be shown a stranger's case; it must get no rows, and the connection ends.
     answer_of_another_statement_is_not_handed_on => mismatch_case();
@@ -79,14 +85,7 @@
 
 impl TestConnection {
     async fn open(address: SocketAddr, idle_ping: Duration) -> Self {
-        let target = ConnectionTarget {
-            id: ConnectionId(1),
-            address,
-            database: "cases".to_owned(),
-            connect_timeout: Duration::from_secs(2),
-            idle_ping,
-            ping_timeout: SHORT,
-        };
+        let target = describe_target(address, idle_ping);
         let (sender, events) = mpsc::channel(16);
         let (orders, task) = spawn_connection(target, sender);
         let mut connection = Self {
@@ -175,6 +174,37 @@
     }
 }
 
+fn describe_target(address: SocketAddr, idle_ping: Duration) -> ConnectionTarget {
+    ConnectionTarget {
+        id: ConnectionId(1),
+        address,
+        database: "cases".to_owned(),
+        instance: "cases-1".into(),
+        connect_timeout: Duration::from_secs(2),
+        idle_ping,
+        ping_timeout: SHORT,
+    }
+}
+
+async fn other_instance_case(group: &str, instance: &str) {
+    let settings = EndpointSettings {
+        group: group.into(),
+        ..EndpointSettings::quick(instance, true)
+    };
+    let endpoint = LabEndpoint::start(&settings).await.unwrap();
+    let target = describe_target(endpoint.data_address(), LONG);
+    let (sender, mut events) = mpsc::channel(16);
+    let (orders, task) = spawn_connection(target, sender);
+    let event = events.recv().await.unwrap();
+    assert!(
+        matches!(event.change, ConnectionChange::Closed),
+        "{event:?}"
+    );
+    drop(orders);
+    task.await.unwrap();
+    endpoint.stop().await;
+}
+
 async fn start_endpoint() -> LabEndpoint {
     LabEndpoint::start(&EndpointSettings::quick("cases-1", true))
         .await
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -1,14 +1,18 @@
 //! A group's leaseholder: keys, majorities, transactions and replicas under faults.
 
 use crate::bench::Ask;
+use crate::bench::FIRST_TERM;
 use crate::bench::FRESH;
 use crate::bench::GRANT;
 use crate::bench::GroupBench;
 use crate::bench::SHORT_MS;
 use crate::bench::STATUS;
 use crate::bench::one_value;
+use ragwort_lab::endpoint::EndpointSettings;
+use ragwort_lab::endpoint::LabEndpoint;
 use ragwort_lab::faults::FaultRequest;
 use ragwort_types::DoubtCause;
+use ragwort_types::GroupTerm;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestKey;
 use ragwort_types::RequestVerdict;
@@ -88,6 +92,14 @@
     /// One write runs long at the primary, so for a while nothing is heard of its position. The replicas
     /// hold all that it holds. A second clerk's short write must not be refused as if they were behind.
     long_write_is_no_sign_of_replicas_behind => long_write_case();
+    /// A replica has died, and another group's instance listens where its agent did. That one follows a
+    /// term of the same number and its log is long. Counted as the replica, it would make a majority: the
+    /// clerk would be told that her grant is safe, though the primary alone holds it.
+    agent_of_another_group_makes_no_majority => foreign_agent_case();
+    /// The same, and the other group's instance is the primary of an earlier term. A replica of that term
+    /// is told to follow ours. Obeying, the other group's primary would drop all that it holds and take no
+    /// more writes.
+    agent_of_another_group_gets_no_orders => foreign_order_case();
 }
 
 fn stands(reply: &StatementReply) -> (&RequestVerdict, bool) {
@@ -459,3 +471,44 @@
     assert_eq!(long.await.unwrap().verdict, WRITTEN);
     bench.stop().await;
 }
+
+/// Starts a primary of another group that has some writes of its own.
+async fn start_foreigner(term: GroupTerm) -> LabEndpoint {
+    let settings = EndpointSettings {
+        group: "files".into(),
+        ..EndpointSettings::quick("files-1", true)
+    };
+    let foreigner = LabEndpoint::start(&settings).await.unwrap();
+    let instance = &foreigner.shared().instance;
+    instance.fence(term).await;
+    instance.promote(term, 0).await;
+    let generation = instance.generation().await;
+    for _ in 0..40 {
+        instance.commit(generation, Vec::new()).await.unwrap();
+    }
+    foreigner
+}
+
+async fn foreign_agent_case() {
+    let bench = GroupBench::start().await;
+    let foreigner = start_foreigner(FIRST_TERM).await;
+    bench.cut_replication(true).await;
+    bench.announce_at(1, foreigner.agent_address()).await;
+    let grant = Ask::new(GRANT, "append case-7 grant").deadline(SHORT_MS);
+    let reply = bench.ask(grant).await;
+    let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
+    assert_eq!(reply.verdict, doubt);
+    bench.stop().await;
+    foreigner.stop().await;
+}
+
+async fn foreign_order_case() {
+    let bench = GroupBench::start().await;
+    let foreigner = start_foreigner(GroupTerm(0)).await;
+    let before = foreigner.shared().instance.status();
+    bench.announce_at(1, foreigner.agent_address()).await;
+    sleep(Duration::from_millis(600)).await;
+    assert_eq!(foreigner.shared().instance.status(), before);
+    bench.stop().await;
+    foreigner.stop().await;
+}
--- a/crates/daemon/tests/pieces/scripted.rs
+++ b/crates/daemon/tests/pieces/scripted.rs
@@ -78,11 +78,15 @@
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
         let values = match query.strip_prefix("show ragwort_position ") {
-            Some(id) => vec![self.echoed.unwrap_or(id), "1", "7"],
+            Some(id) => vec![self.echoed.unwrap_or(id), "1", "7", "cases-1"],
             None => vec![query],
         };
-        let fields = values.iter().map(|_| {
-            let name = "text".to_owned();
+        let names = match values.len() {
+            1 => ["text"].as_slice(),
+            _ => ["id", "term", "index", "instance"].as_slice(),
+        };
+        let fields = names.iter().map(|name| {
+            let name = (*name).to_owned();
             FieldInfo::new(name, None, None, Type::TEXT, FieldFormat::Text)
         });
         let fields = Arc::new(fields.collect::<Vec<_>>());
--- a/crates/lab/src/agent_port.rs
+++ b/crates/lab/src/agent_port.rs
@@ -14,6 +14,7 @@
 use ragwort_rpc::AgentApiServer;
 use ragwort_types::FenceReply;
 use ragwort_types::GroupTerm;
+use ragwort_types::InstanceIdentity;
 use ragwort_types::InstanceStatus;
 use ragwort_types::LogPosition;
 use std::net::SocketAddr;
@@ -57,6 +58,11 @@
 
 #[async_trait]
 impl AgentApiServer for AgentService {
+    async fn identity(&self) -> RpcResult<InstanceIdentity> {
+        self.shared.pass_freeze().await;
+        Ok(self.shared.identity.clone())
+    }
+
     async fn status(&self) -> RpcResult<InstanceStatus> {
         self.shared.pass_freeze().await;
         Ok(self.shared.instance.status())
--- a/crates/lab/src/data_port.rs
+++ b/crates/lab/src/data_port.rs
@@ -13,6 +13,7 @@
 use pgwire::api::ClientInfo;
 use pgwire::api::ClientPortalStore;
 use pgwire::api::ConnectionManager;
+use pgwire::api::METADATA_DATABASE;
 use pgwire::api::PgWireServerHandlers;
 use pgwire::api::Type;
 use pgwire::api::auth::StartupHandler;
@@ -206,6 +207,7 @@
             Some(status.position.term.to_string()),
             Some(status.position.index.to_string()),
             Some(format!("{:?}", status.role).to_lowercase()),
+            Some(self.shared.identity.instance.to_string()),
         ]))
     }
 
@@ -347,7 +349,7 @@
 
     async fn post_startup<C>(
         &self,
-        _client: &mut C,
+        client: &mut C,
         _message: PgWireFrontendMessage,
     ) -> PgWireResult<()>
     where
@@ -356,6 +358,10 @@
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
         self.pass_faults().await;
+        let database = client.metadata().get(METADATA_DATABASE);
+        if database.map(String::as_str) != Some(self.shared.identity.group.as_str()) {
+            return Err(error("FATAL", "3D000", "database does not exist"));
+        }
         let Ok(permit) = self.shared.connections.clone().try_acquire_owned() else {
             return Err(error("FATAL", "53300", "too many connections"));
         };
--- a/crates/lab/src/endpoint.rs
+++ b/crates/lab/src/endpoint.rs
@@ -15,6 +15,7 @@
 use ragwort_types::DomainName;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupName;
+use ragwort_types::InstanceIdentity;
 use ragwort_types::InstanceName;
 use std::io;
 use std::net::SocketAddr;
@@ -87,6 +88,8 @@
 /// What the endpoint's tasks share.
 #[derive(Debug)]
 pub struct EndpointShared {
+    /// Which instance of which group this is.
+    pub identity: InstanceIdentity,
     /// The instance.
     pub instance: InstanceHandle,
     /// The faults in force.
@@ -147,6 +150,10 @@
     pub async fn start(settings: &EndpointSettings) -> io::Result<Self> {
         let (instance_task, instance) = create_instance(InstanceCore::new(settings.primary));
         let shared = Arc::new(EndpointShared {
+            identity: InstanceIdentity {
+                group: settings.group.clone(),
+                instance: settings.instance.clone(),
+            },
             instance,
             faults: watch::Sender::new(FaultState::new(settings.lag_ms)),
             slots: Arc::new(Semaphore::new(settings.slots as usize)),
--- a/crates/lab/src/statement.rs
+++ b/crates/lab/src/statement.rs
@@ -120,7 +120,7 @@
         match self {
             Self::Get { .. } | Self::Find { .. } => &["value"],
             Self::Ping => &["?column?"],
-            Self::ShowPosition { .. } => &["id", "term", "index", "role"],
+            Self::ShowPosition { .. } => &["id", "term", "index", "role", "instance"],
             Self::Put { .. }
             | Self::Append { .. }
             | Self::Sleep { .. }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -37,6 +37,7 @@
 use ragwort_types::HeartbeatBatch;
 use ragwort_types::HeartbeatReply;
 use ragwort_types::HeartbeatRequest;
+use ragwort_types::InstanceIdentity;
 use ragwort_types::InstanceStatus;
 use ragwort_types::JournalAppend;
 use ragwort_types::JournalCopy;
@@ -114,7 +115,11 @@
 
     /// Says whether this VM can reach an endpoint's agent, for a second view from another domain.
     #[method(name = "probeInstance")]
-    async fn probe_instance(&self, agent_address: SocketAddr) -> RpcResult<bool>;
+    async fn probe_instance(
+        &self,
+        agent_address: SocketAddr,
+        expected: InstanceIdentity,
+    ) -> RpcResult<bool>;
 
     /// Takes an announcement that another VM passes on.
     #[method(name = "passAnnouncement")]
@@ -180,6 +185,10 @@
 /// Calls answered by an endpoint's agent. It belongs to the platform, not to ragwortgate.
 #[rpc(server, client, namespace = "agent")]
 pub trait AgentApi {
+    /// Says which instance this agent speaks for.
+    #[method(name = "identity")]
+    async fn identity(&self) -> RpcResult<InstanceIdentity>;
+
     /// Returns the instance's state.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<InstanceStatus>;
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -357,6 +357,18 @@
     }
 }
 
+/// Which instance of which group answers at an address.
+///
+/// Addresses are given anew. Whoever is meant to speak to an instance asks for this first: else a statement
+/// could run in another group's database, or another group's instance be counted, fenced or promoted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct InstanceIdentity {
+    /// The group.
+    pub group: GroupName,
+    /// The instance.
+    pub instance: InstanceName,
+}
+
 /// What an endpoint's agent says of its instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceStatus {
