Name the VM that is meant in what must reach it

Symptom (new tests, red without the checks): a key counts as held by a standby though another VM answers at its address, so a grant is dispatched whose key its standby has never heard of; an endpoint that leaves is told that its leaseholder knows, though whoever answered there doesn't lead the group. Agreement messages named receiver, incarnation and formation already; statements are refused by a VM that doesn't lead their group.

--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -322,12 +322,12 @@
         }
         let StandbyState::Holding(held) = standby.state else {
             standby.state = StandbyState::Resetting(end);
-            return Some(self.append(end, true, self.to_entries()));
+            return Some(self.append(vm, end, true, self.to_entries()));
         };
         let skipped = usize::try_from(held - self.backlog_start).ok()?;
         let lacking = self.backlog.iter().skip(skipped).take(LARGEST_APPEND);
         let entries: Vec<JournalEntry> = lacking.cloned().collect();
-        (!entries.is_empty()).then(|| self.append(held, false, entries))
+        (!entries.is_empty()).then(|| self.append(vm, held, false, entries))
     }
 
     /// Takes a standby's reply to an append that was sent under `epoch`.
@@ -399,8 +399,15 @@
         }
     }
 
-    fn append(&self, sequence: u64, reset: bool, entries: Vec<JournalEntry>) -> JournalAppend {
+    fn append(
+        &self,
+        vm: &VmName,
+        sequence: u64,
+        reset: bool,
+        entries: Vec<JournalEntry>,
+    ) -> JournalAppend {
         JournalAppend {
+            to: vm.clone(),
             group: self.group.clone(),
             epoch: self.epoch,
             sequence,
--- a/crates/control/tests/state/journal.rs
+++ b/crates/control/tests/state/journal.rs
@@ -70,6 +70,7 @@
 
 fn source(vm: &str, replica: &mut JournalReplica, epoch: u64) -> JournalSource {
     let request = JournalRequest {
+        to: vm.into(),
         group: "cases".into(),
         epoch: PlacementEpoch(epoch),
     };
@@ -551,6 +552,7 @@
 
     fn recover(&mut self, vm: u8, silent: u8) {
         let request = JournalRequest {
+            to: "vm-0".into(),
             group: "cases".into(),
             epoch: self.placement.epoch,
         };
--- a/crates/daemon/src/group/journaling.rs
+++ b/crates/daemon/src/group/journaling.rs
@@ -61,6 +61,7 @@
 
     fn ask_for_copy(&mut self, vm: VmName) {
         let request = JournalRequest {
+            to: vm.clone(),
             group: self.group.clone(),
             epoch: self.record.placement.epoch,
         };
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -238,7 +238,7 @@
             base.view.clone(),
             Duration::from_millis(base.settings.timing.lease_ms),
         ));
-        let (standby, standby_task) = spawn_standby(base.view.clone());
+        let (standby, standby_task) = spawn_standby(base.settings.vm.clone(), base.view.clone());
         helpers.spawn(join_quietly(standby_task));
         let (leaseholders, leaseholder_events) = mpsc::channel(LEASEHOLDER_QUEUE);
         let (ready_sender, ready) = watch::channel(false);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -14,6 +14,8 @@
 use log::Level;
 use ragwort_control::ProbeOutcome;
 use ragwort_rpc::AgentApiClient;
+use ragwort_rpc::PeerApiClient;
+use ragwort_types::EndpointAnnouncement;
 use ragwort_types::InstanceIdentity;
 use std::collections::HashMap;
 use std::fmt;
@@ -42,6 +44,10 @@
 /// How long the check may take: many times a round trip between regions.
 const CHECK_LIMIT: Duration = Duration::from_millis(400);
 
+/// How long a VM may take to take an announcement that is passed on to it. The endpoint that waits
+/// for the answer gives up after a second and asks elsewhere.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(700);
+
 /// How often an idle link is pinged, only so that dead ones are closed at last. At 629 links of a VM
 /// that is 63 pings a second.
 const IDLE_PING: Duration = Duration::from_secs(10);
@@ -253,6 +259,20 @@
     }
 }
 
+/// Passes an endpoint's announcement on, and says whether who answers leads the endpoint's group.
+///
+/// Only the leaseholder can keep work away from an endpoint that leaves. At its address another VM may
+/// answer by now, or the same one whose lease of the group has ended; it takes the announcement as any VM
+/// does. Were that enough, the endpoint would be told that it may go while it is still sent work.
+pub async fn pass_announcement(
+    links: &PeerLinks,
+    address: SocketAddr,
+    announcement: EndpointAnnouncement,
+) -> bool {
+    let call = |client: Arc<WsClient>| async move { client.pass_announcement(announcement).await };
+    matches!(links.call(address, ANNOUNCE_LIMIT, call).await, Ok(true))
+}
+
 /// Says how a *new* connection to `address` ends that may take `limit` to be accepted.
 ///
 /// # Errors
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -12,6 +12,7 @@
 use crate::member::MemberView;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
+use crate::peers::pass_announcement;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use crate::statements::server::StatementRunner;
@@ -87,10 +88,6 @@
 /// How long a call of one task may take before the caller is told that it failed.
 const OPERATOR_LIMIT: Duration = Duration::from_secs(5);
 
-/// How long a VM may take to take an announcement that is passed on to it. The endpoint that waits
-/// for the answer gives up after a second and asks elsewhere.
-const ANNOUNCE_LIMIT: Duration = Duration::from_millis(700);
-
 /// The ways from the server to the tasks of this daemon.
 #[derive(Clone)]
 pub struct ServerRoutes {
@@ -168,7 +165,9 @@
             .send(event(reply))
             .await
             .map_err(|_| stopping())?;
-        answer.await.map_err(|_| stopping())
+        // It leaves unanswered what is meant for another VM.
+        let untaken = || unavailable("this VM is stopping, or another one is meant");
+        answer.await.map_err(|_| untaken())
     }
 
     /// Proposes a command at this VM's control role or at a control VM.
@@ -263,7 +262,7 @@
             .filter(|vm| **vm != self.settings.vm)
             .map(|vm| self.pass_on(vm, passed.clone()));
         let told = join_all(passing).await;
-        reply.leaseholder_told |= told.contains(&Some(placement.leaseholder.clone()));
+        reply.leaseholder_told |= told.contains(&true);
         reply
     }
 
@@ -277,13 +276,13 @@
             .map(|record| record.placement.clone())
     }
 
-    /// Passes an announcement on to a VM and returns that VM if it has taken it.
-    async fn pass_on(&self, vm: &VmName, announcement: EndpointAnnouncement) -> Option<VmName> {
-        let address = self.view.borrow().copy.member(vm)?.peer_address;
-        let call =
-            |client: Arc<WsClient>| async move { client.pass_announcement(announcement).await };
-        let taken = self.links.call(address, ANNOUNCE_LIMIT, call).await;
-        taken.is_ok().then(|| vm.clone())
+    /// Passes an announcement on to a VM, and says whether the group's leaseholder has taken it.
+    async fn pass_on(&self, vm: &VmName, announcement: EndpointAnnouncement) -> bool {
+        let member = self.view.borrow().copy.member(vm).cloned();
+        let Some(member) = member else {
+            return false;
+        };
+        pass_announcement(&self.links, member.peer_address, announcement).await
     }
 
     async fn form_voters_everywhere(&self) -> FormReply {
@@ -407,10 +406,10 @@
             .await
     }
 
-    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<()> {
+    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<bool> {
         self.ask_leaseholders(|reply| LeaseholderEvent::Announce(Box::new(announcement), reply))
             .await
-            .map(|_| ())
+            .map(|reply| reply.leaseholder_told)
     }
 
     async fn form_voters(&self, voters: Vec<MemberId>) -> RpcResult<bool> {
--- a/crates/daemon/src/standby.rs
+++ b/crates/daemon/src/standby.rs
@@ -1,12 +1,15 @@
 //! The journals that this VM holds as a standby, in one task.
 
+use crate::log_event;
 use crate::member::MemberView;
+use log::Level;
 use ragwort_control::JournalReplica;
 use ragwort_types::GroupName;
 use ragwort_types::JournalAppend;
 use ragwort_types::JournalCopy;
 use ragwort_types::JournalReply;
 use ragwort_types::JournalRequest;
+use ragwort_types::VmName;
 use std::collections::BTreeMap;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -24,11 +27,27 @@
     Dump(oneshot::Sender<serde_json::Value>),
 }
 
-/// Starts the standby task; it ends when all senders are gone.
+impl StandbyEvent {
+    /// Returns the VM that is meant, if the event came over a link.
+    fn recipient(&self) -> Option<&VmName> {
+        match self {
+            Self::Append(append, _) => Some(&append.to),
+            Self::Read(request, _) => Some(&request.to),
+            Self::Dump(_) => None,
+        }
+    }
+}
+
+/// Starts the standby task of `vm`; it ends when all senders are gone.
+///
+/// It leaves unanswered what is meant for another VM, as after that one has moved and its address was
+/// given to this VM. If it answered, the leaseholder would take a key for held by a standby that has
+/// never heard of it: after two losses a resend would run a second time.
 pub fn spawn_standby(
+    vm: VmName,
     view: watch::Receiver<MemberView>,
 ) -> (mpsc::Sender<StandbyEvent>, JoinHandle<()>) {
-    let (sender, mut events) = mpsc::channel(4_096);
+    let (sender, mut events) = mpsc::channel::<StandbyEvent>(4_096);
     let handle = tokio::spawn(async move {
         let mut replicas: BTreeMap<GroupName, JournalReplica> = BTreeMap::new();
         let create = |group: &GroupName| {
@@ -38,6 +57,10 @@
             JournalReplica::new(group.clone(), epoch.unwrap_or_default())
         };
         while let Some(event) = events.recv().await {
+            if let Some(meant) = event.recipient().filter(|meant| **meant != vm) {
+                log_event!(Level::Warn, "journal_call_misdirected", meant = meant);
+                continue;
+            }
             match event {
                 StandbyEvent::Append(append, reply) => {
                     let replica = replicas.entry(append.group.clone());
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -268,7 +268,7 @@
         let record = create(&endpoints);
         let (view, _) = watch::channel(create_view(&record));
         let (_, seeds) = watch::channel(Vec::new());
-        let (standby, standby_task) = spawn_standby(view.subscribe());
+        let (standby, standby_task) = spawn_standby("vm-1".into(), view.subscribe());
         let context = Arc::new(GroupContext {
             directory: ControlDirectory::new(Arc::clone(&settings), seeds, view.subscribe()),
             settings,
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -322,11 +322,11 @@
         let record = create_record("vm-1", 1);
         let nobody = create_view([NOWHERE; 3], &record, true);
         let (view, _) = watch::channel(nobody);
-        let (own, own_task) = spawn_standby(view.subscribe());
+        let (own, own_task) = spawn_standby("vm-1".into(), view.subscribe());
         let mut standbys = Vec::new();
         let mut standby_tasks = vec![own_task];
-        for _ in 0..2 {
-            let (sender, task) = spawn_standby(view.subscribe());
+        for vm in ["vm-2", "vm-3"] {
+            let (sender, task) = spawn_standby(vm.into(), view.subscribe());
             standbys.push(FakePeer::start_standby(sender).await);
             standby_tasks.push(task);
         }
@@ -490,6 +490,15 @@
         self.data_relay.take().unwrap().stop().await;
     }
 
+    /// Lets each standby be expected where the other one answers.
+    pub fn exchange_standbys(&self) {
+        let addresses = [NOWHERE, self.standbys[1].address, self.standbys[0].address];
+        let mut record = self.record.clone();
+        record.placement.epoch = PlacementEpoch(self.record.placement.epoch.0 + 1);
+        self.view
+            .send_replace(create_view(addresses, &record, true));
+    }
+
     /// Ends this VM's lease.
     pub fn end_lease(&self) {
         self.view.send_modify(|view| view.lease.supersede());
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -13,6 +13,7 @@
 use ragwort_lab::faults::FaultRequest;
 use ragwort_types::DoubtCause;
 use ragwort_types::GroupTerm;
+use ragwort_types::InstanceRole;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestKey;
 use ragwort_types::RequestVerdict;
@@ -36,6 +37,10 @@
     /// successor would run a resend a second time. So nothing is dispatched; the caller is told
     /// that nothing ran, and a resend runs once the standby is back.
     key_is_held_by_all_standbys_before_dispatch => unheld_key_case();
+    /// A standby has moved, and at its former address another VM answers. If that one took the key, the
+    /// leaseholder would dispatch a grant that its standby has never heard of; after the next losses a
+    /// resend would grant it again. Nothing is dispatched until the standby itself holds the key.
+    key_is_not_held_by_another_vm_at_the_address => misdirected_key_case();
     /// Nothing reaches the replicas any more. The primary has written, but could be the only one
     /// that did; if it died, the write would be gone. The caller must not be told that it is done.
     write_without_a_majority_is_in_doubt => cut_replication_case();
@@ -173,6 +178,17 @@
     bench.stop().await;
 }
 
+async fn misdirected_key_case() {
+    let bench = GroupBench::start().await;
+    bench.exchange_standbys();
+    let grant = Ask::new(GRANT, "append case-7 grant").key(RequestKey::fresh());
+    let reply = bench.ask(grant.clone().deadline(SHORT_MS)).await;
+    let cause = refused_by(&reply.verdict);
+    assert_eq!(cause, Some(RefusalCause::DeadlinePassed), "{reply:?}");
+    assert_eq!(bench.count_commits().await, 0);
+    bench.stop().await;
+}
+
 async fn cut_replication_case() {
     let bench = GroupBench::start().await;
     bench.cut_replication(true).await;
@@ -505,10 +521,12 @@
 async fn foreign_order_case() {
     let bench = GroupBench::start().await;
     let foreigner = start_foreigner(GroupTerm(0)).await;
-    let before = foreigner.shared().instance.status();
+    let before = foreigner.shared().instance.read_log().await;
     bench.announce_at(1, foreigner.agent_address()).await;
     sleep(Duration::from_millis(600)).await;
-    assert_eq!(foreigner.shared().instance.status(), before);
+    assert_eq!(foreigner.shared().instance.read_log().await, before);
+    let status = foreigner.shared().instance.status();
+    assert_eq!(status.role, InstanceRole::Primary);
     bench.stop().await;
     foreigner.stop().await;
 }
--- a/crates/daemon/tests/pieces/peer.rs
+++ b/crates/daemon/tests/pieces/peer.rs
@@ -43,6 +43,7 @@
     script: Mutex<PeerScript>,
     taken: watch::Sender<Vec<TakenCall>>,
     holds: watch::Sender<bool>,
+    leads: watch::Sender<bool>,
     standby: Option<mpsc::Sender<StandbyEvent>>,
 }
 
@@ -77,6 +78,7 @@
             script: Mutex::new(script),
             taken: watch::Sender::new(Vec::new()),
             holds: watch::Sender::new(true),
+            leads: watch::Sender::new(false),
             standby,
         });
         let server = Server::builder().build("127.0.0.1:0").await.unwrap();
@@ -94,6 +96,11 @@
         self.state.holds.send_replace(holds);
     }
 
+    /// Lets the peer say of itself that it leads the groups whose endpoints are announced to it.
+    pub fn set_leading(&self, leads: bool) {
+        self.state.leads.send_replace(leads);
+    }
+
     /// Changes what the peer does with statements from now on.
     pub fn set_script(&self, script: PeerScript) {
         *self.state.script.lock().unwrap() = script;
@@ -149,12 +156,21 @@
             CallResult::Ok(answer_command(&params.one()?))
         })
         .unwrap();
+    module
+        .register_async_method("peer_passAnnouncement", |_, state, _| async move {
+            CallResult::Ok(*state.leads.borrow())
+        })
+        .unwrap();
     module
         .register_async_method("peer_ping", |_, _, _| async move { CallResult::Ok(()) })
         .unwrap();
     module
 }
 
+fn untaken() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(-32_000, "the call was not taken", None::<()>)
+}
+
 /// Commits the confirmation of a journal, as a control VM does; leaves everything else open.
 fn answer_command(request: &CommandRequest) -> CommandReply {
     match request.command {
@@ -220,14 +236,16 @@
         holds.wait_for(|holds| *holds).await.unwrap();
         let (reply, answer) = oneshot::channel();
         self.ask(StandbyEvent::Append(append, reply)).await;
-        Ok(serde_json::to_value(answer.await.unwrap()).unwrap())
+        let reply = answer.await.map_err(|_| untaken())?;
+        Ok(serde_json::to_value(reply).unwrap())
     }
 
     async fn read_journal(&self, params: Params<'static>) -> CallResult<serde_json::Value> {
         let request: JournalRequest = params.one()?;
         let (reply, answer) = oneshot::channel();
         self.ask(StandbyEvent::Read(request, reply)).await;
-        Ok(serde_json::to_value(answer.await.unwrap()).unwrap())
+        let copy = answer.await.map_err(|_| untaken())?;
+        Ok(serde_json::to_value(copy).unwrap())
     }
 
     async fn ask(&self, event: StandbyEvent) {
--- a/crates/daemon/tests/pieces/peers.rs
+++ b/crates/daemon/tests/pieces/peers.rs
@@ -7,8 +7,14 @@
 use ragwort_lab::relay::CutRelay;
 use ragwort_lab::relay::RelayMode;
 use ragwort_rpc::PeerApiClient;
+use ragwort_types::EndpointAnnouncement;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceRole;
+use ragwort_types::InstanceStatus;
+use ragwort_types::LogPosition;
 use ragwortgated::peers::LinkError;
 use ragwortgated::peers::PeerLinks;
+use ragwortgated::peers::pass_announcement;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +45,9 @@
     silence_ends_a_call_before_its_limit => silent_call_case();
     /// The other VM answers with an error of its own. The link is fine; but the call got through.
     rejected_call_may_have_run => rejected_case();
+    /// An endpoint says that it leaves. Where its leaseholder was, a VM answers that doesn't lead its group.
+    /// If the endpoint were told that its leaseholder knows, it would go while it is still sent statements.
+    announcement_that_another_vm_takes_has_not_reached_the_leaseholder => misdirected_case();
 }
 
 async fn ping(links: &PeerLinks, address: SocketAddr, limit: Duration) -> Result<(), LinkError> {
@@ -123,3 +132,29 @@
     assert_eq!(ping(&links, peer.address, LONG).await, Ok(()));
     peer.stop().await;
 }
+
+async fn misdirected_case() {
+    let peer = FakePeer::start(PeerScript::Hang).await;
+    let links = PeerLinks::new(LONG);
+    let announcement = EndpointAnnouncement {
+        started_ms: 0,
+        sequence: 1,
+        group: "cases".into(),
+        instance: "cases-1".into(),
+        domain: "windhoek-a".into(),
+        data_address: NOWHERE,
+        agent_address: NOWHERE,
+        slots: 2,
+        connections: 16,
+        status: InstanceStatus {
+            role: InstanceRole::Replica,
+            fenced_term: GroupTerm(1),
+            position: LogPosition::default(),
+            leaving: true,
+        },
+    };
+    assert!(!pass_announcement(&links, peer.address, announcement.clone()).await);
+    peer.set_leading(true);
+    assert!(pass_announcement(&links, peer.address, announcement).await);
+    peer.stop().await;
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -121,9 +121,9 @@
         expected: InstanceIdentity,
     ) -> RpcResult<bool>;
 
-    /// Takes an announcement that another VM passes on.
+    /// Takes an announcement that another VM passes on, and says whether this VM leads the group.
     #[method(name = "passAnnouncement")]
-    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<()>;
+    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<bool>;
 
     /// Answers at once, to tell a silent connection from a live one.
     #[method(name = "ping")]
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -276,6 +276,8 @@
 /// Journal entries on their way to a standby.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JournalAppend {
+    /// The standby that is meant.
+    pub to: VmName,
     /// The group.
     pub group: GroupName,
     /// The leaseholder's epoch; a standby that knows a later one refuses.
@@ -414,6 +416,8 @@
 /// A journal request: which group's journal to hand over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JournalRequest {
+    /// The VM that is meant.
+    pub to: VmName,
     /// The group.
     pub group: GroupName,
     /// The asker's epoch; the VM refuses appends of earlier epochs from then on.
