Take a refusal with the position that it shows, and count no replica behind as a failure

Cause: position and refusal of one answer were taken at two readings of the clock, and the estimate told by equal readings whether a refusal had shown a position. It's handed over as a value now. With that alone reads met both replicas, and were refused when the retry budget was used up ('NotRun(ReplicasBehind)' after the fifth read at five a second): the budget is for failures under load, and a replica that lacks a position was our guess. It counts as an attempt only (replicas_behind_use_up_no_retries). The log line of a refusal says where the replica stands.

--- a/crates/control/src/replica_estimate.rs
+++ b/crates/control/src/replica_estimate.rs
@@ -130,10 +130,10 @@
 
     /// Learns that the replica lacked a position that it was assumed to hold.
     ///
-    /// A refusal that told where the replica stands is passed to [`learn`](Self::learn) first, with the
-    /// same reading of the clock; at another one it counts as one that told nothing, and the lag doubles.
-    pub fn refuse(&mut self, now: ClockTime, wanted: LogPosition) {
-        if self.seen != now {
+    /// `stands` is where the refusal said that the replica stands, which is passed to
+    /// [`learn`](Self::learn) first. One that said nothing doubles the lag.
+    pub fn refuse(&mut self, now: ClockTime, wanted: LogPosition, stands: Option<LogPosition>) {
+        if stands.is_none() {
             // It didn't say where it stands: all that is known is that it's further behind.
             self.lag = (self.lag(now) * 2).min(LONGEST_LAG);
             self.seen = now;
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -214,7 +214,9 @@
             LinkResult::Fault(fault) if sent => {
                 self.take_fault(ticket, link, instance, fault, outcome.end);
             }
-            LinkResult::Fault(fault) => self.take_failed_prelude(ticket, link, instance, &fault),
+            LinkResult::Fault(fault) => {
+                self.take_failed_prelude(ticket, link, instance, &fault, outcome.end);
+            }
             LinkResult::Lost if sent => {
                 self.take_lost(ticket, instance, DoubtCause::EndpointLost);
             }
@@ -248,15 +250,16 @@
         link: LinkId,
         instance: &InstanceName,
         fault: &EndpointFault,
+        end: Option<EndpointEnd>,
     ) {
-        self.learn_from_fault(ticket, instance, fault.sort);
+        self.learn_from_fault(ticket, instance, fault.sort, end);
         // What rests on the connection isn't known any more.
         if !fault.sort.has_not_run()
             && let Some(connection) = self.pool.connection_mut(link)
         {
             connection.spent = true;
         }
-        self.give_back(ticket, FinishOutcome::NotRun, refusal_of(fault.sort));
+        self.give_back(ticket, outcome_of(fault.sort), refusal_of(fault.sort));
     }
 
     fn learn_from_fault(
@@ -264,6 +267,7 @@
         ticket: RequestTicket,
         instance: &InstanceName,
         sort: FaultSort,
+        end: Option<EndpointEnd>,
     ) {
         let now = self.now();
         match sort {
@@ -281,7 +285,8 @@
                 let floor = self.requests.get(&ticket).map(|active| active.floor);
                 let wanted = floor.unwrap_or_default();
                 let replica = self.replicas.entry(instance.clone()).or_default();
-                replica.refuse(now, wanted);
+                let stands = end.and_then(|end| end.position);
+                replica.refuse(now, wanted, stands);
                 let lag_ms = replica.lag(now).as_millis();
                 log_event!(
                     Level::Info,
@@ -289,6 +294,7 @@
                     group = self.group,
                     instance = instance,
                     wanted = wanted,
+                    stands = stands.map_or("unknown".to_owned(), |stands| stands.to_string()),
                     lag_ms = lag_ms,
                 );
                 self.report_positions();
@@ -306,7 +312,7 @@
         fault: EndpointFault,
         end: Option<EndpointEnd>,
     ) {
-        self.learn_from_fault(ticket, instance, fault.sort);
+        self.learn_from_fault(ticket, instance, fault.sort, end);
         let Some(active) = self.requests.get(&ticket) else {
             return;
         };
@@ -356,7 +362,7 @@
         let ran = !fault.sort.has_not_run();
         let outcome = match ran {
             true => FinishOutcome::Lost,
-            false => FinishOutcome::NotRun,
+            false => outcome_of(fault.sort),
         };
         match self.scheduler.finished(now, ticket, outcome) {
             FinishDecision::Requeued => {}
@@ -586,6 +592,14 @@
     active.is_some_and(|active| active.context.act == StatementAct::Commit)
 }
 
+/// Returns how a statement ended that an instance didn't run because of this fault.
+fn outcome_of(sort: FaultSort) -> FinishOutcome {
+    match sort {
+        FaultSort::Lagging => FinishOutcome::Behind,
+        _ => FinishOutcome::NotRun,
+    }
+}
+
 /// Returns why a caller is refused whose statement met this fault and did not run.
 fn refusal_of(sort: FaultSort) -> RefusalCause {
     match sort {
--- a/crates/daemon/tests/native/freshness.rs
+++ b/crates/daemon/tests/native/freshness.rs
@@ -7,8 +7,12 @@
 use crate::bench::is_served;
 use crate::bench::position;
 use std::time::Duration;
+use std::time::Instant;
 use tokio::time::sleep;
 
+/// What is added to a lag that was seen, in milliseconds.
+const MARGIN_MS: u64 = 15;
+
 failure_cases! {
     /// A leaseholder takes a group over and gets reads before it has learned how far the primary's
     /// log is. A replica is far behind. If the reads kept the little that was known when they came,
@@ -20,6 +24,11 @@
     /// A replica that is behind refuses a read. The caller gets its answer from another instance, and
     /// doesn't learn of the refusal.
     lagging_replica_is_passed_over => lagging_case();
+    /// A replica refuses a read and says in the same answer where its log stands. Its lag is what that
+    /// position shows. The answer was taken in two steps that read the clock twice, so the refusal counted
+    /// as one that told nothing, and doubled the lag: 5,635 to 25,712 ms within 0.2 ms in a log. For
+    /// seconds such a replica is sent none of the reads that it could serve.
+    refusal_that_shows_a_position_doubles_no_lag => shown_lag_case();
 }
 
 async fn waiting_read_case() {
@@ -64,3 +73,27 @@
         assert!(reply.served_by.unwrap().position >= written);
     }
 }
+
+async fn shown_lag_case() {
+    let began = Instant::now();
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    // The leaseholder takes replicas for caught up after a while; these never are.
+    sleep(Duration::from_millis(400)).await;
+    let write = bench.ask(Ask::new(WRITE, "write record")).await;
+    let written = write.served_by.unwrap().position;
+    for _ in 0..8 {
+        sleep(Duration::from_millis(200)).await;
+        let read = Ask::new(AGED, "read record").last_write(written);
+        let reply = bench.ask(read).await;
+        assert!(is_served(&reply), "{reply:?}");
+    }
+    let lags = bench.dump().await["lag_ms"].clone();
+    let most = u64::try_from(began.elapsed().as_millis()).unwrap() + MARGIN_MS;
+    for (replica, lag) in lags.as_object().unwrap() {
+        assert!(
+            lag.as_u64().unwrap() <= most,
+            "{replica}: {lag} of {most} ms"
+        );
+    }
+}
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -180,6 +180,9 @@
     Answered,
     /// The instance says that it did not run.
     NotRun,
+    /// The instance lacked what the request must see, and did not run it. It was sent there by a guess of
+    /// ours: that counts as an attempt, but not against the retry budget, which is for failures.
+    Behind,
     /// Its connection was found dead before a byte was sent, and is closed. This is no work for the
     /// instance, so it counts neither as an attempt nor against the retry budget.
     NotSent,
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -13,7 +13,9 @@
 //!
 //! A tenth of fresh work: a group that runs at nine tenths of what it can do stays below it.
 //! Up to ten retries may be saved up, so that one lost connection of each endpoint is covered
-//! without waiting. Only what did not run, or may run again, is retried, on a connection that no
+//! without waiting. A replica that turns out to be behind is no failure: at a few reads a second,
+//! each tried at two such replicas, the budget would be used up, and reads refused that the primary has
+//! the time to serve. The limit of dispatches holds for them too. Only what did not run, or may run again, is retried, on a connection that no
 //! transaction holds, and only if it can still meet its deadline.
 
 use crate::FinishOutcome;
@@ -70,7 +72,7 @@
     }
     match outcome {
         FinishOutcome::Answered => false,
-        FinishOutcome::NotRun | FinishOutcome::NotSent => true,
+        FinishOutcome::NotRun | FinishOutcome::Behind | FinishOutcome::NotSent => true,
         FinishOutcome::Lost => repeat == RepeatRule::Idempotent,
     }
 }
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -130,7 +130,8 @@
         if misses_deadline(now, estimate.expected(), estimate.deviation(), deadline) {
             return false;
         }
-        !sent || !self.settings.modules.retry_budget || self.retries.spend()
+        let failed = !matches!(outcome, FinishOutcome::NotSent | FinishOutcome::Behind);
+        !failed || !self.settings.modules.retry_budget || self.retries.spend()
     }
 
     /// Sends a request to an instance.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -228,7 +228,7 @@
             return FinishDecision::Requeued;
         }
         match outcome {
-            FinishOutcome::NotRun | FinishOutcome::NotSent => {
+            FinishOutcome::NotRun | FinishOutcome::Behind | FinishOutcome::NotSent => {
                 let refusal = self.refuse(now, ticket, RefusalCause::EndpointRefused);
                 FinishDecision::Refused(refusal)
             }
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -433,6 +433,26 @@
     assert!((30..=40).contains(&retried), "{retried} retries");
 }
 
+/// A few reads a second find each of two replicas behind before the primary serves them. Counted as
+/// failures, they would use up the retries of the group, and callers be refused whom it could serve.
+#[test]
+fn replicas_behind_use_up_no_retries() {
+    let mut scheduler = ready_group(1_000);
+    let mut now = START;
+    for ticket in 0..100 {
+        scheduler.arrive(now, write(ticket, now));
+        for _ in 0..2 {
+            assert_eq!(dispatches(&scheduler.poll(now)).len(), 1);
+            let finish = scheduler.finished(now, RequestTicket(ticket), FinishOutcome::Behind);
+            assert_eq!(finish, FinishDecision::Requeued);
+        }
+        assert_eq!(dispatches(&scheduler.poll(now)).len(), 1);
+        let finish = scheduler.finished(now, RequestTicket(ticket), FinishOutcome::Answered);
+        assert_eq!(finish, FinishDecision::Settled);
+        now = now + Duration::from_millis(10);
+    }
+}
+
 /// A grant was sent and its connection lost. Sent again, there could be two grants on one case.
 #[test]
 fn lost_request_that_must_not_repeat_is_settled() {
