Acknowledge no commit after the group was handed over

Mend: from the proposal on a commit under way ends in doubt, one that comes isn't run. Own endpoints don't have it: there a replica's age counts from what the primary said when. A write in doubt is never acknowledged on this path, and reads ask for what was acknowledged: no fault.

--- a/crates/daemon/src/native/handover.rs
+++ b/crates/daemon/src/native/handover.rs
@@ -32,6 +32,8 @@
     /// The revision that was looked at last; the same again plans the same.
     seen: Option<CatalogRevision>,
     proposed: bool,
+    /// Whether the next placement was proposed and may be in force.
+    out_of_hand: bool,
 }
 
 impl HandoverCourse {
@@ -40,6 +42,11 @@
         self.plan.is_some()
     }
 
+    /// Says whether the next leaseholder may serve already, though this VM hasn't heard of it.
+    pub(super) fn is_out_of_hand(&self) -> bool {
+        self.out_of_hand
+    }
+
     /// Says whether a statement of this step comes too late.
     ///
     /// Open transactions take a second to end, in which callers of all other statements would be
@@ -73,6 +80,7 @@
         }
         if let Some(plan) = self.handover.plan.clone() {
             self.handover.proposed = true;
+            self.handover.out_of_hand = true;
             self.propose(CatalogCommand::PlaceGroup(plan));
         }
     }
@@ -108,6 +116,7 @@
             // The view shows the new placement soon, which ends this task.
             CommandReply::Committed(CatalogOutcome::Done(_)) => {}
             CommandReply::Committed(_) => self.handover = HandoverCourse::default(),
+            // It is proposed again, and may have been committed: the group stays out of hand.
             CommandReply::NoLeader | CommandReply::Unknown => self.handover.proposed = false,
         }
     }
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -90,9 +90,11 @@
         if self.handover.turns_away(request.step) {
             return Err(RefusalCause::NoLeaseholder);
         }
+        // Its commit could not be acknowledged any more, so the transaction ends without it.
+        let over = self.handover.is_out_of_hand();
         if let Some(transaction) = request.step.transaction()
             && !opens
-            && !self.transactions.contains_key(&transaction)
+            && (over || !self.transactions.contains_key(&transaction))
         {
             return Err(RefusalCause::TransactionLost);
         }
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -313,6 +313,7 @@
             "replacement": format!("{:?}", self.replacement.state()),
             "replaced": self.replacement.replaced(),
             "handing_over": self.handover.is_begun(),
+            "handed_over": self.handover.is_out_of_hand(),
             "scheduler": self.scheduler.snapshot(now),
             "requests": self.requests.len(),
             "transactions": self.transactions.len(),
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -453,8 +453,11 @@
             position,
         };
         // A leaseholder that was frozen wakes up with answers of a time when it led. Meanwhile a
-        // successor may have acknowledged what they lack.
-        if !self.may_serve() {
+        // successor may have acknowledged what they lack. One that has handed the group over may still
+        // hold commits under way: its successor has asked the primary where it stands before they were
+        // done, and would let replicas serve that lack what is acknowledged here.
+        let handed_over = commits && self.handover.is_out_of_hand();
+        if !self.may_serve() || handed_over {
             let verdict = match commits {
                 true => RequestVerdict::MayHaveRun(DoubtCause::LeaseLost),
                 false => RequestVerdict::refused(RefusalCause::NoLease, 0),
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -356,7 +356,6 @@
         answer
     }
 
-    /// Sends a statement and waits for its reply.
     /// Returns the state that the leaseholder shows to operators.
     pub async fn dump(&self) -> serde_json::Value {
         let (reply, answer) = oneshot::channel();
@@ -364,6 +363,7 @@
         answer.await.unwrap()
     }
 
+    /// Sends a statement and waits for its reply.
     pub async fn ask(&self, ask: Ask) -> StatementReply {
         self.send(ask).await.await.unwrap()
     }
