--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -10,9 +10,11 @@
 //!
 //! A statement's way: `intake` says what it must see and hands it to the scheduler, `dispatch` picks
 //! a connection and what must be replayed there, [`link`] carries it out, `outcomes` decides what
-//! its caller may be told. `primary` follows the instances' roles and replaces a primary.
+//! its caller may be told, `faults` what an endpoint's fault leads to. `primary` follows the instances'
+//! roles and replaces a primary.
 
 mod dispatch;
+mod faults;
 mod handover;
 mod intake;
 mod link;
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -1,7 +1,6 @@
 //! Takes what connections report, and decides what callers may be told.
 
 use super::NativeTask;
-use super::dispatch::held_transaction;
 use super::link::CloseCause;
 use super::link::LinkAnswer;
 use super::link::LinkChange;
@@ -23,8 +22,6 @@
 use ragwort_policy::RequestTicket;
 use ragwort_types::AccessMode;
 use ragwort_types::DoubtCause;
-use ragwort_types::EndpointFault;
-use ragwort_types::FaultSort;
 use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use ragwort_types::RefusalCause;
@@ -243,143 +240,6 @@
         }
     }
 
-    /// Deals with a statement that was not sent because a step before it met a fault.
-    fn take_failed_prelude(
-        &mut self,
-        ticket: RequestTicket,
-        link: LinkId,
-        instance: &InstanceName,
-        fault: &EndpointFault,
-        end: Option<EndpointEnd>,
-    ) {
-        self.learn_from_fault(ticket, instance, fault.sort, end);
-        // What rests on the connection isn't known any more.
-        if !fault.sort.has_not_run()
-            && let Some(connection) = self.pool.connection_mut(link)
-        {
-            connection.spent = true;
-        }
-        self.give_back(ticket, outcome_of(fault.sort), refusal_of(fault.sort));
-    }
-
-    fn learn_from_fault(
-        &mut self,
-        ticket: RequestTicket,
-        instance: &InstanceName,
-        sort: FaultSort,
-        end: Option<EndpointEnd>,
-    ) {
-        let now = self.now();
-        match sort {
-            FaultSort::ReadOnly => {
-                log_event!(
-                    Level::Info,
-                    "write_refused",
-                    group = self.group,
-                    instance = instance,
-                );
-                self.roles.see_refused_write(now, instance);
-                self.follow_roles();
-            }
-            FaultSort::Lagging => {
-                let floor = self.requests.get(&ticket).map(|active| active.floor);
-                let wanted = floor.unwrap_or_default();
-                let replica = self.replicas.entry(instance.clone()).or_default();
-                let stands = end.and_then(|end| end.position);
-                replica.refuse(now, wanted, stands);
-                let lag_ms = replica.lag(now).as_millis();
-                log_event!(
-                    Level::Info,
-                    "replica_lagging",
-                    group = self.group,
-                    instance = instance,
-                    wanted = wanted,
-                    stands = stands.map_or("unknown".to_owned(), |stands| stands.to_string()),
-                    lag_ms = lag_ms,
-                );
-                self.report_positions();
-            }
-            _ => {}
-        }
-    }
-
-    /// Deals with a fault that an endpoint reported for the statement itself.
-    fn take_fault(
-        &mut self,
-        ticket: RequestTicket,
-        link: LinkId,
-        instance: &InstanceName,
-        fault: EndpointFault,
-        end: Option<EndpointEnd>,
-    ) {
-        self.learn_from_fault(ticket, instance, fault.sort, end);
-        let Some(active) = self.requests.get(&ticket) else {
-            return;
-        };
-        let step = active.request.step;
-        if fault.sort == FaultSort::UnknownStatement
-            && let StatementAct::Prepared(shape) = active.context.act.clone()
-            && let Some(connection) = self.pool.connection_mut(link)
-        {
-            connection.image.forget_prepared(&shape);
-        }
-        let state = end.map_or(SessionState::Failed, |end| end.state);
-        let fresh = held_transaction(step).is_none();
-        if fresh && (fault.sort.has_not_run() || self.may_run_again(ticket)) {
-            return self.run_elsewhere(ticket, link, state, fault);
-        }
-        let now = self.now();
-        self.scheduler
-            .finished(now, ticket, FinishOutcome::Answered);
-        self.follow_transaction(ticket, step, link, state);
-        let answer = StatementAnswer::Faulted(fault);
-        self.settle(ticket, RequestVerdict::Ran(answer));
-    }
-
-    /// Says whether a statement that ran and failed may run again: it changes nothing.
-    fn may_run_again(&self, ticket: RequestTicket) -> bool {
-        let active = self.requests.get(&ticket);
-        active.is_some_and(|active| {
-            active.request.step == TransactionStep::Single
-                && active.context.act.access() == AccessMode::Read
-        })
-    }
-
-    /// Tries a statement that did not run, or changed nothing, once more within the retry budget.
-    fn run_elsewhere(
-        &mut self,
-        ticket: RequestTicket,
-        link: LinkId,
-        state: SessionState,
-        fault: EndpointFault,
-    ) {
-        let now = self.now();
-        if let Some(connection) = self.pool.connection_mut(link) {
-            connection
-                .image
-                .set_in_transaction(state != SessionState::Idle);
-        }
-        let ran = !fault.sort.has_not_run();
-        let outcome = match ran {
-            true => FinishOutcome::Lost,
-            false => outcome_of(fault.sort),
-        };
-        match self.scheduler.finished(now, ticket, outcome) {
-            FinishDecision::Requeued => {}
-            FinishDecision::Refused(mut refusal) => {
-                refusal.cause = refusal_of(fault.sort);
-                self.settle(ticket, RequestVerdict::NotRun(refusal));
-            }
-            FinishDecision::Settled | FinishDecision::Unknown if ran => {
-                let answer = StatementAnswer::Faulted(fault);
-                self.settle(ticket, RequestVerdict::Ran(answer));
-            }
-            FinishDecision::Settled | FinishDecision::Unknown => {
-                self.settle(ticket, RequestVerdict::refused(refusal_of(fault.sort), 0));
-            }
-        }
-    }
-
     /// Deals with a statement whose answer was lost after it was sent.
     fn take_lost(&mut self, ticket: RequestTicket, instance: &InstanceName, cause: DoubtCause) {
         let now = self.now();
@@ -474,7 +334,7 @@
     }
 
     /// Pins, keeps or frees the connection of a transaction after one of its statements.
-    fn follow_transaction(
+    pub(super) fn follow_transaction(
         &mut self,
         ticket: RequestTicket,
         step: TransactionStep,
@@ -594,21 +454,3 @@
     let active = requests.get(&ticket);
     active.is_some_and(|active| active.context.act == StatementAct::Commit)
 }
-
-/// Returns how a statement ended that an instance didn't run because of this fault.
-fn outcome_of(sort: FaultSort) -> FinishOutcome {
-    match sort {
-        FaultSort::Lagging => FinishOutcome::Behind,
-        _ => FinishOutcome::NotRun,
-    }
-}
-
-/// Returns why a caller is refused whose statement met this fault and did not run.
-fn refusal_of(sort: FaultSort) -> RefusalCause {
-    match sort {
-        FaultSort::Lagging => RefusalCause::ReplicasBehind,
-        FaultSort::ReadOnly => RefusalCause::NoPrimary,
-        FaultSort::Aborted => RefusalCause::TransactionLost,
-        _ => RefusalCause::EndpointRefused,
-    }
-}
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -115,12 +115,7 @@
 }
 
 async fn handover_case() {
-    let mut bench = NativeBench::start([5, 5, 5]).await;
-    bench.settle().await;
-    let open = TransactionId::fresh();
-    let begin = Ask::new(WRITE, "write one").step(TransactionStep::Begin(open));
-    assert!(is_served(&bench.ask(begin).await));
-    bench.drain();
+    let (bench, open) = drain_with_transaction().await;
     bench.wait_for(|dump| dump["handing_over"] == true).await;
     assert!(is_served(&bench.ask(Ask::new(WRITE, "write single")).await));
     let other = TransactionStep::Begin(TransactionId::fresh());
--- a/crates/daemon/tests/pieces/leaseholder.rs
+++ b/crates/daemon/tests/pieces/leaseholder.rs
@@ -426,7 +426,8 @@
     bench.stop().await;
 }
 
-async fn doubtful_write_case() {
+/// Stops replication and gives up on a write that the primary goes on with.
+async fn leave_write_in_doubt() -> GroupBench {
     let bench = GroupBench::start().await;
     wait_for_fresh_replicas(&bench).await;
     bench.cut_replication(true).await;
@@ -437,6 +438,11 @@
         matches!(written.verdict, RequestVerdict::MayHaveRun(_)),
         "{written:?}"
     );
+    bench
+}
+
+async fn doubtful_write_case() {
+    let bench = leave_write_in_doubt().await;
     sleep(Duration::from_millis(100)).await;
     let read = Ask::new(STATUS, "get case-7").session("other").max_age(50);
     let young = bench.ask(read).await;
@@ -445,16 +451,7 @@
 }
 
 async fn doubt_after_takeover_case() {
-    let mut bench = GroupBench::start().await;
-    wait_for_fresh_replicas(&bench).await;
-    bench.cut_replication(true).await;
-    bench.set_fault(0, FaultRequest::Slow(1_500)).await;
-    let put = Ask::new(GRANT, "put case-7 granted").deadline(SHORT_MS);
-    let written = bench.ask(put).await;
-    assert!(
-        matches!(written.verdict, RequestVerdict::MayHaveRun(_)),
-        "{written:?}"
-    );
+    let mut bench = leave_write_in_doubt().await;
     bench.replace_leaseholder().await;
     // The agents' first answers to the successor are older than the read allows from here on.
     sleep(Duration::from_millis(600)).await;
