--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -356,6 +356,13 @@
         answer
     }
 
+    /// Sends a statement without waiting for room in the queue; `None` if the leaseholder takes none.
+    pub fn try_send(&self, ask: Ask) -> Option<oneshot::Receiver<StatementReply>> {
+        let (reply, answer) = oneshot::channel();
+        let event = GroupEvent::Statement(Box::new(ask.into_request()), reply);
+        self.inbox.try_send(event).ok().map(|()| answer)
+    }
+
     /// Returns the state that the leaseholder shows to operators.
     pub async fn dump(&self) -> serde_json::Value {
         let (reply, answer) = oneshot::channel();
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -45,6 +45,10 @@
     /// An announcement of an instance's former process comes late, after it has started again. Taken
     /// for news, it would bring back a state that is over: here, that the instance is leaving.
     late_announcement_of_a_former_process_changes_nothing => former_process_case();
+    /// A leaseholder hands its group over, and statements reach its task while that ends. They wait in the
+    /// task's queue, which ends with it. A clerk whose write gets no answer is told that it may have run, and
+    /// can't send it again, though nobody has run it.
+    statement_that_meets_an_ending_leaseholder_is_answered => ending_case();
 }
 
 fn is_leaving(dump: &serde_json::Value, index: usize) -> bool {
@@ -175,3 +179,22 @@
     bench.announce(1, true).await;
     bench.wait_for_notes(2).await;
 }
+
+async fn ending_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    bench.place_elsewhere();
+    let asks = (0..64).map(|_| Ask::new(WRITE, "write late"));
+    let replies: Vec<_> = asks.filter_map(|ask| bench.try_send(ask)).collect();
+    let mut doubts = 0;
+    for reply in replies {
+        let verdict = reply.await.expect("the statement is answered").verdict;
+        match verdict {
+            RequestVerdict::NotRun(_) => {}
+            // It was taken in and dispatched before the change was seen.
+            RequestVerdict::MayHaveRun(DoubtCause::LeaseLost) => doubts += 1,
+            verdict => panic!("{verdict:?}"),
+        }
+    }
+    assert!(bench.count_runs("write late") <= doubts);
+}
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -458,6 +458,11 @@
         self.inbox.try_send(event).ok().map(|()| answer)
     }
 
+    /// Returns what leaseholders of the VM work with.
+    pub fn context(&self) -> Arc<GroupContext> {
+        Arc::clone(&self.context)
+    }
+
     /// Shows the leaseholder that another VM leads the group.
     pub fn place_elsewhere(&self) {
         let addresses = [NOWHERE, self.standbys[0].address, self.standbys[1].address];
--- a/crates/daemon/tests/pieces/statements.rs
+++ b/crates/daemon/tests/pieces/statements.rs
@@ -83,6 +83,12 @@
     slow_statement_is_waited_for => slow_case();
     /// The leaseholder's task ends with a statement under way. Only that one is in doubt.
     lost_reply_leaves_the_link_alone => lost_reply_case();
+    /// A leaseholder's VM is restarted, and statements reach it in its last moments: gateways learn of the
+    /// handover a heartbeat later. Each is answered, or was never handed over. A connection that is closed
+    /// upon what its gateway has sent leaves callers in doubt about writes that nobody has run.
+    stopping_leaseholder_answers_all_that_was_sent_to_it => stopping_case();
+    /// The same, and one statement is still under way: its reply is there before the connection ends.
+    stopping_leaseholder_brings_the_replies_under_way => last_reply_case();
     /// Something that is no gateway connects and sends other bytes. Only its own connection ends.
     other_bytes_end_their_own_connection_only => garbage_case();
     /// A gateway finds a leaseholder's address for statements in the catalog and uses it.
@@ -326,6 +332,43 @@
     leaseholder.stop().await;
 }
 
+async fn stopping_case() {
+    let leaseholder = Leaseholder::start().await;
+    let links = links(LONG);
+    let address = leaseholder.address;
+    assert!(call(&links, address, "x").await.is_ok());
+    // A text of a hundred letters or more is answered at once.
+    let text = "x".repeat(100);
+    let calls = (0..64).map(|_| async {
+        let mut answered = 0;
+        loop {
+            match call(&links, address, &text).await {
+                Ok(_) => answered += 1,
+                Err(LinkError::Unreachable) => return answered,
+                Err(error) => panic!("{error:?} after {answered} replies"),
+            }
+        }
+    });
+    let (answered, ()) = tokio::join!(futures::future::join_all(calls), async {
+        leaseholder.wait_taken(1_000).await;
+        leaseholder.stop().await;
+    });
+    assert!(answered.iter().sum::<usize>() >= 900);
+    links.shut_down().await;
+}
+
+async fn last_reply_case() {
+    let leaseholder = Leaseholder::start().await;
+    let links = links(LONG);
+    // It takes a tenth of a second.
+    let (reply, ()) = tokio::join!(call(&links, leaseholder.address, "x"), async {
+        leaseholder.wait_taken(1).await;
+        leaseholder.stop().await;
+    });
+    assert!(reply.is_ok(), "{reply:?}");
+    links.shut_down().await;
+}
+
 async fn garbage_case() {
     let leaseholder = Leaseholder::start().await;
     let links = links(LONG);
--- a/crates/daemon/tests/pieces/takeover.rs
+++ b/crates/daemon/tests/pieces/takeover.rs
@@ -10,7 +10,13 @@
 use ragwort_types::RequestKey;
 use ragwort_types::RequestVerdict;
 use ragwort_types::StatementAnswer;
+use ragwortgated::edges::NodeEdges;
+use ragwortgated::leaseholders::LeaseholderEvent;
+use ragwortgated::leaseholders::LeaseholderManager;
 use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 failure_cases! {
@@ -28,6 +34,9 @@
     /// answered; without an answer its gateway calls it in doubt though it wasn't run, as in this log 5 ms
     /// after `group_left`: `request_failed outcome=in_doubt cause="leaseholder lost" took_ms=3 epoch=1`.
     statement_that_meets_an_ending_leaseholder_is_answered => ending_case();
+    /// A VM is restarted while statements wait for its leaseholders' manager, which passes them on. The
+    /// manager ends; each statement must be answered, as it wasn't run.
+    statement_that_meets_an_ending_manager_is_answered => ending_manager_case();
 }
 
 async fn running_case() {
@@ -98,3 +107,27 @@
     assert!(bench.count_commits().await <= doubts);
     bench.stop().await;
 }
+
+async fn ending_manager_case() {
+    let bench = GroupBench::start().await;
+    let (unplaced, _) = watch::channel(Vec::new());
+    let view = bench.view.subscribe();
+    let manager = LeaseholderManager::new(bench.context(), NodeEdges::Postgres, view, unplaced);
+    let (inbox, events) = mpsc::channel(64);
+    let mut replies = Vec::new();
+    for _ in 0..64 {
+        let request = Box::new(Ask::new(GRANT, "append case-7 grant").into_request());
+        let (reply, answer) = oneshot::channel();
+        let event = LeaseholderEvent::Statement(request, reply);
+        inbox.try_send(event).expect("there is room");
+        replies.push(answer);
+    }
+    let (stop, stopping) = watch::channel(false);
+    stop.send_replace(true);
+    manager.run(events, stopping).await;
+    for reply in replies {
+        let verdict = reply.await.expect("the statement is answered").verdict;
+        assert!(matches!(verdict, RequestVerdict::NotRun(_)), "{verdict:?}");
+    }
+    bench.stop().await;
+}
