Answer what waits in the queues of tasks and links that end

Cause: a statement's reply travels by a channel of its own. A group's task, the leaseholders' manager and a statement link were ended with statements in their queues (or bytes unread); the channels closed without a reply, and gateways told callers that the statements may have run.

Ruled out: the endpoints' connections (they hand unsent orders back) and the gateway's links (they refuse while they have no connection).

Change: a task that ends closes its queue and refuses what is in it; a VM that stops says so on each link, answers what it has got and lets its gateways close. The log line of a connection that an endpoint refused says how many this leaseholder holds, the limit, and since when it leads.

--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -7,6 +7,7 @@
 mod confirming;
 mod describing;
 mod dispatch;
+pub(crate) mod ending;
 mod handover;
 mod instances;
 mod intake;
@@ -32,6 +33,7 @@
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use describing::ActiveShape;
+use ending::refuse_queue;
 use handover::HandoverState;
 use journaling::JournalRecovery;
 use log::Level;
@@ -280,7 +282,7 @@
             self.pool.reap();
             while self.children.try_join_next().is_some() {}
         }
-        self.end().await;
+        self.end(events).await;
     }
 
     fn take_event(&mut self, event: GroupEvent) {
@@ -450,7 +452,8 @@
     }
 
     /// Answers what is left, closes the connections and joins all children.
-    async fn end(mut self) {
+    async fn end(mut self, mut queue: mpsc::Receiver<GroupEvent>) {
+        refuse_queue(&self.group, &mut queue).await;
         let tickets: Vec<RequestTicket> = self.requests.keys().copied().collect();
         for ticket in tickets {
             let verdict = self.verdict_at_end(ticket);
--- a/crates/daemon/src/leaseholders.rs
+++ b/crates/daemon/src/leaseholders.rs
@@ -5,9 +5,10 @@
 
 use crate::clock::NodeClock;
 use crate::edges::NodeEdges;
-use crate::gateway::reply_with;
 use crate::group::GroupContext;
 use crate::group::GroupEvent;
+use crate::group::ending::refuse_shape;
+use crate::group::ending::refuse_statement;
 use crate::group::spawn_group;
 use crate::log_event;
 use crate::member::MemberView;
@@ -20,8 +21,6 @@
 use ragwort_types::GroupPlacement;
 use ragwort_types::GroupRecord;
 use ragwort_types::InstanceName;
-use ragwort_types::RefusalCause;
-use ragwort_types::RequestVerdict;
 use ragwort_types::ShapeReply;
 use ragwort_types::ShapeRequest;
 use ragwort_types::StatementId;
@@ -140,12 +139,31 @@
                 }
             }
         }
+        self.refuse_queue(&mut events).await;
         for (_, handle) in std::mem::take(&mut self.groups) {
             drop(handle.inbox);
             let _ = handle.task.await;
         }
     }
 
+    /// Closes the manager's own queue and refuses what waits in it.
+    ///
+    /// A statement that is dropped with the queue has no reply, so that its caller would be told that it
+    /// may have run.
+    async fn refuse_queue(&self, queue: &mut mpsc::Receiver<LeaseholderEvent>) {
+        queue.close();
+        while let Some(event) = queue.recv().await {
+            match event {
+                LeaseholderEvent::Statement(request, reply) => refuse_statement(&request, reply),
+                LeaseholderEvent::Describe(request, reply) => refuse_shape(&request, reply),
+                // Who asked for these is told by the missing answer.
+                LeaseholderEvent::Cancel(_, _)
+                | LeaseholderEvent::Announce(_, _)
+                | LeaseholderEvent::Dump(_) => {}
+            }
+        }
+    }
+
     async fn take_event(&mut self, event: LeaseholderEvent) {
         match event {
             LeaseholderEvent::Statement(request, reply) => self.take_statement(request, reply),
@@ -170,16 +188,13 @@
         reply: oneshot::Sender<StatementReply>,
     ) {
         let Some(handle) = self.groups.get(&request.group) else {
-            let verdict = RequestVerdict::refused(RefusalCause::NoLeaseholder, 0);
-            let _ = reply.send(reply_with(&request, verdict));
-            return;
+            return refuse_statement(&request, reply);
         };
         let event = GroupEvent::Statement(request, reply);
         if let Err(refused) = handle.inbox.try_send(event)
             && let GroupEvent::Statement(request, reply) = refused.into_inner()
         {
-            let verdict = RequestVerdict::refused(RefusalCause::NoLeaseholder, 0);
-            let _ = reply.send(reply_with(&request, verdict));
+            refuse_statement(&request, reply);
         }
     }
 
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -30,6 +30,7 @@
 use crate::edges::PromotionReply;
 use crate::group::GroupContext;
 use crate::group::GroupEvent;
+use crate::group::ending::refuse_queue;
 use crate::log_event;
 use crate::member::MemberView;
 use handover::HandoverCourse;
@@ -211,7 +212,7 @@
             self.pool.reap();
             while self.children.try_join_next().is_some() {}
         }
-        self.end().await;
+        self.end(events).await;
     }
 
     fn take_event(&mut self, event: GroupEvent) {
@@ -324,7 +325,8 @@
     }
 
     /// Answers what is left, closes the connections and joins all children.
-    async fn end(mut self) {
+    async fn end(mut self, mut queue: mpsc::Receiver<GroupEvent>) {
+        refuse_queue(&self.group, &mut queue).await;
         let tickets: Vec<RequestTicket> = self.requests.keys().copied().collect();
         for ticket in tickets {
             self.settle_at_end(ticket);
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -169,12 +169,17 @@
     }
 
     fn take_failed_open(&mut self, instance: &InstanceName, cause: CloseCause) {
+        let endpoint = self.pool.endpoint(instance);
+        let limit = endpoint.map(|one| self.find_connections(&one.announcement));
         log_event!(
             Level::Warn,
             "endpoint_connection_failed",
             group = self.group,
             instance = instance,
             cause = format!("{cause:?}"),
+            held = self.pool.links_of(instance).len(),
+            limit = limit.unwrap_or_default(),
+            led_ms = self.now().since(self.taken).as_millis(),
         );
         match cause {
             // The announcement was overtaken: another instance has the address now.
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -281,7 +281,8 @@
         self.report_positions();
     }
 
-    fn find_connections(&self, announcement: &EndpointAnnouncement) -> u32 {
+    /// Returns how many connections an endpoint takes from all callers together.
+    pub(super) fn find_connections(&self, announcement: &EndpointAnnouncement) -> u32 {
         let view = self.view.borrow();
         let terms = view.copy.group_terms(&self.group);
         terms.map_or(announcement.connections, |terms| terms.connections)
--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -173,6 +173,8 @@
     Silent,
     /// What came was no frame.
     Malformed,
+    /// The other side stops and has answered all that it was sent.
+    Stopped,
 }
 
 /// A connection with the calls that wait for their replies on it.
@@ -184,6 +186,8 @@
     owed: BTreeMap<u64, OwedReply>,
     last_call: u64,
     watch: LinkWatch,
+    /// Whether the other side has said that it stops.
+    stopping: bool,
 }
 
 struct OwedReply {
@@ -299,6 +303,7 @@
             owed: BTreeMap::new(),
             last_call: 0,
             watch: LinkWatch::new(self.clock.now()),
+            stopping: false,
         };
         link.greet().await?;
         link.watch.hear(self.clock.now());
@@ -334,6 +339,9 @@
     /// Carries calls and replies until the connection ends.
     async fn serve(&mut self, calls: &mut mpsc::Receiver<LinkCall>, clock: NodeClock) -> LinkEnd {
         loop {
+            if self.stopping && self.owed.is_empty() {
+                return LinkEnd::Stopped;
+            }
             let now = clock.now();
             let look = match self.judge_silence(now) {
                 Ok(look) => look,
@@ -391,6 +399,9 @@
     }
 
     fn take_call(&mut self, call: LinkCall, now: ClockTime) {
+        if self.stopping {
+            return refuse(call);
+        }
         let LinkCall::Statement {
             sort,
             request,
@@ -423,6 +434,10 @@
                 Ok(Some(StatementFrame::Reply(call, reply))) => (call, Ok(reply)),
                 Ok(Some(StatementFrame::Lost(call))) => (call, Err(LinkError::Lost)),
                 Ok(Some(StatementFrame::Pong)) => continue,
+                Ok(Some(StatementFrame::Stopping)) => {
+                    self.stopping = true;
+                    continue;
+                }
                 Ok(None) => return true,
                 Ok(Some(_)) | Err(_) => return false,
             };
--- a/crates/daemon/src/statements/server.rs
+++ b/crates/daemon/src/statements/server.rs
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Statements of one gateway that may be under way at once; it reads no further ones beyond that.
 const MOST_UNDER_WAY: usize = 16_384;
@@ -35,6 +36,10 @@
 /// The pause after a connection could not be accepted, for want of descriptors as a rule.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a VM that stops waits for its gateways to close their links: beyond the ways there and back
+/// and the calls that are still answered, only one that is gone lets it wait.
+const STOPPING_LIMIT: Duration = Duration::from_millis(400);
+
 /// What runs the statements that arrive.
 #[async_trait]
 pub trait StatementRunner: Send + Sync {
@@ -73,6 +78,8 @@
             }
         }
     }
+    // A gateway that connects now is refused at once in place of waiting for a greeting.
+    drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
@@ -89,9 +96,10 @@
         }
     };
     tokio::select! {
-        () = link.serve() => {}
+        () = link.serve() => return,
         _ = stop.wait_for(|set| *set) => {}
     }
+    link.finish().await;
 }
 
 /// A gateway's connection.
@@ -146,6 +154,18 @@
         }
     }
 
+    /// Asks the gateway to close the link, and answers what comes until it does.
+    ///
+    /// Were the connection closed here, its gateway couldn't tell which of its calls were read, and
+    /// would leave callers in doubt about statements that never ran.
+    async fn finish(&mut self) {
+        self.put(&StatementFrame::Stopping);
+        if timeout(STOPPING_LIMIT, self.serve()).await.is_err() {
+            let unanswered = self.under_way.len();
+            log_event!(Level::Warn, "statement_link_cut", unanswered = unanswered);
+        }
+    }
+
     fn take_frames(&mut self) -> bool {
         loop {
             let runner = Arc::clone(&self.runner);
--- a/crates/rpc/src/frames.rs
+++ b/crates/rpc/src/frames.rs
@@ -65,6 +65,9 @@
     /// Answers that question.
     #[serde(rename = "o")]
     Pong,
+    /// Says that the leaseholder's VM stops: it answers what it has got and is to get no more calls.
+    #[serde(rename = "e")]
+    Stopping,
 }
 
 /// Why a frame could not be written or read. The connection can't be used further.
