Hold as many connections as the load needs, not one for each slot

Change: connections for single statements follow twice the peak of the last 5 to 10 s, at least 8 where there are as many slots (so nothing changes for endpoints of up to 8); those that no load has needed are closed when they would be asked; of those due at the same time a quarter is asked at a look, so that connections in doubt aren't replaced by new ones each time.

--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -138,7 +138,8 @@
         }
     }
 
-    fn take_closed(&mut self, id: LinkId, cause: CloseCause) {
+    /// Forgets a connection that has closed, or that is closed by being forgotten.
+    pub(super) fn take_closed(&mut self, id: LinkId, cause: CloseCause) {
         let Some(connection) = self.pool.remove_connection(id) else {
             return;
         };
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -1,7 +1,10 @@
 //! What the leaseholder looks at by time.
 
 use super::NativeTask;
+use super::link::CloseCause;
+use super::link::LinkId;
 use super::pool::ConnectionWork;
+use ragwort_types::InstanceName;
 use ragwort_types::TransactionId;
 use std::time::Duration;
 
@@ -14,6 +17,9 @@
 /// How many ticks pass between two looks at idle connections and claims without a term.
 const CARE_TICKS: u64 = 20;
 
+/// In how many looks the connections are asked that are due at the same time.
+const PROOF_ROUNDS: usize = 4;
+
 impl NativeTask {
     pub(super) fn take_tick(&mut self) {
         self.ticks += 1;
@@ -50,25 +56,35 @@
         }
     }
 
-    /// Makes connections that were idle for long show that they still answer.
+    /// Makes connections that were idle for long show that they still answer, and closes those that no
+    /// load needs any more.
     ///
     /// Something on the path may have forgotten an idle connection: it looks open and never answers.
     /// This finds that before a caller's statement does.
     fn prove_idle_connections(&mut self) {
         let now = self.now();
         let limit = Duration::from_millis(self.context.settings.timing.idle_ping_ms);
-        let idle = self
-            .pool
-            .connections()
-            .filter(|(_, one)| one.is_idle() && now.since(one.last_used) >= limit);
-        let idle: Vec<_> = idle.map(|(id, one)| (id, one.instance.clone())).collect();
-        for (id, instance) in idle {
-            if self.order_proof(id) {
-                self.scheduler.connection_doubted(&instance);
+        for instance in self.pool.names() {
+            let own = self.pool.connections();
+            let idle = own.filter(|(_, one)| one.instance == instance && one.is_idle());
+            let idle = idle.filter(|(_, one)| now.since(one.last_used) >= limit);
+            let idle: Vec<LinkId> = idle.map(|(id, _)| id).collect();
+            // Asked all at once, they would all be in doubt when a statement comes.
+            let asked = idle.len().div_ceil(PROOF_ROUNDS);
+            for id in idle.into_iter().take(asked) {
+                self.close_or_prove(id, &instance);
             }
         }
     }
 
+    fn close_or_prove(&mut self, id: LinkId, instance: &InstanceName) {
+        if self.scheduler.surplus_connections(instance) > 0 {
+            self.take_closed(id, CloseCause::Released);
+        } else if self.order_proof(id) {
+            self.scheduler.connection_doubted(instance);
+        }
+    }
+
     /// Ends the transactions whose callers have gone without a word: each holds one of the
     /// endpoint's few connections.
     fn end_idle_transactions(&mut self) {
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -2,21 +2,26 @@
 //!
 //! # The load it answers
 //!
-//! A burst arrives at a group whose connections are closed, or many transactions open at once.
+//! A burst arrives at a group whose connections are closed, or many transactions open at once. Beside
+//! it, the opposite: few statements for endpoints that could run a hundred at once.
 //!
 //! # Without it
 //!
 //! Each request of the burst opens a connection of its own: 12 ms each, more of them than there are
-//! slots, until the endpoint's 16 are used up and none is left for a successor.
+//! slots, until the endpoint's 16 are used up and none is left for a successor. With a connection for
+//! each of many slots, a VM that leads some groups holds thousands that nobody uses: each takes memory
+//! and is asked again and again whether it still answers, until descriptors, processor or memory of
+//! the VM are used up by them.
 //!
 //! # Grounds for its figures
 //!
-//! An endpoint runs two statements at once, so statements outside of transactions never need more
-//! connections than slots, or twice as many where statements are sent ahead: these are kept open
-//! always. Each open transaction holds one more. One is
+//! Statements outside of transactions never need more connections than slots, or twice as many where
+//! statements are sent ahead. Up to [`FEWEST_CONNECTIONS`] of these are kept open always; beyond them,
+//! twice as many as were sent at once lately, so that a load that doubles finds them open, and one for
+//! each request that waits. Each open transaction holds one more. One is
 //! kept open beyond that, and one for each transaction that waits to be opened. Three connections
 //! stay unused for a successor: two slots' worth and one for its probe. At most two are opened at a
-//! time for one endpoint, which at 12 ms gives 160 in a second.
+//! time for one endpoint, or a quarter of its slots, since each takes a slot while it opens.
 
 use crate::ClockTime;
 use crate::endpoints::EndpointRecord;
@@ -25,15 +30,59 @@
 /// Connections of each endpoint that are left to the next leaseholder.
 pub(crate) const SUCCESSOR_RESERVE: u32 = 3;
 
-/// Connections that are opened at the same time to one endpoint.
+/// Connections that are opened at the same time to one endpoint of few slots.
 const OPENING_LIMIT: u32 = 2;
 
+/// The part of an endpoint's slots that opening connections may take.
+const OPENING_DIVISOR: u32 = 4;
+
+/// Connections for statements outside of transactions that are kept open whatever the load, where the
+/// endpoint has as many slots.
+const FEWEST_CONNECTIONS: u32 = 8;
+
+/// How long a peak of the load keeps its connections open at least. It is kept twice as long at most.
+const PEAK_MEMORY: Duration = Duration::from_secs(5);
+
 /// Connections kept open beyond those in use.
 const SPARE_CONNECTIONS: u32 = 1;
 
 /// No connection is opened for this long after one failed to open.
 pub(crate) const FAILED_OPEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// The most of something in the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RecentPeak {
+    present: u32,
+    before: u32,
+    since: ClockTime,
+}
+
+impl RecentPeak {
+    /// Notes how many there are now.
+    pub(crate) fn note(&mut self, now: ClockTime, count: u32) {
+        if now.since(self.since) >= PEAK_MEMORY {
+            self.before = match now.since(self.since) >= PEAK_MEMORY * 2 {
+                true => 0,
+                false => self.present,
+            };
+            self.present = 0;
+            self.since = now;
+        }
+        self.present = self.present.max(count);
+    }
+
+    /// Returns the most that were noted.
+    pub(crate) fn most(&self) -> u32 {
+        self.present.max(self.before)
+    }
+}
+
+/// Connections that are left open beyond those that the load needs.
+///
+/// Connections in doubt are replaced ahead, so that there are some more as soon as they have answered.
+/// Closed then, they would be opened again at the next doubt, seconds later.
+const SURPLUS_LEFT: u32 = 4;
+
 /// What an endpoint's connections are needed for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionNeed {
@@ -70,7 +119,6 @@
     if !record.takes_fresh_work() || now < record.connect_after {
         return 0;
     }
-    let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
     let budget = connection_budget(record.state.connections);
     let held = record.open + record.opening;
     if !ahead {
@@ -79,8 +127,26 @@
             .saturating_sub(record.idle_connections() + record.opening);
         return wanted.min(budget.saturating_sub(held));
     }
+    let singles = connections_for_singles(record, need);
     // Connections in doubt are replaced ahead, but count towards the budget until they are closed.
-    let wanted = pinned + need.sent + SPARE_CONNECTIONS + need.openers + record.doubted;
+    let wanted = record.pinned() + singles + SPARE_CONNECTIONS + need.openers + record.doubted;
     let missing = wanted.min(budget).saturating_sub(held);
-    missing.min(OPENING_LIMIT.saturating_sub(record.opening))
+    let at_once = OPENING_LIMIT.max(record.state.slots / OPENING_DIVISOR);
+    missing.min(at_once.saturating_sub(record.opening))
+}
+
+/// Returns how many of an endpoint's connections no load of the last seconds has needed.
+///
+/// Left open, the connections of each peak would stay for good, with their memory and the questions
+/// whether they still answer.
+pub(crate) fn surplus_connections(record: &EndpointRecord, need: ConnectionNeed) -> u32 {
+    let singles = connections_for_singles(record, need);
+    let wanted = record.pin_peak.most() + singles + SPARE_CONNECTIONS + need.openers;
+    record.open.saturating_sub(wanted + SURPLUS_LEFT)
+}
+
+fn connections_for_singles(record: &EndpointRecord, need: ConnectionNeed) -> u32 {
+    let peak = record.single_peak.most();
+    let sent = (peak * 2).max(record.singles() + need.waiting);
+    need.sent.min(sent.max(FEWEST_CONNECTIONS))
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -4,6 +4,7 @@
 use crate::EndpointRole;
 use crate::EndpointState;
 use crate::RequestTicket;
+use crate::connections::RecentPeak;
 use crate::health::EndpointHealth;
 use crate::health::OVERDUE_FACTOR;
 use ragwort_types::InstanceName;
@@ -94,6 +95,10 @@
     pub(crate) opening: u32,
     /// The transactions that hold a connection, by the ticket of the request that opened them.
     pub(crate) pins: SmallVec<[ConnectionPin; 4]>,
+    /// The most statements outside of transactions that were sent at once lately.
+    pub(crate) single_peak: RecentPeak,
+    /// The most transactions that held a connection at once lately.
+    pub(crate) pin_peak: RecentPeak,
     /// Urgent requests that went in a row while ordinary ones waited.
     pub(crate) urgent_run: u32,
     /// Its speed.
@@ -120,6 +125,8 @@
             doubted: 0,
             opening: 0,
             pins: SmallVec::new(),
+            single_peak: RecentPeak::default(),
+            pin_peak: RecentPeak::default(),
             urgent_run: 0,
             health: EndpointHealth::default(),
             connect_after: ClockTime::default(),
@@ -129,10 +136,26 @@
 
     /// Returns how many connections are neither pinned, nor in use, nor in doubt.
     pub(crate) fn idle_connections(&self) -> u32 {
+        let busy = self.singles() + self.pinned();
+        self.trusted_connections().saturating_sub(busy)
+    }
+
+    /// Returns how many statements outside of transactions are sent.
+    pub(crate) fn singles(&self) -> u32 {
         let unpinned = self.running.iter().filter(|running| !running.pinned);
-        let busy = unpinned.count() + self.pins.len();
-        self.trusted_connections()
-            .saturating_sub(u32::try_from(busy).unwrap_or(u32::MAX))
+        u32::try_from(unpinned.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns how many transactions hold a connection.
+    pub(crate) fn pinned(&self) -> u32 {
+        u32::try_from(self.pins.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Notes how many connections are in use now.
+    pub(crate) fn note_use(&mut self, now: ClockTime) {
+        let (singles, pinned) = (self.singles(), self.pinned());
+        self.single_peak.note(now, singles);
+        self.pin_peak.note(now, pinned);
     }
 
     /// Returns how many open connections are not in doubt.
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -13,6 +13,7 @@
 use crate::admission::misses_deadline;
 use crate::connections::ConnectionNeed;
 use crate::connections::connections_to_open;
+use crate::connections::surplus_connections;
 use crate::endpoints::ConnectionPin;
 use crate::endpoints::EndpointRecord;
 use crate::endpoints::RunningRequest;
@@ -25,6 +26,7 @@
 use crate::retry::may_repeat;
 use crate::scheduler::DispatchedRequest;
 use crate::time::to_micros;
+use ragwort_types::InstanceName;
 use std::time::Duration;
 
 /// A trial is compared with what peers did within this time.
@@ -61,21 +63,11 @@
         now: ClockTime,
         decisions: &mut Vec<SchedulerDecision>,
     ) {
-        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        let openers = self.queue.iter();
-        let openers = openers.filter(|request| request.profile.step == RequestStep::Opens);
-        let openers = u32::try_from(openers.count()).unwrap_or(u32::MAX);
+        let (waiting, openers) = self.count_waiting();
         let ahead = self.settings.modules.connections_ahead;
         for record in self.endpoints.records_mut() {
-            let openers = match record.state.role {
-                EndpointRole::Primary => openers,
-                EndpointRole::Replica | EndpointRole::Unusable => 0,
-            };
-            let need = ConnectionNeed {
-                sent: record.state.slots + sent_ahead(record, self.settings.excess),
-                waiting,
-                openers,
-            };
+            record.note_use(now);
+            let need = connection_need(record, self.settings.excess, waiting, openers);
             let missing = connections_to_open(record, now, need, ahead);
             record.opening += missing;
             for _ in 0..missing {
@@ -85,6 +77,26 @@
         }
     }
 
+    /// Returns how many of an endpoint's connections can be closed: no load of the last seconds has
+    /// needed them.
+    pub fn surplus_connections(&self, instance: &InstanceName) -> u32 {
+        let Some(record) = self.endpoints.get(instance) else {
+            return 0;
+        };
+        let (waiting, openers) = self.count_waiting();
+        let need = connection_need(record, self.settings.excess, waiting, openers);
+        surplus_connections(record, need)
+    }
+
+    /// Counts the waiting requests, and those of them that will open a transaction.
+    fn count_waiting(&self) -> (u32, u32) {
+        let openers = self.queue.iter();
+        let openers = openers.filter(|request| request.profile.step == RequestStep::Opens);
+        let counts = (self.queue.len(), openers.count());
+        let (waiting, openers) = (u32::try_from(counts.0), u32::try_from(counts.1));
+        (waiting.unwrap_or(u32::MAX), openers.unwrap_or(u32::MAX))
+    }
+
     /// Frees the slot of a request that has ended, and learns from its run.
     pub(crate) fn release_slot(
         &mut self,
@@ -252,6 +264,22 @@
     }
 }
 
+fn connection_need(
+    record: &EndpointRecord,
+    excess: ExcessRule,
+    waiting: u32,
+    openers: u32,
+) -> ConnectionNeed {
+    ConnectionNeed {
+        sent: record.state.slots + sent_ahead(record, excess),
+        waiting,
+        openers: match record.state.role {
+            EndpointRole::Primary => openers,
+            EndpointRole::Replica | EndpointRole::Unusable => 0,
+        },
+    }
+}
+
 /// Returns how many statements may be sent to an endpoint beyond its slots.
 fn sent_ahead(record: &EndpointRecord, excess: ExcessRule) -> u32 {
     match excess {
