Lose a transaction whose statement outlasts the lease, in place of inviting a second run

Cause: an answer that comes when the leaseholder's lease has lapsed isn't given. For a transaction's first statement the refusal said 'no lease', so the gateway handed it over again when the lease was back: the write ran a second time on another connection, beside a transaction that stayed open, pinned and in nobody's list.

What is shown is the second run of a write by the tests below.

Ruled out by reading: single writes (settled in doubt), commits (in doubt), links (unsent calls only are refused), relays (a lost reply is in doubt); own endpoints (they don't withhold such an answer).

Tests, red before: native takeover::write_that_outlasts_a_lease_runs_once and takeover::later_write_that_outlasts_a_lease_loses_its_transaction (NoLease in place of TransactionLost).

--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -324,11 +324,7 @@
         // done, and would let replicas serve that lack what is acknowledged here.
         let handed_over = commits && self.handover.is_out_of_hand();
         if !self.may_serve() || handed_over {
-            let verdict = match commits {
-                true => RequestVerdict::MayHaveRun(DoubtCause::LeaseLost),
-                false => RequestVerdict::refused(RefusalCause::NoLease, 0),
-            };
-            return self.settle(ticket, verdict);
+            return self.withhold_answer(ticket, step, commits);
         }
         self.context.metrics.count_read(&served);
         let rows = TaggedRows {
@@ -339,6 +335,31 @@
         self.settle_served(ticket, verdict, Some(served));
     }
 
+    /// Settles a statement whose answer this VM must not give any more.
+    ///
+    /// A single read may run again elsewhere. A statement of a transaction may not: told that nobody led
+    /// the group, the gateway would hand a transaction's first write over once more, to run beside the one
+    /// that has run here and whose transaction nobody would end.
+    fn withhold_answer(&mut self, ticket: RequestTicket, step: TransactionStep, commits: bool) {
+        match step {
+            _ if commits => {
+                let doubt = RequestVerdict::MayHaveRun(DoubtCause::LeaseLost);
+                self.settle(ticket, doubt);
+            }
+            TransactionStep::Single => {
+                let refused = RequestVerdict::refused(RefusalCause::NoLease, 0);
+                self.settle(ticket, refused);
+            }
+            TransactionStep::Begin(transaction) => {
+                self.end_transaction(transaction);
+                self.lose_transaction(ticket, step);
+            }
+            TransactionStep::Within(_)
+            | TransactionStep::Commit(_)
+            | TransactionStep::Rollback(_) => self.lose_transaction(ticket, step),
+        }
+    }
+
     /// Pins, keeps or frees the connection of a transaction after one of its statements.
     pub(super) fn follow_transaction(
         &mut self,
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -452,6 +452,17 @@
         self.view.send_replace(create_view(&record));
     }
 
+    /// Lets the VM's lease run out.
+    pub fn lapse(&self) {
+        self.view
+            .send_modify(|view| view.lease = MemberLease::new());
+    }
+
+    /// Gives the VM a lease again.
+    pub fn regain(&self) {
+        self.view.send_replace(create_view(&create_record()));
+    }
+
     /// Makes the VM drain, so that it hands its groups over.
     pub fn drain(&self) {
         let view = create_view_at(&create_record(), CatalogRevision(2), true);
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -45,6 +45,13 @@
     /// An announcement of an instance's former process comes late, after it has started again. Taken
     /// for news, it would bring back a state that is over: here, that the instance is leaving.
     late_announcement_of_a_former_process_changes_nothing => former_process_case();
+    /// A leaseholder is starved and its lease lapses for a moment, while the first write of a transaction
+    /// runs at the endpoint. Told that nobody led the group, the gateway would hand the write over once more
+    /// when the lease is back: it would run a second time, beside a transaction that nobody ends. The caller
+    /// is told that the transaction is lost, and the endpoint rolls it back.
+    write_that_outlasts_a_lease_runs_once => lapsed_case(TransactionStep::Begin, "begin");
+    /// The same for a later write of a transaction.
+    later_write_that_outlasts_a_lease_loses_its_transaction => lapsed_case(TransactionStep::Within, "write record");
     /// A leaseholder hands its group over, and statements reach its task while that ends. They wait in the
     /// task's queue, which ends with it. A clerk whose write gets no answer is told that it may have run, and
     /// can't send it again, though nobody has run it.
@@ -198,3 +205,26 @@
     }
     assert!(bench.count_runs("write late") <= doubts);
 }
+
+async fn lapsed_case(create: fn(TransactionId) -> TransactionStep, held: &str) {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    let open = TransactionId::fresh();
+    let step = create(open);
+    if let TransactionStep::Within(_) = step {
+        let begin = Ask::new(WRITE, "write first").step(TransactionStep::Begin(open));
+        assert!(is_served(&bench.ask(begin).await));
+    }
+    bench.endpoints[0].script().silent = true;
+    let reply = bench.send(Ask::new(WRITE, "write record").step(step)).await;
+    bench.wait_for_any_held(held).await;
+    bench.lapse();
+    bench.endpoints[0].script().silent = false;
+    let lost = RequestVerdict::refused(RefusalCause::TransactionLost, 0);
+    assert_eq!(reply.await.unwrap().verdict, lost);
+    bench.wait_for(|dump| dump["transactions"] == 0).await;
+    bench.regain();
+    let commit = Ask::new(WRITE, "COMMIT").step(TransactionStep::Commit(open));
+    assert_eq!(bench.ask(commit).await.verdict, lost);
+    assert_eq!(bench.count_runs("COMMIT"), 0);
+}
