--- a/crates/control/src/pace.rs
+++ b/crates/control/src/pace.rs
@@ -16,8 +16,8 @@
 //! A lease lasts for [`LEASE_BEATS`] heartbeats, so that two of them in a row may be lost. A VM whose
 //! own heartbeats took longer than that allows for asks for as much more. It never asks for less
 //! again, because a new control leader goes by what the catalog says of it, and a lease from before
-//! could outlast that. With leases of 0.6 s in place of 1.2 s for leaseholders, five days with faults
-//! were worth 0.676 in place of 0.668 (mean of ten plays of a user's site).
+//! could outlast that. A leaseholder's shorter lease is gained by its groups' callers: it is how long
+//! they wait for a successor.
 
 use std::time::Duration;
 
--- a/crates/control/src/proximity.rs
+++ b/crates/control/src/proximity.rs
@@ -10,9 +10,8 @@
 //!
 //! Writes, fresh reads and transactions have only the primary, and a transaction pays the way to it
 //! once a statement; reads that replicas may serve are single and have time. So the primary nearby
-//! counts for more than a replica: at 1.4 ms between failure domains, requests within their target
-//! latency rose from 98.1 to 99.0 % of what they are worth, for 4 % more bytes between failure
-//! domains. A move costs callers a pause. A leaseholder that serves moves only if no endpoint at all
+//! counts for more than a replica: more transactions end within their target, for some more bytes
+//! between failure domains. A move costs callers a pause. A leaseholder that serves moves only if no endpoint at all
 //! is near; one that has served nothing yet moves to the best place.
 
 use ragwort_types::DomainName;
--- a/crates/control/src/replica_estimate.rs
+++ b/crates/control/src/replica_estimate.rs
@@ -17,9 +17,8 @@
 //! is over, which doubles while it makes no progress. Refusals of reads that were sent before the first
 //! one came tell the same thing and change nothing. When nothing was heard of a replica for
 //! [`TRIAL_AFTER`] its assumed lag halves each [`RELAX_TIME`], so that a read is tried there within a
-//! few tenths of a second of its recovery. In the first second after six seconds of 3 s lag a replica
-//! serves 324 of 400 reads that allow 1.5 s; when each refusal doubled the lag, and it halved each half
-//! second, it served none (replay in virtual time).
+//! few tenths of a second of its recovery. A lag that each refusal doubled would keep reads away from
+//! a replica for seconds after it has caught up.
 
 use crate::ClockTime;
 use crate::PositionHistory;
--- a/crates/daemon/src/native/handover.rs
+++ b/crates/daemon/src/native/handover.rs
@@ -50,7 +50,7 @@
     /// Says whether a statement of this step comes too late.
     ///
     /// Open transactions take a second to end, in which callers of all other statements would be
-    /// refused: 402 in one handover that only evened the load. So single ones are served until the last
+    /// refused, though nothing is wrong. So single ones are served until the last
     /// transaction has ended, and only for the moment of the handover itself nothing is taken in.
     pub(super) fn turns_away(&self, step: TransactionStep) -> bool {
         match step {
