Close sessions of a gateway that reaches nobody at once; few connections ahead for accounts

Where callers work for accounts, connections are no longer opened ahead for slots: opened for one account they are of no use to another.

--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -7,6 +7,7 @@
 use crate::platform::DumpRequest;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
+use ragwort_types::AccountTerms;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -46,6 +47,7 @@
             "lease_ms": view.lease.remaining(now).as_millis() as u64,
             "revision": view.copy.revision().0,
             "contracts": view.copy.contracts().count(),
+            "accounts": view.copy.accounts().iter().map(describe_account).collect::<Vec<_>>(),
             "members": view.copy.members().collect::<Vec<_>>(),
             "groups": view.copy.groups().collect::<Vec<_>>(),
             "control": control,
@@ -71,3 +73,13 @@
         let _ = reply.send(dump.collect().await);
     }
 }
+
+/// Describes an account without its keys' digests: whoever reads a dump needs to know only how many
+/// there are.
+fn describe_account(terms: &AccountTerms) -> serde_json::Value {
+    serde_json::json!({
+        "name": terms.name,
+        "keys": terms.keys.len(),
+        "limit": terms.limit,
+    })
+}
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -8,6 +8,7 @@
 use crate::gateway::find_deadline;
 use crate::gateway::find_target;
 use crate::gateway::find_terms;
+use crate::gateway::is_caller_taken;
 use crate::gateway::reply_with;
 use crate::log_event;
 use log::Level;
@@ -84,7 +85,9 @@
             marks: &request.marks,
             step: request.step,
         };
-        let terms = match self.check_statement(&origin, now) {
+        let checked = self.check_statement(&origin, now);
+        let checked = checked.and_then(|terms| self.check_caller(&request).map(|()| terms));
+        let terms = match checked {
             Ok(terms) => terms,
             Err(refusal) => {
                 let after = refusal.come_back_after_ms;
@@ -115,6 +118,17 @@
         }
     }
 
+    fn check_caller(&self, request: &StatementRequest) -> Result<(), IntakeRefusal> {
+        let view = self.view.borrow();
+        let contract = view.copy.contract(&request.customer);
+        let taken =
+            contract.is_some_and(|held| is_caller_taken(&view.copy, &held.contract, request));
+        match taken {
+            true => Ok(()),
+            false => Err(IntakeRefusal::new(RefusalCause::UnknownKey)),
+        }
+    }
+
     /// Says under which terms a statement may be taken in, if it may.
     pub(super) fn check_statement(
         &self,
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -60,7 +60,7 @@
     }
 
     fn show_idle_accounts(&mut self) {
-        if !self.pool.serves_accounts() {
+        if !self.by_account {
             return;
         }
         for instance in self.pool.names() {
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -98,6 +98,8 @@
     scheduler: GroupScheduler,
     pool: NativePool,
     demand: AccountDemand,
+    /// Whether callers work for accounts, so that a connection serves those of one only.
+    by_account: bool,
     roles: RoleBoard,
     /// The primary whose positions `history` holds, and its term.
     leading: Option<(InstanceName, GroupTerm)>,
@@ -152,6 +154,7 @@
         view,
         scheduler,
         demand: AccountDemand::default(),
+        by_account: false,
         roles: RoleBoard::new(reached),
         leading: None,
         history: PositionHistory::default(),
@@ -272,6 +275,7 @@
         let here = view.copy.contracts().map(|held| &held.contract);
         let here = here.filter(|contract| contract.groups.contains(&self.group));
         let terms: Vec<CustomerTerms> = here.map(CustomerTerms::from).collect();
+        self.by_account = view.copy.accounts().iter().next().is_some();
         drop(view);
         self.scheduler.set_contracts(&terms);
     }
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -321,11 +321,6 @@
         held.collect()
     }
 
-    /// Says whether connections are opened for several accounts.
-    pub(super) fn serves_accounts(&self) -> bool {
-        self.connections.values().any(|one| one.account.is_some())
-    }
-
     pub(super) fn connection(&self, id: LinkId) -> Option<&NativeConnection> {
         self.connections.get(&id)
     }
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -89,7 +89,7 @@
             .pool
             .connection(id)
             .map_or(Duration::ZERO, |one| self.now().since(one.last_statement));
-        let kept = self.pool.serves_accounts() && unused < ACCOUNT_MEMORY;
+        let kept = self.by_account && unused < ACCOUNT_MEMORY;
         if surplus && !kept {
             self.take_closed(id, CloseCause::Released);
         } else if self.order_proof(id) {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -70,6 +70,10 @@
 /// that has lost all others.
 const SEEDS_EVERY: Duration = Duration::from_secs(5);
 
+/// How long a gateway reaches nobody before its sessions are closed. It has no lease by then, so the cut
+/// has lasted for longer.
+const ISOLATION_LIMIT: Duration = Duration::from_millis(100);
+
 /// Dumps that may be asked for at once.
 const DUMP_QUEUE: usize = 16;
 
@@ -520,7 +524,7 @@
                 service,
                 metrics,
                 vm: base.settings.vm.clone(),
-                notice: Duration::from_millis(timing.drain_notice_ms),
+                isolation_limit: ISOLATION_LIMIT,
             };
             tokio::spawn(async move {
                 edge.run(drain).await;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -260,6 +260,10 @@
         if !contract.groups.contains(&opening.group) {
             return Err(SessionRefusal::UnknownGroup);
         }
+        // Callers of this interface show no key.
+        if !contract.callers.is_open() {
+            return Err(SessionRefusal::UnknownKey);
+        }
         self.count_session(contract)
     }
 
--- a/crates/daemon/src/sessions/edge.rs
+++ b/crates/daemon/src/sessions/edge.rs
@@ -47,8 +47,8 @@
     pub metrics: DaemonMetrics,
     /// This VM, for sessions' names.
     pub vm: VmName,
-    /// The time in which the balancer notices that this VM isn't ready.
-    pub notice: Duration,
+    /// How long this VM reaches nobody before its sessions are closed.
+    pub isolation_limit: Duration,
 }
 
 impl SessionEdge {
@@ -59,8 +59,8 @@
     /// always waited for.
     ///
     /// While this gateway reaches nobody, sessions are closed between transactions as well: their
-    /// callers would be refused for as long as the cut lasts, and come back by another gateway once the
-    /// balancer has noticed.
+    /// callers would be refused for as long as the cut lasts. Each that comes back by a gateway that isn't
+    /// cut off stays there, whether or not the balancer has noticed.
     pub async fn run(self, drain: watch::Receiver<bool>) {
         let (order, _) = watch::channel(SessionOrder {
             drain: DrainOrder::Serve,
@@ -116,7 +116,7 @@
 
     /// Closes idle sessions while this gateway reaches nobody, and stops when it does again.
     fn send_away(&self, order: &watch::Sender<SessionOrder>, connections: usize) {
-        let wanted = match self.service.sends_sessions_away(self.notice) {
+        let wanted = match self.service.sends_sessions_away(self.isolation_limit) {
             true => DrainOrder::EndIdle,
             false => DrainOrder::Serve,
         };
