Declare again what a ledger's VM has not taken

Each VM declared what it holds as it learned of a placement, and the VM that was to keep the ledgers dropped it where it hadn't learned of that itself; the declaration counted as made, so the ledger took everything for unknown until all shares must have ended. Now the answer says which declarations were taken, and the others are made again. Nothing is declared where no account has a limit.

Tests: pieces limits::declaration_that_was_not_taken_is_made_again, account_limits::declaration_that_comes_too_early_is_not_taken.

--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -77,6 +77,8 @@
     told: BTreeMap<GroupName, LedgerPlace>,
     /// The VMs that owe an answer.
     asked: BTreeSet<VmName>,
+    /// The VMs that took no declaration lately, and when to declare to them again.
+    declare_after: BTreeMap<VmName, ClockTime>,
 }
 
 /// Who keeps the ledgers of a group's accounts.
@@ -197,14 +199,13 @@
     pub fn lend(&self, request: &LimitRequest) -> LimitReply {
         let view = self.view.borrow().clone();
         let now = self.clock.now();
-        let mut grants = Vec::new();
         // A successor may keep the ledgers by now.
-        if view.may_serve(now) {
-            let mut state = self.state();
-            state.book.follow_homes(now, &self.list_led(&view.copy));
-            grants = lend_from(&mut state.book, now, &view.copy, request);
+        if !view.may_serve(now) {
+            return LimitReply::default();
         }
-        LimitReply { grants }
+        let mut state = self.state();
+        state.book.follow_homes(now, &self.list_led(&view.copy));
+        lend_from(&mut state.book, now, &view.copy, request)
     }
 
     fn list_led(&self, copy: &CatalogCopy) -> BTreeMap<GroupName, PlacementEpoch> {
@@ -249,6 +250,14 @@
             .map(|record| (&record.placement.group, record))
             .collect();
         let mut state = self.state();
+        let limited = view
+            .copy
+            .accounts()
+            .iter()
+            .any(|terms| terms.limit.is_some());
+        if !limited && state.waiting.is_empty() {
+            return;
+        }
         let homes = HomeFinder::new(places.keys().copied());
         let holders = list_holders(&view.copy);
         state.shares.set_holders(self.tolerance, holders.len());
@@ -256,8 +265,10 @@
             shares,
             told,
             asked,
+            declare_after,
             ..
         } = &mut *state;
+        declare_after.retain(|_, after| now < *after);
         let keeper = |account: &AccountName| {
             let home = homes.find(account)?;
             Some(&places.get(home)?.placement.leaseholder)
@@ -275,7 +286,8 @@
         }
         for (group, record) in &places {
             let place = LedgerPlace::from(*record);
-            if told.get(*group) == Some(&place) || asked.contains(&place.vm) {
+            let waits = asked.contains(&place.vm) || declare_after.contains_key(&place.vm);
+            if waits || told.get(*group) == Some(&place) {
                 continue;
             }
             let held = shares.list_held(now, |account| homes.find(account) == Some(*group));
@@ -322,8 +334,7 @@
                     let reply = here.then(|| {
                         let led = self.list_led(&view.copy);
                         state.book.follow_homes(now, &led);
-                        let grants = lend_from(&mut state.book, now, &view.copy, &request);
-                        LimitReply { grants }
+                        lend_from(&mut state.book, now, &view.copy, &request)
                     });
                     let call = LedgerCall {
                         vm,
@@ -365,11 +376,16 @@
             request,
             reply,
         } = call;
-        if reply.is_none() {
-            // What was declared with it may not have arrived.
-            for group in &request.declared {
-                self.told.remove(group);
-            }
+        let silent = reply.is_none();
+        let LimitReply { grants, declared } = reply.unwrap_or_default();
+        // What wasn't taken, or may not have arrived, is declared again: the ledger lends next to nothing
+        // until it knows what all VMs hold.
+        let untaken = request.declared.iter();
+        for group in untaken.filter(|group| !declared.contains(group)) {
+            self.told.remove(group);
+            self.declare_after.insert(vm.clone(), now + LOOK_EVERY);
+        }
+        if silent {
             log_event!(
                 Level::Info,
                 "ledger_silent",
@@ -378,7 +394,6 @@
                 waited_ms = now.since(sent).as_millis(),
             );
         }
-        let grants = reply.map(|reply| reply.grants).unwrap_or_default();
         let grants: BTreeMap<AccountName, AccountGrant> = grants
             .into_iter()
             .map(|grant| (grant.account.clone(), grant))
@@ -416,7 +431,7 @@
     now: ClockTime,
     copy: &CatalogCopy,
     request: &LimitRequest,
-) -> Vec<AccountGrant> {
+) -> LimitReply {
     let homes = HomeFinder::new(copy.groups().map(|record| &record.placement.group));
     let holders = list_holders(copy);
     let started = now.before(Duration::from_millis(request.age_ms));
@@ -432,10 +447,12 @@
         book.lend(now, question, need)
     });
     let grants = lent.collect();
-    for group in &request.declared {
-        book.note_declared(group, &request.holder.vm, started);
+    let declared = request.declared.iter();
+    let declared = declared.filter(|group| book.note_declared(group, &request.holder.vm, started));
+    LimitReply {
+        grants,
+        declared: declared.cloned().collect(),
     }
-    grants
 }
 
 /// Lists the VMs that may lead groups, and so hold something of accounts' limits.
--- /dev/null
+++ b/crates/daemon/tests/pieces/limits.rs
@@ -0,0 +1,97 @@
+//! What a VM tells the one that keeps accounts' ledgers.
+
+use crate::bench::create_record;
+use crate::bench::create_view;
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::server::Server;
+use ragwort_policy::LimitTolerance;
+use ragwort_types::AccountLimit;
+use ragwort_types::AccountTerms;
+use ragwort_types::CatalogDelta;
+use ragwort_types::CatalogItem;
+use ragwort_types::LimitReply;
+use ragwort_types::LimitRequest;
+use ragwort_types::MemberId;
+use ragwort_types::VmIncarnation;
+use ragwortgated::clock::NodeClock;
+use ragwortgated::limits::AccountLimiter;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+failure_cases! {
+    /// All VMs come back at once, and one learns that another leads a group before that one does. What it
+    /// declares isn't taken then. Told once only, the ledger lent next to nothing for two seconds, and most
+    /// of what callers asked for below their limits was refused.
+    declaration_that_was_not_taken_is_made_again => declaration_case();
+}
+
+async fn declaration_case() {
+    let seen: Arc<Mutex<Vec<LimitRequest>>> = Arc::default();
+    let mut module = RpcModule::new(Arc::clone(&seen));
+    module
+        .register_method(
+            "peer_lendLimits",
+            |params, seen, _| -> RpcResult<serde_json::Value> {
+                let request: LimitRequest = params.one()?;
+                let mut seen = seen.lock().unwrap();
+                let declared = match seen.len() {
+                    0 => Vec::new(),
+                    _ => request.declared.clone(),
+                };
+                seen.push(request);
+                let reply = LimitReply {
+                    grants: Vec::new(),
+                    declared,
+                };
+                Ok(serde_json::to_value(reply).unwrap())
+            },
+        )
+        .unwrap();
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let keeper = server.local_addr().unwrap();
+    let _server = server.start(module);
+    let mut view = create_view([keeper; 3], &create_record("vm-2", 1), true);
+    let account = AccountTerms {
+        name: "directorate".into(),
+        seal: Default::default(),
+        keys: Default::default(),
+        limit: Some(AccountLimit {
+            per_thousand_seconds: 5_000,
+            burst: 5,
+        }),
+    };
+    let revision = view.copy.revision();
+    let delta = CatalogDelta {
+        from: Some(revision),
+        to: revision.next(),
+        items: vec![CatalogItem::Account(Box::new(account))],
+    };
+    Arc::make_mut(&mut view.copy).apply_delta(&delta).unwrap();
+    let (view, follower) = watch::channel(view);
+    let asker = MemberId {
+        vm: "vm-of-the-asker".into(),
+        incarnation: VmIncarnation(1),
+    };
+    let limiter = Arc::new(AccountLimiter::new(
+        NodeClock::start(),
+        asker,
+        Duration::from_secs(5),
+        follower,
+        LimitTolerance::default(),
+    ));
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(Arc::clone(&limiter).run(stopped));
+    while seen.lock().unwrap().len() < 2 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let requests = seen.lock().unwrap().clone();
+    assert_eq!(requests[0].declared, requests[1].declared);
+    assert_eq!(requests[0].declared.len(), 1);
+    stop.send_replace(true);
+    task.await.unwrap();
+    drop(view);
+}
--- a/crates/daemon/tests/pieces/main.rs
+++ b/crates/daemon/tests/pieces/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod leaseholder;
 mod leases;
+mod limits;
 mod peer;
 mod peers;
 mod scripted;
--- a/crates/policy/src/account_ledger.rs
+++ b/crates/policy/src/account_ledger.rs
@@ -249,11 +249,18 @@
     }
 
     /// Notes that a VM has said what it holds of all accounts whose ledger a group's leaseholder keeps.
-    /// The request in which it says so is answered afterwards.
-    pub fn note_declared(&mut self, group: &GroupName, holder: &VmName, started: ClockTime) {
-        if let Some(home) = self.homes.get_mut(group) {
-            home.declared.insert(holder.clone(), started);
-        }
+    /// Returns false if they aren't kept here.
+    pub fn note_declared(
+        &mut self,
+        group: &GroupName,
+        holder: &VmName,
+        started: ClockTime,
+    ) -> bool {
+        let Some(home) = self.homes.get_mut(group) else {
+            return false;
+        };
+        home.declared.insert(holder.clone(), started);
+        true
     }
 
     /// Answers what a VM asks of an account; `None` if the account's ledger isn't kept here.
--- a/crates/policy/tests/account_limits.rs
+++ b/crates/policy/tests/account_limits.rs
@@ -387,6 +387,17 @@
         world.check_spans();
     }
 
+    /// A VM declares what it holds before the one that is to keep the ledgers knows that it does. That isn't
+    /// taken, and said so: were it taken for done, the ledger would lend next to nothing for two seconds.
+    declaration_that_comes_too_early_is_not_taken {
+        let mut book = LedgerBook::new(tolerance());
+        let now = ClockTime::from_millis(9_000);
+        assert!(!book.note_declared(&home(), &vm_name(1), now));
+        let led = BTreeMap::from([(home(), PlacementEpoch(1))]);
+        book.follow_homes(now, &led);
+        assert!(book.note_declared(&home(), &vm_name(1), now));
+    }
+
     /// All processes are killed, and a second later all callers are back at once, twice as many as usual.
     /// A ledger that took what it doesn't know for spent would refuse most of them for seconds.
     callers_are_let_in_after_all_vms_were_killed {
--- a/crates/policy/tests/connections.rs
+++ b/crates/policy/tests/connections.rs
@@ -52,6 +52,10 @@
     /// The load comes in waves of some seconds. What a wave needs isn't closed in its trough: each new
     /// connection takes a slot for as long as a statement does.
     waves_keep_their_connections => wave_case();
+    /// Each connection belongs to one account, and a VM leads dozens of groups that hardly anybody calls.
+    /// Opened ahead as for callers that share them, eight for each endpoint, they were of no use to the
+    /// account that called next, and their upkeep took the VM's descriptors and most of its processor.
+    connections_of_accounts_are_not_opened_for_slots => account_case();
 }
 
 /// A primary of many slots, with time that the test moves.
@@ -184,6 +188,16 @@
     assert!(load.opened <= 16, "they were opened again: {}", load.opened);
 }
 
+fn account_case() {
+    let mut load = ReplayedLoad::start();
+    let primary = InstanceName::from(PRIMARY);
+    load.scheduler
+        .set_idle_accounts(&primary, std::iter::empty());
+    load.pass(Duration::from_secs(20), 0, Duration::from_secs(1));
+    assert_eq!(load.opened, 1, "one to ask the endpoint about itself");
+    assert_eq!(load.surplus(), 0);
+}
+
 fn wave_case() {
     let mut load = ReplayedLoad::start();
     let mut most = 0;
--- a/crates/types/src/account.rs
+++ b/crates/types/src/account.rs
@@ -133,10 +133,13 @@
 }
 
 /// The answer to a [`LimitRequest`]: a grant for each account whose ledger is kept here.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitReply {
     /// The grants.
     pub grants: Vec<AccountGrant>,
+    /// The groups of which a declaration was taken. A VM that doesn't know yet that it leads a group
+    /// takes none, and it must be declared again.
+    pub declared: Vec<GroupName>,
 }
 
 /// What a ledger lends of one account's limit.
