--- a/crates/policy/src/account_shares.rs
+++ b/crates/policy/src/account_shares.rs
@@ -92,9 +92,9 @@
     asked: bool,
     /// When the ledger was last asked.
     asked_at: Option<ClockTime>,
-    /// Operations that were let in without a ledger, since when.
-    unlent: u32,
-    unlent_since: ClockTime,
+    /// Operations that were let in without a word of the ledger, and since when they are counted.
+    begun_alone: u32,
+    alone_since: ClockTime,
 }
 
 impl AccountShare {
@@ -113,8 +113,8 @@
             asking: 0,
             asked: false,
             asked_at: None,
-            unlent: 0,
-            unlent_since: now,
+            begun_alone: 0,
+            alone_since: now,
         }
     }
 
@@ -311,12 +311,12 @@
             true => 0,
             false => self.tolerance.allowance(share.limit, self.holders),
         };
-        if now.since(share.unlent_since) >= ALLOWANCE_SPAN {
-            share.unlent = 0;
-            share.unlent_since = now;
+        if now.since(share.alone_since) >= ALLOWANCE_SPAN {
+            share.begun_alone = 0;
+            share.alone_since = now;
         }
-        let spare = allowance.saturating_sub(share.unlent).min(share.asking);
-        share.unlent += spare;
+        let spare = allowance.saturating_sub(share.begun_alone).min(share.asking);
+        share.begun_alone += spare;
         share.waiting -= spare;
         share.asking -= spare;
         // What the share still allows comes within the time in which the ledger is asked again.
