--- a/crates/policy/src/account_shares.rs
+++ b/crates/policy/src/account_shares.rs
@@ -315,7 +315,9 @@
             share.begun_alone = 0;
             share.alone_since = now;
         }
-        let spare = allowance.saturating_sub(share.begun_alone).min(share.asking);
+        let spare = allowance
+            .saturating_sub(share.begun_alone)
+            .min(share.asking);
         share.begun_alone += spare;
         share.waiting -= spare;
         share.asking -= spare;
