--- a/crates/daemon/tests/pieces/takeover.rs
+++ b/crates/daemon/tests/pieces/takeover.rs
@@ -33,7 +33,7 @@
     /// of the change a heartbeat later. They wait in the task's queue, which ends with it. Each must be
     /// answered; without an answer its gateway calls it in doubt though it wasn't run, as in this log 5 ms
     /// after `group_left`: `request_failed outcome=in_doubt cause="leaseholder lost" took_ms=3 epoch=1`.
-    statement_that_meets_an_ending_leaseholder_is_answered => ending_case();
+    statement_meeting_an_ending_leaseholder_is_answered => ending_case();
     /// A VM is restarted while statements wait for its leaseholders' manager, which passes them on. The
     /// manager ends; each statement must be answered, as it wasn't run.
     statement_that_meets_an_ending_manager_is_answered => ending_manager_case();
