Show no key in faults and views of a configuration; asking the ledgers in steps

Cause: a key that stands where a list of keys belongs was quoted by the reader's fault, which goes back to the operator and into whatever keeps that answer; a document with a fault anywhere made ragwortctl quote the lines around it, keys too; a document printed for a developer showed its text. Ruled out: the daemon's own log lines (none prints a document or a fault of one) and dumps (accounts with the number of their keys).

Change: keys and lists of keys are read with faults of their own, the text of a document has a type that doesn't print it, ragwortctl names the line without quoting it. The limiter's question to the ledgers, one function of ninety lines, stands in four; a factor has a name. Nothing else is decided differently.

--- a/crates/ctl/src/document.rs
+++ b/crates/ctl/src/document.rs
@@ -75,7 +75,9 @@
 
 fn read_document(path: &Path) -> Result<ContractDocument, String> {
     let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
-    let file: DocumentFile = serde_saphyr::from_str(&text).map_err(|error| error.to_string())?;
+    // The lines around the fault may have keys.
+    let file: DocumentFile =
+        serde_saphyr::from_str(&text).map_err(|error| error.without_snippet().to_string())?;
     let document = ContractDocument {
         version: file.version,
         source: text.into(),
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -581,6 +581,20 @@
     assert!(daemon.0.lock().unwrap().documents.is_empty());
 }
 
+/// A document with a fault elsewhere is refused. What is said of the place must not quote the lines around
+/// it, which may have keys: it is often kept in a log.
+#[tokio::test]
+async fn refused_document_shows_no_key() {
+    let accounts = "accounts:\n- name: directorate\n  keys: [k-5b1f0c]\n  limit: many\n";
+    let text = format!("{}{accounts}", document_text(7));
+    let (run, daemon) = apply_document(&text, None).await;
+    assert_eq!(run.code, 1);
+    let said = format!("{}{}", run.out, run.err);
+    assert!(said.contains("line"), "{said}");
+    assert!(!said.contains("k-5b1f0c"), "{said}");
+    assert!(daemon.0.lock().unwrap().documents.is_empty());
+}
+
 #[tokio::test]
 async fn newest_document_is_shown_as_it_was_written() {
     let daemon = FakeDaemon::default();
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -54,6 +54,10 @@
 /// for it has some hundred milliseconds.
 const ANSWER_LIMIT: Duration = Duration::from_millis(200);
 
+/// Spreads the weights of groups for an account: an odd number without a pattern in its bits. All VMs must
+/// have the same.
+const WEIGHT_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// The accounts' limits, as this VM applies them.
 pub struct AccountLimiter {
     clock: NodeClock,
@@ -244,108 +248,121 @@
     fn ask_ledgers(&self, calls: &mut JoinSet<LedgerCall>) {
         let view = self.view.borrow().clone();
         let now = self.clock.now();
-        let places: BTreeMap<&GroupName, &GroupRecord> = view
-            .copy
-            .groups()
-            .map(|record| (&record.placement.group, record))
-            .collect();
         let mut state = self.state();
-        let limited = view
-            .copy
-            .accounts()
-            .iter()
-            .any(|terms| terms.limit.is_some());
-        if !limited && state.waiting.is_empty() {
+        let mut accounts = view.copy.accounts().iter();
+        if accounts.all(|terms| terms.limit.is_none()) && state.waiting.is_empty() {
             return;
         }
-        let homes = HomeFinder::new(places.keys().copied());
+        let homes = LedgerHomes::new(&view.copy);
         let holders = list_holders(&view.copy);
         state.shares.set_holders(self.tolerance, holders.len());
-        let LimiterState {
-            shares,
-            told,
-            asked,
-            declare_after,
-            ..
-        } = &mut *state;
-        declare_after.retain(|_, after| now < *after);
-        let keeper = |account: &AccountName| {
-            let home = homes.find(account)?;
-            Some(&places.get(home)?.placement.leaseholder)
-        };
+        let mut requests = BTreeMap::new();
+        let homeless = self.request_needs(&mut state, now, &homes, &mut requests);
+        self.declare_held(&mut state, now, &homes, &mut requests);
+        for account in homeless {
+            let end = state.shares.give_up(now, &account);
+            state.answer_waiting(now, &account, end);
+        }
+        for (vm, request) in requests {
+            let call = LedgerCall {
+                vm,
+                sent: now,
+                request,
+                reply: None,
+            };
+            self.make_call(&mut state, &view, call, calls);
+        }
+    }
+
+    /// Writes down what is to be asked for, by the VM that keeps the ledger. Returns the accounts whose
+    /// ledgers nobody keeps.
+    fn request_needs(
+        &self,
+        state: &mut LimiterState,
+        now: ClockTime,
+        homes: &LedgerHomes<'_>,
+        requests: &mut BTreeMap<VmName, LimitRequest>,
+    ) -> Vec<AccountName> {
+        let LimiterState { shares, asked, .. } = state;
         let needs = shares.due_needs(now, |account| {
-            keeper(account).is_none_or(|vm| !asked.contains(vm))
+            homes
+                .find_keeper(account)
+                .is_none_or(|vm| !asked.contains(vm))
         });
-        let mut requests: BTreeMap<VmName, LimitRequest> = BTreeMap::new();
         let mut homeless = Vec::new();
         for need in needs {
-            match keeper(&need.account).cloned() {
-                Some(vm) => self.request_to(&mut requests, vm).accounts.push(need),
+            match homes.find_keeper(&need.account).cloned() {
+                Some(vm) => self.request_to(requests, vm).accounts.push(need),
                 None => homeless.push(need.account),
             }
         }
-        for (group, record) in &places {
+        homeless
+    }
+
+    /// Writes down what is held of the accounts whose ledgers have come to another VM.
+    fn declare_held(
+        &self,
+        state: &mut LimiterState,
+        now: ClockTime,
+        homes: &LedgerHomes<'_>,
+        requests: &mut BTreeMap<VmName, LimitRequest>,
+    ) {
+        state.declare_after.retain(|_, after| now < *after);
+        for (group, record) in &homes.records {
             let place = LedgerPlace::from(*record);
-            let waits = asked.contains(&place.vm) || declare_after.contains_key(&place.vm);
-            if waits || told.get(*group) == Some(&place) {
+            let waits =
+                state.asked.contains(&place.vm) || state.declare_after.contains_key(&place.vm);
+            if waits || state.told.get(*group) == Some(&place) {
                 continue;
             }
-            let held = shares.list_held(now, |account| homes.find(account) == Some(*group));
-            let request = self.request_to(&mut requests, place.vm.clone());
-            let known: BTreeSet<AccountName> = request
-                .accounts
-                .iter()
-                .map(|need| need.account.clone())
-                .collect();
-            let unasked = held
-                .into_iter()
-                .filter(|need| !known.contains(&need.account));
-            request.accounts.extend(unasked);
-            request.declared.push((*group).clone());
-            told.insert((*group).clone(), place);
-        }
-        told.retain(|group, _| places.contains_key(group));
-        for account in homeless {
-            let end = state.shares.give_up(now, &account);
-            state.answer_waiting(now, &account, end);
-        }
-        for (vm, request) in requests {
-            let member = view.copy.member(&vm);
-            match member.filter(|_| vm != self.id.vm) {
-                Some(member) => {
-                    state.asked.insert(vm.clone());
-                    let links = self.links.clone();
-                    let address = member.peer_address;
-                    let sent = request.clone();
-                    calls.spawn(async move {
-                        let call =
-                            |client: Arc<WsClient>| async move { client.lend_limits(sent).await };
-                        let reply = links.call(address, ANSWER_LIMIT, call).await.ok();
-                        LedgerCall {
-                            vm,
-                            sent: now,
-                            request,
-                            reply,
-                        }
-                    });
-                }
-                None => {
-                    let here = vm == self.id.vm && view.may_serve(now);
-                    let reply = here.then(|| {
-                        let led = self.list_led(&view.copy);
-                        state.book.follow_homes(now, &led);
-                        lend_from(&mut state.book, now, &view.copy, &request)
-                    });
-                    let call = LedgerCall {
-                        vm,
-                        sent: now,
-                        request,
-                        reply,
-                    };
-                    state.take_reply(now, call);
+            let is_home = |account: &AccountName| homes.find(account) == Some(*group);
+            let held = state.shares.list_held(now, is_home);
+            let request = self.request_to(requests, place.vm.clone());
+            for need in held {
+                if request
+                    .accounts
+                    .iter()
+                    .all(|one| one.account != need.account)
+                {
+                    request.accounts.push(need);
                 }
             }
+            request.declared.push((*group).clone());
+            state.told.insert((*group).clone(), place);
+        }
+        let records = &homes.records;
+        state.told.retain(|group, _| records.contains_key(group));
+    }
+
+    /// Asks the VM that keeps the ledgers: over a link, or at once if it is this one.
+    fn make_call(
+        &self,
+        state: &mut LimiterState,
+        view: &MemberView,
+        mut call: LedgerCall,
+        calls: &mut JoinSet<LedgerCall>,
+    ) {
+        let now = call.sent;
+        if call.vm == self.id.vm {
+            call.reply = view.may_serve(now).then(|| {
+                let led = self.list_led(&view.copy);
+                state.book.follow_homes(now, &led);
+                lend_from(&mut state.book, now, &view.copy, &call.request)
+            });
+            return state.take_reply(now, call);
         }
+        let Some(member) = view.copy.member(&call.vm) else {
+            return state.take_reply(now, call);
+        };
+        state.asked.insert(call.vm.clone());
+        let links = self.links.clone();
+        let address = member.peer_address;
+        let sent = call.request.clone();
+        calls.spawn(async move {
+            let ask = |client: Arc<WsClient>| async move { client.lend_limits(sent).await };
+            call.reply = links.call(address, ANSWER_LIMIT, ask).await.ok();
+            call
+        });
     }
 
     fn request_to<'r>(
@@ -432,7 +449,7 @@
     copy: &CatalogCopy,
     request: &LimitRequest,
 ) -> LimitReply {
-    let homes = HomeFinder::new(copy.groups().map(|record| &record.placement.group));
+    let homes = LedgerHomes::new(copy);
     let holders = list_holders(copy);
     let started = now.before(Duration::from_millis(request.age_ms));
     let lent = request.accounts.iter().filter_map(|need| {
@@ -463,25 +480,37 @@
 
 /// Finds for each account the group whose leaseholder keeps its ledger. Where a group comes or goes, only
 /// the accounts that it takes or leaves change their place.
-struct HomeFinder<'a> {
-    groups: Vec<(&'a GroupName, u64)>,
+struct LedgerHomes<'a> {
+    records: BTreeMap<&'a GroupName, &'a GroupRecord>,
+    digests: Vec<(&'a GroupName, u64)>,
 }
 
-impl<'a> HomeFinder<'a> {
-    fn new(groups: impl Iterator<Item = &'a GroupName>) -> Self {
+impl<'a> LedgerHomes<'a> {
+    fn new(copy: &'a CatalogCopy) -> Self {
+        let records = copy.groups();
+        let records: BTreeMap<_, _> = records
+            .map(|record| (&record.placement.group, record))
+            .collect();
+        let groups = records.keys().copied();
+        let digests = groups.map(|group| (group, digest_text(group.as_str())));
         Self {
-            groups: groups
-                .map(|group| (group, digest_text(group.as_str())))
-                .collect(),
+            digests: digests.collect(),
+            records,
         }
     }
 
     fn find(&self, account: &AccountName) -> Option<&'a GroupName> {
         let own = digest_text(account.as_str());
-        let weight = |digest: u64| (own ^ digest).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let groups = self.groups.iter();
-        groups
+        let weight = |digest: u64| (own ^ digest).wrapping_mul(WEIGHT_FACTOR);
+        let digests = self.digests.iter();
+        digests
             .max_by_key(|(group, digest)| (weight(*digest), *group))
             .map(|(group, _)| *group)
     }
+
+    /// Returns the VM that keeps an account's ledger.
+    fn find_keeper(&self, account: &AccountName) -> Option<&'a VmName> {
+        let record = self.records.get(self.find(account)?)?;
+        Some(&record.placement.leaseholder)
+    }
 }
--- a/crates/types/src/account.rs
+++ b/crates/types/src/account.rs
@@ -4,12 +4,14 @@
 use crate::GroupName;
 use crate::MemberId;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error;
 use smallvec::SmallVec;
 use std::fmt;
 
 /// A secret by which a caller shows whose account it works for. It is never logged or dumped.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(transparent)]
 pub struct AccountKey(String);
 
@@ -36,6 +38,27 @@
     }
 }
 
+impl<'de> Deserialize<'de> for AccountKey {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        // The fault itself would quote what was found.
+        let text = String::deserialize(deserializer);
+        text.map(Self)
+            .map_err(|_| D::Error::custom("a key is a text"))
+    }
+}
+
+/// Reads a list of keys.
+///
+/// # Errors
+///
+/// Returns a fault that doesn't quote what was found in place of the list: it may be a key.
+pub fn deserialize_keys<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<AccountKey>, D::Error> {
+    let keys = Vec::deserialize(deserializer);
+    keys.map_err(|_| D::Error::custom("keys are a list of texts"))
+}
+
 /// A client account, as an operator writes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -43,6 +66,7 @@
     /// The account's name, which endpoints are told.
     pub name: AccountName,
     /// The keys of its callers; without any, nobody works for it.
+    #[serde(deserialize_with = "deserialize_keys")]
     pub keys: Vec<AccountKey>,
     /// How much it may ask for; no limit if none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/types/src/document.rs
+++ b/crates/types/src/document.rs
@@ -17,6 +17,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::ops::Deref;
 use std::sync::Arc;
 use uuid::Uuid;
 
@@ -43,13 +44,38 @@
     }
 }
 
+/// A configuration as its operator wrote it, with the keys of its accounts. It is never logged or dumped.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DocumentText(Arc<str>);
+
+impl<T: Into<Arc<str>>> From<T> for DocumentText {
+    fn from(text: T) -> Self {
+        Self(text.into())
+    }
+}
+
+impl Deref for DocumentText {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for DocumentText {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "DocumentText({} bytes)", self.0.len())
+    }
+}
+
 /// A whole configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ContractDocument {
     /// Its version; the highest one is in force.
     pub version: DocumentVersion,
     /// The text as its operator wrote it, which is shown to whoever reads the configuration back.
-    pub source: Arc<str>,
+    pub source: DocumentText,
     /// The contracts; a customer that a document leaves out has none any more.
     pub contracts: Vec<CustomerContract>,
     /// The terms of the groups that contracts may name.
@@ -206,5 +232,5 @@
     /// Its version.
     pub version: DocumentVersion,
     /// The text as its operator wrote it.
-    pub source: Arc<str>,
+    pub source: DocumentText,
 }
