Count no shortage of this VM against its peers

Callers saw healthy primaries replaced and every group stand still: a VM without free descriptors (EMFILE) took each failed connection for the endpoint's refusal, suspected the primary after two of them and ordered a promotion.

Any error of connecting became CloseCause::Refused; the same in the probes of the PostgreSQL side (ProbeOutcome::Refused), in links to other VMs (Unreachable) and in a standby's view of a primary, which spoke against it.

--- a/crates/control/src/detector.rs
+++ b/crates/control/src/detector.rs
@@ -71,6 +71,8 @@
     Refused,
     /// Nothing came back in time.
     Silent,
+    /// The watching VM lacked what a connection takes, so nothing was asked.
+    Untried,
 }
 
 /// A probe that is due.
@@ -206,6 +208,7 @@
                 self.new_answered = Some(now);
                 self.end_doubt();
             }
+            (ProbeView::NewConnection, ProbeOutcome::Untried) => self.note_untried(),
             (ProbeView::NewConnection, outcome) => self.note_failure(now, outcome),
         }
     }
@@ -262,7 +265,7 @@
             return silent_for >= HUNG_SILENCE;
         }
         let refused = doubt.refusals >= REFUSALS_NEEDED;
-        let tried = doubt.last != ProbeOutcome::Answered;
+        let tried = !matches!(doubt.last, ProbeOutcome::Answered | ProbeOutcome::Untried);
         refused || (tried && silent_for >= DEAD_SILENCE)
     }
 
@@ -295,6 +298,12 @@
         self.doubt = None;
     }
 
+    fn note_untried(&mut self) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.last = ProbeOutcome::Untried;
+        }
+    }
+
     fn note_failure(&mut self, now: ClockTime, outcome: ProbeOutcome) {
         self.begin_doubt(now);
         let Some(doubt) = &mut self.doubt else {
@@ -304,7 +313,7 @@
         match outcome {
             ProbeOutcome::Refused => doubt.refusals += 1,
             ProbeOutcome::Accepted => doubt.accepted = true,
-            ProbeOutcome::Silent | ProbeOutcome::Answered => {}
+            ProbeOutcome::Silent | ProbeOutcome::Answered | ProbeOutcome::Untried => {}
         }
         // A process that accepted and then went away refuses; its death needs no more patience.
         if doubt.refusals >= REFUSALS_NEEDED {
--- a/crates/control/tests/state/detector.rs
+++ b/crates/control/tests/state/detector.rs
@@ -159,3 +159,15 @@
         assert_eq!(detector.verdict(woken), PrimaryVerdict::Alive);
     }
 }
+
+case! {
+    /// A VM without descriptors took a primary for dead that it could not ask.
+    primary_that_could_not_be_asked_is_not_suspected {
+        let (_, verdict) = run_until_verdict(&PrimaryBehaviour {
+            open: Some(ProbeOutcome::Untried),
+            new: Some(ProbeOutcome::Untried),
+            standby: None,
+        }, 5_000);
+        assert_eq!(verdict, PrimaryVerdict::Doubtful);
+    }
+}
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -53,7 +53,7 @@
             let call = |client: Arc<WsClient>| async move { client.propose(forwarded).await };
             let answer = match links.call(address, limit, call).await {
                 Ok(answer) => answer,
-                Err(LinkError::Unreachable) => CommandReply::NoLeader,
+                Err(LinkError::Unreachable | LinkError::Exhausted) => CommandReply::NoLeader,
                 Err(LinkError::Lost | LinkError::Rejected(_)) => CommandReply::Unknown,
             };
             let _ = reply.send(answer);
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -538,7 +538,7 @@
                 }
                 _ => HandOver::Replied(reply),
             },
-            Err(LinkError::Unreachable) => HandOver::OutOfReach,
+            Err(LinkError::Unreachable | LinkError::Exhausted) => HandOver::OutOfReach,
             Err(LinkError::Lost | LinkError::Rejected(_)) => HandOver::ReplyLost,
         }
     }
--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -154,7 +154,8 @@
             let outcome = match answer.await {
                 Ok(_) => ProbeOutcome::Answered,
                 Err(LinkError::Unreachable) => ProbeOutcome::Refused,
-                Err(_) => ProbeOutcome::Silent,
+                Err(LinkError::Exhausted) => ProbeOutcome::Untried,
+                Err(LinkError::Lost | LinkError::Rejected(_)) => ProbeOutcome::Silent,
             };
             let report = ProbeReport {
                 instance,
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -467,7 +467,7 @@
 fn read_outcome(reply: Result<FenceReply, LinkError>) -> AgentOutcome {
     match reply {
         Ok(reply) => AgentOutcome::Answered(reply),
-        Err(LinkError::Unreachable) => AgentOutcome::NotSent,
+        Err(LinkError::Unreachable | LinkError::Exhausted) => AgentOutcome::NotSent,
         Err(LinkError::Lost | LinkError::Rejected(_)) => AgentOutcome::Unknown,
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod sessions;
 pub mod settings;
 mod settings_tree;
+pub mod shortage;
 pub mod sockets;
 pub mod standby;
 pub mod statements;
--- a/crates/daemon/src/native/link.rs
+++ b/crates/daemon/src/native/link.rs
@@ -8,6 +8,7 @@
 use crate::edges::EndpointEnd;
 use crate::edges::EndpointMessage;
 use crate::edges::EndpointProtocol;
+use crate::shortage::note_shortage;
 use crate::sockets::tune_stream;
 use bytes::BytesMut;
 use ragwort_types::AccountName;
@@ -115,6 +116,8 @@
     Released,
     /// The endpoint refused it: nobody listens there, or the process is gone.
     Refused,
+    /// This VM lacks what a connection takes; nothing is known of the endpoint.
+    Exhausted,
     /// Another instance answers at the address.
     WrongInstance,
     /// The endpoint takes no more connections.
@@ -252,8 +255,8 @@
 
 async fn open_socket(target: &LinkTarget) -> Result<(LinkSocket, EndpointEnd), CloseCause> {
     let stream = TcpStream::connect(target.address).await;
-    let stream = stream.map_err(|_| CloseCause::Refused)?;
-    tune_stream(&stream, UNACKNOWLEDGED_LIMIT).map_err(|_| CloseCause::Refused)?;
+    let stream = stream.map_err(|error| cause_of_error(&error))?;
+    tune_stream(&stream, UNACKNOWLEDGED_LIMIT).map_err(|error| cause_of_error(&error))?;
     let mut socket = LinkSocket {
         stream,
         protocol: Arc::clone(&target.protocol),
@@ -272,6 +275,13 @@
     }
 }
 
+fn cause_of_error(error: &io::Error) -> CloseCause {
+    match note_shortage(error) {
+        true => CloseCause::Exhausted,
+        false => CloseCause::Refused,
+    }
+}
+
 fn cause_of(fault: &EndpointFault) -> CloseCause {
     match fault.sort {
         ragwort_types::FaultSort::WrongInstance => CloseCause::WrongInstance,
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -186,6 +186,13 @@
     }
 
     fn take_failed_open(&mut self, instance: &InstanceName, cause: CloseCause) {
+        // Its line is written where all shortages of the process are counted.
+        if cause == CloseCause::Exhausted {
+            if let Some(endpoint) = self.pool.endpoint_mut(instance) {
+                endpoint.probing = None;
+            }
+            return;
+        }
         let endpoint = self.pool.endpoint(instance);
         let limit = endpoint.map(|one| self.find_connections(&one.announcement));
         log_event!(
@@ -213,7 +220,7 @@
                     endpoint.full = Some(full);
                 }
             }
-            CloseCause::Released => {}
+            CloseCause::Released | CloseCause::Exhausted => {}
             CloseCause::Refused | CloseCause::Silent | CloseCause::Broken => {
                 if let Some(endpoint) = self.pool.endpoint_mut(instance) {
                     endpoint.failed_opens += 1;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -5,6 +5,7 @@
 
 use crate::connecting::connect_stream;
 use crate::log_event;
+use crate::shortage::note_shortage;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::client::Error as ClientError;
 use jsonrpsee::rpc_params;
@@ -20,6 +21,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -57,6 +59,8 @@
 pub enum LinkError {
     /// No connection could be had: the call has not run.
     Unreachable,
+    /// This VM lacks what a connection takes: the call has not run, and nothing is known of the other side.
+    Exhausted,
     /// The connection was lost or silent after the call was handed to it: the call may have run.
     Lost,
     /// The other side answered with an error.
@@ -66,7 +70,7 @@
 impl LinkError {
     /// Says whether the call may have reached the other side.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self, Self::Unreachable)
+        !matches!(self, Self::Unreachable | Self::Exhausted)
     }
 }
 
@@ -74,6 +78,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable => formatter.write_str("peer unreachable"),
+            Self::Exhausted => {
+                formatter.write_str("no descriptor, memory or port for a connection")
+            }
             Self::Lost => formatter.write_str("link lost during the call"),
             Self::Rejected(text) => write!(formatter, "call rejected: {text}"),
         }
@@ -203,7 +210,7 @@
         let opening = open_greeted(address, expected, self.connect_timeout);
         let client = timeout(self.connect_timeout, opening).await;
         let client = client.map_err(|_| LinkError::Unreachable)?;
-        let client = Arc::new(client.map_err(|_| LinkError::Unreachable)?);
+        let client = Arc::new(client.map_err(|error| error.as_link_error())?);
         *link = Some(OpenLink {
             client: Arc::clone(&client),
             greeted: expected.cloned(),
@@ -281,6 +288,7 @@
 pub async fn probe_accept(address: SocketAddr, limit: Duration) -> Result<(), ProbeOutcome> {
     match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Ok(()),
+        Ok(Err(error)) if note_shortage(&error) => Err(ProbeOutcome::Untried),
         Ok(Err(_)) => Err(ProbeOutcome::Refused),
         Err(_) => Err(ProbeOutcome::Silent),
     }
@@ -298,6 +306,7 @@
     match timeout(limit, open_greeted(address, Some(expected), limit)).await {
         Ok(Ok(_)) => ProbeOutcome::Answered,
         Ok(Err(OpenError::Client(ClientError::RequestTimeout))) | Err(_) => ProbeOutcome::Silent,
+        Ok(Err(OpenError::Exhausted)) => ProbeOutcome::Untried,
         Ok(Err(_)) => ProbeOutcome::Refused,
     }
 }
@@ -305,15 +314,36 @@
 /// Why a link could not be opened.
 #[derive(Debug)]
 enum OpenError {
+    /// This VM lacks what a connection takes.
+    Exhausted,
     /// The connection or the greeting failed.
     Client(ClientError),
     /// This instance answers there in place of the one that is meant.
     OtherInstance(InstanceIdentity),
 }
 
+impl OpenError {
+    fn as_link_error(&self) -> LinkError {
+        match self {
+            Self::Exhausted => LinkError::Exhausted,
+            Self::Client(_) | Self::OtherInstance(_) => LinkError::Unreachable,
+        }
+    }
+}
+
+impl From<io::Error> for OpenError {
+    fn from(error: io::Error) -> Self {
+        match note_shortage(&error) {
+            true => Self::Exhausted,
+            false => Self::Client(ClientError::Transport(error.into())),
+        }
+    }
+}
+
 impl fmt::Display for OpenError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Exhausted => LinkError::Exhausted.fmt(formatter),
             Self::Client(error) => write!(formatter, "{error}"),
             Self::OtherInstance(found) => write!(
                 formatter,
@@ -330,8 +360,7 @@
     expected: Option<&InstanceIdentity>,
     limit: Duration,
 ) -> Result<WsClient, OpenError> {
-    let client = open_client(address, limit).await;
-    let client = client.map_err(OpenError::Client)?;
+    let client = open_client(address, limit).await?;
     let Some(expected) = expected else {
         return Ok(client);
     };
@@ -352,12 +381,10 @@
     Err(error)
 }
 
-async fn open_client(address: SocketAddr, limit: Duration) -> Result<WsClient, ClientError> {
-    let stream = connect_stream(address, limit).await;
-    let stream = stream.map_err(|error| ClientError::Transport(error.into()))?;
-    let prepared = stream.set_nodelay(true);
-    prepared.map_err(|error| ClientError::Transport(error.into()))?;
-    WsClientBuilder::default()
+async fn open_client(address: SocketAddr, limit: Duration) -> Result<WsClient, OpenError> {
+    let stream = connect_stream(address, limit).await?;
+    stream.set_nodelay(true)?;
+    let client = WsClientBuilder::default()
         .connection_timeout(limit)
         .request_timeout(Duration::from_secs(600))
         .max_concurrent_requests(LINK_REQUESTS)
@@ -371,5 +398,6 @@
                 .max_failures(1),
         )
         .build_with_stream(format!("ws://{address}"), stream)
-        .await
+        .await;
+    client.map_err(OpenError::Client)
 }
--- a/crates/daemon/src/proposer.rs
+++ b/crates/daemon/src/proposer.rs
@@ -31,7 +31,8 @@
             };
             let call = |client: Arc<WsClient>| async move { client.propose(request).await };
             match self.links.call(address, self.limit, call).await {
-                Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable) => {}
+                Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable | LinkError::Exhausted) => {
+                }
                 Ok(answer) => return answer,
                 Err(LinkError::Lost | LinkError::Rejected(_)) => return CommandReply::Unknown,
             }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -204,7 +204,8 @@
             };
             let call = |client: Arc<WsClient>| async move { client.propose(request).await };
             match self.links.call(address, OPERATOR_LIMIT, call).await {
-                Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable) => {}
+                Ok(CommandReply::NoLeader) | Err(LinkError::Unreachable | LinkError::Exhausted) => {
+                }
                 Ok(CommandReply::Committed(outcome)) => return CommandReply::Committed(outcome),
                 Ok(CommandReply::Unknown) | Err(LinkError::Lost | LinkError::Rejected(_)) => {
                     worst = CommandReply::Unknown;
@@ -472,7 +473,11 @@
         let answer = self
             .links
             .call_instance(agent_address, &expected, limit, call);
-        Ok(answer.await.is_ok())
+        match answer.await {
+            // A view that wasn't taken would be counted as one more that speaks against the primary.
+            Err(LinkError::Exhausted) => Err(unavailable(&LinkError::Exhausted.to_string())),
+            reply => Ok(reply.is_ok()),
+        }
     }
 
     async fn ping(&self) -> RpcResult<()> {
