Hold connections to endpoints within a budget of descriptors

Each group kept eight connections for each endpoint, one spare and four more, whatever the VM held for other groups: 13 for each of 204 endpoints where five VMs lead 339 groups, and 17 where one of them is lost.

A process holds at most half of its descriptors as connections to endpoints, counted over all groups (DescriptorBudget, ConnectionAllowance): 512 are kept open whatever the load, spread over the endpoints; beyond three quarters nothing is opened ahead and what isn't used is closed; at the limit only what frees up serves. Where a VM has up to 64 endpoints nothing changes. Descriptors by use are metrics and part of the dump; crossing the mark is a log line (endpoint_connections_scarce).

--- /dev/null
+++ b/crates/daemon/src/descriptors.rs
@@ -0,0 +1,155 @@
+//! Counts what holds the process's descriptors, and says how many connections to endpoints it may hold.
+
+use crate::log_event;
+use crate::metrics::DaemonMetrics;
+use log::Level;
+use prometheus_client::metrics::gauge::Gauge;
+use ragwort_policy::ConnectionAllowance;
+use rustix::process::Resource;
+use rustix::process::getrlimit;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+/// The part of the descriptors that connections to endpoints may take: as many are left to other VMs,
+/// gateways, endpoints that announce themselves, callers and the agreed log.
+const ENDPOINT_DIVISOR: u32 = 2;
+
+/// What a descriptor is held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DescriptorUse {
+    /// A connection to an endpoint, open or opening.
+    Endpoints,
+    /// A gateway's link that brings statements.
+    StatementLinks,
+    /// A link to another VM or to an agent.
+    Peers,
+    /// A caller's connection.
+    Callers,
+}
+
+impl DescriptorUse {
+    /// All uses.
+    pub const ALL: [Self; 4] = [
+        Self::Endpoints,
+        Self::StatementLinks,
+        Self::Peers,
+        Self::Callers,
+    ];
+
+    /// Returns the name in metrics and dumps.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Endpoints => "endpoints",
+            Self::StatementLinks => "statement_links",
+            Self::Peers => "peers",
+            Self::Callers => "callers",
+        }
+    }
+}
+
+/// The descriptors of one process; clones share the same counts.
+#[derive(Clone, Debug)]
+pub struct DescriptorBudget(Arc<BudgetState>);
+
+#[derive(Debug)]
+struct BudgetState {
+    limit: u32,
+    held: [Gauge; DescriptorUse::ALL.len()],
+    endpoints: Gauge,
+    scarce: AtomicBool,
+}
+
+impl DescriptorBudget {
+    /// Creates a budget of `limit` descriptors whose counts are shown by `metrics`.
+    pub fn new(limit: u32, metrics: &DaemonMetrics) -> Self {
+        metrics.set_descriptor_limit(limit);
+        Self(Arc::new(BudgetState {
+            limit,
+            held: DescriptorUse::ALL.map(|purpose| metrics.descriptor_gauge(purpose)),
+            endpoints: Gauge::default(),
+            scarce: AtomicBool::new(false),
+        }))
+    }
+
+    /// Counts a descriptor until the returned hold is dropped.
+    pub fn hold(&self, purpose: DescriptorUse) -> DescriptorHold {
+        let gauge = self.0.held[purpose as usize].clone();
+        gauge.inc();
+        DescriptorHold(gauge)
+    }
+
+    /// Counts an endpoint to which connections may be opened until the returned hold is dropped.
+    pub fn serve_endpoint(&self) -> DescriptorHold {
+        let gauge = self.0.endpoints.clone();
+        gauge.inc();
+        DescriptorHold(gauge)
+    }
+
+    /// Returns how many descriptors are held for a use.
+    pub fn count(&self, purpose: DescriptorUse) -> u32 {
+        read_gauge(&self.0.held[purpose as usize])
+    }
+
+    /// Returns what the process may hold as connections to endpoints.
+    pub fn allowance(&self) -> ConnectionAllowance {
+        let allowance = ConnectionAllowance {
+            most: self.0.limit / ENDPOINT_DIVISOR,
+            held: self.count(DescriptorUse::Endpoints),
+            endpoints: read_gauge(&self.0.endpoints),
+        };
+        self.note_scarcity(&allowance);
+        allowance
+    }
+
+    /// Describes the counts for dumps.
+    pub fn describe(&self) -> serde_json::Value {
+        let held = DescriptorUse::ALL.map(|purpose| {
+            let count = self.count(purpose);
+            (purpose.as_str().to_owned(), serde_json::json!(count))
+        });
+        serde_json::json!({
+            "limit": self.0.limit,
+            "held": held.into_iter().collect::<serde_json::Map<_, _>>(),
+            "endpoints": read_gauge(&self.0.endpoints),
+        })
+    }
+
+    fn note_scarcity(&self, allowance: &ConnectionAllowance) {
+        let scarce = allowance.is_scarce();
+        if self.0.scarce.swap(scarce, Ordering::Relaxed) == scarce {
+            return;
+        }
+        log_event!(
+            Level::Warn,
+            "endpoint_connections_scarce",
+            scarce = scarce,
+            held = allowance.held,
+            most = allowance.most,
+            endpoints = allowance.endpoints,
+            statement_links = self.count(DescriptorUse::StatementLinks),
+            peers = self.count(DescriptorUse::Peers),
+            callers = self.count(DescriptorUse::Callers),
+        );
+    }
+}
+
+/// Counts one until it is dropped.
+#[derive(Debug)]
+pub struct DescriptorHold(Gauge);
+
+impl Drop for DescriptorHold {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// Returns the process's own limit of descriptors.
+pub fn find_descriptor_limit() -> u32 {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(u32::MAX, |limit| u32::try_from(limit).unwrap_or(u32::MAX))
+}
+
+fn read_gauge(gauge: &Gauge) -> u32 {
+    u32::try_from(gauge.get()).unwrap_or(0)
+}
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::NodeClock;
 use crate::control::ControlEvent;
+use crate::descriptors::DescriptorBudget;
 use crate::leaseholders::LeaseholderEvent;
 use crate::member::MemberView;
 use crate::platform::DumpRequest;
@@ -23,6 +24,7 @@
     pub(crate) control: Option<mpsc::Sender<ControlEvent>>,
     pub(crate) leaseholders: mpsc::Sender<LeaseholderEvent>,
     pub(crate) standby: mpsc::Sender<StandbyEvent>,
+    pub(crate) descriptors: DescriptorBudget,
 }
 
 impl NodeDump {
@@ -53,6 +55,7 @@
             "control": control,
             "leaseholder": ask(&self.leaseholders, LeaseholderEvent::Dump).await,
             "standby": ask(&self.standby, StandbyEvent::Dump).await,
+            "descriptors": self.descriptors.describe(),
             "broken_invariants": ragwort_control::broken_invariants(),
         })
     }
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -28,6 +28,8 @@
     /// Does what the scheduler decides.
     pub(super) fn follow_scheduler(&mut self) {
         let now = self.context.clock.now();
+        let allowance = self.context.descriptors.allowance();
+        self.scheduler.set_allowance(allowance);
         for decision in self.scheduler.poll(now) {
             match decision {
                 SchedulerDecision::Dispatch(order) if self.is_shape(order.ticket) => {
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::clock::NodeClock;
 use crate::connection::ConnectionEvent;
+use crate::descriptors::DescriptorBudget;
 use crate::directory::ControlDirectory;
 use crate::log_event;
 use crate::member::MemberView;
@@ -109,6 +110,8 @@
     pub standby: mpsc::Sender<StandbyEvent>,
     /// The metrics.
     pub metrics: DaemonMetrics,
+    /// What the process may hold as connections to endpoints.
+    pub descriptors: DescriptorBudget,
 }
 
 impl GroupContext {
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -8,6 +8,8 @@
 use crate::connection::ConnectionOrder;
 use crate::connection::ConnectionTarget;
 use crate::connection::spawn_connection;
+use crate::descriptors::DescriptorHold;
+use crate::descriptors::DescriptorUse;
 use jsonrpsee_ws_client::WsClient;
 use ragwort_control::ClockTime;
 use ragwort_policy::RequestTicket;
@@ -45,6 +47,7 @@
     /// When it said so.
     pub heard: ClockTime,
     watcher: AbortHandle,
+    _hold: DescriptorHold,
 }
 
 /// A connection in the pool.
@@ -144,6 +147,7 @@
             announcement,
             heard,
             watcher,
+            _hold: self.context.descriptors.serve_endpoint(),
         };
         self.endpoints.insert(instance, entry);
         true
@@ -202,9 +206,12 @@
             idle_ping: Duration::from_millis(timing.idle_ping_ms),
             ping_timeout: Duration::from_millis(timing.probe_timeout_ms) * PING_PROBES,
         };
+        let hold = self.context.descriptors.hold(DescriptorUse::Endpoints);
         let (orders, task) = spawn_connection(target, self.events.clone());
         self.children.spawn(async move {
+            // A task that panicked has logged that itself.
             let _ = task.await;
+            drop(hold);
         });
         let connection = PoolConnection {
             instance: instance.clone(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod connecting;
 pub mod connection;
 pub mod control;
+pub mod descriptors;
 mod detours;
 pub mod directory;
 pub mod disk;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,6 +3,8 @@
 //! No label holds a customer, session or endpoint: at the size to come, such labels would cost more
 //! memory on each VM than the daemon itself.
 
+use crate::descriptors::DescriptorUse;
+use crate::shortage::count_shortages;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -50,6 +52,11 @@
     fault: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PurposeLabels {
+    purpose: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PointLabels {
     point: String,
@@ -82,6 +89,9 @@
     group_term: Family<GroupLabels, Gauge>,
     catalog_revision: Gauge,
     invariant_failures: Family<PointLabels, Counter>,
+    descriptors: Family<PurposeLabels, Gauge>,
+    descriptor_limit: Gauge,
+    shortages: Counter,
 }
 
 impl Default for DaemonMetrics {
@@ -109,6 +119,9 @@
             group_term: Family::default(),
             catalog_revision: Gauge::default(),
             invariant_failures: Family::default(),
+            descriptors: Family::default(),
+            descriptor_limit: Gauge::default(),
+            shortages: Counter::default(),
         };
         metrics.registry = Arc::new(metrics.register_all());
         metrics
@@ -173,6 +186,21 @@
             "Failed checks of what must always hold",
             self.invariant_failures.clone(),
         );
+        registry.register(
+            "descriptors",
+            "Descriptors held, by what they are held for",
+            self.descriptors.clone(),
+        );
+        registry.register(
+            "descriptor_limit",
+            "Descriptors that this process may hold",
+            self.descriptor_limit.clone(),
+        );
+        registry.register(
+            "resource_shortages",
+            "Connections that failed for want of this VM's own resources",
+            self.shortages.clone(),
+        );
         registry
     }
 
@@ -265,6 +293,22 @@
         self.catalog_revision.set(revision.0 as i64);
     }
 
+    /// Returns the gauge of the descriptors that are held for a use.
+    pub(crate) fn descriptor_gauge(&self, purpose: DescriptorUse) -> Gauge {
+        if purpose == DescriptorUse::Callers {
+            return self.caller_connections.clone();
+        }
+        let labels = PurposeLabels {
+            purpose: purpose.as_str(),
+        };
+        self.descriptors.get_or_create(&labels).clone()
+    }
+
+    /// Sets how many descriptors this process may hold.
+    pub(crate) fn set_descriptor_limit(&self, limit: u32) {
+        self.descriptor_limit.set(i64::from(limit));
+    }
+
     /// Counts a failed check of what must always hold.
     pub fn count_invariant_failure(&self, point: &str) {
         let labels = PointLabels {
@@ -275,6 +319,9 @@
 
     /// Returns all metrics in the OpenMetrics text format.
     pub fn to_text(&self) -> String {
+        let seen = self.shortages.get();
+        self.shortages
+            .inc_by(count_shortages().saturating_sub(seen));
         let mut text = String::new();
         let encoded = encode(&mut text, &self.registry);
         debug_assert!(encoded.is_ok(), "writing to a string can't fail");
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -44,6 +44,8 @@
     pub(super) fn follow_scheduler(&mut self) {
         let now = self.now();
         self.show_idle_accounts();
+        let allowance = self.context.descriptors.allowance();
+        self.scheduler.set_allowance(allowance);
         for decision in self.scheduler.poll(now) {
             match decision {
                 SchedulerDecision::Dispatch(order) => self.start(&order),
@@ -154,7 +156,11 @@
             .full
             .filter(|full| now.since(full.since) < FULL_MEMORY);
         let room = full.map_or(connections, |full| full.held);
-        let choice = choose_on_miss(&self.pool.list_held(instance), connections, room)?;
+        let held = self.pool.list_held(instance);
+        let own = u32::try_from(held.len()).unwrap_or(u32::MAX);
+        let left = self.context.descriptors.allowance().room();
+        let room = room.min(own.saturating_add(left));
+        let choice = choose_on_miss(&held, connections, room)?;
         match choice {
             MissChoice::Replace(id) => {
                 self.pool.remove_connection(LinkId(id));
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -144,7 +144,13 @@
     let protocol = Arc::clone(&edges.endpoints);
     let reached = record.term;
     let task = NativeTask {
-        pool: NativePool::new(group.clone(), protocol, open_limit, link_events),
+        pool: NativePool::new(
+            group.clone(),
+            protocol,
+            open_limit,
+            context.descriptors.clone(),
+            link_events,
+        ),
         headless_since: Some(context.clock.now()),
         taken: context.clock.now(),
         context,
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -5,6 +5,9 @@
 use super::link::LinkOrder;
 use super::link::LinkTarget;
 use super::link::spawn_link;
+use crate::descriptors::DescriptorBudget;
+use crate::descriptors::DescriptorHold;
+use crate::descriptors::DescriptorUse;
 use crate::edges::EndpointProtocol;
 use ragwort_control::ClockTime;
 use ragwort_control::digest_text;
@@ -39,6 +42,7 @@
     pub(super) probing: Option<ClockTime>,
     /// When it last refused a connection since it had too many, and how many of ours were open then.
     pub(super) full: Option<FullEndpoint>,
+    _hold: DescriptorHold,
 }
 
 /// An endpoint that took no further connection.
@@ -137,6 +141,7 @@
     group: GroupName,
     protocol: Arc<dyn EndpointProtocol>,
     open_limit: Duration,
+    descriptors: DescriptorBudget,
     events: mpsc::Sender<LinkEvent>,
     endpoints: BTreeMap<InstanceName, NativeEndpoint>,
     connections: BTreeMap<LinkId, NativeConnection>,
@@ -149,12 +154,14 @@
         group: GroupName,
         protocol: Arc<dyn EndpointProtocol>,
         open_limit: Duration,
+        descriptors: DescriptorBudget,
         events: mpsc::Sender<LinkEvent>,
     ) -> Self {
         Self {
             group,
             protocol,
             open_limit,
+            descriptors,
             events,
             endpoints: BTreeMap::new(),
             connections: BTreeMap::new(),
@@ -194,6 +201,7 @@
                     failed_opens: 0,
                     probing: None,
                     full: None,
+                    _hold: self.descriptors.serve_endpoint(),
                 };
                 self.endpoints.insert(instance, endpoint);
             }
@@ -247,10 +255,12 @@
             open_limit: self.open_limit,
             protocol: Arc::clone(&self.protocol),
         };
+        let hold = self.descriptors.hold(DescriptorUse::Endpoints);
         let (orders, task) = spawn_link(target, self.events.clone());
         self.children.spawn(async move {
             // A task that panicked has logged that itself.
             let _ = task.await;
+            drop(hold);
         });
         let connection = NativeConnection {
             instance: instance.clone(),
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -89,7 +89,8 @@
             .pool
             .connection(id)
             .map_or(Duration::ZERO, |one| self.now().since(one.last_statement));
-        let kept = self.by_account && unused < ACCOUNT_MEMORY;
+        let scarce = self.context.descriptors.allowance().is_scarce();
+        let kept = self.by_account && unused < ACCOUNT_MEMORY && !scarce;
         if surplus && !kept {
             self.take_closed(id, CloseCause::Released);
         } else if self.order_proof(id) {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,6 +6,8 @@
 use crate::control::ControlEvent;
 use crate::control::ControlFault;
 use crate::control::ControlTask;
+use crate::descriptors::DescriptorBudget;
+use crate::descriptors::find_descriptor_limit;
 use crate::directory::ControlDirectory;
 use crate::dump::NodeDump;
 use crate::dump::answer_dumps;
@@ -126,6 +128,7 @@
     settings: Arc<DaemonSettings>,
     clock: NodeClock,
     metrics: DaemonMetrics,
+    descriptors: DescriptorBudget,
     links: PeerLinks,
     statement_links: Arc<StatementLinks>,
     id: MemberId,
@@ -191,10 +194,13 @@
     });
     let clock = NodeClock::start();
     let connect_timeout = Duration::from_millis(settings.timing.connect_timeout_ms);
+    let metrics = DaemonMetrics::new();
+    let descriptors = create_budget(&settings, &metrics);
     let base = NodeBase {
         clock,
-        metrics: DaemonMetrics::new(),
-        links: PeerLinks::new(connect_timeout),
+        links: PeerLinks::new(connect_timeout).counted_by(descriptors.clone()),
+        descriptors,
+        metrics,
         statement_links: StatementLinks::new(clock, connect_timeout),
         id: create_member_id(&settings),
         switches: StopSwitches::new(),
@@ -258,6 +264,7 @@
             control: control_sender.clone(),
             leaseholders: leaseholders.clone(),
             standby: standby.clone(),
+            descriptors: base.descriptors.clone(),
         };
         let limits = start_limits(base, &mut helpers);
         let routes = ServerRoutes {
@@ -280,7 +287,8 @@
         if let Some(listener) = listeners.statements {
             let runner = Arc::new(routes.clone());
             let stop = base.switches.rest.subscribe();
-            helpers.spawn(serve_statements(listener, runner, stop));
+            let descriptors = base.descriptors.clone();
+            helpers.spawn(serve_statements(listener, runner, descriptors, stop));
         }
         let server = start_server(routes).await;
         let server = server.map_err(|error| NodeFault::Listen("other VMs", error))?;
@@ -344,6 +352,14 @@
     }
 }
 
+fn create_budget(settings: &DaemonSettings, metrics: &DaemonMetrics) -> DescriptorBudget {
+    let limit = match settings.limits.descriptors {
+        0 => find_descriptor_limit(),
+        limit => u32::try_from(limit).unwrap_or(u32::MAX),
+    };
+    DescriptorBudget::new(limit, metrics)
+}
+
 /// Goes on taking callers until the platform's balancer has seen that the VM isn't ready any more.
 ///
 /// The balancer sends new callers here until then. They would find nobody listening, and where this
@@ -406,6 +422,7 @@
         directory: base.directory.clone(),
         standby,
         metrics: base.metrics.clone(),
+        descriptors: base.descriptors.clone(),
     });
     let edges = base.edges.clone();
     let manager = LeaseholderManager::new(context, edges, base.view.clone(), unplaced);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,6 +4,9 @@
 //! fails later may have, and [`LinkError`] says which.
 
 use crate::connecting::connect_stream;
+use crate::descriptors::DescriptorBudget;
+use crate::descriptors::DescriptorHold;
+use crate::descriptors::DescriptorUse;
 use crate::log_event;
 use crate::shortage::note_shortage;
 use jsonrpsee::core::client::ClientT;
@@ -92,6 +95,7 @@
 pub struct PeerLinks {
     slots: Arc<Mutex<HashMap<SocketAddr, Arc<LinkSlot>>>>,
     connect_timeout: Duration,
+    descriptors: Option<DescriptorBudget>,
 }
 
 #[derive(Default)]
@@ -104,6 +108,7 @@
     client: Arc<WsClient>,
     /// The instance whose agent has answered the greeting.
     greeted: Option<InstanceIdentity>,
+    _hold: Option<DescriptorHold>,
 }
 
 impl PeerLinks {
@@ -112,6 +117,15 @@
         Self {
             slots: Arc::default(),
             connect_timeout,
+            descriptors: None,
+        }
+    }
+
+    /// Counts the links among the descriptors of the process.
+    pub fn counted_by(self, descriptors: DescriptorBudget) -> Self {
+        Self {
+            descriptors: Some(descriptors),
+            ..self
         }
     }
 
@@ -211,9 +225,11 @@
         let client = timeout(self.connect_timeout, opening).await;
         let client = client.map_err(|_| LinkError::Unreachable)?;
         let client = Arc::new(client.map_err(|error| error.as_link_error())?);
+        let descriptors = self.descriptors.as_ref();
         *link = Some(OpenLink {
             client: Arc::clone(&client),
             greeted: expected.cloned(),
+            _hold: descriptors.map(|held| held.hold(DescriptorUse::Peers)),
         });
         Ok(client)
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -184,6 +184,8 @@
     pub account_slack: u64,
     /// The same as a part of what the limit allows, in thousandths.
     pub account_overshoot: u64,
+    /// The descriptors that the process may hold; zero for the limit that the system sets it.
+    pub descriptors: u64,
 }
 
 impl Default for LimitSettings {
@@ -195,6 +197,7 @@
             statement_ms: 10_000,
             account_slack: 0,
             account_overshoot: 0,
+            descriptors: 0,
         }
     }
 }
@@ -550,6 +553,7 @@
         statement_ms: section.take_number("statement_ms", default.statement_ms, 1..=HOUR_MS),
         account_slack: section.take_number("account_slack", default.account_slack, 0..=1_000_000),
         account_overshoot: take_per_mille(&mut section, "account_overshoot"),
+        descriptors: section.take_number("descriptors", default.descriptors, 0..=1_000_000_000),
     };
     faults.extend(section.finish());
     limits
--- a/crates/daemon/src/statements/server.rs
+++ b/crates/daemon/src/statements/server.rs
@@ -3,6 +3,8 @@
 use super::FRAMES_AT_ONCE;
 use super::MOST_UNSENT;
 use super::READ_BYTES;
+use crate::descriptors::DescriptorBudget;
+use crate::descriptors::DescriptorUse;
 use crate::log_event;
 use crate::sockets::tune_stream;
 use async_trait::async_trait;
@@ -54,6 +56,7 @@
 pub async fn serve_statements(
     listener: TcpListener,
     runner: Arc<dyn StatementRunner>,
+    descriptors: DescriptorBudget,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
@@ -62,8 +65,12 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let runner = Arc::clone(&runner);
-                    connections.spawn(serve_link(stream, runner, link_stop.clone()));
+                    let hold = descriptors.hold(DescriptorUse::StatementLinks);
+                    let serving = serve_link(stream, Arc::clone(&runner), link_stop.clone());
+                    connections.spawn(async move {
+                        serving.await;
+                        drop(hold);
+                    });
                 }
                 Err(error) => {
                     log_event!(Level::Warn, "statement_link_not_accepted", cause = error);
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -57,6 +57,8 @@
 use ragwort_types::VersionedContract;
 use ragwort_types::VmIncarnation;
 use ragwortgated::clock::NodeClock;
+use ragwortgated::descriptors::DescriptorBudget;
+use ragwortgated::descriptors::DescriptorUse;
 use ragwortgated::directory::ControlDirectory;
 use ragwortgated::edges::CallerAnswer;
 use ragwortgated::edges::CallerMessage;
@@ -234,6 +236,7 @@
     pub endpoints: Vec<ScriptedEndpoint>,
     pub promotions: Arc<ScriptedPromotions>,
     pub view: watch::Sender<MemberView>,
+    descriptors: DescriptorBudget,
     notes: NotesSeen,
     inbox: mpsc::Sender<GroupEvent>,
     sequence: u64,
@@ -249,17 +252,25 @@
 impl NativeBench {
     /// Starts with a primary and two replicas whose logs have these lengths; none is announced yet.
     pub async fn start(lengths: [u64; 3]) -> Self {
-        Self::start_after(lengths, |_| create_record()).await
+        Self::start_after(lengths, u32::MAX, |_| create_record()).await
+    }
+
+    /// The same, in a process that may hold so many descriptors.
+    pub async fn start_with_descriptors(lengths: [u64; 3], limit: u32) -> Self {
+        Self::start_after(lengths, limit, |_| create_record()).await
     }
 
     /// Starts with a primary and two replicas that a former leaseholder has noted.
     pub async fn start_with_notes(lengths: [u64; 3], term: u64) -> Self {
-        Self::start_after(lengths, |endpoints| note_endpoints(endpoints, term)).await
+        Self::start_after(lengths, u32::MAX, |endpoints| {
+            note_endpoints(endpoints, term)
+        })
+        .await
     }
 
     /// The same, with a primary that died together with the leaseholder that noted it.
     pub async fn start_with_dead_primary(lengths: [u64; 3]) -> Self {
-        Self::start_after(lengths, |endpoints| {
+        Self::start_after(lengths, u32::MAX, |endpoints| {
             let mut record = note_endpoints(endpoints, 1);
             // Nobody listens there.
             record.endpoints[0].data_address = "127.0.0.1:1".parse().unwrap();
@@ -271,6 +282,7 @@
 
     async fn start_after(
         lengths: [u64; 3],
+        limit: u32,
         create: impl FnOnce(&[ScriptedEndpoint]) -> GroupRecord,
     ) -> Self {
         let mut endpoints = Vec::new();
@@ -288,6 +300,8 @@
         let record = create(&endpoints);
         let (view, _) = watch::channel(create_view(&record));
         let (_, seeds) = watch::channel(Vec::new());
+        let metrics = DaemonMetrics::new();
+        let descriptors = DescriptorBudget::new(limit, &metrics);
         let (standby, standby_task) = spawn_standby("vm-1".into(), view.subscribe());
         let context = Arc::new(GroupContext {
             directory: ControlDirectory::new(Arc::clone(&settings), seeds, view.subscribe()),
@@ -295,7 +309,8 @@
             clock: NodeClock::start(),
             links: PeerLinks::new(Duration::from_secs(5)),
             standby,
-            metrics: DaemonMetrics::new(),
+            descriptors: descriptors.clone(),
+            metrics,
         });
         let promotions = Arc::new(ScriptedPromotions::default());
         let edges = NativeEdges {
@@ -310,6 +325,7 @@
             endpoints,
             promotions,
             view,
+            descriptors,
             notes,
             inbox,
             sequence: 0,
@@ -528,6 +544,11 @@
         self.view.send_replace(create_view(&record));
     }
 
+    /// Counts the connections to endpoints, open or opening.
+    pub fn count_connections(&self) -> u32 {
+        self.descriptors.count(DescriptorUse::Endpoints)
+    }
+
     /// Counts the notes that differ from the one before.
     pub fn count_notes(&self) -> usize {
         let mut notes = self.notes.lock().unwrap().clone();
--- a/crates/daemon/tests/native/connections.rs
+++ b/crates/daemon/tests/native/connections.rs
@@ -13,6 +13,8 @@
 use ragwort_types::StatementReply;
 use ragwort_types::TransactionId;
 use ragwort_types::TransactionStep;
+use std::time::Duration;
+use tokio::time::sleep;
 
 failure_cases! {
     /// Statements of other sessions come between the two of a transaction. On another connection
@@ -28,6 +30,9 @@
     /// of a leaseholder that is lost. Each statement gets a connection in place of an idle one; refused for
     /// want of room, most accounts would get none until the endpoint forgets the lost ones.
     full_endpoint_serves_more_accounts_than_connections => full_case();
+    /// Transactions of a burst took more connections than the VM may hold, so that it had no descriptor left
+    /// for its agreed log and for other VMs.
+    burst_of_transactions_stays_within_the_descriptors => descriptors_case();
     /// A contract takes callers with a key only. One without an account is refused, and so is one whose
     /// gateway had no lease and vouches for a key that isn't its account's any more.
     caller_without_a_key_in_force_is_refused => key_case();
@@ -122,6 +127,23 @@
     }
 }
 
+async fn descriptors_case() {
+    const ENDPOINT_CONNECTIONS: u32 = 10;
+    let mut bench = NativeBench::start_with_descriptors([5, 5, 5], ENDPOINT_CONNECTIONS * 2).await;
+    bench.settle().await;
+    for _ in 0..20 {
+        let begin = TransactionStep::Begin(TransactionId::fresh());
+        let _ = bench
+            .send(Ask::new(WRITE, "write record").step(begin))
+            .await;
+    }
+    for _ in 0..100 {
+        let held = bench.count_connections();
+        assert!(held <= ENDPOINT_CONNECTIONS, "{held}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 async fn key_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -44,6 +44,7 @@
 use ragwort_types::VersionedContract;
 use ragwort_types::VmIncarnation;
 use ragwortgated::clock::NodeClock;
+use ragwortgated::descriptors::DescriptorBudget;
 use ragwortgated::directory::ControlDirectory;
 use ragwortgated::gateway::GatewayLinks;
 use ragwortgated::group::GroupContext;
@@ -350,6 +351,7 @@
             clock,
             links: links.clone(),
             standby: own,
+            descriptors: DescriptorBudget::new(u32::MAX, &DaemonMetrics::new()),
             metrics: DaemonMetrics::new(),
         };
         let context = Arc::new(context);
--- a/crates/daemon/tests/pieces/statements.rs
+++ b/crates/daemon/tests/pieces/statements.rs
@@ -19,9 +19,11 @@
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
 use ragwortgated::clock::NodeClock;
+use ragwortgated::descriptors::DescriptorBudget;
 use ragwortgated::gateway::Gateway;
 use ragwortgated::gateway::GatewayLinks;
 use ragwortgated::member::MemberView;
+use ragwortgated::metrics::DaemonMetrics;
 use ragwortgated::peers::LinkError;
 use ragwortgated::peers::PeerLinks;
 use ragwortgated::statements::links::CallSort;
@@ -161,7 +163,12 @@
         let address = listener.local_addr().unwrap();
         let runner = Arc::new(LengthRunner::default());
         let (stop, stopping) = watch::channel(false);
-        let serving = serve_statements(listener, Arc::clone(&runner) as _, stopping);
+        let serving = serve_statements(
+            listener,
+            Arc::clone(&runner) as _,
+            DescriptorBudget::new(u32::MAX, &DaemonMetrics::new()),
+            stopping,
+        );
         Self {
             address,
             runner,
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -11,12 +11,16 @@
 //! slots, until the endpoint's 16 are used up and none is left for a successor. With a connection for
 //! each of many slots, a VM that leads some groups holds thousands that nobody uses: each takes memory
 //! and is asked again and again whether it still answers, until descriptors, processor or memory of
-//! the VM are used up by them.
+//! the VM are used up by them. The same comes of some connections for each of hundreds of endpoints,
+//! if each endpoint is looked at alone: VMs fail, and those that are left lead the groups of all.
 //!
 //! # Grounds for its figures
 //!
-//! Statements outside of transactions never need more connections than slots, or twice as many where
-//! statements are sent ahead. Up to [`FEWEST_CONNECTIONS`] of these are kept open always; beyond them,
+//! A VM may hold a part of its descriptors as connections to all endpoints together
+//! ([`ConnectionAllowance`]), and keeps [`KEPT_IN_ALL`] of them open whatever the load, spread over the
+//! endpoints. Statements outside of transactions never need more connections than slots, or twice as many where
+//! statements are sent ahead. Up to [`FEWEST_CONNECTIONS`] of these are kept open always, fewer
+//! where the VM has many endpoints; beyond them,
 //! twice as many as were sent at once lately, so that a load that doubles finds them open, and one for
 //! each request that waits. Each open transaction holds one more. One is
 //! kept open beyond that, and one for each transaction that waits to be opened. Three connections
@@ -40,6 +44,13 @@
 /// endpoint has as many slots.
 const FEWEST_CONNECTIONS: u32 = 8;
 
+/// Connections that a VM keeps open whatever the load, to all its endpoints together.
+const KEPT_IN_ALL: u32 = 512;
+
+/// The part of a VM's connections beyond which none is opened ahead, and those that nothing uses at
+/// present are closed.
+const AHEAD_PART: (u32, u32) = (3, 4);
+
 /// How long a peak of the load keeps its connections open at least. It is kept twice as long at most.
 const PEAK_MEMORY: Duration = Duration::from_secs(5);
 
@@ -49,6 +60,51 @@
 /// No connection is opened for this long after one failed to open.
 pub(crate) const FAILED_OPEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// How many connections a VM may hold to the endpoints of all groups that it leads, and what it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionAllowance {
+    /// The most that it may hold.
+    pub most: u32,
+    /// What it holds, open or opening.
+    pub held: u32,
+    /// The endpoints that it holds them to.
+    pub endpoints: u32,
+}
+
+impl Default for ConnectionAllowance {
+    /// An allowance that binds nowhere.
+    fn default() -> Self {
+        Self {
+            most: u32::MAX,
+            held: 0,
+            endpoints: 0,
+        }
+    }
+}
+
+impl ConnectionAllowance {
+    /// Returns how many more may be opened for requests that wait for one.
+    pub fn room(&self) -> u32 {
+        self.most.saturating_sub(self.held)
+    }
+
+    /// Returns how many more may be opened ahead of need.
+    pub fn room_ahead(&self) -> u32 {
+        let (part, whole) = AHEAD_PART;
+        (self.most / whole * part).saturating_sub(self.held)
+    }
+
+    /// Says whether connections that nothing uses at present are to be closed.
+    pub fn is_scarce(&self) -> bool {
+        self.room_ahead() == 0
+    }
+
+    /// Returns how many are kept open to each endpoint whatever the load.
+    fn kept_for_each(&self) -> u32 {
+        (KEPT_IN_ALL / self.endpoints.max(1)).clamp(1, FEWEST_CONNECTIONS)
+    }
+}
+
 /// The most of something in the last seconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RecentPeak {
@@ -114,6 +170,7 @@
     record: &EndpointRecord,
     now: ClockTime,
     need: ConnectionNeed,
+    allowance: &ConnectionAllowance,
     ahead: bool,
 ) -> u32 {
     if !record.takes_fresh_work() || now < record.connect_after {
@@ -121,13 +178,17 @@
     }
     let budget = connection_budget(record.state.connections);
     let held = record.open + record.opening;
+    let room = match need.waiting > 0 || record.open == 0 {
+        true => allowance.room(),
+        false => allowance.room_ahead(),
+    };
     if !ahead {
         let wanted = need
             .waiting
             .saturating_sub(record.idle_connections() + record.opening);
-        return wanted.min(budget.saturating_sub(held));
+        return wanted.min(budget.saturating_sub(held)).min(room);
     }
-    let singles = connections_for_singles(record, need);
+    let singles = connections_for_singles(record, need, allowance);
     // Connections in doubt are replaced ahead, but count towards the budget until they are closed.
     let openers = match record.is_shared_by_accounts() {
         true => 0,
@@ -136,30 +197,46 @@
     let wanted = record.pinned() + singles + SPARE_CONNECTIONS + openers + record.doubted;
     let missing = wanted.min(budget).saturating_sub(held);
     let at_once = OPENING_LIMIT.max(record.state.slots / OPENING_DIVISOR);
-    missing.min(at_once.saturating_sub(record.opening))
+    let at_once = at_once.saturating_sub(record.opening);
+    missing.min(at_once).min(room)
 }
 
 /// Returns how many of an endpoint's connections no load of the last seconds has needed.
 ///
 /// Left open, the connections of each peak would stay for good, with their memory and the questions
 /// whether they still answer.
-pub(crate) fn surplus_connections(record: &EndpointRecord, need: ConnectionNeed) -> u32 {
-    let singles = connections_for_singles(record, need);
+pub(crate) fn surplus_connections(
+    record: &EndpointRecord,
+    need: ConnectionNeed,
+    allowance: &ConnectionAllowance,
+) -> u32 {
+    let singles = connections_for_singles(record, need, allowance);
+    if allowance.is_scarce() {
+        let used = record.pinned() + singles;
+        return record.open.saturating_sub(used.max(1));
+    }
     let wanted = record.pin_peak.most() + singles + SPARE_CONNECTIONS + need.openers;
     let left = match record.is_shared_by_accounts() {
         true => 0,
-        false => SURPLUS_LEFT,
+        false => SURPLUS_LEFT.min(allowance.kept_for_each() / 2),
     };
     record.open.saturating_sub(wanted + left)
 }
 
-fn connections_for_singles(record: &EndpointRecord, need: ConnectionNeed) -> u32 {
+fn connections_for_singles(
+    record: &EndpointRecord,
+    need: ConnectionNeed,
+    allowance: &ConnectionAllowance,
+) -> u32 {
     // Opened ahead for one account, a connection is of no use to the next one that calls: each statement
     // opens what it lacks.
     if record.is_shared_by_accounts() {
         return record.singles();
     }
+    if allowance.is_scarce() {
+        return need.sent.min(record.singles() + need.waiting);
+    }
     let peak = record.single_peak.most();
     let sent = (peak * 2).max(record.singles() + need.waiting);
-    need.sent.min(sent.max(FEWEST_CONNECTIONS))
+    need.sent.min(sent.max(allowance.kept_for_each()))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -134,6 +134,7 @@
 pub use account_shares::LimitShares;
 pub use account_shares::TakeDecision;
 pub use account_shares::WaitersEnd;
+pub use connections::ConnectionAllowance;
 pub use gateway_limit::FlightLimiter;
 pub use gateway_limit::GROUP_FLIGHT_LIMIT;
 pub use health::HealthLevel;
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -65,11 +65,13 @@
     ) {
         let (waiting, openers) = self.count_waiting();
         let ahead = self.settings.modules.connections_ahead;
+        let mut allowance = self.allowance;
         for record in self.endpoints.records_mut() {
             record.note_use(now);
             let need = connection_need(record, self.settings.excess, waiting, openers);
-            let missing = connections_to_open(record, now, need, ahead);
+            let missing = connections_to_open(record, now, need, &allowance, ahead);
             record.opening += missing;
+            allowance.held = allowance.held.saturating_add(missing);
             for _ in 0..missing {
                 let instance = record.state.instance.clone();
                 decisions.push(SchedulerDecision::OpenConnection(instance));
@@ -85,7 +87,7 @@
         };
         let (waiting, openers) = self.count_waiting();
         let need = connection_need(record, self.settings.excess, waiting, openers);
-        surplus_connections(record, need)
+        surplus_connections(record, need, &self.allowance)
     }
 
     /// Counts the waiting requests, and those of them that will open a transaction.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::SchedulerSettings;
 use crate::SchedulerSnapshot;
 use crate::admission::ReturnPlanner;
+use crate::connections::ConnectionAllowance;
 use crate::connections::FAILED_OPEN_PAUSE;
 use crate::customers::CustomerTable;
 use crate::endpoints::EndpointTable;
@@ -57,6 +58,8 @@
     pub(crate) primary_lost: Option<ClockTime>,
     /// When a primary is expected, where that is known.
     pub(crate) primary_due: Option<ClockTime>,
+    /// What the VM may hold in all.
+    pub(crate) allowance: ConnectionAllowance,
     pub(crate) pin_hold: Duration,
     /// The mean run of all kinds, for the time at which refused callers are to come back.
     pub(crate) mean_run: Duration,
@@ -96,6 +99,7 @@
             next_review: ClockTime::default(),
             primary_lost: Some(ClockTime::default()),
             primary_due: None,
+            allowance: ConnectionAllowance::default(),
             pin_hold: PIN_HOLD_PRIOR,
             mean_run: MEAN_RUN_PRIOR,
             pending: Vec::new(),
@@ -145,6 +149,11 @@
         self.primary_due = due;
     }
 
+    /// Notes how many connections the VM may hold to the endpoints of all its groups.
+    pub fn set_allowance(&mut self, allowance: ConnectionAllowance) {
+        self.allowance = allowance;
+    }
+
     /// Notes what an instance holds, and a bound of its data's age at this moment.
     pub fn report_position(
         &mut self,
--- a/crates/policy/tests/connections.rs
+++ b/crates/policy/tests/connections.rs
@@ -8,6 +8,7 @@
 use fixture::endpoint;
 use fixture::write;
 use ragwort_policy::ClockTime;
+use ragwort_policy::ConnectionAllowance;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
 use ragwort_policy::ExcessRule;
@@ -52,6 +53,13 @@
     /// The load comes in waves of some seconds. What a wave needs isn't closed in its trough: each new
     /// connection takes a slot for as long as a statement does.
     waves_keep_their_connections => wave_case();
+    /// Two of five VMs are lost, and each of the others leads the groups of many: hundreds of endpoints that
+    /// hardly anybody calls. With some connections for each, as where a VM has few endpoints, the VM had no
+    /// descriptor left, and nobody was served.
+    many_endpoints_share_what_is_kept_open => shared_case();
+    /// The connections of a VM are near the most that it may hold. Those that nothing uses are given up, and
+    /// none is opened but for requests that wait for one.
+    scarce_connections_serve_what_waits => scarce_case();
     /// Each connection belongs to one account, and a VM leads dozens of groups that hardly anybody calls.
     /// Opened ahead as for callers that share them, eight for each endpoint, they were of no use to the
     /// account that called next, and their upkeep took the VM's descriptors and most of its processor.
@@ -188,6 +196,40 @@
     assert!(load.opened <= 16, "they were opened again: {}", load.opened);
 }
 
+fn shared_case() {
+    let mut load = ReplayedLoad::start();
+    let allowance = ConnectionAllowance {
+        most: 2_048,
+        held: 700,
+        endpoints: 339,
+    };
+    load.scheduler.set_allowance(allowance);
+    load.pass(Duration::from_secs(20), 1, Duration::from_secs(5));
+    load.close_surplus();
+    let all = load.opened * 339;
+    assert!(all <= 2_048 * 3 / 4, "{all}");
+    assert_eq!(load.served, 4);
+}
+
+fn scarce_case() {
+    let mut load = ReplayedLoad::start();
+    load.pass(Duration::from_secs(2), 4, Duration::from_millis(20));
+    let allowance = ConnectionAllowance {
+        most: 2_048,
+        held: 1_700,
+        endpoints: 60,
+    };
+    load.scheduler.set_allowance(allowance);
+    load.pass(Duration::from_secs(1), 0, Duration::from_secs(5));
+    load.close_surplus();
+    assert_eq!(load.opened, 1);
+    let before = load.served;
+    load.pass(Duration::from_secs(1), 10, Duration::from_secs(5));
+    assert_eq!(load.served, before + 10);
+    load.close_surplus();
+    assert_eq!(load.opened, 1);
+}
+
 fn account_case() {
     let mut load = ReplayedLoad::start();
     let primary = InstanceName::from(PRIMARY);
