Wait for endpoints' second announcements before a group gets its first primary

The 1.5 s without a primary counted from the moment the group was taken, whatever the VM had heard by then. A group whose endpoints nobody has known yet waits until each that was heard has been heard twice: what delays a first announcement delays second ones too. Where a primary was found before, here or by a former leaseholder, nothing changes. The decision stands in control (HeadlessWatch).

primary_that_is_heard_late_is_not_replaced failed before with an order to promote.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -54,6 +54,7 @@
 mod documents;
 mod followers;
 mod groups;
+mod headless;
 mod history;
 mod journal;
 mod keys;
@@ -113,6 +114,9 @@
 pub use detector::STANDBY_PATIENCE;
 pub use detector::SuspicionGrounds;
 pub use digest::digest_text;
+pub use headless::EndpointKnowledge;
+pub use headless::HEADLESS_TIME;
+pub use headless::HeadlessWatch;
 pub use invariant::broken_invariants;
 #[doc(hidden)]
 pub use invariant::count_broken_invariant;
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -7,6 +7,7 @@
 mod charts;
 mod detector;
 mod documents;
+mod headless;
 mod instances;
 mod journal;
 mod leases;
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -39,6 +39,7 @@
 use notes::NotesCourse;
 use pool::NativePool;
 use ragwort_control::ClockTime;
+use ragwort_control::HeadlessWatch;
 use ragwort_control::PositionHistory;
 use ragwort_control::PrimaryReplacement;
 use ragwort_control::ReplicaEstimate;
@@ -109,7 +110,7 @@
     /// The primary that doesn't answer any more.
     suspect: Option<InstanceName>,
     /// Since when there has been no primary that may be used.
-    headless_since: Option<ClockTime>,
+    headless: HeadlessWatch,
     /// When the last promotion was ordered, until it shows.
     ordered_at: Option<ClockTime>,
     /// How long promotions take once they were ordered.
@@ -143,6 +144,8 @@
     let open_limit = Duration::from_millis(context.settings.timing.connect_timeout_ms);
     let protocol = Arc::clone(&edges.endpoints);
     let reached = record.term;
+    let mut headless = HeadlessWatch::default();
+    headless.begin(context.clock.now());
     let task = NativeTask {
         pool: NativePool::new(
             group.clone(),
@@ -151,7 +154,7 @@
             context.descriptors.clone(),
             link_events,
         ),
-        headless_since: Some(context.clock.now()),
+        headless,
         taken: context.clock.now(),
         context,
         edges,
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -15,6 +15,7 @@
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_control::EndpointKnowledge;
 use ragwort_control::ReplacementAction;
 use ragwort_control::ReplacementActions;
 use ragwort_control::ReplacementEvent;
@@ -44,10 +45,6 @@
 /// the moment of a restart.
 const FAILED_OPENS: u32 = 2;
 
-/// How long a group may have no primary before one is made. Instances announce themselves about
-/// each second, so a primary that lives was heard by then.
-const HEADLESS_TIME: Duration = Duration::from_millis(1_500);
-
 /// How long a replica is waited for that lacks acknowledged writes, when the primary is dead. What
 /// is still on its way arrives within milliseconds; what isn't never does.
 const DEAD_PATIENCE: Duration = Duration::from_millis(200);
@@ -97,6 +94,7 @@
         let left = self.roles.is_leaving(&instance);
         self.pool.take_announcement(now, announcement);
         self.roles.hear(now, &instance, role, leaving);
+        self.headless.hear(&instance);
         if !known || left != leaving {
             log_event!(
                 Level::Info,
@@ -218,7 +216,8 @@
                 term = term,
                 start = start,
                 headless_ms = self
-                    .headless_since
+                    .headless
+                    .since()
                     .map_or(0, |since| now.since(since).as_millis()),
             );
             // Nothing is read from replicas before this is known: they could lack what a former
@@ -243,10 +242,8 @@
             self.replacement.note_primary(now, primary, may_stay);
         }
         match usable {
-            Some(_) => self.headless_since = None,
-            None => {
-                self.headless_since.get_or_insert(now);
-            }
+            Some(_) => self.headless.end(),
+            None => self.headless.begin(now),
         }
     }
 
@@ -383,12 +380,15 @@
     }
 
     fn replace_missing(&mut self, now: ClockTime) {
-        let since = self.headless_since.unwrap_or(now);
-        let known = self.pool.endpoints().count();
-        if known == 0 {
+        if self.pool.endpoints().next().is_none() {
             return;
         }
-        if now.since(since) >= HEADLESS_TIME {
+        let known = self.leading.is_some() || !self.record.endpoints.is_empty();
+        let knowledge = match known {
+            true => EndpointKnowledge::Known,
+            false => EndpointKnowledge::Heard,
+        };
+        if self.headless.is_primary_missing(now, knowledge) {
             self.replace(None, "missing", DEAD_PATIENCE);
         } else if let Some(noted) = self.record.primary.clone() {
             self.check_noted_primary(now, &noted);
@@ -425,7 +425,7 @@
     /// refused at once.
     pub(super) fn foresee_primary(&mut self) {
         let now = self.now();
-        let due = match (self.headless_since, self.ordered_at) {
+        let due = match (self.headless.since(), self.ordered_at) {
             (None, _) => None,
             (Some(_), Some(ordered)) if self.replacement.state() == ReplacementState::Watching => {
                 Some(ordered + self.promotion_time)
@@ -603,6 +603,7 @@
         );
         self.pool.remove_endpoint(instance);
         self.roles.forget(instance);
+        self.headless.forget(instance);
         self.replicas.remove(instance);
         self.scheduler.remove_endpoint(now, instance);
         for id in self.pool.links_of(instance) {
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -6,9 +6,11 @@
 use crate::bench::WRITE;
 use crate::bench::is_served;
 use crate::bench::position;
+use ragwort_control::HEADLESS_TIME;
 use ragwort_types::FaultSort;
 use ragwort_types::RequestVerdict;
 use ragwortgated::edges::PromotionReply;
+use tokio::time::sleep;
 
 failure_cases! {
     /// The primary's process dies. Of two replicas one holds all that was acknowledged. A clerk
@@ -29,6 +31,9 @@
     /// The primary was changed by other hands, and the old one refuses a write as a replica. The
     /// caller's write has not run, and is saved once, without the caller's help.
     write_that_a_former_primary_refused_runs_once => refused_write_case();
+    /// Announcements reach a busy leaseholder seconds late, the primary's last. A living primary was
+    /// replaced before it was heard.
+    primary_that_is_heard_late_is_not_replaced => late_primary_case();
     /// Another VM takes the group over while a write is at the endpoint. The caller gets a final
     /// answer at once, and is never told that the write had not run.
     write_under_way_at_a_takeover_is_answered => takeover_case();
@@ -125,6 +130,15 @@
     assert_eq!(bench.count_runs("write record"), 1);
 }
 
+async fn late_primary_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.announce(1, false).await;
+    bench.announce(2, false).await;
+    sleep(HEADLESS_TIME * 2).await;
+    bench.settle_around(1).await;
+    assert!(bench.promotions.orders.lock().unwrap().is_empty());
+}
+
 async fn takeover_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
