Connect to a primary anew that was announced at another's address

The wrong connection's end came behind the corrected announcement and dropped the endpoint with it (WrongInstance). Left alone, it had no connection either: nothing opens one to an instance that calls itself the primary and whose first connection has failed, since only endpoints in use get connections ahead.

The end of a connection drops an endpoint only if that is still announced at the address, and a claimant without a connection gets one each time it is asked for its term.

--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -34,6 +34,7 @@
 use ragwort_types::TaggedRows;
 use ragwort_types::TransactionId;
 use ragwort_types::TransactionStep;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A statement that takes longer than this is logged, however it ends.
@@ -180,12 +181,17 @@
             (true, CloseCause::Broken | CloseCause::Silent) if !connection.spent => {
                 self.doubt_connections(&instance);
             }
-            (false, cause) => self.take_failed_open(&instance, cause),
+            (false, cause) => self.take_failed_open(&instance, connection.address, cause),
             _ => {}
         }
     }
 
-    fn take_failed_open(&mut self, instance: &InstanceName, cause: CloseCause) {
+    fn take_failed_open(
+        &mut self,
+        instance: &InstanceName,
+        address: SocketAddr,
+        cause: CloseCause,
+    ) {
         // Its line is written where all shortages of the process are counted.
         if cause == CloseCause::Exhausted {
             if let Some(endpoint) = self.pool.endpoint_mut(instance) {
@@ -206,8 +212,14 @@
             led_ms = self.now().since(self.taken).as_millis(),
         );
         match cause {
-            // The announcement was overtaken: another instance has the address now.
-            CloseCause::WrongInstance => self.drop_endpoint(instance),
+            // The announcement was overtaken: another instance has the address now. One that has
+            // announced itself elsewhere since is where it says.
+            CloseCause::WrongInstance => {
+                let present = self.pool.endpoint(instance);
+                if present.is_some_and(|one| one.announcement.data_address == address) {
+                    self.drop_endpoint(instance);
+                }
+            }
             CloseCause::Full => {
                 let links = self.pool.links_of(instance);
                 let open = links.into_iter().filter_map(|id| self.pool.connection(id));
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -22,6 +22,7 @@
 use ragwort_types::SessionValues;
 use ragwort_types::TransactionId;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -70,6 +71,8 @@
 pub(super) struct NativeConnection {
     /// The instance it leads to.
     pub(super) instance: InstanceName,
+    /// Where the instance was when it was opened.
+    pub(super) address: SocketAddr,
     /// The account for whose callers it was opened.
     pub(super) account: Option<AccountName>,
     /// That account's digest, as the scheduler knows it.
@@ -264,6 +267,7 @@
         });
         let connection = NativeConnection {
             instance: instance.clone(),
+            address: endpoint.announcement.data_address,
             account_digest: account.as_ref().map(digest_account),
             account,
             open: false,
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -114,10 +114,13 @@
         self.ask_claimant(&instance);
     }
 
-    /// Asks an instance that calls itself the primary for its term.
+    /// Asks an instance that calls itself the primary for its term, on a new connection if there is none.
     pub(super) fn ask_claimant(&mut self, instance: &InstanceName) {
-        if self.roles.needs_report(instance) {
-            self.order_report(instance);
+        if !self.roles.needs_report(instance) || self.order_report(instance) {
+            return;
+        }
+        if self.pool.links_of(instance).is_empty() {
+            self.open_connection(self.now(), instance);
         }
     }
 
