Answer nothing under a placement that the view says is over

A group's task picks its next event at random: statements and endpoints' answers were taken in though the new placement stood in the view already, and only the lease was looked at when a statement was taken, dispatched and answered. Taking the view's change first (biased) makes it rare; answers that come in the same turn would still be given. So the placement is asked for with the lease at each of these points (MemberView::may_lead), in the PostgreSQL side's task as well, where promotions ask for it too. Ruled out elsewhere: the manager of leaseholders refuses what its groups' tasks no longer take, and the membership publishes lease and copy at once.

--- a/crates/daemon/src/group/confirming.rs
+++ b/crates/daemon/src/group/confirming.rs
@@ -227,16 +227,16 @@
     /// Sends the answer that a request holds, if the lease still runs.
     pub(super) fn answer_now(&mut self, ticket: RequestTicket) {
         let deposed = self.journal_is_deposed();
+        let leads = self.may_lead(self.context.clock.now());
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
         let Some((verdict, served)) = active.answer.take() else {
             return;
         };
-        let now = self.context.clock.now();
         // A leaseholder that was frozen wakes up with answers of a time when it led. Meanwhile a
         // successor may have promoted another instance that lacks what the answer says.
-        if !self.view.borrow().may_serve(now) || deposed {
+        if !leads || deposed {
             self.settle(ticket, RequestVerdict::MayHaveRun(DoubtCause::LeaseLost));
             return;
         }
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -83,12 +83,13 @@
 
     fn start(&mut self, ticket: RequestTicket, instance: &InstanceName) {
         let now = self.context.clock.now();
+        let leads = self.may_lead(now);
         let Some(active) = self.requests.get_mut(&ticket) else {
             return;
         };
         // The process may have been stopped since the decision: its lease can have ended, and a
         // successor can have taken the group over.
-        if !self.view.borrow().may_serve(now) {
+        if !leads {
             self.give_back(ticket, FinishOutcome::NotRun, RefusalCause::NoLease);
             return;
         }
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -143,7 +143,8 @@
             TransactionStep::Single | TransactionStep::Begin(_)
         );
         let leaves = self.handing_over && opens;
-        if !view.may_serve(now) || leaves || self.journal_is_deposed() {
+        let leads = view.may_lead(now, &self.context.settings.vm, &self.group);
+        if !leads || leaves || self.journal_is_deposed() {
             return Err(IntakeRefusal::new(RefusalCause::NoLease));
         }
         let contract = view.copy.contract(origin.customer);
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -379,6 +379,12 @@
         }
     }
 
+    /// Says whether this VM may dispatch and answer for the group now.
+    fn may_lead(&self, now: ClockTime) -> bool {
+        let vm = &self.context.settings.vm;
+        self.view.borrow().may_lead(now, vm, &self.group)
+    }
+
     /// Follows a change of this VM's view; false if the group is placed elsewhere.
     fn follow_view(&mut self) -> bool {
         self.follow_contracts();
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -211,7 +211,7 @@
     /// Says whether this leaseholder may change anything: its lease runs and its journal is whole.
     pub(super) fn may_act(&self) -> bool {
         let now = self.context.clock.now();
-        self.view.borrow().may_serve(now) && self.journal.is_some() && !self.handing_over
+        self.may_lead(now) && self.journal.is_some() && !self.handing_over
     }
 
     pub(super) fn step_promotion(&mut self, input: PromotionInput) {
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -34,6 +34,7 @@
 use ragwort_types::MemberRecord;
 use ragwort_types::MemberTraits;
 use ragwort_types::VmIncarnation;
+use ragwort_types::VmName;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,6 +69,15 @@
     pub fn may_serve(&self, now: ClockTime) -> bool {
         self.lease.is_valid(now)
     }
+
+    /// Says whether `vm`, which is this VM, may dispatch and answer for a group now.
+    ///
+    /// A group's task hears of a new placement some events later. What it answered in between would be
+    /// acknowledged under a placement that is over, beside a successor that has begun.
+    pub fn may_lead(&self, now: ClockTime, vm: &VmName, group: &GroupName) -> bool {
+        let record = self.copy.group(group);
+        self.may_serve(now) && record.is_none_or(|record| record.placement.leaseholder == *vm)
+    }
 }
 
 /// What the heartbeat task works with.
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -256,7 +256,8 @@
 
     /// Says whether this VM may dispatch and answer for the group now.
     fn may_serve(&self) -> bool {
-        self.view.borrow().may_serve(self.now())
+        let vm = &self.context.settings.vm;
+        self.view.borrow().may_lead(self.now(), vm, &self.group)
     }
 
     /// Follows a change of this VM's view; false if the group is placed elsewhere.
