Close callers' sessions behind an answer at a drain

An idle session of a draining gateway takes one more statement, for up to two seconds, and ends right behind its answer, when its driver is the least likely to be writing. Taking that statement and refusing it was weighed: it would fail one for each session where this fails none. What is left is a session whose first statement in two seconds crosses its end.

statement_that_crosses_the_drain_is_answered failed before (the connection was closed).

--- a/crates/daemon/src/callers/conversation.rs
+++ b/crates/daemon/src/callers/conversation.rs
@@ -35,7 +35,17 @@
 use pgwire::messages::response::EmptyQueryResponse;
 use pgwire::messages::response::ReadyForQuery;
 use std::convert::Infallible;
+use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+/// How long a drain waits for an idle session's next statement, to close the session behind its answer.
+///
+/// Closed in a pause, a session may have its next statement under way already. Drivers that read the
+/// gateway's last word before they write report only a closed connection for that statement, so that the
+/// caller can't know whether it ran.
+const LAST_STATEMENT_WAIT: Duration = Duration::from_secs(2);
 
 /// Why a conversation ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -86,6 +96,17 @@
     at_boundary: bool,
     /// Whether the caller was told the outcome of all that ran.
     all_told: bool,
+    /// Set while the gateway drains.
+    last_statement: Option<LastStatement>,
+}
+
+/// What an idle session of a draining gateway waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastStatement {
+    /// For a statement, until this moment.
+    Awaited(Instant),
+    /// For nothing: it came.
+    Taken,
 }
 
 impl Conversation {
@@ -106,6 +127,7 @@
             skipping: false,
             at_boundary: true,
             all_told: true,
+            last_statement: None,
         }
     }
 
@@ -133,27 +155,48 @@
             if self.must_end() {
                 return Err(SessionEnd::Drained);
             }
+            let until = match self.last_statement {
+                Some(LastStatement::Awaited(until)) => Some(until),
+                Some(LastStatement::Taken) | None => None,
+            };
             tokio::select! {
                 changed = self.order.changed() => {
                     if changed.is_err() {
                         return Err(SessionEnd::Drained);
                     }
                 }
-                message = self.stream.next_message() => return Ok(message?),
+                () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => {}
+                message = self.stream.next_message() => {
+                    if self.last_statement.is_some() {
+                        self.last_statement = Some(LastStatement::Taken);
+                    }
+                    return Ok(message?);
+                }
             }
         }
     }
 
-    fn must_end(&self) -> bool {
-        match *self.order.borrow() {
+    fn must_end(&mut self) -> bool {
+        let order = *self.order.borrow();
+        match order {
             DrainOrder::Serve => false,
             DrainOrder::EndIdle => {
-                self.at_boundary && self.runner.state() == TransactionState::Idle
+                let between = self.at_boundary && self.runner.state() == TransactionState::Idle;
+                between && self.has_had_last_statement()
             }
             DrainOrder::EndAll => true,
         }
     }
 
+    fn has_had_last_statement(&mut self) -> bool {
+        let now = Instant::now();
+        let awaited = LastStatement::Awaited(now + LAST_STATEMENT_WAIT);
+        match *self.last_statement.get_or_insert(awaited) {
+            LastStatement::Awaited(until) => now >= until,
+            LastStatement::Taken => true,
+        }
+    }
+
     async fn take(&mut self, message: PgWireFrontendMessage) -> Result<(), SessionEnd> {
         match message {
             PgWireFrontendMessage::Terminate(_) => return Err(SessionEnd::Terminated),
--- a/crates/daemon/tests/callers/faults.rs
+++ b/crates/daemon/tests/callers/faults.rs
@@ -174,7 +174,7 @@
 }
 
 /// The gateway is shut down while one caller waits for an answer, one is in a transaction and one
-/// is idle. The first two get what they wait for, the third is told to go elsewhere at once.
+/// is idle. The first two get what they wait for, the third is told to go elsewhere.
 #[tokio::test]
 async fn drain_cuts_nothing_in_flight() {
     let bench = Bench::start(limits()).await;
@@ -200,6 +200,27 @@
     bench.finish().await;
 }
 
+/// A statement that was under way as its idle session was closed came back as a closed connection.
+#[tokio::test]
+async fn statement_that_crosses_the_drain_is_answered() {
+    let bench = Bench::start(limits()).await;
+    let clients = [bench.connect().await, bench.connect().await];
+    bench.drain.send_replace(true);
+    // The sessions have seen the drain once this has passed through the same task.
+    let mut stream = bench.connect_raw().await;
+    stream.write_all(&message(b'X', &[])).await.unwrap();
+    read_to_end(&mut stream).await;
+    for client in &clients {
+        client.simple_query("select 1").await.unwrap();
+    }
+    // Each session ends behind the answer, long before the drain's limit.
+    bench.service.wait_seen(|seen| seen.closed.len() == 3).await;
+    for client in &clients {
+        assert!(client.simple_query("select 2").await.is_err());
+    }
+    bench.finish().await;
+}
+
 /// An idle caller sees why its connection ends, so that its pool opens another elsewhere.
 #[tokio::test]
 async fn drained_session_is_told_the_reason() {
