--- a/crates/lab/tests/whole.rs
+++ b/crates/lab/tests/whole.rs
@@ -295,10 +295,11 @@
         .any(|count| count > 0)
 }
 
-/// Builds all programs once and returns a folder that holds copies of them.
+/// Builds all programs once and returns a folder of this process's own that holds them.
 ///
 /// Another build that runs beside the tests, as of another package of the workspace, replaces the
-/// programs in the target folder. A case that starts a daemon at that moment would find none.
+/// programs in the target folder, and so would another run of these tests in a folder that both share. A
+/// case that starts a daemon at that moment would find none, or one that is being written.
 fn build_binaries() -> PathBuf {
     static COPIES: OnceLock<PathBuf> = OnceLock::new();
     COPIES.get_or_init(copy_binaries).clone()
@@ -317,12 +318,27 @@
     let built = Path::new(env!("CARGO_BIN_EXE_ragwort-lab"))
         .parent()
         .unwrap();
-    let copies = Path::new(env!("CARGO_TARGET_TMPDIR")).join("programs");
-    std::fs::create_dir_all(&copies).unwrap();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("programs");
+    remove_ended(&folder);
+    let own = folder.join(std::process::id().to_string());
+    std::fs::create_dir_all(&own).unwrap();
     for program in ["ragwortgated", "ragwortctl", "ragwort-lab"] {
-        // A copy that still runs can't be overwritten, but its name can be given away.
-        let _ = std::fs::remove_file(copies.join(program));
-        std::fs::copy(built.join(program), copies.join(program)).unwrap();
+        // A further name for the program as it is now: a build gives its name to another file.
+        std::fs::hard_link(built.join(program), own.join(program)).unwrap();
+    }
+    own
+}
+
+/// Removes the folders of test processes that have ended.
+fn remove_ended(folder: &Path) {
+    let Ok(entries) = std::fs::read_dir(folder) else {
+        return;
+    };
+    for entry in entries.filter_map(Result::ok) {
+        let runs = Path::new("/proc").join(entry.file_name()).exists();
+        if !runs {
+            // Another run may be removing it.
+            let _ = std::fs::remove_dir_all(entry.path());
+        }
     }
-    copies
 }
