Plan handovers once for all groups of a VM

A plan of handovers looks at every group and VM, and each group's task made one at each revision of the catalog that it saw: 68 tasks over 339 groups on a control VM, while gateways come and go. The plans of a VM at a revision are made once and shared (HandoverPlanner); what they say is the same.

--- a/crates/daemon/src/group/handover.rs
+++ b/crates/daemon/src/group/handover.rs
@@ -7,7 +7,6 @@
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
-use ragwort_control::plan_handovers;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
@@ -64,11 +63,13 @@
             return;
         }
         self.handover.seen = Some(copy.revision());
-        let plans = plan_handovers(&copy, &self.context.settings.vm);
-        let Some(plan) = plans.into_iter().find(|plan| plan.group == self.group) else {
-            return;
-        };
-        self.begin_handover(plan);
+        let plans = self
+            .context
+            .handovers
+            .plan(&copy, &self.context.settings.vm);
+        if let Some(plan) = plans.due(&self.group) {
+            self.begin_handover(plan.clone());
+        }
     }
 
     /// Hands the group over to a standby that reaches the primary, which this VM doesn't.
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -26,6 +26,7 @@
 use crate::connection::ConnectionEvent;
 use crate::descriptors::DescriptorBudget;
 use crate::directory::ControlDirectory;
+use crate::handover_plans::HandoverPlanner;
 use crate::log_event;
 use crate::member::MemberView;
 use crate::metrics::DaemonMetrics;
@@ -112,6 +113,8 @@
     pub metrics: DaemonMetrics,
     /// What the process may hold as connections to endpoints.
     pub descriptors: DescriptorBudget,
+    /// The handovers that are due.
+    pub handovers: HandoverPlanner,
 }
 
 impl GroupContext {
--- /dev/null
+++ b/crates/daemon/src/handover_plans.rs
@@ -0,0 +1,80 @@
+//! The handovers that are due at a revision of the catalog, planned once for all groups of a VM.
+//!
+//! # The load it answers
+//!
+//! A VM leads dozens of groups among hundreds, and VMs come and go: the catalog changes many times a second.
+//!
+//! # Without it
+//!
+//! A plan looks at every group and VM. Made by each group's task anew, its cost grows with the square of
+//! the groups and takes the time that leases and statements need.
+
+use ragwort_control::CatalogCopy;
+use ragwort_control::plan_approaches;
+use ragwort_control::plan_handovers;
+use ragwort_types::CatalogRevision;
+use ragwort_types::GroupName;
+use ragwort_types::GroupPlacement;
+use ragwort_types::VmName;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+/// The plans of one VM at one revision.
+#[derive(Debug, Default)]
+pub struct HandoverPlans {
+    due: Vec<GroupPlacement>,
+    nearer: Vec<GroupPlacement>,
+    nearer_while_unused: Vec<GroupPlacement>,
+}
+
+impl HandoverPlans {
+    fn plan(copy: &CatalogCopy, vm: &VmName) -> Self {
+        Self {
+            due: plan_handovers(copy, vm),
+            nearer: plan_approaches(copy, vm, false),
+            nearer_while_unused: plan_approaches(copy, vm, true),
+        }
+    }
+
+    /// Returns where a group goes whose VM drains or leads more than its share.
+    pub fn due(&self, group: &GroupName) -> Option<&GroupPlacement> {
+        find_plan(&self.due, group)
+    }
+
+    /// Returns where a group goes that is better led elsewhere; `unused` says that it has served nothing
+    /// yet.
+    pub fn nearer(&self, group: &GroupName, unused: bool) -> Option<&GroupPlacement> {
+        let plans = match unused {
+            true => &self.nearer_while_unused,
+            false => &self.nearer,
+        };
+        find_plan(plans, group)
+    }
+}
+
+fn find_plan<'a>(plans: &'a [GroupPlacement], group: &GroupName) -> Option<&'a GroupPlacement> {
+    plans.iter().find(|plan| plan.group == *group)
+}
+
+/// The last plans of this VM; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct HandoverPlanner(Arc<Mutex<Option<(CatalogRevision, Arc<HandoverPlans>)>>>);
+
+impl HandoverPlanner {
+    /// Returns the plans at a copy's revision.
+    ///
+    /// # Panics
+    ///
+    /// Panics if planning has panicked before.
+    pub fn plan(&self, copy: &CatalogCopy, vm: &VmName) -> Arc<HandoverPlans> {
+        let mut last = self.0.lock().expect("no planning panics");
+        if let Some((revision, plans)) = last.as_ref()
+            && *revision == copy.revision()
+        {
+            return Arc::clone(plans);
+        }
+        let plans = Arc::new(HandoverPlans::plan(copy, vm));
+        *last = Some((copy.revision(), Arc::clone(&plans)));
+        plans
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod formation;
 pub mod gateway;
 pub mod group;
+pub mod handover_plans;
 pub mod leaseholders;
 pub mod limits;
 pub mod logs;
--- a/crates/daemon/src/native/handover.rs
+++ b/crates/daemon/src/native/handover.rs
@@ -4,8 +4,6 @@
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
-use ragwort_control::plan_approaches;
-use ragwort_control::plan_handovers;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
@@ -94,10 +92,10 @@
             return;
         }
         self.handover.seen = Some(copy.revision());
-        let due = plan_handovers(&copy, vm);
-        let better = plan_approaches(&copy, vm, self.last_ticket == 0);
-        let mut plans = due.into_iter().chain(better);
-        let Some(plan) = plans.find(|plan| plan.group == self.group) else {
+        let plans = self.context.handovers.plan(&copy, vm);
+        let unused = self.last_ticket == 0;
+        let due = plans.due(&self.group);
+        let Some(plan) = due.or_else(|| plans.nearer(&self.group, unused)) else {
             return;
         };
         log_event!(
@@ -106,7 +104,7 @@
             group = self.group,
             successor = plan.leaseholder,
         );
-        self.handover.plan = Some(plan);
+        self.handover.plan = Some(plan.clone());
         self.handover.begun = now;
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::GatewayLinks;
 use crate::group::GroupContext;
+use crate::handover_plans::HandoverPlanner;
 use crate::leaseholders::LeaseholderEvent;
 use crate::leaseholders::LeaseholderManager;
 use crate::limits::AccountLimiter;
@@ -423,6 +424,7 @@
         standby,
         metrics: base.metrics.clone(),
         descriptors: base.descriptors.clone(),
+        handovers: HandoverPlanner::default(),
     });
     let edges = base.edges.clone();
     let manager = LeaseholderManager::new(context, edges, base.view.clone(), unplaced);
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -72,6 +72,7 @@
 use ragwortgated::edges::ServiceEdge;
 use ragwortgated::group::GroupContext;
 use ragwortgated::group::GroupEvent;
+use ragwortgated::handover_plans::HandoverPlanner;
 use ragwortgated::member::MemberView;
 use ragwortgated::metrics::DaemonMetrics;
 use ragwortgated::native::spawn_native_group;
@@ -309,6 +310,7 @@
             clock: NodeClock::start(),
             links: PeerLinks::new(Duration::from_secs(5)),
             standby,
+            handovers: HandoverPlanner::default(),
             descriptors: descriptors.clone(),
             metrics,
         });
--- a/crates/daemon/tests/pieces/bench.rs
+++ b/crates/daemon/tests/pieces/bench.rs
@@ -50,6 +50,7 @@
 use ragwortgated::group::GroupContext;
 use ragwortgated::group::GroupEvent;
 use ragwortgated::group::spawn_group;
+use ragwortgated::handover_plans::HandoverPlanner;
 use ragwortgated::member::MemberView;
 use ragwortgated::metrics::DaemonMetrics;
 use ragwortgated::peers::PeerLinks;
@@ -351,6 +352,7 @@
             clock,
             links: links.clone(),
             standby: own,
+            handovers: HandoverPlanner::default(),
             descriptors: DescriptorBudget::new(u32::MAX, &DaemonMetrics::new()),
             metrics: DaemonMetrics::new(),
         };
--- a/crates/daemon/tests/pieces/main.rs
+++ b/crates/daemon/tests/pieces/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod peer;
 mod peers;
+mod plans;
 mod scripted;
 mod shapes;
 mod statements;
