--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -201,6 +201,14 @@
         self
     }
 
+    /// Says whether the statement is one of an open transaction.
+    pub fn is_within_transaction(&self) -> bool {
+        !matches!(
+            self.step,
+            TransactionStep::Single | TransactionStep::Begin(_)
+        )
+    }
+
     fn into_request(self) -> StatementRequest {
         StatementRequest {
             id: StatementId::fresh(),
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -8,4 +8,5 @@
 mod endpoint;
 mod failover;
 mod freshness;
+mod lapses;
 mod takeover;
