--- a/crates/lab/src/lab_set.rs
+++ b/crates/lab/src/lab_set.rs
@@ -419,7 +419,9 @@
     fn drop(&mut self) {
         self.daemons.clear();
         self.endpoints.clear();
-        if !self.settings.keep_folder {
+        // The logs of a failed test say why it failed.
+        let failed = std::thread::panicking();
+        if !self.settings.keep_folder && !failed {
             // The folder may be gone already; what is left of it harms nobody.
             let _ = fs::remove_dir_all(&self.folder);
         }
