Look at groups that nobody uses five times less often

A group without requests, transactions, missing primary, replacement or handover takes a step each 50 ms; what statements see of replicas is reckoned anew when one arrives.

--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -42,6 +42,7 @@
 use ragwort_control::HeadlessWatch;
 use ragwort_control::PositionHistory;
 use ragwort_control::PrimaryReplacement;
+use ragwort_control::ReplacementState;
 use ragwort_control::ReplicaEstimate;
 use ragwort_control::RoleBoard;
 use ragwort_policy::AccountDemand;
@@ -67,13 +68,17 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 /// The step in which waits, ages and silent endpoints are looked at.
 const TICK: Duration = Duration::from_millis(10);
 
+/// The same for a group that nobody uses at present. Groups that are hardly called are many, and their
+/// steps would take more of a VM's processor than those in use.
+const CALM_TICK: Duration = Duration::from_millis(50);
+
 /// Events taken in before the scheduler is asked once for all of them.
 const EVENTS_AT_ONCE: usize = 64;
 
@@ -194,16 +199,24 @@
     ) {
         self.follow_contracts();
         self.begin_with_notes();
-        let mut ticker = interval(TICK);
-        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked = Instant::now();
         let mut batch = Vec::with_capacity(EVENTS_AT_ONCE);
         loop {
-            let wake = self.time_to_wake();
+            let calm = self.is_calm();
+            let due = match calm {
+                true => CALM_TICK,
+                false => TICK,
+            };
+            let wake = self.time_to_wake().min(CALM_TICK);
             tokio::select! {
                 count = events.recv_many(&mut batch, EVENTS_AT_ONCE) => {
                     if count == 0 {
                         break;
                     }
+                    // What replicas hold by now was last reckoned some steps ago.
+                    if calm {
+                        self.report_positions();
+                    }
                     for event in batch.drain(..) {
                         self.take_event(event);
                     }
@@ -220,7 +233,10 @@
                         break;
                     }
                 }
-                _ = ticker.tick() => self.take_tick(),
+                () = sleep_until(ticked + due) => {
+                    self.take_tick(ticked.elapsed());
+                    ticked = Instant::now();
+                }
                 () = sleep(wake) => {}
             }
             self.follow_scheduler();
@@ -293,7 +309,14 @@
     fn time_to_wake(&self) -> Duration {
         let now = self.now();
         let wake = self.scheduler.next_wakeup(now);
-        wake.map_or(TICK, |wake| wake.since(now))
+        wake.map_or(CALM_TICK, |wake| wake.since(now))
+    }
+
+    /// Says whether nothing happens to the group whose course must be followed closely.
+    fn is_calm(&self) -> bool {
+        let unused = self.requests.is_empty() && self.transactions.is_empty();
+        let steady = self.replacement.state() == ReplacementState::Steady;
+        unused && steady && self.headless.since().is_none() && !self.handover.is_begun()
     }
 
     /// Proposes a command at the control VMs; the answer comes as a notice.
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -1,6 +1,7 @@
 //! What the leaseholder looks at by time.
 
 use super::NativeTask;
+use super::TICK;
 use super::link::CloseCause;
 use super::link::LinkId;
 use super::pool::ConnectionWork;
@@ -25,8 +26,14 @@
 const ACCOUNT_MEMORY: Duration = Duration::from_secs(6);
 
 impl NativeTask {
-    pub(super) fn take_tick(&mut self) {
-        self.ticks += 1;
+    /// Does what is due by time, `passed` after the last tick.
+    pub(super) fn take_tick(&mut self, passed: Duration) {
+        let before = self.ticks;
+        self.ticks += count_ticks(passed);
+        let crosses = |step: u64| before / step != self.ticks / step;
+        let promotion_due = crosses(PROMOTION_TICKS);
+        let care_due = crosses(CARE_TICKS);
+        let metrics_due = crosses(METRICS_TICKS);
         self.end_idle_transactions();
         self.drop_silent_endpoints();
         self.report_positions();
@@ -34,14 +41,14 @@
         self.foresee_primary();
         self.tick_handover();
         self.tick_notes();
-        if self.ticks.is_multiple_of(PROMOTION_TICKS) {
+        if promotion_due {
             self.watch_promotion();
         }
-        if self.ticks.is_multiple_of(CARE_TICKS) {
+        if care_due {
             self.ask_claimants();
             self.prove_idle_connections();
         }
-        if self.ticks.is_multiple_of(METRICS_TICKS) {
+        if metrics_due {
             self.show_metrics();
         }
     }
@@ -134,3 +141,9 @@
         }
     }
 }
+
+/// Returns how many ticks a time amounts to, at least one.
+fn count_ticks(passed: Duration) -> u64 {
+    let ticks = passed.as_millis() / TICK.as_millis();
+    u64::try_from(ticks).unwrap_or(u64::MAX).max(1)
+}
