Begin a group anew that another VM has led meanwhile

A group that moved away and came back before its task looked at the view went on with the positions it knew: replicas could serve reads that lacked what the other VM had acknowledged. Found by reading, beside the answers under a placement that is over; not seen in a run. A placement two epochs on ends the task, and the manager starts another. group_that_was_led_elsewhere_meanwhile_begins_anew never ended without it.

--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -283,7 +283,10 @@
         let Some(record) = view.copy.group(&self.group) else {
             return true;
         };
-        if record.placement.leaseholder != self.context.settings.vm {
+        // A later epoch than the next one means that another VM has led the group meanwhile: what it has
+        // acknowledged isn't known here.
+        let was_away = record.placement.epoch > self.record.placement.epoch.next();
+        if record.placement.leaseholder != self.context.settings.vm || was_away {
             log_event!(
                 Level::Info,
                 "group_left",
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -250,7 +250,7 @@
     inbox: mpsc::Sender<GroupEvent>,
     sequence: u64,
     _control: ServerHandle,
-    _task: JoinHandle<()>,
+    task: JoinHandle<()>,
     _standby: JoinHandle<()>,
 }
 
@@ -340,7 +340,7 @@
             inbox,
             sequence: 0,
             _control: control,
-            _task: task,
+            task: task,
             _standby: standby_task,
         }
     }
@@ -526,6 +526,19 @@
         });
     }
 
+    /// Places the group at the same VM in a later epoch.
+    pub fn change_epoch(&self, epoch: u64) {
+        let mut record = create_record();
+        record.placement.epoch = PlacementEpoch(epoch);
+        let view = create_view_at(&record, CatalogRevision(epoch), false);
+        self.view.send_replace(view);
+    }
+
+    /// Says whether the leaseholder's task has ended.
+    pub fn is_ended(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Lets the VM's lease run out.
     pub fn lapse(&self) {
         self.view
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -52,6 +52,9 @@
     write_that_outlasts_a_lease_runs_once => lapsed_case(TransactionStep::Begin, "begin");
     /// The same for a later write of a transaction.
     later_write_that_outlasts_a_lease_loses_its_transaction => lapsed_case(TransactionStep::Within, "write record");
+    /// A group went to another VM and came back before its task looked. It went on with what it knew, and let
+    /// replicas serve reads that lacked the other's writes.
+    group_that_was_led_elsewhere_meanwhile_begins_anew => away_case();
     /// A leaseholder hands its group over, and statements reach its task while that ends. They wait in the
     /// task's queue, which ends with it. A clerk whose write gets no answer is told that it may have run, and
     /// can't send it again, though nobody has run it.
@@ -187,6 +190,15 @@
     bench.wait_for_notes(2).await;
 }
 
+async fn away_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    bench.change_epoch(2);
+    assert!(is_served(&bench.ask(Ask::new(WRITE, "write on")).await));
+    bench.change_epoch(4);
+    wait_until(|| bench.is_ended()).await;
+}
+
 async fn ending_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
