--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -340,7 +340,7 @@
             inbox,
             sequence: 0,
             _control: control,
-            task: task,
+            task,
             _standby: standby_task,
         }
     }
