Keep connections scarce until half of them are left

That the edge of scarcity is what opens them is supposed, not shown. They are scarce from three quarters on and until half (is_scarce_after).

--- a/crates/daemon/src/descriptors.rs
+++ b/crates/daemon/src/descriptors.rs
@@ -93,11 +93,14 @@
 
     /// Returns what the process may hold as connections to endpoints.
     pub fn allowance(&self) -> ConnectionAllowance {
-        let allowance = ConnectionAllowance {
+        let before = self.0.scarce.load(Ordering::Relaxed);
+        let mut allowance = ConnectionAllowance {
             most: self.0.limit / ENDPOINT_DIVISOR,
             held: self.count(DescriptorUse::Endpoints),
             endpoints: read_gauge(&self.0.endpoints),
+            scarce: before,
         };
+        allowance.scarce = allowance.is_scarce_after(before);
         self.note_scarcity(&allowance);
         allowance
     }
@@ -116,7 +119,7 @@
     }
 
     fn note_scarcity(&self, allowance: &ConnectionAllowance) {
-        let scarce = allowance.is_scarce();
+        let scarce = allowance.scarce;
         if self.0.scarce.swap(scarce, Ordering::Relaxed) == scarce {
             return;
         }
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -96,7 +96,7 @@
             .pool
             .connection(id)
             .map_or(Duration::ZERO, |one| self.now().since(one.last_statement));
-        let scarce = self.context.descriptors.allowance().is_scarce();
+        let scarce = self.context.descriptors.allowance().scarce;
         let kept = self.by_account && unused < ACCOUNT_MEMORY && !scarce;
         if surplus && !kept {
             self.take_closed(id, CloseCause::Released);
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -47,9 +47,13 @@
 /// Connections that a VM keeps open whatever the load, to all its endpoints together.
 const KEPT_IN_ALL: u32 = 512;
 
-/// The part of a VM's connections beyond which none is opened ahead, and those that nothing uses at
-/// present are closed.
-const AHEAD_PART: (u32, u32) = (3, 4);
+/// The part of a VM's connections beyond which they are scarce: none is opened ahead, and those that
+/// nothing uses at present are closed.
+const SCARCE_PART: (u32, u32) = (3, 4);
+
+/// The part below which they are scarce no more. Nearer to the other mark, what is closed at one moment
+/// would be opened again at the next.
+const AMPLE_PART: (u32, u32) = (1, 2);
 
 /// How long a peak of the load keeps its connections open at least. It is kept twice as long at most.
 const PEAK_MEMORY: Duration = Duration::from_secs(5);
@@ -69,6 +73,8 @@
     pub held: u32,
     /// The endpoints that it holds them to.
     pub endpoints: u32,
+    /// Whether they are scarce; see [`is_scarce_after`](Self::is_scarce_after).
+    pub scarce: bool,
 }
 
 impl Default for ConnectionAllowance {
@@ -78,6 +84,7 @@
             most: u32::MAX,
             held: 0,
             endpoints: 0,
+            scarce: false,
         }
     }
 }
@@ -88,15 +95,22 @@
         self.most.saturating_sub(self.held)
     }
 
-    /// Returns how many more may be opened ahead of need.
-    pub fn room_ahead(&self) -> u32 {
-        let (part, whole) = AHEAD_PART;
-        (self.most / whole * part).saturating_sub(self.held)
+    /// Says whether connections are scarce now, by whether they were before.
+    pub fn is_scarce_after(&self, before: bool) -> bool {
+        let (part, whole) = match before {
+            true => AMPLE_PART,
+            false => SCARCE_PART,
+        };
+        self.held >= self.most / whole * part
     }
 
-    /// Says whether connections that nothing uses at present are to be closed.
-    pub fn is_scarce(&self) -> bool {
-        self.room_ahead() == 0
+    /// Returns how many more may be opened ahead of need.
+    fn room_ahead(&self) -> u32 {
+        let (part, whole) = SCARCE_PART;
+        match self.scarce {
+            true => 0,
+            false => (self.most / whole * part).saturating_sub(self.held),
+        }
     }
 
     /// Returns how many are kept open to each endpoint whatever the load.
@@ -211,7 +225,7 @@
     allowance: &ConnectionAllowance,
 ) -> u32 {
     let singles = connections_for_singles(record, need, allowance);
-    if allowance.is_scarce() {
+    if allowance.scarce {
         let used = record.pinned() + singles;
         return record.open.saturating_sub(used.max(1));
     }
@@ -233,7 +247,7 @@
     if record.is_shared_by_accounts() {
         return record.singles();
     }
-    if allowance.is_scarce() {
+    if allowance.scarce {
         return need.sent.min(record.singles() + need.waiting);
     }
     let peak = record.single_peak.most();
--- a/crates/policy/tests/connections.rs
+++ b/crates/policy/tests/connections.rs
@@ -60,6 +60,9 @@
     /// The connections of a VM are near the most that it may hold. Those that nothing uses are given up, and
     /// none is opened but for requests that wait for one.
     scarce_connections_serve_what_waits => scarce_case();
+    /// What was closed as scarce was opened ahead at the next moment, and closed again: the VM opened hundreds of
+    /// connections a second.
+    scarcity_lasts_until_there_is_room => lasting_case();
     /// Each connection belongs to one account, and a VM leads dozens of groups that hardly anybody calls.
     /// Opened ahead as for callers that share them, eight for each endpoint, they were of no use to the
     /// account that called next, and their upkeep took the VM's descriptors and most of its processor.
@@ -202,6 +205,7 @@
         most: 2_048,
         held: 700,
         endpoints: 339,
+        scarce: false,
     };
     load.scheduler.set_allowance(allowance);
     load.pass(Duration::from_secs(20), 1, Duration::from_secs(5));
@@ -218,6 +222,7 @@
         most: 2_048,
         held: 1_700,
         endpoints: 60,
+        scarce: true,
     };
     load.scheduler.set_allowance(allowance);
     load.pass(Duration::from_secs(1), 0, Duration::from_secs(5));
@@ -230,6 +235,23 @@
     assert_eq!(load.opened, 1);
 }
 
+fn lasting_case() {
+    let mut allowance = ConnectionAllowance {
+        most: 2_000,
+        ..ConnectionAllowance::default()
+    };
+    let mut scarce_at = |held| {
+        allowance.held = held;
+        allowance.scarce = allowance.is_scarce_after(allowance.scarce);
+        allowance.scarce
+    };
+    assert!(!scarce_at(1_400));
+    assert!(scarce_at(1_500));
+    assert!(scarce_at(1_400));
+    assert!(!scarce_at(900));
+    assert!(!scarce_at(1_400));
+}
+
 fn account_case() {
     let mut load = ReplayedLoad::start();
     let primary = InstanceName::from(PRIMARY);
