--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -45,7 +45,7 @@
 const FEWEST_CONNECTIONS: u32 = 8;
 
 /// Connections that a VM keeps open whatever the load, to all its endpoints together.
-const KEPT_IN_ALL: u32 = 512;
+const KEPT_IN_ALL: u32 = 256;
 
 /// The part of a VM's connections beyond which they are scarce: none is opened ahead, and those that
 /// nothing uses at present are closed.
