--- a/crates/control/src/detector.rs
+++ b/crates/control/src/detector.rs
@@ -71,7 +71,7 @@
     Refused,
     /// Nothing came back in time.
     Silent,
-    /// The watching VM lacked what a connection takes, so nothing was asked.
+    /// The watching VM had no descriptor, memory or port for a connection.
     Untried,
 }
 
--- a/crates/control/src/headless.rs
+++ b/crates/control/src/headless.rs
@@ -14,7 +14,7 @@
 //!
 //! Where a primary was found before, its successor is one of those that were known then, and each is asked.
 //! Where none was, the primary may be one that wasn't heard yet. An endpoint's second announcement shows that
-//! there was time for a first one of each: what delays one delays the others too.
+//! there was time for the first one of each.
 
 use ragwort_types::ClockTime;
 use ragwort_types::InstanceName;
@@ -76,7 +76,7 @@
         self.since
     }
 
-    /// Says whether the group needs another primary, since it has none that could still show itself.
+    /// Says whether the group's primary is missing, so that it needs another.
     pub fn is_primary_missing(&self, now: ClockTime, knowledge: EndpointKnowledge) -> bool {
         if self
             .since
--- a/crates/daemon/src/callers/conversation.rs
+++ b/crates/daemon/src/callers/conversation.rs
@@ -42,9 +42,9 @@
 
 /// How long a drain waits for an idle session's next statement, to close the session behind its answer.
 ///
-/// Closed in a pause, a session may have its next statement under way already. Drivers that read the
-/// gateway's last word before they write report only a closed connection for that statement, so that the
-/// caller can't know whether it ran.
+/// The next statement may be under way already when an idle session is closed. Some drivers drop an error
+/// that arrives while no statement is pending and report only a closed connection for that statement, so
+/// that the caller can't know whether it ran.
 const LAST_STATEMENT_WAIT: Duration = Duration::from_secs(2);
 
 /// Why a conversation ended.
@@ -100,12 +100,12 @@
     last_statement: Option<LastStatement>,
 }
 
-/// What an idle session of a draining gateway waits for.
+/// The last statement of an idle session on a draining gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LastStatement {
-    /// For a statement, until this moment.
+    /// Not received yet; the session ends without it at this moment.
     Awaited(Instant),
-    /// For nothing: it came.
+    /// Received; the session ends behind its answer.
     Taken,
 }
 
--- a/crates/daemon/src/handover_plans.rs
+++ b/crates/daemon/src/handover_plans.rs
@@ -6,8 +6,8 @@
 //!
 //! # Without it
 //!
-//! A plan looks at every group and VM. Made by each group's task anew, its cost grows with the square of
-//! the groups and takes the time that leases and statements need.
+//! A plan looks at every group and VM. Made by each group's task, its cost grows with the square of the
+//! number of groups.
 
 use ragwort_control::CatalogCopy;
 use ragwort_control::plan_approaches;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -72,8 +72,8 @@
 
     /// Says whether `vm`, which is this VM, may dispatch and answer for a group now.
     ///
-    /// A group's task hears of a new placement some events later. What it answered in between would be
-    /// acknowledged under a placement that is over, beside a successor that has begun.
+    /// A group's task takes a change of the view in its turn among other events. Its answers until then would
+    /// be acknowledged under a placement that is over, beside a successor.
     pub fn may_lead(&self, now: ClockTime, vm: &VmName, group: &GroupName) -> bool {
         let record = self.copy.group(group);
         self.may_serve(now) && record.is_none_or(|record| record.placement.leaseholder == *vm)
--- a/crates/daemon/src/native/link.rs
+++ b/crates/daemon/src/native/link.rs
@@ -116,7 +116,7 @@
     Released,
     /// The endpoint refused it: nobody listens there, or the process is gone.
     Refused,
-    /// This VM lacks what a connection takes; nothing is known of the endpoint.
+    /// This VM has no descriptor, memory or port for it; nothing is known of the endpoint.
     Exhausted,
     /// Another instance answers at the address.
     WrongInstance,
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -75,8 +75,8 @@
 /// The step in which waits, ages and silent endpoints are looked at.
 const TICK: Duration = Duration::from_millis(10);
 
-/// The same for a group that nobody uses at present. Groups that are hardly called are many, and their
-/// steps would take more of a VM's processor than those in use.
+/// The same for a group without requests. A VM may lead many such groups, and their steps would take more
+/// of its processor than the groups in use.
 const CALM_TICK: Duration = Duration::from_millis(50);
 
 /// Events taken in before the scheduler is asked once for all of them.
@@ -213,7 +213,7 @@
                     if count == 0 {
                         break;
                     }
-                    // What replicas hold by now was last reckoned some steps ago.
+                    // The estimate of what replicas hold is a calm tick old.
                     if calm {
                         self.report_positions();
                     }
@@ -315,7 +315,7 @@
         wake.map_or(CALM_TICK, |wake| wake.since(now))
     }
 
-    /// Says whether nothing happens to the group whose course must be followed closely.
+    /// Says whether the group has neither requests nor a change of its primary or leaseholder under way.
     fn is_calm(&self) -> bool {
         let unused = self.requests.is_empty() && self.transactions.is_empty();
         let steady = self.replacement.state() == ReplacementState::Steady;
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -192,7 +192,7 @@
         address: SocketAddr,
         cause: CloseCause,
     ) {
-        // Its line is written where all shortages of the process are counted.
+        // `note_shortage` has logged it.
         if cause == CloseCause::Exhausted {
             if let Some(endpoint) = self.pool.endpoint_mut(instance) {
                 endpoint.probing = None;
@@ -212,8 +212,8 @@
             led_ms = self.now().since(self.taken).as_millis(),
         );
         match cause {
-            // The announcement was overtaken: another instance has the address now. One that has
-            // announced itself elsewhere since is where it says.
+            // Another instance has the address now. The endpoint stays if it has announced another
+            // address since.
             CloseCause::WrongInstance => {
                 let present = self.pool.endpoint(instance);
                 if present.is_some_and(|one| one.announcement.data_address == address) {
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -71,7 +71,7 @@
 pub(super) struct NativeConnection {
     /// The instance it leads to.
     pub(super) instance: InstanceName,
-    /// Where the instance was when it was opened.
+    /// The address that it was opened to.
     pub(super) address: SocketAddr,
     /// The account for whose callers it was opened.
     pub(super) account: Option<AccountName>,
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -26,7 +26,7 @@
 const ACCOUNT_MEMORY: Duration = Duration::from_secs(6);
 
 impl NativeTask {
-    /// Does what is due by time, `passed` after the last tick.
+    /// Runs the periodic checks, `passed` after the last tick.
     pub(super) fn take_tick(&mut self, passed: Duration) {
         let before = self.ticks;
         self.ticks += count_ticks(passed);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -62,7 +62,8 @@
 pub enum LinkError {
     /// No connection could be had: the call has not run.
     Unreachable,
-    /// This VM lacks what a connection takes: the call has not run, and nothing is known of the other side.
+    /// This VM has no descriptor, memory or port for a connection: the call has not run, and nothing is known
+    /// of the other side.
     Exhausted,
     /// The connection was lost or silent after the call was handed to it: the call may have run.
     Lost,
@@ -330,7 +331,7 @@
 /// Why a link could not be opened.
 #[derive(Debug)]
 enum OpenError {
-    /// This VM lacks what a connection takes.
+    /// This VM has no descriptor, memory or port for a connection.
     Exhausted,
     /// The connection or the greeting failed.
     Client(ClientError),
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -122,7 +122,7 @@
     pub drain: watch::Sender<bool>,
     /// Collects the state of all tasks.
     pub dump: NodeDump,
-    /// What standbys were told of endpoints.
+    /// The announcements that were passed on to standbys.
     pub relayed: Arc<Mutex<RelayedAnnouncements>>,
 }
 
@@ -294,7 +294,7 @@
         reply
     }
 
-    /// Returns the standbys to which an announcement says something new, or that would forget it.
+    /// Returns the standbys that an announcement is passed on to.
     fn standbys_to_tell(
         &self,
         placement: &GroupPlacement,
@@ -492,7 +492,7 @@
             .links
             .call_instance(agent_address, &expected, limit, call);
         match answer.await {
-            // A view that wasn't taken would be counted as one more that speaks against the primary.
+            // Answered with false, it would count against the primary.
             Err(LinkError::Exhausted) => Err(unavailable(&LinkError::Exhausted.to_string())),
             reply => Ok(reply.is_ok()),
         }
--- a/crates/daemon/src/shortage.rs
+++ b/crates/daemon/src/shortage.rs
@@ -1,4 +1,4 @@
-//! Tells a lack of this VM's own resources from a fault of the other side.
+//! Tells a shortage of this VM's own resources from a fault of the other side.
 //!
 //! # The load it answers
 //!
@@ -22,8 +22,8 @@
 /// The failures of this process so far.
 static FAILURES: AtomicU64 = AtomicU64::new(0);
 
-/// Says whether an operation on a socket failed for want of something that this process or VM lacks:
-/// descriptors, memory or ports.
+/// Says whether an operation on a socket failed because this process or VM has no descriptor, memory or port
+/// left.
 pub fn is_own_shortage(error: &io::Error) -> bool {
     let shortages = [
         Errno::MFILE,
@@ -36,8 +36,8 @@
     Errno::from_io_error(error).is_some_and(|errno| shortages.contains(&errno))
 }
 
-/// Says whether an error comes from a shortage of this process or VM; if so it is counted, and logged now
-/// and then.
+/// Says whether an error comes from a shortage of this process or VM; if so it is counted, and one in
+/// [`FAILURES_PER_LINE`] is logged.
 pub fn note_shortage(error: &io::Error) -> bool {
     if !is_own_shortage(error) {
         return false;
@@ -54,7 +54,7 @@
     true
 }
 
-/// Returns how often this process failed to open a connection for want of its own resources.
+/// Returns how often a connection failed for a shortage of this process or VM.
 pub fn count_shortages() -> u64 {
     FAILURES.load(Ordering::Relaxed)
 }
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -11,8 +11,8 @@
 //! slots, until the endpoint's 16 are used up and none is left for a successor. With a connection for
 //! each of many slots, a VM that leads some groups holds thousands that nobody uses: each takes memory
 //! and is asked again and again whether it still answers, until descriptors, processor or memory of
-//! the VM are used up by them. The same comes of some connections for each of hundreds of endpoints,
-//! if each endpoint is looked at alone: VMs fail, and those that are left lead the groups of all.
+//! the VM are used up by them. The same happens with few connections to each of hundreds of endpoints,
+//! when VMs fail and the remaining ones lead all groups.
 //!
 //! # Grounds for its figures
 //!
@@ -78,7 +78,7 @@
 }
 
 impl Default for ConnectionAllowance {
-    /// An allowance that binds nowhere.
+    /// Returns an allowance without a limit.
     fn default() -> Self {
         Self {
             most: u32::MAX,
