Replace no more connections in doubt than stay open afterwards

Each was replaced ahead while in doubt, and the replacement closed when it had answered, since fewer were left open than had been replaced.

Where a VM has more than 64 endpoints, as many are replaced as are left open.

--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -45,7 +45,7 @@
 const FEWEST_CONNECTIONS: u32 = 8;
 
 /// Connections that a VM keeps open whatever the load, to all its endpoints together.
-const KEPT_IN_ALL: u32 = 256;
+const KEPT_IN_ALL: u32 = 512;
 
 /// The part of a VM's connections beyond which they are scarce: none is opened ahead, and those that
 /// nothing uses at present are closed.
@@ -117,6 +117,20 @@
     fn kept_for_each(&self) -> u32 {
         (KEPT_IN_ALL / self.endpoints.max(1)).clamp(1, FEWEST_CONNECTIONS)
     }
+
+    /// Returns how many are left open to each endpoint beyond those that the load needs.
+    fn left_for_each(&self) -> u32 {
+        SURPLUS_LEFT.min(self.kept_for_each() / 2).max(1)
+    }
+
+    /// Returns how many of an endpoint's connections in doubt are replaced ahead: where few are kept, no
+    /// more than would stay open when the doubt has ended.
+    fn replaced_ahead(&self, doubted: u32) -> u32 {
+        match self.kept_for_each() == FEWEST_CONNECTIONS {
+            true => doubted,
+            false => doubted.min(self.left_for_each()),
+        }
+    }
 }
 
 /// The most of something in the last seconds.
@@ -208,7 +222,8 @@
         true => 0,
         false => need.openers,
     };
-    let wanted = record.pinned() + singles + SPARE_CONNECTIONS + openers + record.doubted;
+    let doubted = allowance.replaced_ahead(record.doubted);
+    let wanted = record.pinned() + singles + SPARE_CONNECTIONS + openers + doubted;
     let missing = wanted.min(budget).saturating_sub(held);
     let at_once = OPENING_LIMIT.max(record.state.slots / OPENING_DIVISOR);
     let at_once = at_once.saturating_sub(record.opening);
@@ -232,7 +247,7 @@
     let wanted = record.pin_peak.most() + singles + SPARE_CONNECTIONS + need.openers;
     let left = match record.is_shared_by_accounts() {
         true => 0,
-        false => SURPLUS_LEFT.min(allowance.kept_for_each() / 2),
+        false => allowance.left_for_each(),
     };
     record.open.saturating_sub(wanted + left)
 }
--- a/crates/policy/tests/connections.rs
+++ b/crates/policy/tests/connections.rs
@@ -57,6 +57,9 @@
     /// hardly anybody calls. With some connections for each, as where a VM has few endpoints, the VM had no
     /// descriptor left, and nobody was served.
     many_endpoints_share_what_is_kept_open => shared_case();
+    /// Connections that prove that they still answer were replaced ahead, and the replacements closed when they
+    /// had: a VM with many endpoints opened hundreds of connections a second that no load needed.
+    connections_in_doubt_are_not_opened_and_closed_in_turn => doubt_case();
     /// The connections of a VM are near the most that it may hold. Those that nothing uses are given up, and
     /// none is opened but for requests that wait for one.
     scarce_connections_serve_what_waits => scarce_case();
@@ -77,6 +80,7 @@
     openings: Vec<ClockTime>,
     runs: Vec<(ClockTime, RequestTicket)>,
     opened: usize,
+    openings_begun: usize,
     served: usize,
 }
 
@@ -97,6 +101,7 @@
             openings: Vec::new(),
             runs: Vec::new(),
             opened: 0,
+            openings_begun: 0,
             served: 0,
         }
     }
@@ -143,6 +148,7 @@
                 SchedulerDecision::Dispatch(order) => self.runs.push((now + RUN, order.ticket)),
                 SchedulerDecision::OpenConnection(instance) if instance == primary => {
                     self.openings.push(now + OPENING);
+                    self.openings_begun += 1;
                 }
                 SchedulerDecision::OpenConnection(_) | SchedulerDecision::Refuse(_) => {}
             }
@@ -215,6 +221,33 @@
     assert_eq!(load.served, 4);
 }
 
+fn doubt_case() {
+    let mut load = ReplayedLoad::start();
+    let primary = InstanceName::from(PRIMARY);
+    load.scheduler.set_allowance(ConnectionAllowance {
+        most: 2_048,
+        held: 700,
+        endpoints: 204,
+        scarce: false,
+    });
+    load.pass(Duration::from_secs(1), 0, Duration::from_secs(1));
+    let before = load.openings_begun;
+    for _ in 0..100 {
+        let doubted = load.opened;
+        for _ in 0..doubted {
+            load.scheduler.connection_doubted(&primary);
+        }
+        load.pass(Duration::from_millis(50), 0, Duration::from_secs(1));
+        for _ in 0..doubted {
+            load.scheduler.doubt_ended(&primary);
+        }
+        load.close_surplus();
+        load.pass(Duration::from_millis(150), 0, Duration::from_secs(1));
+    }
+    let opened = load.openings_begun - before;
+    assert!(opened <= 2, "{opened} opened");
+}
+
 fn scarce_case() {
     let mut load = ReplayedLoad::start();
     load.pass(Duration::from_secs(2), 4, Duration::from_millis(20));
