Share the tables of the catalog copy, and find a group's contracts by its name

The copy itself was cloned whole at each delta, 1,000 group records among it, and the manager of leaseholders copied all placements and looked at all groups at each change.

Now a copy consists of shared tables. A delta replaces those that it changes, and within the tables of groups and members only the changed records; repeated items change nothing. ContractTable finds the contracts of a group by its name. A group's task skips a view with the same contracts and the same record, and the manager one with the same groups. As it no longer looks at each view, it starts a group's next task when the former one has ended.

Tests: control state copies (tables stay the same objects; customers of a group follow its contracts over random series).

--- a/crates/control/src/copy.rs
+++ b/crates/control/src/copy.rs
@@ -3,8 +3,13 @@
 //! If a copy went back to an earlier revision, for instance after a restart or a change of the
 //! control VM, its member would serve under a contract that operators were told is replaced. A copy
 //! therefore applies a delta only if it leads forward from the copy's revision.
+//!
+//! The tables of a copy are shared: a clone of a copy shares them until one of both is changed, and
+//! a delta replaces only the tables that it changes. Who has seen a table finds out by
+//! [`Arc::ptr_eq`] whether a later copy still has the same.
 
 use crate::accounts::AccountTable;
+use crate::contract_table::ContractTable;
 use ragwort_types::CatalogDelta;
 use ragwort_types::CatalogItem;
 use ragwort_types::CatalogRevision;
@@ -73,14 +78,20 @@
     pub callers: bool,
 }
 
+/// The groups of a copy.
+pub type GroupTable = BTreeMap<GroupName, Arc<GroupRecord>>;
+
+/// The members of a copy.
+pub type MemberTable = BTreeMap<VmName, Arc<MemberRecord>>;
+
 /// A member's copy of the catalog.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CatalogCopy {
     revision: CatalogRevision,
-    contracts: BTreeMap<CustomerName, VersionedContract>,
-    members: BTreeMap<VmName, MemberRecord>,
-    groups: BTreeMap<GroupName, GroupRecord>,
-    terms: BTreeMap<GroupName, GroupTerms>,
+    contracts: Arc<ContractTable>,
+    members: Arc<MemberTable>,
+    groups: Arc<GroupTable>,
+    terms: Arc<BTreeMap<GroupName, GroupTerms>>,
     accounts: Arc<AccountTable>,
 }
 
@@ -102,7 +113,12 @@
 
     /// Iterates over the contracts.
     pub fn contracts(&self) -> impl Iterator<Item = &VersionedContract> {
-        self.contracts.values()
+        self.contracts.iter()
+    }
+
+    /// Returns the contracts as a table that is shared with other copies.
+    pub fn contract_table(&self) -> &Arc<ContractTable> {
+        &self.contracts
     }
 
     /// Returns the client accounts.
@@ -110,6 +126,11 @@
         &self.accounts
     }
 
+    /// Returns the client accounts as a table that is shared with other copies.
+    pub fn account_table(&self) -> &Arc<AccountTable> {
+        &self.accounts
+    }
+
     /// Returns a group's terms.
     pub fn group_terms(&self, group: &GroupName) -> Option<&GroupTerms> {
         self.terms.get(group)
@@ -117,22 +138,32 @@
 
     /// Returns a member.
     pub fn member(&self, vm: &VmName) -> Option<&MemberRecord> {
-        self.members.get(vm)
+        self.members.get(vm).map(Arc::as_ref)
     }
 
     /// Iterates over the members.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.members.values()
+        self.members.values().map(Arc::as_ref)
+    }
+
+    /// Returns the members as a table that is shared with other copies.
+    pub fn member_table(&self) -> &Arc<MemberTable> {
+        &self.members
     }
 
     /// Returns a group.
     pub fn group(&self, group: &GroupName) -> Option<&GroupRecord> {
-        self.groups.get(group)
+        self.groups.get(group).map(Arc::as_ref)
     }
 
     /// Iterates over the groups.
     pub fn groups(&self) -> impl Iterator<Item = &GroupRecord> {
-        self.groups.values()
+        self.groups.values().map(Arc::as_ref)
+    }
+
+    /// Returns the groups as a table that is shared with other copies.
+    pub fn group_table(&self) -> &Arc<GroupTable> {
+        &self.groups
     }
 
     /// Applies a delta or a snapshot and returns the changes.
@@ -196,7 +227,7 @@
         let unlisted = self.members.keys().filter(|vm| !listed.contains(vm));
         let gone: Vec<VmName> = unlisted.cloned().collect();
         for vm in gone {
-            self.members.remove(&vm);
+            Arc::make_mut(&mut self.members).remove(&vm);
             changes.vms.push(vm);
         }
         self.drop_unlisted_contracts(items, changes);
@@ -204,7 +235,14 @@
             CatalogItem::Account(terms) => Some(&terms.name),
             _ => None,
         });
-        Arc::make_mut(&mut self.accounts).retain_listed(&accounts.collect());
+        let accounts: BTreeSet<_> = accounts.collect();
+        if self
+            .accounts
+            .iter()
+            .any(|held| !accounts.contains(&held.name))
+        {
+            Arc::make_mut(&mut self.accounts).retain_listed(&accounts);
+        }
     }
 
     fn drop_unlisted_contracts(&mut self, items: &[CatalogItem], changes: &mut CopyChanges) {
@@ -215,13 +253,8 @@
                 _ => None,
             })
             .collect();
-        let held = self.contracts.keys();
-        let gone: Vec<CustomerName> = held
-            .filter(|customer| !listed.contains(customer))
-            .cloned()
-            .collect();
-        for customer in gone {
-            self.contracts.remove(&customer);
+        for customer in self.contracts.list_others(&listed) {
+            Arc::make_mut(&mut self.contracts).remove(&customer);
             changes.customers.push(customer);
         }
     }
@@ -229,54 +262,66 @@
     fn apply_item(&mut self, item: &CatalogItem, changes: &mut CopyChanges) {
         match item {
             CatalogItem::Contract(contract) => {
-                let customer = contract.contract.customer.clone();
-                let former = self
-                    .contracts
-                    .insert(customer.clone(), (**contract).clone());
-                if former.as_ref() != Some(&**contract) {
-                    changes.customers.push(customer);
+                let customer = &contract.contract.customer;
+                if self.contracts.get(customer) != Some(&**contract) {
+                    changes.customers.push(customer.clone());
+                    Arc::make_mut(&mut self.contracts).put((**contract).clone());
                 }
             }
             CatalogItem::ContractGone(customer) => {
-                if self.contracts.remove(customer).is_some() {
+                if self.contracts.get(customer).is_some() {
+                    Arc::make_mut(&mut self.contracts).remove(customer);
                     changes.customers.push(customer.clone());
                 }
             }
             CatalogItem::GroupTerms(terms) => {
-                self.terms.insert(terms.group.clone(), terms.clone());
+                if self.terms.get(&terms.group) != Some(terms) {
+                    Arc::make_mut(&mut self.terms).insert(terms.group.clone(), terms.clone());
+                }
             }
             CatalogItem::Member(member) => {
-                let vm = member.id.vm.clone();
-                let former = self.members.insert(vm.clone(), member.clone());
-                if former.as_ref() != Some(member) {
-                    changes.vms.push(vm);
+                let vm = &member.id.vm;
+                if self.member(vm) != Some(member) {
+                    changes.vms.push(vm.clone());
+                    let members = Arc::make_mut(&mut self.members);
+                    members.insert(vm.clone(), Arc::new(member.clone()));
                 }
             }
             CatalogItem::MemberGone(vm) => {
-                if self.members.remove(vm).is_some() {
+                if self.members.contains_key(vm) {
+                    Arc::make_mut(&mut self.members).remove(vm);
                     changes.vms.push(vm.clone());
                 }
             }
             CatalogItem::Group(record) => self.apply_group(record, changes),
             CatalogItem::Account(terms) => {
-                Arc::make_mut(&mut self.accounts).put((**terms).clone());
+                if self.accounts.get(&terms.name) != Some(&**terms) {
+                    Arc::make_mut(&mut self.accounts).put((**terms).clone());
+                }
+            }
+            CatalogItem::AccountGone(name) => {
+                if self.accounts.get(name).is_some() {
+                    Arc::make_mut(&mut self.accounts).remove(name);
+                }
             }
-            CatalogItem::AccountGone(name) => Arc::make_mut(&mut self.accounts).remove(name),
         }
     }
 
     fn apply_group(&mut self, record: &GroupRecord, changes: &mut CopyChanges) {
         let group = &record.placement.group;
-        let former = self.groups.insert(group.clone(), record.clone());
-        if let Some(former) = &former {
+        let former = self.group(group);
+        if former == Some(record) {
+            return;
+        }
+        if let Some(former) = former {
             invariant!(
                 former.placement.epoch <= record.placement.epoch && former.term <= record.term,
                 "the epoch or term of {group} fell"
             );
         }
-        if former.as_ref() != Some(record) {
-            changes.groups.push(group.clone());
-        }
+        changes.groups.push(group.clone());
+        let groups = Arc::make_mut(&mut self.groups);
+        groups.insert(group.clone(), Arc::new(record.clone()));
     }
 }
 
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -5,6 +5,7 @@
 
 mod catalog;
 mod charts;
+mod copies;
 mod detector;
 mod documents;
 mod headless;
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -155,9 +155,9 @@
         if !leads || leaves || self.journal_is_deposed() {
             return Err(AdmissionRefusal::new(RefusalCause::NoLease));
         }
-        let contract = view.copy.contract(origin.customer);
-        let contract = contract.map(|held| &held.contract);
-        let allowed = contract.filter(|contract| contract.groups.contains(&self.group));
+        let contracts = view.copy.contract_table();
+        let allowed = contracts.get_for_group(origin.customer, &self.group);
+        let allowed = allowed.map(|held| &held.contract);
         let terms = allowed.and_then(|contract| apply_marks(contract, origin.marks));
         let terms = terms.ok_or(AdmissionRefusal::new(RefusalCause::Contract))?;
         if self.journal.is_none() {
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -49,6 +49,7 @@
 use probing::PrimaryWatch;
 use promoting::PromotionDriver;
 use ragwort_control::ClockTime;
+use ragwort_control::ContractTable;
 use ragwort_control::GroupJournal;
 use ragwort_control::PositionQuorum;
 use ragwort_control::RoundId;
@@ -158,6 +159,8 @@
     /// The placement before the present one, whose VMs may hold a copy of the journal.
     previous: Option<GroupPlacement>,
     view: watch::Receiver<MemberView>,
+    /// The contracts that were last passed to the scheduler.
+    applied_contracts: Arc<ContractTable>,
     /// Whether the group is being handed over, or its promotion state machine has stopped; only
     /// statements of open transactions are admitted then.
     handing_over: bool,
@@ -229,6 +232,7 @@
         record,
         previous,
         view,
+        applied_contracts: Arc::default(),
         handing_over: false,
         handover: HandoverState::default(),
         scheduler,
@@ -440,13 +444,16 @@
         true
     }
 
-    /// Passes the terms of the customers that use this group to the scheduler.
+    /// Passes the terms of the customers that use this group to the scheduler, if any contract has
+    /// changed.
     fn apply_contracts(&mut self) {
-        let view = self.view.borrow();
-        let here = view.copy.contracts().map(|held| &held.contract);
-        let here = here.filter(|contract| contract.groups.contains(&self.group));
+        let contracts = Arc::clone(self.view.borrow().copy.contract_table());
+        if Arc::ptr_eq(&contracts, &self.applied_contracts) {
+            return;
+        }
+        let here = contracts.of_group(&self.group).map(|held| &held.contract);
         let terms: Vec<CustomerTerms> = here.map(CustomerTerms::from).collect();
-        drop(view);
+        self.applied_contracts = contracts;
         self.scheduler.set_contracts(&terms);
     }
 
--- a/crates/daemon/src/leaseholders.rs
+++ b/crates/daemon/src/leaseholders.rs
@@ -16,10 +16,10 @@
 use crate::native::spawn_native_group;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_control::GroupTable;
 use ragwort_types::AnnouncementReply;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupName;
-use ragwort_types::GroupPlacement;
 use ragwort_types::GroupRecord;
 use ragwort_types::InstanceName;
 use ragwort_types::ShapeReply;
@@ -33,7 +33,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 use tokio::time::interval;
 
 /// Interval at which expired announcements are dropped.
@@ -75,11 +75,6 @@
     pub received: ClockTime,
 }
 
-struct GroupHandle {
-    inbox: mpsc::Sender<GroupEvent>,
-    task: JoinHandle<()>,
-}
-
 /// Runs the tasks of this VM's groups.
 pub struct LeaseholderManager {
     context: Arc<GroupContext>,
@@ -88,8 +83,12 @@
     unplaced: watch::Sender<Vec<GroupName>>,
     announcements: BTreeMap<GroupName, BTreeMap<InstanceName, ReceivedAnnouncement>>,
     first_announced: BTreeMap<GroupName, ClockTime>,
-    groups: BTreeMap<GroupName, GroupHandle>,
-    placements: BTreeMap<GroupName, GroupPlacement>,
+    /// The queues of the groups' tasks.
+    groups: BTreeMap<GroupName, mpsc::Sender<GroupEvent>>,
+    /// The groups' tasks; each returns the name of its group.
+    tasks: JoinSet<GroupName>,
+    /// The groups of the catalog for which tasks were last started.
+    seen_groups: Arc<GroupTable>,
     edges: NodeEdges,
 }
 
@@ -109,7 +108,8 @@
             announcements: BTreeMap::new(),
             first_announced: BTreeMap::new(),
             groups: BTreeMap::new(),
-            placements: BTreeMap::new(),
+            tasks: JoinSet::new(),
+            seen_groups: Arc::default(),
             edges,
         }
     }
@@ -131,7 +131,14 @@
                     if changed.is_err() {
                         break;
                     }
-                    self.start_placed_groups().await;
+                    self.apply_view();
+                }
+                Some(ended) = self.tasks.join_next(), if !self.tasks.is_empty() => {
+                    // A panic of a group's task was logged by the panic hook.
+                    if let Ok(group) = ended {
+                        self.groups.remove(&group);
+                        self.start_placed_groups();
+                    }
                 }
                 _ = sweep.tick() => self.sweep(),
                 changed = stop.changed() => {
@@ -142,10 +149,8 @@
             }
         }
         self.refuse_queue(&mut events).await;
-        for (_, handle) in std::mem::take(&mut self.groups) {
-            drop(handle.inbox);
-            let _ = handle.task.await;
-        }
+        self.groups.clear();
+        while self.tasks.join_next().await.is_some() {}
     }
 
     /// Closes the manager's queue and refuses the requests that are left in it.
@@ -170,8 +175,8 @@
             LeaseholderEvent::Statement(request, reply) => self.handle_statement(request, reply),
             LeaseholderEvent::Describe(request, reply) => self.handle_describe(request, reply),
             LeaseholderEvent::Cancel(group, id) => {
-                if let Some(handle) = self.groups.get(&group) {
-                    let _ = handle.inbox.try_send(GroupEvent::Cancel(id));
+                if let Some(inbox) = self.groups.get(&group) {
+                    let _ = inbox.try_send(GroupEvent::Cancel(id));
                 }
             }
             LeaseholderEvent::Announce(announcement, reply) => {
@@ -188,11 +193,11 @@
         request: Box<StatementRequest>,
         reply: oneshot::Sender<StatementReply>,
     ) {
-        let Some(handle) = self.groups.get(&request.group) else {
+        let Some(inbox) = self.groups.get(&request.group) else {
             return refuse_statement(&request, reply);
         };
         let event = GroupEvent::Statement(request, reply);
-        if let Err(refused) = handle.inbox.try_send(event)
+        if let Err(refused) = inbox.try_send(event)
             && let GroupEvent::Statement(request, reply) = refused.into_inner()
         {
             refuse_statement(&request, reply);
@@ -202,8 +207,8 @@
     /// Passes a describe request to its group's task. A dropped `reply` tells the sender that
     /// nobody accepted it.
     fn handle_describe(&mut self, request: Box<ShapeRequest>, reply: oneshot::Sender<ShapeReply>) {
-        if let Some(handle) = self.groups.get(&request.group) {
-            let _ = handle.inbox.try_send(GroupEvent::Describe(request, reply));
+        if let Some(inbox) = self.groups.get(&request.group) {
+            let _ = inbox.try_send(GroupEvent::Describe(request, reply));
         }
     }
 
@@ -219,9 +224,9 @@
             });
         }
         self.first_announced.entry(group.clone()).or_insert(now);
-        if let Some(handle) = self.groups.get(&group) {
+        if let Some(inbox) = self.groups.get(&group) {
             let event = GroupEvent::Announced(Box::new(announcement.clone()));
-            let _ = handle.inbox.try_send(event);
+            let _ = inbox.try_send(event);
         }
         let instances = self.announcements.entry(group.clone()).or_default();
         let received = ReceivedAnnouncement {
@@ -266,9 +271,7 @@
         let view = self.view.borrow();
         // Anyone can announce an endpoint, also of a group that no contract or document names.
         let is_configured = |group: &GroupName| {
-            let mut contracts = view.copy.contracts();
-            view.copy.group_terms(group).is_some()
-                || contracts.any(|held| held.contract.groups.contains(group))
+            view.copy.group_terms(group).is_some() || view.copy.contract_table().names_group(group)
         };
         let due = self.first_announced.iter().filter(|(group, first)| {
             let unplaced =
@@ -284,16 +287,22 @@
         });
     }
 
-    /// Starts a task for each group that was placed here, and joins the tasks that have ended. A
-    /// task ends by itself when its group moves away.
-    async fn start_placed_groups(&mut self) {
-        let ended = self
-            .groups
-            .extract_if(.., |_, handle| handle.task.is_finished());
-        for (_, handle) in ended.collect::<Vec<_>>() {
-            let _ = handle.task.await;
+    /// Starts the tasks of groups that a change of the view has placed here, if it has changed any
+    /// group.
+    fn apply_view(&mut self) {
+        let changed = {
+            let view = self.view.borrow_and_update();
+            !Arc::ptr_eq(view.copy.group_table(), &self.seen_groups)
+        };
+        if changed {
+            self.start_placed_groups();
         }
-        let view = self.view.borrow_and_update().clone();
+    }
+
+    /// Starts a task for each group that is placed here and has none. A task ends by itself when
+    /// its group moves away.
+    fn start_placed_groups(&mut self) {
+        let view = self.view.borrow().clone();
         let own = &self.context.settings.vm;
         let led = view
             .copy
@@ -321,7 +330,8 @@
                 let _ = inbox.try_send(GroupEvent::Announced(announcement));
             }
             let context = Arc::clone(&self.context);
-            let previous = self.placements.get(group).cloned();
+            let previous = self.seen_groups.get(group);
+            let previous = previous.map(|former| former.placement.clone());
             let view = self.view.clone();
             let record = record.clone();
             let task = match self.edges.clone() {
@@ -330,21 +340,23 @@
                     spawn_native_group(context, edges, record, view, events)
                 }
             };
-            self.groups
-                .insert(group.clone(), GroupHandle { inbox, task });
+            self.groups.insert(group.clone(), inbox);
+            let group = group.clone();
+            self.tasks.spawn(async move {
+                // A panic of the task was logged by the panic hook.
+                let _ = task.await;
+                group
+            });
         }
         self.context.metrics.set_groups_led(self.groups.len());
-        let placements = view.copy.groups().map(|record| &record.placement);
-        self.placements = placements
-            .map(|one| (one.group.clone(), one.clone()))
-            .collect();
+        self.seen_groups = Arc::clone(view.copy.group_table());
     }
 
     async fn dump(&self) -> serde_json::Value {
         let mut groups = serde_json::Map::new();
-        for (group, handle) in &self.groups {
+        for (group, inbox) in &self.groups {
             let (reply, answer) = oneshot::channel();
-            if handle.inbox.try_send(GroupEvent::Dump(reply)).is_ok()
+            if inbox.try_send(GroupEvent::Dump(reply)).is_ok()
                 && let Ok(state) = answer.await
             {
                 groups.insert(group.to_string(), state);
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -107,9 +107,9 @@
             return Err(RefusalCause::TransactionLost);
         }
         let view = self.view.borrow();
-        let contract = view.copy.contract(&request.customer);
-        let contract = contract.map(|held| &held.contract);
-        let allowed = contract.filter(|contract| contract.groups.contains(&self.group));
+        let contracts = view.copy.contract_table();
+        let allowed = contracts.get_for_group(&request.customer, &self.group);
+        let allowed = allowed.map(|held| &held.contract);
         let terms = allowed.and_then(|contract| find_terms(contract, &request.marks));
         let terms = terms.ok_or(RefusalCause::Contract)?;
         match allowed.is_some_and(|contract| is_caller_admitted(&view.copy, contract, request)) {
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -47,6 +47,7 @@
 use notes::NotesProgress;
 use pool::NativePool;
 use ragwort_control::ClockTime;
+use ragwort_control::ContractTable;
 use ragwort_control::InstanceRoles;
 use ragwort_control::PositionHistory;
 use ragwort_control::PrimaryAbsence;
@@ -109,6 +110,8 @@
     group: GroupName,
     record: GroupRecord,
     view: watch::Receiver<MemberView>,
+    /// The contracts that were last passed to the scheduler.
+    applied_contracts: Arc<ContractTable>,
     scheduler: GroupScheduler,
     pool: NativePool,
     demand: AccountDemand,
@@ -178,6 +181,7 @@
         group,
         record,
         view,
+        applied_contracts: Arc::default(),
         scheduler,
         demand: AccountDemand::default(),
         by_account: false,
@@ -298,6 +302,9 @@
         let Some(record) = view.copy.group(&self.group) else {
             return true;
         };
+        if *record == self.record {
+            return true;
+        }
         // A skipped epoch means that another VM has led the group in between. The positions that it
         // acknowledged aren't known here, so this task must not go on.
         let was_away = record.placement.epoch > self.record.placement.epoch.next();
@@ -314,13 +321,19 @@
         true
     }
 
+    /// Passes the terms of the customers that use this group to the scheduler, if any contract has
+    /// changed.
     fn apply_contracts(&mut self) {
         let view = self.view.borrow();
-        let here = view.copy.contracts().map(|held| &held.contract);
-        let here = here.filter(|contract| contract.groups.contains(&self.group));
-        let terms: Vec<CustomerTerms> = here.map(CustomerTerms::from).collect();
         self.by_account = view.copy.accounts().iter().next().is_some();
+        let contracts = Arc::clone(view.copy.contract_table());
         drop(view);
+        if Arc::ptr_eq(&contracts, &self.applied_contracts) {
+            return;
+        }
+        let here = contracts.of_group(&self.group).map(|held| &held.contract);
+        let terms: Vec<CustomerTerms> = here.map(CustomerTerms::from).collect();
+        self.applied_contracts = contracts;
         self.scheduler.set_contracts(&terms);
     }
 
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -266,7 +266,11 @@
     fn open_session(&self, identity: &SessionIdentity) -> Result<(), SessionRefusal> {
         let view = self.view.borrow();
         let contract = self.find_contract(&view, &identity.customer)?;
-        if !contract.groups.contains(&identity.group) {
+        let contracts = view.copy.contract_table();
+        if contracts
+            .get_for_group(&identity.customer, &identity.group)
+            .is_none()
+        {
             return Err(SessionRefusal::UnknownGroup);
         }
         // This protocol carries no account key.
