Native groups sleep until a check is due

Callers saw: at 300 VMs the control VMs, which lead 200 groups each, lose statements to processor time.

Cause: a group without statements woke 20 times a second and ran all checks each time: positions of replicas, the primary, the lease, handover, a comparison of copies of all endpoints with the recorded ones.

Fix: each check has its own due time (`CheckSchedule`, without I/O or clock), and the task sleeps until the earliest. Silent endpoints and idle connections are checked when the oldest lapses; handover and recorded endpoints after a change of the catalog, the endpoints or the primary, or after a reply; the metrics each second. Positions, transactions, the primary, a replacement and a handover under way are checked at the 10 ms tick while the group has requests, no usable primary, a replacement or handover, a claimed primary without a report, or a primary that leaves, owes an answer, is probed or failed to open a connection. One such check follows the end of that state. Before, a primary in doubt was checked each 50 ms in a group without statements. Positions are reported before a statement arrives where no other is under way, as before. The scheduler says itself when to open connections that no request waits for; it relied on the 50 ms tick.

--- a/crates/control/src/native_roles.rs
+++ b/crates/control/src/native_roles.rs
@@ -128,6 +128,13 @@
         claim.is_some_and(|claim| claim.role == InstanceRole::Primary && claim.report.is_none())
     }
 
+    /// Returns whether any instance claims to be the primary in a term that is still unknown.
+    pub fn needs_any_report(&self) -> bool {
+        self.instances
+            .keys()
+            .any(|instance| self.needs_report(instance))
+    }
+
     /// Returns whether an instance has announced that it is leaving and takes no new work.
     pub fn is_leaving(&self, instance: &InstanceName) -> bool {
         self.instances
--- a/crates/daemon/src/native/handover.rs
+++ b/crates/daemon/src/native/handover.rs
@@ -5,10 +5,13 @@
 //! statements are still served. Then it proposes the placement that moves the group. From the
 //! proposal on the successor may serve, so commits are neither run nor acknowledged here any more.
 
+use super::CATALOG_INTERVAL;
 use super::NativeTask;
+use super::TICK;
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_policy::GroupCheck;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
@@ -70,17 +73,35 @@
 }
 
 impl NativeTask {
-    /// Begins a handover that is due, or advances the one under way.
-    pub(super) fn tick_handover(&mut self) {
+    /// Begins a handover that is due. Without a lease, or shortly after the group was taken over,
+    /// the check is repeated.
+    pub(super) fn check_handover(&mut self) {
+        if self.handover.is_begun() {
+            return;
+        }
         let now = self.now();
-        if self.handover.plan.is_none() && self.may_serve() {
-            self.plan_handover(now);
+        if !self.may_serve() {
+            self.checks
+                .request(GroupCheck::Handover, now + CATALOG_INTERVAL);
+            return;
+        }
+        self.plan_handover(now);
+        let lead_time_over = self.taken_over_at + MIN_LEAD_TIME;
+        if now < lead_time_over {
+            self.checks.request(GroupCheck::Handover, lead_time_over);
         }
+        if self.handover.is_begun() {
+            self.advance_handover();
+        }
+    }
+
+    /// Advances the handover under way.
+    pub(super) fn advance_handover(&mut self) {
+        let now = self.now();
         let drain = Duration::from_millis(self.context.settings.timing.drain_ms);
         let waited = now.since(self.handover.begun_at) >= drain / TRANSACTION_DRAIN_DIVISOR;
         let transactions_ended = self.transactions.is_empty();
-        self.handover.refuses_single_statements =
-            self.handover.is_begun() && (transactions_ended || waited);
+        self.handover.refuses_single_statements = transactions_ended || waited;
         let idle = self.requests.is_empty() && transactions_ended;
         if self.handover.proposed || !(idle || waited) {
             return;
@@ -122,7 +143,11 @@
         match reply {
             // The task ends when this VM's view shows the new placement.
             CommandReply::Committed(CatalogOutcome::Done(_)) => {}
-            CommandReply::Committed(_) => self.handover = HandoverProgress::default(),
+            CommandReply::Committed(_) => {
+                self.handover = HandoverProgress::default();
+                self.checks.request_after(GroupCheck::Handover, TICK);
+                self.checks.request_after(GroupCheck::Records, TICK);
+            }
             // The placement may have been committed, so `successor_may_serve` stays set while it is
             // proposed again.
             CommandReply::NoLeader | CommandReply::Unknown => self.handover.proposed = false,
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -54,11 +54,14 @@
 use ragwort_control::ReplacementState;
 use ragwort_control::ReplicaEstimate;
 use ragwort_policy::AccountDemand;
+use ragwort_policy::CheckSchedule;
 use ragwort_policy::CustomerTerms;
+use ragwort_policy::GroupCheck;
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerSettings;
 use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
 use ragwort_types::GroupName;
 use ragwort_types::GroupRecord;
@@ -76,16 +79,16 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 
-/// Interval of the periodic checks.
+/// Interval of the checks of a group in use, or whose primary or leaseholder is being replaced.
 const TICK: Duration = Duration::from_millis(10);
 
-/// Interval of the periodic checks in an idle group. A VM may lead many idle groups, whose checks
-/// at the shorter interval would take more CPU time than the groups in use.
-const IDLE_TICK: Duration = Duration::from_millis(50);
+/// Interval at which the metrics are updated.
+const METRICS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval of the checks that depend on the catalog or on the lease, in a group without requests.
+const CATALOG_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Maximum number of events handled before one run of the scheduler.
 const MAX_EVENT_BATCH: usize = 64;
@@ -138,7 +141,13 @@
     tickets: HashMap<StatementId, RequestTicket>,
     transactions: HashMap<TransactionId, NativeTransaction>,
     last_ticket: u64,
-    ticks: u64,
+    checks: CheckSchedule,
+    /// When the replicas' positions were last passed to the scheduler.
+    positions_reported_at: ClockTime,
+    /// The catalog revision after which the checks that depend on the catalog were last requested.
+    checked_revision: CatalogRevision,
+    /// The configured connection limit that was last passed to the scheduler.
+    connection_limit: Option<u32>,
     notices: mpsc::Sender<NativeNotice>,
     children: JoinSet<()>,
 }
@@ -195,7 +204,10 @@
         tickets: HashMap::new(),
         transactions: HashMap::new(),
         last_ticket: 0,
-        ticks: 0,
+        checks: CheckSchedule::default(),
+        positions_reported_at: ClockTime::default(),
+        checked_revision: CatalogRevision::default(),
+        connection_limit: None,
         notices,
         children: JoinSet::new(),
     };
@@ -211,24 +223,20 @@
     ) {
         self.apply_contracts();
         self.load_notes();
-        let mut ticked = Instant::now();
+        self.request_initial_checks();
         let mut batch = Vec::with_capacity(MAX_EVENT_BATCH);
         loop {
-            let idle = self.is_group_idle();
-            let due = match idle {
-                true => IDLE_TICK,
-                false => TICK,
-            };
-            let wake = self.time_until_wakeup().min(IDLE_TICK);
+            if self.is_active() {
+                self.checks.request_after(GroupCheck::Activity, TICK);
+            }
+            let wake = self.time_until_wakeup();
             tokio::select! {
                 count = events.recv_many(&mut batch, MAX_EVENT_BATCH) => {
                     if count == 0 {
                         break;
                     }
-                    // In an idle group the scheduler's estimate of the replicas' positions is up to
-                    // `IDLE_TICK` old.
-                    if idle {
-                        self.report_positions();
+                    if batch.iter().any(needs_positions) {
+                        self.report_positions_for_arrivals();
                     }
                     for event in batch.drain(..) {
                         self.handle_event(event);
@@ -245,12 +253,9 @@
                     if changed.is_err() || !self.apply_view() {
                         break;
                     }
+                    self.request_checks_of_view();
                 }
-                () = sleep_until(ticked + due) => {
-                    self.handle_tick(ticked.elapsed());
-                    ticked = Instant::now();
-                }
-                () = sleep(wake) => {}
+                () = sleep(wake) => self.run_due_checks(),
             }
             self.run_scheduler();
             self.pool.join_ended_children();
@@ -326,16 +331,26 @@
 
     fn time_until_wakeup(&self) -> Duration {
         let now = self.now();
-        let wake = self.scheduler.next_wakeup(now);
-        wake.map_or(IDLE_TICK, |wake| wake.since(now))
+        let wakeups = [
+            self.checks.next_due(),
+            self.scheduler.next_wakeup(now),
+            self.scheduler.next_connection_attempt(now),
+        ];
+        let next = wakeups.into_iter().flatten().min();
+        next.map_or(METRICS_INTERVAL, |next| next.since(now))
     }
 
-    /// Returns whether the group has no requests, has a usable primary, and neither its primary nor
-    /// its leaseholder is being replaced.
-    fn is_group_idle(&self) -> bool {
-        let unused = self.requests.is_empty() && self.transactions.is_empty();
-        let steady = self.replacement.state() == ReplacementState::Steady;
-        unused && steady && self.primary_absence.since().is_none() && !self.handover.is_begun()
+    /// Returns whether the group has requests, or its primary or leaseholder is doubtful or being
+    /// replaced.
+    fn is_active(&self) -> bool {
+        let used = !self.requests.is_empty() || !self.transactions.is_empty();
+        let replaced = self.replacement.state() != ReplacementState::Steady;
+        let headless = self.primary_absence.since().is_some();
+        used || replaced
+            || headless
+            || self.handover.is_begun()
+            || self.roles.needs_any_report()
+            || self.is_primary_watched()
     }
 
     /// Proposes a command to the control VMs; the reply arrives as a [`NativeNotice::Command`].
@@ -366,6 +381,8 @@
         let lags =
             lags.map(|(name, lag)| (name.to_string(), (lag.lag(now).as_millis() as u64).into()));
         let leading = self.leading.as_ref();
+        let checks = self.checks.runs();
+        let checks = checks.map(|(check, runs)| (check.as_str().to_owned(), runs.into()));
         serde_json::json!({
             "record": self.record,
             "primary": leading.map(|(instance, _)| instance.to_string()),
@@ -380,6 +397,7 @@
             "requests": self.requests.len(),
             "transactions": self.transactions.len(),
             "connections": self.pool.count_by_instance(),
+            "checks": checks.collect::<serde_json::Map<String, serde_json::Value>>(),
         })
     }
 
@@ -395,3 +413,11 @@
         self.pool.shut_down().await;
     }
 }
+
+/// Returns whether the positions that the scheduler knows must be up to date for an event.
+fn needs_positions(event: &GroupEvent) -> bool {
+    match event {
+        GroupEvent::Statement(_, _) | GroupEvent::Dump(_) => true,
+        GroupEvent::Describe(_, _) | GroupEvent::Cancel(_) | GroupEvent::Announced(_) => false,
+    }
+}
--- a/crates/daemon/src/native/notes.rs
+++ b/crates/daemon/src/native/notes.rs
@@ -14,10 +14,13 @@
 //! is refused if its address belongs to another one by now. Each instance that answers is asked for
 //! its role and term before it is used.
 
+use super::CATALOG_INTERVAL;
 use super::NativeTask;
+use super::TICK;
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_policy::GroupCheck;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CommandReply;
 use ragwort_types::EndpointAnnouncement;
@@ -64,7 +67,7 @@
 
     /// Proposes a new note once the endpoints or the primary have differed from the noted ones for
     /// [`NOTE_DELAY`].
-    pub(super) fn tick_notes(&mut self) {
+    pub(super) fn check_notes(&mut self) {
         let now = self.now();
         let (term, primary) = self.primary_to_note();
         let endpoints = self.endpoints_to_note();
@@ -75,8 +78,17 @@
             return;
         }
         let since = *self.notes.differs_since.get_or_insert(now);
-        let waits = now.since(since) < NOTE_DELAY;
-        if waits || self.notes.proposed || self.handover.is_begun() || !self.may_serve() {
+        if now.since(since) < NOTE_DELAY {
+            self.checks.request(GroupCheck::Records, since + NOTE_DELAY);
+            return;
+        }
+        // The reply to the proposed note or placement has this checked again.
+        if self.notes.proposed || self.handover.is_begun() {
+            return;
+        }
+        if !self.may_serve() {
+            self.checks
+                .request(GroupCheck::Records, now + CATALOG_INTERVAL);
             return;
         }
         self.notes.proposed = true;
@@ -120,6 +132,7 @@
     pub(super) fn handle_notes_reply(&mut self, reply: &CommandReply) {
         self.notes.proposed = false;
         self.notes.differs_since = None;
+        self.checks.request_after(GroupCheck::Records, TICK);
         log_event!(
             Level::Info,
             "endpoints_noted",
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -50,6 +50,13 @@
     _guard: DescriptorGuard,
 }
 
+impl NativeEndpoint {
+    /// Returns when the endpoint last announced itself or answered.
+    pub(super) fn last_heard_at(&self) -> ClockTime {
+        self.announced_at.max(self.answered_at)
+    }
+}
+
 /// An endpoint's refusal of a connection because of its connection limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct FullEndpoint {
@@ -248,8 +255,7 @@
     /// Lists the endpoints that have neither announced themselves nor answered for `limit`.
     pub(super) fn find_silent(&self, now: ClockTime, limit: Duration) -> Vec<InstanceName> {
         let silent = self.endpoints.iter();
-        let silent =
-            silent.filter(|(_, one)| now.since(one.announced_at.max(one.answered_at)) >= limit);
+        let silent = silent.filter(|(_, one)| now.since(one.last_heard_at()) >= limit);
         silent.map(|(instance, _)| instance.clone()).collect()
     }
 
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -18,6 +18,7 @@
 
 use super::NativeNotice;
 use super::NativeTask;
+use super::TICK;
 use super::link::CommandList;
 use super::link::LinkId;
 use super::link::LinkOrder;
@@ -39,6 +40,7 @@
 use ragwort_control::RoleReport;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
+use ragwort_policy::GroupCheck;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CommandReply;
@@ -281,9 +283,15 @@
         (known && !suspect).then(|| primary.clone())
     }
 
-    /// Passes each endpoint's limits and present role to the scheduler.
+    /// Passes each endpoint's limits and present role to the scheduler, and has the recorded
+    /// endpoints checked.
     pub(super) fn refresh_endpoints(&mut self) {
         let now = self.now();
+        let view = self.view.borrow();
+        let terms = view.copy.group_terms(&self.group);
+        self.connection_limit = terms.map(|terms| terms.connections);
+        drop(view);
+        self.checks.request_after(GroupCheck::Records, TICK);
         for instance in self.pool.names() {
             let Some(endpoint) = self.pool.endpoint(&instance) else {
                 continue;
@@ -329,10 +337,19 @@
         }
     }
 
+    /// Reports the positions before statements arrive, unless others are under way and it was done
+    /// within a [`TICK`].
+    pub(super) fn report_positions_for_arrivals(&mut self) {
+        if self.requests.is_empty() || self.now().since(self.positions_reported_at) >= TICK {
+            self.report_positions();
+        }
+    }
+
     /// Passes each instance's position and lag to the scheduler: the newest acknowledged position
     /// for the primary, estimates for replicas.
     pub(super) fn report_positions(&mut self) {
         let now = self.now();
+        self.positions_reported_at = now;
         for instance in self.pool.names() {
             if self.is_leading(&instance) {
                 let newest = self.history.newest();
@@ -369,6 +386,26 @@
         }
     }
 
+    /// Returns whether [`watch_primary`](Self::watch_primary) has to run repeatedly: the primary
+    /// owes an answer, a connection to it has failed, it is probed, or it is to be replaced because
+    /// it leaves.
+    pub(super) fn is_primary_watched(&self) -> bool {
+        let Some(primary) = self.find_usable_primary() else {
+            return true;
+        };
+        let leaves = self.roles.is_leaving(&primary) && self.pool.endpoints().count() > 1;
+        let doubtful = self
+            .pool
+            .endpoint(&primary)
+            .is_some_and(|one| one.failed_opens > 0 || one.probe_started.is_some());
+        let mut links = self.pool.connections();
+        leaves
+            || doubtful
+            || links.any(|(_, one)| {
+                one.instance == primary && one.open && one.work != ConnectionWork::Nothing
+            })
+    }
+
     fn check_primary(&mut self, now: ClockTime, primary: &InstanceName) {
         let awaiting = self.pool.connections();
         let awaiting = awaiting.filter(|(_, one)| {
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -1,23 +1,28 @@
 //! Periodic checks of the leaseholder: idle transactions and connections, silent endpoints, a
 //! failed primary, handover, recorded endpoints and metrics.
 
+use super::CATALOG_INTERVAL;
+use super::METRICS_INTERVAL;
 use super::NativeTask;
 use super::TICK;
 use super::link::CloseCause;
 use super::link::LinkId;
 use super::pool::ConnectionWork;
+use ragwort_control::ReplacementState;
+use ragwort_policy::GroupCheck;
+use ragwort_policy::next_lapse;
 use ragwort_types::InstanceName;
 use ragwort_types::TransactionId;
 use std::time::Duration;
 
-/// Ticks between two updates of the metrics.
-const METRICS_TICKS: u64 = 100;
+/// Interval of the report requests to an instance whose promotion was ordered.
+const PROMOTION_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Ticks between two report requests to an instance whose promotion was ordered.
-const PROMOTION_TICKS: u64 = 5;
+/// Interval of the report requests to claimed primaries whose term isn't known.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Ticks between two checks of idle connections and of primaries whose term isn't known.
-const MAINTENANCE_TICKS: u64 = 20;
+/// Minimum interval between two rounds of connection validations.
+const VALIDATION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of rounds over which the connection validations are spread that are due at the same time.
 const VALIDATION_ROUNDS: usize = 4;
@@ -27,38 +32,88 @@
 const ACCOUNT_KEEP_TIME: Duration = Duration::from_secs(6);
 
 impl NativeTask {
-    /// Runs the periodic checks. `passed` is the time since the last run.
-    pub(super) fn handle_tick(&mut self, passed: Duration) {
-        let before = self.ticks;
-        self.ticks += count_ticks(passed);
-        let crosses = |step: u64| before / step != self.ticks / step;
-        let promotion_due = crosses(PROMOTION_TICKS);
-        let maintenance_due = crosses(MAINTENANCE_TICKS);
-        let metrics_due = crosses(METRICS_TICKS);
+    /// Makes the checks due that request their next run themselves, or have to run once.
+    pub(super) fn request_initial_checks(&mut self) {
+        let now = self.now();
+        for check in [
+            GroupCheck::Silence,
+            GroupCheck::Handover,
+            GroupCheck::Records,
+            GroupCheck::Connections,
+            GroupCheck::Metrics,
+        ] {
+            self.checks.request(check, now);
+        }
+    }
+
+    /// Makes the checks due whose result may differ after a change of the catalog view, and passes
+    /// a changed connection limit to the scheduler.
+    pub(super) fn request_checks_of_view(&mut self) {
+        let view = self.view.borrow();
+        let revision = view.copy.revision();
+        let terms = view.copy.group_terms(&self.group);
+        let connection_limit = terms.map(|terms| terms.connections);
+        drop(view);
+        if revision == self.checked_revision {
+            return;
+        }
+        self.checked_revision = revision;
+        let interval = match self.requests.is_empty() {
+            true => CATALOG_INTERVAL,
+            false => TICK,
+        };
+        self.checks.request_after(GroupCheck::Handover, interval);
+        self.checks
+            .request_after(GroupCheck::Records, CATALOG_INTERVAL);
+        if connection_limit != self.connection_limit {
+            self.refresh_endpoints();
+        }
+    }
+
+    /// Runs the checks that are due.
+    pub(super) fn run_due_checks(&mut self) {
+        for check in self.checks.take_due(self.now()) {
+            match check {
+                GroupCheck::Activity => self.check_activity(),
+                GroupCheck::Silence => self.drop_silent_endpoints(),
+                GroupCheck::Handover => self.check_handover(),
+                GroupCheck::Records => self.check_notes(),
+                GroupCheck::Promotion => self.poll_promotion(),
+                GroupCheck::Reports => self.request_needed_reports(),
+                GroupCheck::Connections => self.validate_long_idle_connections(),
+                GroupCheck::Metrics => self.update_metrics(),
+            }
+        }
+    }
+
+    fn check_activity(&mut self) {
+        let now = self.now();
         self.end_idle_transactions();
-        self.drop_silent_endpoints();
         self.report_positions();
         self.watch_primary();
         self.update_primary_forecast();
-        self.tick_handover();
-        self.tick_notes();
-        if promotion_due {
-            self.poll_promotion();
+        if self.handover.is_begun() {
+            self.advance_handover();
         }
-        if maintenance_due {
-            self.request_needed_reports();
-            self.validate_long_idle_connections();
+        if self.replacement.state() == ReplacementState::Watching {
+            let due = now + PROMOTION_INTERVAL;
+            self.checks.request(GroupCheck::Promotion, due);
         }
-        if metrics_due {
-            self.update_metrics();
+        if self.roles.needs_any_report() {
+            let due = now + REPORT_INTERVAL;
+            self.checks.request(GroupCheck::Reports, due);
         }
     }
 
     fn drop_silent_endpoints(&mut self) {
+        let now = self.now();
         let lost = Duration::from_millis(self.context.settings.timing.announce_lost_ms);
-        for instance in self.pool.find_silent(self.now(), lost) {
+        for instance in self.pool.find_silent(now, lost) {
             self.drop_endpoint(&instance);
         }
+        let heard = self.pool.endpoints().map(|one| one.last_heard_at());
+        let due = next_lapse(now, heard.min(), lost);
+        self.checks.request(GroupCheck::Silence, due);
     }
 
     /// Requests the reports of claimed primaries again whose term isn't known, as a request may be
@@ -78,6 +133,8 @@
     fn validate_long_idle_connections(&mut self) {
         let now = self.now();
         let limit = Duration::from_millis(self.context.settings.timing.idle_ping_ms);
+        let allowance = self.context.descriptors.allowance();
+        self.scheduler.set_allowance(allowance);
         for instance in self.pool.names() {
             let own = self.pool.connections();
             let idle = own.filter(|(_, one)| one.instance == instance && one.is_idle());
@@ -90,6 +147,10 @@
                 self.close_or_validate(id, &instance);
             }
         }
+        let idle = self.pool.connections().filter(|(_, one)| one.is_idle());
+        let oldest = idle.map(|(_, one)| one.last_used).min();
+        let due = next_lapse(now, oldest, limit).max(now + VALIDATION_INTERVAL);
+        self.checks.request(GroupCheck::Connections, due);
     }
 
     fn close_or_validate(&mut self, id: LinkId, instance: &InstanceName) {
@@ -134,7 +195,9 @@
         Duration::from_millis(terms.map_or(default, |terms| terms.idle_transaction_ms))
     }
 
-    fn update_metrics(&self) {
+    fn update_metrics(&mut self) {
+        let due = self.now() + METRICS_INTERVAL;
+        self.checks.request(GroupCheck::Metrics, due);
         let metrics = &self.context.metrics;
         let state = self.scheduler.snapshot(self.now());
         let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
@@ -145,9 +208,3 @@
         }
     }
 }
-
-/// Converts a time to a number of ticks, rounded down, at least one.
-fn count_ticks(passed: Duration) -> u64 {
-    let ticks = passed.as_millis() / TICK.as_millis();
-    u64::try_from(ticks).unwrap_or(u64::MAX).max(1)
-}
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -38,6 +38,10 @@
 /// The assumed mean run time over all kinds, before one was measured.
 const MEAN_RUN_PRIOR: Duration = Duration::from_millis(8);
 
+/// The interval at which the scheduler tries again to connect an endpoint for which the VM may hold
+/// no connection.
+const OPEN_REVIEW_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Admits, orders, places and refuses the requests of one database group.
 ///
 /// All events carry the present time. [`poll`](Self::poll) must be called after each event and
@@ -209,6 +213,27 @@
         Some(now + REVIEW_INTERVAL)
     }
 
+    /// Returns when to poll again to open connections that no request waits for, if no event comes
+    /// before that.
+    ///
+    /// That is the case after a connection failed to open, and for an endpoint without any
+    /// connection while the VM may hold no more of them.
+    pub fn next_connection_attempt(&self, now: ClockTime) -> Option<ClockTime> {
+        if !self.settings.modules.connections_ahead {
+            return None;
+        }
+        let usable = self.endpoints.records().iter();
+        let usable = usable.filter(|record| record.accepts_unpinned());
+        let attempts = usable.filter_map(|record| {
+            let blocked = record.open + record.opening == 0 && self.allowance.room() == 0;
+            match record.connect_after > now {
+                true => Some(record.connect_after),
+                false => blocked.then(|| now + OPEN_REVIEW_INTERVAL),
+            }
+        });
+        attempts.min()
+    }
+
     /// Records that a dispatched request has ended.
     ///
     /// A transaction whose opening request did not run, or was lost, no longer holds its
