A primary that answers again is used at once

Cause: `apply_roles` passed the endpoints to the scheduler while the replacement still named the primary as the one to be replaced, and ended the replacement only after that. The role of an endpoint depends on it.

Evidence: in the test the group is steady again, and the dump of the scheduler shows the primary as unusable; nothing changes that without an announcement.

Fix: the replacement ends before the endpoints are passed on. No other transition leads back to the steady state, so the scheduler's roles are current whenever `apply_roles` or `begin_replacement` has run. That is needed before announcements that say nothing new may be skipped.

Test: `primary_that_answers_again_is_used_without_an_announcement` failed with the role "Unusable" before.

--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -260,15 +260,16 @@
         if found.is_some() {
             self.leading = found;
         }
-        self.refresh_endpoints();
-        if began {
-            self.raise_min_positions();
-        }
+        // An endpoint's role depends on whether it is being replaced.
         let usable = self.find_usable_primary();
         if let Some(primary) = &usable {
             let may_stay = !self.roles.is_leaving(primary);
             self.replacement.note_primary(now, primary, may_stay);
         }
+        self.refresh_endpoints();
+        if began {
+            self.raise_min_positions();
+        }
         match usable {
             Some(_) => self.primary_absence.end(),
             None => self.primary_absence.begin(now),
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -34,6 +34,9 @@
     /// Announcements reach a busy leaseholder seconds late, the primary's last. A live primary was
     /// replaced before its first announcement arrived.
     primary_announced_late_is_not_replaced => late_primary_case();
+    /// A primary answered again before its replacement was ordered, and the group kept it. The
+    /// scheduler still had it as unusable until the next announcement, and writes waited.
+    primary_that_answers_again_is_used_without_an_announcement => resumed_primary_case();
     /// Another VM takes the group over while a write runs at the endpoint. The caller gets a final
     /// verdict at once, which must not claim that the write did not run.
     write_under_way_at_a_takeover_is_answered => takeover_case();
@@ -85,6 +88,28 @@
     assert!(old.iter().all(|ran| ran.text != "write meanwhile"));
 }
 
+async fn resumed_primary_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    // Without reports no candidate is found, so no promotion is ordered.
+    for index in 1..3 {
+        bench.endpoints[index].script().withholds_reports = true;
+    }
+    bench.endpoints[0].script().silent = true;
+    let write = bench.send(TestStatement::new(WRITE, "write slow")).await;
+    bench.wait_for(|dump| dump["replacement"] == "Asking").await;
+    bench.endpoints[0].script().silent = false;
+    assert!(is_served(&write.await.unwrap()));
+    bench.wait_for(|dump| dump["replacement"] == "Steady").await;
+    let dump = bench.dump().await;
+    assert_eq!(
+        dump["scheduler"]["endpoints"][0]["role"], "Primary",
+        "{dump}"
+    );
+    let reply = bench.ask(TestStatement::new(WRITE, "write after")).await;
+    assert!(is_served(&reply), "{reply:?}");
+}
+
 async fn lost_write_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
