Repeated announcements update no endpoint

Cause: each endpoint announces itself about once a second, mostly in the same state. Each time the leaseholder computed the roles of the group anew, passed all endpoints and positions to the scheduler, with copies of their names, and polled it.

Fix: an announcement that says the same as the last one, apart from position and sequence number, only updates its time and the count by which a missing primary is told from one that is announced late. It is processed as before if the instance's role has been learned otherwise since (a report, a refused write), or if its report is missing. Events that change nothing don't poll the scheduler.

--- a/crates/control/src/native_roles.rs
+++ b/crates/control/src/native_roles.rs
@@ -57,6 +57,12 @@
         self.note_announcement(now, instance, InstanceRole::Primary, leaving);
     }
 
+    /// Returns whether an announcement with this role would change nothing but its time.
+    pub fn is_known_as(&self, instance: &InstanceName, role: InstanceRole, leaving: bool) -> bool {
+        let claim = self.instances.get(instance);
+        claim.is_some_and(|claim| claim.role == role && claim.leaving == leaving)
+    }
+
     /// Records an instance's announcement.
     pub fn note_announcement(
         &mut self,
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -51,7 +51,6 @@
 use ragwort_control::PositionHistory;
 use ragwort_control::PrimaryAbsence;
 use ragwort_control::PrimaryReplacement;
-use ragwort_control::ReplacementState;
 use ragwort_control::ReplicaEstimate;
 use ragwort_policy::AccountDemand;
 use ragwort_policy::CheckSchedule;
@@ -142,6 +141,8 @@
     transactions: HashMap<TransactionId, NativeTransaction>,
     last_ticket: u64,
     checks: CheckSchedule,
+    /// How often the endpoints were passed to the scheduler.
+    endpoint_updates: u64,
     /// When the replicas' positions were last passed to the scheduler.
     positions_reported_at: ClockTime,
     /// The catalog revision after which the checks that depend on the catalog were last requested.
@@ -205,6 +206,7 @@
         transactions: HashMap::new(),
         last_ticket: 0,
         checks: CheckSchedule::default(),
+        endpoint_updates: 0,
         positions_reported_at: ClockTime::default(),
         checked_revision: CatalogRevision::default(),
         connection_limit: None,
@@ -238,8 +240,12 @@
                     if batch.iter().any(needs_positions) {
                         self.report_positions_for_arrivals();
                     }
+                    let mut changed = false;
                     for event in batch.drain(..) {
-                        self.handle_event(event);
+                        changed |= self.handle_event(event);
+                    }
+                    if !changed {
+                        continue;
                     }
                 }
                 Some(event) = links.recv() => {
@@ -264,16 +270,24 @@
         self.end(events).await;
     }
 
-    fn handle_event(&mut self, event: GroupEvent) {
+    /// Handles an event; returns whether the scheduler must be polled after it.
+    fn handle_event(&mut self, event: GroupEvent) -> bool {
         match event {
-            GroupEvent::Statement(request, reply) => self.handle_statement(request, reply),
+            GroupEvent::Statement(request, reply) => {
+                self.handle_statement(request, reply);
+                true
+            }
             // The caller protocol of native groups has no such request. Dropping the reply channel
             // refuses it.
-            GroupEvent::Describe(_, _) => {}
-            GroupEvent::Cancel(id) => self.cancel(id),
+            GroupEvent::Describe(_, _) => false,
+            GroupEvent::Cancel(id) => {
+                self.cancel(id);
+                true
+            }
             GroupEvent::Announced(announcement) => self.handle_announcement(*announcement),
             GroupEvent::Dump(reply) => {
                 let _ = reply.send(self.dump());
+                false
             }
         }
     }
@@ -344,10 +358,7 @@
     /// replaced.
     fn is_active(&self) -> bool {
         let used = !self.requests.is_empty() || !self.transactions.is_empty();
-        let replaced = self.replacement.state() != ReplacementState::Steady;
-        let headless = self.primary_absence.since().is_some();
-        used || replaced
-            || headless
+        used || !self.is_steady()
             || self.handover.is_begun()
             || self.roles.needs_any_report()
             || self.is_primary_watched()
@@ -397,6 +408,7 @@
             "requests": self.requests.len(),
             "transactions": self.transactions.len(),
             "connections": self.pool.count_by_instance(),
+            "endpoint_updates": self.endpoint_updates,
             "checks": checks.collect::<serde_json::Map<String, serde_json::Value>>(),
         })
     }
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -73,6 +73,8 @@
     Stale,
     /// The instance wasn't known.
     New,
+    /// It says the same as the last one.
+    Repetition,
     /// It is the present state of a known process.
     Update,
     /// The instance has started again and kept no connections of its former process.
@@ -199,8 +201,11 @@
         if announcement.is_before(known) {
             return AnnouncementKind::Stale;
         }
-        match announcement.is_restart_since(known) {
-            true => AnnouncementKind::Restart,
+        if announcement.is_restart_since(known) {
+            return AnnouncementKind::Restart;
+        }
+        match announcement.repeats(known) {
+            true => AnnouncementKind::Repetition,
             false => AnnouncementKind::Update,
         }
     }
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -83,8 +83,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl NativeTask {
-    /// Handles an endpoint's announcement.
-    pub(super) fn handle_announcement(&mut self, announcement: EndpointAnnouncement) {
+    /// Handles an endpoint's announcement; returns whether it has changed anything but the time of
+    /// the last one.
+    pub(super) fn handle_announcement(&mut self, announcement: EndpointAnnouncement) -> bool {
         let now = self.now();
         let instance = announcement.instance.clone();
         let domain = announcement.domain.clone();
@@ -92,9 +93,9 @@
         let leaving = announcement.status.leaving;
         let kind = self.pool.classify_announcement(&announcement);
         let known = match kind {
-            AnnouncementKind::Stale => return,
+            AnnouncementKind::Stale => return false,
             AnnouncementKind::New => false,
-            AnnouncementKind::Update => true,
+            AnnouncementKind::Repetition | AnnouncementKind::Update => true,
             // Connections, position and role of the former process don't apply to the new one.
             AnnouncementKind::Restart => {
                 log_event!(
@@ -109,9 +110,15 @@
             }
         };
         let left = self.roles.is_leaving(&instance);
+        let repeats = kind == AnnouncementKind::Repetition
+            && self.roles.is_known_as(&instance, role, leaving)
+            && !self.roles.needs_report(&instance);
         self.pool.record_announcement(now, announcement);
         self.roles.note_announcement(now, &instance, role, leaving);
         self.primary_absence.count_announcement(&instance);
+        if repeats {
+            return false;
+        }
         if !known || left != leaving {
             log_event!(
                 Level::Info,
@@ -129,6 +136,7 @@
             self.open_connection(now, &instance);
         }
         self.request_report_if_needed(&instance);
+        true
     }
 
     /// Requests the report of an instance that claims to be the primary in an unknown term. Opens a
@@ -276,6 +284,13 @@
         }
     }
 
+    /// Returns whether the group has a usable primary that isn't being replaced.
+    pub(super) fn is_steady(&self) -> bool {
+        let replaced = self.replacement.state() != ReplacementState::Steady;
+        let headless = self.primary_absence.since().is_some();
+        !replaced && !headless && self.suspect.is_none()
+    }
+
     /// Returns the primary, unless its endpoint is unknown or suspected.
     fn find_usable_primary(&self) -> Option<InstanceName> {
         let (primary, _) = self.roles.primary()?;
@@ -293,6 +308,7 @@
         self.connection_limit = terms.map(|terms| terms.connections);
         drop(view);
         self.checks.request_after(GroupCheck::Records, TICK);
+        self.endpoint_updates += 1;
         for instance in self.pool.names() {
             let Some(endpoint) = self.pool.endpoint(&instance) else {
                 continue;
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -533,6 +533,22 @@
         });
     }
 
+    /// Changes the configured connection limit of the group's endpoints.
+    pub fn limit_connections(&self, connections: u32) {
+        let terms = GroupTerms {
+            connections,
+            ..create_terms()
+        };
+        let delta = CatalogDelta {
+            from: Some(CatalogRevision(1)),
+            to: CatalogRevision(2),
+            items: vec![CatalogItem::GroupTerms(terms)],
+        };
+        self.view.send_modify(|view| {
+            Arc::make_mut(&mut view.copy).apply_delta(&delta).unwrap();
+        });
+    }
+
     /// Places the group at the same VM in a later epoch.
     pub fn change_epoch(&self, epoch: u64) {
         let mut record = create_record();
@@ -726,6 +742,15 @@
 pub const KNOWN_KEY: KeyDigest = KeyDigest([7; 16]);
 pub const KNOWN_ACCOUNT: &str = "directorate";
 
+fn create_terms() -> GroupTerms {
+    GroupTerms {
+        group: "cases".into(),
+        connections: 16,
+        synchronous_replicas: 0,
+        idle_transaction_ms: 60_000,
+    }
+}
+
 fn create_view(record: &GroupRecord) -> MemberView {
     create_view_at(record, CatalogRevision(1), false)
 }
@@ -757,18 +782,12 @@
         draining: false,
         ..member.clone()
     };
-    let terms = GroupTerms {
-        group: "cases".into(),
-        connections: 16,
-        synchronous_replicas: 0,
-        idle_transaction_ms: 60_000,
-    };
     let items = vec![
         CatalogItem::Contract(Box::new(contract)),
         CatalogItem::Group(Box::new(record.clone())),
         CatalogItem::Member(member),
         CatalogItem::Member(other),
-        CatalogItem::GroupTerms(terms),
+        CatalogItem::GroupTerms(create_terms()),
     ];
     let mut copy = CatalogCopy::new();
     let delta = CatalogDelta {
--- a/crates/daemon/tests/native/idle.rs
+++ b/crates/daemon/tests/native/idle.rs
@@ -8,6 +8,12 @@
     /// A VM led hundreds of groups without statements, and each ran all its checks 20 times a
     /// second. That took the VM's processor from the groups in use.
     idle_group_runs_only_checks_that_are_due => idle_case();
+    /// Each endpoint announces itself about once a second, mostly without a change. Each time, all
+    /// endpoints of its group were passed to the scheduler again.
+    repeated_announcement_updates_no_endpoint => repetition_case();
+    /// An operator lowers the connection limit of a group. If the scheduler got it only with an
+    /// endpoint's announcement, and repeated ones are ignored, it would keep the former limit.
+    changed_connection_limit_needs_no_announcement => limit_case();
 }
 
 async fn idle_case() {
@@ -33,3 +39,35 @@
     checks.remove("metrics");
     checks
 }
+
+async fn repetition_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    bench.wait_for_notes(1).await;
+    let before = count_updates(&bench).await;
+    for _ in 0..10 {
+        for index in 0..3 {
+            bench.announce(index, false).await;
+        }
+    }
+    assert_eq!(count_updates(&bench).await, before);
+    bench.announce(2, true).await;
+    let dump = bench.dump().await;
+    assert_eq!(dump["scheduler"]["endpoints"][2]["leaving"], true);
+    assert!(dump["endpoint_updates"].as_u64().unwrap() > before);
+}
+
+async fn limit_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    let before = count_updates(&bench).await;
+    bench.limit_connections(9);
+    bench
+        .wait_for(|dump| dump["endpoint_updates"].as_u64().unwrap() > before)
+        .await;
+}
+
+/// Returns how often the endpoints were passed to the scheduler.
+async fn count_updates(bench: &NativeBench) -> u64 {
+    bench.dump().await["endpoint_updates"].as_u64().unwrap()
+}
--- a/crates/types/src/messages.rs
+++ b/crates/types/src/messages.rs
@@ -363,6 +363,38 @@
         (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
     }
 
+    /// Returns whether the announcement says the same as `other` apart from the log position and the
+    /// sequence number, which change with each one.
+    pub fn repeats(&self, other: &Self) -> bool {
+        let Self {
+            group,
+            instance,
+            domain,
+            data_address,
+            agent_address,
+            slots,
+            connections,
+            status,
+            started_ms,
+            sequence: _,
+        } = self;
+        let InstanceStatus {
+            role,
+            fenced_term,
+            position: _,
+            leaving,
+        } = status;
+        *group == other.group
+            && *instance == other.instance
+            && *domain == other.domain
+            && (*data_address, *agent_address) == (other.data_address, other.agent_address)
+            && (*slots, *connections) == (other.slots, other.connections)
+            && *role == other.status.role
+            && *fenced_term == other.status.fenced_term
+            && *leaving == other.status.leaving
+            && *started_ms == other.started_ms
+    }
+
     /// Returns whether the instance has restarted since the announcement `earlier`.
     ///
     /// A restarted instance has lost its connections, prepared statements and open transactions.
