--- a/crates/control/src/native_roles.rs
+++ b/crates/control/src/native_roles.rs
@@ -57,6 +57,12 @@
         self.note_announcement(now, instance, InstanceRole::Primary, leaving);
     }
 
+    /// Returns whether an announcement with this role would change nothing but its time.
+    pub fn is_known_as(&self, instance: &InstanceName, role: InstanceRole, leaving: bool) -> bool {
+        let claim = self.instances.get(instance);
+        claim.is_some_and(|claim| claim.role == role && claim.leaving == leaving)
+    }
+
     /// Records an instance's announcement.
     pub fn note_announcement(
         &mut self,
@@ -128,6 +134,13 @@
         claim.is_some_and(|claim| claim.role == InstanceRole::Primary && claim.report.is_none())
     }
 
+    /// Returns whether any instance claims to be the primary in a term that is still unknown.
+    pub fn needs_any_report(&self) -> bool {
+        self.instances
+            .keys()
+            .any(|instance| self.needs_report(instance))
+    }
+
     /// Returns whether an instance has announced that it is leaving and takes no new work.
     pub fn is_leaving(&self, instance: &InstanceName) -> bool {
         self.instances
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -18,6 +18,7 @@
 
 use super::NativeNotice;
 use super::NativeTask;
+use super::TICK;
 use super::link::CommandList;
 use super::link::LinkId;
 use super::link::LinkOrder;
@@ -39,6 +40,7 @@
 use ragwort_control::RoleReport;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
+use ragwort_policy::GroupCheck;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CommandReply;
@@ -81,8 +83,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl NativeTask {
-    /// Handles an endpoint's announcement.
-    pub(super) fn handle_announcement(&mut self, announcement: EndpointAnnouncement) {
+    /// Handles an endpoint's announcement; returns whether it has changed anything but the time of
+    /// the last one.
+    pub(super) fn handle_announcement(&mut self, announcement: EndpointAnnouncement) -> bool {
         let now = self.now();
         let instance = announcement.instance.clone();
         let domain = announcement.domain.clone();
@@ -90,9 +93,9 @@
         let leaving = announcement.status.leaving;
         let kind = self.pool.classify_announcement(&announcement);
         let known = match kind {
-            AnnouncementKind::Stale => return,
+            AnnouncementKind::Stale => return false,
             AnnouncementKind::New => false,
-            AnnouncementKind::Update => true,
+            AnnouncementKind::Repetition | AnnouncementKind::Update => true,
             // Connections, position and role of the former process don't apply to the new one.
             AnnouncementKind::Restart => {
                 log_event!(
@@ -107,9 +110,15 @@
             }
         };
         let left = self.roles.is_leaving(&instance);
+        let repeats = kind == AnnouncementKind::Repetition
+            && self.roles.is_known_as(&instance, role, leaving)
+            && !self.roles.needs_report(&instance);
         self.pool.record_announcement(now, announcement);
         self.roles.note_announcement(now, &instance, role, leaving);
         self.primary_absence.count_announcement(&instance);
+        if repeats {
+            return false;
+        }
         if !known || left != leaving {
             log_event!(
                 Level::Info,
@@ -127,6 +136,7 @@
             self.open_connection(now, &instance);
         }
         self.request_report_if_needed(&instance);
+        true
     }
 
     /// Requests the report of an instance that claims to be the primary in an unknown term. Opens a
@@ -258,21 +268,29 @@
         if found.is_some() {
             self.leading = found;
         }
-        self.refresh_endpoints();
-        if began {
-            self.raise_min_positions();
-        }
+        // An endpoint's role depends on whether it is being replaced.
         let usable = self.find_usable_primary();
         if let Some(primary) = &usable {
             let may_stay = !self.roles.is_leaving(primary);
             self.replacement.note_primary(now, primary, may_stay);
         }
+        self.refresh_endpoints();
+        if began {
+            self.raise_min_positions();
+        }
         match usable {
             Some(_) => self.primary_absence.end(),
             None => self.primary_absence.begin(now),
         }
     }
 
+    /// Returns whether the group has a usable primary that isn't being replaced.
+    pub(super) fn is_steady(&self) -> bool {
+        let replaced = self.replacement.state() != ReplacementState::Steady;
+        let headless = self.primary_absence.since().is_some();
+        !replaced && !headless && self.suspect.is_none()
+    }
+
     /// Returns the primary, unless its endpoint is unknown or suspected.
     fn find_usable_primary(&self) -> Option<InstanceName> {
         let (primary, _) = self.roles.primary()?;
@@ -281,9 +299,16 @@
         (known && !suspect).then(|| primary.clone())
     }
 
-    /// Passes each endpoint's limits and present role to the scheduler.
+    /// Passes each endpoint's limits and present role to the scheduler, and has the recorded
+    /// endpoints checked.
     pub(super) fn refresh_endpoints(&mut self) {
         let now = self.now();
+        let view = self.view.borrow();
+        let terms = view.copy.group_terms(&self.group);
+        self.connection_limit = terms.map(|terms| terms.connections);
+        drop(view);
+        self.checks.request_after(GroupCheck::Records, TICK);
+        self.endpoint_updates += 1;
         for instance in self.pool.names() {
             let Some(endpoint) = self.pool.endpoint(&instance) else {
                 continue;
@@ -329,10 +354,19 @@
         }
     }
 
+    /// Reports the positions before statements arrive, unless others are under way and it was done
+    /// within a [`TICK`].
+    pub(super) fn report_positions_for_arrivals(&mut self) {
+        if self.requests.is_empty() || self.now().since(self.positions_reported_at) >= TICK {
+            self.report_positions();
+        }
+    }
+
     /// Passes each instance's position and lag to the scheduler: the newest acknowledged position
     /// for the primary, estimates for replicas.
     pub(super) fn report_positions(&mut self) {
         let now = self.now();
+        self.positions_reported_at = now;
         for instance in self.pool.names() {
             if self.is_leading(&instance) {
                 let newest = self.history.newest();
@@ -369,6 +403,26 @@
         }
     }
 
+    /// Returns whether [`watch_primary`](Self::watch_primary) has to run repeatedly: the primary
+    /// owes an answer, a connection to it has failed, it is probed, or it is to be replaced because
+    /// it leaves.
+    pub(super) fn is_primary_watched(&self) -> bool {
+        let Some(primary) = self.find_usable_primary() else {
+            return true;
+        };
+        let leaves = self.roles.is_leaving(&primary) && self.pool.endpoints().count() > 1;
+        let doubtful = self
+            .pool
+            .endpoint(&primary)
+            .is_some_and(|one| one.failed_opens > 0 || one.probe_started.is_some());
+        let mut links = self.pool.connections();
+        leaves
+            || doubtful
+            || links.any(|(_, one)| {
+                one.instance == primary && one.open && one.work != ConnectionWork::Nothing
+            })
+    }
+
     fn check_primary(&mut self, now: ClockTime, primary: &InstanceName) {
         let awaiting = self.pool.connections();
         let awaiting = awaiting.filter(|(_, one)| {
