Account limits: what follows from the catalog is derived once, not each time

Each round, and each request that a ledger answered, collected all groups and their digests, all holders and all led groups, searched each account's home among all groups, and compared each group's keeper with the one that shares had been declared to.

LedgerIndex keeps these answers. A copy that it has seen (by its address) costs nothing; another one a walk beside the known placements. Digests and remembered homes last until a group is added or removed, so a change of members or of placements leaves them. The groups whose placement changed are those to which shares are still to be declared; a declaration that isn't taken puts its group back. The ledgers are told the led groups only when they have changed: told the same twice, they did nothing.

The limiter sleeps until the first account is due or a declaration is open, at least 50 ms after the last round as before, so that one call still renews several shares.

The homes that the code found before stand in a test as they were printed then: VMs of both versions must find the same ledger.

Not the same as before: when a raised limit makes a share exceed the demand, the share is returned in the next round that something else calls for, or at its renewal, up to 250 ms later.

--- a/crates/control/src/copy.rs
+++ b/crates/control/src/copy.rs
@@ -110,6 +110,11 @@
         &self.accounts
     }
 
+    /// Returns the client accounts, shared with the other copies that hold the same ones.
+    pub fn shared_accounts(&self) -> &Arc<AccountTable> {
+        &self.accounts
+    }
+
     /// Returns a group's terms.
     pub fn group_terms(&self, group: &GroupName) -> Option<&GroupTerms> {
         self.terms.get(group)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod group;
 pub mod handover_plans;
 pub mod leaseholders;
+pub mod ledger_index;
 pub mod limits;
 pub mod logs;
 pub mod member;
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -3,9 +3,12 @@
 //!
 //! The shares and ledgers themselves are in `ragwort_policy`. The ledger of an account is kept by
 //! the leaseholder of one group, which all VMs find by rendezvous hashing of the names of account
-//! and groups. Most operations begin without a call.
+//! and groups; [`LedgerIndex`](crate::ledger_index::LedgerIndex) remembers it. Most operations begin
+//! without a call.
 
 use crate::clock::NodeClock;
+use crate::ledger_index::IndexWork;
+use crate::ledger_index::LedgerIndex;
 use crate::log_event;
 use crate::member::MemberView;
 use crate::peers::PeerLinks;
@@ -13,7 +16,6 @@
 use log::Level;
 use ragwort_control::CatalogCopy;
 use ragwort_control::ClockTime;
-use ragwort_control::digest_text;
 use ragwort_policy::LedgerRequest;
 use ragwort_policy::LedgerTable;
 use ragwort_policy::LimitShares;
@@ -26,11 +28,9 @@
 use ragwort_types::AccountName;
 use ragwort_types::AccountShareRequest;
 use ragwort_types::GroupName;
-use ragwort_types::GroupRecord;
 use ragwort_types::LimitReply;
 use ragwort_types::LimitRequest;
 use ragwort_types::MemberId;
-use ragwort_types::PlacementEpoch;
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::VmName;
@@ -38,6 +38,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -48,18 +49,14 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-/// Interval at which shares are checked for renewal, and the pause before a declaration that failed
-/// is repeated.
+/// Shortest time between rounds in which shares are renewed, so that one call renews several, and
+/// the pause before a declaration that failed is repeated.
 const RENEWAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time limit for a call to a ledger. A ledger answers within a round trip; the caller whose
 /// operation waits for it has a few hundred milliseconds.
 const LEDGER_CALL_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Multiplier that mixes the hashes of an account and a group into the group's weight: an odd
-/// number without a pattern in its bits. All VMs must use the same value.
-const WEIGHT_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
-
 /// Applies the limits of accounts on this VM.
 pub struct AccountLimiter {
     clock: NodeClock,
@@ -74,36 +71,22 @@
     wake: Notify,
 }
 
-#[derive(Default)]
 struct LimiterState {
+    index: LedgerIndex,
     shares: LimitShares,
     ledgers: LedgerTable,
+    /// Whether the groups that are led here have changed since the ledgers were told.
+    led_changed: bool,
     waiting: HashMap<AccountName, VecDeque<oneshot::Sender<bool>>>,
-    /// The leaseholders to which this VM has declared its shares of the accounts whose ledgers they
-    /// keep.
-    declared_to: BTreeMap<GroupName, LedgerKeeper>,
+    /// The groups to whose leaseholders this VM has yet to declare its shares of the accounts whose
+    /// ledgers they keep.
+    undeclared: BTreeSet<GroupName>,
     /// The VMs with a call in flight.
     in_flight: BTreeSet<VmName>,
     /// The VMs that did not accept a declaration, with the time of the next attempt.
     declare_after: BTreeMap<VmName, ClockTime>,
 }
 
-/// The leaseholder that keeps the ledgers of a group's accounts, with the epoch of its placement.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct LedgerKeeper {
-    vm: VmName,
-    epoch: PlacementEpoch,
-}
-
-impl From<&GroupRecord> for LedgerKeeper {
-    fn from(record: &GroupRecord) -> Self {
-        Self {
-            vm: record.placement.leaseholder.clone(),
-            epoch: record.placement.epoch,
-        }
-    }
-}
-
 /// A call to a VM that keeps ledgers, and its reply, if any.
 struct LedgerCall {
     vm: VmName,
@@ -122,9 +105,14 @@
         tolerance: LimitTolerance,
     ) -> Self {
         let state = LimiterState {
+            index: LedgerIndex::new(id.vm.clone()),
             shares: LimitShares::new(clock.now()),
             ledgers: LedgerTable::new(tolerance),
-            ..LimiterState::default()
+            led_changed: false,
+            waiting: HashMap::new(),
+            undeclared: BTreeSet::new(),
+            in_flight: BTreeSet::new(),
+            declare_after: BTreeMap::new(),
         };
         Self {
             clock,
@@ -205,34 +193,31 @@
 
     /// Answers a request of another VM to the ledgers that are kept here.
     pub fn lend(&self, request: &LimitRequest) -> LimitReply {
+        let mut state = self.state();
         let view = self.view.borrow().clone();
         let now = self.clock.now();
         // Without a lease, a successor may keep the ledgers by now.
         if !view.may_serve(now) {
             return LimitReply::default();
         }
-        let mut state = self.state();
-        state
-            .ledgers
-            .set_led_groups(now, &self.list_led(&view.copy));
-        lend_from(&mut state.ledgers, now, &view.copy, request)
+        state.refresh(&view.copy);
+        state.lend(now, &view.copy, request)
     }
 
-    fn list_led(&self, copy: &CatalogCopy) -> BTreeMap<GroupName, PlacementEpoch> {
-        let led = copy.groups().map(|record| &record.placement);
-        let led = led.filter(|placement| placement.leaseholder == self.id.vm);
-        led.map(|placement| (placement.group.clone(), placement.epoch))
-            .collect()
+    /// Returns how much has been derived from the catalog.
+    pub fn index_work(&self) -> IndexWork {
+        self.state().index.work()
     }
 
     /// Borrows from the ledgers until `stop` is set; then refuses all operations that wait.
     pub async fn run(self: Arc<Self>, mut stop: watch::Receiver<bool>) {
         let mut view = self.view.clone();
         let mut calls = JoinSet::new();
+        let mut next_round = Some(self.clock.now() + RENEWAL_CHECK_INTERVAL);
         loop {
             tokio::select! {
                 () = self.wake.notified() => {}
-                () = sleep(RENEWAL_CHECK_INTERVAL) => {}
+                () = self.sleep_until(next_round) => {}
                 Some(done) = calls.join_next(), if !calls.is_empty() => {
                     if let Ok(call) = done {
                         self.finish_call(call);
@@ -244,27 +229,35 @@
                 _ = stop.wait_for(|set| *set) => break,
             }
             view.borrow_and_update();
-            self.ask_ledgers(&mut calls);
+            next_round = self.ask_ledgers(&mut calls);
         }
         calls.shutdown().await;
         self.state().waiting.clear();
     }
 
-    /// Sends the requests that are due, with at most one call in flight to each VM.
-    fn ask_ledgers(&self, calls: &mut JoinSet<LedgerCall>) {
+    async fn sleep_until(&self, time: Option<ClockTime>) {
+        match time {
+            Some(time) => sleep(self.clock.until(time)).await,
+            None => pending().await,
+        }
+    }
+
+    /// Sends the requests that are due, with at most one call in flight to each VM. Returns the time
+    /// of the next round, unless an operation, an answer or a change of the view calls for an
+    /// earlier one.
+    fn ask_ledgers(&self, calls: &mut JoinSet<LedgerCall>) -> Option<ClockTime> {
+        let mut state = self.state();
         let view = self.view.borrow().clone();
         let now = self.clock.now();
-        let mut state = self.state();
-        let mut accounts = view.copy.accounts().iter();
-        if accounts.all(|terms| terms.limit.is_none()) && state.waiting.is_empty() {
-            return;
+        state.refresh(&view.copy);
+        if !state.index.has_limits() && state.waiting.is_empty() {
+            return None;
         }
-        let locator = LedgerLocator::new(&view.copy);
-        let holders = list_holders(&view.copy);
-        state.shares.set_holders(self.tolerance, holders.len());
+        let holders = state.index.holders().len();
+        state.shares.set_holders(self.tolerance, holders);
         let mut requests = BTreeMap::new();
-        let without_keeper = self.add_due_requests(&mut state, now, &locator, &mut requests);
-        self.declare_held(&mut state, now, &locator, &mut requests);
+        let without_keeper = self.add_due_requests(&mut state, now, &mut requests);
+        self.declare_held(&mut state, now, &mut requests);
         for account in without_keeper {
             let end = state.shares.note_unanswered(now, &account);
             state.resolve_waiting(now, &account, end);
@@ -278,6 +271,7 @@
             };
             self.send_request(&mut state, &view, call, calls);
         }
+        state.next_round(now)
     }
 
     /// Adds the share requests that are due to `requests`, which are grouped by the VM that keeps
@@ -286,20 +280,22 @@
         &self,
         state: &mut LimiterState,
         now: ClockTime,
-        locator: &LedgerLocator<'_>,
         requests: &mut BTreeMap<VmName, LimitRequest>,
     ) -> Vec<AccountName> {
         let LimiterState {
-            shares, in_flight, ..
+            index,
+            shares,
+            in_flight,
+            ..
         } = state;
         let due = shares.due_share_requests(now, |account| {
-            locator
+            index
                 .find_keeper(account)
                 .is_none_or(|vm| !in_flight.contains(vm))
         });
         let mut without_keeper = Vec::new();
         for share_request in due {
-            match locator.find_keeper(&share_request.account).cloned() {
+            match index.find_keeper(&share_request.account).cloned() {
                 Some(vm) => self.request_for(requests, vm).accounts.push(share_request),
                 None => without_keeper.push(share_request.account),
             }
@@ -312,36 +308,33 @@
         &self,
         state: &mut LimiterState,
         now: ClockTime,
-        locator: &LedgerLocator<'_>,
         requests: &mut BTreeMap<VmName, LimitRequest>,
     ) {
-        state.declare_after.retain(|_, after| now < *after);
-        for (group, record) in &locator.records {
-            let keeper = LedgerKeeper::from(*record);
-            let waits = state.in_flight.contains(&keeper.vm)
-                || state.declare_after.contains_key(&keeper.vm);
-            if waits || state.declared_to.get(*group) == Some(&keeper) {
-                continue;
+        let groups = state.take_undeclared(now);
+        if groups.is_empty() {
+            return;
+        }
+        let LimiterState { index, shares, .. } = state;
+        let held = shares.list_held(now, |account| {
+            index
+                .find_home(account)
+                .is_some_and(|home| groups.contains(home))
+        });
+        let due = requests.values().flat_map(|request| &request.accounts);
+        let due: BTreeSet<AccountName> = due.map(|one| one.account.clone()).collect();
+        for share_request in held {
+            let keeper = index.find_keeper(&share_request.account);
+            if let Some(vm) = keeper.filter(|_| !due.contains(&share_request.account)) {
+                let request = self.request_for(requests, vm.clone());
+                request.accounts.push(share_request);
             }
-            let keeps_ledger = |account: &AccountName| locator.find(account) == Some(*group);
-            let held = state.shares.list_held(now, keeps_ledger);
-            let request = self.request_for(requests, keeper.vm.clone());
-            for share_request in held {
-                if request
-                    .accounts
-                    .iter()
-                    .all(|one| one.account != share_request.account)
-                {
-                    request.accounts.push(share_request);
-                }
+        }
+        for group in groups {
+            if let Some(vm) = index.keeper(&group) {
+                let request = self.request_for(requests, vm.clone());
+                request.declared.push(group);
             }
-            request.declared.push((*group).clone());
-            state.declared_to.insert((*group).clone(), keeper);
         }
-        let records = &locator.records;
-        state
-            .declared_to
-            .retain(|group, _| records.contains_key(group));
     }
 
     /// Sends a request to the VM that keeps the ledgers, or answers it directly if that is this VM.
@@ -354,11 +347,9 @@
     ) {
         let now = call.sent;
         if call.vm == self.id.vm {
-            call.reply = view.may_serve(now).then(|| {
-                let led = self.list_led(&view.copy);
-                state.ledgers.set_led_groups(now, &led);
-                lend_from(&mut state.ledgers, now, &view.copy, &call.request)
-            });
+            call.reply = view
+                .may_serve(now)
+                .then(|| state.lend(now, &view.copy, &call.request));
             return state.apply_reply(now, call);
         }
         let Some(member) = view.copy.member(&call.vm) else {
@@ -396,6 +387,74 @@
 }
 
 impl LimiterState {
+    /// Follows the catalog to a copy.
+    fn refresh(&mut self, copy: &Arc<CatalogCopy>) {
+        let moved = self.index.refresh(copy);
+        self.led_changed |= !moved.is_empty();
+        self.undeclared.extend(moved);
+    }
+
+    fn lend(&mut self, now: ClockTime, copy: &CatalogCopy, request: &LimitRequest) -> LimitReply {
+        if std::mem::take(&mut self.led_changed) {
+            self.ledgers.set_led_groups(now, self.index.led_groups());
+        }
+        let started = now.before(Duration::from_millis(request.age_ms));
+        let mut grants = Vec::new();
+        for share_request in &request.accounts {
+            let terms = copy.accounts().get(&share_request.account);
+            let Some(limit) = terms.and_then(|terms| terms.limit) else {
+                continue;
+            };
+            let Some(home) = self.index.find_home(&share_request.account).cloned() else {
+                continue;
+            };
+            let ledger_request = LedgerRequest {
+                holder: &request.holder.vm,
+                started,
+                home: &home,
+                limit,
+                holders: self.index.holders(),
+            };
+            grants.extend(self.ledgers.lend(now, ledger_request, share_request));
+        }
+        let ledgers = &mut self.ledgers;
+        let declared = request.declared.iter();
+        let declared =
+            declared.filter(|group| ledgers.note_declared(group, &request.holder.vm, started));
+        LimitReply {
+            grants,
+            declared: declared.cloned().collect(),
+        }
+    }
+
+    /// Removes the groups to whose leaseholders the shares can be declared now from those that wait
+    /// for it, and returns them.
+    fn take_undeclared(&mut self, now: ClockTime) -> BTreeSet<GroupName> {
+        self.declare_after.retain(|_, after| now < *after);
+        let mut taken = BTreeSet::new();
+        let index = &self.index;
+        let (in_flight, declare_after) = (&self.in_flight, &self.declare_after);
+        self.undeclared.retain(|group| {
+            let Some(keeper) = index.keeper(group) else {
+                return false;
+            };
+            let waits = in_flight.contains(keeper) || declare_after.contains_key(keeper);
+            if !waits {
+                taken.insert(group.clone());
+            }
+            waits
+        });
+        taken
+    }
+
+    fn next_round(&self, now: ClockTime) -> Option<ClockTime> {
+        let due = match self.undeclared.is_empty() {
+            true => self.shares.next_due()?,
+            false => now,
+        };
+        Some(due.max(now + RENEWAL_CHECK_INTERVAL))
+    }
+
     fn apply_reply(&mut self, now: ClockTime, call: LedgerCall) {
         let LedgerCall {
             vm,
@@ -409,7 +468,7 @@
         // lends next to nothing until it knows the shares of all VMs.
         let requested = request.declared.iter();
         for group in requested.filter(|group| !declared.contains(group)) {
-            self.declared_to.remove(group);
+            self.undeclared.insert(group.clone());
             self.declare_after
                 .insert(vm.clone(), now + RENEWAL_CHECK_INTERVAL);
         }
@@ -453,76 +512,3 @@
         }
     }
 }
-
-fn lend_from(
-    ledgers: &mut LedgerTable,
-    now: ClockTime,
-    copy: &CatalogCopy,
-    request: &LimitRequest,
-) -> LimitReply {
-    let locator = LedgerLocator::new(copy);
-    let holders = list_holders(copy);
-    let started = now.before(Duration::from_millis(request.age_ms));
-    let lent = request.accounts.iter().filter_map(|share_request| {
-        let limit = copy.accounts().get(&share_request.account)?.limit?;
-        let ledger_request = LedgerRequest {
-            holder: &request.holder.vm,
-            started,
-            home: locator.find(&share_request.account)?,
-            limit,
-            holders: &holders,
-        };
-        ledgers.lend(now, ledger_request, share_request)
-    });
-    let grants = lent.collect();
-    let declared = request.declared.iter();
-    let declared =
-        declared.filter(|group| ledgers.note_declared(group, &request.holder.vm, started));
-    LimitReply {
-        grants,
-        declared: declared.cloned().collect(),
-    }
-}
-
-/// Lists the VMs that may lead groups, and so may hold shares of accounts' limits.
-fn list_holders(copy: &CatalogCopy) -> Vec<VmName> {
-    let members = copy.members().filter(|member| member.traits.leaseholder);
-    members.map(|member| member.id.vm.clone()).collect()
-}
-
-/// Finds the group whose leaseholder keeps an account's ledger, by rendezvous hashing. When a group
-/// is added or removed, only the accounts that it takes or leaves change their keeper.
-struct LedgerLocator<'a> {
-    records: BTreeMap<&'a GroupName, &'a GroupRecord>,
-    digests: Vec<(&'a GroupName, u64)>,
-}
-
-impl<'a> LedgerLocator<'a> {
-    fn new(copy: &'a CatalogCopy) -> Self {
-        let records = copy.groups();
-        let records: BTreeMap<_, _> = records
-            .map(|record| (&record.placement.group, record))
-            .collect();
-        let groups = records.keys().copied();
-        let digests = groups.map(|group| (group, digest_text(group.as_str())));
-        Self {
-            digests: digests.collect(),
-            records,
-        }
-    }
-
-    fn find(&self, account: &AccountName) -> Option<&'a GroupName> {
-        let own = digest_text(account.as_str());
-        let weight = |digest: u64| (own ^ digest).wrapping_mul(WEIGHT_MULTIPLIER);
-        let digests = self.digests.iter();
-        digests
-            .max_by_key(|(group, digest)| (weight(*digest), *group))
-            .map(|(group, _)| *group)
-    }
-
-    /// Returns the VM that keeps an account's ledger.
-    fn find_keeper(&self, account: &AccountName) -> Option<&'a VmName> {
-        let record = self.records.get(self.find(account)?)?;
-        Some(&record.placement.leaseholder)
-    }
-}
--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -9,6 +9,8 @@
 mod gateway;
 mod leaseholder;
 mod leases;
+mod ledger_index;
+mod limit_rounds;
 mod limits;
 mod peer;
 mod peers;
