Native groups: idle accounts are reported where connections have changed

The scheduler runs after each event of a group's task: ticks, announcements, answers, statements. Each run passed over all connections of the group once for each endpoint, to tell the scheduler which accounts have an idle connection, also when none had changed.

Whether a connection is idle changes only through the pool's mutable access, so the pool notes the instance there, and a run reports the noted ones. An instance that the scheduler doesn't have yet, or has marked as removed, stays noted until it takes the report: else it would count as an instance whose connections aren't bound to accounts.

--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -66,13 +66,21 @@
         }
     }
 
+    /// Reports the accounts with an idle connection to the scheduler, for the instances where they
+    /// may have changed.
     fn report_idle_accounts(&mut self) {
         if !self.by_account {
             return;
         }
-        for instance in self.pool.names() {
+        for instance in self.pool.take_idle_changes() {
+            if self.pool.endpoint(&instance).is_none() {
+                continue;
+            }
             let accounts = self.pool.idle_accounts(&instance);
-            self.scheduler.set_idle_accounts(&instance, accounts);
+            // An instance may be announced before the scheduler gets it.
+            if !self.scheduler.set_idle_accounts(&instance, accounts) {
+                self.pool.note_idle_change(&instance);
+            }
         }
     }
 
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -26,6 +26,7 @@
 use ragwort_types::SessionValues;
 use ragwort_types::TransactionId;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -155,6 +156,8 @@
     events: mpsc::Sender<LinkEvent>,
     endpoints: BTreeMap<InstanceName, NativeEndpoint>,
     connections: BTreeMap<LinkId, NativeConnection>,
+    /// The instances whose idle connections may have changed since they were last taken.
+    idle_changes: BTreeSet<InstanceName>,
     next_id: u64,
     children: JoinSet<()>,
 }
@@ -175,6 +178,7 @@
             events,
             endpoints: BTreeMap::new(),
             connections: BTreeMap::new(),
+            idle_changes: BTreeSet::new(),
             next_id: 0,
             children: JoinSet::new(),
         }
@@ -220,6 +224,7 @@
                     full: None,
                     _guard: self.descriptors.count_endpoint(),
                 };
+                self.note_idle_change(&instance);
                 self.endpoints.insert(instance, endpoint);
             }
         }
@@ -340,6 +345,18 @@
         idle.filter_map(|one| one.account_digest)
     }
 
+    /// Notes that the idle connections to an instance may have changed.
+    pub(super) fn note_idle_change(&mut self, instance: &InstanceName) {
+        if !self.idle_changes.contains(instance) {
+            self.idle_changes.insert(instance.clone());
+        }
+    }
+
+    /// Returns the instances whose idle connections may have changed since the last call.
+    pub(super) fn take_idle_changes(&mut self) -> BTreeSet<InstanceName> {
+        std::mem::take(&mut self.idle_changes)
+    }
+
     /// Lists the connections to an instance, for the choice of one to replace.
     pub(super) fn list_held(&self, instance: &InstanceName) -> Vec<HeldConnection<'_>> {
         let own = self.connections.iter();
@@ -358,12 +375,18 @@
     }
 
     pub(super) fn connection_mut(&mut self, id: LinkId) -> Option<&mut NativeConnection> {
-        self.connections.get_mut(&id)
+        let connection = self.connections.get_mut(&id)?;
+        if !self.idle_changes.contains(&connection.instance) {
+            self.idle_changes.insert(connection.instance.clone());
+        }
+        Some(connection)
     }
 
     /// Removes a connection. Its task ends after the orders that it was sent.
     pub(super) fn remove_connection(&mut self, id: LinkId) -> Option<NativeConnection> {
-        self.connections.remove(&id)
+        let connection = self.connections.remove(&id)?;
+        self.note_idle_change(&connection.instance);
+        Some(connection)
     }
 
     pub(super) fn connections(&self) -> impl Iterator<Item = (LinkId, &NativeConnection)> {
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -9,5 +9,6 @@
 mod endpoint;
 mod failover;
 mod freshness;
+mod idle_accounts;
 mod lapses;
 mod takeover;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -304,17 +304,22 @@
         }
     }
 
-    /// Sets the accounts that have an idle connection to an instance, as digests.
+    /// Sets the accounts that have an idle connection to an instance, as digests. Returns false if
+    /// the instance isn't known.
     pub fn set_idle_accounts(
         &mut self,
         instance: &InstanceName,
         accounts: impl Iterator<Item = u64>,
-    ) {
-        if let Some(record) = self.endpoints.get_mut(instance) {
-            let idle = record.idle_accounts.get_or_insert_default();
-            idle.clear();
-            idle.extend(accounts);
-        }
+    ) -> bool {
+        let record = self.endpoints.get_mut(instance);
+        let Some(record) = record.filter(|record| !record.removed) else {
+            return false;
+        };
+        let idle = record.idle_accounts.get_or_insert_default();
+        idle.clear();
+        idle.extend(accounts);
+        self.counts.idle_reports += 1;
+        true
     }
 
     /// Records that a connection could not be opened.
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -57,6 +57,8 @@
     pub refused: BTreeMap<RefusalCause, u64>,
     /// The total waiting time of dispatched requests, in microseconds.
     pub waited_micros: u64,
+    /// Reports of the accounts that have an idle connection to an instance.
+    pub idle_reports: u64,
 }
 
 /// The state of one endpoint.
