--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -10,5 +10,6 @@
 mod failover;
 mod freshness;
 mod idle;
+mod idle_accounts;
 mod lapses;
 mod takeover;
