A changed catalog copy shares the records that stay

What callers saw: nothing by itself; with 1,000 groups each change of the catalog kept a VM's heartbeats, statements and answers waiting for as long as a copy of the whole catalog takes.

Cause: a member applies each delta to a clone of its copy, because readers hold the one in use. The clone copied every contract, member, group and endpoint record, some thousands, for a delta of one item, and dropped the former ones.

Fix: the records are behind shared pointers, and so is each map of them. A delta copies the records that it changes and the maps that it touches; a record that is sent again without a change isn't replaced.

Test: delta_copies_no_unchanged_records, which compares pointers.

--- a/crates/control/src/copy.rs
+++ b/crates/control/src/copy.rs
@@ -73,14 +73,21 @@
     pub callers: bool,
 }
 
+/// Records that clones share: a clone copies no record, and a change of a map that is shared copies
+/// the map but no record of it.
+type SharedRecords<Name, Record> = Arc<BTreeMap<Name, Arc<Record>>>;
+
 /// A member's copy of the catalog.
+///
+/// Each change of the catalog is applied to a clone of the copy that is in use. Clones share the
+/// records that haven't changed, so that a change doesn't cost a copy of the whole catalog.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CatalogCopy {
     revision: CatalogRevision,
-    contracts: BTreeMap<CustomerName, VersionedContract>,
-    members: BTreeMap<VmName, MemberRecord>,
-    groups: BTreeMap<GroupName, GroupRecord>,
-    terms: BTreeMap<GroupName, GroupTerms>,
+    contracts: SharedRecords<CustomerName, VersionedContract>,
+    members: SharedRecords<VmName, MemberRecord>,
+    groups: SharedRecords<GroupName, GroupRecord>,
+    terms: SharedRecords<GroupName, GroupTerms>,
     accounts: Arc<AccountTable>,
 }
 
@@ -97,12 +104,12 @@
 
     /// Returns a customer's contract.
     pub fn contract(&self, customer: &CustomerName) -> Option<&VersionedContract> {
-        self.contracts.get(customer)
+        self.contracts.get(customer).map(Arc::as_ref)
     }
 
     /// Iterates over the contracts.
     pub fn contracts(&self) -> impl Iterator<Item = &VersionedContract> {
-        self.contracts.values()
+        self.contracts.values().map(Arc::as_ref)
     }
 
     /// Returns the client accounts.
@@ -112,27 +119,27 @@
 
     /// Returns a group's terms.
     pub fn group_terms(&self, group: &GroupName) -> Option<&GroupTerms> {
-        self.terms.get(group)
+        self.terms.get(group).map(Arc::as_ref)
     }
 
     /// Returns a member.
     pub fn member(&self, vm: &VmName) -> Option<&MemberRecord> {
-        self.members.get(vm)
+        self.members.get(vm).map(Arc::as_ref)
     }
 
     /// Iterates over the members.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.members.values()
+        self.members.values().map(Arc::as_ref)
     }
 
     /// Returns a group.
     pub fn group(&self, group: &GroupName) -> Option<&GroupRecord> {
-        self.groups.get(group)
+        self.groups.get(group).map(Arc::as_ref)
     }
 
     /// Iterates over the groups.
     pub fn groups(&self) -> impl Iterator<Item = &GroupRecord> {
-        self.groups.values()
+        self.groups.values().map(Arc::as_ref)
     }
 
     /// Applies a delta or a snapshot and returns the changes.
@@ -196,7 +203,7 @@
         let unlisted = self.members.keys().filter(|vm| !listed.contains(vm));
         let gone: Vec<VmName> = unlisted.cloned().collect();
         for vm in gone {
-            self.members.remove(&vm);
+            Arc::make_mut(&mut self.members).remove(&vm);
             changes.vms.push(vm);
         }
         self.drop_unlisted_contracts(items, changes);
@@ -221,7 +228,7 @@
             .cloned()
             .collect();
         for customer in gone {
-            self.contracts.remove(&customer);
+            Arc::make_mut(&mut self.contracts).remove(&customer);
             changes.customers.push(customer);
         }
     }
@@ -229,31 +236,27 @@
     fn apply_item(&mut self, item: &CatalogItem, changes: &mut CopyChanges) {
         match item {
             CatalogItem::Contract(contract) => {
-                let customer = contract.contract.customer.clone();
-                let former = self
-                    .contracts
-                    .insert(customer.clone(), (**contract).clone());
-                if former.as_ref() != Some(&**contract) {
-                    changes.customers.push(customer);
+                let customer = &contract.contract.customer;
+                if put_record(&mut self.contracts, customer, contract) {
+                    changes.customers.push(customer.clone());
                 }
             }
             CatalogItem::ContractGone(customer) => {
-                if self.contracts.remove(customer).is_some() {
+                if remove_record(&mut self.contracts, customer) {
                     changes.customers.push(customer.clone());
                 }
             }
             CatalogItem::GroupTerms(terms) => {
-                self.terms.insert(terms.group.clone(), terms.clone());
+                put_record(&mut self.terms, &terms.group, terms);
             }
             CatalogItem::Member(member) => {
-                let vm = member.id.vm.clone();
-                let former = self.members.insert(vm.clone(), member.clone());
-                if former.as_ref() != Some(member) {
-                    changes.vms.push(vm);
+                let vm = &member.id.vm;
+                if put_record(&mut self.members, vm, member) {
+                    changes.vms.push(vm.clone());
                 }
             }
             CatalogItem::MemberGone(vm) => {
-                if self.members.remove(vm).is_some() {
+                if remove_record(&mut self.members, vm) {
                     changes.vms.push(vm.clone());
                 }
             }
@@ -267,19 +270,39 @@
 
     fn apply_group(&mut self, record: &GroupRecord, changes: &mut CopyChanges) {
         let group = &record.placement.group;
-        let former = self.groups.insert(group.clone(), record.clone());
-        if let Some(former) = &former {
+        if let Some(former) = self.groups.get(group) {
             invariant!(
                 former.placement.epoch <= record.placement.epoch && former.term <= record.term,
                 "the epoch or term of {group} fell"
             );
         }
-        if former.as_ref() != Some(record) {
+        if put_record(&mut self.groups, group, record) {
             changes.groups.push(group.clone());
         }
     }
 }
 
+/// Sets a record and returns whether it differs from the one that was held.
+fn put_record<Name: Clone + Ord, Record: Clone + PartialEq>(
+    records: &mut SharedRecords<Name, Record>,
+    name: &Name,
+    record: &Record,
+) -> bool {
+    if records.get(name).is_some_and(|held| **held == *record) {
+        return false;
+    }
+    Arc::make_mut(records).insert(name.clone(), Arc::new(record.clone()));
+    true
+}
+
+/// Removes a record and returns whether it was held.
+fn remove_record<Name: Clone + Ord, Record>(
+    records: &mut SharedRecords<Name, Record>,
+    name: &Name,
+) -> bool {
+    records.contains_key(name) && Arc::make_mut(records).remove(name).is_some()
+}
+
 fn affects_callers(item: &CatalogItem) -> bool {
     matches!(
         item,
--- a/crates/control/tests/state/transfer.rs
+++ b/crates/control/tests/state/transfer.rs
@@ -399,3 +399,23 @@
         assert!(outputs.iter().all(|output| !output.contains("key-1")));
     }
 }
+
+case! {
+    /// Every delta is applied to a clone of the copy in use. If the clone copied every record, a
+    /// change of one group among a thousand would keep heartbeats and callers waiting.
+    delta_copies_no_unchanged_records {
+        let mut script = large_catalog(3, 200);
+        let mut held = CatalogCopy::new();
+        held.apply_delta(&script.state.delta_since(held.revision())).unwrap();
+        script.apply(CatalogCommand::PlaceGroup(placement("group-7", 2, "vm-2", &["vm-1", "vm-3"])));
+        let mut next = held.clone();
+        next.apply_delta(&script.state.delta_since(held.revision())).unwrap();
+        assert_ne!(next.group(&group(7)), held.group(&group(7)));
+        let groups = held.groups().zip(next.groups());
+        let copied = groups.filter(|(old, new)| !std::ptr::eq(*old, *new)).count();
+        assert_eq!(copied, 1);
+        let mut contracts = held.contracts().zip(next.contracts());
+        assert!(contracts.all(|(old, new)| std::ptr::eq(old, new)));
+        assert!(held.members().zip(next.members()).all(|(old, new)| std::ptr::eq(old, new)));
+    }
+}
