A change of the catalog costs no pass over its revision

Cause: a document changes thousands of items at one revision. The index of changes held the keys of a revision in a vector, which was sorted anew for each key that was added and searched from its start for each that was removed, so that the work grew with the square of the document. Every control VM did that in one go in its control task, in a process with a single thread.

Fix: ChangeIndex keeps the keys of a revision in a set. Order and content are as before, so that deltas and pieces of control VMs of either code fit together.

Test: change_costs_no_pass_over_its_revision counts comparisons.

--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -4,6 +4,7 @@
 //! command names the state on which it builds and is refused if that state has changed, because its
 //! sender may act on an outdated view: a former leaseholder, a delayed message, a restarted daemon.
 
+use crate::changes::ChangeIndex;
 use crate::contracts::ChangeLedger;
 use ragwort_types::AccountName;
 use ragwort_types::AccountTerms;
@@ -25,7 +26,6 @@
 use ragwort_types::VmName;
 use serde::Deserialize;
 use serde::Serialize;
-use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::ops::Bound;
@@ -63,7 +63,7 @@
     pub(crate) groups: BTreeMap<GroupName, StampedItem<GroupRecord>>,
     /// The items by the revision of their last change; derived from the other fields.
     #[serde(skip)]
-    pub(crate) changes: BTreeMap<CatalogRevision, SmallVec<[CatalogKey; 1]>>,
+    pub(crate) changes: ChangeIndex<CatalogKey>,
 }
 
 /// The stored form of a [`CatalogState`], without derived fields.
@@ -218,25 +218,17 @@
                 items: self.all_items(),
             };
         }
-        let later = (Bound::Excluded(from), Bound::Unbounded);
-        let changed = self.changes.range(later);
+        let changed = self.changes.range(Bound::Excluded(from));
         CatalogDelta {
             from: Some(from),
             to: self.revision.max(from),
-            items: changed
-                .flat_map(|(_, keys)| keys)
-                .filter_map(|key| self.item(key))
-                .collect(),
+            items: changed.filter_map(|(_, key)| self.item(key)).collect(),
         }
     }
 
     fn all_items(&self) -> Vec<CatalogItem> {
-        self.changes
-            .values()
-            .flatten()
-            .filter(|key| !key.is_gone())
-            .filter_map(|key| self.item(key))
-            .collect()
+        let present = self.changes.iter().filter(|(_, key)| !key.is_gone());
+        present.filter_map(|(_, key)| self.item(key)).collect()
     }
 
     pub(crate) fn item(&self, key: &CatalogKey) -> Option<CatalogItem> {
@@ -312,27 +304,12 @@
         if let Some(former) = former {
             self.forget_change(former, &key);
         }
-        self.index_change(revision, key);
+        self.changes.insert(revision, key);
         self.revision = revision;
     }
 
-    /// Records an item's change at a revision. The keys of a revision are sorted, so that control
-    /// VMs that restored the catalog from a snapshot send the same deltas as those that applied
-    /// every command.
-    fn index_change(&mut self, revision: CatalogRevision, key: CatalogKey) {
-        let keys = self.changes.entry(revision).or_default();
-        keys.push(key);
-        keys.sort_unstable();
-    }
-
     pub(crate) fn forget_change(&mut self, revision: CatalogRevision, key: &CatalogKey) {
-        let Some(keys) = self.changes.get_mut(&revision) else {
-            return;
-        };
-        keys.retain(|changed| changed != key);
-        if keys.is_empty() {
-            self.changes.remove(&revision);
-        }
+        self.changes.remove(revision, key);
     }
 }
 
@@ -352,7 +329,7 @@
             members: image.members,
             departures: image.departures,
             groups: image.groups,
-            changes: BTreeMap::new(),
+            changes: ChangeIndex::default(),
         };
         state.index_changes();
         state
@@ -384,7 +361,7 @@
         let items = configured.chain(members).chain(departures).chain(groups);
         let items: Vec<(CatalogRevision, CatalogKey)> = items.collect();
         for (stamp, key) in items {
-            self.index_change(stamp, key);
+            self.changes.insert(stamp, key);
         }
     }
 }
--- a/crates/control/src/transfer.rs
+++ b/crates/control/src/transfer.rs
@@ -149,9 +149,7 @@
             Some(_) => Bound::Included(cursor.revision),
             None => Bound::Excluded(cursor.revision),
         };
-        let changes = self.changes.range((first, Bound::Unbounded));
-        let keys =
-            changes.flat_map(|(revision, keys)| keys.iter().map(move |key| (*revision, key)));
+        let keys = self.changes.range(first);
         keys.filter(move |(revision, key)| *revision != cursor.revision || Some(*key) > begun)
     }
 
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -4,6 +4,7 @@
 mod common;
 
 mod catalog;
+mod changes;
 mod charts;
 mod detector;
 mod documents;
