A primary that nobody has found yet is awaited longer

A promotion that nobody needed moves the group to another primary and leaves it without one meanwhile.

Cause: a group whose leaseholder has found no primary waited until each endpoint that it knew had announced itself twice, and the announcements of an early endpoint counted although another one had just come. The endpoints of a new group announce themselves seconds apart: in the 793 groups that were placed for the first time and heard three, the third came 1.2 s after the first in the middle, 3.4 s in one of ten, 6.2 s at most. All replacements but one were of groups in their first epoch, none had recorded endpoints, 26 knew one endpoint and 34 two; 83 endpoints were heard after their replacement had begun, up to 3.8 s. Why announcements come so far apart isn't shown.

Fix: each endpoint that is new starts the count anew, and each known one has to announce itself five times from then on. A primary that is truly missing at the first formation of a group is replaced some 3.6 s later than before; one that was found before is replaced as fast as before.

With it, by reading: endpoints that a former leaseholder recorded without a primary counted as if the primary were among them. Only a primary that was found or recorded counts as known.

--- a/crates/control/src/headless.rs
+++ b/crates/control/src/headless.rs
@@ -5,9 +5,9 @@
 //! a running primary that hasn't announced itself yet.
 //!
 //! If a primary was found before, its successor is among the endpoints known then, and each of them
-//! is asked. If none was found, the primary may be an endpoint that hasn't announced itself yet. A
-//! second announcement from every known endpoint shows that there was time for the first
-//! announcement of each.
+//! is asked. If none was found, the primary may be an endpoint that hasn't announced itself yet:
+//! the endpoints of a new group start and announce themselves seconds apart. It is awaited until
+//! every known endpoint has announced itself several times since the last new one did.
 
 use ragwort_types::ClockTime;
 use ragwort_types::InstanceName;
@@ -18,8 +18,9 @@
 /// once a second.
 pub const MAX_PRIMARY_ABSENCE: Duration = Duration::from_millis(1_500);
 
-/// Announcements from each known endpoint before an unknown one is considered missing.
-const MIN_ANNOUNCEMENTS: u32 = 2;
+/// Announcements from each known endpoint since the last new one, before an unknown one is
+/// considered missing. More of them would delay the replacement of a primary that never started.
+const MIN_ANNOUNCEMENTS: u32 = 5;
 
 /// How a group's endpoints became known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,7 +60,13 @@
             .find(|(name, _)| name == instance)
         {
             Some((_, count)) => *count += 1,
-            None => self.announcements.push((instance.clone(), 1)),
+            None => {
+                self.announcements.push((instance.clone(), 1));
+                // Others that haven't announced themselves yet may be as late as this one.
+                for (_, count) in &mut self.announcements {
+                    *count = 1;
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -411,7 +411,9 @@
         if self.pool.endpoints().next().is_none() {
             return;
         }
-        let known = self.leading.is_some() || !self.record.endpoints.is_empty();
+        // Recorded endpoints without a primary are those that a former leaseholder had heard so
+        // far, and the primary may be missing among them.
+        let known = self.leading.is_some() || self.record.primary.is_some();
         let knowledge = match known {
             true => EndpointKnowledge::Known,
             false => EndpointKnowledge::Announced,
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -34,6 +34,9 @@
     /// Announcements reach a busy leaseholder seconds late, the primary's last. A live primary was
     /// replaced before its first announcement arrived.
     primary_announced_late_is_not_replaced => late_primary_case();
+    /// The former leaseholder ended before it had heard the primary. Its successor replaced the
+    /// living primary, which wasn't among the endpoints that it was told of.
+    primary_that_a_former_leaseholder_never_found_is_not_replaced => unfound_primary_case();
     /// Another VM takes the group over while a write runs at the endpoint. The caller gets a final
     /// verdict at once, which must not claim that the write did not run.
     write_under_way_at_a_takeover_is_answered => takeover_case();
@@ -141,6 +144,13 @@
     assert!(bench.promotions.orders.lock().unwrap().is_empty());
 }
 
+async fn unfound_primary_case() {
+    let mut bench = NativeBench::start_with_noted_replicas([5, 5, 5]).await;
+    sleep(MAX_PRIMARY_ABSENCE * 2).await;
+    bench.settle().await;
+    assert!(bench.promotions.orders.lock().unwrap().is_empty());
+}
+
 async fn takeover_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
