A command is compressed once for the disk and all followers

Cause: the entry of a configuration of 3,000 contracts is 2.5 MB of JSON. The leader escaped it once more for its disk (2.9 MB) and again in the message to each follower, where it was escaped, compressed and copied anew, all in its control task and on the process's only thread.

A control VM of the former code can't read compressed entries: it stops with a fault rather than apply something else, so control VMs must be replaced together.

--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -6,6 +6,8 @@
 //! proposed again.
 
 use super::ControlTask;
+use super::decode_command;
+use super::encode_command;
 use super::event::ControlFault;
 use super::event::WaitingCommand;
 use crate::log_event;
@@ -80,8 +82,7 @@
             }
             return;
         }
-        let text = serde_json::to_string(command).expect("a catalog command serializes to JSON");
-        match self.node.propose(text) {
+        match self.node.propose(encode_command(command)) {
             Ok(mark) => {
                 if reply.is_none() {
                     self.own_proposals.insert(mark.index.0);
@@ -109,7 +110,7 @@
             answer_command(waiting, mark, None);
             return Ok(());
         };
-        let command: CatalogCommand = serde_json::from_str(text)
+        let command = decode_command(text)
             .map_err(|error| ControlFault::Damaged(format!("entry {}: {error}", mark.index.0)))?;
         let revision = CatalogRevision(mark.index.0);
         let outcome = self.catalog.apply(revision, &command);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -8,12 +8,15 @@
 
 mod commands;
 mod documents;
+mod entry_text;
 mod event;
 mod heartbeats;
 mod peers;
 mod pieces;
 mod voters;
 
+pub use entry_text::decode_command;
+pub use entry_text::encode_command;
 pub use event::ControlEvent;
 pub use event::ControlFault;
 pub use event::DocumentRequest;
--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -6,6 +6,7 @@
 //! other.
 
 use super::ControlTask;
+use super::decode_command;
 use crate::log_event;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
@@ -69,7 +70,7 @@
         }
         for entry in state.entries() {
             if let EntryPayload::Data(text) = &entry.payload
-                && let Ok(CatalogCommand::AdmitMember(member)) = serde_json::from_str(text)
+                && let Ok(CatalogCommand::AdmitMember(member)) = decode_command(text)
             {
                 self.learn_member(&member);
             }
--- a/crates/daemon/tests/components/control.rs
+++ b/crates/daemon/tests/components/control.rs
@@ -1,22 +1,44 @@
 //! The control role's answers to members.
 
+use ragwort_control::DiskWrite;
+use ragwort_control::EntryMark;
+use ragwort_control::agreement::EntryPayload;
+use ragwort_control::agreement::LogEntry;
+use ragwort_control::encode_record;
+use ragwort_types::AccessMode;
+use ragwort_types::CallerRule;
+use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogRevision;
+use ragwort_types::ContractDocument;
+use ragwort_types::CustomerContract;
+use ragwort_types::DocumentVersion;
+use ragwort_types::GroupTerms;
 use ragwort_types::HeartbeatReply;
 use ragwort_types::HeartbeatRequest;
+use ragwort_types::KindTerms;
+use ragwort_types::LengthClass;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
 use ragwort_types::MemberTraits;
+use ragwort_types::RepeatRule;
+use ragwort_types::UrgencyClass;
 use ragwort_types::VmIncarnation;
 use ragwortgated::clock::NodeClock;
 use ragwortgated::control::ControlEvent;
+use ragwortgated::control::ControlFault;
 use ragwortgated::control::ControlTask;
+use ragwortgated::control::decode_command;
+use ragwortgated::control::encode_command;
 use ragwortgated::peers::PeerLinks;
 use ragwortgated::settings::DaemonSettings;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// The heartbeat interval, in milliseconds. A heartbeat is held for up to half of it, which leaves
 /// a slow machine enough time to elect a leader.
@@ -28,8 +50,17 @@
     /// refused instead, the member would lose a retry interval for each of the two steps and refuse
     /// its callers meanwhile.
     heartbeat_waits_for_a_leader_and_its_admission => waiting_heartbeat_case();
+    /// The leader writes each entry to its disk and sends it to every follower. A configuration of
+    /// a thousand contracts was escaped and compressed anew for each of them, and meanwhile no
+    /// heartbeat was answered.
+    configuration_is_compressed_once_for_all_followers => compressed_entry_case();
+    /// Logs that were written before entries were compressed must stay readable.
+    uncompressed_entry_is_read => uncompressed_entry_case();
 }
 
+/// The incarnation of `vm-1`.
+const INCARNATION: VmIncarnation = VmIncarnation(1);
+
 /// Creates the settings of `vm-1`, which is the only control VM.
 fn create_settings(folder: &std::path::Path) -> DaemonSettings {
     let text = format!(
@@ -82,29 +113,116 @@
     answer.await.unwrap()
 }
 
-async fn waiting_heartbeat_case() {
-    let name = format!("ragwort-control-heartbeat-{}", std::process::id());
-    let folder = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&folder).unwrap();
-    let settings = Arc::new(create_settings(&folder));
-    let links = PeerLinks::new(Duration::from_secs(5));
-    let incarnation = VmIncarnation(1);
-    let opened = ControlTask::open(settings, NodeClock::start(), links, &folder, incarnation);
-    let (task, control) = opened.unwrap();
-    let (stop, stopped) = watch::channel(false);
-    let task = tokio::spawn(task.run(stopped));
-    let voter = MemberId {
-        vm: "vm-1".into(),
-        incarnation,
+/// Creates a command that replaces the whole configuration, of many similar contracts.
+fn create_document() -> CatalogCommand {
+    let terms = KindTerms {
+        access: AccessMode::Write,
+        repeat: RepeatRule::Never,
+        urgency: UrgencyClass::Ordinary,
+        length: LengthClass::Short,
+        max_age_ms: 0,
+        deadline_ms: 800,
+        target_ms: None,
     };
-    let heartbeat = call_control(&control, |reply| {
+    let contracts = (0..1_000).map(|number| CustomerContract {
+        customer: format!("customer-{number}").into(),
+        groups: vec!["cases".into()],
+        kinds: BTreeMap::from([("write".into(), terms)]),
+        default_kind: "write".into(),
+        slot_share: 1,
+        connection_limit: 88,
+        queue_limit: 512,
+        session_limit: 4_096,
+        callers: CallerRule::Anyone,
+    });
+    CatalogCommand::ApplyDocument(Box::new(ContractDocument {
+        version: DocumentVersion(1),
+        source: "the text".into(),
+        contracts: contracts.collect(),
+        groups: vec![GroupTerms {
+            group: "cases".into(),
+            connections: 88,
+            synchronous_replicas: 0,
+            idle_transaction_ms: 3_000,
+        }],
+        accounts: Vec::new(),
+        seal: None,
+    }))
+}
+
+async fn compressed_entry_case() {
+    let command = create_document();
+    let json_bytes = serde_json::to_string(&command).unwrap().len();
+    let text = encode_command(&command);
+    assert_eq!(decode_command(&text), Ok(command));
+    assert!(
+        text.len() * 10 < json_bytes,
+        "{} of {json_bytes}",
+        text.len()
+    );
+    let text_bytes = text.len();
+    let record = encode_record(&[DiskWrite::Entry(LogEntry {
+        mark: EntryMark::default(),
+        payload: EntryPayload::Data(text),
+    })]);
+    assert!(record.len() < text_bytes + 256, "{} bytes", record.len());
+}
+
+async fn uncompressed_entry_case() {
+    let command = create_document();
+    let text = serde_json::to_string(&command).unwrap();
+    assert_eq!(decode_command(&text), Ok(command));
+}
+
+/// A running control task of `vm-1`, and the folder of its log.
+struct RunningControl {
+    events: mpsc::Sender<ControlEvent>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<Result<(), ControlFault>>,
+    folder: PathBuf,
+}
+
+impl RunningControl {
+    fn start(case: &str) -> Self {
+        let name = format!("ragwort-control-{case}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        let settings = Arc::new(create_settings(&folder));
+        let links = PeerLinks::new(Duration::from_secs(5));
+        let opened = ControlTask::open(settings, NodeClock::start(), links, &folder, INCARNATION);
+        let (task, events) = opened.unwrap();
+        let (stop, stopped) = watch::channel(false);
+        Self {
+            events,
+            stop,
+            task: tokio::spawn(task.run(stopped)),
+            folder,
+        }
+    }
+
+    /// Makes `vm-1` the only voter.
+    async fn form(&self) -> bool {
+        let voter = MemberId {
+            vm: "vm-1".into(),
+            incarnation: INCARNATION,
+        };
+        call_control(&self.events, |reply| ControlEvent::Form(vec![voter], reply)).await
+    }
+
+    async fn stop(self) {
+        self.stop.send_replace(true);
+        self.task.await.unwrap().unwrap();
+        std::fs::remove_dir_all(&self.folder).unwrap();
+    }
+}
+
+async fn waiting_heartbeat_case() {
+    let control = RunningControl::start("heartbeat");
+    let heartbeat = call_control(&control.events, |reply| {
         ControlEvent::Heartbeat(create_heartbeat(), reply)
     });
-    let forming = call_control(&control, |reply| ControlEvent::Form(vec![voter], reply));
-    let (reply, formed) = tokio::join!(heartbeat, forming);
+    let (reply, formed) = tokio::join!(heartbeat, control.form());
     assert!(formed);
     assert!(matches!(reply, HeartbeatReply::Granted(_)), "{reply:?}");
-    stop.send_replace(true);
-    task.await.unwrap().unwrap();
-    std::fs::remove_dir_all(&folder).unwrap();
+    control.stop().await;
 }
