A document is committed as its difference from the configuration

Cause: each document was committed whole.

Fix: the VM that receives a document compares it with its copy of the catalog and proposes the contracts and terms that differ, and those that are gone. The catalog takes a difference only if no contract, terms or account has changed since the copy's revision, else it answers "stale" and the whole document is proposed. So the result is always that of the whole document, and the highest version wins as before. The operator's own text travels and is kept compressed, and is expanded when it is read back. Accounts stay whole, since the catalog holds only digests of their keys.

A control VM of the former code stops at the new command with a fault, and would hand out the compressed text; control VMs must be replaced together.

Tests: change_of_one_contract_is_committed_without_the_others (1,000 contracts were committed before; the state equals that of the whole document), update_of_a_replaced_configuration_is_refused, invalid_update_changes_nothing. The command didn't exist before, so that none of them could run.

--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -192,6 +192,7 @@
                 outcome
             }
             CatalogCommand::ApplyDocument(document) => self.apply_document(revision, document),
+            CatalogCommand::UpdateDocument(update) => self.update_document(revision, update),
             CatalogCommand::IssueToken(request) => self.issue_token(revision, request),
             CatalogCommand::RecordEndpoints(recorded) => self.record_endpoints(revision, recorded),
             CatalogCommand::AdmitMember(member) => self.admit_member(revision, member),
--- a/crates/control/tests/state/documents.rs
+++ b/crates/control/tests/state/documents.rs
@@ -7,6 +7,7 @@
 use ragwort_control::CatalogState;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CatalogOutcome;
+use ragwort_types::CatalogRevision;
 use ragwort_types::ContractDocument;
 use ragwort_types::CustomerContract;
 use ragwort_types::CustomerName;
@@ -175,3 +176,73 @@
         assert_eq!(restored.delta_since(from), script.state.delta_since(from));
     }
 }
+
+/// Returns a catalog with a document of a thousand contracts, and its next version, which changes
+/// one of them and removes another.
+fn change_one_of_a_thousand() -> (CatalogScript, ContractDocument) {
+    let mut script = CatalogScript::with_members(1);
+    let names: Vec<String> = (0..1_000)
+        .map(|number| format!("customer-{number}"))
+        .collect();
+    let mut contracts: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    apply(&mut script, document(1, &contracts));
+    contracts[7].1 = 5;
+    contracts.remove(500);
+    (script, document(2, &contracts))
+}
+
+fn copy_of(state: &CatalogState) -> CatalogCopy {
+    let mut copy = CatalogCopy::new();
+    copy.apply_delta(&state.delta_since(copy.revision()))
+        .unwrap();
+    copy
+}
+
+case! {
+    /// Every change of one contract was committed with all other contracts. While the leader
+    /// encoded these for its disk and each follower, it answered no heartbeat.
+    change_of_one_contract_is_committed_without_the_others {
+        let (mut script, next) = change_one_of_a_thousand();
+        let update = copy_of(&script.state).compare_document(&next).unwrap();
+        assert_eq!(update.changed.contracts.len(), 1);
+        assert_eq!(update.changed.groups.len(), 0);
+        assert_eq!(update.removed, [CustomerName::from("customer-500")]);
+        let mut whole = script.state.clone();
+        let revision = CatalogRevision(script.state.revision().0 + 1);
+        whole.apply(revision, &CatalogCommand::ApplyDocument(Box::new(next)));
+        let outcome = script.apply(CatalogCommand::UpdateDocument(Box::new(update)));
+        assert_eq!(in_force(&outcome), Some(2));
+        assert_eq!(script.state, whole);
+    }
+}
+
+case! {
+    /// Another operator's document is committed after the comparison. The difference from the
+    /// replaced configuration must not be applied: the result would be a mixture of both.
+    update_of_a_replaced_configuration_is_refused {
+        let (mut script, next) = change_one_of_a_thousand();
+        let update = copy_of(&script.state).compare_document(&next).unwrap();
+        let mut later = update.clone();
+        later.changed.version = DocumentVersion(9);
+        apply(&mut script, document(2, &[("customer-7", 3), ("customer-500", 1)]));
+        let before = script.state.clone();
+        let resent = script.apply(CatalogCommand::UpdateDocument(Box::new(update)));
+        assert_eq!(in_force(&resent), Some(2));
+        let outcome = script.apply(CatalogCommand::UpdateDocument(Box::new(later)));
+        assert_eq!(outcome, CatalogOutcome::Stale);
+        assert_eq!(script.state, before);
+    }
+}
+
+case! {
+    /// A contract of an update names a group that neither the update nor the catalog defines.
+    invalid_update_changes_nothing {
+        let (mut script, next) = change_one_of_a_thousand();
+        let mut update = copy_of(&script.state).compare_document(&next).unwrap();
+        update.changed.contracts[0].groups = vec!["unknown".into()];
+        let before = script.state.clone();
+        let outcome = script.apply(CatalogCommand::UpdateDocument(Box::new(update)));
+        assert!(matches!(outcome, CatalogOutcome::DocumentInvalid(_)), "{outcome:?}");
+        assert_eq!(script.state, before);
+    }
+}
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -39,7 +39,10 @@
         if self.node.is_leader() {
             // With fewer voters than configured, the loss of as many disks as the system must
             // survive could lose an accepted configuration.
-            let document = matches!(request.command, CatalogCommand::ApplyDocument(_));
+            let document = matches!(
+                request.command,
+                CatalogCommand::ApplyDocument(_) | CatalogCommand::UpdateDocument(_)
+            );
             if document && self.node.voters().len() < self.settings.least_voters() {
                 let _ = reply.send(CommandReply::NoLeader);
                 return;
@@ -146,6 +149,7 @@
     match command {
         CatalogCommand::ApplyContract(_) => "apply_contract",
         CatalogCommand::ApplyDocument(_) => "apply_document",
+        CatalogCommand::UpdateDocument(_) => "update_document",
         CatalogCommand::IssueToken(_) => "issue_token",
         CatalogCommand::RecordEndpoints(_) => "record_endpoints",
         CatalogCommand::AdmitMember(_) => "admit_member",
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -399,6 +399,7 @@
             }
             CatalogCommand::ApplyContract(_)
             | CatalogCommand::ApplyDocument(_)
+            | CatalogCommand::UpdateDocument(_)
             | CatalogCommand::IssueToken(_)
             | CatalogCommand::RecordEndpoints(_)
             | CatalogCommand::AdmitMember(_)
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -34,6 +34,8 @@
 use ragwort_rpc::OperatorApiServer;
 use ragwort_rpc::PeerApiClient;
 use ragwort_rpc::PeerApiServer;
+use ragwort_rpc::compact_text;
+use ragwort_rpc::expand_text;
 use ragwort_types::AgreementEnvelope;
 use ragwort_types::AnnouncementReply;
 use ragwort_types::CatalogCommand;
@@ -46,6 +48,7 @@
 use ragwort_types::ControlIdentity;
 use ragwort_types::CustomerName;
 use ragwort_types::DigestSecret;
+use ragwort_types::DocumentCopy;
 use ragwort_types::DocumentReadReply;
 use ragwort_types::DocumentReply;
 use ragwort_types::EndpointAnnouncement;
@@ -78,6 +81,7 @@
 use ragwort_types::TransactionStep;
 use ragwort_types::VersionedContract;
 use ragwort_types::VmName;
+use std::borrow::Cow;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -231,22 +235,29 @@
             return DocumentReply::Invalid(faults.iter().map(ToString::to_string).collect());
         }
         document.seal = Some(DigestSecret(rand::random()));
-        let command = CatalogCommand::ApplyDocument(Box::new(document));
-        match self.propose_to_control_vms(&command).await {
-            CommandReply::Committed(CatalogOutcome::DocumentAccepted(acceptance)) => {
-                DocumentReply::Accepted(acceptance)
-            }
-            CommandReply::Committed(CatalogOutcome::DocumentInvalid(faults)) => {
-                DocumentReply::Invalid(faults)
-            }
-            CommandReply::Committed(_) | CommandReply::NoLeader | CommandReply::Unknown => {
-                DocumentReply::Unknown
+        document.source = compact_text(document.source.to_string()).into();
+        let update = self.view.borrow().copy.compare_document(&document);
+        if let Some(update) = update {
+            let command = CatalogCommand::UpdateDocument(Box::new(update));
+            let reply = self.propose_to_control_vms(&command).await;
+            // The configuration has changed since the copy's revision.
+            if reply != CommandReply::Committed(CatalogOutcome::Stale) {
+                return to_document_reply(reply);
             }
         }
+        let command = CatalogCommand::ApplyDocument(Box::new(document));
+        to_document_reply(self.propose_to_control_vms(&command).await)
     }
 
     /// Returns the whole configuration document, as confirmed by a majority.
     pub async fn find_document(&self) -> DocumentReadReply {
+        match self.find_stored_document().await {
+            DocumentReadReply::Newest(stored) => DocumentReadReply::Newest(expand_source(stored)),
+            reply @ (DocumentReadReply::Empty | DocumentReadReply::Unsure) => reply,
+        }
+    }
+
+    async fn find_stored_document(&self) -> DocumentReadReply {
         if self.control.is_none() {
             return self.ask_for_document().await;
         }
@@ -599,6 +610,32 @@
     }
 }
 
+fn to_document_reply(reply: CommandReply) -> DocumentReply {
+    match reply {
+        CommandReply::Committed(CatalogOutcome::DocumentAccepted(acceptance)) => {
+            DocumentReply::Accepted(acceptance)
+        }
+        CommandReply::Committed(CatalogOutcome::DocumentInvalid(faults)) => {
+            DocumentReply::Invalid(faults)
+        }
+        CommandReply::Committed(_) | CommandReply::NoLeader | CommandReply::Unknown => {
+            DocumentReply::Unknown
+        }
+    }
+}
+
+/// Returns a document with its text as the operator wrote it. A text that was stored without
+/// compression is returned as it is.
+fn expand_source(stored: DocumentCopy) -> DocumentCopy {
+    match expand_text(&stored.source) {
+        Ok(Cow::Owned(text)) => DocumentCopy {
+            source: text.into(),
+            ..stored
+        },
+        Ok(Cow::Borrowed(_)) | Err(_) => stored,
+    }
+}
+
 fn unavailable(text: &str) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(UNAVAILABLE, text, None::<()>)
 }
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -11,6 +11,7 @@
 use crate::ContractVersion;
 use crate::CustomerName;
 use crate::DocumentAcceptance;
+use crate::DocumentUpdate;
 use crate::DomainName;
 use crate::EndpointAnnouncement;
 use crate::GroupName;
@@ -37,6 +38,9 @@
     ApplyContract(ContractChange),
     /// Replaces the whole configuration, on behalf of an operator.
     ApplyDocument(Box<ContractDocument>),
+    /// Replaces the whole configuration by its difference from that of an earlier revision. Refused
+    /// if the configuration has changed since.
+    UpdateDocument(Box<DocumentUpdate>),
     /// Adds a VM as a member, or replaces its record after a restart.
     AdmitMember(MemberRecord),
     /// Removes a VM whose lease has expired or that has drained. Refused if a newer process of the
--- a/crates/types/src/document.rs
+++ b/crates/types/src/document.rs
@@ -6,6 +6,7 @@
 
 use crate::AccountKey;
 use crate::AccountName;
+use crate::CatalogRevision;
 use crate::ChangeId;
 use crate::ClientAccount;
 use crate::CustomerContract;
@@ -196,6 +197,18 @@
     }
 }
 
+/// A document as its difference from the configuration in force at a catalog revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentUpdate {
+    /// The revision of the catalog with which the document was compared.
+    pub base: CatalogRevision,
+    /// The document, with those of its contracts and groups that may differ. Its accounts are
+    /// complete, because the catalog holds only digests of their keys.
+    pub changed: ContractDocument,
+    /// The customers whose contracts the document no longer lists.
+    pub removed: Vec<CustomerName>,
+}
+
 /// The acceptance of a document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentAcceptance {
