Overlapping pieces of the catalog are packed once

What callers saw: in the first seconds of 1,000 groups a quarter of the control VMs' processor went into get_or_pack (the lead's profile), beside elections and lost heartbeats.

Cause: packed pieces were found again only by exactly the same cursor. While groups are placed the catalog changes many times between two heartbeats, so that each member has reached another revision, and a piece of up to 96 KB was cloned, encoded and compressed for each of 300 members in the control task. The last piece of a transfer wasn't kept at all, however long it was.

Fix: a recent piece answers each request whose cursor lies within it. What it holds beyond the request was already known to the member at the same revision: the piece was made at a revision that isn't before the cursor, so that none of its items is older than the member's. The first piece of a transfer from nothing has no removals and answers only its own request; one that restarts a transfer too. Long last pieces are kept for the same 64 revisions.

Test: overlapping_pieces_are_packed_once failed before, because two requests got different pieces.

--- a/crates/daemon/src/control/pieces.rs
+++ b/crates/daemon/src/control/pieces.rs
@@ -1,11 +1,14 @@
 //! Serves pieces of the catalog to members that transfer it, and caches the packed pieces, since
-//! many members request the same ones.
+//! many members request the same ones, or overlapping ones: while many groups are placed, each
+//! member has reached another revision.
 
 use super::ControlTask;
 use crate::log_event;
 use log::Level;
 use ragwort_control::CatalogState;
 use ragwort_rpc::pack_piece;
+use ragwort_types::CatalogCursor;
+use ragwort_types::CatalogKey;
 use ragwort_types::CatalogRevision;
 use ragwort_types::PieceRequest;
 use std::collections::BTreeMap;
@@ -20,6 +23,9 @@
 /// twice.
 const MAX_PIECE_AGE_REVISIONS: u64 = 64;
 
+/// The number of items from which the last piece of a transfer is cached.
+const MIN_CACHED_ITEMS: usize = 32;
+
 /// The cached pieces, by request.
 #[derive(Default)]
 pub(super) struct PieceCache {
@@ -28,9 +34,52 @@
 
 struct CachedPiece {
     made_at: CatalogRevision,
+    /// The cursor that a member has reached with the piece.
+    next: CatalogCursor,
+    /// Whether the piece begins a transfer anew, and so answers no other request than its own.
+    restarts: bool,
     packed: Arc<str>,
 }
 
+impl CachedPiece {
+    /// Returns whether the piece answers a request: it is recent, and contains all items from the
+    /// request's cursor up to its own end.
+    ///
+    /// It may begin at an earlier cursor, since items that the member already holds do no harm. The
+    /// first piece of a transfer from nothing is an exception, because it contains no removals.
+    fn answers(
+        &self,
+        own: &PieceRequest,
+        request: &PieceRequest,
+        present: CatalogRevision,
+    ) -> bool {
+        if present.0.saturating_sub(self.made_at.0) >= MAX_PIECE_AGE_REVISIONS {
+            return false;
+        }
+        let covers = || {
+            let start = order_of(&own.cursor);
+            let asked = order_of(&request.cursor);
+            let begins = own.cursor == CatalogCursor::default();
+            own.scope == request.scope
+                && !self.restarts
+                && !begins
+                && start < asked
+                && asked < order_of(&self.next)
+        };
+        own == request || covers()
+    }
+}
+
+/// Returns what orders cursors by progress: a cursor after some items of a revision comes before
+/// the one after all of them.
+fn order_of(cursor: &CatalogCursor) -> (CatalogRevision, bool, Option<&CatalogKey>) {
+    (
+        cursor.revision,
+        cursor.after.is_none(),
+        cursor.after.as_ref(),
+    )
+}
+
 impl PieceCache {
     /// Returns a packed piece, from the cache or packed now; `None` if it can't be packed.
     pub(super) fn get_or_pack(
@@ -39,9 +88,9 @@
         catalog: &CatalogState,
     ) -> Option<Arc<str>> {
         let present = catalog.revision();
-        if let Some(cached) = self.pieces.get(&request)
-            && present.0.saturating_sub(cached.made_at.0) < MAX_PIECE_AGE_REVISIONS
-        {
+        let cached = self.pieces.iter();
+        let mut answering = cached.filter(|(own, cached)| cached.answers(own, &request, present));
+        if let Some((_, cached)) = answering.next_back() {
             return Some(Arc::clone(&cached.packed));
         }
         let piece = catalog.next_piece(&request);
@@ -52,14 +101,16 @@
                 return None;
             }
         };
-        // The last piece is not cached: its end is a revision that is soon outdated, and it is
+        // A short last piece is not cached: its end is a revision that is soon outdated, and it is
         // quickly packed.
-        if piece.next.after.is_some() {
+        if piece.next.after.is_some() || piece.items.len() >= MIN_CACHED_ITEMS {
             if self.pieces.len() >= MAX_CACHED_PIECES {
                 self.pieces.clear();
             }
             let cached = CachedPiece {
                 made_at: present,
+                next: piece.next,
+                restarts: piece.restarts,
                 packed: Arc::clone(&packed),
             };
             self.pieces.insert(request, cached);
--- a/crates/daemon/tests/components/control.rs
+++ b/crates/daemon/tests/components/control.rs
@@ -5,10 +5,18 @@
 use ragwort_control::agreement::EntryPayload;
 use ragwort_control::agreement::LogEntry;
 use ragwort_control::encode_record;
+use ragwort_rpc::unpack_piece;
 use ragwort_types::AccessMode;
 use ragwort_types::CallerRule;
 use ragwort_types::CatalogCommand;
+use ragwort_types::CatalogCursor;
+use ragwort_types::CatalogItem;
+use ragwort_types::CatalogKey;
+use ragwort_types::CatalogOutcome;
 use ragwort_types::CatalogRevision;
+use ragwort_types::CatalogScope;
+use ragwort_types::CommandReply;
+use ragwort_types::CommandRequest;
 use ragwort_types::ContractDocument;
 use ragwort_types::CustomerContract;
 use ragwort_types::DocumentVersion;
@@ -20,6 +28,7 @@
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
 use ragwort_types::MemberTraits;
+use ragwort_types::PieceRequest;
 use ragwort_types::RepeatRule;
 use ragwort_types::UrgencyClass;
 use ragwort_types::VmIncarnation;
@@ -39,6 +48,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 /// The heartbeat interval, in milliseconds. A heartbeat is held for up to half of it, which leaves
 /// a slow machine enough time to elect a leader.
@@ -54,6 +64,9 @@
     /// a thousand contracts was escaped and compressed anew for each of them, and meanwhile no
     /// heartbeat was answered.
     configuration_is_compressed_once_for_all_followers => compressed_entry_case();
+    /// Members that have reached different revisions transfer the catalog at the same time, as after
+    /// many groups were placed. One piece was packed for each member, while heartbeats waited.
+    overlapping_pieces_are_packed_once => overlapping_pieces_case();
     /// Logs that were written before entries were compressed must stay readable.
     uncompressed_entry_is_read => uncompressed_entry_case();
 }
@@ -209,6 +222,31 @@
         call_control(&self.events, |reply| ControlEvent::Form(vec![voter], reply)).await
     }
 
+    /// Proposes a command until there is a leader that commits it.
+    async fn commit(&self, command: CatalogCommand) -> CatalogOutcome {
+        loop {
+            let request = CommandRequest {
+                forwarded: false,
+                command: command.clone(),
+            };
+            let reply = call_control(&self.events, |reply| ControlEvent::Propose(request, reply));
+            if let CommandReply::Committed(outcome) = reply.await {
+                return outcome;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Requests the piece after a cursor.
+    async fn read_piece(&self, cursor: CatalogCursor) -> Arc<str> {
+        let scope = CatalogScope::Whole;
+        let request = PieceRequest { scope, cursor };
+        call_control(&self.events, |reply| {
+            ControlEvent::ReadCatalog(request, reply)
+        })
+        .await
+    }
+
     async fn stop(self) {
         self.stop.send_replace(true);
         self.task.await.unwrap().unwrap();
@@ -226,3 +264,30 @@
     assert!(matches!(reply, HeartbeatReply::Granted(_)), "{reply:?}");
     control.stop().await;
 }
+
+async fn overlapping_pieces_case() {
+    let control = RunningControl::start("pieces");
+    assert!(control.form().await);
+    let outcome = control.commit(create_document()).await;
+    assert!(matches!(outcome, CatalogOutcome::DocumentAccepted(_)));
+    let early = CatalogCursor {
+        revision: CatalogRevision(1),
+        after: None,
+    };
+    let packed = control.read_piece(early).await;
+    let piece = unpack_piece(&packed).unwrap();
+    let CatalogItem::Contract(held) = &piece.items[10] else {
+        panic!("expected a contract");
+    };
+    let later = CatalogCursor {
+        revision: piece.next.revision,
+        after: Some(CatalogKey::Contract(held.contract.customer.clone())),
+    };
+    assert!(Arc::ptr_eq(&packed, &control.read_piece(later).await));
+    // A member that holds all of the piece gets the next one.
+    let next = control.read_piece(piece.next.clone()).await;
+    assert!(!Arc::ptr_eq(&packed, &next));
+    let nothing = CatalogCursor::default();
+    assert!(!Arc::ptr_eq(&packed, &control.read_piece(nothing).await));
+    control.stop().await;
+}
