--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -6,6 +6,8 @@
 //! proposed again.
 
 use super::ControlTask;
+use super::decode_command;
+use super::encode_command;
 use super::event::ControlFault;
 use super::event::WaitingCommand;
 use crate::log_event;
@@ -37,7 +39,10 @@
         if self.node.is_leader() {
             // With fewer voters than configured, the loss of as many disks as the system must
             // survive could lose an accepted configuration.
-            let document = matches!(request.command, CatalogCommand::ApplyDocument(_));
+            let document = matches!(
+                request.command,
+                CatalogCommand::ApplyDocument(_) | CatalogCommand::UpdateDocument(_)
+            );
             if document && self.node.voters().len() < self.settings.least_voters() {
                 let _ = reply.send(CommandReply::NoLeader);
                 return;
@@ -80,8 +85,7 @@
             }
             return;
         }
-        let text = serde_json::to_string(command).expect("a catalog command serializes to JSON");
-        match self.node.propose(text) {
+        match self.node.propose(encode_command(command)) {
             Ok(mark) => {
                 if reply.is_none() {
                     self.own_proposals.insert(mark.index.0);
@@ -109,7 +113,7 @@
             answer_command(waiting, mark, None);
             return Ok(());
         };
-        let command: CatalogCommand = serde_json::from_str(text)
+        let command = decode_command(text)
             .map_err(|error| ControlFault::Damaged(format!("entry {}: {error}", mark.index.0)))?;
         let revision = CatalogRevision(mark.index.0);
         let outcome = self.catalog.apply(revision, &command);
@@ -145,6 +149,7 @@
     match command {
         CatalogCommand::ApplyContract(_) => "apply_contract",
         CatalogCommand::ApplyDocument(_) => "apply_document",
+        CatalogCommand::UpdateDocument(_) => "update_document",
         CatalogCommand::IssueToken(_) => "issue_token",
         CatalogCommand::RecordEndpoints(_) => "record_endpoints",
         CatalogCommand::AdmitMember(_) => "admit_member",
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -37,6 +37,9 @@
     /// A primary answered again before its replacement was ordered, and the group kept it. The
     /// scheduler still had it as unusable until the next announcement, and writes waited.
     primary_that_answers_again_is_used_without_an_announcement => resumed_primary_case();
+    /// The former leaseholder ended before it had heard the primary. Its successor replaced the
+    /// living primary, which wasn't among the endpoints that it was told of.
+    primary_that_a_former_leaseholder_never_found_is_not_replaced => unfound_primary_case();
     /// Another VM takes the group over while a write runs at the endpoint. The caller gets a final
     /// verdict at once, which must not claim that the write did not run.
     write_under_way_at_a_takeover_is_answered => takeover_case();
@@ -166,6 +169,13 @@
     assert!(bench.promotions.orders.lock().unwrap().is_empty());
 }
 
+async fn unfound_primary_case() {
+    let mut bench = NativeBench::start_with_noted_replicas([5, 5, 5]).await;
+    sleep(MAX_PRIMARY_ABSENCE * 2).await;
+    bench.settle().await;
+    assert!(bench.promotions.orders.lock().unwrap().is_empty());
+}
+
 async fn takeover_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
