A change of the configuration plans no handovers

What callers saw: nothing by itself; it is a part of what each change of the catalog costs a VM that leads many groups while its callers wait.

Cause: the plans of handovers, which look at all groups and members, were made anew at each revision of the catalog, also when neither a group nor a member had changed. Each group then searched all plans for its name: work that grows with the square of the groups.

Test: change_of_the_configuration_plans_nothing failed before, because other terms of a group led to other plans; it also demands new plans when a member drains.

--- a/crates/control/src/copy.rs
+++ b/crates/control/src/copy.rs
@@ -166,6 +166,12 @@
         &self.groups
     }
 
+    /// Returns whether a copy has the same groups and members as this one because neither has
+    /// changed between them. Copies that were made apart may be equal without that.
+    pub fn shares_groups(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.groups, &other.groups) && Arc::ptr_eq(&self.members, &other.members)
+    }
+
     /// Applies a delta or a snapshot and returns the changes.
     ///
     /// A delta that builds on an earlier revision than the copy's is applied too: its items are
--- a/crates/daemon/tests/components/plans.rs
+++ b/crates/daemon/tests/components/plans.rs
@@ -7,6 +7,7 @@
 use ragwort_types::GroupPlacement;
 use ragwort_types::GroupRecord;
 use ragwort_types::GroupTerm;
+use ragwort_types::GroupTerms;
 use ragwort_types::LogPosition;
 use ragwort_types::MemberId;
 use ragwort_types::MemberRecord;
@@ -21,6 +22,9 @@
     /// catalog. With hundreds of groups that used up the CPU until leases expired. Now a revision
     /// is planned once.
     groups_of_a_vm_share_a_plan => shared_case();
+    /// A configuration changes terms and contracts, and no placement. Each VM planned the handovers
+    /// of all its groups anew, while their callers waited.
+    change_of_the_configuration_plans_nothing => configuration_case();
 }
 
 fn create_member(vm: &str, draining: bool) -> CatalogItem {
@@ -96,3 +100,27 @@
         assert_eq!(plan.leaseholder.as_str(), "vm-2");
     }
 }
+
+async fn configuration_case() {
+    let planner = HandoverPlanner::default();
+    let mut copy = create_copy(1, false);
+    let plans = planner.plan(&copy, &"vm-1".into());
+    let mut change = |revision: u64, item: CatalogItem| {
+        let delta = CatalogDelta {
+            from: Some(copy.revision()),
+            to: CatalogRevision(revision),
+            items: vec![item],
+        };
+        copy.apply_delta(&delta).unwrap();
+        planner.plan(&copy, &"vm-1".into())
+    };
+    let terms = CatalogItem::GroupTerms(GroupTerms {
+        group: "cases".into(),
+        connections: 16,
+        synchronous_replicas: 0,
+        idle_transaction_ms: 3_000,
+    });
+    assert!(Arc::ptr_eq(&plans, &change(2, terms)));
+    let drained = change(3, create_member("vm-1", true));
+    assert!(drained.due(&"cases".into()).is_some());
+}
