Groups without statements work when a probe is due

Fix: the work stays at 10 ms while the group has statements, transactions, resends that wait, a read round, a primary that isn't known to answer, a promotion or handover, or may not act; and it is due within 10 ms of an event that may change its result (an announcement, a changed status, a failed probe, a reply, a new revision of the catalog). Otherwise it is due with the next probe of the primary (100 ms), silence of an endpoint, retry of the promotion or check for a handover, whichever is first. The failure detector sends probes and begins to doubt a primary only at its interval, so it needs no run between; it says itself when that holds. Positions and data ages are refreshed before a statement arrives if the last run was more than 10 ms ago.

An order to follow the primary that an instance answers without following is repeated with each run, as before; without any reply, it is now repeated with the next probe.

`detector_that_runs_when_due_finds_a_crash_as_early` compares the time of suspicion with that at steps of 10 ms.

--- a/crates/control/src/detector.rs
+++ b/crates/control/src/detector.rs
@@ -199,6 +199,16 @@
         actions
     }
 
+    /// Returns when the next probe is due. Returns `None` unless the primary answers on the open
+    /// connection: the verdict may then change earlier.
+    pub fn next_probe(&self) -> Option<ClockTime> {
+        let open_is_last = self
+            .new_answered_at
+            .is_none_or(|answered| answered <= self.open_answered_at);
+        let alive = self.doubt.is_none() && open_is_last;
+        alive.then(|| self.last_probe + PROBE_INTERVAL)
+    }
+
     /// Records the result of a probe.
     pub fn note_probe(&mut self, now: ClockTime, view: ProbeView, outcome: ProbeOutcome) {
         match (view, outcome) {
--- a/crates/control/tests/state/detector.rs
+++ b/crates/control/tests/state/detector.rs
@@ -49,10 +49,54 @@
     (limit_ms, detector.verdict(ClockTime::from_millis(limit_ms)))
 }
 
+/// Runs the detector only when it is due, and every 10 ms while the primary is doubtful, until it
+/// suspects the primary, which answers up to `end`. Returns the time and the number of runs up to
+/// `end`.
+fn run_when_due(end: ClockTime) -> (ClockTime, usize) {
+    let mut detector = PrimaryDetector::new(ClockTime::default(), &[VmName::from("vm-2")]);
+    let mut now = ClockTime::default();
+    let mut runs = 0;
+    loop {
+        for action in detector.tick(now) {
+            match action {
+                DetectorAction::ProbeOpen if now <= end => {
+                    detector.note_probe(now, ProbeView::OpenConnection, ProbeOutcome::Answered);
+                }
+                DetectorAction::ProbeNew => {
+                    detector.note_probe(now, ProbeView::NewConnection, ProbeOutcome::Refused);
+                }
+                DetectorAction::ProbeOpen | DetectorAction::AskStandbys => {}
+            }
+        }
+        runs += usize::from(now <= end);
+        if matches!(detector.verdict(now), PrimaryVerdict::Suspected(_)) {
+            return (now, runs);
+        }
+        let tick = now + std::time::Duration::from_millis(10);
+        now = detector.next_probe().map_or(tick, |due| due.max(tick));
+    }
+}
+
 fn millis(span: std::time::Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap()
 }
 
+case! {
+    /// The detector of an idle group runs only when a probe is due. It must not run every 10 ms, and
+    /// must suspect a crashed primary as early as if it did.
+    detector_that_runs_when_due_finds_a_crash_as_early {
+        let end = ClockTime::from_millis(10_000);
+        let (suspected, runs) = run_when_due(end);
+        assert!(runs <= 101, "{runs}");
+        let (after, _) = run_until_verdict(&PrimaryBehaviour {
+            open: None,
+            new: Some(ProbeOutcome::Refused),
+            standby: None,
+        }, 1_000);
+        assert_eq!(millis(suspected.since(end)), after);
+    }
+}
+
 case! {
     /// The primary's process crashes and its operating system refuses connections. Writes fail
     /// until it is replaced, so two refusals suffice.
--- a/crates/daemon/src/group/handover.rs
+++ b/crates/daemon/src/group/handover.rs
@@ -38,6 +38,14 @@
 }
 
 impl GroupTask {
+    /// Returns when the group is next checked for a handover, if the catalog has changed since the
+    /// last check.
+    pub(super) fn next_handover_check(&self) -> Option<ClockTime> {
+        let revision = self.view.borrow().copy.revision();
+        let checked = self.handover.checked_revision == Some(revision);
+        (!checked).then(|| self.handover.checked_at + HANDOVER_CHECK_INTERVAL)
+    }
+
     /// Starts a handover that is due, and proposes the new placement when the group is idle or the
     /// wait is over.
     pub(super) fn tick_handover(&mut self) {
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -51,6 +51,7 @@
 use ragwort_control::ClockTime;
 use ragwort_control::GroupJournal;
 use ragwort_control::PositionQuorum;
+use ragwort_control::ProbeOutcome;
 use ragwort_control::RoundId;
 use ragwort_control::WriteTicket;
 use ragwort_policy::CustomerTerms;
@@ -59,6 +60,7 @@
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerSettings;
+use ragwort_types::CatalogRevision;
 use ragwort_types::CustomerName;
 use ragwort_types::DoubtCause;
 use ragwort_types::EndpointAnnouncement;
@@ -92,14 +94,15 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use tokio::time::sleep;
 
-/// The interval of the periodic work: deadlines, data ages, silent endpoints, promotion and
-/// handover.
+/// The interval of the periodic work while the group is in use or changing: deadlines, data ages,
+/// silent endpoints, promotion and handover.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The maximum time between two polls of the scheduler.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
+
 /// The maximum number of events that are handled before the scheduler is polled once for all of
 /// them.
 const MAX_EVENT_BATCH: usize = 64;
@@ -194,7 +197,18 @@
     /// The last read round that a majority has confirmed.
     confirmed_round: RoundId,
     last_ticket: u64,
+    /// The number of runs of the periodic work.
     ticks: u64,
+    /// When the periodic work was last done.
+    ticked_at: ClockTime,
+    /// Whether an event has made the periodic work due within a tick.
+    tick_requested: bool,
+    /// The catalog revision of the last view.
+    seen_revision: CatalogRevision,
+    /// When the journal was last pruned.
+    pruned_at: ClockTime,
+    /// The number of probes sent to the primary on an open connection.
+    probes: u64,
     notices: mpsc::Sender<GroupNotice>,
     children: JoinSet<()>,
 }
@@ -251,6 +265,11 @@
         confirmed_round: RoundId(0),
         last_ticket: 0,
         ticks: 0,
+        ticked_at: ClockTime::default(),
+        tick_requested: false,
+        seen_revision: CatalogRevision::default(),
+        pruned_at: ClockTime::default(),
+        probes: 0,
         notices,
         children: JoinSet::new(),
     };
@@ -266,16 +285,16 @@
     ) {
         self.apply_contracts();
         self.begin_recovery();
-        let mut ticker = interval(TICK_INTERVAL);
-        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(MAX_EVENT_BATCH);
         loop {
+            let tick = self.next_tick();
             let wake = self.time_until_wakeup();
             tokio::select! {
                 count = events.recv_many(&mut batch, MAX_EVENT_BATCH) => {
                     if count == 0 {
                         break;
                     }
+                    self.refresh_for_arrivals();
                     for event in batch.drain(..) {
                         self.handle_event(event);
                     }
@@ -296,8 +315,11 @@
                     if changed.is_err() || !self.apply_view() {
                         break;
                     }
+                    let revision = self.view.borrow().copy.revision();
+                    self.tick_requested |= revision != self.seen_revision;
+                    self.seen_revision = revision;
                 }
-                _ = ticker.tick() => self.handle_tick(),
+                () = sleep(self.context.clock.until(tick)) => self.handle_tick(),
                 () = sleep(wake) => {}
             }
             self.run_scheduler();
@@ -315,7 +337,10 @@
             GroupEvent::Statement(request, reply) => self.handle_statement(request, reply),
             GroupEvent::Describe(request, reply) => self.handle_describe(request, reply),
             GroupEvent::Cancel(id) => self.cancel(id),
-            GroupEvent::Announced(announcement) => self.handle_announcement(*announcement),
+            GroupEvent::Announced(announcement) => {
+                self.tick_requested = true;
+                self.handle_announcement(*announcement);
+            }
             GroupEvent::Dump(reply) => {
                 let _ = reply.send(self.dump());
             }
@@ -323,6 +348,18 @@
     }
 
     fn handle_notice(&mut self, notice: GroupNotice) {
+        self.tick_requested |= match &notice {
+            GroupNotice::Agent(report) => {
+                self.quorum.status(&report.instance) != report.status.as_ref()
+            }
+            GroupNotice::Probe(report) => report.outcome != ProbeOutcome::Answered,
+            GroupNotice::ReadRound(_) => false,
+            GroupNotice::Journal(_)
+            | GroupNotice::JournalCopy(_, _)
+            | GroupNotice::Command(_, _)
+            | GroupNotice::Order(_)
+            | GroupNotice::StandbyProbe(_) => true,
+        };
         match notice {
             GroupNotice::Agent(report) => self.handle_agent_report(report),
             GroupNotice::ReadRound(report) => self.handle_round_report(report),
@@ -463,8 +500,12 @@
     /// Returns the time until the scheduler must be polled again.
     fn time_until_wakeup(&self) -> Duration {
         let now = self.context.clock.now();
-        let wake = self.scheduler.next_wakeup(now);
-        wake.map_or(TICK_INTERVAL, |wake| wake.since(now))
+        let wakeups = [
+            self.scheduler.next_wakeup(now),
+            self.scheduler.next_connection_attempt(now),
+        ];
+        let next = wakeups.into_iter().flatten().min();
+        next.map_or(MAX_SLEEP, |next| next.since(now))
     }
 
     /// Returns the group's state as it appears in an operator's dump.
@@ -489,6 +530,8 @@
             "transactions": self.transactions.len(),
             "writes_waiting": self.unconfirmed_writes.len(),
             "connections": self.pool.count_by_instance(),
+            "ticks": self.ticks,
+            "probes": self.probes,
             "instances": statuses.collect::<serde_json::Map<_, _>>(),
         })
     }
--- a/crates/daemon/src/group/pool.rs
+++ b/crates/daemon/src/group/pool.rs
@@ -173,6 +173,12 @@
         now.since(last.unwrap_or(self.created_at))
     }
 
+    /// Returns when the next endpoint will not have announced itself for `limit`.
+    pub fn next_silence(&self, limit: Duration) -> Option<ClockTime> {
+        let announced = self.endpoints.values().map(|entry| entry.announced_at);
+        announced.min().map(|oldest| oldest + limit)
+    }
+
     /// Removes and returns the endpoints that have not announced themselves for `limit`.
     pub fn remove_silent(&mut self, limit: Duration) -> Vec<InstanceName> {
         let now = self.context.clock.now();
--- a/crates/daemon/src/group/probing.rs
+++ b/crates/daemon/src/group/probing.rs
@@ -89,6 +89,12 @@
         self.apply_verdict(&primary);
     }
 
+    /// Returns when the next probe of the primary is due; `None` if its failure detector must run at
+    /// each tick.
+    pub(super) fn next_probe(&self) -> Option<ClockTime> {
+        self.primary_watch.as_ref()?.detector.next_probe()
+    }
+
     /// Acts on the detector's verdict about the primary.
     fn apply_verdict(&mut self, primary: &InstanceName) {
         let now = self.context.clock.now();
@@ -150,6 +156,7 @@
 
     /// Probes the primary on the open connection to its agent.
     fn probe_open(&mut self, primary: &InstanceName, address: SocketAddr) {
+        self.probes += 1;
         let links = self.context.links.clone();
         let notices = self.notices.clone();
         let instance = primary.clone();
--- a/crates/daemon/src/group/promoting.rs
+++ b/crates/daemon/src/group/promoting.rs
@@ -86,6 +86,16 @@
 }
 
 impl PromotionDriver {
+    /// Returns whether nothing is due before [`retry_at`](Self::retry_at) without an event.
+    pub(super) fn is_settled(&self) -> bool {
+        self.has_primary() && self.pending_actions.is_empty() && !self.must_resume
+    }
+
+    /// Returns when the state machine is due, if it is.
+    pub(super) fn retry_at(&self) -> Option<ClockTime> {
+        self.machine.retry_at()
+    }
+
     /// Returns whether the present term has a recorded primary.
     pub(super) fn has_primary(&self) -> bool {
         self.machine.state() == PromotionState::Serving
--- a/crates/daemon/src/group/ticking.rs
+++ b/crates/daemon/src/group/ticking.rs
@@ -2,21 +2,66 @@
 //! endpoints, refreshes data ages, and drives promotion, failure detection and handover.
 
 use super::GroupTask;
+use super::TICK_INTERVAL;
 use super::intake::unix_millis;
 use super::request::ActiveRequest;
 use super::request::RequestStage;
 use crate::log_event;
 use log::Level;
+use ragwort_control::ClockTime;
 use ragwort_types::TransactionId;
 use std::time::Duration;
 
-/// The interval, in ticks, at which the journal is pruned and the metrics are updated.
-const PRUNE_INTERVAL_TICKS: u64 = 100;
+/// The interval at which the journal is pruned and the metrics are updated.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl GroupTask {
+    /// Returns when the periodic work is due next.
+    pub(super) fn next_tick(&self) -> ClockTime {
+        let next = self.ticked_at + TICK_INTERVAL;
+        let probe = match self.tick_requested || self.is_active() {
+            true => None,
+            false => self.next_probe(),
+        };
+        let Some(probe) = probe else {
+            return next;
+        };
+        let lost = Duration::from_millis(self.context.settings.timing.announce_lost_ms);
+        let others = [
+            self.promotion.retry_at(),
+            self.pool.next_silence(lost),
+            self.next_handover_check(),
+        ];
+        let due = others.into_iter().flatten().fold(probe, ClockTime::min);
+        due.max(next)
+    }
+
+    /// Returns whether the group has requests, or its primary or leaseholder is being replaced.
+    fn is_active(&self) -> bool {
+        let used = !self.requests.is_empty()
+            || !self.shapes.is_empty()
+            || !self.transactions.is_empty()
+            || !self.resend_waiters.is_empty()
+            || self.running_round.is_some();
+        used || !self.may_act() || !self.is_serving() || !self.promotion.is_settled()
+    }
+
+    /// Passes the endpoints' positions and data ages to the scheduler before a statement arrives,
+    /// unless that was done within a tick.
+    pub(super) fn refresh_for_arrivals(&mut self) {
+        if self.context.clock.now().since(self.ticked_at) >= TICK_INTERVAL {
+            for instance in self.record.instances.clone() {
+                self.refresh_endpoint(&instance);
+            }
+        }
+    }
+
     /// Does the periodic work.
     pub(super) fn handle_tick(&mut self) {
+        let now = self.context.clock.now();
         self.ticks += 1;
+        self.ticked_at = now;
+        self.tick_requested = false;
         self.expire_overdue_waits();
         self.end_idle_transactions();
         let lost = Duration::from_millis(self.context.settings.timing.announce_lost_ms);
@@ -39,7 +84,8 @@
         self.tick_detector();
         self.tick_handover();
         self.restart_lost_round();
-        if self.ticks.is_multiple_of(PRUNE_INTERVAL_TICKS) {
+        if now.since(self.pruned_at) >= PRUNE_INTERVAL {
+            self.pruned_at = now;
             self.prune_journal();
             self.update_metrics();
         }
--- a/crates/daemon/tests/components/leaseholder.rs
+++ b/crates/daemon/tests/components/leaseholder.rs
@@ -29,6 +29,9 @@
 const WRITTEN: RequestVerdict = RequestVerdict::Ran(StatementAnswer::Done(1));
 
 failure_cases! {
+    /// A group without statements did all its periodic work at each tick of 10 ms. A VM that led
+    /// many such groups had no processor left for those in use.
+    idle_group_works_only_when_a_probe_is_due => idle_case();
     /// A caller resends a keyed write while its first attempt still runs. Every attempt must get
     /// the verdict of the first, and the write must run once.
     resend_of_a_running_write_gets_its_verdict => resend_running_case();
@@ -558,3 +561,24 @@
     bench.stop().await;
     foreign_primary.stop().await;
 }
+
+async fn idle_case() {
+    let bench = GroupBench::start().await;
+    bench.wait_serving().await;
+    let start = count_work(&bench).await;
+    let mut end = start;
+    while end.1 < start.1 + 20 {
+        sleep(Duration::from_millis(20)).await;
+        end = count_work(&bench).await;
+    }
+    let (ticks, probes) = (end.0 - start.0, end.1 - start.1);
+    assert!(ticks <= probes * 4, "{ticks} runs for {probes} probes");
+    bench.stop().await;
+}
+
+/// Returns the numbers of runs of the periodic work and of probes on an open connection.
+async fn count_work(bench: &GroupBench) -> (u64, u64) {
+    let dump = bench.dump().await;
+    let count = |name: &str| dump[name].as_u64().unwrap();
+    (count("ticks"), count("probes"))
+}
