Relay announcements to a VM in batches

By reading, each announcement that any VM took was a remote call of its own to the group's leaseholder, and one more to each standby when due, each with its tasks on both sides. Nearly all of them repeat what is known. A standby that didn't answer also held up the answer to the endpoint, and one that was slow got ever more calls at once.

Now a task sends what is meant for a VM in batches, one at a time. A VM of the earlier version, which doesn't know the new call, gets single ones.

What counts as a change is compared with the endpoint's last announcement here, which is kept for eight times as long as standbys keep an endpoint: endpoints announce themselves to any VM, and with the former time one that is heard rarely counted as new each time (endpoint_that_is_heard_rarely_is_no_change fails so). At most 16,384 endpoints are remembered, where there was no bound. A batch reaches the leaseholders' manager in one event, and the announcement is shared on its way there in place of a clone for each recipient.

What it saves of a control VM's processor is not measured.

--- a/crates/daemon/src/edges/services.rs
+++ b/crates/daemon/src/edges/services.rs
@@ -64,7 +64,7 @@
 
     /// Forwards an endpoint's announcement to the VMs that serve its group.
     pub async fn announce(&self, announcement: EndpointAnnouncement) -> AnnouncementReply {
-        self.routes.distribute_announcement(announcement).await
+        self.routes.announcements.distribute(announcement).await
     }
 
     /// Records an announcement that was refused because it names no usable endpoint.
--- a/crates/daemon/src/leaseholders.rs
+++ b/crates/daemon/src/leaseholders.rs
@@ -59,9 +59,11 @@
     Cancel(GroupName, StatementId),
     /// An endpoint announces itself.
     Announce(
-        Box<EndpointAnnouncement>,
+        Arc<EndpointAnnouncement>,
         oneshot::Sender<AnnouncementReply>,
     ),
+    /// Another VM forwards announcements; the reply says for each whether this VM leads the group.
+    AnnounceBatch(Vec<Arc<EndpointAnnouncement>>, oneshot::Sender<Vec<bool>>),
     /// A request for the state, for operators.
     Dump(oneshot::Sender<serde_json::Value>),
 }
@@ -70,7 +72,7 @@
 #[derive(Clone, Debug)]
 pub struct ReceivedAnnouncement {
     /// The announcement.
-    pub announcement: EndpointAnnouncement,
+    pub announcement: Arc<EndpointAnnouncement>,
     /// The time of its arrival.
     pub received: ClockTime,
 }
@@ -165,6 +167,7 @@
                 // The sender learns from the dropped reply channel that the daemon is stopping.
                 LeaseholderEvent::Cancel(_, _)
                 | LeaseholderEvent::Announce(_, _)
+                | LeaseholderEvent::AnnounceBatch(_, _)
                 | LeaseholderEvent::Dump(_) => {}
             }
         }
@@ -180,7 +183,12 @@
                 }
             }
             LeaseholderEvent::Announce(announcement, reply) => {
-                let _ = reply.send(self.handle_announcement(*announcement));
+                let group = announcement.group.clone();
+                self.record_announcement(announcement);
+                let _ = reply.send(self.announcement_reply(&group));
+            }
+            LeaseholderEvent::AnnounceBatch(announcements, reply) => {
+                let _ = reply.send(self.handle_batch(announcements));
             }
             LeaseholderEvent::Dump(reply) => {
                 let _ = reply.send(self.dump().await);
@@ -212,21 +220,33 @@
         }
     }
 
-    fn handle_announcement(&mut self, announcement: EndpointAnnouncement) -> AnnouncementReply {
-        let now = self.clock.now();
-        let group = announcement.group.clone();
+    fn handle_batch(&mut self, announcements: Vec<Arc<EndpointAnnouncement>>) -> Vec<bool> {
+        let leads = {
+            let view = self.view.borrow();
+            let groups = announcements.iter().map(|one| view.copy.group(&one.group));
+            groups
+                .map(|record| record.is_some_and(|record| self.is_led_here(record)))
+                .collect()
+        };
+        for announcement in announcements {
+            self.record_announcement(announcement);
+        }
+        leads
+    }
+
+    /// Keeps an announcement and passes it to the group's task, unless a later one of the endpoint
+    /// is known.
+    fn record_announcement(&mut self, announcement: Arc<EndpointAnnouncement>) {
         // A delayed announcement would restore an outdated role or state.
         if self.is_stale(&announcement) {
-            let view = self.view.borrow();
-            let record = view.copy.group(&group);
-            return record.map_or_else(AnnouncementReply::default, |record| {
-                self.announcement_reply(&view, record)
-            });
+            return;
         }
+        let now = self.clock.now();
+        let group = &announcement.group;
         self.first_announced.entry(group.clone()).or_insert(now);
-        if let Some(inbox) = self.groups.get(&group) {
-            let event = GroupEvent::Announced(Box::new(announcement.clone()));
-            let _ = inbox.try_send(event);
+        if let Some(inbox) = self.groups.get(group) {
+            let announcement = Box::new(EndpointAnnouncement::clone(&announcement));
+            let _ = inbox.try_send(GroupEvent::Announced(announcement));
         }
         let instances = self.announcements.entry(group.clone()).or_default();
         let received = ReceivedAnnouncement {
@@ -234,11 +254,6 @@
             received: now,
         };
         instances.insert(received.announcement.instance.clone(), received);
-        let view = self.view.borrow();
-        match view.copy.group(&group) {
-            Some(record) => self.announcement_reply(&view, record),
-            None => AnnouncementReply::default(),
-        }
     }
 
     fn is_stale(&self, announcement: &EndpointAnnouncement) -> bool {
@@ -247,16 +262,24 @@
         known.is_some_and(|known| announcement.is_before(&known.announcement))
     }
 
-    fn announcement_reply(&self, view: &MemberView, record: &GroupRecord) -> AnnouncementReply {
+    fn announcement_reply(&self, group: &GroupName) -> AnnouncementReply {
+        let view = self.view.borrow();
+        let Some(record) = view.copy.group(group) else {
+            return AnnouncementReply::default();
+        };
         let leaseholder = std::iter::once(&record.placement.leaseholder);
         let vms = leaseholder.chain(&record.placement.standbys);
         let members = vms.filter_map(|vm| view.copy.member(vm));
         AnnouncementReply {
             announce_to: members.map(|member| member.peer_address).collect(),
-            leaseholder_told: record.placement.leaseholder == self.context.settings.vm,
+            leaseholder_told: self.is_led_here(record),
         }
     }
 
+    fn is_led_here(&self, record: &GroupRecord) -> bool {
+        record.placement.leaseholder == self.context.settings.vm
+    }
+
     /// Drops expired announcements and publishes the groups that need a placement.
     fn sweep(&mut self) {
         let now = self.clock.now();
@@ -326,7 +349,7 @@
                 .into_iter()
                 .flat_map(BTreeMap::values)
             {
-                let announcement = Box::new(received.announcement.clone());
+                let announcement = Box::new(EndpointAnnouncement::clone(&received.announcement));
                 let _ = inbox.try_send(GroupEvent::Announced(announcement));
             }
             let context = Arc::clone(&self.context);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,6 +4,8 @@
 //! `drain_notice_ms`, until the balancer has seen it. Then the caller edges stop, the groups are
 //! handed over, the VM leaves the membership, and the remaining tasks end.
 
+use crate::announcements::AnnouncementRelay;
+use crate::announcements::RelayContext;
 use crate::callers::CallerEdge;
 use crate::callers::CallerLimits;
 use crate::clock::NodeClock;
@@ -49,14 +51,12 @@
 use ragwort_control::CatalogCopy;
 use ragwort_control::MemberLease;
 use ragwort_policy::LimitTolerance;
-use ragwort_policy::RelayedAnnouncements;
 use ragwort_types::GroupName;
 use ragwort_types::MemberId;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
@@ -279,7 +279,7 @@
             limits,
             settings: Arc::clone(&base.settings),
             control: control_sender,
-            leaseholders,
+            leaseholders: leaseholders.clone(),
             standby: standby.clone(),
             gateway: Arc::clone(&gateway),
             links: base.links.clone(),
@@ -287,7 +287,7 @@
             view: base.view.clone(),
             drain: base.switches.drain.clone(),
             dump: dump.clone(),
-            relayed: create_relayed(&base.settings),
+            announcements: start_relay(base, leaseholders, &mut helpers),
         };
         let services = start_services(
             base,
@@ -361,9 +361,22 @@
     }
 }
 
-fn create_relayed(settings: &DaemonSettings) -> Arc<Mutex<RelayedAnnouncements>> {
-    let lost_after = Duration::from_millis(settings.timing.announce_lost_ms);
-    Arc::new(Mutex::new(RelayedAnnouncements::new(lost_after)))
+fn start_relay(
+    base: &NodeBase,
+    leaseholders: mpsc::Sender<LeaseholderEvent>,
+    helpers: &mut JoinSet<()>,
+) -> AnnouncementRelay {
+    let context = RelayContext {
+        vm: base.settings.vm.clone(),
+        clock: base.clock,
+        links: base.links.clone(),
+        view: base.view.clone(),
+        leaseholders,
+    };
+    let lost_after = Duration::from_millis(base.settings.timing.announce_lost_ms);
+    let (relay, task) = AnnouncementRelay::start(context, lost_after);
+    helpers.spawn(join_quietly(task));
+    relay
 }
 
 fn create_budget(settings: &DaemonSettings, metrics: &DaemonMetrics) -> DescriptorBudget {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -9,9 +9,11 @@
 use crate::descriptors::DescriptorUse;
 use crate::log_event;
 use crate::shortage::record_shortage;
+use futures::future::join_all;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::client::Error as ClientError;
 use jsonrpsee::rpc_params;
+use jsonrpsee::types::error::METHOD_NOT_FOUND_CODE;
 use jsonrpsee_ws_client::PingConfig;
 use jsonrpsee_ws_client::WsClient;
 use jsonrpsee_ws_client::WsClientBuilder;
@@ -50,9 +52,8 @@
 /// Time limit for the check: many round trips between regions.
 const CHECK_LIMIT: Duration = Duration::from_millis(400);
 
-/// Time limit for passing an announcement on to another VM. The endpoint that waits for the answer
-/// gives up after a second and asks another VM.
-const ANNOUNCE_LIMIT: Duration = Duration::from_millis(700);
+/// Time limit for a call that passes announcements on to another VM.
+pub(crate) const ANNOUNCE_LIMIT: Duration = Duration::from_millis(700);
 
 /// Interval at which an idle link is pinged. It is long, because these pings serve only to close
 /// dead links eventually. With 629 links on a VM it makes 63 pings a second.
@@ -295,12 +296,39 @@
 pub async fn pass_announcement(
     links: &PeerLinks,
     address: SocketAddr,
-    announcement: EndpointAnnouncement,
+    announcement: Arc<EndpointAnnouncement>,
 ) -> bool {
     let call = |client: Arc<WsClient>| async move { client.pass_announcement(announcement).await };
     matches!(links.call(address, ANNOUNCE_LIMIT, call).await, Ok(true))
 }
 
+/// Passes announcements on in one call, and says for each what [`pass_announcement`] says. All are
+/// false if the call fails.
+pub async fn pass_announcements(
+    links: &PeerLinks,
+    address: SocketAddr,
+    announcements: Vec<Arc<EndpointAnnouncement>>,
+) -> Vec<bool> {
+    let count = announcements.len();
+    let batch = announcements.clone();
+    let call = |client: Arc<WsClient>| async move {
+        match client.pass_announcements(batch).await {
+            // A VM of an earlier version takes announcements one by one.
+            Err(ClientError::Call(error)) if error.code() == METHOD_NOT_FOUND_CODE => Ok(None),
+            reply => reply.map(Some),
+        }
+    };
+    match links.call(address, ANNOUNCE_LIMIT, call).await {
+        Ok(Some(received)) if received.len() == count => received,
+        Ok(None) => {
+            let announcements = announcements.into_iter();
+            let calls = announcements.map(|one| pass_announcement(links, address, one));
+            join_all(calls).await
+        }
+        Ok(Some(_)) | Err(_) => vec![false; count],
+    }
+}
+
 /// Opens a *new* connection to `address`, which must be accepted within `limit`.
 ///
 /// # Errors
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -3,6 +3,7 @@
 //! Each call is sent as a message to the task that owns the state in question, and waits for its
 //! answer.
 
+use crate::announcements::AnnouncementRelay;
 use crate::control::ControlEvent;
 use crate::control::DocumentRequest;
 use crate::directory::ControlDirectory;
@@ -14,12 +15,10 @@
 use crate::member::MemberView;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
-use crate::peers::pass_announcement;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use crate::statements::server::StatementRunner;
 use async_trait::async_trait;
-use futures::future::join_all;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::server::Server;
@@ -27,7 +26,6 @@
 use jsonrpsee::server::ServerHandle;
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee_ws_client::WsClient;
-use ragwort_policy::RelayedAnnouncements;
 use ragwort_rpc::AgentApiClient;
 use ragwort_rpc::AnnounceApiServer;
 use ragwort_rpc::CompactJson;
@@ -51,7 +49,6 @@
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::FormReply;
 use ragwort_types::GroupName;
-use ragwort_types::GroupPlacement;
 use ragwort_types::HeartbeatBatch;
 use ragwort_types::HeartbeatReply;
 use ragwort_types::HeartbeatRequest;
@@ -71,17 +68,14 @@
 use ragwort_types::ShapeOutcome;
 use ragwort_types::ShapeReply;
 use ragwort_types::ShapeRequest;
-use ragwort_types::StandbyList;
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
 use ragwort_types::TransactionStep;
 use ragwort_types::VersionedContract;
-use ragwort_types::VmName;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -124,8 +118,8 @@
     pub drain: watch::Sender<bool>,
     /// Collects the state of all tasks, for operators.
     pub dump: NodeDump,
-    /// The announcements that were already passed on to standbys.
-    pub relayed: Arc<Mutex<RelayedAnnouncements>>,
+    /// Relays endpoints' announcements.
+    pub announcements: AnnouncementRelay,
 }
 
 /// Starts to serve calls on the daemon's address for peers.
@@ -269,68 +263,6 @@
         DocumentReadReply::Unsure
     }
 
-    /// Accepts an announcement and passes it on to the VMs that serve the group.
-    ///
-    /// An endpoint may announce itself to any VM. Only the group's leaseholder can keep work away
-    /// from a leaving endpoint, so the reply says whether the leaseholder has received the
-    /// announcement.
-    pub async fn distribute_announcement(
-        &self,
-        announcement: EndpointAnnouncement,
-    ) -> AnnouncementReply {
-        let group = announcement.group.clone();
-        let passed = announcement.clone();
-        let own = self
-            .ask_leaseholders(|reply| LeaseholderEvent::Announce(Box::new(announcement), reply))
-            .await;
-        let mut reply = own.unwrap_or_default();
-        let Some(placement) = self.find_placement(&group) else {
-            return reply;
-        };
-        reply.leaseholder_told = placement.leaseholder == self.settings.vm;
-        let standbys = self.due_standbys(&placement, &passed);
-        let vms = standbys.iter().chain([&placement.leaseholder]);
-        let passing = vms
-            .filter(|vm| **vm != self.settings.vm)
-            .map(|vm| self.pass_on(vm, passed.clone()));
-        let received = join_all(passing).await;
-        reply.leaseholder_told |= received.contains(&true);
-        reply
-    }
-
-    /// Returns the standbys to which an announcement is due to be passed on.
-    fn due_standbys(
-        &self,
-        placement: &GroupPlacement,
-        announcement: &EndpointAnnouncement,
-    ) -> StandbyList {
-        let now = self.dump.clock.now();
-        let mut relayed = self.relayed.lock().expect("no holder of this lock panics");
-        let standbys = placement.standbys.iter();
-        let due = standbys.filter(|vm| relayed.is_due(now, vm, announcement));
-        due.cloned().collect()
-    }
-
-    fn find_placement(&self, group: &GroupName) -> Option<GroupPlacement> {
-        let view = self.view.borrow();
-        // Without a lease the copy may be out of date and name a former leaseholder, which can't
-        // keep work away.
-        let record = view.copy.group(group);
-        let present = view.may_serve(self.dump.clock.now());
-        record
-            .filter(|_| present)
-            .map(|record| record.placement.clone())
-    }
-
-    /// Passes an announcement on to a VM, and says whether the group's leaseholder has received it.
-    async fn pass_on(&self, vm: &VmName, announcement: EndpointAnnouncement) -> bool {
-        let member = self.view.borrow().copy.member(vm).cloned();
-        let Some(member) = member else {
-            return false;
-        };
-        pass_announcement(&self.links, member.peer_address, announcement).await
-    }
-
     async fn form_voters_everywhere(&self) -> FormReply {
         let mut voters = Vec::new();
         for control in &self.settings.control {
@@ -466,10 +398,17 @@
             .await
     }
 
-    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<bool> {
-        self.ask_leaseholders(|reply| LeaseholderEvent::Announce(Box::new(announcement), reply))
+    async fn pass_announcement(&self, announcement: Arc<EndpointAnnouncement>) -> RpcResult<bool> {
+        let received = self.pass_announcements(vec![announcement]).await?;
+        Ok(received == [true])
+    }
+
+    async fn pass_announcements(
+        &self,
+        announcements: Vec<Arc<EndpointAnnouncement>>,
+    ) -> RpcResult<Vec<bool>> {
+        self.ask_leaseholders(|reply| LeaseholderEvent::AnnounceBatch(announcements, reply))
             .await
-            .map(|reply| reply.leaseholder_told)
     }
 
     async fn lend_limits(&self, request: LimitRequest) -> RpcResult<LimitReply> {
@@ -594,7 +533,7 @@
 #[async_trait]
 impl AnnounceApiServer for ServerRoutes {
     async fn announce(&self, announcement: EndpointAnnouncement) -> RpcResult<AnnouncementReply> {
-        self.ask_leaseholders(|reply| LeaseholderEvent::Announce(Box::new(announcement), reply))
+        self.ask_leaseholders(|reply| LeaseholderEvent::Announce(Arc::new(announcement), reply))
             .await
     }
 }
--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -2,6 +2,7 @@
 
 #[macro_use]
 mod cases;
+mod announcements;
 mod bench;
 mod connection;
 mod control;
--- a/crates/daemon/tests/components/peer.rs
+++ b/crates/daemon/tests/components/peer.rs
@@ -11,6 +11,7 @@
 use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
 use ragwort_types::CommandRequest;
+use ragwort_types::EndpointAnnouncement;
 use ragwort_types::JournalAppend;
 use ragwort_types::JournalRequest;
 use ragwort_types::RequestVerdict;
@@ -47,6 +48,10 @@
     journaling: watch::Sender<bool>,
     /// The answer to passed announcements.
     leading: watch::Sender<bool>,
+    /// Whether passed announcements are answered; they wait while it is unset.
+    listening: watch::Sender<bool>,
+    /// The numbers of announcements in the calls that passed them.
+    passed: watch::Sender<Vec<usize>>,
     standby: Option<mpsc::Sender<StandbyEvent>>,
 }
 
@@ -69,25 +74,36 @@
 impl FakePeer {
     /// Starts a peer that holds no journals.
     pub async fn start(script: PeerScript) -> Self {
-        Self::start_with(script, None).await
+        Self::start_with(script, None, true).await
     }
 
     /// Starts a peer whose journals are held by a standby's task.
     pub async fn start_standby(standby: mpsc::Sender<StandbyEvent>) -> Self {
-        Self::start_with(PeerScript::Hang, Some(standby)).await
+        Self::start_with(PeerScript::Hang, Some(standby), true).await
     }
 
-    async fn start_with(script: PeerScript, standby: Option<mpsc::Sender<StandbyEvent>>) -> Self {
+    /// Starts a peer of an earlier version, which takes announcements one by one.
+    pub async fn start_earlier() -> Self {
+        Self::start_with(PeerScript::Hang, None, false).await
+    }
+
+    async fn start_with(
+        script: PeerScript,
+        standby: Option<mpsc::Sender<StandbyEvent>>,
+        batches: bool,
+    ) -> Self {
         let state = Arc::new(PeerState {
             script: Mutex::new(script),
             received: watch::Sender::new(Vec::new()),
             journaling: watch::Sender::new(true),
             leading: watch::Sender::new(false),
+            listening: watch::Sender::new(true),
+            passed: watch::Sender::new(Vec::new()),
             standby,
         });
         let server = Server::builder().build("127.0.0.1:0").await.unwrap();
         let address = server.local_addr().unwrap();
-        let server = server.start(create_module(state.clone()));
+        let server = server.start(create_module(state.clone(), batches));
         Self {
             address,
             state,
@@ -105,6 +121,25 @@
         self.state.leading.send_replace(leading);
     }
 
+    /// Sets whether the peer answers passed announcements or leaves them waiting.
+    pub fn set_listening(&self, listening: bool) {
+        self.state.listening.send_replace(listening);
+    }
+
+    /// Returns the numbers of announcements in the calls so far that passed them.
+    pub fn passed(&self) -> Vec<usize> {
+        self.state.passed.borrow().clone()
+    }
+
+    /// Waits until the peer has received at least `count` calls that pass announcements.
+    pub async fn wait_passed(&self, count: usize) {
+        let mut passed = self.state.passed.subscribe();
+        passed
+            .wait_for(|passed| passed.len() >= count)
+            .await
+            .unwrap();
+    }
+
     /// Sets the handling of statements that arrive from now on.
     pub fn set_script(&self, script: PeerScript) {
         *self.state.script.lock().unwrap() = script;
@@ -132,7 +167,7 @@
 
 type CallResult<Reply> = Result<Reply, ErrorObjectOwned>;
 
-fn create_module(state: Arc<PeerState>) -> RpcModule<Arc<PeerState>> {
+fn create_module(state: Arc<PeerState>, batches: bool) -> RpcModule<Arc<PeerState>> {
     let mut module = RpcModule::from_arc(Arc::new(state));
     module
         .register_async_method("peer_execute", |params, state, _| async move {
@@ -166,9 +201,18 @@
         .unwrap();
     module
         .register_async_method("peer_passAnnouncement", |_, state, _| async move {
-            CallResult::Ok(*state.leading.borrow())
+            CallResult::Ok(state.pass_announcements(1).await)
         })
         .unwrap();
+    if batches {
+        module
+            .register_async_method("peer_passAnnouncements", |params, state, _| async move {
+                let announcements: Vec<EndpointAnnouncement> = params.one()?;
+                let leading = state.pass_announcements(announcements.len()).await;
+                CallResult::Ok(vec![leading; announcements.len()])
+            })
+            .unwrap();
+    }
     module
         .register_async_method("peer_ping", |_, _, _| async move { CallResult::Ok(()) })
         .unwrap();
@@ -241,6 +285,14 @@
         }
     }
 
+    /// Records a call that passes announcements, and says whether the peer claims to lead.
+    async fn pass_announcements(&self, count: usize) -> bool {
+        self.passed.send_modify(|passed| passed.push(count));
+        let mut listening = self.listening.subscribe();
+        listening.wait_for(|listening| *listening).await.unwrap();
+        *self.leading.borrow()
+    }
+
     async fn append_journal(&self, params: Params<'static>) -> CallResult<serde_json::Value> {
         let append: JournalAppend = params.one()?;
         let mut journaling = self.journaling.subscribe();
--- a/crates/daemon/tests/components/peers.rs
+++ b/crates/daemon/tests/components/peers.rs
@@ -139,7 +139,7 @@
 async fn misdirected_case() {
     let peer = FakePeer::start(PeerScript::Hang).await;
     let links = PeerLinks::new(LONG);
-    let announcement = EndpointAnnouncement {
+    let announcement = Arc::new(EndpointAnnouncement {
         started_ms: 0,
         sequence: 1,
         group: "cases".into(),
@@ -155,8 +155,8 @@
             position: LogPosition::default(),
             leaving: true,
         },
-    };
-    assert!(!pass_announcement(&links, peer.address, announcement.clone()).await);
+    });
+    assert!(!pass_announcement(&links, peer.address, Arc::clone(&announcement)).await);
     peer.set_leading(true);
     assert!(pass_announcement(&links, peer.address, announcement).await);
     peer.stop().await;
--- a/crates/policy/src/relayed_announcements.rs
+++ b/crates/policy/src/relayed_announcements.rs
@@ -15,25 +15,36 @@
 
 use ragwort_types::ClockTime;
 use ragwort_types::EndpointAnnouncement;
+use ragwort_types::GroupName;
 use ragwort_types::InstanceName;
 use ragwort_types::InstanceStatus;
-use ragwort_types::LogPosition;
 use ragwort_types::VmName;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// The announcements relayed last, by standby and endpoint.
+/// How many times as long as a standby an endpoint is remembered. Endpoints announce themselves to
+/// any VM, so a VM may hear of one rarely; if it were forgotten meanwhile, the next repetition
+/// would count as a change.
+const KEPT_FACTOR: u32 = 8;
+
+/// The maximum number of endpoints that are remembered. Announcements of others are relayed each
+/// time.
+const MAX_ENDPOINTS: usize = 16_384;
+
+/// The announcements relayed last, by endpoint.
 #[derive(Debug)]
 pub struct RelayedAnnouncements {
     lost_after: Duration,
-    relayed: HashMap<(VmName, InstanceName), RelayedAnnouncement>,
+    endpoints: HashMap<(GroupName, InstanceName), RelayedEndpoint>,
     last_pruned: ClockTime,
 }
 
 #[derive(Debug)]
-struct RelayedAnnouncement {
+struct RelayedEndpoint {
     content: EndpointAnnouncement,
-    at: ClockTime,
+    heard: ClockTime,
+    /// The standbys to which this content was relayed, and when.
+    relayed: Vec<(VmName, ClockTime)>,
 }
 
 impl RelayedAnnouncements {
@@ -41,11 +52,34 @@
     pub fn new(lost_after: Duration) -> Self {
         Self {
             lost_after,
-            relayed: HashMap::new(),
+            endpoints: HashMap::new(),
             last_pruned: ClockTime::default(),
         }
     }
 
+    /// Records an announcement, and returns whether it differs from the endpoint's last one.
+    pub fn record(&mut self, now: ClockTime, announcement: &EndpointAnnouncement) -> bool {
+        self.prune(now);
+        let is_full = self.endpoints.len() >= MAX_ENDPOINTS;
+        let key = (announcement.group.clone(), announcement.instance.clone());
+        if let Some(known) = self.endpoints.get_mut(&key) {
+            known.heard = now;
+            if is_repetition(&known.content, announcement) {
+                return false;
+            }
+            known.content = announcement.clone();
+            known.relayed.clear();
+        } else if !is_full {
+            let endpoint = RelayedEndpoint {
+                content: announcement.clone(),
+                heard: now,
+                relayed: Vec::new(),
+            };
+            self.endpoints.insert(key, endpoint);
+        }
+        true
+    }
+
     /// Returns whether to relay this announcement to a standby; if so, records it as relayed.
     pub fn is_due(
         &mut self,
@@ -53,40 +87,62 @@
         standby: &VmName,
         announcement: &EndpointAnnouncement,
     ) -> bool {
-        self.prune(now);
-        let content = strip_volatile(announcement);
-        let key = (standby.clone(), announcement.instance.clone());
-        if let Some(relayed) = self.relayed.get(&key)
-            && relayed.content == content
-            && now.since(relayed.at) < self.lost_after / 2
-        {
+        self.record(now, announcement);
+        let lost = self.lost_after;
+        let key = (announcement.group.clone(), announcement.instance.clone());
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return true;
+        };
+        endpoint.relayed.retain(|(_, at)| now.since(*at) < lost / 2);
+        if endpoint.relayed.iter().any(|(vm, _)| vm == standby) {
             return false;
         }
-        self.relayed
-            .insert(key, RelayedAnnouncement { content, at: now });
+        endpoint.relayed.push((standby.clone(), now));
         true
     }
 
     /// Drops endpoints that no longer announce themselves here.
     fn prune(&mut self, now: ClockTime) {
-        if now.since(self.last_pruned) < self.lost_after {
+        let kept = self.lost_after * KEPT_FACTOR;
+        if now.since(self.last_pruned) < kept {
             return;
         }
         self.last_pruned = now;
-        let lost = self.lost_after;
-        self.relayed
-            .retain(|_, relayed| now.since(relayed.at) < lost);
+        self.endpoints
+            .retain(|_, endpoint| now.since(endpoint.heard) < kept);
     }
 }
 
-/// Returns an announcement without the fields that change each time.
-fn strip_volatile(announcement: &EndpointAnnouncement) -> EndpointAnnouncement {
-    EndpointAnnouncement {
-        sequence: 0,
-        status: InstanceStatus {
-            position: LogPosition::default(),
-            ..announcement.status
-        },
-        ..announcement.clone()
-    }
+/// Returns whether an announcement says the same as an earlier one, except for the fields that
+/// change each time.
+fn is_repetition(earlier: &EndpointAnnouncement, announcement: &EndpointAnnouncement) -> bool {
+    let EndpointAnnouncement {
+        group,
+        instance,
+        domain,
+        data_address,
+        agent_address,
+        slots,
+        connections,
+        status:
+            InstanceStatus {
+                role,
+                fenced_term,
+                position: _,
+                leaving,
+            },
+        started_ms,
+        sequence: _,
+    } = announcement;
+    *group == earlier.group
+        && *instance == earlier.instance
+        && *domain == earlier.domain
+        && *data_address == earlier.data_address
+        && *agent_address == earlier.agent_address
+        && *slots == earlier.slots
+        && *connections == earlier.connections
+        && *role == earlier.status.role
+        && *fenced_term == earlier.status.fenced_term
+        && *leaving == earlier.status.leaving
+        && *started_ms == earlier.started_ms
 }
--- a/crates/policy/tests/relayed_announcements.rs
+++ b/crates/policy/tests/relayed_announcements.rs
@@ -34,6 +34,10 @@
     changes_are_relayed_at_once => change_case();
     /// A VM that became a standby waited for endpoints that the other standbys knew.
     announcements_reach_a_new_standby_at_once => standby_case();
+    /// An endpoint that announced itself to each VM in turn counted as changed each time.
+    endpoint_that_is_heard_rarely_is_no_change => rare_case();
+    /// A leaseholder learned late that an endpoint had restarted.
+    restart_is_a_change => restart_case();
 }
 
 fn announce(sequence: u64, role: InstanceRole, leaving: bool) -> EndpointAnnouncement {
@@ -107,3 +111,26 @@
     assert!(relayed.is_due(now, &"vm-2".into(), &announcement));
     assert!(relayed.is_due(now, &"vm-3".into(), &announcement));
 }
+
+fn rare_case() {
+    let mut relayed = RelayedAnnouncements::new(LOST_AFTER);
+    let interval = 2 * u64::try_from(LOST_AFTER.as_millis()).unwrap();
+    for number in 1..=100 {
+        let now = ClockTime::from_millis(number * interval);
+        let announcement = announce(number, InstanceRole::Replica, false);
+        assert_eq!(relayed.record(now, &announcement), number == 1, "{number}");
+    }
+}
+
+fn restart_case() {
+    let mut relayed = RelayedAnnouncements::new(LOST_AFTER);
+    let now = ClockTime::from_millis(1_000);
+    let before = announce(1, InstanceRole::Replica, false);
+    assert!(relayed.record(now, &before));
+    let restarted = EndpointAnnouncement {
+        started_ms: 1,
+        ..before
+    };
+    assert!(relayed.record(now, &restarted));
+    assert!(!relayed.record(now, &restarted));
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -141,7 +141,15 @@
     /// Processes an announcement that another VM forwards, and returns whether this VM leads the
     /// group.
     #[method(name = "passAnnouncement")]
-    async fn pass_announcement(&self, announcement: EndpointAnnouncement) -> RpcResult<bool>;
+    async fn pass_announcement(&self, announcement: Arc<EndpointAnnouncement>) -> RpcResult<bool>;
+
+    /// Processes announcements that another VM forwards, and returns for each whether this VM leads
+    /// the group.
+    #[method(name = "passAnnouncements")]
+    async fn pass_announcements(
+        &self,
+        announcements: Vec<Arc<EndpointAnnouncement>>,
+    ) -> RpcResult<Vec<bool>>;
 
     /// Grants shares of the limits of accounts whose ledgers this VM keeps.
     #[method(name = "lendLimits")]
