--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -70,6 +70,7 @@
 pub use settings::AgreementSettings;
 pub use settings::GuardSet;
 pub use snapshot::CompactError;
+pub use snapshot::CompactionPlan;
 pub use start::FormError;
 pub use start::StartError;
 
--- a/crates/control/src/agreement/snapshot.rs
+++ b/crates/control/src/agreement/snapshot.rs
@@ -6,10 +6,13 @@
 
 use super::AgreementNode;
 use super::durable::DiskWrite;
+use super::durable::HardState;
 use super::entry::ElectionTerm;
 use super::entry::EntryMark;
+use super::entry::LogEntry;
 use super::entry::LogIndex;
 use super::entry::SnapshotData;
+use super::entry::VoterConfiguration;
 use super::entry::VoterId;
 use super::message::MessageBody;
 use super::message::SnapshotAnswer;
@@ -18,6 +21,7 @@
 use super::progress::SendMode;
 use super::progress::SnapshotTransfer;
 use super::replication::BatchSender;
+use crate::record::encode_record;
 use std::fmt;
 
 /// The reason why a log can't be compacted.
@@ -40,6 +44,46 @@
 
 impl std::error::Error for CompactError {}
 
+/// A compaction whose snapshot is still to be written.
+#[derive(Clone, Debug)]
+pub struct CompactionPlan {
+    id: VoterId,
+    hard_state: HardState,
+    mark: EntryMark,
+    configuration: VoterConfiguration,
+    /// The entries after the snapshot.
+    later: Vec<LogEntry>,
+}
+
+impl CompactionPlan {
+    /// Returns the record with which the new log file begins, and the snapshot in it.
+    ///
+    /// `data` must be the state after exactly the entries up to the planned index were applied.
+    pub fn into_record(self, data: String) -> (Vec<u8>, SnapshotData) {
+        let snapshot = self.to_snapshot(data);
+        let mut writes = vec![
+            DiskWrite::Identity(self.id),
+            DiskWrite::HardState(self.hard_state),
+            DiskWrite::Snapshot(Box::new(snapshot)),
+        ];
+        writes.extend(self.later.into_iter().map(DiskWrite::Entry));
+        let record = encode_record(&writes);
+        let snapshot = writes.into_iter().find_map(|write| match write {
+            DiskWrite::Snapshot(snapshot) => Some(*snapshot),
+            DiskWrite::Identity(_) | DiskWrite::HardState(_) | DiskWrite::Entry(_) => None,
+        });
+        (record, snapshot.expect("the writes have a snapshot"))
+    }
+
+    fn to_snapshot(&self, data: String) -> SnapshotData {
+        SnapshotData {
+            mark: self.mark,
+            configuration: self.configuration.clone(),
+            data,
+        }
+    }
+}
+
 /// The received part of an incomplete snapshot.
 #[derive(Debug)]
 pub(super) struct IncomingSnapshot {
@@ -57,6 +101,23 @@
     /// Returns [`CompactError`] when `up_to` isn't between the last snapshot and the last delivered
     /// entry.
     pub fn compact(&mut self, up_to: LogIndex, data: String) -> Result<(), CompactError> {
+        let plan = self.plan_compaction(up_to)?;
+        self.write_snapshot(plan.to_snapshot(data));
+        Ok(())
+    }
+
+    /// Plans to replace the entries up to `up_to` by a snapshot that is still to be written.
+    ///
+    /// The driver writes the plan's record to a new file while the node goes on, appends to it
+    /// every record that it has synced since, replaces the old file, and then calls
+    /// [`finish_compaction`](Self::finish_compaction). The plan holds what the file contains at
+    /// present, so the output must have been synced before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CompactError`] when `up_to` isn't between the last snapshot and the last delivered
+    /// entry.
+    pub fn plan_compaction(&self, up_to: LogIndex) -> Result<CompactionPlan, CompactError> {
         if up_to > self.delivered {
             return Err(CompactError::NotDelivered);
         }
@@ -68,12 +129,27 @@
         let (Some(term), Some(configuration)) = (term, configuration) else {
             return Err(CompactError::AlreadyCompacted);
         };
-        let snapshot = SnapshotData {
+        let later = self.log.range(up_to.next(), self.log.last().index);
+        Ok(CompactionPlan {
+            id: self.id.clone(),
+            hard_state: self.hard_state.clone(),
             mark: EntryMark::new(term, up_to),
             configuration: configuration.clone(),
-            data,
-        };
-        self.write_snapshot(snapshot);
+            later: later.to_vec(),
+        })
+    }
+
+    /// Drops the entries that a snapshot covers, after the log file with it has replaced the old
+    /// one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CompactError`] when a later snapshot was installed in the meantime.
+    pub fn finish_compaction(&mut self, snapshot: SnapshotData) -> Result<(), CompactError> {
+        if snapshot.mark.index <= self.log.base().index {
+            return Err(CompactError::AlreadyCompacted);
+        }
+        self.log.install(snapshot);
         Ok(())
     }
 
--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -28,6 +28,8 @@
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::io;
+use std::io::Write;
 use std::ops::Bound;
 
 /// The state of the catalog on a control VM.
@@ -161,6 +163,15 @@
         serde_json::to_string(self).expect("a catalog has text keys only")
     }
 
+    /// Serializes the catalog for a snapshot of the log into a writer, which may pause in between.
+    ///
+    /// # Errors
+    ///
+    /// Returns the writer's error.
+    pub fn write_snapshot(&self, writer: impl Write) -> io::Result<()> {
+        serde_json::to_writer(writer, self).map_err(io::Error::from)
+    }
+
     /// Restores a catalog from a text written by [`to_snapshot`](Self::to_snapshot).
     ///
     /// # Errors
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 //! told.
 
 mod commands;
+mod compaction;
 mod documents;
 mod event;
 mod heartbeats;
@@ -24,6 +25,7 @@
 use crate::log_event;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
+use compaction::RunningCompaction;
 use event::HeldReply;
 use event::PlacementInput;
 use event::UnconfirmedBatch;
@@ -55,6 +57,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -67,10 +70,6 @@
 /// then serves them all.
 const MAX_EVENT_BATCH: usize = 256;
 
-/// The number of applied log entries after which the log is replaced by a snapshot. With 2,300
-/// contract changes and some thousand placement changes a day, that happens several times a day.
-const COMPACTION_THRESHOLD_ENTRIES: u64 = 1_000;
-
 /// The interval, in ticks, at which the leader checks members and placements.
 const MEMBER_CHECK_TICKS: u64 = 2;
 
@@ -90,8 +89,13 @@
     /// The leases; `None` unless this VM leads the replicated log.
     ledger: Option<LeaseLedger>,
     ticks: u64,
+    /// The data folder.
+    folder: PathBuf,
     /// The last log index that the snapshot covers.
     compacted_index: u64,
+    compaction: Option<RunningCompaction>,
+    /// The tick before which no compaction is begun.
+    next_compaction_tick: u64,
     /// The proposed commands whose outcome is open, by log index.
     waiting_commands: BTreeMap<u64, WaitingCommand>,
     /// The log indexes of the open commands that this leader proposed itself.
@@ -166,7 +170,10 @@
             catalog: CatalogState::new(),
             ledger: None,
             ticks: 0,
+            folder: folder.to_path_buf(),
             compacted_index: snapshot_index,
+            compaction: None,
+            next_compaction_tick: 0,
             waiting_commands: BTreeMap::new(),
             own_proposals: BTreeSet::new(),
             unplaced: BTreeSet::new(),
@@ -205,6 +212,9 @@
                         self.handle_event(event);
                     }
                 }
+                prepared = RunningCompaction::wait(&mut self.compaction) => {
+                    self.finish_compaction(prepared).await?;
+                }
                 Some(_) = self.children.join_next(), if !self.children.is_empty() => {}
                 changed = stop.changed() => {
                     if changed.is_err() || *stop.borrow() {
@@ -269,7 +279,7 @@
     }
 
     /// Persists the replicated log's output and carries it out until there is none left; then
-    /// compacts the log and sends the replies that are due.
+    /// begins a compaction of the log if it is due, and sends the replies that are due.
     async fn process_outputs(&mut self) -> Result<(), ControlFault> {
         loop {
             self.propose_due_admissions();
@@ -282,7 +292,7 @@
             self.apply_output(output)?;
         }
         self.handle_role_change();
-        self.compact().await?;
+        self.begin_compaction();
         self.send_due_replies();
         Ok(())
     }
@@ -409,32 +419,6 @@
         }
     }
 
-    /// Replaces the log by a snapshot once enough applied entries have accumulated.
-    async fn compact(&mut self) -> Result<(), ControlFault> {
-        let applied = self.node.commit_index();
-        // Uncommitted entries must stay, however many there are.
-        let covered = applied.0.saturating_sub(self.compacted_index);
-        if covered < COMPACTION_THRESHOLD_ENTRIES {
-            return Ok(());
-        }
-        let compacted = self.node.compact(applied, self.catalog.to_snapshot());
-        if let Err(error) = compacted {
-            log_event!(Level::Error, "compaction_refused", error = error);
-            return Ok(());
-        }
-        self.compacted_index = applied.0;
-        let output = self.node.take_output();
-        let records = self.node.durable_state().to_records();
-        self.log_bytes = self
-            .writer
-            .rewrite(records)
-            .await
-            .ok_or_else(writer_ended)?;
-        self.apply_output(output)?;
-        log_event!(Level::Info, "log_compacted", bytes = self.log_bytes);
-        Ok(())
-    }
-
     /// Returns which voter this VM is and which control VMs it knows.
     fn control_identity(&self) -> ControlIdentity {
         let id = self.node.id();
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -1,7 +1,9 @@
 //! The file that holds a control VM's part of the replicated log.
 //!
-//! Bytes are durable only once they are synced. A rewrite of the whole log goes to a new file that
-//! replaces the old one by a rename, so that a crash leaves either the old log or the new one.
+//! Bytes are durable only once they are synced. A rewrite of the log goes to a new file that replaces
+//! the old one by a rename, so that a crash leaves either the old log or the new one. While a
+//! [`LogRewrite`] is written, records are still appended to the old log; those are copied behind it
+//! before the rename.
 //!
 //! [`LogWriter`] runs the thread that owns the file while the daemon runs.
 
@@ -12,6 +14,7 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::os::unix::fs::FileExt;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 use std::path::PathBuf;
@@ -121,25 +124,26 @@
         result
     }
 
-    /// Replaces the whole log by `bytes` and syncs it.
+    /// Replaces the log by a rewrite of its first `covered` bytes, followed by what was appended
+    /// after them, and syncs it.
     ///
     /// # Errors
     ///
-    /// Returns the operating system's error; the old log is still in place then.
-    pub fn rewrite(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let rewrite_path = self.folder.join(REWRITE_NAME);
-        let mut rewritten = OpenOptions::new()
-            .create(true)
-            .write(true)
-            .truncate(true)
-            .mode(LOG_FILE_MODE)
-            .open(&rewrite_path)?;
-        rewritten.write_all(bytes)?;
-        rewritten.sync_all()?;
-        std::fs::rename(&rewrite_path, self.folder.join(LOG_NAME))?;
+    /// Returns the operating system's error; the call may be repeated then. Until one succeeds, a
+    /// crash leaves either the old log or the new one, which hold the same records.
+    pub fn replace(&mut self, rewrite: &mut LogRewrite, covered: u64) -> io::Result<()> {
+        let mut tail = vec![0; (self.length - covered) as usize];
+        self.file.read_exact_at(&mut tail, covered)?;
+        rewrite.file.set_len(rewrite.length)?;
+        rewrite.file.write_all_at(&tail, rewrite.length)?;
+        rewrite.file.sync_all()?;
+        if !rewrite.renamed {
+            std::fs::rename(&rewrite.path, self.folder.join(LOG_NAME))?;
+            rewrite.renamed = true;
+        }
         sync_folder(&self.folder)?;
         self.file = open_for_append(&self.folder.join(LOG_NAME))?;
-        self.length = bytes.len() as u64;
+        self.length = rewrite.length + tail.len() as u64;
         self.torn = false;
         Ok(())
     }
@@ -150,6 +154,67 @@
     }
 }
 
+/// A new file that is to replace the log. It is removed when dropped, unless it has replaced the log.
+pub struct LogRewrite {
+    path: PathBuf,
+    file: File,
+    length: u64,
+    renamed: bool,
+}
+
+impl LogRewrite {
+    /// Creates the new file beside the log under `folder`, in place of one that a crash left.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn create(folder: &Path) -> io::Result<Self> {
+        let path = folder.join(REWRITE_NAME);
+        let file = OpenOptions::new()
+            .create(true)
+            .write(true)
+            .truncate(true)
+            .mode(LOG_FILE_MODE)
+            .open(&path)?;
+        Ok(Self {
+            path,
+            file,
+            length: 0,
+            renamed: false,
+        })
+    }
+
+    /// Appends bytes to the new file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error, after which the new file must not be used.
+    pub fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.file.write_all(bytes)?;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Waits until all appended bytes are on the disk.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error, after which the new file must not be used.
+    pub fn sync(&mut self) -> io::Result<()> {
+        self.file.sync_data()
+    }
+}
+
+impl Drop for LogRewrite {
+    fn drop(&mut self) {
+        if !self.renamed
+            && let Err(error) = std::fs::remove_file(&self.path)
+        {
+            log_event!(Level::Warn, "log_rewrite_left", error = error);
+        }
+    }
+}
+
 fn open_for_append(path: &Path) -> io::Result<File> {
     OpenOptions::new()
         .create(true)
@@ -167,7 +232,7 @@
 /// A write for the writer's thread.
 enum WriteOrder {
     Append(Vec<u8>),
-    Rewrite(Vec<u8>),
+    Replace { rewrite: LogRewrite, covered: u64 },
 }
 
 /// A queued write, and the channel that receives the file's length after it.
@@ -211,11 +276,11 @@
         self.order(WriteOrder::Append(bytes)).await
     }
 
-    /// Replaces the whole log and syncs it; returns its length.
+    /// Replaces the log as [`LogFile::replace`] does; returns its length.
     ///
-    /// `None` means that the thread has ended; the old log is then still in place.
-    pub async fn rewrite(&self, bytes: Vec<u8>) -> Option<u64> {
-        self.order(WriteOrder::Rewrite(bytes)).await
+    /// `None` means that the thread has ended; the log is then the old or the new one.
+    pub async fn replace(&self, rewrite: LogRewrite, covered: u64) -> Option<u64> {
+        self.order(WriteOrder::Replace { rewrite, covered }).await
     }
 
     async fn order(&self, order: WriteOrder) -> Option<u64> {
@@ -238,9 +303,9 @@
 }
 
 fn serve_writes(mut file: LogFile, queue: &mpsc::Receiver<PendingWrite>) {
-    while let Ok(write) = queue.recv() {
+    while let Ok(mut write) = queue.recv() {
         let mut failures = 0;
-        while let Err(error) = perform_write(&mut file, &write.order) {
+        while let Err(error) = perform_write(&mut file, &mut write.order) {
             // Nobody waits for the write any more: the daemon is ending.
             if write.done.is_closed() {
                 return;
@@ -264,9 +329,9 @@
     }
 }
 
-fn perform_write(file: &mut LogFile, order: &WriteOrder) -> io::Result<()> {
+fn perform_write(file: &mut LogFile, order: &mut WriteOrder) -> io::Result<()> {
     match order {
         WriteOrder::Append(bytes) => file.append_synced(bytes),
-        WriteOrder::Rewrite(bytes) => file.rewrite(bytes),
+        WriteOrder::Replace { rewrite, covered } => file.replace(rewrite, *covered),
     }
 }
