--- a/crates/daemon/tests/components/control.rs
+++ b/crates/daemon/tests/components/control.rs
@@ -75,7 +75,7 @@
 const INCARNATION: VmIncarnation = VmIncarnation(1);
 
 /// Creates the settings of `vm-1`, which is the only control VM.
-fn create_settings(folder: &std::path::Path) -> DaemonSettings {
+pub fn create_settings(folder: &std::path::Path) -> DaemonSettings {
     let text = format!(
         "
 vm: vm-1
@@ -93,7 +93,7 @@
 }
 
 /// Creates the first heartbeat of `vm-2`, which the catalog doesn't hold yet.
-fn create_heartbeat() -> HeartbeatRequest {
+pub fn create_heartbeat() -> HeartbeatRequest {
     HeartbeatRequest {
         member: MemberRecord {
             id: MemberId {
@@ -117,7 +117,7 @@
 }
 
 /// Sends an event to the control task and waits for its reply.
-async fn call_control<Reply>(
+pub async fn call_control<Reply>(
     control: &mpsc::Sender<ControlEvent>,
     event: impl FnOnce(oneshot::Sender<Reply>) -> ControlEvent,
 ) -> Reply {
--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod announcements;
 mod bench;
+mod compaction;
 mod connection;
 mod control;
 mod disk;
