--- a/crates/control/src/agreement/snapshot.rs
+++ b/crates/control/src/agreement/snapshot.rs
@@ -24,6 +24,17 @@
 use crate::record::encode_record;
 use std::fmt;
 
+/// The minimum number of bytes beside the snapshot at which a log file is compacted.
+const MIN_COMPACTED_BYTES: u64 = 512 * 1024;
+
+/// The number of entries in a member's turn to compact. A driver that handles this many entries at
+/// once skips no turn.
+const COMPACTION_TURN_ENTRIES: u64 = 256;
+
+/// Multiplies the bytes at which a log file is compacted in the member's turn; at the product it is
+/// compacted in any case.
+const MISSED_TURN_FACTOR: u64 = 4;
+
 /// The reason why a log can't be compacted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CompactError {
@@ -92,6 +103,31 @@
 }
 
 impl AgreementNode {
+    /// Returns whether the driver should compact its log file of `log_bytes`.
+    ///
+    /// A compaction costs as much as its snapshot is long, so it is due once the file holds as much
+    /// beside the snapshot. Members take turns by the commit index: if all of them wrote their
+    /// snapshots at the same entry, none would have processor time left for the others' messages.
+    pub fn compaction_due(&self, log_bytes: u64) -> bool {
+        if self.commit <= self.log.base().index {
+            return false;
+        }
+        let snapshot = self.log.snapshot();
+        let snapshot_bytes = snapshot.map_or(0, |snapshot| snapshot.data.len() as u64);
+        let later_bytes = log_bytes.saturating_sub(snapshot_bytes);
+        let due_bytes = snapshot_bytes.max(MIN_COMPACTED_BYTES);
+        later_bytes >= due_bytes
+            && (self.has_compaction_turn() || later_bytes >= MISSED_TURN_FACTOR * due_bytes)
+    }
+
+    fn has_compaction_turn(&self) -> bool {
+        let members = self.voters().iter().chain(self.learners());
+        let count = members.clone().count() as u64;
+        let place = members.zip(0..).find(|(member, _)| **member == self.id);
+        let turn = self.commit.0 / COMPACTION_TURN_ENTRIES;
+        place.is_none_or(|(_, place)| turn % count == place)
+    }
+
     /// Compacts the log: replaces the entries up to `up_to` by a snapshot of the state.
     ///
     /// `data` must be the state after exactly the entries up to `up_to` were applied.
--- a/crates/control/tests/agreement_failures.rs
+++ b/crates/control/tests/agreement_failures.rs
@@ -16,6 +16,7 @@
 use ragwort_control::agreement::VoterId;
 use ragwort_control::encode_record;
 use ragwort_types::VmIncarnation;
+use std::collections::BTreeSet;
 
 /// One hour, in ticks of 100 ms.
 const HOUR_TICKS: u64 = 36_000;
@@ -31,6 +32,13 @@
     )*};
 }
 
+/// Returns the length of a log file with entries of 1,000 bytes.
+fn file_length(node: &AgreementNode) -> u64 {
+    let state = node.durable_state();
+    let snapshot = state.snapshot().map_or(0, |snapshot| snapshot.data.len());
+    (snapshot + 1_000 * state.entries().len()) as u64
+}
+
 failure_tests! {
     /// A control VM is partitioned for an hour while changes are accepted, and then returns. The
     /// leader and its term must stay, and the VM must catch up without having answered a read from
@@ -51,6 +59,44 @@
         network.expect_recovery();
     }
 
+    /// Many changes are committed, as after the loss of a VM. If all control VMs wrote their
+    /// snapshots at the same entry, none would have the processor time to answer the others, and
+    /// they would elect another leader.
+    members_compact_at_different_entries(network, leader) of 5 {
+        let mut indexes: Vec<BTreeSet<u64>> = vec![BTreeSet::new(); 5];
+        let mut last_index = 0;
+        while last_index < 6_000 {
+            network.commit_at(leader, 8);
+            for (number, indexes) in indexes.iter_mut().enumerate() {
+                let node = network.vms[number].node();
+                last_index = node.commit_index().0;
+                if node.compaction_due(file_length(node)) {
+                    indexes.insert(last_index);
+                    network.vms[number].compact(false);
+                }
+                let entries = network.vms[number].node().entry_count();
+                assert!(entries < 2_000, "VM {number} keeps {entries} entries");
+            }
+        }
+        assert!(indexes.iter().all(|indexes| indexes.len() >= 2), "{indexes:?}");
+        let compactions: usize = indexes.iter().map(BTreeSet::len).sum();
+        let different: BTreeSet<&u64> = indexes.iter().flatten().collect();
+        assert_eq!(different.len(), compactions, "VMs compact at one entry: {indexes:?}");
+    }
+
+    /// A snapshot of 4 MB is followed by entries of 1,000 bytes. If it were written again for each
+    /// 1,000 of them, the control VMs would spend more on snapshots than on the changes.
+    large_snapshot_follows_as_many_bytes_of_entries(network, leader) of 1 {
+        network.commit_at(leader, 1);
+        let node = network.vms[leader].node_mut();
+        node.compact(node.commit_index(), "x".repeat(4_000_000)).unwrap();
+        network.commit_at(leader, 1_000);
+        let node = network.vms[leader].node();
+        assert!(!node.compaction_due(file_length(node)));
+        assert!(!node.compaction_due(4_000_000 + 3_900 * 1_000));
+        assert!(node.compaction_due(4_000_000 + 4_000 * 1_000));
+    }
+
     /// All control VMs lose power and restart together. Until a leader is elected, no lease is
     /// granted and every caller is refused, so the VMs must not wait a full election timeout for
     /// the heartbeats of a leader that none of them has had contact with.
--- a/crates/daemon/src/control/compaction.rs
+++ b/crates/daemon/src/control/compaction.rs
@@ -22,10 +22,6 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// The number of applied log entries after which the log is replaced by a snapshot. With 2,300
-/// contract changes and some thousand placement changes a day, that happens several times a day.
-const COMPACTION_THRESHOLD_ENTRIES: u64 = 1_000;
-
 /// The number of bytes that are serialized or written between two pauses: less than a millisecond
 /// of work.
 const SLICE_BYTES: usize = 64 * 1024;
@@ -104,14 +100,13 @@
     /// All output has been carried out: the file holds all that the node holds, and the catalog is
     /// the state at the commit index.
     pub(super) fn begin_compaction(&mut self) {
-        let applied = self.node.commit_index();
-        // Uncommitted entries must stay, however many there are.
-        let covered = applied.0.saturating_sub(self.compacted_index);
-        let due = covered >= COMPACTION_THRESHOLD_ENTRIES;
-        if !due || self.compaction.is_some() || self.ticks < self.next_compaction_tick {
+        if self.compaction.is_some()
+            || self.ticks < self.next_compaction_tick
+            || !self.node.compaction_due(self.log_bytes)
+        {
             return;
         }
-        let plan = match self.node.plan_compaction(applied) {
+        let plan = match self.node.plan_compaction(self.node.commit_index()) {
             Ok(plan) => plan,
             Err(error) => {
                 log_event!(Level::Error, "compaction_refused", error = error);
