Tests: an idle group still validates connections and drops silent endpoints

The cases of native groups set both limits to a minute, so no case ran the checks that now have due times of their own. Each of the two new cases reaches its time limit if its check doesn't make its next run due.

--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -95,6 +95,9 @@
 /// Deadline of statements in milliseconds, far beyond the time that a working leaseholder needs.
 const LONG_MS: u64 = 30_000;
 
+/// Settings with which no endpoint counts as silent and no connection as idle during a case.
+const LONG_TIMING: &str = "announce_lost_ms: 60000, idle_ping_ms: 60000";
+
 /// The kinds of the contract: reads that allow old data, reads that see all acknowledged writes,
 /// and writes.
 pub const AGED: &str = "aged";
@@ -264,18 +267,23 @@
 impl NativeBench {
     /// Starts with a primary and two replicas whose logs have these lengths. None is announced yet.
     pub async fn start(lengths: [u64; 3]) -> Self {
-        Self::start_after(lengths, u32::MAX, |_| create_record()).await
+        Self::start_after(lengths, u32::MAX, LONG_TIMING, |_| create_record()).await
+    }
+
+    /// Starts as [`start`](Self::start) does, with these settings of `timing`.
+    pub async fn start_with_timing(lengths: [u64; 3], timing: &str) -> Self {
+        Self::start_after(lengths, u32::MAX, timing, |_| create_record()).await
     }
 
     /// Starts as [`start`](Self::start) does, in a process with this limit of descriptors.
     pub async fn start_with_descriptors(lengths: [u64; 3], limit: u32) -> Self {
-        Self::start_after(lengths, limit, |_| create_record()).await
+        Self::start_after(lengths, limit, LONG_TIMING, |_| create_record()).await
     }
 
     /// Starts with a primary and two replicas that a former leaseholder noted in the catalog, in
     /// `term`.
     pub async fn start_with_notes(lengths: [u64; 3], term: u64) -> Self {
-        Self::start_after(lengths, u32::MAX, |endpoints| {
+        Self::start_after(lengths, u32::MAX, LONG_TIMING, |endpoints| {
             note_endpoints(endpoints, term)
         })
         .await
@@ -284,7 +292,7 @@
     /// Starts with noted endpoints, of which the primary has failed together with the former
     /// leaseholder.
     pub async fn start_with_dead_primary(lengths: [u64; 3]) -> Self {
-        Self::start_after(lengths, u32::MAX, |endpoints| {
+        Self::start_after(lengths, u32::MAX, LONG_TIMING, |endpoints| {
             let mut record = note_endpoints(endpoints, 1);
             // No process listens on port 1.
             record.endpoints[0].data_address = "127.0.0.1:1".parse().unwrap();
@@ -308,6 +316,7 @@
     async fn start_after(
         lengths: [u64; 3],
         limit: u32,
+        timing: &str,
         create: impl FnOnce(&[ScriptedEndpoint]) -> GroupRecord,
     ) -> Self {
         let mut endpoints = Vec::new();
@@ -321,7 +330,7 @@
         }
         let notes = ProposedEndpoints::default();
         let (control_address, control) = start_control(Arc::clone(&notes)).await;
-        let settings = Arc::new(create_settings(control_address));
+        let settings = Arc::new(create_settings(control_address, timing));
         let record = create(&endpoints);
         let (view, _) = watch::channel(create_view(&record));
         let (_, seeds) = watch::channel(Vec::new());
@@ -699,7 +708,7 @@
     (address, server.start(module))
 }
 
-fn create_settings(control: SocketAddr) -> DaemonSettings {
+fn create_settings(control: SocketAddr, timing: &str) -> DaemonSettings {
     let text = format!(
         "
 vm: vm-1
@@ -708,7 +717,7 @@
 listen: {{ peers: 127.0.0.1:2, platform: 127.0.0.1:3 }}
 control:
   - {{ vm: vm-9, address: {control} }}
-timing: {{ announce_lost_ms: 60000, connect_timeout_ms: 400, idle_ping_ms: 60000 }}
+timing: {{ connect_timeout_ms: 400, {timing} }}
 "
     );
     DaemonSettings::from_yaml(&text).unwrap()
--- a/crates/daemon/tests/native/idle.rs
+++ b/crates/daemon/tests/native/idle.rs
@@ -1,6 +1,7 @@
 //! The work of a leaseholder whose group gets no statements.
 
 use crate::bench::NativeBench;
+use crate::cases::wait_until;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -8,6 +9,12 @@
     /// A VM led hundreds of groups without statements, and each ran all its checks 20 times a
     /// second. That took the VM's processor from the groups in use.
     idle_group_runs_only_checks_that_are_due => idle_case();
+    /// A replica fails in a group without statements. If nothing made the check for silent endpoints
+    /// due, the replica would stay known, and reads would be sent to it.
+    silent_endpoint_of_an_idle_group_is_dropped => silence_case();
+    /// A device on the path drops the state of connections that are idle. If nothing made their
+    /// validation due, the next statement would find that out.
+    connections_of_an_idle_group_are_validated => validation_case();
     /// Each endpoint announces itself about once a second, mostly without a change. Each time, all
     /// endpoints of its group were passed to the scheduler again.
     repeated_announcement_updates_no_endpoint => repetition_case();
@@ -65,6 +72,32 @@
     }
 }
 
+async fn silence_case() {
+    // The answers to validations keep the other endpoints known.
+    let timing = "announce_lost_ms: 1000, idle_ping_ms: 100";
+    let mut bench = NativeBench::start_with_timing([5, 5, 5], timing).await;
+    bench.settle().await;
+    bench.endpoints[2].kill().await;
+    bench
+        .wait_for(|dump| {
+            let endpoints = dump["scheduler"]["endpoints"].as_array().unwrap();
+            endpoints.len() == 2
+        })
+        .await;
+}
+
+async fn validation_case() {
+    let timing = "announce_lost_ms: 60000, idle_ping_ms: 100";
+    let mut bench = NativeBench::start_with_timing([5, 5, 5], timing).await;
+    bench.settle().await;
+    wait_until(|| {
+        let script = bench.endpoints[1].script();
+        let resets = script.commands.iter().filter(|(_, line)| line == "reset");
+        resets.count() >= 10
+    })
+    .await;
+}
+
 async fn repetition_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
