--- a/crates/policy/src/relayed_announcements.rs
+++ b/crates/policy/src/relayed_announcements.rs
@@ -17,7 +17,6 @@
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupName;
 use ragwort_types::InstanceName;
-use ragwort_types::InstanceStatus;
 use ragwort_types::VmName;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -64,7 +63,7 @@
         let key = (announcement.group.clone(), announcement.instance.clone());
         if let Some(known) = self.endpoints.get_mut(&key) {
             known.heard = now;
-            if is_repetition(&known.content, announcement) {
+            if announcement.repeats(&known.content) {
                 return false;
             }
             known.content = announcement.clone();
@@ -112,37 +111,3 @@
             .retain(|_, endpoint| now.since(endpoint.heard) < kept);
     }
 }
-
-/// Returns whether an announcement says the same as an earlier one, except for the fields that
-/// change each time.
-fn is_repetition(earlier: &EndpointAnnouncement, announcement: &EndpointAnnouncement) -> bool {
-    let EndpointAnnouncement {
-        group,
-        instance,
-        domain,
-        data_address,
-        agent_address,
-        slots,
-        connections,
-        status:
-            InstanceStatus {
-                role,
-                fenced_term,
-                position: _,
-                leaving,
-            },
-        started_ms,
-        sequence: _,
-    } = announcement;
-    *group == earlier.group
-        && *instance == earlier.instance
-        && *domain == earlier.domain
-        && *data_address == earlier.data_address
-        && *agent_address == earlier.agent_address
-        && *slots == earlier.slots
-        && *connections == earlier.connections
-        && *role == earlier.status.role
-        && *fenced_term == earlier.status.fenced_term
-        && *leaving == earlier.status.leaving
-        && *started_ms == earlier.started_ms
-}
