Contracts: priority levels of kinds and share groups

Urgency distinguishes two classes only, and each customer has a slot share of its own. A kind may now have a priority level, and contracts may name a share group whose members share one weight. Both are optional; without them contracts read and decide as before. A document whose share group contradicts itself, or whose kinds have levels only in part, is refused with the field named.

The scheduler receives both fields and doesn't use them yet.

--- a/crates/control/examples/catalog_slopes.rs
+++ b/crates/control/examples/catalog_slopes.rs
@@ -286,6 +286,7 @@
         max_age_ms: 2_000,
         deadline_ms: 1_000,
         target_ms: None,
+        priority: None,
     };
     let kinds = ["status", "means_test", "grant", "case_update", "report"];
     CustomerContract {
@@ -304,6 +305,7 @@
         queue_limit: 200,
         session_limit: 2_000,
         callers: CallerRule::default(),
+        share_group: None,
     }
 }
 
--- a/crates/control/tests/state/common.rs
+++ b/crates/control/tests/state/common.rs
@@ -206,6 +206,7 @@
         max_age_ms: 500,
         deadline_ms: 1_000,
         target_ms: None,
+        priority: None,
     };
     CustomerContract {
         customer: customer.into(),
@@ -217,6 +218,7 @@
         queue_limit: 100,
         session_limit: 100,
         callers: CallerRule::default(),
+        share_group: None,
     }
 }
 
--- a/crates/daemon/src/group/describing.rs
+++ b/crates/daemon/src/group/describing.rs
@@ -121,6 +121,7 @@
             deadline: shape.deadline,
             target: None,
             step,
+            priority: None,
         }
     }
 
--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -333,6 +333,7 @@
             deadline: active.deadline,
             target: find_latency_target(active.arrived, &active.terms, &active.request),
             step,
+            priority: active.terms.priority,
         }
     }
 
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -210,6 +210,7 @@
             deadline: active.deadline,
             target: find_latency_target(active.arrived, &active.terms, &active.request),
             step,
+            priority: active.terms.priority,
         }
     }
 
--- a/crates/daemon/tests/components/bench.rs
+++ b/crates/daemon/tests/components/bench.rs
@@ -100,6 +100,7 @@
         max_age_ms: 0,
         deadline_ms: LONG_MS,
         target_ms: None,
+        priority: None,
     };
     let write = KindTerms {
         access: AccessMode::Write,
@@ -130,6 +131,7 @@
         queue_limit: 64,
         session_limit: 64,
         callers: CallerRule::default(),
+        share_group: None,
     }
 }
 
--- a/crates/daemon/tests/components/control.rs
+++ b/crates/daemon/tests/components/control.rs
@@ -136,6 +136,7 @@
         max_age_ms: 0,
         deadline_ms: 800,
         target_ms: None,
+        priority: None,
     };
     let contracts = (0..1_000).map(|number| CustomerContract {
         customer: format!("customer-{number}").into(),
@@ -147,6 +148,7 @@
         queue_limit: 512,
         session_limit: 4_096,
         callers: CallerRule::Anyone,
+        share_group: None,
     });
     CatalogCommand::ApplyDocument(Box::new(ContractDocument {
         version: DocumentVersion(1),
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -750,6 +750,7 @@
         max_age_ms: 0,
         deadline_ms: LONG_MS,
         target_ms: None,
+        priority: None,
     };
     let aged = KindTerms {
         max_age_ms: 2_500,
@@ -771,6 +772,7 @@
         queue_limit: 64,
         session_limit: 64,
         callers: CallerRule::default(),
+        share_group: None,
     }
 }
 
--- a/crates/lab/src/lab_contract.rs
+++ b/crates/lab/src/lab_contract.rs
@@ -37,6 +37,7 @@
         max_age_ms: 0,
         deadline_ms: 1_000,
         target_ms: None,
+        priority: None,
     };
     let write = KindTerms {
         access: AccessMode::Write,
@@ -92,5 +93,6 @@
         queue_limit: 64,
         session_limit: 512,
         callers: CallerRule::default(),
+        share_group: None,
     }
 }
--- a/crates/policy/src/gateway_limit.rs
+++ b/crates/policy/src/gateway_limit.rs
@@ -56,6 +56,7 @@
 ///     slot_share: 1,
 ///     queue_limit: 1,
 ///     connection_limit: 1,
+///     share_group: None,
 /// };
 /// let group = GroupName::from("cases");
 /// let mut limiter = InFlightLimiter::default();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 //!     slot_share: 1,
 //!     queue_limit: 100,
 //!     connection_limit: 8,
+//!     share_group: None,
 //! }]);
 //! scheduler.set_endpoint(
 //!     ClockTime(0),
@@ -83,6 +84,7 @@
 //!         deadline: now + Duration::from_millis(500),
 //!         target: None,
 //!         step: RequestStep::Single,
+//!         priority: None,
 //!     },
 //! );
 //! assert_eq!(arrival, ArrivalDecision::Queued);
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -9,8 +9,10 @@
 use ragwort_types::KindName;
 use ragwort_types::LengthClass;
 use ragwort_types::LogPosition;
+use ragwort_types::PriorityLevel;
 use ragwort_types::Refusal;
 use ragwort_types::RepeatRule;
+use ragwort_types::ShareGroupName;
 use ragwort_types::UrgencyClass;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,6 +48,8 @@
     pub repeat: RepeatRule,
     /// Whether it is served before ordinary requests.
     pub urgency: UrgencyClass,
+    /// Its priority level; `None` if only the urgency counts.
+    pub priority: Option<PriorityLevel>,
     /// The length class that the contract declares.
     pub length: LengthClass,
     /// Whether only the primary may serve it, whatever its maximum age.
@@ -97,6 +101,8 @@
     pub queue_limit: u32,
     /// Maximum number of connections that its transactions hold at the same time.
     pub connection_limit: u32,
+    /// The share group whose contracts have one slot share together.
+    pub share_group: Option<ShareGroupName>,
 }
 
 impl From<&CustomerContract> for CustomerTerms {
@@ -106,6 +112,7 @@
             slot_share: contract.slot_share,
             queue_limit: contract.queue_limit,
             connection_limit: contract.connection_limit,
+            share_group: contract.share_group.clone(),
         }
     }
 }
--- a/crates/policy/tests/connection_validation.rs
+++ b/crates/policy/tests/connection_validation.rs
@@ -61,6 +61,7 @@
             slot_share: 1,
             queue_limit: 64,
             connection_limit: 4,
+            share_group: None,
         }]);
         let now = ClockTime::default();
         let primary = InstanceName::from("cases-1");
@@ -127,6 +128,7 @@
             deadline: self.now + Duration::from_millis(500),
             target: None,
             step: RequestStep::Single,
+            priority: None,
         };
         let arrival = self.scheduler.arrive(self.now, profile);
         assert_eq!(arrival, ArrivalDecision::Queued);
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -79,6 +79,7 @@
         slot_share: 1,
         queue_limit: 1_000,
         connection_limit: 8,
+        share_group: None,
     });
     let group = GroupName::from("cases");
     let mut limiter = InFlightLimiter::default();
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -341,6 +341,7 @@
         slot_share: 1,
         queue_limit: 100,
         connection_limit,
+        share_group: None,
     }
 }
 
--- a/crates/policy/tests/support/patterns.rs
+++ b/crates/policy/tests/support/patterns.rs
@@ -269,6 +269,7 @@
         slot_share,
         queue_limit: 400,
         connection_limit: 8,
+        share_group: None,
     }
 }
 
--- a/crates/policy/tests/support/runner.rs
+++ b/crates/policy/tests/support/runner.rs
@@ -204,6 +204,7 @@
             deadline: self.now + source.deadline,
             target: source.target.map(|target| self.now + target),
             step,
+            priority: None,
         };
         let name = SourceName {
             customer: source.customer,
--- a/crates/types/src/contract.rs
+++ b/crates/types/src/contract.rs
@@ -5,6 +5,7 @@
 use crate::CustomerName;
 use crate::GroupName;
 use crate::KindName;
+use crate::ShareGroupName;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -40,6 +41,10 @@
     /// The callers that are admitted.
     #[serde(default, skip_serializing_if = "CallerRule::is_open")]
     pub callers: CallerRule,
+    /// The share group whose contracts have one slot share together and aren't weighed against each
+    /// other. `None` if the customer has a slot share of its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share_group: Option<ShareGroupName>,
 }
 
 /// The contract's terms for one kind of request.
@@ -66,8 +71,21 @@
     /// later one. `None` if all answers before the deadline are worth the same.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub target_ms: Option<u64>,
+    /// The priority level. `None` if only the urgency decides which requests go first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<PriorityLevel>,
 }
 
+/// A level of priority under scarcity; level zero is served first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct PriorityLevel(pub u8);
+
+/// The number of priority levels; the lowest level is one less.
+pub const PRIORITY_LEVELS: u8 = 4;
+
 /// Whether a request reads or writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -133,6 +151,13 @@
     AgedWrite(KindName),
     /// A kind's latency target is zero, which no answer can meet.
     Target(KindName),
+    /// A kind's priority level is not one of the [`PRIORITY_LEVELS`].
+    Priority(KindName),
+    /// The kind has no priority level although another kind of the contract has one.
+    PriorityMissing(KindName),
+    /// The share group's name is empty or has characters other than ASCII letters, digits, `-` and
+    /// `_`.
+    ShareGroupName,
 }
 
 impl fmt::Display for ContractFault {
@@ -158,6 +183,17 @@
                 formatter,
                 "kinds.{kind}.target_ms: expected a number above zero, or none",
             ),
+            Self::Priority(kind) => write!(
+                formatter,
+                "kinds.{kind}.priority: expected a level below {PRIORITY_LEVELS}",
+            ),
+            Self::PriorityMissing(kind) => write!(
+                formatter,
+                "kinds.{kind}.priority: expected a level, as other kinds have one",
+            ),
+            Self::ShareGroupName => {
+                formatter.write_str("share_group: expected one or more letters, digits, `-` or `_`")
+            }
         }
     }
 }
@@ -191,7 +227,21 @@
                 faults.push(ContractFault::ZeroLimit(name));
             }
         }
+        let group = self.share_group.as_ref();
+        if group.is_some_and(|name| !is_plain_name(name.as_str())) {
+            faults.push(ContractFault::ShareGroupName);
+        }
+        let has_priorities = self.kinds.values().any(|terms| terms.priority.is_some());
         for (kind, terms) in &self.kinds {
+            match terms.priority {
+                Some(level) if level.0 >= PRIORITY_LEVELS => {
+                    faults.push(ContractFault::Priority(kind.clone()));
+                }
+                None if has_priorities => {
+                    faults.push(ContractFault::PriorityMissing(kind.clone()));
+                }
+                Some(_) | None => {}
+            }
             if terms.deadline_ms == 0 || terms.deadline_ms > MAX_DEADLINE_MS {
                 faults.push(ContractFault::Deadline(kind.clone()));
             }
--- a/crates/types/src/document.rs
+++ b/crates/types/src/document.rs
@@ -13,6 +13,7 @@
 use crate::CustomerName;
 use crate::DigestSecret;
 use crate::GroupName;
+use crate::ShareGroupName;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -113,6 +114,8 @@
     UnknownGroup(CustomerName, GroupName),
     /// A contract is invalid; holds a description of the fault.
     Contract(CustomerName, String),
+    /// A contract's slot share differs from that of another contract of its share group.
+    ShareGroup(CustomerName, ShareGroupName),
     /// Two accounts have the same name.
     AccountTwice(AccountName),
     /// Two accounts share a key.
@@ -132,6 +135,10 @@
                 write!(formatter, "contract of {customer}: unknown group {group}")
             }
             Self::Contract(customer, fault) => write!(formatter, "contract of {customer}: {fault}"),
+            Self::ShareGroup(customer, group) => write!(
+                formatter,
+                "contract of {customer}: slot_share: differs from that of other contracts of share group {group}"
+            ),
             Self::AccountTwice(account) => write!(formatter, "account {account}: given twice"),
             Self::KeyShared(account, other) => {
                 write!(
@@ -172,10 +179,25 @@
                 own.map(|fault| DocumentFault::Contract(customer.clone(), fault.to_string())),
             );
         }
+        self.find_share_faults(&mut faults);
         self.find_account_faults(&mut faults);
         faults
     }
 
+    fn find_share_faults(&self, faults: &mut Vec<DocumentFault>) {
+        let mut shares: BTreeMap<&ShareGroupName, u32> = BTreeMap::new();
+        for contract in &self.contracts {
+            let Some(group) = &contract.share_group else {
+                continue;
+            };
+            let share = *shares.entry(group).or_insert(contract.slot_share);
+            if share != contract.slot_share {
+                let customer = contract.customer.clone();
+                faults.push(DocumentFault::ShareGroup(customer, group.clone()));
+            }
+        }
+    }
+
     fn find_account_faults(&self, faults: &mut Vec<DocumentFault>) {
         let mut names = BTreeSet::new();
         let mut holders: BTreeMap<&AccountKey, &AccountName> = BTreeMap::new();
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -54,6 +54,10 @@
     /// The name of a customer, whose contract sets its limits.
     CustomerName
 }
+text_name! {
+    /// The name of a share group: contracts that have one slot share together.
+    ShareGroupName
+}
 text_name! {
     /// The name of a client account, on whose behalf callers send requests.
     AccountName
