Sessions: a transaction whose first statement was refused is rolled back at the gateway

The leaseholder registers a transaction when its first statement is answered (update_transaction, from an answer or from a fault that settles the statement). No refusal of a first statement leaves one: requeue_or_refuse and requeue_after_fault never register it, withhold_answer ends it, and the account limit refuses before the leaseholder is asked. The rollback was sent all the same and answered with 'transaction lost'. A fault that the endpoint reports, and refusals of later statements, still send the rollback.

--- a/crates/daemon/src/sessions/state.rs
+++ b/crates/daemon/src/sessions/state.rs
@@ -174,12 +174,7 @@
                 })
             }
             RequestVerdict::NotRun(refusal) => {
-                let lost = refusal.cause == RefusalCause::TransactionLost;
-                let hold = match lost {
-                    true => ConnectionHold::Lost,
-                    false => ConnectionHold::Kept,
-                };
-                self.apply_failure(draft, hold);
+                self.apply_failure(draft, hold_after_refusal(draft.step, refusal.cause));
                 if draft.answers_failed_commit {
                     return self.answer_failed(rolled_back_error());
                 }
@@ -418,6 +413,18 @@
     }
 }
 
+/// Returns whether a transaction may still hold its connection after a statement was refused.
+///
+/// A transaction is registered at the leaseholder only once its first statement was answered, so
+/// one whose first statement didn't run holds nothing there. A rollback sent for it would only be
+/// answered that the transaction is lost.
+fn hold_after_refusal(step: TransactionStep, cause: RefusalCause) -> ConnectionHold {
+    match (step, cause) {
+        (TransactionStep::Begin(_), _) | (_, RefusalCause::TransactionLost) => ConnectionHold::Lost,
+        _ => ConnectionHold::Kept,
+    }
+}
+
 fn rolled_back_error() -> CallerError {
     CallerError {
         sort: CallerErrorSort::Aborted,
--- a/crates/daemon/tests/sessions.rs
+++ b/crates/daemon/tests/sessions.rs
@@ -2,6 +2,8 @@
 
 use ragwort_types::AccessMode;
 use ragwort_types::DoubtCause;
+use ragwort_types::EndpointFault;
+use ragwort_types::EndpointFaultKind;
 use ragwort_types::GroupTerm;
 use ragwort_types::LogPosition;
 use ragwort_types::PreparedDefinition;
@@ -166,6 +168,73 @@
     }
 }
 
+case! {
+    /// The first statement of a transaction is refused, so the leaseholder holds nothing for it. A
+    /// rollback that was sent there all the same cost a call, and its caller was told that the
+    /// transaction was lost.
+    rollback_after_a_refused_first_statement_is_answered_here {
+        for cause in [
+            RefusalCause::AccountLimit,
+            RefusalCause::Overload,
+            RefusalCause::NoLease,
+            RefusalCause::EndpointRefused,
+            RefusalCause::TransactionLost,
+        ] {
+            let mut session = CallerSession::default();
+            answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+            let first = draft(&mut session, write("w"));
+            session.finish(&first, refused(cause));
+            assert_eq!(session.state(), SessionState::Failed);
+            assert!(session.take_abandoned(true).is_none(), "{cause}: nothing is left to end");
+            let ended = answer(&mut session, CallerStatement::Rollback);
+            assert!(matches!(ended, CallerAnswer::Complete { state: SessionState::Idle, .. }));
+        }
+    }
+}
+
+case! {
+    /// The first statement of a transaction is refused, and its caller commits. The caller must be
+    /// told that nothing was kept, without a call to the leaseholder.
+    commit_after_a_refused_first_statement_is_answered_here {
+        let mut session = CallerSession::default();
+        answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        let first = draft(&mut session, write("w"));
+        session.finish(&first, refused(RefusalCause::AccountLimit));
+        let ended = answer(&mut session, CallerStatement::Commit);
+        assert_eq!(error_sort(&ended), CallerErrorSort::Aborted);
+        assert_eq!(session.state(), SessionState::Idle);
+    }
+}
+
+case! {
+    /// The first statement of a transaction ran and failed, or a later one is refused. The
+    /// leaseholder holds a connection for the transaction, so the rollback must be sent.
+    rollback_of_an_opened_transaction_is_sent {
+        let fault = StatementAnswer::Faulted(EndpointFault {
+            sort: EndpointFaultKind::Failed,
+            text: "duplicate".to_owned(),
+        });
+        let mut session = CallerSession::default();
+        answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        let first = draft(&mut session, write("w"));
+        session.finish(&first, reply(RequestVerdict::Ran(fault), None));
+        assert!(matches!(
+            draft(&mut session, CallerStatement::Rollback).step,
+            TransactionStep::Rollback(_)
+        ));
+        let mut session = CallerSession::default();
+        answer(&mut session, CallerStatement::Begin(TransactionMode::ReadWrite));
+        let first = draft(&mut session, write("w"));
+        session.finish(&first, served(3));
+        let second = draft(&mut session, write("w"));
+        session.finish(&second, refused(RefusalCause::Overload));
+        assert!(matches!(
+            draft(&mut session, CallerStatement::Rollback).step,
+            TransactionStep::Rollback(_)
+        ));
+    }
+}
+
 case! {
     /// The answer to a commit is lost. The caller must be told that the outcome is unknown, never
     /// that nothing was kept.
