--- a/crates/policy/src/account_shares.rs
+++ b/crates/policy/src/account_shares.rs
@@ -361,7 +361,10 @@
         let waits = !admitted && share.queue.push(now, ticket, latest, &share.forecast());
         if waits {
             self.last_ticket = ticket.0;
-            schedule_queue(&mut self.queues, now, account, share);
+            // Only its latest time can come before what the queue waits for already.
+            if share.queue_due.is_none_or(|due| latest < due) {
+                schedule_queue(&mut self.queues, now, account, share);
+            }
         }
         if !admitted || limit_changed || share.scheduled.is_none() {
             schedule_account(&mut self.schedule, now, account, share);
