--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -13,6 +13,7 @@
 mod leases;
 mod ledger_index;
 mod limit_rounds;
+mod limit_waits;
 mod limits;
 mod peer;
 mod peers;
