Account limits: operations that would be lent too late aren't asked for

What is lent for an operation whose time is up before the answer arrives is lost if no other arrives, which costs small accounts most. A VM therefore leaves out a round trip, in what it asks for and in the forecast. The allowance without a ledger is used by operations that run out of time only if the ledger has been silent for 20 ms; it was used up in calm before. What a process has begun is counted once for each VM, also if the VM hasn't asked for two seconds. The terms of statements are looked up only for accounts with a limit.

--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -161,8 +161,8 @@
         target.filter(|left| !left.is_zero()).unwrap_or(deadline) / 2
     }
 
-    /// Admits one operation of an account, which may wait for a token for `longest`. Returns how
-    /// long it has waited.
+    /// Admits one operation of an account, which may wait for a token for what `find_wait` returns.
+    /// Returns how long it has waited.
     ///
     /// # Errors
     ///
@@ -171,13 +171,13 @@
     pub async fn begin(
         &self,
         account: &AccountName,
-        longest: Duration,
+        find_wait: impl FnOnce() -> Duration,
     ) -> Result<Duration, Refusal> {
         let Some(limit) = self.find_limit(account) else {
             return Ok(Duration::ZERO);
         };
         let arrived = self.clock.now();
-        let latest = arrived + longest;
+        let latest = arrived + find_wait();
         let answer = {
             let mut state = self.state();
             match state.shares.take(arrived, account, limit, latest) {
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -313,8 +313,8 @@
         );
         let account = request.account.clone().filter(|_| begins);
         if let Some(account) = &account {
-            let longest = self.limits.find_wait(&request);
-            match self.limits.begin(account, longest).await {
+            let find_wait = || self.limits.find_wait(&request);
+            match self.limits.begin(account, find_wait).await {
                 // The leaseholder counts the deadline and the target from the arrival there.
                 Ok(waited) => request.spent_ms += waited.as_millis() as u64,
                 Err(refusal) => {
--- a/crates/daemon/tests/components/limit_rounds.rs
+++ b/crates/daemon/tests/components/limit_rounds.rs
@@ -69,7 +69,7 @@
     let (stop, stopped) = watch::channel(false);
     let task = tokio::spawn(Arc::clone(&limiter).run(stopped));
     limiter
-        .begin(&account, Duration::from_millis(200))
+        .begin(&account, || Duration::from_millis(200))
         .await
         .unwrap();
     let mut shares = Vec::new();
--- a/crates/daemon/tests/components/limit_waits.rs
+++ b/crates/daemon/tests/components/limit_waits.rs
@@ -184,7 +184,7 @@
         reply(request, operations, (operations == 0).then_some(30))
     })
     .await;
-    let waited = bench.limiter.begin(&account(), LONG_WAIT).await.unwrap();
+    let waited = bench.limiter.begin(&account(), || LONG_WAIT).await.unwrap();
     assert!(!waited.is_zero());
     assert!(bench.counts("after_wait"), "{}", bench.metrics.to_text());
 }
@@ -194,7 +194,7 @@
         reply(request, 0, Some(1_200_000))
     })
     .await;
-    let refusal = bench.limiter.begin(&account(), LONG_WAIT).await;
+    let refusal = bench.limiter.begin(&account(), || LONG_WAIT).await;
     assert_eq!(refusal.unwrap_err().cause, RefusalCause::AccountLimit);
     assert!(bench.counts("refused"), "{}", bench.metrics.to_text());
 }
@@ -202,7 +202,7 @@
 async fn unlimited_case() {
     let bench = LimitBench::start(None, |_, request| reply(request, 0, None)).await;
     for _ in 0..1_000 {
-        let waited = bench.limiter.begin(&account(), Duration::ZERO).await;
+        let waited = bench.limiter.begin(&account(), || Duration::ZERO).await;
         assert_eq!(waited, Ok(Duration::ZERO));
     }
     let text = bench.metrics.to_text();
@@ -227,7 +227,7 @@
             .count()
     };
     crate::cases::wait_until(|| declared() == 1).await;
-    bench.limiter.begin(&account(), LONG_WAIT).await.unwrap();
+    bench.limiter.begin(&account(), || LONG_WAIT).await.unwrap();
     crate::cases::wait_until(|| declared() == 2).await;
 }
 
--- a/crates/policy/src/account_ledger.rs
+++ b/crates/policy/src/account_ledger.rs
@@ -39,6 +39,7 @@
 use ragwort_types::RateShare;
 use ragwort_types::VmName;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The lifetime of a share unless it is renewed. It is as long as it takes to replace the VM that
@@ -103,6 +104,8 @@
     restart: Option<f64>,
     /// The operations that the VMs had begun before they first asked this ledger.
     begun_before: f64,
+    /// The VMs that have asked it while it was new.
+    reported: BTreeSet<VmName>,
 }
 
 impl AccountLedger {
@@ -115,7 +118,7 @@
 
     /// Takes note of the operations that a VM's process has begun before it first asked here.
     fn note_begun(&mut self, holder: &VmName, begun: u32) {
-        if self.lent.contains_key(holder) {
+        if !self.reported.insert(holder.clone()) {
             return;
         }
         let begun = f64::from(begun);
@@ -385,6 +388,7 @@
             scarce: false,
             restart: None,
             begun_before: 0.0,
+            reported: BTreeSet::new(),
         });
         // No VM can hold a share of a small limit. Its callers would be refused for as long as one
         // VM is silent.
@@ -396,7 +400,9 @@
             ledger.refilled = ledger.refilled.max(since);
             ledger.refill(now, limit);
         }
-        ledger.note_begun(holder, share_request.begun);
+        if age < LIMIT_WINDOW {
+            ledger.note_begun(holder, share_request.begun);
+        }
         if let Some(last) = known.and_then(|known| known.restarted)
             && age < LIMIT_WINDOW
         {
--- a/crates/policy/src/account_shares.rs
+++ b/crates/policy/src/account_shares.rs
@@ -73,6 +73,10 @@
 /// The pause after a request that its ledger left unanswered.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(50);
 
+/// The time after which a ledger counts as silent when an operation runs out of time. It answers
+/// within a round trip, a few milliseconds.
+const SILENCE_LIMIT: Duration = Duration::from_millis(20);
+
 /// The result of a request to begin an operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TakeDecision {
@@ -125,6 +129,10 @@
     ask_after: ClockTime,
     /// Whether a request to the ledger is pending.
     request_in_flight: bool,
+    /// Whether the last request was left unanswered.
+    unanswered: bool,
+    /// The time that the last answer took.
+    round_trip: Duration,
     /// When the ledger was last asked.
     last_asked: Option<ClockTime>,
     /// When the account is scheduled for attention.
@@ -156,6 +164,8 @@
             loans: None,
             ask_after: now,
             request_in_flight: false,
+            unanswered: false,
+            round_trip: Duration::ZERO,
             last_asked: None,
             scheduled: None,
             queue_due: None,
@@ -243,12 +253,14 @@
         Some(self.request_time(now).unwrap_or_else(|| self.drop_time()))
     }
 
-    fn describe(&self, account: &AccountName, young: bool) -> AccountShareRequest {
+    fn describe(&self, now: ClockTime, account: &AccountName, young: bool) -> AccountShareRequest {
+        // An operation that is lent too late for the one that waits is lost if no other arrives.
+        let wants = self.queue.count_after(now + self.round_trip);
         AccountShareRequest {
             account: account.clone(),
             holds: self.share,
             demand: (self.demand * 1_000.0) as u64,
-            wants: self.queue.len() as u32,
+            wants: wants as u32,
             begun: if young { self.begun } else { 0 },
         }
     }
@@ -288,6 +300,12 @@
         outcome.refused.extend(unreachable);
     }
 
+    /// Returns whether the ledger has left the last request unanswered, or takes longer than usual.
+    fn is_ledger_silent(&self, now: ClockTime) -> bool {
+        let asked = self.last_asked.filter(|_| self.request_in_flight);
+        self.unanswered || asked.is_some_and(|asked| now.since(asked) >= SILENCE_LIMIT)
+    }
+
     /// Takes an operation from the allowance for those that begin without the ledger.
     fn take_offline(&mut self, now: ClockTime, allowance: u32) -> bool {
         if now.since(self.offline_window_start) >= OFFLINE_ALLOWANCE_WINDOW {
@@ -410,9 +428,9 @@
             let mut outcome = WaitersOutcome::default();
             share.refill(now);
             share.admit_waiting(now, &mut outcome);
+            let silent = share.is_ledger_silent(now);
             for ticket in share.queue.take_expired(now) {
-                // The ledger may be unreachable; its call hasn't run out of time yet.
-                match share.request_in_flight && share.take_offline(now, allowance) {
+                match silent && share.take_offline(now, allowance) {
                     true => outcome.admitted.push(ticket),
                     false => outcome.refused.push(ticket),
                 }
@@ -463,7 +481,7 @@
                 Some(time) if time <= now && may_ask(&account) => {
                     share.request_in_flight = true;
                     share.last_asked = Some(now);
-                    let request = share.describe(&account, young);
+                    let request = share.describe(now, &account, young);
                     share.wanted = request.wants;
                     share_requests.push(request);
                 }
@@ -507,7 +525,7 @@
             share.refill(now);
             share.decay_demand(now);
             let counts = share.share > RateShare::default() || young && share.begun > 0;
-            counts.then(|| share.describe(account, young))
+            counts.then(|| share.describe(now, account, young))
         });
         held.collect()
     }
@@ -533,8 +551,13 @@
         }
         share.refill(now);
         let missing = share.wanted.saturating_sub(grant.operations);
+        share.round_trip = now.since(sent);
         let rest = grant.rest_after_ms.filter(|_| missing > 0);
-        share.loans = rest.map(|rest| LoanForecast::new(now, missing, Duration::from_millis(rest)));
+        share.unanswered = false;
+        share.loans = rest.map(|rest| {
+            let rest = Duration::from_millis(rest);
+            LoanForecast::new(now, missing, rest, share.round_trip)
+        });
         share.ask_after = match missing {
             0 => now,
             _ => share
@@ -563,6 +586,7 @@
         }
         share.refill(now);
         share.loans = None;
+        share.unanswered = true;
         share.ask_after = now + UNANSWERED_PAUSE;
         share.settle_waiting(now, &mut outcome);
         schedule_queue(&mut self.queues, now, account, share);
--- a/crates/policy/src/limit_queue.rs
+++ b/crates/policy/src/limit_queue.rs
@@ -51,15 +51,23 @@
     answered: ClockTime,
     /// The time between two operations.
     interval: Duration,
+    /// The time that a request and its answer take.
+    round_trip: Duration,
 }
 
 impl LoanForecast {
     /// Creates the forecast from an answer according to which `missing` operations can be lent
     /// within `span`.
-    pub(crate) fn new(answered: ClockTime, missing: u32, span: Duration) -> Self {
+    pub(crate) fn new(
+        answered: ClockTime,
+        missing: u32,
+        span: Duration,
+        round_trip: Duration,
+    ) -> Self {
         Self {
             answered,
             interval: span / missing.max(1),
+            round_trip,
         }
     }
 
@@ -67,10 +75,11 @@
         now.since(self.answered) < FORECAST_TTL
     }
 
-    /// Returns how many operations the ledger will have lent by a time.
+    /// Returns how many lent operations will have arrived by a time.
     fn count_until(&self, time: ClockTime) -> f64 {
         let interval = self.interval.as_secs_f64().max(1e-6);
-        (time.since(self.answered).as_secs_f64() / interval).floor()
+        let span = time.since(self.answered + self.round_trip);
+        (span.as_secs_f64() / interval).floor()
     }
 
     /// Returns when the ledger is to be asked again.
@@ -153,6 +162,12 @@
         true
     }
 
+    /// Returns how many operations still wait after a time.
+    pub(crate) fn count_after(&self, time: ClockTime) -> usize {
+        let waiting = self.waiting.iter();
+        waiting.filter(|one| time < one.latest).count()
+    }
+
     /// Removes the first operation.
     pub(crate) fn pop(&mut self) -> Option<WaitTicket> {
         self.waiting.pop_front().map(|one| one.ticket)
