Scheduler: learn each endpoint's share of rejected statements and failed reads

An endpoint that rejects a third to a half of its statements attracted more than its part, because a rejection frees its slot at once, and requests used up their three dispatches there. The scheduler now learns the shares, gives such an endpoint less of the work that others can do, cuts it off while its peers have room, and sends a rejected request elsewhere or after a pause. Retries of rejected statements are paid by the endpoint's own answers instead of the group's budget.

--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -3,10 +3,13 @@
 use crate::ClockTime;
 use crate::EndpointRole;
 use crate::EndpointState;
+use crate::HealthLevel;
 use crate::RequestTicket;
 use crate::connections::RecentPeak;
 use crate::health::EndpointHealth;
 use crate::health::STALL_FACTOR;
+use crate::redispatch::retry_pause;
+use crate::rejection_rate::EndpointFaults;
 use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use smallvec::SmallVec;
@@ -106,6 +109,8 @@
     pub(crate) urgent_run: u32,
     /// The endpoint's speed compared with its peers.
     pub(crate) health: EndpointHealth,
+    /// The statements that the endpoint rejected or failed.
+    pub(crate) faults: EndpointFaults,
     /// No connection is opened before this time, after one failed to open.
     pub(crate) connect_after: ClockTime,
     /// Whether the endpoint was removed while requests were running on it.
@@ -133,6 +138,7 @@
             pin_peak: RecentPeak::default(),
             urgent_run: 0,
             health: EndpointHealth::default(),
+            faults: EndpointFaults::default(),
             connect_after: ClockTime::default(),
             removed: false,
         }
@@ -207,6 +213,43 @@
         !self.state.leaving && self.state.role != EndpointRole::Unusable
     }
 
+    /// Returns how much work it gets that other endpoints could do.
+    pub(crate) fn level(&self) -> HealthLevel {
+        self.health.level().max(self.faults.level())
+    }
+
+    /// Returns whether a trial may start.
+    ///
+    /// An endpoint that was cut off for two reasons gets trials only when both allow one.
+    pub(crate) fn is_trial_due(&self, now: ClockTime) -> bool {
+        let slow = self.health.level() == HealthLevel::Cut;
+        let faulty = self.faults.level() == HealthLevel::Cut;
+        (slow || faulty)
+            && (!slow || self.health.trial_due(now))
+            && (!faulty || self.faults.trial_due(now))
+    }
+
+    /// Records that a request was sent as a trial.
+    pub(crate) fn begin_trial(&mut self, now: ClockTime, ticket: RequestTicket) {
+        if self.health.level() == HealthLevel::Cut {
+            self.health.begin_trial(ticket);
+        }
+        if self.faults.level() == HealthLevel::Cut {
+            self.faults.begin_trial(now, ticket);
+        }
+    }
+
+    /// Returns the time by which expected retries delay the end of a request that is sent here.
+    ///
+    /// Only the primary's requests have to come back to it, after a pause.
+    pub(crate) fn retry_delay(&self, run: Duration) -> Duration {
+        let pause = match self.state.role {
+            EndpointRole::Primary => retry_pause(self.faults.rejected_share(), run, run * 100),
+            EndpointRole::Replica | EndpointRole::Unusable => Duration::ZERO,
+        };
+        self.faults.retry_delay(run, pause)
+    }
+
     /// Returns the upper bound of its data's age, if one is known.
     pub(crate) fn age(&self, now: ClockTime) -> Option<Duration> {
         self.age_bound.map(|bound| bound + now.since(self.reported))
--- a/crates/policy/src/forecast.rs
+++ b/crates/policy/src/forecast.rs
@@ -28,6 +28,8 @@
     pub(crate) health: bool,
     /// What endpoints do with statements beyond their slots.
     pub(crate) excess: ExcessRule,
+    /// The mean run time over all kinds.
+    pub(crate) mean_run: Duration,
 }
 
 /// The forecast of one endpoint's slots and connections.
@@ -55,6 +57,11 @@
     pub(crate) urgent_run: u32,
     /// The expected run time on this endpoint, in percent of that on its peers.
     pub(crate) slowdown_percent: u64,
+    /// The time by which expected retries delay the end of a request.
+    pub(crate) retry_delay: Duration,
+    /// Until when statements that were rejected occupy slots for work that other instances could
+    /// serve.
+    occupied: SmallVec<[ClockTime; 4]>,
 }
 
 impl InstanceForecast {
@@ -66,7 +73,11 @@
         pin_hold: Duration,
         switches: ForecastOptions,
     ) -> Self {
-        let ForecastOptions { health, excess } = switches;
+        let ForecastOptions {
+            health,
+            excess,
+            mean_run,
+        } = switches;
         let slots = usize::try_from(record.state.slots).unwrap_or(0);
         let pinned = u32::try_from(record.pins.len()).unwrap_or(u32::MAX);
         let mut forecast = Self {
@@ -82,10 +93,15 @@
             pinned_run: 0,
             urgent_run: record.urgent_run,
             slowdown_percent: 100,
+            retry_delay: Duration::ZERO,
+            occupied: SmallVec::new(),
         };
         if health {
-            forecast.usable = record.health.usable_slots(record.state.slots);
-            forecast.trial = record.health.trial_due(now);
+            let usable = record.faults.usable_slots(record.state.slots);
+            forecast.usable = record.health.usable_slots(record.state.slots).min(usable);
+            forecast.trial = record.is_trial_due(now);
+            forecast.retry_delay = record.retry_delay(mean_run);
+            forecast.occupied = record.faults.occupied_after(now);
             forecast.slowdown_percent = (record.health.slowdown() * 100.0) as u64;
         }
         if record.state.role == EndpointRole::Unusable {
@@ -124,6 +140,13 @@
         u32::try_from(held).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether a slot may be used at a moment for work that other instances could serve.
+    pub(crate) fn takes_shared(&self, at: ClockTime) -> bool {
+        let occupied = self.occupied.iter().filter(|until| **until > at).count();
+        let occupied = u32::try_from(occupied).unwrap_or(u32::MAX);
+        self.held(at).saturating_add(occupied) < self.usable
+    }
+
     /// Returns whether a connection is idle at a moment.
     pub(crate) fn is_connected(&self, at: ClockTime) -> bool {
         let used = self.uses.iter().filter(|end| **end > at).count();
@@ -220,5 +243,5 @@
 
 /// Returns whether an endpoint gets regular work: it accepts requests and isn't cut off.
 pub(crate) fn is_in_rotation(record: &EndpointRecord) -> bool {
-    record.accepts_unpinned() && record.health.level() != HealthLevel::Cut
+    record.accepts_unpinned() && record.level() != HealthLevel::Cut
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -55,7 +55,7 @@
 const MAX_TRIAL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The part of an endpoint's slots that is used for work that other endpoints could do.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum HealthLevel {
     /// All of its slots.
     #[default]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -117,6 +117,8 @@
 mod placement;
 mod plan;
 mod queue;
+mod redispatch;
+mod rejection_rate;
 mod relayed_announcements;
 mod replay;
 mod request;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,6 +2,7 @@
 
 use crate::ClockTime;
 use crate::EndpointRole;
+use crate::HealthLevel;
 use crate::RequestStep;
 use crate::admission::misses_deadline;
 use crate::admission::scaled_start;
@@ -73,6 +74,9 @@
         if !self.is_fit(record, request, at) || !self.length_fits(request, instance, at) {
             return None;
         }
+        if self.is_avoided(request, record) {
+            return None;
+        }
         if pass.urgent && pass.bounded && forecast.urgent_run >= MAX_URGENT_RUN {
             return None;
         }
@@ -87,10 +91,12 @@
         if primary && !pass.spill && self.input.switches.routing {
             return None;
         }
-        if forecast.held(at) < forecast.usable {
+        if forecast.takes_shared(at) {
             return Some(false);
         }
-        if pass.spill && !primary && self.has_time_for_slow_run(request, instance, at) {
+        // Rejections cost the primary no slot time, so its slots serve reads that find no other.
+        let slow = primary && record.health.level() != HealthLevel::Full;
+        if pass.spill && !slow && self.has_time_for_slow_run(request, instance, at) {
             return Some(false);
         }
         self.accepts_trial(request, instance, at).then_some(true)
@@ -121,7 +127,7 @@
         let record = &self.input.endpoints.records()[instance];
         let run = self.expected_on(request, instance);
         let slack = !misses_deadline(at, run, Duration::ZERO, request.profile.deadline);
-        slack || record.health.trial_due(at.before(FORCED_TRIAL_DELAY))
+        slack || record.is_trial_due(at.before(FORCED_TRIAL_DELAY))
     }
 
     /// Returns whether the instance may serve the request by role, position and data age.
@@ -194,6 +200,16 @@
         estimate.expected_scaled(slowdown) + record.round_trip + opening
     }
 
+    /// Returns the expected time from the start of a request to its end, with the retries that are
+    /// to be expected on an instance that rejects or fails a part of its statements.
+    fn expected_end_on(&self, request: &WaitingRequest, instance: usize) -> Duration {
+        let delay = match request.profile.step {
+            RequestStep::Single | RequestStep::Opens => self.forecasts[instance].retry_delay,
+            RequestStep::Within(_) => Duration::ZERO,
+        };
+        self.expected_on(request, instance) + delay
+    }
+
     /// Returns whether a request would miss its deadline on every instance that may serve it.
     pub(crate) fn cannot_meet_deadline(&self, request: &WaitingRequest, at: ClockTime) -> bool {
         if !self.input.switches.early_refusal {
@@ -231,7 +247,7 @@
     fn would_miss(&self, request: &WaitingRequest, start: ClockTime, moment: ClockTime) -> bool {
         let runs = (0..self.forecasts.len())
             .filter(|instance| self.could_serve(request, *instance))
-            .map(|instance| self.expected_on(request, instance));
+            .map(|instance| self.expected_end_on(request, instance));
         let Some(run) = runs.min() else {
             return false;
         };
@@ -277,7 +293,8 @@
     ) -> PlanAction {
         let expected = self.expected_on(request, instance);
         let margin = self.input.estimates.get(request.kind).deviation();
-        let late = misses_deadline(at, expected, margin, request.profile.deadline);
+        let end = self.expected_end_on(request, instance);
+        let late = misses_deadline(at, end, margin, request.profile.deadline);
         if self.input.switches.early_refusal && late && !trial {
             return PlanAction::CannotMeetDeadline;
         }
@@ -300,6 +317,8 @@
         if !self.input.switches.routing {
             return held < other_held;
         }
-        (start.expected, held) < (other.expected, other_held)
+        let end = start.expected + self.forecasts[start.instance].retry_delay;
+        let other_end = other.expected + self.forecasts[other.instance].retry_delay;
+        (end, held) < (other_end, other_held)
     }
 }
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -61,6 +61,8 @@
     pub(crate) connect_time: Duration,
     /// The mean time for which a transaction holds a connection.
     pub(crate) pin_hold: Duration,
+    /// The mean run time over all kinds.
+    pub(crate) mean_run: Duration,
     /// What endpoints do with statements beyond their slots.
     pub(crate) excess: ExcessRule,
     /// The modules in use.
@@ -172,6 +174,7 @@
                 ForecastOptions {
                     health: input.switches.health,
                     excess: input.excess,
+                    mean_run: input.mean_run,
                 },
             )
         });
@@ -323,7 +326,7 @@
         let mut forecasts = records.filter(|(record, _)| record.state.role == role);
         forecasts.any(|(_, forecast)| {
             let usable = role == EndpointRole::Primary
-                || forecast.held(at) < forecast.usable
+                || forecast.takes_shared(at)
                 || (forecast.trial && at == self.input.now);
             usable && forecast.free_slot(at).is_some() && forecast.is_connected(at)
         })
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -91,6 +91,10 @@
     pub(crate) planned_wait: Option<Duration>,
     /// The number of previous dispatches.
     pub(crate) attempts: u32,
+    /// The number of those that an endpoint rejected.
+    pub(crate) rejections: u32,
+    /// The instances that rejected or failed it and that it stays away from.
+    pub(crate) rejected_by: SmallVec<[InstanceName; 1]>,
 }
 
 impl WaitingRequest {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -190,8 +190,14 @@
 pub enum FinishOutcome {
     /// The instance answered with a result or with an error of its own.
     Answered,
-    /// The instance reported that the request did not run.
+    /// The instance reported that the request did not run, for a reason that concerns this request
+    /// or connection.
     NotRun,
+    /// The instance did not run the request because it takes no more at present. That says
+    /// something about the instance, so it counts in its share of rejected statements.
+    Rejected,
+    /// The instance ran the request, which failed, and running it again does no harm.
+    Failed,
     /// The instance hadn't applied the position that the request must see, and did not run it. The
     /// scheduler sent it there on an estimate: that counts as an attempt, but not against the retry
     /// budget, which is for failures.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -66,13 +66,18 @@
 }
 
 /// Returns whether a request may be dispatched again after it ended with `outcome`.
+///
+/// `attempts` is the number of its dispatches, without those that an endpoint rejected.
 pub(crate) fn may_repeat(outcome: FinishOutcome, repeat: RepeatRule, attempts: u32) -> bool {
     if attempts >= MAX_DISPATCHES {
         return false;
     }
     match outcome {
         FinishOutcome::Answered => false,
-        FinishOutcome::NotRun | FinishOutcome::Behind | FinishOutcome::NotSent => true,
-        FinishOutcome::Lost => repeat == RepeatRule::Idempotent,
+        FinishOutcome::NotRun
+        | FinishOutcome::Rejected
+        | FinishOutcome::Behind
+        | FinishOutcome::NotSent => true,
+        FinishOutcome::Failed | FinishOutcome::Lost => repeat == RepeatRule::Idempotent,
     }
 }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -24,6 +24,8 @@
 use crate::RequestProfile;
 use crate::endpoints::EndpointRecord;
 use crate::forecast::is_in_rotation;
+use crate::redispatch::is_rejected_by;
+use ragwort_types::InstanceName;
 use std::time::Duration;
 
 /// Maximum time for which a read waits for a replica to catch up rather than use a free slot of the
@@ -85,12 +87,14 @@
 pub(crate) fn has_replica_soon(
     records: &[EndpointRecord],
     profile: &RequestProfile,
+    rejected_by: &[InstanceName],
     now: ClockTime,
     health: bool,
 ) -> bool {
     let replicas = records
         .iter()
         .filter(|record| record.state.role == EndpointRole::Replica);
+    let replicas = replicas.filter(|record| !is_rejected_by(rejected_by, record));
     let mut in_rotation = replicas.filter(|record| is_in_rotation(record) || !health);
     in_rotation.any(|record| match judge_fitness(record, profile, now) {
         ServingFitness::Ready => true,
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -18,11 +18,14 @@
 use crate::endpoints::EndpointRecord;
 use crate::endpoints::RunningRequest;
 use crate::estimate::LONG_THRESHOLD;
+use crate::forecast::is_in_rotation;
 use crate::health::RunSample;
 use crate::plan::PlannedStart;
 use crate::plan::next_urgent_run;
 use crate::plan::write_key;
 use crate::queue::WaitingRequest;
+use crate::rejection_rate::PeerState;
+use crate::rejection_rate::StatementEnd;
 use crate::retry::may_repeat;
 use crate::scheduler::DispatchedRequest;
 use crate::time::to_micros;
@@ -58,6 +61,51 @@
         }
     }
 
+    /// Compares the endpoints' shares of rejected and failed statements and adjusts how much work
+    /// each gets.
+    pub(crate) fn judge_faults(&mut self, now: ClockTime) {
+        let records = self.endpoints.records();
+        if !self.settings.modules.health || records.iter().all(|record| record.faults.is_clean()) {
+            return;
+        }
+        for index in 0..self.endpoints.records().len() {
+            let peers = self.peer_state(index);
+            let record = &mut self.endpoints.records_mut()[index];
+            record.faults.judge(now, peers);
+        }
+    }
+
+    /// Returns the state of the endpoints that serve the same requests as another one.
+    ///
+    /// For a replica these are the other replicas, and the primary if there is no other replica:
+    /// reads use the primary only when they can't use a replica.
+    fn peer_state(&self, index: usize) -> Option<PeerState> {
+        let records = self.endpoints.records().iter().enumerate();
+        let others = records.filter(|(other, record)| *other != index && is_in_rotation(record));
+        let others = others.map(|(_, record)| record);
+        let replicas = others.clone().filter(|record| {
+            record.state.role == EndpointRole::Replica && record.age_bound.is_some()
+        });
+        let best = others.map(|record| record.faults.bad_share());
+        let best_share = best.min_by(f64::total_cmp)?;
+        let slots_of = |record: &EndpointRecord| f64::from(record.state.slots);
+        let mut peers = PeerState {
+            best_share,
+            slots: replicas.clone().map(slots_of).sum(),
+            used: replicas.map(|record| record.faults.used_slots()).sum(),
+        };
+        if peers.slots <= 0.0 {
+            let records = self.endpoints.records().iter().enumerate();
+            let primary = records
+                .filter(|(other, record)| *other != index && is_in_rotation(record))
+                .map(|(_, record)| record)
+                .find(|record| record.state.role == EndpointRole::Primary)?;
+            peers.slots = slots_of(primary);
+            peers.used = primary.faults.used_slots();
+        }
+        Some(peers)
+    }
+
     /// Requests connections ahead of need.
     pub(crate) fn open_connections(
         &mut self,
@@ -120,25 +168,53 @@
         self.fair_clock
             .correct(customer, dispatched.charged, actual);
         self.customers.get_mut(customer).slot_micros += to_micros(actual);
-        if outcome == FinishOutcome::Answered {
-            self.learn_run(now, dispatched, run);
-        } else {
-            record.health.drop_trial(now, ticket);
+        let read = dispatched.request.profile.allows_replica();
+        record.faults.end_trial(ticket);
+        let slots = record.state.slots;
+        match outcome {
+            FinishOutcome::Answered => {
+                let end = StatementEnd::Answered;
+                record.faults.observe(now, end, actual, read);
+                return self.learn_run(now, dispatched, run);
+            }
+            FinishOutcome::Rejected => {
+                let end = StatementEnd::Rejected;
+                record.faults.observe(now, end, actual, read);
+                let until = running.started + dispatched.expected_run;
+                record.faults.occupy(now, until, slots);
+                self.counts.rejected += 1;
+            }
+            FinishOutcome::Failed => {
+                let end = StatementEnd::Failed;
+                record.faults.observe(now, end, actual, read);
+                self.counts.failed += 1;
+            }
+            FinishOutcome::NotRun
+            | FinishOutcome::Behind
+            | FinishOutcome::NotSent
+            | FinishOutcome::Lost => {}
         }
+        record.health.drop_trial(now, ticket);
     }
 
     /// Returns whether a request that ended without an answer goes back into the queue.
     pub(crate) fn may_retry(
         &mut self,
         now: ClockTime,
-        request: &WaitingRequest,
+        dispatched: &DispatchedRequest,
         outcome: FinishOutcome,
+        trial: bool,
     ) -> bool {
+        let request = &dispatched.request;
+        if outcome == FinishOutcome::Rejected {
+            return self.may_redispatch(now, dispatched, trial);
+        }
         if matches!(request.profile.step, RequestStep::Within(_)) {
             return false;
         }
         let sent = outcome != FinishOutcome::NotSent;
-        if sent && !may_repeat(outcome, request.profile.repeat, request.attempts) {
+        let attempts = request.attempts - request.rejections;
+        if sent && !may_repeat(outcome, request.profile.repeat, attempts) {
             return false;
         }
         let estimate = self.estimates.get(request.kind);
@@ -199,7 +275,7 @@
             });
         }
         if start.trial {
-            record.health.begin_trial(ticket);
+            record.begin_trial(now, ticket);
         }
         let instance = record.state.instance.clone();
         let dispatched = DispatchedRequest {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::estimate::EstimateTable;
 use crate::queue::WaitingQueue;
 use crate::queue::WaitingRequest;
+use crate::redispatch::PausedRequest;
 use crate::retry::RetryBudget;
 use crate::shares::FairClock;
 use crate::steps::REVIEW_INTERVAL;
@@ -69,6 +70,8 @@
     /// may retry is derived.
     pub(crate) mean_run: Duration,
     pub(crate) pending: Vec<SchedulerDecision>,
+    /// Rejected requests that pause before their next dispatch.
+    pub(crate) paused: Vec<PausedRequest>,
 }
 
 /// A request that was sent to an instance.
@@ -108,6 +111,7 @@
             pin_hold: PIN_HOLD_PRIOR,
             mean_run: MEAN_RUN_PRIOR,
             pending: Vec::new(),
+            paused: Vec::new(),
         }
     }
 
@@ -190,6 +194,8 @@
         self.endpoints.forget_removed();
         self.mark_long_runs(now);
         self.judge_health(now);
+        self.judge_faults(now);
+        self.resume_paused(now);
         let mut decisions = std::mem::take(&mut self.pending);
         self.execute_plans(now, &mut decisions);
         if self.settings.excess == ExcessRule::Waits {
@@ -204,13 +210,12 @@
         if !self.pending.is_empty() {
             return Some(now);
         }
-        if self.queue.is_empty() {
-            return None;
-        }
-        if self.next_review > now {
-            return Some(self.next_review);
-        }
-        Some(now + REVIEW_INTERVAL)
+        let review = match self.queue.is_empty() {
+            true => None,
+            false if self.next_review > now => Some(self.next_review),
+            false => Some(now + REVIEW_INTERVAL),
+        };
+        review.into_iter().chain(self.next_resumption()).min()
     }
 
     /// Returns when to poll again to open connections that no request waits for, if no event comes
@@ -244,9 +249,11 @@
         ticket: RequestTicket,
         outcome: FinishOutcome,
     ) -> FinishDecision {
-        let Some(dispatched) = self.running.remove(&ticket) else {
+        let Some(mut dispatched) = self.running.remove(&ticket) else {
             return FinishDecision::Unknown;
         };
+        let record = self.endpoints.get(&dispatched.instance);
+        let trial = record.is_some_and(|record| record.faults.is_trial(ticket));
         self.release_slot(now, &dispatched, outcome);
         if outcome == FinishOutcome::Answered || dispatched.abandoned {
             return FinishDecision::Settled;
@@ -254,22 +261,30 @@
         if dispatched.request.profile.step == RequestStep::Opens {
             self.unpin(now, ticket);
         }
-        if self.may_retry(now, &dispatched.request, outcome) {
-            let mut request = dispatched.request;
-            if outcome == FinishOutcome::NotSent {
-                request.attempts -= 1;
-            } else {
-                self.counts.retried += 1;
+        dispatched.request.rejections += u32::from(outcome == FinishOutcome::Rejected);
+        if self.may_retry(now, &dispatched, outcome, trial) {
+            match outcome {
+                FinishOutcome::NotSent => dispatched.request.attempts -= 1,
+                _ => self.counts.retried += 1,
+            }
+            match outcome {
+                FinishOutcome::Rejected => self.redispatch(now, dispatched, true),
+                FinishOutcome::Failed => self.redispatch(now, dispatched, false),
+                _ => self.requeue(now, dispatched.request),
             }
-            self.requeue(now, request);
             return FinishDecision::Requeued;
         }
         match outcome {
-            FinishOutcome::NotRun | FinishOutcome::Behind | FinishOutcome::NotSent => {
+            FinishOutcome::NotRun
+            | FinishOutcome::Rejected
+            | FinishOutcome::Behind
+            | FinishOutcome::NotSent => {
                 let refusal = self.refuse(now, ticket, RefusalCause::EndpointRefused);
                 FinishDecision::Refused(refusal)
             }
-            FinishOutcome::Answered | FinishOutcome::Lost => FinishDecision::Settled,
+            FinishOutcome::Answered | FinishOutcome::Failed | FinishOutcome::Lost => {
+                FinishDecision::Settled
+            }
         }
     }
 
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -33,6 +33,10 @@
     pub oldest_wait_micros: u64,
     /// The number of retries that the budget allows.
     pub retries_left: u32,
+    /// The number of rejected requests that pause before their next dispatch.
+    pub paused: usize,
+    /// The number of endpoints that get less than their full work.
+    pub reduced_endpoints: usize,
     /// Counts since the start.
     pub counts: SchedulerCounts,
 }
@@ -53,6 +57,12 @@
     /// Requests that were queued again after a dispatch, unless their connection was found dead
     /// before they were sent.
     pub retried: u64,
+    /// Statements that an instance rejected, which did not run.
+    pub rejected: u64,
+    /// Statements that ran, failed and may run again.
+    pub failed: u64,
+    /// Requests that were rejected or failed and were sent to another instance.
+    pub retried_elsewhere: u64,
     /// Final refusals by cause.
     pub refused: BTreeMap<RefusalCause, u64>,
     /// The total waiting time of dispatched requests, in microseconds.
@@ -86,6 +96,10 @@
     pub health: HealthLevel,
     /// The factor by which its runs are longer than expected.
     pub slowdown: f64,
+    /// The share of statements that it has rejected recently.
+    pub rejected_share: f64,
+    /// The share of reads that it has failed recently.
+    pub failed_share: f64,
 }
 
 /// The state of one customer.
@@ -126,6 +140,8 @@
         let queue = &scheduler.queue;
         let oldest = queue.iter().map(|request| request.arrived).min();
         let endpoints = scheduler.endpoints.records().iter();
+        let reduced = endpoints.clone();
+        let reduced = reduced.filter(|record| record.level() != HealthLevel::Full);
         Self {
             endpoints: endpoints.map(EndpointSnapshot::collect).collect(),
             customers: collect_customers(scheduler),
@@ -135,6 +151,8 @@
             waiting_pinned: queue.pinned().len(),
             oldest_wait_micros: oldest.map_or(0, |oldest| to_micros(now.since(oldest))),
             retries_left: scheduler.retries.left(),
+            paused: scheduler.paused.len(),
+            reduced_endpoints: reduced.count(),
             counts: scheduler.counts.clone(),
         }
     }
@@ -153,8 +171,10 @@
             open: record.open,
             opening: record.opening,
             pinned: saturate(record.pins.len()),
-            health: record.health.level(),
+            health: record.level(),
             slowdown: record.health.slowdown(),
+            rejected_share: record.faults.rejected_share(),
+            failed_share: record.faults.failed_share(),
         }
     }
 }
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -22,6 +22,7 @@
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::UrgencyClass;
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// A queue of at most this many requests is reviewed and planned completely at each poll.
@@ -76,12 +77,15 @@
 
     /// Puts a request that ended without having run back into the queue.
     pub(crate) fn requeue(&mut self, now: ClockTime, request: WaitingRequest) {
-        let attempts = request.attempts;
+        let (attempts, rejections) = (request.attempts, request.rejections);
+        let rejected_by = request.rejected_by;
         let customer = request.customer;
         let Ok(mut request) = self.prepare(now, request.profile, customer) else {
             return;
         };
         request.attempts = attempts;
+        request.rejections = rejections;
+        request.rejected_by = rejected_by;
         if request.profile.step == RequestStep::Opens {
             self.customers.get_mut(customer).pins += 1;
         }
@@ -90,7 +94,8 @@
 
     /// Removes a waiting request; returns whether there was one.
     pub(crate) fn drop_waiting(&mut self, ticket: RequestTicket) -> bool {
-        let Some(request) = self.queue.remove(ticket) else {
+        let waiting = self.queue.remove(ticket);
+        let Some(request) = waiting.or_else(|| self.take_paused(ticket)) else {
             return false;
         };
         if request.profile.step == RequestStep::Opens {
@@ -141,7 +146,7 @@
         let mut moved = Vec::new();
         for request in self.queue.iter() {
             let ticket = request.profile.ticket;
-            let replica = self.prefers_replica(now, &request.profile);
+            let replica = self.prefers_replica(now, &request.profile, &request.rejected_by);
             if let Some(cause) = self.unservable_cause(now, request, replica) {
                 unservable.push((ticket, cause));
                 continue;
@@ -197,6 +202,7 @@
             fair_clock: &self.fair_clock,
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
+            mean_run: self.mean_run,
             excess: self.settings.excess,
             switches: self.settings.modules,
         });
@@ -286,7 +292,7 @@
             target_missed: false,
             urgent: profile.urgency == UrgencyClass::Urgent,
             long: estimate.is_long(),
-            replica: self.prefers_replica(now, &profile),
+            replica: self.prefers_replica(now, &profile, &[]),
         };
         let due = profile.target.unwrap_or(profile.deadline);
         let mut order = due.min(profile.deadline).before(estimate.expected());
@@ -313,16 +319,26 @@
             delay,
             planned_wait: None,
             attempts: 0,
+            rejections: 0,
+            rejected_by: SmallVec::new(),
         })
     }
 
     /// Returns whether a request should wait for the replicas rather than use the primary.
-    fn prefers_replica(&self, now: ClockTime, profile: &RequestProfile) -> bool {
+    ///
+    /// Endpoints that have rejected the request don't count.
+    pub(crate) fn prefers_replica(
+        &self,
+        now: ClockTime,
+        profile: &RequestProfile,
+        rejected_by: &[InstanceName],
+    ) -> bool {
         if !profile.allows_replica() || !self.settings.modules.routing {
             return profile.allows_replica();
         }
         let health = self.settings.modules.health;
-        has_replica_soon(self.endpoints.records(), profile, now, health)
+        let records = self.endpoints.records();
+        has_replica_soon(records, profile, rejected_by, now, health)
     }
 
     fn find_pin(&self, opener: RequestTicket) -> Result<InstanceName, RefusalCause> {
@@ -358,7 +374,7 @@
         Ok(())
     }
 
-    fn insert(&mut self, request: WaitingRequest) {
+    pub(crate) fn insert(&mut self, request: WaitingRequest) {
         if self.queue.is_idle(request.customer) {
             self.fair_clock.resume(request.customer);
         }
--- a/crates/policy/tests/support/outcome.rs
+++ b/crates/policy/tests/support/outcome.rs
@@ -70,6 +70,14 @@
     pub max_connections: u32,
     /// Requests sent to a cut-off endpoint as trials of its recovery.
     pub trials: u64,
+    /// Statements that an instance rejected, failed, or lost when it went down.
+    pub rejected: u64,
+    pub failed: u64,
+    pub lost: u64,
+    /// The greatest number of statements that an instance lost at once when it went down.
+    pub most_lost: u64,
+    /// Statements sent to each instance.
+    pub sent: [u64; 3],
     /// Requests sent to each instance in the last second.
     pub dispatched_at_end: [u64; 3],
     /// Late answers that came from a slow instance.
--- a/crates/policy/tests/support/patterns.rs
+++ b/crates/policy/tests/support/patterns.rs
@@ -1,5 +1,6 @@
 //! The load patterns and the group sizes of the two users.
 
+use super::faults::FaultReports;
 use ragwort_policy::ClockTime;
 use ragwort_policy::CustomerTerms;
 use ragwort_types::AccessMode;
@@ -80,6 +81,16 @@
     pub factor: u32,
 }
 
+/// An instance that rejects or fails a part of what it gets, for the whole run.
+#[derive(Clone, Copy, Debug)]
+pub struct FaultyInstance {
+    pub instance: usize,
+    /// The share of statements that it rejects.
+    pub rejects: f64,
+    /// The share of reads that it runs and fails.
+    pub fails: f64,
+}
+
 /// The load and the disturbances of a run.
 #[derive(Clone, Debug)]
 pub struct LoadPattern {
@@ -92,6 +103,10 @@
     pub warm: bool,
     /// The replication lag of the replicas.
     pub lag: Duration,
+    pub faulty: Option<FaultyInstance>,
+    /// The instance that goes down each second for half a second.
+    pub flapping: Option<usize>,
+    pub reports: FaultReports,
 }
 
 /// The patterns.
@@ -124,6 +139,12 @@
     /// Replicas too far behind for any read, so that all reads of a plain mix come to the primary:
     /// two thirds more than it can serve, each with a target of a fifth of a second.
     ReplicasBehind,
+    /// An instance that rejects this percentage of its statements, at this percentage of capacity.
+    Rejecting(usize, u32, u32),
+    /// A replica that fails this percentage of its reads, at this percentage of capacity.
+    Failing(u32, u32),
+    /// A replica that goes down each second for half a second, at this percentage of capacity.
+    Flapping(u32),
     /// Twice capacity, reports, a hot caller and a slow replica at once.
     Everything,
 }
@@ -132,7 +153,10 @@
     /// Creates the pattern for a user.
     pub fn create(self, user: UserSize) -> LoadPattern {
         let mut pattern = match self {
-            Self::Mix(percent) => plain_mix(user, f64::from(percent) / 100.0),
+            Self::Mix(percent)
+            | Self::Rejecting(_, _, percent)
+            | Self::Failing(_, percent)
+            | Self::Flapping(percent) => plain_mix(user, f64::from(percent) / 100.0),
             Self::Burst => plain_mix(user, 0.5),
             Self::HotCaller | Self::SlowReplica(_) => plain_mix(user, 0.7),
             Self::AllSlow => plain_mix(user, 0.1),
@@ -151,6 +175,21 @@
         let capacity = pattern.user.capacity();
         match self {
             Self::Mix(_) | Self::ReplicasBehind => {}
+            Self::Rejecting(instance, percent, _) => {
+                pattern.faulty = Some(FaultyInstance {
+                    instance,
+                    rejects: f64::from(percent) / 100.0,
+                    fails: 0.0,
+                });
+            }
+            Self::Failing(percent, _) => {
+                pattern.faulty = Some(FaultyInstance {
+                    instance: 1,
+                    rejects: 0.0,
+                    fails: f64::from(percent) / 100.0,
+                });
+            }
+            Self::Flapping(_) => pattern.flapping = Some(1),
             Self::Burst => {
                 pattern.warm = false;
                 let burst = LoadSource {
@@ -237,6 +276,9 @@
         length: RUN_LENGTH,
         warm: true,
         lag: Duration::from_millis(30),
+        faulty: None,
+        flapping: None,
+        reports: FaultReports::Told,
     }
 }
 
--- a/crates/policy/tests/support/runner.rs
+++ b/crates/policy/tests/support/runner.rs
@@ -16,6 +16,8 @@
 use super::draw::create_scheduler;
 use super::draw::draw_requests;
 use super::draw::find_instance;
+use super::faults::FaultModel;
+use super::faults::REFUSED_OPEN_TIME;
 use super::outcome::LoadOutcome;
 use super::outcome::SourceName;
 use super::patterns::LoadPattern;
@@ -62,22 +64,23 @@
     runner.outcome
 }
 
-struct LoadRunner<'a> {
-    pattern: &'a LoadPattern,
-    requests: Vec<DrawnRequest>,
+pub(super) struct LoadRunner<'a> {
+    pub(super) pattern: &'a LoadPattern,
+    pub(super) requests: Vec<DrawnRequest>,
     profiles: BTreeMap<RequestTicket, RequestProfile>,
-    endpoints: Vec<EndpointModel>,
+    pub(super) endpoints: Vec<EndpointModel>,
     choice: PolicyChoice,
-    policy: PolicyModel,
+    pub(super) policy: PolicyModel,
     events: BinaryHeap<Reverse<(ClockTime, u64, RunnerEvent)>>,
     sequence: u64,
-    now: ClockTime,
+    pub(super) now: ClockTime,
     /// The completion time of each write, in order: the primary's log.
     log: Vec<ClockTime>,
     sessions: HashMap<(usize, u64), u64>,
     reported: (ClockTime, u64),
     next_wake: Option<ClockTime>,
-    outcome: LoadOutcome,
+    pub(super) outcome: LoadOutcome,
+    pub(super) faults: FaultModel,
 }
 
 impl<'a> LoadRunner<'a> {
@@ -118,7 +121,12 @@
             reported: (ClockTime::default(), 0),
             next_wake: None,
             outcome: LoadOutcome::default(),
+            faults: FaultModel::new(seed),
         };
+        if let Some(instance) = pattern.flapping {
+            let first = ClockTime::from_millis(1_000);
+            runner.schedule(first, RunnerEvent::Down(instance));
+        }
         runner.schedule(ClockTime::default(), RunnerEvent::Report);
         for index in 0..runner.requests.len() {
             runner.schedule(runner.requests[index].at, RunnerEvent::Arrive(index));
@@ -126,7 +134,7 @@
         runner
     }
 
-    fn schedule(&mut self, at: ClockTime, event: RunnerEvent) {
+    pub(super) fn schedule(&mut self, at: ClockTime, event: RunnerEvent) {
         self.sequence += 1;
         self.events.push(Reverse((at, self.sequence, event)));
     }
@@ -152,12 +160,23 @@
     fn handle(&mut self, event: RunnerEvent) {
         match event {
             RunnerEvent::Arrive(index) => self.arrive(index),
+            RunnerEvent::Reach(ticket, instance) if self.refuses(ticket, instance) => {
+                let back = self.now + self.delay_to(instance);
+                self.schedule(back, RunnerEvent::Reject(ticket, instance));
+            }
+            RunnerEvent::Reject(ticket, instance) => self.reject(ticket, instance),
+            RunnerEvent::Down(instance) => self.go_down(instance),
+            RunnerEvent::Up(instance) => self.come_up(instance),
+            RunnerEvent::ConnectFailed(instance) => self.fail_connection(instance),
             RunnerEvent::Reach(ticket, instance) => {
                 self.endpoints[instance].waiting.push_back(ticket);
                 self.start_runs(instance);
             }
             RunnerEvent::End(ticket, instance) => self.end_run(ticket, instance),
             RunnerEvent::Answer(ticket, instance) => self.answer(ticket, instance),
+            RunnerEvent::Connected(instance) if self.faults.is_down(instance) => {
+                self.fail_connection(instance);
+            }
             RunnerEvent::Connected(instance) => {
                 self.endpoints[instance].open += 1;
                 let open = self.endpoints[instance].open;
@@ -171,7 +190,7 @@
         }
     }
 
-    fn source(&self, ticket: RequestTicket) -> &LoadSource {
+    pub(super) fn source(&self, ticket: RequestTicket) -> &LoadSource {
         &self.pattern.sources[self.requests[ticket.0 as usize].source]
     }
 
@@ -271,7 +290,11 @@
             SchedulerDecision::Refuse(order) => self.settle_refused(order.ticket),
             SchedulerDecision::OpenConnection(name) => {
                 let instance = find_instance(&name);
-                self.schedule(self.now + CONNECT_TIME, RunnerEvent::Connected(instance));
+                let (after, event) = match self.faults.is_down(instance) {
+                    true => (REFUSED_OPEN_TIME, RunnerEvent::ConnectFailed(instance)),
+                    false => (CONNECT_TIME, RunnerEvent::Connected(instance)),
+                };
+                self.schedule(self.now + after, event);
             }
         }
     }
@@ -310,7 +333,7 @@
         }
     }
 
-    fn delay_to(&self, instance: usize) -> Duration {
+    pub(super) fn delay_to(&self, instance: usize) -> Duration {
         if instance == 0 {
             return Duration::ZERO;
         }
@@ -319,6 +342,7 @@
 
     fn send(&mut self, ticket: RequestTicket, instance: usize, connect: Duration) {
         let reach = self.now + connect + self.delay_to(instance);
+        self.outcome.sent[instance] += 1;
         self.schedule(reach, RunnerEvent::Reach(ticket, instance));
         if self.now + Duration::from_secs(1) > ClockTime::default() + self.pattern.length {
             self.outcome.dispatched_at_end[instance] += 1;
@@ -378,6 +402,9 @@
     }
 
     fn end_run(&mut self, ticket: RequestTicket, instance: usize) {
+        if !self.endpoints[instance].running.contains(&ticket) {
+            return;
+        }
         let endpoint = &mut self.endpoints[instance];
         endpoint.held -= 1;
         endpoint.running.retain(|running| *running != ticket);
@@ -390,6 +417,9 @@
     }
 
     fn answer(&mut self, ticket: RequestTicket, instance: usize) {
+        if self.fails(ticket, instance) {
+            return self.fail(ticket);
+        }
         match &mut self.policy {
             PolicyModel::Plain(plain) => plain.finished(instance),
             PolicyModel::Scheduler(scheduler) => {
@@ -456,7 +486,7 @@
         }
     }
 
-    fn settle_refused(&mut self, ticket: RequestTicket) {
+    pub(super) fn settle_refused(&mut self, ticket: RequestTicket) {
         let Some(profile) = self.profiles.remove(&ticket) else {
             panic!("a request is settled twice");
         };
