Daemon: report rejected and failed statements as such

Busy and connection-limit refusals are reported to the scheduler as rejections, and failed reads as failures. A rejected statement of a transaction that is still open is sent again on its connection. Tests of the outcomes for callers are in tests/uneven; the table is printed by load_table.

--- a/crates/daemon/src/group/outcomes.rs
+++ b/crates/daemon/src/group/outcomes.rs
@@ -119,7 +119,8 @@
                 self.handle_answer(ticket, id, &instance, answer, position);
             }
             RunOutcome::Refused(_) => {
-                self.return_request(ticket, FinishOutcome::NotRun, RefusalCause::EndpointRefused);
+                let outcome = self.rejection_outcome(ticket);
+                self.return_request(ticket, outcome, RefusalCause::EndpointRefused);
             }
             RunOutcome::NotSent => {
                 self.return_request(
@@ -163,6 +164,17 @@
         self.requests.get(&ticket).map(|active| active.request.step)
     }
 
+    /// Returns the scheduler's outcome for a statement that an endpoint refused to run.
+    ///
+    /// An error ends a transaction at a database, so a statement of one can't be sent again.
+    fn rejection_outcome(&self, ticket: RequestTicket) -> FinishOutcome {
+        let step = self.requests.get(&ticket).map(|active| active.request.step);
+        match step.and_then(pinned_transaction) {
+            Some(_) => FinishOutcome::NotRun,
+            None => FinishOutcome::Rejected,
+        }
+    }
+
     /// Settles a request whose answer was lost after it was sent, unless the scheduler may run it
     /// again.
     pub(super) fn handle_lost_answer(&mut self, ticket: RequestTicket, cause: DoubtCause) {
--- a/crates/daemon/src/native/faults.rs
+++ b/crates/daemon/src/native/faults.rs
@@ -3,7 +3,9 @@
 //!
 //! A statement that wasn't run and doesn't belong to an open transaction is requeued within the
 //! scheduler's retry budget, and may run on another instance. So is a single read that failed. For
-//! any other statement the fault is the answer.
+//! any other statement the fault is the answer. A statement that the endpoint rejected because it takes
+//! no more at present is sent again elsewhere or after a pause, also within a transaction that is
+//! still open.
 
 use super::NativeTask;
 use super::dispatch::held_transaction;
@@ -42,7 +44,8 @@
         {
             connection.unusable = true;
         }
-        self.requeue_or_refuse(ticket, outcome_of(fault.sort), refusal_of(fault.sort));
+        let outcome = self.outcome_of(ticket, fault.sort, end);
+        self.requeue_or_refuse(ticket, outcome, refusal_of(fault.sort));
     }
 
     fn learn_from_fault(
@@ -112,6 +115,10 @@
             return self.requeue_after_fault(ticket, link, state, fault);
         }
         let now = self.now();
+        let outcome = self.outcome_of(ticket, fault.sort, end);
+        if !unpinned && outcome == FinishOutcome::Rejected {
+            return self.repeat_in_transaction(ticket, link, state, fault);
+        }
         self.scheduler
             .finished(now, ticket, FinishOutcome::Answered);
         self.update_transaction(ticket, step, link, state);
@@ -119,6 +126,54 @@
         self.settle(ticket, RequestVerdict::Ran(answer));
     }
 
+    /// Sends a statement of an open transaction again that the endpoint rejected, and settles it
+    /// with the fault if there is no time or retry left.
+    fn repeat_in_transaction(
+        &mut self,
+        ticket: RequestTicket,
+        link: LinkId,
+        state: SessionState,
+        fault: EndpointFault,
+    ) {
+        let now = self.now();
+        let decision = self
+            .scheduler
+            .finished(now, ticket, FinishOutcome::Rejected);
+        if decision == FinishDecision::Requeued {
+            return;
+        }
+        let Some(active) = self.requests.get(&ticket) else {
+            return;
+        };
+        let step = active.request.step;
+        self.update_transaction(ticket, step, link, state);
+        let answer = StatementAnswer::Faulted(fault);
+        self.settle(ticket, RequestVerdict::Ran(answer));
+    }
+
+    /// Returns the scheduler's outcome for a statement that an instance didn't run because of this
+    /// fault.
+    ///
+    /// Within a transaction that is no longer open a rejected statement must not be sent again: it
+    /// would run outside of the transaction.
+    fn outcome_of(
+        &self,
+        ticket: RequestTicket,
+        sort: EndpointFaultKind,
+        end: Option<EndpointEnd>,
+    ) -> FinishOutcome {
+        let active = self.requests.get(&ticket);
+        let pinned = active.is_some_and(|active| held_transaction(active.request.step).is_some());
+        let open = end.is_some_and(|end| end.state == SessionState::Open);
+        match sort {
+            EndpointFaultKind::Lagging => FinishOutcome::Behind,
+            EndpointFaultKind::Busy | EndpointFaultKind::ConnectionLimit if open || !pinned => {
+                FinishOutcome::Rejected
+            }
+            _ => FinishOutcome::NotRun,
+        }
+    }
+
     /// Returns whether a statement that ran and failed may run again, as single reads may.
     fn may_run_again(&self, ticket: RequestTicket) -> bool {
         let active = self.requests.get(&ticket);
@@ -144,9 +199,11 @@
                 .set_in_transaction(state != SessionState::Idle);
         }
         let ran = !fault.sort.has_not_run();
-        let outcome = match ran {
-            true => FinishOutcome::Lost,
-            false => outcome_of(fault.sort),
+        let outcome = match fault.sort {
+            // The caller's text is at fault, which says nothing about the endpoint.
+            EndpointFaultKind::Malformed => FinishOutcome::Lost,
+            _ if ran => FinishOutcome::Failed,
+            sort => self.outcome_of(ticket, sort, None),
         };
         match self.scheduler.finished(now, ticket, outcome) {
             FinishDecision::Requeued => {}
@@ -165,15 +222,6 @@
     }
 }
 
-/// Returns the scheduler's outcome for a statement that an instance didn't run because of this
-/// fault.
-fn outcome_of(sort: EndpointFaultKind) -> FinishOutcome {
-    match sort {
-        EndpointFaultKind::Lagging => FinishOutcome::Behind,
-        _ => FinishOutcome::NotRun,
-    }
-}
-
 /// Returns the refusal cause for a statement that did not run because of this fault.
 fn refusal_of(sort: EndpointFaultKind) -> RefusalCause {
     match sort {
--- a/crates/policy/examples/load_table.rs
+++ b/crates/policy/examples/load_table.rs
@@ -2,7 +2,8 @@
 //!
 //! Usage: `load_table [SEED [PATTERN]]`; the default seed is that of the published table, and
 //! without a part of a pattern's name all patterns are run. The pattern `modules` prints the table
-//! of modules.
+//! of modules, and the pattern `uneven` that of endpoints that reject or fail a part of their
+//! statements or go down and up.
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -10,6 +11,7 @@
 use ragwort_policy::ModuleSwitches;
 use std::env;
 use std::time::Duration;
+use support::FaultReports;
 use support::LoadOutcome;
 use support::PatternName;
 use support::PolicyChoice;
@@ -47,6 +49,10 @@
     let seed = seed.unwrap_or(PAGE_SEED);
     let chosen = env::args().nth(2).unwrap_or_default();
     println!("seed {seed}");
+    if chosen == "uneven" {
+        print_uneven(seed);
+        return;
+    }
     if chosen == "modules" {
         print_modules(seed);
         return;
@@ -69,6 +75,36 @@
     }
 }
 
+/// Prints the outcomes with an uneven endpoint, without and with learning from what it rejects, fails
+/// and loses.
+fn print_uneven(seed: u64) {
+    let mut names = Vec::new();
+    for load in [20, 50, 100] {
+        for percent in [33, 45] {
+            names.push(PatternName::Rejecting(1, percent, load));
+            names.push(PatternName::Rejecting(0, percent, load));
+        }
+        names.push(PatternName::Failing(30, load));
+        names.push(PatternName::Flapping(load));
+    }
+    for user in [UserSize::Omuti, UserSize::Sabarmati] {
+        for name in &names {
+            for reports in [FaultReports::Merged, FaultReports::Told] {
+                let mut pattern = name.create(user);
+                pattern.reports = reports;
+                let policy = PolicyChoice::Scheduler(ModuleSwitches::default());
+                let outcome = run_pattern(&pattern, policy, seed);
+                println!("\n{user:?} {name:?} {reports:?}");
+                print_outcome("scheduler", &outcome);
+                println!(
+                    "  rejected {}, failed {}, lost {} (at once {}), sent {:?}",
+                    outcome.rejected, outcome.failed, outcome.lost, outcome.most_lost, outcome.sent,
+                );
+            }
+        }
+    }
+}
+
 /// Prints the fraction of reads that are answered within their target, without the module and with
 /// it.
 fn print_targets(user: UserSize, seed: u64) {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -194,7 +194,9 @@
     /// or connection.
     NotRun,
     /// The instance did not run the request because it takes no more at present. That says
-    /// something about the instance, so it counts in its share of rejected statements.
+    /// something about the instance, so it counts in its share of rejected statements. A statement
+    /// of an open transaction may end like this only if the transaction is still open, since it
+    /// is sent again on the same connection.
     Rejected,
     /// The instance ran the request, which failed, and running it again does no harm.
     Failed,
--- a/crates/policy/tests/patterns.rs
+++ b/crates/policy/tests/patterns.rs
@@ -2,6 +2,7 @@
 //! load.
 
 mod support;
+mod uneven;
 
 use ragwort_policy::ModuleSwitches;
 use std::time::Duration;
