Growing load for endpoints that are back; logs and metrics of reduced endpoints

An endpoint that was unreachable, removed or whose connections broke together gets one slot for work that others can do, then more in proportion to the time. Further outages double that time. Shares are compared only with peers that got enough statements, and a read that fails elsewhere too counts against no endpoint.

--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -10,6 +10,7 @@
 use super::request::RequestStage;
 use crate::connection::ConnectionCommand;
 use crate::connection::RunCommand;
+use crate::endpoint_levels::log_level_changes;
 use ragwort_policy::AbandonEffect;
 use ragwort_policy::DispatchOrder;
 use ragwort_policy::FinishDecision;
@@ -33,7 +34,9 @@
         let now = self.context.clock.now();
         let allowance = self.context.descriptors.allowance();
         self.scheduler.set_allowance(allowance);
-        for decision in self.scheduler.poll(now) {
+        let decisions = self.scheduler.poll(now);
+        log_level_changes(&self.group, &mut self.scheduler);
+        for decision in decisions {
             match decision {
                 SchedulerDecision::Dispatch(order) if self.is_shape(order.ticket) => {
                     self.start_shape(&order);
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -31,6 +31,7 @@
 use crate::connection::ConnectionEvent;
 use crate::descriptors::DescriptorBudget;
 use crate::directory::ControlDirectory;
+use crate::endpoint_levels::CountedFaults;
 use crate::handover_plans::HandoverPlanner;
 use crate::log_event;
 use crate::member::MemberView;
@@ -210,6 +211,7 @@
     seen_revision: CatalogRevision,
     /// When the journal was last pruned.
     pruned_at: ClockTime,
+    counted_faults: CountedFaults,
     /// The number of probes sent to the primary on an open connection.
     probes: u64,
     notices: mpsc::Sender<GroupNotice>,
@@ -273,6 +275,7 @@
         tick_requested: false,
         seen_revision: CatalogRevision::default(),
         pruned_at: ClockTime::default(),
+        counted_faults: CountedFaults::default(),
         probes: 0,
         notices,
         children: JoinSet::new(),
--- a/crates/daemon/src/group/outcomes.rs
+++ b/crates/daemon/src/group/outcomes.rs
@@ -88,6 +88,7 @@
             // If the connection had been marked unusable, the cause was reported before, and its
             // end says nothing new about the other connections.
             if !connection.unusable {
+                self.scheduler.connection_broke(now, &connection.instance);
                 self.validate_idle_connections(&connection.instance);
             }
         } else {
--- a/crates/daemon/src/group/ticking.rs
+++ b/crates/daemon/src/group/ticking.rs
@@ -139,12 +139,13 @@
         }
     }
 
-    fn update_metrics(&self) {
+    fn update_metrics(&mut self) {
         let metrics = &self.context.metrics;
         let now = self.context.clock.now();
         let state = self.scheduler.snapshot(now);
         let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
         metrics.set_queue_length(&self.group, waiting);
+        self.counted_faults.update(&self.group, &state, metrics);
         metrics.set_endpoint_connections(&self.group, self.pool.connection_count());
         metrics.set_group_term(&self.group, self.record.term);
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod disk;
 pub mod dump;
 pub mod edges;
+mod endpoint_levels;
 pub mod formation;
 pub mod gateway;
 pub mod group;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,10 @@
     caller_faults: Family<FaultLabels, Counter>,
     refused_announcements: Counter,
     endpoint_connections: Family<GroupLabels, Gauge>,
+    reduced_endpoints: Family<GroupLabels, Gauge>,
+    rejected_statements: Counter,
+    failed_reads: Counter,
+    retries_elsewhere: Counter,
     lease_held: Gauge,
     groups_led: Gauge,
     group_term: Family<GroupLabels, Gauge>,
@@ -115,6 +119,10 @@
             caller_faults: Family::default(),
             refused_announcements: Counter::default(),
             endpoint_connections: Family::default(),
+            reduced_endpoints: Family::default(),
+            rejected_statements: Counter::default(),
+            failed_reads: Counter::default(),
+            retries_elsewhere: Counter::default(),
             lease_held: Gauge::default(),
             groups_led: Gauge::default(),
             group_term: Family::default(),
@@ -137,6 +145,26 @@
             "Requests that wait at this leaseholder",
             self.queue_length.clone(),
         );
+        registry.register(
+            "reduced_endpoints",
+            "Endpoints of the group that get less than their full work",
+            self.reduced_endpoints.clone(),
+        );
+        registry.register(
+            "rejected_statements",
+            "Statements that an endpoint rejected without running them",
+            self.rejected_statements.clone(),
+        );
+        registry.register(
+            "failed_reads",
+            "Reads that an endpoint ran and failed, and that may run again",
+            self.failed_reads.clone(),
+        );
+        registry.register(
+            "retries_elsewhere",
+            "Rejected or failed statements that were sent to another endpoint",
+            self.retries_elsewhere.clone(),
+        );
         registry.register(
             "queue_wait_seconds",
             "Time from arrival to dispatch at this leaseholder",
@@ -264,6 +292,19 @@
         set_group_gauge(&self.endpoint_connections, group, count as i64);
     }
 
+    /// Sets how many endpoints of a group get less than their full work.
+    pub fn set_reduced_endpoints(&self, group: &GroupName, count: usize) {
+        set_group_gauge(&self.reduced_endpoints, group, count as i64);
+    }
+
+    /// Adds numbers of statements that endpoints rejected or failed, and of those that were sent to
+    /// another endpoint because of it.
+    pub fn count_endpoint_faults(&self, rejected: u64, failed: u64, elsewhere: u64) {
+        self.rejected_statements.inc_by(rejected);
+        self.failed_reads.inc_by(failed);
+        self.retries_elsewhere.inc_by(elsewhere);
+    }
+
     /// Sets whether this VM holds a lease.
     pub fn set_lease_held(&self, held: bool) {
         self.lease_held.set(i64::from(held));
@@ -286,6 +327,7 @@
         };
         self.queue_length.remove(&labels);
         self.endpoint_connections.remove(&labels);
+        self.reduced_endpoints.remove(&labels);
         self.group_term.remove(&labels);
     }
 
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -15,6 +15,7 @@
 use super::request::NativeRequest;
 use super::request::StatementPrelude;
 use crate::edges::EndpointCommand;
+use crate::endpoint_levels::log_level_changes;
 use ragwort_control::ClockTime;
 use ragwort_policy::AbandonEffect;
 use ragwort_policy::DispatchOrder;
@@ -51,7 +52,9 @@
         self.report_idle_accounts();
         let allowance = self.context.descriptors.allowance();
         self.scheduler.set_allowance(allowance);
-        for decision in self.scheduler.poll(now) {
+        let decisions = self.scheduler.poll(now);
+        log_level_changes(&self.group, &mut self.scheduler);
+        for decision in decisions {
             match decision {
                 SchedulerDecision::Dispatch(order) => self.dispatch(&order),
                 SchedulerDecision::Refuse(order) => {
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -36,6 +36,7 @@
 use crate::edges::NativeEdges;
 use crate::edges::PromotionOrder;
 use crate::edges::PromotionReply;
+use crate::endpoint_levels::CountedFaults;
 use crate::group::GroupContext;
 use crate::group::GroupEvent;
 use crate::group::ending::refuse_queue;
@@ -156,6 +157,7 @@
     transactions: HashMap<TransactionId, NativeTransaction>,
     last_ticket: u64,
     checks: CheckSchedule,
+    counted_faults: CountedFaults,
     /// How often the endpoints were passed to the scheduler.
     endpoint_updates: u64,
     /// When the replicas' positions were last passed to the scheduler.
@@ -222,6 +224,7 @@
         transactions: HashMap::new(),
         last_ticket: 0,
         checks: CheckSchedule::default(),
+        counted_faults: CountedFaults::default(),
         endpoint_updates: 0,
         positions_reported_at: ClockTime::default(),
         seen_copy: Arc::default(),
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -124,6 +124,7 @@
             (LinkPurpose::Statement(_), _) => {}
         }
         if !answered && was_open {
+            self.scheduler.connection_broke(now, &instance);
             self.validate_idle_connections(&instance);
         }
     }
@@ -188,6 +189,7 @@
         }
         match (connection.open, cause) {
             (true, CloseCause::Broken | CloseCause::Silent) if !connection.unusable => {
+                self.scheduler.connection_broke(now, &instance);
                 self.validate_idle_connections(&instance);
             }
             (false, cause) => self.handle_failed_open(&instance, connection.address, cause),
@@ -243,6 +245,8 @@
             }
             CloseCause::Released | CloseCause::Exhausted => {}
             CloseCause::Refused | CloseCause::Silent | CloseCause::Broken => {
+                let now = self.now();
+                self.scheduler.endpoint_unreachable(now, instance);
                 if let Some(endpoint) = self.pool.endpoint_mut(instance) {
                     endpoint.failed_opens += 1;
                     endpoint.probe_started = None;
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -195,6 +195,7 @@
         let state = self.scheduler.snapshot(self.now());
         let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
         metrics.set_queue_length(&self.group, waiting);
+        self.counted_faults.update(&self.group, &state, metrics);
         metrics.set_endpoint_connections(&self.group, self.pool.connection_count());
         if let Some((_, term)) = &self.leading {
             metrics.set_group_term(&self.group, *term);
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -10,6 +10,8 @@
 use crate::health::STALL_FACTOR;
 use crate::redispatch::retry_pause;
 use crate::rejection_rate::EndpointFaults;
+use crate::restart_ramp::DepartedEndpoints;
+use crate::restart_ramp::RestartRamp;
 use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use smallvec::SmallVec;
@@ -111,6 +113,10 @@
     pub(crate) health: EndpointHealth,
     /// The statements that the endpoint rejected or failed.
     pub(crate) faults: EndpointFaults,
+    /// The endpoint's recent outages.
+    pub(crate) restarts: RestartRamp,
+    /// The level that was last reported as changed.
+    pub(crate) reported_level: HealthLevel,
     /// No connection is opened before this time, after one failed to open.
     pub(crate) connect_after: ClockTime,
     /// Whether the endpoint was removed while requests were running on it.
@@ -139,6 +145,8 @@
             urgent_run: 0,
             health: EndpointHealth::default(),
             faults: EndpointFaults::default(),
+            restarts: RestartRamp::default(),
+            reported_level: HealthLevel::Full,
             connect_after: ClockTime::default(),
             removed: false,
         }
@@ -215,7 +223,11 @@
 
     /// Returns how much work it gets that other endpoints could do.
     pub(crate) fn level(&self) -> HealthLevel {
-        self.health.level().max(self.faults.level())
+        let ramp = match self.restarts.is_active() {
+            true => HealthLevel::Half,
+            false => HealthLevel::Full,
+        };
+        self.health.level().max(self.faults.level()).max(ramp)
     }
 
     /// Returns whether a trial may start.
@@ -284,6 +296,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EndpointTable {
     records: Vec<EndpointRecord>,
+    departed: DepartedEndpoints,
 }
 
 impl EndpointTable {
@@ -298,16 +311,26 @@
     }
 
     /// Adds an endpoint or replaces its state.
-    pub(crate) fn set(&mut self, state: EndpointState, round_trip: Duration) {
+    ///
+    /// One that was removed before comes back after an outage.
+    pub(crate) fn set(&mut self, now: ClockTime, state: EndpointState, round_trip: Duration) {
         match self.position_of(&state.instance) {
             Ok(index) => {
-                self.records[index].state = state;
-                self.records[index].round_trip = round_trip;
-                self.records[index].removed = false;
+                let record = &mut self.records[index];
+                record.state = state;
+                record.round_trip = round_trip;
+                if std::mem::take(&mut record.removed) {
+                    record.restarts.note_outage(now);
+                }
+            }
+            Err(index) => {
+                let mut record = EndpointRecord::new(state, round_trip);
+                if let Some(ramp) = self.departed.take(&record.state.instance) {
+                    record.restarts = ramp;
+                    record.restarts.note_outage(now);
+                }
+                self.records.insert(index, record);
             }
-            Err(index) => self
-                .records
-                .insert(index, EndpointRecord::new(state, round_trip)),
         }
     }
 
@@ -330,8 +353,14 @@
 
     /// Drops removed endpoints on which nothing runs any more.
     pub(crate) fn forget_removed(&mut self) {
-        self.records
-            .retain(|record| !record.removed || !record.running.is_empty());
+        let departed = &mut self.departed;
+        self.records.retain(|record| {
+            let keep = !record.removed || !record.running.is_empty();
+            if !keep {
+                departed.remember(record.state.instance.clone(), record.restarts.clone());
+            }
+            keep
+        });
     }
 
     /// Returns the index of an endpoint.
--- a/crates/policy/src/forecast.rs
+++ b/crates/policy/src/forecast.rs
@@ -98,6 +98,7 @@
         };
         if health {
             let usable = record.faults.usable_slots(record.state.slots);
+            let usable = usable.min(record.restarts.usable_slots(now, record.state.slots));
             forecast.usable = record.health.usable_slots(record.state.slots).min(usable);
             forecast.trial = record.is_trial_due(now);
             forecast.retry_delay = record.retry_delay(mean_run);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -122,6 +122,7 @@
 mod relayed_announcements;
 mod replay;
 mod request;
+mod restart_ramp;
 mod retry;
 mod routing;
 mod runs;
--- a/crates/policy/src/rejection_rate.rs
+++ b/crates/policy/src/rejection_rate.rs
@@ -45,6 +45,10 @@
 /// one.
 const PRIOR_ANSWERS: f64 = 2.0;
 
+/// The weight of statements, or of reads, that an endpoint must have got to be the reference for
+/// others.
+const MIN_COMPARED: f64 = 10.0;
+
 /// An endpoint whose share exceeds that of its best peer by this loses slots.
 const REDUCED_SHARE: f64 = 0.05;
 
@@ -56,7 +60,7 @@
 /// so that the noise of few trials doesn't bring the endpoint back and forth.
 const RESTORED_SHARE: f64 = 0.1;
 
-/// An endpoint with this share is cut off even if its peers have no room, because it relieves them
+/// An endpoint whose share exceeds that of its best peer by this is cut off even if its peers have no room, because it relieves them
 /// of next to nothing.
 const USELESS_SHARE: f64 = 0.9;
 
@@ -136,8 +140,10 @@
 /// The work of an endpoint's peers, and the lowest share of bad statements among them.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PeerState {
-    /// The lowest share of rejected and failed statements.
-    pub(crate) best_share: f64,
+    /// The lowest share of rejected statements among the peers that got enough of them.
+    pub(crate) best_rejected: Option<f64>,
+    /// The lowest share of failed reads among the peers that got enough of them.
+    pub(crate) best_failed: Option<f64>,
     /// The slots of the peers that serve the same requests.
     pub(crate) slots: f64,
     /// The mean number of those that are in use.
@@ -183,9 +189,15 @@
         self.sums.failed_reads / (self.sums.reads + PRIOR_ANSWERS)
     }
 
-    /// Returns the share of statements that the endpoint rejects or fails.
-    pub(crate) fn bad_share(&self) -> f64 {
-        1.0 - (1.0 - self.rejected_share()) * (1.0 - self.failed_share())
+    /// Returns the share of rejected statements, if the endpoint got enough for a comparison.
+    pub(crate) fn compared_rejections(&self) -> Option<f64> {
+        let seen = self.sums.answered + self.sums.rejected;
+        (seen >= MIN_COMPARED).then(|| self.rejected_share())
+    }
+
+    /// Returns the share of failed reads, if the endpoint got enough for a comparison.
+    pub(crate) fn compared_failures(&self) -> Option<f64> {
+        (self.sums.reads >= MIN_COMPARED).then(|| self.failed_share())
     }
 
     /// Returns the mean number of slots that statements have used recently.
@@ -306,9 +318,13 @@
             self.level = HealthLevel::Full;
             return;
         };
-        let own = self.bad_share();
-        self.excess = ((own - peers.best_share) / (1.0 - peers.best_share).max(0.01)).max(0.0);
-        self.level = if self.stays_cut(own, peers) {
+        let rejected = excess_share(self.rejected_share(), peers.best_rejected);
+        let failed = excess_share(self.failed_share(), peers.best_failed);
+        self.excess = 1.0 - (1.0 - rejected) * (1.0 - failed);
+        // A peer that gets nothing may be no better. It gets more while this endpoint is reduced.
+        let compared = (rejected <= 0.0 || peers.best_rejected.is_some())
+            && (failed <= 0.0 || peers.best_failed.is_some());
+        self.level = if compared && self.is_cut_off(peers) {
             HealthLevel::Cut
         } else if self.excess >= REDUCED_SHARE {
             HealthLevel::Half
@@ -317,8 +333,8 @@
         };
     }
 
-    fn stays_cut(&self, own: f64, peers: PeerState) -> bool {
-        if self.excess >= USELESS_SHARE && own >= USELESS_SHARE {
+    fn is_cut_off(&self, peers: PeerState) -> bool {
+        if self.excess >= USELESS_SHARE {
             return true;
         }
         match self.level {
@@ -332,3 +348,9 @@
         }
     }
 }
+
+/// Returns the part of the statements that end well at the best peer and don't at this endpoint.
+fn excess_share(own: f64, best: Option<f64>) -> f64 {
+    let best = best.unwrap_or(0.0);
+    ((own - best) / (1.0 - best).max(0.01)).max(0.0)
+}
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Ends the growth of load after an outage where its time has passed.
+    pub(crate) fn judge_restarts(&mut self, now: ClockTime) {
+        for record in self.endpoints.records_mut() {
+            if record.restarts.is_active() {
+                record.restarts.update(now);
+            }
+        }
+    }
+
     /// Compares the endpoints' shares of rejected and failed statements and adjusts how much work
     /// each gets.
     pub(crate) fn judge_faults(&mut self, now: ClockTime) {
@@ -86,11 +95,13 @@
         let replicas = others.clone().filter(|record| {
             record.state.role == EndpointRole::Replica && record.age_bound.is_some()
         });
-        let best = others.map(|record| record.faults.bad_share());
-        let best_share = best.min_by(f64::total_cmp)?;
+        let rejected = others.clone();
+        let rejected = rejected.filter_map(|record| record.faults.compared_rejections());
+        let failed = others.filter_map(|record| record.faults.compared_failures());
         let slots_of = |record: &EndpointRecord| f64::from(record.state.slots);
         let mut peers = PeerState {
-            best_share,
+            best_rejected: rejected.min_by(f64::total_cmp),
+            best_failed: failed.min_by(f64::total_cmp),
             slots: replicas.clone().map(slots_of).sum(),
             used: replicas.map(|record| record.faults.used_slots()).sum(),
         };
@@ -175,6 +186,7 @@
             FinishOutcome::Answered => {
                 let end = StatementEnd::Answered;
                 record.faults.observe(now, end, actual, read);
+                record.restarts.note_answer();
                 return self.learn_run(now, dispatched, run);
             }
             FinishOutcome::Rejected => {
@@ -185,8 +197,11 @@
                 self.counts.rejected += 1;
             }
             FinishOutcome::Failed => {
-                let end = StatementEnd::Failed;
-                record.faults.observe(now, end, actual, read);
+                // A read that has failed elsewhere too is to blame itself.
+                let first = unrejected_dispatches(&dispatched.request) <= 1;
+                record
+                    .faults
+                    .observe(now, StatementEnd::Failed, actual, read && first);
                 self.counts.failed += 1;
             }
             FinishOutcome::NotRun
@@ -213,7 +228,7 @@
             return false;
         }
         let sent = outcome != FinishOutcome::NotSent;
-        let attempts = request.attempts - request.rejections;
+        let attempts = unrejected_dispatches(request);
         if sent && !may_repeat(outcome, request.profile.repeat, attempts) {
             return false;
         }
@@ -345,6 +360,11 @@
     }
 }
 
+/// Returns the number of dispatches of a request that no endpoint rejected.
+fn unrejected_dispatches(request: &WaitingRequest) -> u32 {
+    request.attempts.saturating_sub(request.rejections)
+}
+
 fn connection_need(
     record: &EndpointRecord,
     excess: ExcessRule,
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::ArrivalDecision;
 use crate::ClockTime;
 use crate::CustomerTerms;
+use crate::EndpointSnapshot;
 use crate::EndpointState;
 use crate::ExcessRule;
 use crate::FinishDecision;
@@ -136,7 +137,7 @@
         } else {
             self.settings.domain_delay * 2
         };
-        self.endpoints.set(state, round_trip);
+        self.endpoints.set(now, state, round_trip);
         self.note_primary(now);
     }
 
@@ -195,6 +196,7 @@
         self.mark_long_runs(now);
         self.judge_health(now);
         self.judge_faults(now);
+        self.judge_restarts(now);
         self.resume_paused(now);
         let mut decisions = std::mem::take(&mut self.pending);
         self.execute_plans(now, &mut decisions);
@@ -362,6 +364,31 @@
         true
     }
 
+    /// Records that an instance can't be reached: it refused a connection or didn't answer.
+    pub fn endpoint_unreachable(&mut self, now: ClockTime, instance: &InstanceName) {
+        if let Some(record) = self.endpoints.get_mut(instance) {
+            record.restarts.note_outage(now);
+        }
+    }
+
+    /// Records that an open connection to an instance broke or didn't answer.
+    pub fn connection_broke(&mut self, now: ClockTime, instance: &InstanceName) {
+        if let Some(record) = self.endpoints.get_mut(instance) {
+            record.restarts.note_break(now);
+        }
+    }
+
+    /// Returns the endpoints whose level has changed since the last call.
+    pub fn take_level_changes(&mut self) -> Vec<EndpointSnapshot> {
+        let records = self.endpoints.records_mut().iter_mut();
+        let changed = records.filter(|record| record.level() != record.reported_level);
+        let snapshots = changed.map(|record| {
+            record.reported_level = record.level();
+            EndpointSnapshot::collect(record)
+        });
+        snapshots.collect()
+    }
+
     /// Records that a connection could not be opened.
     pub fn connection_failed(&mut self, now: ClockTime, instance: &InstanceName) {
         if let Some(record) = self.endpoints.get_mut(instance) {
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -92,8 +92,10 @@
     pub opening: u32,
     /// The number of connections held by transactions.
     pub pinned: u32,
-    /// The part of its slots that it gets work for.
+    /// The part of its slots that it gets work for that others could do.
     pub health: HealthLevel,
+    /// Whether its load grows after an outage.
+    pub restarted: bool,
     /// The factor by which its runs are longer than expected.
     pub slowdown: f64,
     /// The share of statements that it has rejected recently.
@@ -159,7 +161,7 @@
 }
 
 impl EndpointSnapshot {
-    fn collect(record: &EndpointRecord) -> Self {
+    pub(crate) fn collect(record: &EndpointRecord) -> Self {
         let long = record.running.iter().filter(|running| running.long);
         Self {
             instance: record.state.instance.clone(),
@@ -172,6 +174,7 @@
             opening: record.opening,
             pinned: saturate(record.pins.len()),
             health: record.level(),
+            restarted: record.restarts.is_active(),
             slowdown: record.health.slowdown(),
             rejected_share: record.faults.rejected_share(),
             failed_share: record.faults.failed_share(),
--- a/crates/policy/tests/support/faults.rs
+++ b/crates/policy/tests/support/faults.rs
@@ -134,6 +134,9 @@
             let name = InstanceName::from(INSTANCE_NAMES[instance]);
             for _ in 0..open {
                 scheduler.connection_closed(&name);
+                if self.pattern.reports == FaultReports::Told {
+                    scheduler.connection_broke(self.now, &name);
+                }
             }
         }
         self.schedule(self.now + FLAP_TIME, RunnerEvent::Up(instance));
@@ -150,6 +153,9 @@
         if let PolicyModel::Scheduler(scheduler) = &mut self.policy {
             let name = InstanceName::from(INSTANCE_NAMES[instance]);
             scheduler.connection_failed(self.now, &name);
+            if self.pattern.reports == FaultReports::Told {
+                scheduler.endpoint_unreachable(self.now, &name);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/policy/tests/uneven_decisions.rs
@@ -0,0 +1,386 @@
+//! Single decisions about endpoints that reject or fail statements or come back after an outage.
+
+mod fixture;
+
+use fixture::OTHER_REPLICA;
+use fixture::PRIMARY;
+use fixture::REPLICA;
+use fixture::create_group;
+use fixture::endpoint;
+use fixture::read;
+use fixture::write;
+use ragwort_policy::ClockTime;
+use ragwort_policy::EndpointRole;
+use ragwort_policy::EndpointState;
+use ragwort_policy::ExcessRule;
+use ragwort_policy::FinishDecision;
+use ragwort_policy::FinishOutcome;
+use ragwort_policy::GroupScheduler;
+use ragwort_policy::HealthLevel;
+use ragwort_policy::RequestProfile;
+use ragwort_policy::RequestStep;
+use ragwort_policy::RequestTicket;
+use ragwort_policy::SchedulerDecision;
+use ragwort_types::GroupTerm;
+use ragwort_types::InstanceName;
+use ragwort_types::LogPosition;
+use std::time::Duration;
+
+const START: ClockTime = ClockTime(1_000_000);
+
+fn ready_group() -> GroupScheduler {
+    let mut scheduler = create_group(1_000, "north", ExcessRule::Forbidden);
+    let position = LogPosition::new(GroupTerm(1), 1);
+    for name in [PRIMARY, REPLICA, OTHER_REPLICA] {
+        let instance = InstanceName::from(name);
+        for _ in 0..5 {
+            scheduler.connection_opened(&instance);
+        }
+        if name != PRIMARY {
+            scheduler.report_position(START, &instance, position, Duration::ZERO);
+        }
+    }
+    scheduler
+}
+
+fn dispatches(decisions: &[SchedulerDecision]) -> Vec<(u64, &str)> {
+    let orders = decisions.iter().filter_map(|decision| match decision {
+        SchedulerDecision::Dispatch(order) => Some((order.ticket.0, order.instance.as_str())),
+        SchedulerDecision::Refuse(_) | SchedulerDecision::OpenConnection(_) => None,
+    });
+    orders.collect()
+}
+
+fn level_of(scheduler: &GroupScheduler, now: ClockTime, name: &str) -> HealthLevel {
+    let endpoints = scheduler.snapshot(now).endpoints;
+    let found = endpoints
+        .iter()
+        .find(|endpoint| endpoint.instance.as_str() == name);
+    found.unwrap().health
+}
+
+/// Sends one read after the other, of which an endpoint ends one in `each` with `outcome`, and
+/// returns the time and ticket after the last one.
+fn play_reads(
+    scheduler: &mut GroupScheduler,
+    count: u64,
+    faulty: &str,
+    each: u64,
+    outcome: FinishOutcome,
+) -> (ClockTime, u64) {
+    let mut now = START;
+    let mut sent = 0;
+    for ticket in 0..count {
+        now = now + Duration::from_millis(10);
+        let position = LogPosition::new(GroupTerm(1), 1);
+        for name in [REPLICA, OTHER_REPLICA] {
+            let instance = InstanceName::from(name);
+            scheduler.report_position(now, &instance, position, Duration::ZERO);
+        }
+        scheduler.arrive(now, read(ticket, now, 0));
+        let mut orders = scheduler.poll(now);
+        while let [(ticket, instance)] = dispatches(&orders)[..] {
+            let bad = instance == faulty && {
+                sent += 1;
+                sent % each == 0
+            };
+            let end = match bad {
+                true => outcome,
+                false => FinishOutcome::Answered,
+            };
+            now = now + Duration::from_millis(if bad { 1 } else { 6 });
+            scheduler.finished(now, RequestTicket(ticket), end);
+            orders = scheduler.poll(now);
+        }
+    }
+    (now, count)
+}
+
+/// A replica rejects a read that another one may serve. Sent back to the first one, it would use up
+/// its dispatches there.
+#[test]
+fn rejected_read_goes_to_another_endpoint() {
+    let mut scheduler = ready_group();
+    scheduler.arrive(START, read(1, START, 0));
+    assert_eq!(dispatches(&scheduler.poll(START)), [(1, REPLICA)]);
+    let finish = scheduler.finished(START, RequestTicket(1), FinishOutcome::Rejected);
+    assert_eq!(finish, FinishDecision::Requeued);
+    assert_eq!(dispatches(&scheduler.poll(START)), [(1, OTHER_REPLICA)]);
+    scheduler.finished(START, RequestTicket(1), FinishOutcome::Rejected);
+    assert_eq!(dispatches(&scheduler.poll(START)), [(1, PRIMARY)]);
+    assert_eq!(scheduler.snapshot(START).counts.retried_elsewhere, 2);
+}
+
+/// Only the primary may serve a write. Sent back at once, the write would use up its dispatches
+/// within a millisecond; held for long, it would miss its deadline.
+#[test]
+fn rejected_write_waits_a_short_time() {
+    let mut scheduler = ready_group();
+    scheduler.arrive(START, write(1, START));
+    assert_eq!(dispatches(&scheduler.poll(START)), [(1, PRIMARY)]);
+    scheduler.finished(START, RequestTicket(1), FinishOutcome::Rejected);
+    assert_eq!(dispatches(&scheduler.poll(START)), []);
+    let wake = scheduler.next_wakeup(START).unwrap();
+    assert!(wake > START && wake <= START + Duration::from_millis(10));
+    assert_eq!(dispatches(&scheduler.poll(wake)), [(1, PRIMARY)]);
+}
+
+/// A caller disconnects while its rejected write pauses. The write must not run after that.
+#[test]
+fn abandoned_request_does_not_return_from_its_pause() {
+    let mut scheduler = ready_group();
+    scheduler.arrive(START, write(1, START));
+    scheduler.poll(START);
+    scheduler.finished(START, RequestTicket(1), FinishOutcome::Rejected);
+    scheduler.abandon(RequestTicket(1));
+    let later = START + Duration::from_millis(50);
+    assert_eq!(dispatches(&scheduler.poll(later)), []);
+    assert_eq!(scheduler.snapshot(later).paused, 0);
+}
+
+/// The endpoint rejects a statement of an open transaction. It must run on the transaction's
+/// connection or not at all.
+#[test]
+fn rejected_statement_of_a_transaction_stays_on_its_endpoint() {
+    let mut scheduler = ready_group();
+    let begin = RequestProfile {
+        step: RequestStep::Opens,
+        ..write(1, START)
+    };
+    scheduler.arrive(START, begin);
+    scheduler.poll(START);
+    scheduler.finished(START, RequestTicket(1), FinishOutcome::Answered);
+    let within = RequestProfile {
+        step: RequestStep::Within(RequestTicket(1)),
+        ..read(2, START, 0)
+    };
+    scheduler.arrive(START, within);
+    assert_eq!(dispatches(&scheduler.poll(START)), [(2, PRIMARY)]);
+    let finish = scheduler.finished(START, RequestTicket(2), FinishOutcome::Rejected);
+    assert_eq!(finish, FinishDecision::Requeued);
+    let later = START + Duration::from_millis(10);
+    assert_eq!(dispatches(&scheduler.poll(later)), [(2, PRIMARY)]);
+    assert_eq!(scheduler.snapshot(later).endpoints[0].pinned, 1);
+}
+
+/// A primary rejects a third. With three dispatches one request in 27 would be refused, and with
+/// retries from the group's budget one in four.
+#[test]
+fn dispatches_cover_a_known_share_of_rejections() {
+    let mut scheduler = ready_group();
+    let mut now = START;
+    let (mut sent, mut refused) = (0, 0);
+    for ticket in 0..600 {
+        now = now + Duration::from_millis(20);
+        scheduler.arrive(now, write(ticket, now));
+        for _ in 0..20 {
+            for (dispatched, _) in dispatches(&scheduler.poll(now)) {
+                sent += 1;
+                let rejected = sent * 7 % 3 == 0 || sent % 31 < 6;
+                let outcome = match rejected {
+                    true => FinishOutcome::Rejected,
+                    false => FinishOutcome::Answered,
+                };
+                let finish = scheduler.finished(now, RequestTicket(dispatched), outcome);
+                refused += u64::from(matches!(finish, FinishDecision::Refused(_)));
+            }
+            now = now + Duration::from_millis(5);
+        }
+    }
+    assert!(sent > 1_000, "{sent} dispatches");
+    assert!(refused <= 3, "{refused} refused");
+    assert_eq!(scheduler.snapshot(now).retries_left, 10);
+}
+
+/// An endpoint rejects everything. Its answers earn no retries, so its load must stay within a
+/// tenth more than the requests.
+#[test]
+fn useless_endpoint_earns_no_retries() {
+    let mut scheduler = ready_group();
+    let mut now = START;
+    let mut sent = 0;
+    for ticket in 0..300 {
+        scheduler.arrive(now, write(ticket, now));
+        for _ in 0..4 {
+            for (dispatched, _) in dispatches(&scheduler.poll(now)) {
+                sent += 1;
+                scheduler.finished(now, RequestTicket(dispatched), FinishOutcome::Rejected);
+            }
+            now = now + Duration::from_millis(10);
+        }
+    }
+    assert!((330..=341).contains(&sent), "{sent} dispatches");
+}
+
+/// A replica rejects a third and its peer has room: it must be cut off, get single trials, and be
+/// back at full some seconds after it has recovered.
+#[test]
+fn rejecting_replica_is_cut_off_and_comes_back() {
+    let mut scheduler = ready_group();
+    let (now, next) = play_reads(&mut scheduler, 100, REPLICA, 3, FinishOutcome::Rejected);
+    assert_eq!(level_of(&scheduler, now, REPLICA), HealthLevel::Cut);
+    assert_eq!(level_of(&scheduler, now, OTHER_REPLICA), HealthLevel::Full);
+    let changes = scheduler.take_level_changes();
+    assert_eq!(changes.len(), 1);
+    assert!(changes[0].rejected_share > 0.2);
+    assert!(scheduler.take_level_changes().is_empty());
+    let mut now = now;
+    let mut trials = Vec::new();
+    for ticket in next..next + 1_000 {
+        now = now + Duration::from_millis(10);
+        let position = LogPosition::new(GroupTerm(1), 1);
+        for name in [REPLICA, OTHER_REPLICA] {
+            let instance = InstanceName::from(name);
+            scheduler.report_position(now, &instance, position, Duration::ZERO);
+        }
+        scheduler.arrive(now, read(ticket, now, 0));
+        for (dispatched, instance) in dispatches(&scheduler.poll(now)) {
+            if instance == REPLICA {
+                trials.push(now);
+            }
+            scheduler.finished(now, RequestTicket(dispatched), FinishOutcome::Answered);
+        }
+    }
+    let cut: Vec<_> = trials.iter().take(5).collect();
+    assert!(
+        cut.windows(2)
+            .all(|pair| pair[1].since(*pair[0]) >= Duration::from_millis(200))
+    );
+    assert_eq!(level_of(&scheduler, now, REPLICA), HealthLevel::Full);
+}
+
+/// All endpoints that serve a read fail the same part. None is worse than the others, so none may be
+/// cut off.
+#[test]
+fn failures_that_all_share_cut_off_none() {
+    let mut scheduler = ready_group();
+    let mut now = START;
+    for ticket in 0..300 {
+        now = now + Duration::from_millis(10);
+        let position = LogPosition::new(GroupTerm(1), 1);
+        for name in [REPLICA, OTHER_REPLICA] {
+            let instance = InstanceName::from(name);
+            scheduler.report_position(now, &instance, position, Duration::ZERO);
+        }
+        scheduler.arrive(now, read(ticket, now, 0));
+        for _ in 0..4 {
+            for (dispatched, _) in dispatches(&scheduler.poll(now)) {
+                let outcome = match ticket % 3 {
+                    0 => FinishOutcome::Failed,
+                    _ => FinishOutcome::Answered,
+                };
+                scheduler.finished(now, RequestTicket(dispatched), outcome);
+            }
+        }
+        for name in [PRIMARY, REPLICA, OTHER_REPLICA] {
+            assert_ne!(level_of(&scheduler, now, name), HealthLevel::Cut);
+        }
+    }
+}
+
+/// The primary rejects half of its statements. Nobody else can serve writes, so it gets them as
+/// before, and never as trials.
+#[test]
+fn rejecting_primary_keeps_its_writes() {
+    let mut scheduler = ready_group();
+    let mut now = START;
+    let mut sent = 0;
+    for ticket in 0..200 {
+        now = now + Duration::from_millis(20);
+        scheduler.arrive(now, write(ticket, now));
+        for _ in 0..10 {
+            for (dispatched, instance) in dispatches(&scheduler.poll(now)) {
+                assert_eq!(instance, PRIMARY);
+                sent += 1;
+                let outcome = match sent % 2 {
+                    0 => FinishOutcome::Answered,
+                    _ => FinishOutcome::Rejected,
+                };
+                scheduler.finished(now, RequestTicket(dispatched), outcome);
+            }
+            now = now + Duration::from_millis(5);
+        }
+    }
+    assert_eq!(sent, 400);
+    assert_eq!(scheduler.snapshot(now).counts.trials, 0);
+}
+
+fn wide_replica() -> EndpointState {
+    EndpointState {
+        slots: 4,
+        ..endpoint(REPLICA, EndpointRole::Replica)
+    }
+}
+
+fn count_at(scheduler: &mut GroupScheduler, now: ClockTime, first: u64) -> usize {
+    let position = LogPosition::new(GroupTerm(1), 1);
+    let replica = InstanceName::from(REPLICA);
+    scheduler.report_position(now, &replica, position, Duration::ZERO);
+    for ticket in first..first + 4 {
+        scheduler.arrive(now, read(ticket, now, 0));
+    }
+    let decisions = scheduler.poll(now);
+    let orders = dispatches(&decisions);
+    let count = orders.iter().filter(|order| order.1 == REPLICA).count();
+    for (ticket, _) in orders {
+        scheduler.finished(now, RequestTicket(ticket), FinishOutcome::Answered);
+    }
+    for ticket in first..first + 4 {
+        scheduler.abandon(RequestTicket(ticket));
+    }
+    count
+}
+
+/// A replica with four slots goes down and comes back. With its full load at once, it would lose
+/// four statements each time it flaps.
+#[test]
+fn endpoint_that_is_back_gets_a_growing_load() {
+    let mut scheduler = ready_group();
+    scheduler.remove_endpoint(START, &InstanceName::from(OTHER_REPLICA));
+    scheduler.set_endpoint(START, wide_replica());
+    assert_eq!(count_at(&mut scheduler, START, 0), 4);
+    let down = START + Duration::from_secs(1);
+    let replica = InstanceName::from(REPLICA);
+    scheduler.endpoint_unreachable(down, &replica);
+    let after = |millis| down + Duration::from_millis(millis);
+    assert_eq!(count_at(&mut scheduler, after(10), 10), 1);
+    assert_eq!(count_at(&mut scheduler, after(260), 20), 2);
+    assert_eq!(count_at(&mut scheduler, after(510), 30), 4);
+    assert_eq!(level_of(&scheduler, after(510), REPLICA), HealthLevel::Full);
+    // The next outage within seconds doubles the time.
+    scheduler.endpoint_unreachable(after(1_000), &replica);
+    assert_eq!(count_at(&mut scheduler, after(1_510), 40), 2);
+    assert_eq!(count_at(&mut scheduler, after(2_010), 50), 4);
+}
+
+/// An endpoint is removed and comes back under its name. Its record is new, but it must not get its
+/// full load at once; one that was never seen before must.
+#[test]
+fn removed_endpoint_comes_back_with_a_growing_load() {
+    let mut scheduler = ready_group();
+    scheduler.remove_endpoint(START, &InstanceName::from(OTHER_REPLICA));
+    let replica = InstanceName::from(REPLICA);
+    scheduler.remove_endpoint(START, &replica);
+    let later = START + Duration::from_secs(1);
+    scheduler.set_endpoint(later, wide_replica());
+    for _ in 0..5 {
+        scheduler.connection_opened(&replica);
+    }
+    assert_eq!(count_at(&mut scheduler, later, 0), 1);
+}
+
+/// A device on the path drops one idle connection. That says nothing about the endpoint, which must
+/// keep its load; two broken connections at once do.
+#[test]
+fn single_broken_connection_is_no_outage() {
+    let mut scheduler = ready_group();
+    let replica = InstanceName::from(REPLICA);
+    scheduler.connection_broke(START, &replica);
+    scheduler.poll(START);
+    assert_eq!(level_of(&scheduler, START, REPLICA), HealthLevel::Full);
+    let later = START + Duration::from_secs(1);
+    scheduler.connection_broke(later, &replica);
+    assert_eq!(level_of(&scheduler, later, REPLICA), HealthLevel::Full);
+    scheduler.connection_broke(later, &replica);
+    assert_eq!(level_of(&scheduler, later, REPLICA), HealthLevel::Half);
+}
