--- a/crates/policy/tests/uneven/mod.rs
+++ b/crates/policy/tests/uneven/mod.rs
@@ -11,6 +11,9 @@
 
 const SEED: u64 = 20_261_203;
 
+/// The seed with which the digests of runs without faults were recorded.
+const PATTERN_SEED: u64 = 20_261_202;
+
 const USERS: [UserSize; 2] = [UserSize::Omuti, UserSize::Sabarmati];
 
 /// The outcomes of one pattern with and without learning from rejections and failures.
@@ -122,3 +125,50 @@
         assert!(pair.told.lost <= pair.merged.lost);
     }
 }
+
+/// Without rejections, failures and outages each caller must receive what it received before the
+/// scheduler learned from them. The digests were recorded on commit 964995d.
+#[test]
+fn without_faults_decisions_are_as_before() {
+    let recorded = [
+        (
+            PatternName::Mix(100),
+            [0x995b_a4db_fcbc_0210, 0x857f_5ab5_3679_e792],
+        ),
+        (
+            PatternName::Mix(200),
+            [0xa8bd_2760_4f6d_b1c3, 0x73e2_4fd8_5732_0d03],
+        ),
+        (
+            PatternName::HotKey,
+            [0x3fde_c387_0396_268e, 0xb857_de4f_771f_c494],
+        ),
+        (
+            PatternName::SlowReplica(60),
+            [0x1814_f2a8_3c1e_185b, 0x64d2_0016_1bb5_112c],
+        ),
+        (
+            PatternName::LongJobs,
+            [0xeebf_8d34_0856_364f, 0x73d6_fa66_ea34_887c],
+        ),
+        (
+            PatternName::Transactions,
+            [0x2990_2d4e_2bee_2ddc, 0xd67f_5b0b_2278_7820],
+        ),
+        (
+            PatternName::ReplicasBehind,
+            [0x1757_2edd_c330_85ad, 0x1757_2edd_c330_85ad],
+        ),
+        (
+            PatternName::Everything,
+            [0xdd73_3f2b_5b4b_ab49, 0x40b5_67ba_ffc5_7978],
+        ),
+    ];
+    for (name, digests) in recorded {
+        for (user, digest) in USERS.into_iter().zip(digests) {
+            let policy = PolicyChoice::Scheduler(ModuleSwitches::default());
+            let outcome = run_pattern(&name.create(user), policy, PATTERN_SEED);
+            assert_eq!(outcome.digest(), digest, "{user:?} {name:?}");
+        }
+    }
+}
