Let reads wait for a replica that catches up in time while the primary is full

A read that no replica may serve yet waits for one if the estimated catch-up leaves half of the time to its target and the primary has no slot that nothing else needs. At most eight reads wait like this, so that they can't hide requests that can start.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -103,6 +103,7 @@
 mod admission;
 mod announcement_batches;
 mod caller_pacing;
+mod catch_up;
 mod check_schedule;
 mod connections;
 mod customers;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -17,7 +17,8 @@
 //! A read that a replica may serve goes to the primary only when nothing that needs the primary
 //! waits and more than two reads wait for each of the replicas' slots. Below that, a read waits for
 //! two short runs at most. A read waits for a replica that still lacks its session's write only if
-//! that is expected to arrive within 3 ms, which is less than a short run.
+//! that is expected to arrive within 3 ms, which is less than a short run, or if the primary is
+//! full, see [`catch_up`](crate::catch_up).
 
 use crate::ClockTime;
 use crate::EndpointRole;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -73,6 +73,9 @@
     pub(crate) pending: Vec<SchedulerDecision>,
     /// Rejected requests that pause before their next dispatch.
     pub(crate) paused: Vec<PausedRequest>,
+    /// The number of reads that wait for replicas to catch up, as of the last review of the queue,
+    /// and those that have arrived since.
+    pub(crate) catch_up_reads: u32,
 }
 
 /// A request that was sent to an instance.
@@ -113,6 +116,7 @@
             mean_run: MEAN_RUN_PRIOR,
             pending: Vec::new(),
             paused: Vec::new(),
+            catch_up_reads: 0,
         }
     }
 
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -12,6 +12,8 @@
 use crate::admission::MIN_REMAINING_PROMOTION;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
+use crate::catch_up::CatchUpReview;
+use crate::catch_up::MAX_CATCH_UP_READS;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlanInput;
@@ -144,9 +146,13 @@
     pub(crate) fn review_queue(&mut self, now: ClockTime, decisions: &mut Vec<SchedulerDecision>) {
         let mut unservable = Vec::new();
         let mut moved = Vec::new();
+        let mut catch_up = CatchUpReview::new(self);
         for request in self.queue.iter() {
             let ticket = request.profile.ticket;
             let replica = self.prefers_replica(now, &request.profile, &request.rejected_by);
+            if !replica && catch_up.examines(self, now, request) {
+                continue;
+            }
             if let Some(cause) = self.unservable_cause(now, request, replica) {
                 unservable.push((ticket, cause));
                 continue;
@@ -159,6 +165,7 @@
                 moved.push((ticket, lane));
             }
         }
+        self.catch_up_reads = catch_up.assign(&mut moved);
         for (ticket, cause) in unservable {
             self.refuse_waiting(now, ticket, cause, decisions);
         }
@@ -288,11 +295,23 @@
             RequestStep::Within(opener) => Some(self.find_pin(opener)?),
             RequestStep::Single | RequestStep::Opens => None,
         };
+        let mut replica = self.prefers_replica(now, &profile, &[]);
+        let mut planned_wait = None;
+        if !replica
+            && self.catch_up_reads < MAX_CATCH_UP_READS
+            && self.free_primary_slots() == Some(0)
+            && self.can_wait_for_replica(now, &profile, &[], now, estimate)
+        {
+            self.catch_up_reads += 1;
+            replica = true;
+            // Nothing overtakes it on the replica that it waits for, so the wait isn't scaled.
+            planned_wait = Some(Duration::ZERO);
+        }
         let mut lane = LaneKind {
             target_missed: false,
             urgent: profile.urgency == UrgencyClass::Urgent,
             long: estimate.is_long(),
-            replica: self.prefers_replica(now, &profile, &[]),
+            replica,
         };
         let due = profile.target.unwrap_or(profile.deadline);
         let mut order = due.min(profile.deadline).before(estimate.expected());
@@ -317,7 +336,7 @@
             ranked_at: now,
             pinned_to,
             delay,
-            planned_wait: None,
+            planned_wait,
             attempts: 0,
             rejections: 0,
             rejected_by: SmallVec::new(),
--- a/crates/policy/tests/support/outcome.rs
+++ b/crates/policy/tests/support/outcome.rs
@@ -105,28 +105,6 @@
         self.sum(|_| true)
     }
 
-    /// Returns a hash of what each caller received and when.
-    pub fn digest(&self) -> u64 {
-        let mut digest = 0xcbf2_9ce4_8422_2325;
-        let mut add = |number: u64| {
-            for byte in number.to_le_bytes() {
-                digest = (digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-            }
-        };
-        for outcome in self.sources.values() {
-            add(outcome.offered);
-            add(outcome.in_time);
-            add(outcome.late);
-            add(outcome.refused);
-            for wait in &outcome.waits {
-                add(wait.as_micros() as u64);
-            }
-        }
-        add(self.replica_reads);
-        add(self.trials);
-        digest
-    }
-
     pub fn replica_share(&self) -> f64 {
         ratio(self.replica_reads, self.permitted_reads)
     }
--- a/crates/policy/tests/uneven/mod.rs
+++ b/crates/policy/tests/uneven/mod.rs
@@ -126,6 +126,28 @@
     }
 }
 
+/// Returns a hash of what each caller received and when.
+fn digest(outcome: &LoadOutcome) -> u64 {
+    let mut digest = 0xcbf2_9ce4_8422_2325;
+    let mut add = |number: u64| {
+        for byte in number.to_le_bytes() {
+            digest = (digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    };
+    for part in outcome.sources.values() {
+        add(part.offered);
+        add(part.in_time);
+        add(part.late);
+        add(part.refused);
+        for wait in &part.waits {
+            add(wait.as_micros() as u64);
+        }
+    }
+    add(outcome.replica_reads);
+    add(outcome.trials);
+    digest
+}
+
 /// Without rejections, failures and outages each caller must receive what it received before the
 /// scheduler learned from them. The digests were recorded on commit 964995d.
 #[test]
@@ -168,7 +190,7 @@
         for (user, digest) in USERS.into_iter().zip(digests) {
             let policy = PolicyChoice::Scheduler(ModuleSwitches::default());
             let outcome = run_pattern(&name.create(user), policy, PATTERN_SEED);
-            assert_eq!(outcome.digest(), digest, "{user:?} {name:?}");
+            assert_eq!(self::digest(&outcome), digest, "{user:?} {name:?}");
         }
     }
 }
--- a/crates/policy/tests/uneven_decisions.rs
+++ b/crates/policy/tests/uneven_decisions.rs
@@ -384,3 +384,102 @@
     scheduler.connection_broke(later, &replica);
     assert_eq!(level_of(&scheduler, later, REPLICA), HealthLevel::Half);
 }
+
+fn report_replicas(scheduler: &mut GroupScheduler, now: ClockTime, position: u64) {
+    let position = LogPosition::new(GroupTerm(1), position);
+    for name in [REPLICA, OTHER_REPLICA] {
+        let instance = InstanceName::from(name);
+        scheduler.report_position(now, &instance, position, Duration::from_millis(40));
+    }
+}
+
+/// Fills the primary's slots and lets a session read its write, which replicas get 40 ms later.
+fn group_with_waiting_read() -> GroupScheduler {
+    let mut scheduler = ready_group();
+    report_replicas(&mut scheduler, START, 10);
+    scheduler.arrive(START, write(1, START));
+    scheduler.arrive(START, write(2, START));
+    assert_eq!(dispatches(&scheduler.poll(START)).len(), 2);
+    scheduler.arrive(START, targeted_read(3, 11));
+    assert_eq!(dispatches(&scheduler.poll(START)), []);
+    scheduler
+}
+
+fn targeted_read(ticket: u64, position: u64) -> RequestProfile {
+    RequestProfile {
+        target: Some(START + Duration::from_millis(200)),
+        ..read(ticket, START, position)
+    }
+}
+
+/// A read of a session's own write comes while the primary is full. Waiting for a slot there, it
+/// would take one from a write, although a replica may serve it 40 ms later.
+#[test]
+fn read_waits_for_a_replica_while_the_primary_is_full() {
+    let mut scheduler = group_with_waiting_read();
+    scheduler.arrive(START, write(4, START));
+    let end = START + Duration::from_millis(8);
+    scheduler.finished(end, RequestTicket(1), FinishOutcome::Answered);
+    assert_eq!(dispatches(&scheduler.poll(end)), [(4, PRIMARY)]);
+    let later = START + Duration::from_millis(38);
+    report_replicas(&mut scheduler, later, 11);
+    assert_eq!(dispatches(&scheduler.poll(later)), [(3, REPLICA)]);
+}
+
+/// With a free slot at the primary the same read must go there at once, also if the slot becomes
+/// free while it waits.
+#[test]
+fn read_uses_a_free_slot_of_the_primary() {
+    let mut scheduler = group_with_waiting_read();
+    let end = START + Duration::from_millis(8);
+    scheduler.finished(end, RequestTicket(1), FinishOutcome::Answered);
+    assert_eq!(dispatches(&scheduler.poll(end)), [(3, PRIMARY)]);
+    let mut idle = ready_group();
+    report_replicas(&mut idle, START, 10);
+    idle.arrive(START, targeted_read(1, 11));
+    assert_eq!(dispatches(&idle.poll(START)), [(1, PRIMARY)]);
+}
+
+/// The replica hasn't caught up when it was expected to. The read must not go on waiting for it
+/// until its target has passed.
+#[test]
+fn read_gives_up_a_replica_that_is_late() {
+    let mut scheduler = group_with_waiting_read();
+    for ticket in 10..30 {
+        scheduler.arrive(START, write(ticket, START));
+    }
+    let mut now = START;
+    let mut running = vec![1, 2];
+    let mut served = None;
+    while served.is_none() {
+        now = now + Duration::from_millis(4);
+        assert!(now < START + Duration::from_millis(180), "still waiting");
+        report_replicas(&mut scheduler, now, 10);
+        let ended = running.remove(0);
+        scheduler.finished(now, RequestTicket(ended), FinishOutcome::Answered);
+        for (ticket, instance) in dispatches(&scheduler.poll(now)) {
+            assert_eq!(instance, PRIMARY);
+            running.push(ticket);
+            served = served.or((ticket == 3).then_some(now));
+        }
+    }
+}
+
+/// Many reads wait for replicas to catch up, and reads behind them can start. A plan that looked
+/// only at the first ones would leave the replicas idle.
+#[test]
+fn waiting_reads_hide_no_others() {
+    let mut scheduler = group_with_waiting_read();
+    for ticket in 10..60 {
+        scheduler.arrive(START, targeted_read(ticket, 11));
+    }
+    for ticket in 60..64 {
+        scheduler.arrive(START, targeted_read(ticket, 10));
+    }
+    let decisions = scheduler.poll(START);
+    let orders = dispatches(&decisions);
+    let ready = orders
+        .iter()
+        .filter(|order| order.0 >= 60 && order.1 != PRIMARY);
+    assert_eq!(ready.count(), 4);
+}
