--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -33,7 +33,7 @@
     pub oldest_wait_micros: u64,
     /// The number of retries that the budget allows.
     pub retries_left: u32,
-    /// The number of rejected requests that pause before their next dispatch.
+    /// The number of waiting requests that were rejected and pause before their next dispatch.
     pub paused: usize,
     /// The number of endpoints that get less than their full work.
     pub reduced_endpoints: usize,
@@ -142,15 +142,22 @@
         let queue = &scheduler.queue;
         let oldest = queue.iter().map(|request| request.arrived).min();
         let endpoints = scheduler.endpoints.records().iter();
+        let paused = |pinned: bool, urgent: bool| {
+            let requests = scheduler.paused.iter().map(|paused| &paused.request);
+            let counted = requests.filter(|request| {
+                request.pinned_to.is_some() == pinned && request.lane.urgent == urgent
+            });
+            counted.count()
+        };
         let reduced = endpoints.clone();
         let reduced = reduced.filter(|record| record.level() != HealthLevel::Full);
         Self {
             endpoints: endpoints.map(EndpointSnapshot::collect).collect(),
             customers: collect_customers(scheduler),
             kinds: collect_kinds(scheduler),
-            waiting_urgent: queue.count_lanes(|lane| lane.urgent),
-            waiting_ordinary: queue.count_lanes(|lane| !lane.urgent),
-            waiting_pinned: queue.pinned().len(),
+            waiting_urgent: queue.count_lanes(|lane| lane.urgent) + paused(false, true),
+            waiting_ordinary: queue.count_lanes(|lane| !lane.urgent) + paused(false, false),
+            waiting_pinned: queue.pinned().len() + paused(true, false) + paused(true, true),
             oldest_wait_micros: oldest.map_or(0, |oldest| to_micros(now.since(oldest))),
             retries_left: scheduler.retries.left(),
             paused: scheduler.paused.len(),
--- a/crates/policy/tests/model/mod.rs
+++ b/crates/policy/tests/model/mod.rs
@@ -100,6 +100,8 @@
     running: Vec<(RequestTicket, RequestProfile, usize)>,
     endpoints: Vec<ExpectedEndpoint>,
     pins: BTreeMap<RequestTicket, usize>,
+    /// Whether a part of the requests is rejected or fails.
+    uneven: bool,
 }
 
 impl GroupModel {
@@ -128,6 +130,15 @@
             running: Vec::new(),
             endpoints: endpoints.collect(),
             pins: BTreeMap::new(),
+            uneven: false,
+        }
+    }
+
+    /// Lets endpoints reject and fail a part of the requests.
+    pub fn with_uneven_endpoints(self) -> Self {
+        Self {
+            uneven: true,
+            ..self
         }
     }
 
@@ -237,6 +248,8 @@
             1 => FinishOutcome::Lost,
             2 => FinishOutcome::NotSent,
             3 => FinishOutcome::Behind,
+            4 | 5 if self.uneven => FinishOutcome::Rejected,
+            6 if self.uneven => FinishOutcome::Failed,
             _ => FinishOutcome::Answered,
         };
         if outcome != FinishOutcome::Answered {
@@ -251,13 +264,16 @@
             FinishDecision::Refused(_) => {
                 assert!(matches!(
                     outcome,
-                    FinishOutcome::NotRun | FinishOutcome::Behind | FinishOutcome::NotSent
+                    FinishOutcome::NotRun
+                        | FinishOutcome::Rejected
+                        | FinishOutcome::Behind
+                        | FinishOutcome::NotSent
                 ));
             }
             FinishDecision::Settled => {
                 assert!(matches!(
                     outcome,
-                    FinishOutcome::Answered | FinishOutcome::Lost
+                    FinishOutcome::Answered | FinishOutcome::Failed | FinishOutcome::Lost
                 ));
             }
             FinishDecision::Unknown => panic!("a running request is unknown"),
