--- a/crates/daemon/tests/native/codec.rs
+++ b/crates/daemon/tests/native/codec.rs
@@ -17,10 +17,11 @@
 use ragwortgated::edges::SessionState;
 
 /// The faults that scripts use, and their words on the wire.
-const FAULTS: [(&str, EndpointFaultKind); 5] = [
+const FAULTS: [(&str, EndpointFaultKind); 6] = [
     ("lagging", EndpointFaultKind::Lagging),
     ("readonly", EndpointFaultKind::ReadOnly),
     ("wrong", EndpointFaultKind::WrongInstance),
+    ("busy", EndpointFaultKind::Busy),
     ("failed", EndpointFaultKind::Failed),
     ("full", EndpointFaultKind::ConnectionLimit),
 ];
