--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -3,10 +3,15 @@
 use crate::ClockTime;
 use crate::EndpointRole;
 use crate::EndpointState;
+use crate::HealthLevel;
 use crate::RequestTicket;
 use crate::connections::RecentPeak;
 use crate::health::EndpointHealth;
 use crate::health::STALL_FACTOR;
+use crate::redispatch::retry_pause;
+use crate::rejection_rate::EndpointFaults;
+use crate::restart_ramp::DepartedEndpoints;
+use crate::restart_ramp::RestartRamp;
 use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use smallvec::SmallVec;
@@ -106,6 +111,12 @@
     pub(crate) urgent_run: u32,
     /// The endpoint's speed compared with its peers.
     pub(crate) health: EndpointHealth,
+    /// The statements that the endpoint rejected or failed.
+    pub(crate) faults: EndpointFaults,
+    /// The endpoint's recent outages.
+    pub(crate) restarts: RestartRamp,
+    /// The level that was last reported as changed.
+    pub(crate) reported_level: HealthLevel,
     /// No connection is opened before this time, after one failed to open.
     pub(crate) connect_after: ClockTime,
     /// Whether the endpoint was removed while requests were running on it.
@@ -133,6 +144,9 @@
             pin_peak: RecentPeak::default(),
             urgent_run: 0,
             health: EndpointHealth::default(),
+            faults: EndpointFaults::default(),
+            restarts: RestartRamp::default(),
+            reported_level: HealthLevel::Full,
             connect_after: ClockTime::default(),
             removed: false,
         }
@@ -207,6 +221,47 @@
         !self.state.leaving && self.state.role != EndpointRole::Unusable
     }
 
+    /// Returns how much work it gets that other endpoints could do.
+    pub(crate) fn level(&self) -> HealthLevel {
+        let ramp = match self.restarts.is_active() {
+            true => HealthLevel::Half,
+            false => HealthLevel::Full,
+        };
+        self.health.level().max(self.faults.level()).max(ramp)
+    }
+
+    /// Returns whether a trial may start.
+    ///
+    /// An endpoint that was cut off for two reasons gets trials only when both allow one.
+    pub(crate) fn is_trial_due(&self, now: ClockTime) -> bool {
+        let slow = self.health.level() == HealthLevel::Cut;
+        let faulty = self.faults.level() == HealthLevel::Cut;
+        (slow || faulty)
+            && (!slow || self.health.trial_due(now))
+            && (!faulty || self.faults.trial_due(now))
+    }
+
+    /// Records that a request was sent as a trial.
+    pub(crate) fn begin_trial(&mut self, now: ClockTime, ticket: RequestTicket) {
+        if self.health.level() == HealthLevel::Cut {
+            self.health.begin_trial(ticket);
+        }
+        if self.faults.level() == HealthLevel::Cut {
+            self.faults.begin_trial(now, ticket);
+        }
+    }
+
+    /// Returns the time by which expected retries delay the end of a request that is sent here.
+    ///
+    /// Only the primary's requests have to come back to it, after a pause.
+    pub(crate) fn retry_delay(&self, run: Duration) -> Duration {
+        let pause = match self.state.role {
+            EndpointRole::Primary => retry_pause(self.faults.rejected_share(), run, run * 100),
+            EndpointRole::Replica | EndpointRole::Unusable => Duration::ZERO,
+        };
+        self.faults.retry_delay(run, pause)
+    }
+
     /// Returns the upper bound of its data's age, if one is known.
     pub(crate) fn age(&self, now: ClockTime) -> Option<Duration> {
         self.age_bound.map(|bound| bound + now.since(self.reported))
@@ -241,6 +296,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EndpointTable {
     records: Vec<EndpointRecord>,
+    departed: DepartedEndpoints,
 }
 
 impl EndpointTable {
@@ -255,16 +311,26 @@
     }
 
     /// Adds an endpoint or replaces its state.
-    pub(crate) fn set(&mut self, state: EndpointState, round_trip: Duration) {
+    ///
+    /// One that was removed before comes back after an outage.
+    pub(crate) fn set(&mut self, now: ClockTime, state: EndpointState, round_trip: Duration) {
         match self.position_of(&state.instance) {
             Ok(index) => {
-                self.records[index].state = state;
-                self.records[index].round_trip = round_trip;
-                self.records[index].removed = false;
+                let record = &mut self.records[index];
+                record.state = state;
+                record.round_trip = round_trip;
+                if std::mem::take(&mut record.removed) {
+                    record.restarts.note_outage(now);
+                }
+            }
+            Err(index) => {
+                let mut record = EndpointRecord::new(state, round_trip);
+                if let Some(ramp) = self.departed.take(&record.state.instance) {
+                    record.restarts = ramp;
+                    record.restarts.note_outage(now);
+                }
+                self.records.insert(index, record);
             }
-            Err(index) => self
-                .records
-                .insert(index, EndpointRecord::new(state, round_trip)),
         }
     }
 
@@ -287,8 +353,14 @@
 
     /// Drops removed endpoints on which nothing runs any more.
     pub(crate) fn forget_removed(&mut self) {
-        self.records
-            .retain(|record| !record.removed || !record.running.is_empty());
+        let departed = &mut self.departed;
+        self.records.retain(|record| {
+            let keep = !record.removed || !record.running.is_empty();
+            if !keep {
+                departed.remember(record.state.instance.clone(), record.restarts.clone());
+            }
+            keep
+        });
     }
 
     /// Returns the index of an endpoint.
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -17,13 +17,16 @@
 //! A read that a replica may serve goes to the primary only when nothing that needs the primary
 //! waits and more than two reads wait for each of the replicas' slots. Below that, a read waits for
 //! two short runs at most. A read waits for a replica that still lacks its session's write only if
-//! that is expected to arrive within 3 ms, which is less than a short run.
+//! that is expected to arrive within 3 ms, which is less than a short run, or if the primary is
+//! full, see [`catch_up`](crate::catch_up).
 
 use crate::ClockTime;
 use crate::EndpointRole;
 use crate::RequestProfile;
 use crate::endpoints::EndpointRecord;
 use crate::forecast::is_in_rotation;
+use crate::redispatch::is_rejected_by;
+use ragwort_types::InstanceName;
 use std::time::Duration;
 
 /// Maximum time for which a read waits for a replica to catch up rather than use a free slot of the
@@ -85,12 +88,14 @@
 pub(crate) fn has_replica_soon(
     records: &[EndpointRecord],
     profile: &RequestProfile,
+    rejected_by: &[InstanceName],
     now: ClockTime,
     health: bool,
 ) -> bool {
     let replicas = records
         .iter()
         .filter(|record| record.state.role == EndpointRole::Replica);
+    let replicas = replicas.filter(|record| !is_rejected_by(rejected_by, record));
     let mut in_rotation = replicas.filter(|record| is_in_rotation(record) || !health);
     in_rotation.any(|record| match judge_fitness(record, profile, now) {
         ServingFitness::Ready => true,
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::ArrivalDecision;
 use crate::ClockTime;
 use crate::CustomerTerms;
+use crate::EndpointSnapshot;
 use crate::EndpointState;
 use crate::ExcessRule;
 use crate::FinishDecision;
@@ -23,6 +24,7 @@
 use crate::estimate::EstimateTable;
 use crate::queue::WaitingQueue;
 use crate::queue::WaitingRequest;
+use crate::redispatch::PausedRequest;
 use crate::retry::RetryBudget;
 use crate::shares::FairClock;
 use crate::steps::REVIEW_INTERVAL;
@@ -69,6 +71,11 @@
     /// may retry is derived.
     pub(crate) mean_run: Duration,
     pub(crate) pending: Vec<SchedulerDecision>,
+    /// Rejected requests that pause before their next dispatch.
+    pub(crate) paused: Vec<PausedRequest>,
+    /// The number of reads that wait for replicas to catch up, as of the last review of the queue,
+    /// and those that have arrived since.
+    pub(crate) catch_up_reads: u32,
 }
 
 /// A request that was sent to an instance.
@@ -108,6 +115,8 @@
             pin_hold: PIN_HOLD_PRIOR,
             mean_run: MEAN_RUN_PRIOR,
             pending: Vec::new(),
+            paused: Vec::new(),
+            catch_up_reads: 0,
         }
     }
 
@@ -132,7 +141,7 @@
         } else {
             self.settings.domain_delay * 2
         };
-        self.endpoints.set(state, round_trip);
+        self.endpoints.set(now, state, round_trip);
         self.note_primary(now);
     }
 
@@ -190,6 +199,9 @@
         self.endpoints.forget_removed();
         self.mark_long_runs(now);
         self.judge_health(now);
+        self.judge_faults(now);
+        self.judge_restarts(now);
+        self.resume_paused(now);
         let mut decisions = std::mem::take(&mut self.pending);
         self.execute_plans(now, &mut decisions);
         if self.settings.excess == ExcessRule::Waits {
@@ -204,13 +216,12 @@
         if !self.pending.is_empty() {
             return Some(now);
         }
-        if self.queue.is_empty() {
-            return None;
-        }
-        if self.next_review > now {
-            return Some(self.next_review);
-        }
-        Some(now + REVIEW_INTERVAL)
+        let review = match self.queue.is_empty() {
+            true => None,
+            false if self.next_review > now => Some(self.next_review),
+            false => Some(now + REVIEW_INTERVAL),
+        };
+        review.into_iter().chain(self.next_resumption()).min()
     }
 
     /// Returns when to poll again to open connections that no request waits for, if no event comes
@@ -244,9 +255,11 @@
         ticket: RequestTicket,
         outcome: FinishOutcome,
     ) -> FinishDecision {
-        let Some(dispatched) = self.running.remove(&ticket) else {
+        let Some(mut dispatched) = self.running.remove(&ticket) else {
             return FinishDecision::Unknown;
         };
+        let record = self.endpoints.get(&dispatched.instance);
+        let trial = record.is_some_and(|record| record.faults.is_trial(ticket));
         self.release_slot(now, &dispatched, outcome);
         if outcome == FinishOutcome::Answered || dispatched.abandoned {
             return FinishDecision::Settled;
@@ -254,22 +267,30 @@
         if dispatched.request.profile.step == RequestStep::Opens {
             self.unpin(now, ticket);
         }
-        if self.may_retry(now, &dispatched.request, outcome) {
-            let mut request = dispatched.request;
-            if outcome == FinishOutcome::NotSent {
-                request.attempts -= 1;
-            } else {
-                self.counts.retried += 1;
+        dispatched.request.rejections += u32::from(outcome == FinishOutcome::Rejected);
+        if self.may_retry(now, &dispatched, outcome, trial) {
+            match outcome {
+                FinishOutcome::NotSent => dispatched.request.attempts -= 1,
+                _ => self.counts.retried += 1,
+            }
+            match outcome {
+                FinishOutcome::Rejected => self.redispatch(now, dispatched, true),
+                FinishOutcome::Failed => self.redispatch(now, dispatched, false),
+                _ => self.requeue(now, dispatched.request),
             }
-            self.requeue(now, request);
             return FinishDecision::Requeued;
         }
         match outcome {
-            FinishOutcome::NotRun | FinishOutcome::Behind | FinishOutcome::NotSent => {
+            FinishOutcome::NotRun
+            | FinishOutcome::Rejected
+            | FinishOutcome::Behind
+            | FinishOutcome::NotSent => {
                 let refusal = self.refuse(now, ticket, RefusalCause::EndpointRefused);
                 FinishDecision::Refused(refusal)
             }
-            FinishOutcome::Answered | FinishOutcome::Lost => FinishDecision::Settled,
+            FinishOutcome::Answered | FinishOutcome::Failed | FinishOutcome::Lost => {
+                FinishDecision::Settled
+            }
         }
     }
 
@@ -347,6 +368,31 @@
         true
     }
 
+    /// Records that an instance can't be reached: it refused a connection or didn't answer.
+    pub fn endpoint_unreachable(&mut self, now: ClockTime, instance: &InstanceName) {
+        if let Some(record) = self.endpoints.get_mut(instance) {
+            record.restarts.note_outage(now);
+        }
+    }
+
+    /// Records that an open connection to an instance broke or didn't answer.
+    pub fn connection_broke(&mut self, now: ClockTime, instance: &InstanceName) {
+        if let Some(record) = self.endpoints.get_mut(instance) {
+            record.restarts.note_break(now);
+        }
+    }
+
+    /// Returns the endpoints whose level has changed since the last call.
+    pub fn take_level_changes(&mut self) -> Vec<EndpointSnapshot> {
+        let records = self.endpoints.records_mut().iter_mut();
+        let changed = records.filter(|record| record.level() != record.reported_level);
+        let snapshots = changed.map(|record| {
+            record.reported_level = record.level();
+            EndpointSnapshot::collect(record)
+        });
+        snapshots.collect()
+    }
+
     /// Records that a connection could not be opened.
     pub fn connection_failed(&mut self, now: ClockTime, instance: &InstanceName) {
         if let Some(record) = self.endpoints.get_mut(instance) {
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -12,6 +12,8 @@
 use crate::admission::MIN_REMAINING_PROMOTION;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
+use crate::catch_up::CatchUpReview;
+use crate::catch_up::MAX_CATCH_UP_READS;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlanInput;
@@ -22,6 +24,7 @@
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::UrgencyClass;
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// A queue of at most this many requests is reviewed and planned completely at each poll.
@@ -76,12 +79,15 @@
 
     /// Puts a request that ended without having run back into the queue.
     pub(crate) fn requeue(&mut self, now: ClockTime, request: WaitingRequest) {
-        let attempts = request.attempts;
+        let (attempts, rejections) = (request.attempts, request.rejections);
+        let rejected_by = request.rejected_by;
         let customer = request.customer;
         let Ok(mut request) = self.prepare(now, request.profile, customer) else {
             return;
         };
         request.attempts = attempts;
+        request.rejections = rejections;
+        request.rejected_by = rejected_by;
         if request.profile.step == RequestStep::Opens {
             self.customers.get_mut(customer).pins += 1;
         }
@@ -90,7 +96,8 @@
 
     /// Removes a waiting request; returns whether there was one.
     pub(crate) fn drop_waiting(&mut self, ticket: RequestTicket) -> bool {
-        let Some(request) = self.queue.remove(ticket) else {
+        let waiting = self.queue.remove(ticket);
+        let Some(request) = waiting.or_else(|| self.take_paused(ticket)) else {
             return false;
         };
         if request.profile.step == RequestStep::Opens {
@@ -139,9 +146,13 @@
     pub(crate) fn review_queue(&mut self, now: ClockTime, decisions: &mut Vec<SchedulerDecision>) {
         let mut unservable = Vec::new();
         let mut moved = Vec::new();
+        let mut catch_up = CatchUpReview::new(self);
         for request in self.queue.iter() {
             let ticket = request.profile.ticket;
-            let replica = self.prefers_replica(now, &request.profile);
+            let replica = self.prefers_replica(now, &request.profile, &request.rejected_by);
+            if !replica && catch_up.examines(self, now, request) {
+                continue;
+            }
             if let Some(cause) = self.unservable_cause(now, request, replica) {
                 unservable.push((ticket, cause));
                 continue;
@@ -154,6 +165,7 @@
                 moved.push((ticket, lane));
             }
         }
+        self.catch_up_reads = catch_up.assign(&mut moved);
         for (ticket, cause) in unservable {
             self.refuse_waiting(now, ticket, cause, decisions);
         }
@@ -197,6 +209,7 @@
             fair_clock: &self.fair_clock,
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
+            mean_run: self.mean_run,
             excess: self.settings.excess,
             switches: self.settings.modules,
         });
@@ -282,11 +295,23 @@
             RequestStep::Within(opener) => Some(self.find_pin(opener)?),
             RequestStep::Single | RequestStep::Opens => None,
         };
+        let mut replica = self.prefers_replica(now, &profile, &[]);
+        let mut planned_wait = None;
+        if !replica
+            && self.catch_up_reads < MAX_CATCH_UP_READS
+            && self.free_primary_slots() == Some(0)
+            && self.can_wait_for_replica(now, &profile, &[], now, estimate)
+        {
+            self.catch_up_reads += 1;
+            replica = true;
+            // Nothing overtakes it on the replica that it waits for, so the wait isn't scaled.
+            planned_wait = Some(Duration::ZERO);
+        }
         let mut lane = LaneKind {
             target_missed: false,
             urgent: profile.urgency == UrgencyClass::Urgent,
             long: estimate.is_long(),
-            replica: self.prefers_replica(now, &profile),
+            replica,
         };
         let due = profile.target.unwrap_or(profile.deadline);
         let mut order = due.min(profile.deadline).before(estimate.expected());
@@ -311,18 +336,28 @@
             ranked_at: now,
             pinned_to,
             delay,
-            planned_wait: None,
+            planned_wait,
             attempts: 0,
+            rejections: 0,
+            rejected_by: SmallVec::new(),
         })
     }
 
     /// Returns whether a request should wait for the replicas rather than use the primary.
-    fn prefers_replica(&self, now: ClockTime, profile: &RequestProfile) -> bool {
+    ///
+    /// Endpoints that have rejected the request don't count.
+    pub(crate) fn prefers_replica(
+        &self,
+        now: ClockTime,
+        profile: &RequestProfile,
+        rejected_by: &[InstanceName],
+    ) -> bool {
         if !profile.allows_replica() || !self.settings.modules.routing {
             return profile.allows_replica();
         }
         let health = self.settings.modules.health;
-        has_replica_soon(self.endpoints.records(), profile, now, health)
+        let records = self.endpoints.records();
+        has_replica_soon(records, profile, rejected_by, now, health)
     }
 
     fn find_pin(&self, opener: RequestTicket) -> Result<InstanceName, RefusalCause> {
@@ -358,7 +393,7 @@
         Ok(())
     }
 
-    fn insert(&mut self, request: WaitingRequest) {
+    pub(crate) fn insert(&mut self, request: WaitingRequest) {
         if self.queue.is_idle(request.customer) {
             self.fair_clock.resume(request.customer);
         }
