--- a/crates/daemon/src/endpoint_levels.rs
+++ b/crates/daemon/src/endpoint_levels.rs
@@ -3,6 +3,7 @@
 use crate::log_event;
 use crate::metrics::DaemonMetrics;
 use log::Level;
+use ragwort_policy::ClockTime;
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::HealthLevel;
 use ragwort_policy::SchedulerCounts;
@@ -10,8 +11,8 @@
 use ragwort_types::GroupName;
 
 /// Logs the endpoints of a group that were reduced, were cut off or are back at full.
-pub(crate) fn log_level_changes(group: &GroupName, scheduler: &mut GroupScheduler) {
-    for endpoint in scheduler.take_level_changes() {
+pub(crate) fn log_level_changes(now: ClockTime, group: &GroupName, scheduler: &mut GroupScheduler) {
+    for endpoint in scheduler.take_level_changes(now) {
         let level = match endpoint.health {
             HealthLevel::Full => "full",
             HealthLevel::Half => "reduced",
--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -35,7 +35,7 @@
         let allowance = self.context.descriptors.allowance();
         self.scheduler.set_allowance(allowance);
         let decisions = self.scheduler.poll(now);
-        log_level_changes(&self.group, &mut self.scheduler);
+        log_level_changes(now, &self.group, &mut self.scheduler);
         for decision in decisions {
             match decision {
                 SchedulerDecision::Dispatch(order) if self.is_shape(order.ticket) => {
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -53,7 +53,7 @@
         let allowance = self.context.descriptors.allowance();
         self.scheduler.set_allowance(allowance);
         let decisions = self.scheduler.poll(now);
-        log_level_changes(&self.group, &mut self.scheduler);
+        log_level_changes(now, &self.group, &mut self.scheduler);
         for decision in decisions {
             match decision {
                 SchedulerDecision::Dispatch(order) => self.dispatch(&order),
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -20,6 +20,9 @@
 /// The assumed minimum remaining time of a run, so that a held slot never looks free.
 pub(crate) const MIN_REMAINING_RUN: Duration = Duration::from_micros(100);
 
+/// The minimum interval between two reports of an endpoint's changed level.
+const LEVEL_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A request that was sent to an endpoint and hasn't ended.
 #[derive(Clone, Debug)]
 pub(crate) struct RunningRequest {
@@ -115,8 +118,8 @@
     pub(crate) faults: EndpointFaults,
     /// The endpoint's recent outages.
     pub(crate) restarts: RestartRamp,
-    /// The level that was last reported as changed.
-    pub(crate) reported_level: HealthLevel,
+    /// The level that was last reported as changed, and when.
+    pub(crate) reported_level: (HealthLevel, Option<ClockTime>),
     /// No connection is opened before this time, after one failed to open.
     pub(crate) connect_after: ClockTime,
     /// Whether the endpoint was removed while requests were running on it.
@@ -146,7 +149,7 @@
             health: EndpointHealth::default(),
             faults: EndpointFaults::default(),
             restarts: RestartRamp::default(),
-            reported_level: HealthLevel::Full,
+            reported_level: (HealthLevel::Full, None),
             connect_after: ClockTime::default(),
             removed: false,
         }
@@ -230,6 +233,20 @@
         self.health.level().max(self.faults.level()).max(ramp)
     }
 
+    /// Returns whether its level has changed since it was last reported, and records it as reported.
+    ///
+    /// A level that goes back and forth is reported once in [`LEVEL_REPORT_INTERVAL`].
+    pub(crate) fn take_level_change(&mut self, now: ClockTime) -> bool {
+        let (reported, at) = self.reported_level;
+        let recent = at.is_some_and(|at| now.since(at) < LEVEL_REPORT_INTERVAL);
+        let level = self.level();
+        if level == reported || recent {
+            return false;
+        }
+        self.reported_level = (level, Some(now));
+        true
+    }
+
     /// Returns whether a trial may start.
     ///
     /// An endpoint that was cut off for two reasons gets trials only when both allow one.
--- a/crates/policy/src/rejection_rate.rs
+++ b/crates/policy/src/rejection_rate.rs
@@ -50,6 +50,7 @@
 const MIN_COMPARED: f64 = 10.0;
 
 /// An endpoint whose share exceeds that of its best peer by this loses slots.
+/// It gets them back at half of this difference.
 const REDUCED_SHARE: f64 = 0.05;
 
 /// An endpoint whose share exceeds that of its best peer by this is cut off if its peers have room
@@ -326,13 +327,21 @@
             && (failed <= 0.0 || peers.best_failed.is_some());
         self.level = if compared && self.is_cut_off(peers) {
             HealthLevel::Cut
-        } else if self.excess >= REDUCED_SHARE {
+        } else if self.excess >= self.reduced_from() {
             HealthLevel::Half
         } else {
             HealthLevel::Full
         };
     }
 
+    /// Returns the difference from which the endpoint is reduced.
+    fn reduced_from(&self) -> f64 {
+        match self.level {
+            HealthLevel::Full => REDUCED_SHARE,
+            HealthLevel::Half | HealthLevel::Cut => REDUCED_SHARE / 2.0,
+        }
+    }
+
     fn is_cut_off(&self, peers: PeerState) -> bool {
         if self.excess >= USELESS_SHARE {
             return true;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -382,15 +382,16 @@
         }
     }
 
-    /// Returns the endpoints whose level has changed since the last call.
-    pub fn take_level_changes(&mut self) -> Vec<EndpointSnapshot> {
+    /// Returns the endpoints whose level has changed since it was last returned, each at most once
+    /// a second.
+    pub fn take_level_changes(&mut self, now: ClockTime) -> Vec<EndpointSnapshot> {
         let records = self.endpoints.records_mut().iter_mut();
-        let changed = records.filter(|record| record.level() != record.reported_level);
-        let snapshots = changed.map(|record| {
-            record.reported_level = record.level();
-            EndpointSnapshot::collect(record)
+        let changed = records.filter_map(|record| {
+            record
+                .take_level_change(now)
+                .then(|| EndpointSnapshot::collect(record))
         });
-        snapshots.collect()
+        changed.collect()
     }
 
     /// Records that a connection could not be opened.
--- a/crates/policy/tests/uneven_decisions.rs
+++ b/crates/policy/tests/uneven_decisions.rs
@@ -220,10 +220,10 @@
     let (now, next) = play_reads(&mut scheduler, 100, REPLICA, 3, FinishOutcome::Rejected);
     assert_eq!(level_of(&scheduler, now, REPLICA), HealthLevel::Cut);
     assert_eq!(level_of(&scheduler, now, OTHER_REPLICA), HealthLevel::Full);
-    let changes = scheduler.take_level_changes();
+    let changes = scheduler.take_level_changes(now);
     assert_eq!(changes.len(), 1);
     assert!(changes[0].rejected_share > 0.2);
-    assert!(scheduler.take_level_changes().is_empty());
+    assert!(scheduler.take_level_changes(now).is_empty());
     let mut now = now;
     let mut trials = Vec::new();
     for ticket in next..next + 1_000 {
