--- a/crates/policy/src/customers.rs
+++ b/crates/policy/src/customers.rs
@@ -5,11 +5,12 @@
 use crate::RequestProfile;
 use crate::admission::WaitFactor;
 use crate::caller_pacing::PacingTable;
-use crate::queue::LANE_COUNT;
+use crate::queue::LANE_SORTS;
 use crate::queue::LaneKind;
 use crate::queue::WaitingRequest;
 use ragwort_types::CustomerName;
 use ragwort_types::LengthClass;
+use ragwort_types::ShareGroupName;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -24,9 +25,13 @@
     pub(crate) pins: u32,
     /// The slot time used since the start, in microseconds.
     pub(crate) slot_micros: u64,
+    /// The index of the sharer whose slot time its requests use.
+    pub(crate) sharer: usize,
+    /// The index of the sharer that it is without a share group, once it has been one.
+    own_sharer: Option<usize>,
     sessions: PacingTable,
     keys: PacingTable,
-    wait_factors: [WaitFactor; LANE_COUNT * 2],
+    wait_factors: [WaitFactor; LANE_SORTS * 2],
 }
 
 impl CustomerRecord {
@@ -67,9 +72,9 @@
     let delayed = if request.delay.is_zero() {
         0
     } else {
-        LANE_COUNT
+        LANE_SORTS
     };
-    request.lane.index() + delayed
+    request.lane.sort() + delayed
 }
 
 /// All customers that a group has seen. An index never changes.
@@ -77,6 +82,9 @@
 pub(crate) struct CustomerTable {
     by_name: BTreeMap<CustomerName, usize>,
     records: Vec<CustomerRecord>,
+    /// The index of each share group among the sharers.
+    groups: BTreeMap<ShareGroupName, usize>,
+    sharer_count: usize,
 }
 
 impl CustomerTable {
@@ -95,6 +103,11 @@
         self.records.len()
     }
 
+    /// Returns the number of sharers: customers without a share group, and share groups.
+    pub(crate) fn sharer_count(&self) -> usize {
+        self.sharer_count
+    }
+
     /// Returns the index of a customer whose contract is in force.
     pub(crate) fn index_of(&self, customer: &CustomerName) -> Option<usize> {
         let index = *self.by_name.get(customer)?;
@@ -134,10 +147,19 @@
     }
 
     fn set_entry(&mut self, terms: &CustomerTerms) {
-        if let Some(index) = self.by_name.get(&terms.customer) {
-            let record = &mut self.records[*index];
+        let known = self.by_name.get(&terms.customer).copied();
+        let own = known.and_then(|index| self.records[index].own_sharer);
+        let sharer = match &terms.share_group {
+            Some(group) => self.index_of_group(group),
+            None => own.unwrap_or_else(|| self.add_sharer()),
+        };
+        let own_sharer = own.or(terms.share_group.is_none().then_some(sharer));
+        if let Some(index) = known {
+            let record = &mut self.records[index];
             record.terms = terms.clone();
             record.active = true;
+            record.sharer = sharer;
+            record.own_sharer = own_sharer;
             return;
         }
         self.by_name
@@ -147,11 +169,27 @@
             active: true,
             pins: 0,
             slot_micros: 0,
+            sharer,
+            own_sharer,
             sessions: PacingTable::default(),
             keys: PacingTable::default(),
             wait_factors: std::array::from_fn(|index| {
-                WaitFactor::new(LaneKind::from_index(index % LANE_COUNT))
+                WaitFactor::new(LaneKind::from_sort(index % LANE_SORTS))
             }),
         });
     }
+
+    fn index_of_group(&mut self, group: &ShareGroupName) -> usize {
+        if let Some(index) = self.groups.get(group) {
+            return *index;
+        }
+        let index = self.add_sharer();
+        self.groups.insert(group.clone(), index);
+        index
+    }
+
+    fn add_sharer(&mut self) -> usize {
+        self.sharer_count += 1;
+        self.sharer_count - 1
+    }
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -7,6 +7,7 @@
 use crate::connections::RecentPeak;
 use crate::health::EndpointHealth;
 use crate::health::STALL_FACTOR;
+use crate::operation_cost::CostClass;
 use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use smallvec::SmallVec;
@@ -70,6 +71,12 @@
     pub(crate) customer: usize,
     /// When the transaction took the connection.
     pub(crate) since: ClockTime,
+    /// The index of the estimate of the kind that opened it.
+    pub(crate) kind: usize,
+    /// The slot time that its statements after the first have used.
+    pub(crate) further_slot_time: Duration,
+    /// The cost class in which it was opened.
+    pub(crate) cost: CostClass,
 }
 
 /// An endpoint and the scheduler's state of it.
@@ -138,6 +145,14 @@
         }
     }
 
+    /// Adds the slot time of a statement after the first to its transaction.
+    pub(crate) fn charge_transaction(&mut self, opener: RequestTicket, run: Duration) {
+        let mut pins = self.pins.iter_mut();
+        if let Some(pin) = pins.find(|pin| pin.opener == opener) {
+            pin.further_slot_time += run;
+        }
+    }
+
     /// Returns whether a connection must be opened for a request of this account.
     pub(crate) fn lacks_connection(&self, account: Option<u64>) -> bool {
         let idle = self.idle_accounts.as_ref();
@@ -318,6 +333,12 @@
             .position(|record| record.pins.iter().any(|pin| pin.opener == opener))
     }
 
+    /// Returns the connection that a transaction holds.
+    pub(crate) fn pin(&self, opener: RequestTicket) -> Option<&ConnectionPin> {
+        let mut pins = self.records.iter().flat_map(|record| &record.pins);
+        pins.find(|pin| pin.opener == opener)
+    }
+
     /// Returns whether an endpoint accepts requests as primary.
     pub(crate) fn has_primary(&self) -> bool {
         self.records
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -73,7 +73,7 @@
         if !self.is_fit(record, request, at) || !self.length_fits(request, instance, at) {
             return None;
         }
-        if pass.urgent && pass.bounded && forecast.urgent_run >= MAX_URGENT_RUN {
+        if request.lane.urgent && pass.bounded && forecast.urgent_run >= MAX_URGENT_RUN {
             return None;
         }
         let opens = request.profile.step == RequestStep::Opens;
@@ -212,8 +212,10 @@
         if request.lane.target_missed || request.lane.urgent || !self.input.switches.targets {
             return false;
         }
-        let Some(target) = request.profile.target else {
-            return false;
+        let target = match request.profile.target {
+            Some(target) => target,
+            None if request.late_service => request.profile.deadline,
+            None => return false,
         };
         let start = match request.planned_wait {
             Some(_) => at,
@@ -245,8 +247,11 @@
     /// For a new one the planned wait is scaled by the learned factor: admitted on the edge of its
     /// deadline, it would be refused later, with little of its time left, when a run before it
     /// takes longer than expected or another request overtakes it.
+    ///
+    /// A request with late service is only refused when no room is left for it. One that would be
+    /// late with the scaled wait goes behind those that can meet their target instead.
     pub(crate) fn pessimistic_start(&self, request: &WaitingRequest, at: ClockTime) -> ClockTime {
-        if request.planned_wait.is_some() {
+        if request.planned_wait.is_some() || request.late_service {
             return at;
         }
         let now = self.input.now;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -21,11 +21,13 @@
 use crate::forecast::ForecastOptions;
 use crate::forecast::InstanceForecast;
 use crate::forecast::SlotForecast;
-use crate::queue::LANE_COUNT;
+use crate::minimum_shares::MinimumShares;
+use crate::priority::LEVEL_COUNT;
 use crate::queue::LaneEntry;
 use crate::queue::LaneKind;
 use crate::queue::WaitingQueue;
 use crate::queue::WaitingRequest;
+use crate::scarcity::CostShares;
 use crate::settings::ModuleSwitches;
 use crate::shares::FairClock;
 use ragwort_types::AccessMode;
@@ -55,8 +57,12 @@
     pub(crate) estimates: &'a EstimateTable,
     /// The customers, with the factors by which their planned waits are scaled.
     pub(crate) customers: &'a CustomerTable,
-    /// The virtual times that decide which customer is served next.
+    /// The virtual times that decide which sharer is served next.
     pub(crate) fair_clock: &'a FairClock,
+    /// The minimum shares of the priority levels.
+    pub(crate) level_shares: &'a MinimumShares<LEVEL_COUNT>,
+    /// The shares by which operations are ordered by cost; `None` while slots aren't scarce.
+    pub(crate) cost_shares: Option<&'a CostShares>,
     /// The time that opening a connection takes.
     pub(crate) connect_time: Duration,
     /// The mean time for which a transaction holds a connection.
@@ -100,22 +106,30 @@
     pub(crate) trial: bool,
 }
 
-/// A request that can go next, with the keys by which candidates are compared.
+/// A request that can go next.
 #[derive(Clone, Copy)]
 struct PlanCandidate {
     entry: LaneEntry,
-    virtual_time: u64,
     action: PlanAction,
 }
 
+/// The key by which the candidates of one pass are compared; the lowest one goes first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct CandidateRank {
+    virtual_time: u64,
+    /// The place of its cost class, while operations are ordered by cost.
+    cost_place: u8,
+    entry: LaneEntry,
+}
+
 /// The requests and slots that one selection pass over the queue considers.
 #[derive(Clone, Copy)]
 pub(crate) struct ChoicePass {
     /// The simulated time of the pass.
     pub(crate) at: ClockTime,
-    /// Whether the pass selects urgent requests, or ordinary ones.
-    pub(crate) urgent: bool,
-    /// Whether to skip instances that have served `MAX_URGENT_RUN` urgent requests in a row.
+    /// The requests that the pass selects.
+    pub(crate) selection: PassSelection,
+    /// Whether urgent requests skip instances that have served `MAX_URGENT_RUN` of them in a row.
     pub(crate) bounded: bool,
     /// Whether reads that replicas could serve may use the primary's slots.
     pub(crate) spill: bool,
@@ -134,22 +148,47 @@
         } else {
             self.writes
         };
-        lane.urgent == self.urgent && lane.target_missed == self.target_missed && open
+        let selected = match self.selection {
+            PassSelection::Urgency(urgent) => lane.urgent == urgent,
+            PassSelection::Level(level) => lane.level.index() == level,
+        };
+        selected && lane.target_missed == self.target_missed && open
     }
 }
 
+/// The requests that a selection pass considers.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PassSelection {
+    /// Urgent requests, or ordinary ones.
+    Urgency(bool),
+    /// The requests of one level.
+    Level(usize),
+}
+
+/// The part of a lane that the plan considers.
+#[derive(Clone, Copy)]
+struct PlanLane<'a> {
+    sharer: usize,
+    kind: LaneKind,
+    entries: &'a [LaneEntry],
+    /// The first entry that may still be unplanned.
+    cursor: usize,
+}
+
 /// The state of the simulation.
 pub(crate) struct DispatchPlan<'a> {
     pub(crate) input: PlanInput<'a>,
     pub(crate) forecasts: SmallVec<[InstanceForecast; 4]>,
     pub(crate) fair_clock: FairClock,
+    level_shares: MinimumShares<LEVEL_COUNT>,
+    cost_shares: Option<CostShares>,
     pub(crate) planned: Vec<bool>,
-    /// The first entry of each lane that may still be unplanned, by position among the active
-    /// customers.
-    pub(crate) cursors: SmallVec<[[usize; LANE_COUNT]; 8]>,
+    /// The lanes with waiting requests, those of each sharer next to each other.
+    lanes: SmallVec<[PlanLane<'a>; 16]>,
     pub(crate) key_locks: SmallVec<[KeyLock; 4]>,
     pub(crate) unplanned_replica_reads: usize,
     pub(crate) unplanned_ordinary: usize,
+    unplanned_levels: [usize; LEVEL_COUNT],
 }
 
 /// A running write, which excludes other writes on the same key until it ends.
@@ -179,11 +218,14 @@
             input,
             forecasts: forecasts.collect(),
             fair_clock: input.fair_clock.clone(),
+            level_shares: input.level_shares.clone(),
+            cost_shares: input.cost_shares.cloned(),
             planned: vec![false; input.queue.capacity()],
-            cursors: SmallVec::from_elem([0; LANE_COUNT], input.queue.active().len()),
+            lanes: waiting_lanes(input.queue),
             key_locks: running_key_locks(records, input.now),
-            unplanned_replica_reads: input.queue.count_lanes(|lane| lane.replica),
-            unplanned_ordinary: input.queue.count_lanes(|lane| !lane.urgent),
+            unplanned_replica_reads: input.queue.count_replica_reads(),
+            unplanned_ordinary: input.queue.count_urgency(false),
+            unplanned_levels: input.queue.level_counts(),
         }
     }
 
@@ -250,9 +292,61 @@
         if let Some(candidate) = self.choose_pinned(at, MAX_PINNED_RUN) {
             return Some(candidate);
         }
-        self.choose_unpinned(at, false)
+        if self.input.queue.has_set_levels() {
+            return self
+                .choose_by_level(at)
+                .or_else(|| self.choose_pinned(at, u32::MAX));
+        }
+        self.choose_by_urgency(at, false)
             .or_else(|| self.choose_pinned(at, u32::MAX))
-            .or_else(|| self.choose_unpinned(at, true))
+            .or_else(|| self.choose_by_urgency(at, true))
+    }
+
+    /// Chooses a request of a level that is below its minimum share, otherwise one of the first
+    /// level that has one. Within a level, requests that can meet their target go first.
+    fn choose_by_level(&mut self, at: ClockTime) -> Option<PlanCandidate> {
+        let waiting = |plan: &Self, level: usize| plan.unplanned_levels[level] > 0;
+        for level in 1..LEVEL_COUNT {
+            if waiting(self, level)
+                && self.level_shares.is_below(level)
+                && let Some(candidate) = self.choose_level(at, level, true)
+            {
+                return Some(candidate);
+            }
+        }
+        for bounded in [true, false] {
+            for level in 0..LEVEL_COUNT {
+                if waiting(self, level)
+                    && let Some(candidate) = self.choose_level(at, level, bounded)
+                {
+                    return Some(candidate);
+                }
+            }
+        }
+        None
+    }
+
+    fn choose_level(
+        &mut self,
+        at: ClockTime,
+        level: usize,
+        bounded: bool,
+    ) -> Option<PlanCandidate> {
+        let selection = PassSelection::Level(level);
+        for target_missed in [false, true] {
+            for spill in [false, true] {
+                let pass = self.open_pass(at, target_missed, spill);
+                let chosen = self.choose_in_pass(ChoicePass {
+                    selection,
+                    bounded,
+                    ..pass
+                });
+                if chosen.is_some() {
+                    return chosen;
+                }
+            }
+        }
+        None
     }
 
     fn choose_pinned(&self, at: ClockTime, run_limit: u32) -> Option<PlanCandidate> {
@@ -278,7 +372,6 @@
             let action = self.judge_start(request, instance, at, false);
             return Some(PlanCandidate {
                 entry: *entry,
-                virtual_time: 0,
                 action,
             });
         }
@@ -287,7 +380,7 @@
 
     /// Chooses among requests outside of transactions. Reads that a replica may serve go to
     /// replicas first.
-    fn choose_unpinned(&mut self, at: ClockTime, target_missed: bool) -> Option<PlanCandidate> {
+    fn choose_by_urgency(&mut self, at: ClockTime, target_missed: bool) -> Option<PlanCandidate> {
         self.choose_spilling(at, target_missed, false)
             .or_else(|| self.choose_spilling(at, target_missed, true))
     }
@@ -300,21 +393,31 @@
         target_missed: bool,
         spill: bool,
     ) -> Option<PlanCandidate> {
+        let open = self.open_pass(at, target_missed, spill);
+        let pass = |urgent, bounded| ChoicePass {
+            selection: PassSelection::Urgency(urgent),
+            bounded,
+            ..open
+        };
+        self.choose_in_pass(pass(true, true))
+            .or_else(|| self.choose_in_pass(pass(false, true)))
+            .or_else(|| self.choose_in_pass(pass(true, false)))
+    }
+
+    /// Creates a pass over the lanes for which a slot is available at a moment.
+    fn open_pass(&self, at: ClockTime, target_missed: bool, spill: bool) -> ChoicePass {
         let primary = self.has_opening(EndpointRole::Primary, at);
         let replica = self.has_opening(EndpointRole::Replica, at);
         let routing = self.input.switches.routing;
-        let pass = |urgent, bounded| ChoicePass {
+        ChoicePass {
             at,
-            urgent,
-            bounded,
+            selection: PassSelection::Urgency(false),
+            bounded: true,
             spill,
             target_missed,
             reads: replica || spill || (primary && !routing),
             writes: primary,
-        };
-        self.choose_urgency(pass(true, true))
-            .or_else(|| self.choose_urgency(pass(false, true)))
-            .or_else(|| self.choose_urgency(pass(true, false)))
+        }
     }
 
     /// Returns whether an endpoint of this role has a slot for a request outside of a transaction.
@@ -329,71 +432,73 @@
         })
     }
 
-    fn choose_urgency(&mut self, pass: ChoicePass) -> Option<PlanCandidate> {
-        let mut best: Option<PlanCandidate> = None;
-        let queue = self.input.queue;
-        for (place, customer) in queue.active().iter().copied().enumerate() {
-            let virtual_time = if self.input.switches.shares {
-                self.fair_clock.virtual_time(customer)
-            } else {
-                0
+    fn choose_in_pass(&mut self, pass: ChoicePass) -> Option<PlanCandidate> {
+        let mut best: Option<(CandidateRank, PlanCandidate)> = None;
+        for index in 0..self.lanes.len() {
+            let PlanLane {
+                sharer,
+                kind,
+                entries,
+                cursor,
+            } = self.lanes[index];
+            if !pass.includes_lane(kind) || (pass.spill && !self.may_spill(kind)) {
+                continue;
+            }
+            let planned = entries[cursor..].iter();
+            let cursor = cursor + planned.take_while(|entry| self.planned[entry.slot]).count();
+            self.lanes[index].cursor = cursor;
+            let Some(first) = entries.get(cursor) else {
+                continue;
             };
-            if best.is_some_and(|candidate| candidate.virtual_time < virtual_time) {
+            let rank = self.rank(sharer, kind, *first);
+            // No entry of the lane ranks before its first one.
+            if best.is_some_and(|(other, _)| other < rank) {
                 continue;
             }
-            for lane in 0..LANE_COUNT {
-                let kind = LaneKind::from_index(lane);
-                if !pass.includes_lane(kind) || (pass.spill && !self.may_spill(kind)) {
-                    continue;
-                }
-                let entries = queue.customers()[customer].lane(lane);
-                if entries.is_empty() {
-                    continue;
-                }
-                let cursor = &mut self.cursors[place][lane];
-                while *cursor < entries.len() && self.planned[entries[*cursor].slot] {
-                    *cursor += 1;
-                }
-                let entries = &entries[*cursor..];
-                let Some(candidate) = self.choose_in_lane(entries, virtual_time, pass) else {
-                    continue;
-                };
-                if best.is_none_or(|other| goes_before(&candidate, &other)) {
-                    best = Some(candidate);
-                }
+            let Some(candidate) = self.choose_in_lane(&entries[cursor..], pass) else {
+                continue;
+            };
+            let rank = CandidateRank {
+                entry: candidate.entry,
+                ..rank
+            };
+            if best.is_none_or(|(other, _)| rank < other) {
+                best = Some((rank, candidate));
             }
         }
-        best
+        best.map(|(_, candidate)| candidate)
+    }
+
+    fn rank(&self, sharer: usize, kind: LaneKind, entry: LaneEntry) -> CandidateRank {
+        let shares = self.input.switches.shares;
+        let costs = self.cost_shares.as_ref();
+        CandidateRank {
+            virtual_time: match shares {
+                true => self.fair_clock.virtual_time(sharer),
+                false => 0,
+            },
+            cost_place: costs.map_or(0, |costs| {
+                costs.place(sharer, kind.level.index(), kind.cost)
+            }),
+            entry,
+        }
     }
 
     /// Chooses among the entries of one lane, the first of which isn't planned yet.
-    fn choose_in_lane(
-        &self,
-        entries: &[LaneEntry],
-        virtual_time: u64,
-        pass: ChoicePass,
-    ) -> Option<PlanCandidate> {
+    fn choose_in_lane(&self, entries: &[LaneEntry], pass: ChoicePass) -> Option<PlanCandidate> {
         let waiting = entries.iter().filter(|entry| !self.planned[entry.slot]);
         for entry in waiting.take(LOOK_AHEAD) {
             let request = self.input.queue.at(entry.slot);
-            if self.cannot_meet_deadline(request, pass.at) {
-                return Some(PlanCandidate {
-                    entry: *entry,
-                    virtual_time,
-                    action: PlanAction::CannotMeetDeadline,
-                });
-            }
-            if self.cannot_meet_target(request, pass.at) {
-                return Some(PlanCandidate {
-                    entry: *entry,
-                    virtual_time,
-                    action: PlanAction::CannotMeetTarget,
-                });
-            }
-            if let Some(action) = self.place(request, pass) {
+            let action = if self.cannot_meet_deadline(request, pass.at) {
+                Some(PlanAction::CannotMeetDeadline)
+            } else if self.cannot_meet_target(request, pass.at) {
+                Some(PlanAction::CannotMeetTarget)
+            } else {
+                self.place(request, pass)
+            };
+            if let Some(action) = action {
                 return Some(PlanCandidate {
                     entry: *entry,
-                    virtual_time,
                     action,
                 });
             }
@@ -425,8 +530,12 @@
         if request.lane.replica {
             self.unplanned_replica_reads = self.unplanned_replica_reads.saturating_sub(1);
         }
-        if !request.lane.urgent && request.pinned_to.is_none() {
-            self.unplanned_ordinary = self.unplanned_ordinary.saturating_sub(1);
+        if request.pinned_to.is_none() {
+            let waiting = &mut self.unplanned_levels[request.lane.level.index()];
+            *waiting = waiting.saturating_sub(1);
+            if !request.lane.urgent {
+                self.unplanned_ordinary = self.unplanned_ordinary.saturating_sub(1);
+            }
         }
         let PlanAction::Start(start) = candidate.action else {
             return;
@@ -456,11 +565,37 @@
             forecast.urgent_run =
                 next_urgent_run(forecast.urgent_run, request.lane, ordinary_waits);
         }
-        self.fair_clock.charge(request.customer, start.expected);
+        self.charge(request, start.expected);
         if let Some(key) = write_key(request) {
             self.lock_key(at, KeyLock { key, until });
         }
     }
+
+    fn charge(&mut self, request: &WaitingRequest, run: Duration) {
+        let lane = request.lane;
+        let level = lane.level.index();
+        self.fair_clock.charge(request.sharer, run);
+        self.level_shares.charge(level, run);
+        if let Some(costs) = &mut self.cost_shares {
+            costs.charge(request.sharer, level, lane.cost, run);
+        }
+    }
+}
+
+/// Returns the lanes with waiting requests.
+fn waiting_lanes(queue: &WaitingQueue) -> SmallVec<[PlanLane<'_>; 16]> {
+    let sharers = queue.active().iter();
+    let lanes = sharers.flat_map(|sharer| {
+        let lanes = queue.sharer(*sharer).lanes().iter();
+        let lanes = lanes.filter(|lane| !lane.entries.is_empty());
+        lanes.map(|lane| PlanLane {
+            sharer: *sharer,
+            kind: lane.kind,
+            entries: &lane.entries,
+            cursor: 0,
+        })
+    });
+    lanes.collect()
 }
 
 /// Returns the number of consecutive urgent requests that were served while ordinary ones waited.
@@ -482,10 +617,6 @@
     Some(key ^ customer.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
-fn goes_before(candidate: &PlanCandidate, other: &PlanCandidate) -> bool {
-    (candidate.virtual_time, candidate.entry) < (other.virtual_time, other.entry)
-}
-
 fn running_key_locks(records: &[EndpointRecord], now: ClockTime) -> SmallVec<[KeyLock; 4]> {
     let running = records.iter().flat_map(|record| &record.running);
     let holds = running.filter_map(|running| {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -8,8 +8,8 @@
 //!
 //! # Approach
 //!
-//! Each customer's requests are kept in lanes. Within a lane they are ordered by least slack: by
-//! the latest time at which they can start, which is the deadline less the expected run. Ordering
+//! Each sharer's requests are kept in lanes: those of a customer, or of all contracts of a share
+//! group. Within a lane they are ordered by least slack: by the latest time at which they can start, which is the deadline less the expected run. Ordering
 //! by the deadline alone would leave a long job behind all short ones until it is too late for it.
 //! While both wait, three urgent requests are served for each ordinary one: urgent work never waits
 //! for more than one ordinary run, and ordinary work keeps a quarter of the slots.
@@ -18,6 +18,9 @@
 use crate::RequestProfile;
 use crate::RequestStep;
 use crate::RequestTicket;
+use crate::operation_cost::CostClass;
+use crate::priority::LEVEL_COUNT;
+use crate::priority::ServiceLevel;
 use ragwort_types::InstanceName;
 use smallvec::SmallVec;
 use std::collections::HashMap;
@@ -26,10 +29,10 @@
 /// Maximum number of consecutive urgent requests while ordinary ones wait.
 pub(crate) const MAX_URGENT_RUN: u32 = 3;
 
-/// The number of lanes of each customer.
-pub(crate) const LANE_COUNT: usize = 16;
+/// The number of sorts of lanes, apart from levels and cost classes.
+pub(crate) const LANE_SORTS: usize = 16;
 
-/// The lane of a customer in which a request waits.
+/// The lane of a sharer in which a request waits.
 ///
 /// Requests of one lane can use the same instances, apart from session positions and data ages, so
 /// the head of a lane is usually representative of the whole lane.
@@ -43,24 +46,36 @@
     pub(crate) long: bool,
     /// Whether a replica can serve its requests, now or within a few milliseconds.
     pub(crate) replica: bool,
+    /// The level with which its requests are served.
+    pub(crate) level: ServiceLevel,
+    /// The cost class of its operations; zero outside of share groups.
+    pub(crate) cost: CostClass,
 }
 
 impl LaneKind {
-    /// Returns the lane with an index below [`LANE_COUNT`].
-    pub(crate) fn from_index(index: usize) -> Self {
+    /// Returns a lane of the sort with an index below [`LANE_SORTS`].
+    pub(crate) fn from_sort(sort: usize) -> Self {
         Self {
-            target_missed: index & 8 != 0,
-            urgent: index & 4 != 0,
-            long: index & 2 != 0,
-            replica: index & 1 != 0,
+            target_missed: sort & 8 != 0,
+            urgent: sort & 4 != 0,
+            long: sort & 2 != 0,
+            replica: sort & 1 != 0,
+            level: ServiceLevel::default(),
+            cost: CostClass::default(),
         }
     }
 
-    /// Returns the index of the lane.
-    pub(crate) fn index(self) -> usize {
-        let sort =
-            usize::from(self.urgent) << 2 | usize::from(self.long) << 1 | usize::from(self.replica);
-        usize::from(self.target_missed) << 3 | sort
+    /// Returns the index of the lane's sort, which is below [`LANE_SORTS`].
+    pub(crate) fn sort(self) -> usize {
+        usize::from(self.target_missed) << 3
+            | usize::from(self.urgent) << 2
+            | usize::from(self.long) << 1
+            | usize::from(self.replica)
+    }
+
+    /// Returns a key that differs between all lanes of a sharer, and that grows with the cost.
+    fn key(self) -> (CostClass, ServiceLevel, usize) {
+        (self.cost, self.level, self.sort())
     }
 }
 
@@ -71,6 +86,8 @@
     pub(crate) profile: RequestProfile,
     /// The index of the customer.
     pub(crate) customer: usize,
+    /// The index of the sharer whose slot time it uses.
+    pub(crate) sharer: usize,
     /// The index of the estimate of its kind.
     pub(crate) kind: usize,
     /// The lane in which it waits.
@@ -91,6 +108,9 @@
     pub(crate) planned_wait: Option<Duration>,
     /// The number of previous dispatches.
     pub(crate) attempts: u32,
+    /// Whether it is served late from leftover slot time rather than refused, as long as it can
+    /// meet its deadline.
+    pub(crate) late_service: bool,
 }
 
 impl WaitingRequest {
@@ -115,42 +135,45 @@
     pub(crate) slot: usize,
 }
 
-/// The lanes of one customer.
+/// A lane with its requests in order.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingLane {
+    /// The properties of its requests.
+    pub(crate) kind: LaneKind,
+    /// The requests.
+    pub(crate) entries: Vec<LaneEntry>,
+}
+
+/// The lanes of one sharer, the cheapest operations first.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct CustomerQueue {
-    lanes: [Vec<LaneEntry>; LANE_COUNT],
+pub(crate) struct SharerQueue {
+    lanes: Vec<WaitingLane>,
     /// The number of entries in all lanes.
     waiting: usize,
 }
 
-impl CustomerQueue {
-    /// Returns one lane in order.
-    pub(crate) fn lane(&self, index: usize) -> &[LaneEntry] {
-        &self.lanes[index]
+impl SharerQueue {
+    /// Returns the lanes that have had a request, the cheapest operations first.
+    pub(crate) fn lanes(&self) -> &[WaitingLane] {
+        &self.lanes
     }
 
-    /// Returns the number of waiting requests of one urgency.
-    pub(crate) fn count(&self, urgent: bool) -> usize {
-        let lanes = self.lanes.iter().enumerate();
-        lanes
-            .filter(|(index, _)| LaneKind::from_index(*index).urgent == urgent)
-            .map(|(_, lane)| lane.len())
-            .sum()
+    /// Returns whether a request of a level and cost class waits.
+    pub(crate) fn has_waiting(&self, level: usize, cost: CostClass) -> bool {
+        let mut lanes = self.lanes.iter().filter(|lane| !lane.entries.is_empty());
+        lanes.any(|lane| lane.kind.level.index() == level && lane.kind.cost == cost)
     }
 
-    /// Returns the entry of one urgency that would be served after all others.
-    pub(crate) fn last(&self, urgent: bool) -> Option<LaneEntry> {
-        let lanes = self.lanes.iter().enumerate();
-        let lanes = lanes.map(|(index, lane)| (LaneKind::from_index(index), lane));
-        lanes
-            .filter(|(kind, _)| kind.urgent == urgent)
-            .filter_map(|(kind, lane)| Some((kind.target_missed, *lane.last()?)))
-            .max()
-            .map(|(_, entry)| entry)
-    }
-
-    fn is_empty(&self) -> bool {
-        self.waiting == 0
+    fn lane_mut(&mut self, kind: LaneKind) -> &mut Vec<LaneEntry> {
+        let place = self
+            .lanes
+            .binary_search_by_key(&kind.key(), |lane| lane.kind.key());
+        let place = place.unwrap_or_else(|place| {
+            let entries = Vec::new();
+            self.lanes.insert(place, WaitingLane { kind, entries });
+            place
+        });
+        &mut self.lanes[place].entries
     }
 }
 
@@ -160,34 +183,76 @@
     slab: Vec<Option<WaitingRequest>>,
     free: Vec<usize>,
     by_ticket: HashMap<RequestTicket, usize>,
-    customers: Vec<CustomerQueue>,
-    /// The customers with waiting requests outside of transactions. A plan examines only these:
+    sharers: Vec<SharerQueue>,
+    /// The sharers with waiting requests outside of transactions. A plan examines only these:
     /// with 350 customers of which three had requests, examining all of them took most of a VM's
     /// processor.
     active: Vec<usize>,
-    /// The number of waiting requests in each lane, over all customers.
-    lane_counts: [usize; LANE_COUNT],
+    /// The number of waiting ordinary and urgent requests of each customer outside of transactions.
+    customer_counts: Vec<[usize; 2]>,
+    /// The number of waiting ordinary and urgent requests outside of transactions.
+    urgency_counts: [usize; 2],
+    /// The number of waiting requests outside of transactions that replicas may serve.
+    replica_count: usize,
+    /// The number of waiting requests outside of transactions of each level.
+    level_counts: [usize; LEVEL_COUNT],
+    /// The number of those whose contract sets the level.
+    set_level_count: usize,
     pinned: SmallVec<[LaneEntry; 4]>,
 }
 
 impl WaitingQueue {
-    /// Makes room for customers with indices below `count`.
-    pub(crate) fn reserve_customers(&mut self, count: usize) {
-        if self.customers.len() < count {
-            self.customers.resize_with(count, CustomerQueue::default);
+    /// Makes room for customers and sharers with indices below these counts.
+    pub(crate) fn reserve(&mut self, customers: usize, sharers: usize) {
+        if self.customer_counts.len() < customers {
+            self.customer_counts.resize(customers, [0; 2]);
+        }
+        if self.sharers.len() < sharers {
+            self.sharers.resize_with(sharers, SharerQueue::default);
         }
     }
 
-    /// Returns the queues of all customers, by index.
-    pub(crate) fn customers(&self) -> &[CustomerQueue] {
-        &self.customers
+    /// Returns the queue of a sharer.
+    pub(crate) fn sharer(&self, sharer: usize) -> &SharerQueue {
+        &self.sharers[sharer]
+    }
+
+    /// Returns the lanes of all sharers with waiting requests.
+    pub(crate) fn lanes(&self) -> impl Iterator<Item = &WaitingLane> {
+        let sharers = self.active.iter();
+        sharers.flat_map(|sharer| &self.sharers[*sharer].lanes)
     }
 
-    /// Returns the customers with waiting requests outside of transactions, in no particular order.
+    /// Returns the sharers with waiting requests outside of transactions, in no particular order.
     pub(crate) fn active(&self) -> &[usize] {
         &self.active
     }
 
+    /// Returns the number of a customer's waiting requests of one urgency outside of transactions.
+    pub(crate) fn count(&self, customer: usize, urgent: bool) -> usize {
+        self.customer_counts[customer][usize::from(urgent)]
+    }
+
+    /// Returns the request of a customer that would be served after all its others of one urgency,
+    /// by the order that `rank` gives to lanes.
+    pub(crate) fn last<R: Ord>(
+        &self,
+        customer: usize,
+        sharer: usize,
+        urgent: bool,
+        rank: impl Fn(LaneKind) -> R,
+    ) -> Option<&WaitingRequest> {
+        let lanes = self.sharers[sharer].lanes.iter();
+        let lanes = lanes.filter(|lane| lane.kind.urgent == urgent);
+        let ends = lanes.filter_map(|lane| {
+            let mut entries = lane.entries.iter().rev();
+            let last = entries.find(|entry| self.at(entry.slot).customer == customer)?;
+            Some((rank(lane.kind), *last))
+        });
+        let (_, last) = ends.max()?;
+        Some(self.at(last.slot))
+    }
+
     /// Returns the waiting statements of open transactions, in order.
     pub(crate) fn pinned(&self) -> &[LaneEntry] {
         &self.pinned
@@ -208,16 +273,29 @@
         self.by_ticket.is_empty()
     }
 
-    /// Returns the number of waiting requests outside of transactions in the lanes that `counts`
-    /// accepts.
-    pub(crate) fn count_lanes(&self, counts: impl Fn(LaneKind) -> bool) -> usize {
-        let lanes = (0..LANE_COUNT).filter(|lane| counts(LaneKind::from_index(*lane)));
-        lanes.map(|lane| self.lane_counts[lane]).sum()
+    /// Returns the number of waiting requests of one urgency outside of transactions.
+    pub(crate) fn count_urgency(&self, urgent: bool) -> usize {
+        self.urgency_counts[usize::from(urgent)]
+    }
+
+    /// Returns the number of waiting requests outside of transactions that replicas may serve.
+    pub(crate) fn count_replica_reads(&self) -> usize {
+        self.replica_count
+    }
+
+    /// Returns the number of waiting requests outside of transactions of each level.
+    pub(crate) fn level_counts(&self) -> [usize; LEVEL_COUNT] {
+        self.level_counts
+    }
+
+    /// Returns whether a request outside of a transaction waits whose contract sets its level.
+    pub(crate) fn has_set_levels(&self) -> bool {
+        self.set_level_count > 0
     }
 
-    /// Returns whether a customer has no waiting request outside of a transaction.
-    pub(crate) fn is_idle(&self, customer: usize) -> bool {
-        self.customers[customer].is_empty()
+    /// Returns whether a sharer has no waiting request outside of a transaction.
+    pub(crate) fn is_idle(&self, sharer: usize) -> bool {
+        self.sharers[sharer].waiting == 0
     }
 
     /// Returns whether a request waits.
@@ -295,11 +373,17 @@
         if matches!(request.profile.step, RequestStep::Within(_)) {
             return;
         }
-        self.lane_counts[request.lane.index()] += 1;
-        let customer = &mut self.customers[request.customer];
-        customer.waiting += 1;
-        if customer.waiting == 1 {
-            self.active.push(request.customer);
+        let lane = request.lane;
+        let urgency = usize::from(lane.urgent);
+        self.customer_counts[request.customer][urgency] += 1;
+        self.urgency_counts[urgency] += 1;
+        self.replica_count += usize::from(lane.replica);
+        self.level_counts[lane.level.index()] += 1;
+        self.set_level_count += usize::from(lane.level.set);
+        let sharer = &mut self.sharers[request.sharer];
+        sharer.waiting += 1;
+        if sharer.waiting == 1 {
+            self.active.push(request.sharer);
         }
     }
 
@@ -307,11 +391,17 @@
         if matches!(request.profile.step, RequestStep::Within(_)) {
             return;
         }
-        self.lane_counts[request.lane.index()] -= 1;
-        let customer = &mut self.customers[request.customer];
-        customer.waiting -= 1;
-        if customer.waiting == 0 {
-            self.active.retain(|active| *active != request.customer);
+        let lane = request.lane;
+        let urgency = usize::from(lane.urgent);
+        self.customer_counts[request.customer][urgency] -= 1;
+        self.urgency_counts[urgency] -= 1;
+        self.replica_count -= usize::from(lane.replica);
+        self.level_counts[lane.level.index()] -= 1;
+        self.set_level_count -= usize::from(lane.level.set);
+        let sharer = &mut self.sharers[request.sharer];
+        sharer.waiting -= 1;
+        if sharer.waiting == 0 {
+            self.active.retain(|active| *active != request.sharer);
         }
     }
 
@@ -338,7 +428,7 @@
         match request.profile.step {
             RequestStep::Within(_) => LaneRef::Pinned(&mut self.pinned),
             RequestStep::Single | RequestStep::Opens => {
-                LaneRef::Unpinned(&mut self.customers[request.customer].lanes[request.lane.index()])
+                LaneRef::Unpinned(self.sharers[request.sharer].lane_mut(request.lane))
             }
         }
     }
@@ -346,7 +436,7 @@
 
 /// A mutable lane.
 enum LaneRef<'a> {
-    /// Requests of a customer outside of transactions.
+    /// Requests of a sharer outside of transactions.
     Unpinned(&'a mut Vec<LaneEntry>),
     /// Statements of open transactions.
     Pinned(&'a mut SmallVec<[LaneEntry; 4]>),
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -108,7 +108,7 @@
         outcome: FinishOutcome,
     ) {
         let ticket = dispatched.request.profile.ticket;
-        let customer = dispatched.request.customer;
+        let request = &dispatched.request;
         let Some(record) = self.endpoints.get_mut(&dispatched.instance) else {
             return;
         };
@@ -117,13 +117,16 @@
         };
         let actual = now.since(running.started);
         let run = running.run_until(now, record.round_trip);
-        self.fair_clock
-            .correct(customer, dispatched.charged, actual);
-        self.customers.get_mut(customer).slot_micros += to_micros(actual);
+        if let RequestStep::Within(opener) = request.profile.step {
+            record.charge_transaction(opener, actual);
+        }
+        if outcome != FinishOutcome::Answered {
+            record.health.drop_trial(now, ticket);
+        }
+        self.correct_charge(request, dispatched.charged, actual);
+        self.customers.get_mut(request.customer).slot_micros += to_micros(actual);
         if outcome == FinishOutcome::Answered {
             self.learn_run(now, dispatched, run);
-        } else {
-            record.health.drop_trial(now, ticket);
         }
     }
 
@@ -168,8 +171,8 @@
             customer.wait_factor_mut(&request).learn(planned, actual);
         }
         let estimate = self.estimates.get(request.kind);
-        let ordinary_waits = self.queue.count_lanes(|lane| !lane.urgent) > 0;
-        self.fair_clock.charge(request.customer, start.expected);
+        let ordinary_waits = self.queue.count_urgency(false) > 0;
+        self.charge(&request, start.expected);
         self.count_dispatch(now, &request, start);
         let record = &mut self.endpoints.records_mut()[start.instance];
         let ahead = sent_ahead(record, self.settings.excess);
@@ -196,6 +199,9 @@
                 opener: ticket,
                 customer: request.customer,
                 since: now,
+                kind: request.kind,
+                further_slot_time: Duration::ZERO,
+                cost: request.lane.cost,
             });
         }
         if start.trial {
@@ -215,11 +221,34 @@
         decisions.push(SchedulerDecision::Dispatch(order));
     }
 
+    /// Charges the expected run of a request to its sharer, level and cost class.
+    fn charge(&mut self, request: &WaitingRequest, run: Duration) {
+        let lane = request.lane;
+        self.fair_clock.charge(request.sharer, run);
+        self.level_shares.charge(lane.level.index(), run);
+        self.cost_shares
+            .charge(request.sharer, lane.level.index(), lane.cost, run);
+    }
+
+    /// Replaces the charge for an expected run by that for the actual run.
+    fn correct_charge(&mut self, request: &WaitingRequest, expected: Duration, actual: Duration) {
+        let lane = request.lane;
+        let level = lane.level.index();
+        self.level_counts[level].slot_micros += to_micros(actual);
+        self.fair_clock.correct(request.sharer, expected, actual);
+        self.level_shares.correct(level, expected, actual);
+        self.cost_shares
+            .correct(request.sharer, level, lane.cost, expected, actual);
+    }
+
     fn count_dispatch(&mut self, now: ClockTime, request: &WaitingRequest, start: PlannedStart) {
         let record = &self.endpoints.records()[start.instance];
         self.counts.dispatched += 1;
         self.counts.waited_micros += to_micros(now.since(request.arrived));
         self.counts.trials += u64::from(start.trial);
+        let level = &mut self.level_counts[request.lane.level.index()];
+        level.dispatched += 1;
+        level.dispatched_late += u64::from(request.lane.target_missed);
         if request.profile.allows_replica() {
             self.counts.permitted_reads += 1;
             let replica = record.state.role == EndpointRole::Replica;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -8,9 +8,11 @@
 use crate::ExcessRule;
 use crate::FinishDecision;
 use crate::FinishOutcome;
+use crate::LevelCounts;
 use crate::RequestProfile;
 use crate::RequestStep;
 use crate::RequestTicket;
+use crate::ScarcitySnapshot;
 use crate::SchedulerCounts;
 use crate::SchedulerDecision;
 use crate::SchedulerSettings;
@@ -21,9 +23,15 @@
 use crate::customers::CustomerTable;
 use crate::endpoints::EndpointTable;
 use crate::estimate::EstimateTable;
+use crate::minimum_shares::MinimumShares;
+use crate::operation_cost::TransactionCosts;
+use crate::priority::LEVEL_COUNT;
+use crate::priority::level_shares;
 use crate::queue::WaitingQueue;
 use crate::queue::WaitingRequest;
 use crate::retry::RetryBudget;
+use crate::scarcity::CostShares;
+use crate::scarcity::ScarcityWatch;
 use crate::shares::FairClock;
 use crate::steps::REVIEW_INTERVAL;
 use ragwort_types::InstanceName;
@@ -54,6 +62,11 @@
     pub(crate) queue: WaitingQueue,
     pub(crate) estimates: EstimateTable,
     pub(crate) fair_clock: FairClock,
+    pub(crate) level_shares: MinimumShares<LEVEL_COUNT>,
+    pub(crate) level_counts: [LevelCounts; LEVEL_COUNT],
+    pub(crate) cost_shares: CostShares,
+    pub(crate) transaction_costs: TransactionCosts,
+    pub(crate) scarcity: ScarcityWatch,
     pub(crate) retries: RetryBudget,
     pub(crate) counts: SchedulerCounts,
     pub(crate) running: HashMap<RequestTicket, DispatchedRequest>,
@@ -97,6 +110,11 @@
             queue: WaitingQueue::default(),
             estimates: EstimateTable::default(),
             fair_clock: FairClock::default(),
+            level_shares: level_shares(),
+            level_counts: [LevelCounts::default(); LEVEL_COUNT],
+            cost_shares: CostShares::default(),
+            transaction_costs: TransactionCosts::default(),
+            scarcity: ScarcityWatch::default(),
             retries: RetryBudget::default(),
             counts: SchedulerCounts::default(),
             running: HashMap::new(),
@@ -117,10 +135,19 @@
     /// already wait stay in the queue.
     pub fn set_contracts(&mut self, terms: &[CustomerTerms]) {
         self.customers.set_terms(terms);
-        self.queue.reserve_customers(self.customers.len());
-        for index in 0..self.customers.len() {
-            let weight = self.customers.get(index).terms.slot_share;
-            self.fair_clock.set_weight(index, weight);
+        let sharers = self.customers.sharer_count();
+        self.queue.reserve(self.customers.len(), sharers);
+        for record in self.customers.records() {
+            let grouped = record.terms.share_group.is_some();
+            // The last terms of a removed contract may differ from those of its share group.
+            if grouped && !record.active {
+                continue;
+            }
+            let weight = record.terms.slot_share;
+            self.fair_clock.set_weight(record.sharer, weight);
+            if grouped {
+                self.cost_shares.enable(record.sharer);
+            }
         }
     }
 
@@ -303,6 +330,9 @@
         let pin = record.pins.remove(place);
         self.customers.release_pin(pin.customer);
         self.pin_hold = (self.pin_hold * 7 + now.since(pin.since)) / 8;
+        let first_run = self.estimates.get(pin.kind).expected();
+        self.transaction_costs
+            .learn(pin.kind, first_run, pin.further_slot_time);
     }
 
     /// Records that a connection was opened.
@@ -382,6 +412,11 @@
         }
     }
 
+    /// Returns the scarcity of slots.
+    pub fn scarcity(&self, now: ClockTime) -> ScarcitySnapshot {
+        self.scarcity.snapshot(now)
+    }
+
     /// Returns the state for dumps and metrics.
     pub fn snapshot(&self, now: ClockTime) -> SchedulerSnapshot {
         SchedulerSnapshot::collect(self, now)
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -35,6 +35,49 @@
     pub retries_left: u32,
     /// Counts since the start.
     pub counts: SchedulerCounts,
+    /// The scarcity of slots.
+    #[serde(default)]
+    pub scarcity: ScarcitySnapshot,
+    /// The priority levels, from the first one on.
+    #[serde(default)]
+    pub levels: Vec<LevelSnapshot>,
+}
+
+/// The scarcity of a group's slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScarcitySnapshot {
+    /// How long slots have been scarce, in microseconds; `None` if they aren't.
+    pub lasts_micros: Option<u64>,
+    /// The number of periods of scarcity since the start.
+    pub periods: u64,
+    /// The total time of scarcity since the start, in microseconds.
+    pub total_micros: u64,
+}
+
+/// The requests of one priority level. Requests without a level count as level 0 if they are
+/// urgent and as level 1 otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LevelSnapshot {
+    /// The number of waiting requests outside of transactions.
+    pub waiting: usize,
+    /// The number of those that can no longer meet their target.
+    pub waiting_late: usize,
+    /// Counts since the start.
+    pub counts: LevelCounts,
+}
+
+/// Counts of the requests of one priority level since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LevelCounts {
+    /// Requests that were sent to an instance, retries included.
+    pub dispatched: u64,
+    /// Those among them that could no longer meet their target.
+    pub dispatched_late: u64,
+    /// Requests that were refused because they couldn't end before their deadline or the queue was
+    /// full.
+    pub refused_for_slots: u64,
+    /// The slot time used, in microseconds.
+    pub slot_micros: u64,
 }
 
 /// Counts of a scheduler's decisions since its start.
@@ -59,6 +102,9 @@
     pub waited_micros: u64,
     /// Reports of the accounts that have an idle connection to an instance.
     pub idle_reports: u64,
+    /// Requests that were placed behind those that can still meet their target.
+    #[serde(default)]
+    pub targets_missed: u64,
 }
 
 /// The state of one endpoint.
@@ -130,12 +176,14 @@
             endpoints: endpoints.map(EndpointSnapshot::collect).collect(),
             customers: collect_customers(scheduler),
             kinds: collect_kinds(scheduler),
-            waiting_urgent: queue.count_lanes(|lane| lane.urgent),
-            waiting_ordinary: queue.count_lanes(|lane| !lane.urgent),
+            waiting_urgent: queue.count_urgency(true),
+            waiting_ordinary: queue.count_urgency(false),
             waiting_pinned: queue.pinned().len(),
             oldest_wait_micros: oldest.map_or(0, |oldest| to_micros(now.since(oldest))),
             retries_left: scheduler.retries.left(),
             counts: scheduler.counts.clone(),
+            scarcity: scheduler.scarcity.snapshot(now),
+            levels: collect_levels(scheduler),
         }
     }
 }
@@ -162,12 +210,12 @@
 fn collect_customers(scheduler: &GroupScheduler) -> Vec<CustomerSnapshot> {
     let records = scheduler.customers.records().iter().enumerate();
     let snapshots = records.map(|(index, record)| {
-        let queue = &scheduler.queue.customers()[index];
+        let queue = &scheduler.queue;
         CustomerSnapshot {
             customer: record.terms.customer.clone(),
             slot_share: record.terms.slot_share,
-            waiting_urgent: queue.count(true),
-            waiting_ordinary: queue.count(false),
+            waiting_urgent: queue.count(index, true),
+            waiting_ordinary: queue.count(index, false),
             slot_micros: record.slot_micros,
             pinned: record.pins,
         }
@@ -175,6 +223,21 @@
     snapshots.collect()
 }
 
+fn collect_levels(scheduler: &GroupScheduler) -> Vec<LevelSnapshot> {
+    let mut levels = scheduler.level_counts.map(|counts| LevelSnapshot {
+        counts,
+        ..LevelSnapshot::default()
+    });
+    for lane in scheduler.queue.lanes() {
+        let level = &mut levels[lane.kind.level.index()];
+        level.waiting += lane.entries.len();
+        if lane.kind.target_missed {
+            level.waiting_late += lane.entries.len();
+        }
+    }
+    levels.into()
+}
+
 fn collect_kinds(scheduler: &GroupScheduler) -> Vec<KindSnapshot> {
     let names = scheduler.estimates.names();
     let snapshots = names.map(|(customer, kind, index)| {
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -12,12 +12,15 @@
 use crate::admission::MIN_REMAINING_PROMOTION;
 use crate::admission::misses_deadline;
 use crate::admission::queue_limit;
+use crate::operation_cost::CostClass;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlanInput;
+use crate::priority::ServiceLevel;
 use crate::queue::LaneKind;
 use crate::queue::WaitingRequest;
 use crate::routing::has_replica_soon;
+use crate::scarcity::CostShares;
 use ragwort_types::InstanceName;
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
@@ -195,6 +198,8 @@
             estimates: &self.estimates,
             customers: &self.customers,
             fair_clock: &self.fair_clock,
+            level_shares: &self.level_shares,
+            cost_shares: self.cost_order(now),
             connect_time: self.settings.connect_time,
             pin_hold: self.pin_hold,
             excess: self.settings.excess,
@@ -210,6 +215,7 @@
             let ticket = self.queue.at(step.slot).profile.ticket;
             match step.action {
                 PlanAction::CannotMeetTarget => {
+                    self.note_missed_target(now, step.slot);
                     let estimate = self.estimates.get(self.queue.at(step.slot).kind);
                     let deadline = self.queue.at(step.slot).profile.deadline;
                     let order = deadline.before(estimate.expected());
@@ -225,6 +231,7 @@
                 }
                 PlanAction::CannotMeetDeadline => {
                     replan = true;
+                    self.note_refusal(now, step.slot);
                     self.learn_from_refusal(step.slot);
                     let cause = RefusalCause::DeadlineOutOfReach;
                     self.refuse_waiting(now, ticket, cause, decisions);
@@ -254,6 +261,41 @@
         }
     }
 
+    /// Returns the shares by which operations are ordered by cost, while slots are scarce.
+    pub(crate) fn cost_order(&self, now: ClockTime) -> Option<&CostShares> {
+        self.scarcity.since(now).map(|_| &self.cost_shares)
+    }
+
+    fn note_missed_target(&mut self, now: ClockTime, slot: usize) {
+        self.counts.targets_missed += 1;
+        let request = self.queue.at(slot);
+        if self.had_time(request, request.due()) {
+            self.scarcity.note_sign(now);
+        }
+    }
+
+    fn note_refusal(&mut self, now: ClockTime, slot: usize) {
+        let request = self.queue.at(slot);
+        let level = request.lane.level;
+        if self.had_time(request, request.profile.deadline) {
+            self.scarcity.note_sign(now);
+        }
+        self.level_counts[level.index()].refused_for_slots += 1;
+    }
+
+    /// Returns whether a request would have ended in time if it had started at its arrival.
+    ///
+    /// A kind whose runs take longer than its target is no sign of scarcity.
+    fn had_time(&self, request: &WaitingRequest, due: ClockTime) -> bool {
+        let estimate = self.estimates.get(request.kind);
+        !misses_deadline(
+            request.arrived,
+            estimate.expected(),
+            estimate.deviation(),
+            due,
+        )
+    }
+
     /// Adjusts the wait factor: up if an admitted request would have waited beyond its deadline,
     /// down if a new request was refused at its first plan.
     fn learn_from_refusal(&mut self, slot: usize) {
@@ -282,11 +324,20 @@
             RequestStep::Within(opener) => Some(self.find_pin(opener)?),
             RequestStep::Single | RequestStep::Opens => None,
         };
+        let record = self.customers.get(customer);
+        let sharer = record.sharer;
+        let grouped = record.terms.share_group.is_some();
+        let level = ServiceLevel::from_profile(&profile);
         let mut lane = LaneKind {
             target_missed: false,
-            urgent: profile.urgency == UrgencyClass::Urgent,
+            urgent: profile.urgency == UrgencyClass::Urgent && !level.set,
             long: estimate.is_long(),
             replica: self.prefers_replica(now, &profile),
+            level,
+            cost: match grouped {
+                true => self.cost_class(&profile, kind),
+                false => CostClass::default(),
+            },
         };
         let due = profile.target.unwrap_or(profile.deadline);
         let mut order = due.min(profile.deadline).before(estimate.expected());
@@ -304,6 +355,7 @@
         Ok(WaitingRequest {
             profile,
             customer,
+            sharer,
             kind,
             lane,
             order,
@@ -313,9 +365,24 @@
             delay,
             planned_wait: None,
             attempts: 0,
+            late_service: grouped || level.set,
         })
     }
 
+    /// Returns the cost class of the operation to which a request belongs.
+    fn cost_class(&self, profile: &RequestProfile, kind: usize) -> CostClass {
+        let run = self.estimates.get(kind).expected();
+        let cost = match profile.step {
+            RequestStep::Single => run,
+            RequestStep::Opens => self.transaction_costs.expected(kind, run),
+            RequestStep::Within(opener) => {
+                let pin = self.endpoints.pin(opener);
+                return pin.map_or(CostClass::default(), |pin| pin.cost);
+            }
+        };
+        CostClass::from_cost(cost)
+    }
+
     /// Returns whether a request should wait for the replicas rather than use the primary.
     fn prefers_replica(&self, now: ClockTime, profile: &RequestProfile) -> bool {
         if !profile.allows_replica() || !self.settings.modules.routing {
@@ -338,33 +405,82 @@
     /// request of a caller that exceeds its share if there is one.
     fn make_room(&mut self, now: ClockTime, request: &WaitingRequest) -> Result<(), RefusalCause> {
         let urgent = request.lane.urgent;
-        if !urgent && self.queue.len() >= GROUP_QUEUE_LIMIT {
-            return Err(RefusalCause::Overload);
-        }
-        let queue = &self.queue.customers()[request.customer];
+        let full = !urgent && self.queue.len() >= GROUP_QUEUE_LIMIT;
         let terms = &self.customers.get(request.customer).terms;
-        if queue.count(urgent) < queue_limit(terms.queue_limit, urgent) {
+        let limit = queue_limit(terms.queue_limit, urgent);
+        if !full && self.queue.count(request.customer, urgent) < limit {
             return Ok(());
         }
-        let Some(last) = queue.last(urgent) else {
-            return Err(RefusalCause::Overload);
+        self.scarcity.note_sign(now);
+        let last = match full && !request.late_service {
+            true => None,
+            false => self.find_displaced(now, request),
         };
-        if last.order <= request.order || !self.settings.modules.caller_pacing {
+        let Some((last, level)) = last else {
+            self.level_counts[request.lane.level.index()].refused_for_slots += 1;
             return Err(RefusalCause::Overload);
-        }
+        };
+        self.level_counts[level].refused_for_slots += 1;
         let mut pending = std::mem::take(&mut self.pending);
-        self.refuse_waiting(now, last.ticket, RefusalCause::Overload, &mut pending);
+        self.refuse_waiting(now, last, RefusalCause::Overload, &mut pending);
         self.pending = pending;
         Ok(())
     }
 
+    /// Returns the waiting request of the same customer that would be served last, and its level, if
+    /// that is after a new request.
+    fn find_displaced(
+        &self,
+        now: ClockTime,
+        request: &WaitingRequest,
+    ) -> Option<(RequestTicket, usize)> {
+        if !self.settings.modules.caller_pacing {
+            return None;
+        }
+        let scarce = self.cost_order(now).is_some();
+        let rank = |lane: LaneKind| {
+            let cost = if scarce {
+                lane.cost
+            } else {
+                CostClass::default()
+            };
+            (lane.level, lane.target_missed, cost)
+        };
+        let (customer, sharer) = (request.customer, request.sharer);
+        let last = self
+            .queue
+            .last(customer, sharer, request.lane.urgent, rank)?;
+        let before = match request.late_service {
+            true => (rank(request.lane), request.order) < (rank(last.lane), last.order),
+            false => request.order < last.order,
+        };
+        before.then_some((last.profile.ticket, last.lane.level.index()))
+    }
+
     fn insert(&mut self, request: WaitingRequest) {
-        if self.queue.is_idle(request.customer) {
-            self.fair_clock.resume(request.customer);
+        if self.queue.is_idle(request.sharer) {
+            self.fair_clock.resume(request.sharer);
+        }
+        if request.pinned_to.is_none() {
+            self.resume_shares(&request);
         }
         self.queue.insert(request);
     }
 
+    /// Takes back the unused minimum shares of the level and cost class of a request if no other
+    /// one waits.
+    fn resume_shares(&mut self, request: &WaitingRequest) {
+        let (level, cost) = (request.lane.level.index(), request.lane.cost);
+        if self.queue.level_counts()[level] == 0 {
+            self.level_shares.resume(level);
+        }
+        if cost != CostClass::default()
+            && !self.queue.sharer(request.sharer).has_waiting(level, cost)
+        {
+            self.cost_shares.resume(request.sharer, level, cost);
+        }
+    }
+
     fn refuse_waiting(
         &mut self,
         now: ClockTime,
