Tests: replays of priority levels, of a primary alone, and of minimum shares

Patterns Levels and Unlevelled (three levels of a share group, and the same requests without), PrimaryAlone and SeparateRoutes (two routes with transactions at twice a primary's capacity). The model of random events runs with levels and a share group too.

--- a/crates/policy/examples/load_table.rs
+++ b/crates/policy/examples/load_table.rs
@@ -20,7 +20,7 @@
 
 const PAGE_SEED: u64 = 20_261_202;
 
-const PATTERNS: [PatternName; 18] = [
+const PATTERNS: [PatternName; 30] = [
     PatternName::Mix(50),
     PatternName::Mix(100),
     PatternName::Mix(200),
@@ -39,6 +39,18 @@
     PatternName::Transactions,
     PatternName::ReplicasBehind,
     PatternName::Everything,
+    PatternName::Levels(80),
+    PatternName::Unlevelled(80),
+    PatternName::Levels(90),
+    PatternName::Unlevelled(90),
+    PatternName::Levels(120),
+    PatternName::Unlevelled(120),
+    PatternName::Levels(200),
+    PatternName::Unlevelled(200),
+    PatternName::Levels(400),
+    PatternName::Unlevelled(400),
+    PatternName::PrimaryAlone,
+    PatternName::SeparateRoutes,
 ];
 
 fn main() {
@@ -254,7 +266,8 @@
     let refused = part.offered - part.in_time - part.late;
     println!(
         "  {label:9} {source:22} {:6} in time {:5.1} % late {:5.1} % refused {:5.1} % \
-         with {:5.0} ms left (short {:4}) p50 {:6.1} p99 {:6.1}",
+         with {:5.0} ms left (short {:4}) p50 {:6.1} p99 {:6.1} lost operations {:5.1} % \
+         slot time in time {:5.1} %",
         part.offered,
         part.in_time_share() * 100.0,
         part.late_share() * 100.0,
@@ -263,6 +276,8 @@
         part.late_refusals,
         wait_millis(part, 0.5),
         wait_millis(part, 0.99),
+        part.lost_share() * 100.0,
+        part.useful_slot_share() * 100.0,
     );
 }
 
--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -26,6 +26,15 @@
     true
 }
 
+/// The same with priority levels and a share group.
+fn keeps_all_invariants_with_levels(events: Vec<GroupEvent>) -> bool {
+    let mut model = GroupModel::new("north", ExcessRule::Forbidden).with_levels();
+    for event in &events {
+        model.apply(event);
+    }
+    true
+}
+
 macro_rules! seeded_cases {
     ($($name:ident($property:ident, $seed:expr, $size:expr, $runs:expr);)*) => {$(
         /// Random requests, ends, losses, reports and changes of endpoints. No order of them may
@@ -47,6 +56,8 @@
     long_histories(keeps_all_invariants, 3, 2_000, 400);
     short_histories_across_domains(keeps_all_invariants_across_domains, 4, 60, 4_000);
     long_histories_across_domains(keeps_all_invariants_across_domains, 5, 2_000, 400);
+    short_histories_with_levels(keeps_all_invariants_with_levels, 6, 60, 4_000);
+    long_histories_with_levels(keeps_all_invariants_with_levels, 7, 2_000, 400);
 }
 
 macro_rules! regression_cases {
--- a/crates/policy/tests/model/mod.rs
+++ b/crates/policy/tests/model/mod.rs
@@ -12,6 +12,7 @@
 use ragwort_policy::AbandonEffect;
 use ragwort_policy::ArrivalDecision;
 use ragwort_policy::ClockTime;
+use ragwort_policy::CustomerTerms;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
 use ragwort_policy::ExcessRule;
@@ -27,6 +28,8 @@
 use ragwort_types::InstanceName;
 use ragwort_types::LengthClass;
 use ragwort_types::LogPosition;
+use ragwort_types::PriorityLevel;
+use ragwort_types::ShareGroupName;
 use ragwort_types::UrgencyClass;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -96,6 +99,8 @@
     next_ticket: u64,
     /// The maximum number of statements in flight to one endpoint.
     max_running: usize,
+    /// Whether requests have priority levels.
+    levelled: bool,
     waiting: BTreeMap<RequestTicket, RequestProfile>,
     running: Vec<(RequestTicket, RequestProfile, usize)>,
     endpoints: Vec<ExpectedEndpoint>,
@@ -122,6 +127,7 @@
                 ExcessRule::Forbidden => 2,
                 ExcessRule::Waits => 4,
             },
+            levelled: false,
             now: ClockTime(1_000_000),
             next_ticket: 0,
             waiting: BTreeMap::new(),
@@ -131,6 +137,20 @@
         }
     }
 
+    /// Puts both customers into one share group and gives most requests a priority level.
+    pub fn with_levels(mut self) -> Self {
+        let terms = ["directorate", "clinics"].map(|customer| CustomerTerms {
+            customer: CustomerName::from(customer),
+            slot_share: 1,
+            queue_limit: 20,
+            connection_limit: 4,
+            share_group: Some(ShareGroupName::from("callers")),
+        });
+        self.scheduler.set_contracts(&terms);
+        self.levelled = true;
+        self
+    }
+
     pub fn apply(&mut self, event: &GroupEvent) {
         match *event {
             GroupEvent::Pass(micros) => {
@@ -203,6 +223,8 @@
                 0 => Duration::ZERO,
                 _ => Duration::from_millis(u64::from(shape) * 4),
             },
+            priority: (self.levelled && shape >> 2 & 3 != 3)
+                .then_some(PriorityLevel(shape >> 2 & 3)),
             deadline: self.now + time,
             target: (shape & 8 != 0).then_some(self.now + time / 3),
             ..base
--- a/crates/policy/tests/patterns.rs
+++ b/crates/policy/tests/patterns.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use ragwort_policy::ModuleSwitches;
+use ragwort_types::ShareGroupName;
 use std::time::Duration;
 use support::LoadOutcome;
 use support::PatternName;
@@ -278,3 +279,112 @@
     sent_ahead_omuti(UserSize::Omuti, 4);
     sent_ahead_sabarmati(UserSize::Sabarmati, 15);
 }
+
+fn run_scheduler(name: PatternName, user: UserSize) -> LoadOutcome {
+    let modules = ModuleSwitches::default();
+    run_pattern(&name.create(user), PolicyChoice::Scheduler(modules), SEED)
+}
+
+macro_rules! level_cases {
+    ($($name:ident($percent:expr) $check:expr;)*) => {$(
+        /// Callers of three levels ask for this percentage of capacity. The first level must never
+        /// suffer, the second only when the first two ask for more than there is, and no slot time
+        /// may go to answers that come too late.
+        #[test]
+        fn $name() {
+            for user in [UserSize::Omuti, UserSize::Sabarmati] {
+                let outcome = run_scheduler(PatternName::Levels($percent), user);
+                let shares = ["checkout", "holds", "browse"]
+                    .map(|name| kind(&outcome, name).in_time_share());
+                assert!(shares[0] > 0.999, "{shares:?}");
+                assert!(outcome.all().useful_slot_share() > 0.97);
+                let check: fn([f64; 3]) = $check;
+                check(shares);
+            }
+        }
+    )*};
+}
+
+level_cases! {
+    levels_at_four_fifths(80) |shares| assert!(shares[2] > 0.999);
+    levels_at_nine_tenths(90) |shares| assert!(shares[2] > 0.999);
+    levels_at_six_fifths(120) |shares| {
+        assert!(shares[1] > 0.999, "{shares:?}");
+        assert!(shares[2] > 0.5, "{shares:?}");
+    };
+    levels_at_three_halves(150) |shares| assert!(shares[1] > 0.95, "{shares:?}");
+    levels_at_twice(200) |shares| {
+        assert!(shares[1] > 0.65, "{shares:?}");
+        assert!(shares[2] > 0.05, "{shares:?}");
+    };
+    levels_at_four_times(400) |shares| {
+        assert!(shares[1] > shares[2], "{shares:?}");
+        assert!(shares[2] > 0.02, "{shares:?}");
+    };
+}
+
+/// A primary alone is asked for twice what it can do. In the order of slack and with equal shares
+/// for two routes of the same callers, transactions of 100 ms and more are served at the expense
+/// of several single requests each, and the more frequent route pays alone.
+#[test]
+fn primary_alone_serves_cheap_operations_first() {
+    for user in [UserSize::Omuti, UserSize::Sabarmati] {
+        let separate = run_scheduler(PatternName::SeparateRoutes, user).all();
+        let grouped = run_scheduler(PatternName::PrimaryAlone, user);
+        let all = grouped.all();
+        assert!(all.lost_share() * 3.0 < separate.lost_share() * 2.0);
+        assert!(all.useful_slot_share() > 0.97);
+        for route in ["seller-desk", "browse"] {
+            let part = kind(&grouped, route);
+            assert!(part.lost_share() < 0.5, "{route}: {}", part.lost_share());
+            let further = part.offered - part.operations;
+            assert!(further > 30, "no transaction of {route} was served");
+            // Statements of open transactions are work already begun.
+            let refused_within = part.refused + part.late - part.lost_operations;
+            assert!(
+                refused_within * 100 <= further,
+                "{refused_within} of {further}"
+            );
+        }
+    }
+}
+
+macro_rules! unchanged_cases {
+    ($($name:ident($pattern:expr, $user:ident, $digest:expr);)*) => {$(
+        /// Contracts without priority levels and share groups must be decided on as before these
+        /// were added: the digest was measured on commit 964995d.
+        #[test]
+        fn $name() {
+            let outcome = run_scheduler($pattern, UserSize::$user);
+            assert_eq!(outcome.decisions.0, $digest);
+        }
+    )*};
+}
+
+unchanged_cases! {
+    unchanged_at_twice_capacity(PatternName::Mix(200), Omuti, 0xed39_f3e0_7dff_14a6);
+    unchanged_under_abuse(PatternName::Abuse, Sabarmati, 0x6f82_5ece_9f42_c47f);
+    unchanged_with_transactions(PatternName::Transactions, Omuti, 0xe6d0_d179_0445_d5b0);
+    unchanged_in_a_flood(PatternName::UrgentFlood, Sabarmati, 0x612b_fbd1_0ac4_7df4);
+    unchanged_with_targets(PatternName::ReplicasBehind, Omuti, 0x4138_b0e8_6888_13ab);
+    unchanged_under_everything(PatternName::Everything, Sabarmati, 0xb8a6_da7f_2045_8238);
+    unchanged_without_levels(PatternName::Unlevelled(200), Omuti, 0xddfc_63d9_7d2d_cec3);
+    unchanged_for_separate_routes(PatternName::SeparateRoutes, Sabarmati, 0x83f7_94d8_5056_0725);
+}
+
+/// While slots aren't scarce, a share group of one contract must change nothing: costlier
+/// operations would wait for no reason.
+#[test]
+fn order_is_by_slack_without_scarcity() {
+    for name in [PatternName::Mix(50), PatternName::Transactions] {
+        let plain = name.create(UserSize::Omuti);
+        let mut grouped = plain.clone();
+        for terms in &mut grouped.terms {
+            terms.share_group = Some(ShareGroupName::from(terms.customer.as_str()));
+        }
+        let policy = PolicyChoice::Scheduler(ModuleSwitches::default());
+        let [plain, grouped] =
+            [plain, grouped].map(|pattern| run_pattern(&pattern, policy, SEED).decisions);
+        assert_eq!(plain, grouped);
+    }
+}
--- a/crates/policy/tests/support/outcome.rs
+++ b/crates/policy/tests/support/outcome.rs
@@ -18,6 +18,13 @@
     pub late_refusals: u64,
     /// The times to each answer, in time or not.
     pub waits: Vec<Duration>,
+    /// Requests outside of transactions, and those that open one.
+    pub operations: u64,
+    /// Those among them that were refused or answered late.
+    pub lost_operations: u64,
+    /// The slot time of all answers, and that of answers in time.
+    pub slot_time: Duration,
+    pub slot_time_in_time: Duration,
 }
 
 impl SourceOutcome {
@@ -29,6 +36,16 @@
         ratio(self.late, self.offered)
     }
 
+    /// Returns the fraction of operations that weren't answered in time.
+    pub fn lost_share(&self) -> f64 {
+        ratio(self.lost_operations, self.operations)
+    }
+
+    /// Returns the fraction of slot time that was spent on requests that ended in time.
+    pub fn useful_slot_share(&self) -> f64 {
+        self.slot_time_in_time.as_secs_f64() / self.slot_time.as_secs_f64().max(1e-9)
+    }
+
     /// Returns the fraction of all requests that were answered within `time`.
     pub fn share_within(&self, time: Duration) -> f64 {
         let within = self.waits.iter().filter(|wait| **wait <= time).count();
@@ -42,6 +59,10 @@
         self.refused += other.refused;
         self.time_left += other.time_left;
         self.late_refusals += other.late_refusals;
+        self.operations += other.operations;
+        self.lost_operations += other.lost_operations;
+        self.slot_time += other.slot_time;
+        self.slot_time_in_time += other.slot_time_in_time;
         self.min_time_left = match (self.min_time_left, other.min_time_left) {
             (Some(mine), Some(theirs)) => Some(mine.min(theirs)),
             (mine, theirs) => mine.or(theirs),
@@ -57,10 +78,30 @@
     pub kind: &'static str,
 }
 
+/// A digest of a sequence of decisions (FNV-1a, so that it is the same with every toolchain).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DecisionDigest(pub u64);
+
+impl Default for DecisionDigest {
+    fn default() -> Self {
+        Self(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl DecisionDigest {
+    pub fn add(&mut self, text: &str) {
+        for byte in text.bytes() {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
 /// The outcomes for all callers in a run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LoadOutcome {
     pub sources: BTreeMap<SourceName, SourceOutcome>,
+    /// A digest of all dispatches and refusals with their times.
+    pub decisions: DecisionDigest,
     /// The number of answered reads of kinds that replicas may serve.
     pub permitted_reads: u64,
     /// The number of those that a replica answered.
--- a/crates/policy/tests/support/patterns.rs
+++ b/crates/policy/tests/support/patterns.rs
@@ -5,6 +5,8 @@
 use ragwort_types::AccessMode;
 use ragwort_types::CustomerName;
 use ragwort_types::LengthClass;
+use ragwort_types::PriorityLevel;
+use ragwort_types::ShareGroupName;
 use ragwort_types::UrgencyClass;
 use std::time::Duration;
 
@@ -69,6 +71,7 @@
     pub longest: Duration,
     /// The number of further statements in the transaction that each request opens.
     pub statements: u32,
+    pub priority: Option<PriorityLevel>,
 }
 
 /// A period in which an instance is slower by a factor.
@@ -126,6 +129,15 @@
     ReplicasBehind,
     /// Twice capacity, reports, a hot caller and a slow replica at once.
     Everything,
+    /// Requests of three priority levels from one share group, at this percentage of capacity.
+    Levels(u32),
+    /// The same requests without levels and share group.
+    Unlevelled(u32),
+    /// Replicas too far behind for any read, and two routes of one share group, both with
+    /// transactions, that ask for twice what the primary can do.
+    PrimaryAlone,
+    /// The same routes as customers of their own.
+    SeparateRoutes,
 }
 
 impl PatternName {
@@ -142,6 +154,10 @@
             Self::Abuse | Self::UrgentFlood | Self::Transactions => plain_mix(user, 0.5),
             Self::Everything => plain_mix(user, 2.0),
             Self::ReplicasBehind => targeted_reads(user),
+            Self::Levels(percent) => levels(user, f64::from(percent) / 100.0, true),
+            Self::Unlevelled(percent) => levels(user, f64::from(percent) / 100.0, false),
+            Self::PrimaryAlone => primary_alone(user, true),
+            Self::SeparateRoutes => primary_alone(user, false),
         };
         self.add_disturbance(&mut pattern);
         pattern
@@ -151,6 +167,8 @@
         let capacity = pattern.user.capacity();
         match self {
             Self::Mix(_) | Self::ReplicasBehind => {}
+            Self::Levels(_) | Self::Unlevelled(_) => {}
+            Self::PrimaryAlone | Self::SeparateRoutes => {}
             Self::Burst => {
                 pattern.warm = false;
                 let burst = LoadSource {
@@ -254,6 +272,106 @@
     }
 }
 
+/// The length of runs with priority levels or share groups: several times the longest deadline.
+const LONG_RUN_LENGTH: Duration = Duration::from_secs(20);
+
+/// The proportions, run times, targets and deadlines of a lending library's three levels.
+fn levels(user: UserSize, load: f64, levelled: bool) -> LoadPattern {
+    let mean = 0.13 * 11.0 + 0.64 * 33.0 + 0.23 * 55.0;
+    let round_trip = user.domain_delay().as_secs_f64() * 2_000.0;
+    let rate = (2_000.0 / mean + 4_000.0 / (mean + round_trip)) * load;
+    let level = |number| levelled.then_some(PriorityLevel(number));
+    let checkouts = LoadSource {
+        kind: "checkout",
+        priority: level(0),
+        target: Some(Duration::from_millis(200)),
+        deadline: Duration::from_millis(1_200),
+        until: LONG_RUN_LENGTH,
+        shortest: Duration::from_millis(8),
+        longest: Duration::from_millis(14),
+        ..updates("library", rate * 0.13)
+    };
+    let holds = LoadSource {
+        kind: "holds",
+        priority: level(1),
+        target: Some(Duration::from_millis(400)),
+        deadline: Duration::from_millis(1_200),
+        until: LONG_RUN_LENGTH,
+        shortest: Duration::from_millis(23),
+        longest: Duration::from_millis(43),
+        ..status_reads("library", rate * 0.64)
+    };
+    let browse = LoadSource {
+        kind: "browse",
+        priority: level(2),
+        target: Some(Duration::from_millis(1_500)),
+        deadline: Duration::from_secs(5),
+        shortest: Duration::from_millis(40),
+        longest: Duration::from_millis(70),
+        rate: rate * 0.23,
+        ..holds.clone()
+    };
+    LoadPattern {
+        sources: vec![checkouts, holds, browse],
+        terms: vec![grouped(terms("library", 1), levelled)],
+        length: LONG_RUN_LENGTH,
+        ..plain_mix(user, 0.0)
+    }
+}
+
+/// The proportions, run times, targets and deadlines of a marketplace's two frequent routes, each a
+/// customer of its own. A tenth or an eighth of their operations are transactions.
+fn primary_alone(user: UserSize, share_group: bool) -> LoadPattern {
+    let desk = LoadSource {
+        kind: "seller-desk",
+        max_age: Duration::from_millis(500),
+        target: Some(Duration::from_millis(250)),
+        deadline: Duration::from_millis(1_500),
+        until: LONG_RUN_LENGTH,
+        shortest: Duration::from_millis(10),
+        longest: Duration::from_millis(20),
+        ..status_reads("seller-desk", 1.0)
+    };
+    let browse = LoadSource {
+        kind: "browse",
+        target: Some(Duration::from_millis(500)),
+        deadline: Duration::from_secs(5),
+        shortest: Duration::from_millis(18),
+        longest: Duration::from_millis(34),
+        customer: "browse",
+        ..desk.clone()
+    };
+    let statements = 6;
+    let cost = 0.8 * 15.0 * (1.0 + 0.125 * f64::from(statements))
+        + 0.2 * 26.0 * (1.0 + 0.1 * f64::from(statements));
+    let rate = 2_000.0 / cost * 2.0;
+    let part = |source: &LoadSource, rate, statements| LoadSource {
+        rate,
+        statements,
+        ..source.clone()
+    };
+    let customers = [terms("seller-desk", 1), terms("browse", 1)];
+    LoadPattern {
+        sources: vec![
+            part(&desk, rate * 0.8 * 0.875, 0),
+            part(&desk, rate * 0.8 * 0.125, statements),
+            part(&browse, rate * 0.2 * 0.9, 0),
+            part(&browse, rate * 0.2 * 0.1, statements),
+        ],
+        terms: customers.map(|terms| grouped(terms, share_group)).to_vec(),
+        length: LONG_RUN_LENGTH,
+        lag: Duration::from_secs(3),
+        ..plain_mix(user, 0.0)
+    }
+}
+
+fn grouped(terms: CustomerTerms, share_group: bool) -> CustomerTerms {
+    CustomerTerms {
+        share_group: share_group.then(|| ShareGroupName::from("callers")),
+        ..terms
+    }
+}
+
 fn slow_period(instance: usize, factor: u32) -> SlowPeriod {
     SlowPeriod {
         instance,
@@ -291,6 +409,7 @@
         shortest: Duration::from_millis(4),
         longest: Duration::from_millis(8),
         statements: 0,
+        priority: None,
     }
 }
 
--- a/crates/policy/tests/support/runner.rs
+++ b/crates/policy/tests/support/runner.rs
@@ -204,18 +204,22 @@
             deadline: self.now + source.deadline,
             target: source.target.map(|target| self.now + target),
             step,
-            priority: None,
+            priority: source.priority,
         };
         let name = SourceName {
             customer: source.customer,
             kind: source.kind,
         };
-        self.outcome.sources.entry(name).or_default().offered += 1;
+        let outcome = self.outcome.sources.entry(name).or_default();
+        outcome.offered += 1;
+        outcome.operations += u64::from(drawn.opener.is_none());
         self.profiles.insert(ticket, profile.clone());
         match &mut self.policy {
             PolicyModel::Plain(plain) => plain.arrive(profile),
             PolicyModel::Scheduler(scheduler) => {
-                if let ArrivalDecision::Refused(_) = scheduler.arrive(self.now, profile) {
+                if let ArrivalDecision::Refused(refusal) = scheduler.arrive(self.now, profile) {
+                    let text = format!("{} {ticket:?} {refusal:?}", self.now.0);
+                    self.outcome.decisions.add(&text);
                     self.settle_refused(ticket);
                 }
             }
@@ -262,6 +266,8 @@
     }
 
     fn carry_out(&mut self, decision: SchedulerDecision) {
+        let text = format!("{} {decision:?}", self.now.0);
+        self.outcome.decisions.add(&text);
         match decision {
             SchedulerDecision::Dispatch(order) => {
                 let instance = find_instance(&order.instance);
@@ -443,8 +449,15 @@
         }
         let late = self.now > profile.deadline;
         self.outcome.late_from_slow += u64::from(late && slow);
-        let wait = self.now.since(self.requests[ticket.0 as usize].at);
+        let drawn = &self.requests[ticket.0 as usize];
+        let (wait, run, opens) = (self.now.since(drawn.at), drawn.run, drawn.opener.is_none());
         let outcome = self.outcome_of(ticket);
+        outcome.slot_time += run;
+        if late {
+            outcome.lost_operations += u64::from(opens);
+        } else {
+            outcome.slot_time_in_time += run;
+        }
         outcome.waits.push(wait);
         outcome.late += u64::from(late);
         outcome.in_time += u64::from(!late);
@@ -452,7 +465,10 @@
 
     fn settle_late(&mut self, ticket: RequestTicket) {
         if self.profiles.remove(&ticket).is_some() {
-            self.outcome_of(ticket).late += 1;
+            let opens = self.requests[ticket.0 as usize].opener.is_none();
+            let outcome = self.outcome_of(ticket);
+            outcome.late += 1;
+            outcome.lost_operations += u64::from(opens);
         }
     }
 
@@ -462,8 +478,10 @@
         };
         let time_left = profile.deadline.since(self.now);
         let short = time_left * 4 < self.source(ticket).deadline;
+        let opens = self.requests[ticket.0 as usize].opener.is_none();
         let outcome = self.outcome_of(ticket);
         outcome.refused += 1;
+        outcome.lost_operations += u64::from(opens);
         outcome.time_left += time_left;
         outcome.late_refusals += u64::from(short);
         let least = outcome.min_time_left.unwrap_or(time_left);
