--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -52,6 +52,7 @@
                 }
             }
         }
+        self.scarcity.log_change(now, &self.group, &self.scheduler);
     }
 
     /// Starts a dispatched request, or lets it wait until its key is journaled.
--- a/crates/daemon/src/group/mod.rs
+++ b/crates/daemon/src/group/mod.rs
@@ -37,6 +37,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::peers::PeerLinks;
 use crate::proposer::CommandProposer;
+use crate::scarcity::ScarcityReport;
 use crate::settings::DaemonSettings;
 use crate::standby::StandbyEvent;
 use describing::ActiveShape;
@@ -169,6 +170,8 @@
     handing_over: bool,
     handover: HandoverState,
     scheduler: GroupScheduler,
+    /// What was last reported of the scheduler's scarcity and levels.
+    scarcity: ScarcityReport,
     quorum: PositionQuorum,
     /// The recovered journal; `None` until its copies have been collected.
     journal: Option<GroupJournal>,
@@ -250,6 +253,7 @@
         handing_over: false,
         handover: HandoverState::default(),
         scheduler,
+        scarcity: ScarcityReport::default(),
         journal: None,
         journal_recovered_at: ClockTime::default(),
         confirmed_journal_epoch: PlacementEpoch(0),
--- a/crates/daemon/src/group/ticking.rs
+++ b/crates/daemon/src/group/ticking.rs
@@ -139,9 +139,12 @@
         }
     }
 
-    fn update_metrics(&self) {
-        let metrics = &self.context.metrics;
+    fn update_metrics(&mut self) {
         let now = self.context.clock.now();
+        self.scarcity.log_change(now, &self.group, &self.scheduler);
+        let metrics = &self.context.metrics;
+        self.scarcity
+            .update_metrics(now, &self.group, &self.scheduler, metrics);
         let state = self.scheduler.snapshot(now);
         let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
         metrics.set_queue_length(&self.group, waiting);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -58,6 +58,7 @@
 mod proposer;
 pub mod readiness;
 mod relay_gateways;
+mod scarcity;
 pub mod server;
 pub mod service;
 pub mod sessions;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
+use ragwort_policy::LevelCounts;
 use ragwort_types::CatalogRevision;
 use ragwort_types::GroupName;
 use ragwort_types::GroupTerm;
@@ -48,6 +49,17 @@
     group: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LevelLabels {
+    level: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DispatchLabels {
+    level: usize,
+    target: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FaultLabels {
     fault: &'static str,
@@ -81,6 +93,11 @@
     reads: Family<SourceLabels, Counter>,
     queue_length: Family<GroupLabels, Gauge>,
     queue_wait: Histogram,
+    slots_scarce: Family<GroupLabels, Gauge>,
+    scarcity_periods: Counter,
+    level_dispatches: Family<DispatchLabels, Counter>,
+    level_refusals: Family<LevelLabels, Counter>,
+    level_slot_time: Family<LevelLabels, Counter>,
     caller_connections: Gauge,
     caller_faults: Family<FaultLabels, Counter>,
     refused_announcements: Counter,
@@ -111,6 +128,11 @@
             reads: Family::default(),
             queue_length: Family::default(),
             queue_wait: Histogram::new(buckets),
+            slots_scarce: Family::default(),
+            scarcity_periods: Counter::default(),
+            level_dispatches: Family::default(),
+            level_refusals: Family::default(),
+            level_slot_time: Family::default(),
             caller_connections: Gauge::default(),
             caller_faults: Family::default(),
             refused_announcements: Counter::default(),
@@ -142,6 +164,7 @@
             "Time from arrival to dispatch at this leaseholder",
             self.queue_wait.clone(),
         );
+        self.register_levels(&mut registry);
         registry.register(
             "caller_connections",
             "Open connections of callers",
@@ -205,6 +228,34 @@
         registry
     }
 
+    fn register_levels(&self, registry: &mut Registry) {
+        registry.register(
+            "slots_scarce",
+            "Whether requests of a group miss their targets or are refused for want of slots",
+            self.slots_scarce.clone(),
+        );
+        registry.register(
+            "scarcity_periods",
+            "Periods of scarcity of slots that have begun",
+            self.scarcity_periods.clone(),
+        );
+        registry.register(
+            "level_dispatches",
+            "Dispatches by priority level and by whether the target could still be met",
+            self.level_dispatches.clone(),
+        );
+        registry.register(
+            "level_refusals",
+            "Refusals for want of slots by priority level",
+            self.level_refusals.clone(),
+        );
+        registry.register(
+            "level_slot_microseconds",
+            "Slot time by priority level",
+            self.level_slot_time.clone(),
+        );
+    }
+
     /// Counts an announcement that names no usable endpoint; returns the number so far.
     pub fn count_refused_announcement(&self) -> u64 {
         self.refused_announcements.inc() + 1
@@ -246,6 +297,37 @@
         self.queue_wait.observe(wait.as_secs_f64());
     }
 
+    /// Sets whether a group's slots are scarce.
+    pub fn set_slots_scarce(&self, group: &GroupName, scarce: bool) {
+        set_group_gauge(&self.slots_scarce, group, i64::from(scarce));
+    }
+
+    /// Counts periods of scarcity that have begun.
+    pub fn count_scarcity(&self, periods: u64) {
+        self.scarcity_periods.inc_by(periods);
+    }
+
+    /// Adds counts of one priority level. A level without requests gets no series.
+    pub fn count_level(&self, level: usize, counts: &LevelCounts) {
+        let timely = counts.dispatched - counts.dispatched_late;
+        for (target, dispatches) in [("possible", timely), ("missed", counts.dispatched_late)] {
+            if dispatches > 0 {
+                let labels = DispatchLabels { level, target };
+                let counter = self.level_dispatches.get_or_create(&labels);
+                counter.inc_by(dispatches);
+            }
+        }
+        let labels = LevelLabels { level };
+        for (family, number) in [
+            (&self.level_refusals, counts.refused_for_slots),
+            (&self.level_slot_time, counts.slot_micros),
+        ] {
+            if number > 0 {
+                family.get_or_create(&labels).inc_by(number);
+            }
+        }
+    }
+
     /// Counts a caller's connection as open until the returned guard is dropped.
     pub fn open_caller_connection(&self) -> ConnectionCount {
         self.caller_connections.inc();
@@ -285,6 +367,7 @@
             group: group.to_string(),
         };
         self.queue_length.remove(&labels);
+        self.slots_scarce.remove(&labels);
         self.endpoint_connections.remove(&labels);
         self.group_term.remove(&labels);
     }
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -64,6 +64,7 @@
                 }
             }
         }
+        self.scarcity.log_change(now, &self.group, &self.scheduler);
     }
 
     /// Reports the accounts with an idle connection to the scheduler, for the instances where they
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -41,6 +41,7 @@
 use crate::group::ending::refuse_queue;
 use crate::log_event;
 use crate::member::MemberView;
+use crate::scarcity::ScarcityReport;
 use handover::HandoverProgress;
 use link::LinkEvent;
 use log::Level;
@@ -127,6 +128,8 @@
     /// The contracts that were last passed to the scheduler.
     applied_contracts: Arc<ContractTable>,
     scheduler: GroupScheduler,
+    /// What was last reported of the scheduler's scarcity and levels.
+    scarcity: ScarcityReport,
     pool: NativePool,
     demand: AccountDemand,
     /// Whether client accounts are configured. Each connection then serves callers of one account
@@ -205,6 +208,7 @@
         view,
         applied_contracts: Arc::default(),
         scheduler,
+        scarcity: ScarcityReport::default(),
         demand: AccountDemand::default(),
         by_account: false,
         roles: InstanceRoles::new(reached),
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -191,8 +191,12 @@
     fn update_metrics(&mut self) {
         let due = self.now() + METRICS_INTERVAL;
         self.checks.request(GroupCheck::Metrics, due);
+        let now = self.now();
+        self.scarcity.log_change(now, &self.group, &self.scheduler);
         let metrics = &self.context.metrics;
-        let state = self.scheduler.snapshot(self.now());
+        self.scarcity
+            .update_metrics(now, &self.group, &self.scheduler, metrics);
+        let state = self.scheduler.snapshot(now);
         let waiting = state.waiting_urgent + state.waiting_ordinary + state.waiting_pinned;
         metrics.set_queue_length(&self.group, waiting);
         metrics.set_endpoint_connections(&self.group, self.pool.connection_count());
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -417,6 +417,22 @@
         self.scarcity.snapshot(now)
     }
 
+    /// Returns whether slots are scarce: a request has missed its target or was refused for want of
+    /// slots within the last second.
+    pub fn is_scarce(&self, now: ClockTime) -> bool {
+        self.scarcity.since(now).is_some()
+    }
+
+    /// Returns the counts of each priority level, from the first one on.
+    pub fn level_counts(&self) -> &[LevelCounts] {
+        &self.level_counts
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Returns the state for dumps and metrics.
     pub fn snapshot(&self, now: ClockTime) -> SchedulerSnapshot {
         SchedulerSnapshot::collect(self, now)
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -166,6 +166,26 @@
     pub long: bool,
 }
 
+impl LevelCounts {
+    /// Returns what was counted since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            dispatched: self.dispatched - earlier.dispatched,
+            dispatched_late: self.dispatched_late - earlier.dispatched_late,
+            refused_for_slots: self.refused_for_slots - earlier.refused_for_slots,
+            slot_micros: self.slot_micros - earlier.slot_micros,
+        }
+    }
+
+    /// Adds the counts of another level.
+    pub fn add(&mut self, other: &Self) {
+        self.dispatched += other.dispatched;
+        self.dispatched_late += other.dispatched_late;
+        self.refused_for_slots += other.refused_for_slots;
+        self.slot_micros += other.slot_micros;
+    }
+}
+
 impl SchedulerSnapshot {
     /// Collects the state of a scheduler.
     pub(crate) fn collect(scheduler: &GroupScheduler, now: ClockTime) -> Self {
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -529,7 +529,7 @@
     }
 
     /// Returns the total number of slots of the endpoints that accept requests.
-    pub(crate) fn usable_slots(&self) -> u32 {
+    pub fn usable_slots(&self) -> u32 {
         let records = self.endpoints.records().iter();
         let usable = records.filter(|record| record.accepts_unpinned());
         usable.map(|record| record.state.slots).sum()
