Report scarcity at once; learn transactions only from those that ran

Two faults found while testing: the gauge of scarcity was set once a second and missed periods of a second, and an opening request that the endpoint didn't run counted as a transaction without further statements. An empty lane keeps memory for 64 entries.

--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -52,7 +52,9 @@
                 }
             }
         }
-        self.scarcity.log_change(now, &self.group, &self.scheduler);
+        let metrics = &self.context.metrics;
+        self.scarcity
+            .note_change(now, &self.group, &self.scheduler, metrics);
     }
 
     /// Starts a dispatched request, or lets it wait until its key is journaled.
--- a/crates/daemon/src/group/ticking.rs
+++ b/crates/daemon/src/group/ticking.rs
@@ -141,8 +141,9 @@
 
     fn update_metrics(&mut self) {
         let now = self.context.clock.now();
-        self.scarcity.log_change(now, &self.group, &self.scheduler);
         let metrics = &self.context.metrics;
+        self.scarcity
+            .note_change(now, &self.group, &self.scheduler, metrics);
         self.scarcity
             .update_metrics(now, &self.group, &self.scheduler, metrics);
         let state = self.scheduler.snapshot(now);
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -64,7 +64,9 @@
                 }
             }
         }
-        self.scarcity.log_change(now, &self.group, &self.scheduler);
+        let metrics = &self.context.metrics;
+        self.scarcity
+            .note_change(now, &self.group, &self.scheduler, metrics);
     }
 
     /// Reports the accounts with an idle connection to the scheduler, for the instances where they
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -192,8 +192,9 @@
         let due = self.now() + METRICS_INTERVAL;
         self.checks.request(GroupCheck::Metrics, due);
         let now = self.now();
-        self.scarcity.log_change(now, &self.group, &self.scheduler);
         let metrics = &self.context.metrics;
+        self.scarcity
+            .note_change(now, &self.group, &self.scheduler, metrics);
         self.scarcity
             .update_metrics(now, &self.group, &self.scheduler, metrics);
         let state = self.scheduler.snapshot(now);
--- a/crates/daemon/src/scarcity.rs
+++ b/crates/daemon/src/scarcity.rs
@@ -26,18 +26,25 @@
 }
 
 impl ScarcityReport {
-    /// Logs the begin or end of scarcity since the last call.
-    pub(crate) fn log_change(
+    /// Logs the begin or end of scarcity since the last call, and updates the metrics if there was
+    /// one.
+    ///
+    /// A period may be as short as the interval of the metrics, and would otherwise be missing in
+    /// them.
+    pub(crate) fn note_change(
         &mut self,
         now: ClockTime,
         group: &GroupName,
         scheduler: &GroupScheduler,
+        metrics: &DaemonMetrics,
     ) {
         let scarce = scheduler.is_scarce(now);
+        if scarce == self.period.is_some() {
+            return;
+        }
         match self.period.take() {
-            Some(period) if !scarce => log_end(now, group, &period, scheduler),
-            Some(period) => self.period = Some(period),
-            None if scarce => {
+            Some(period) => log_end(now, group, &period, scheduler),
+            None => {
                 let counts = sum_levels(scheduler.level_counts());
                 log_event!(
                     Level::Info,
@@ -48,8 +55,8 @@
                 );
                 self.period = Some(ReportedPeriod { since: now, counts });
             }
-            None => {}
         }
+        self.update_metrics(now, group, scheduler, metrics);
     }
 
     /// Passes what has changed since the last call to the metrics.
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -251,6 +251,7 @@
     pub endpoints: Vec<ScriptedEndpoint>,
     pub promotions: Arc<ScriptedPromotions>,
     pub view: watch::Sender<MemberView>,
+    pub metrics: DaemonMetrics,
     descriptors: DescriptorBudget,
     notes: ProposedEndpoints,
     inbox: mpsc::Sender<GroupEvent>,
@@ -345,7 +346,7 @@
             standby,
             handovers: HandoverPlanner::default(),
             descriptors: descriptors.clone(),
-            metrics,
+            metrics: metrics.clone(),
         });
         let promotions = Arc::new(ScriptedPromotions::default());
         let edges = NativeEdges {
@@ -360,6 +361,7 @@
             endpoints,
             promotions,
             view,
+            metrics,
             descriptors,
             notes,
             inbox,
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -12,4 +12,5 @@
 mod idle;
 mod idle_accounts;
 mod lapses;
+mod scarcity;
 mod takeover;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -32,6 +32,10 @@
 /// The number of sorts of lanes, apart from levels and cost classes.
 pub(crate) const LANE_SORTS: usize = 16;
 
+/// The number of entries for which an empty lane keeps memory. A sharer may have some hundred lanes
+/// that are full at different times.
+const IDLE_LANE_CAPACITY: usize = 64;
+
 /// The lane of a sharer in which a request waits.
 ///
 /// Requests of one lane can use the same instances, apart from session positions and data ages, so
@@ -469,6 +473,9 @@
         match self {
             Self::Unpinned(lane) => {
                 lane.remove(place);
+                if lane.is_empty() {
+                    lane.shrink_to(IDLE_LANE_CAPACITY);
+                }
             }
             Self::Pinned(lane) => {
                 lane.remove(place);
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::connections::ConnectionAllowance;
 use crate::connections::FAILED_OPEN_PAUSE;
 use crate::customers::CustomerTable;
+use crate::endpoints::ConnectionPin;
 use crate::endpoints::EndpointTable;
 use crate::estimate::EstimateTable;
 use crate::minimum_shares::MinimumShares;
@@ -279,7 +280,7 @@
             return FinishDecision::Settled;
         }
         if dispatched.request.profile.step == RequestStep::Opens {
-            self.unpin(now, ticket);
+            self.release_pin(now, ticket);
         }
         if self.may_retry(now, &dispatched.request, outcome) {
             let mut request = dispatched.request;
@@ -320,19 +321,21 @@
     /// closed rather than returned to the pool, call this first and
     /// [`connection_closed`](Self::connection_closed) after it.
     pub fn unpin(&mut self, now: ClockTime, opener: RequestTicket) {
-        let Some(index) = self.endpoints.index_of_pin(opener) else {
-            return;
-        };
+        if let Some(pin) = self.release_pin(now, opener) {
+            let first_run = self.estimates.get(pin.kind).expected();
+            self.transaction_costs
+                .learn(pin.kind, first_run, pin.further_slot_time);
+        }
+    }
+
+    fn release_pin(&mut self, now: ClockTime, opener: RequestTicket) -> Option<ConnectionPin> {
+        let index = self.endpoints.index_of_pin(opener)?;
         let record = &mut self.endpoints.records_mut()[index];
-        let Some(place) = record.pins.iter().position(|pin| pin.opener == opener) else {
-            return;
-        };
+        let place = record.pins.iter().position(|pin| pin.opener == opener)?;
         let pin = record.pins.remove(place);
         self.customers.release_pin(pin.customer);
         self.pin_hold = (self.pin_hold * 7 + now.since(pin.since)) / 8;
-        let first_run = self.estimates.get(pin.kind).expected();
-        self.transaction_costs
-            .learn(pin.kind, first_run, pin.further_slot_time);
+        Some(pin)
     }
 
     /// Records that a connection was opened.
