--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -128,6 +128,7 @@
 mod runs;
 mod scarcity;
 mod scheduler;
+mod selection;
 mod settings;
 mod shares;
 mod snapshot;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -6,7 +6,6 @@
 use crate::admission::misses_deadline;
 use crate::admission::scaled_start;
 use crate::endpoints::EndpointRecord;
-use crate::plan::ChoicePass;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlannedStart;
@@ -16,6 +15,7 @@
 use crate::queue::WaitingRequest;
 use crate::routing::ServingFitness;
 use crate::routing::judge_fitness;
+use crate::selection::ChoicePass;
 use std::time::Duration;
 
 /// Reads may use the primary's slots when more than this many reads wait for each slot of the
--- a/crates/policy/tests/hard_load.rs
+++ b/crates/policy/tests/hard_load.rs
@@ -248,6 +248,27 @@
     }
 }
 
+/// A customer's queue is full of requests of a low level. One of the first level must displace the
+/// last of them; refused, its caller would wait for those that it goes before.
+#[test]
+fn first_level_enters_a_full_queue() {
+    let mut primary = BusyPrimary::new([None; 3]);
+    let low = steady("browse", Some(2), 50);
+    for _ in 0..402 {
+        primary.arrive(low, 60_000, 60_000);
+        if primary.ends.len() < 2 {
+            primary.step();
+        }
+    }
+    let first = primary.arrive(steady("checkout", Some(0), 10), 300, 1_200);
+    assert!(primary.kinds.contains_key(&first), "refused at its arrival");
+    let refused = primary.step();
+    assert_eq!(refused.len(), 1);
+    assert_ne!(refused[0], first);
+    let last = primary.arrive(low, 60_000, 60_000);
+    assert!(!primary.kinds.contains_key(&last), "the queue is full");
+}
+
 /// Scarcity must begin with the first request that misses its target, and end a second after the
 /// last one: operators are told of it, and operations are ordered by cost until then.
 #[test]
