--- a/crates/daemon/src/group/dispatch.rs
+++ b/crates/daemon/src/group/dispatch.rs
@@ -55,6 +55,9 @@
                 }
             }
         }
+        let metrics = &self.context.metrics;
+        self.scarcity
+            .note_change(now, &self.group, &self.scheduler, metrics);
     }
 
     /// Starts a dispatched request, or lets it wait until its key is journaled.
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -67,6 +67,9 @@
                 }
             }
         }
+        let metrics = &self.context.metrics;
+        self.scarcity
+            .note_change(now, &self.group, &self.scheduler, metrics);
     }
 
     /// Reports the accounts with an idle connection to the scheduler, for the instances where they
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -13,4 +13,5 @@
 mod idle_accounts;
 mod lapses;
 mod rejections;
+mod scarcity;
 mod takeover;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -7,7 +7,6 @@
 use crate::admission::misses_deadline;
 use crate::admission::scaled_start;
 use crate::endpoints::EndpointRecord;
-use crate::plan::ChoicePass;
 use crate::plan::DispatchPlan;
 use crate::plan::PlanAction;
 use crate::plan::PlannedStart;
@@ -17,6 +16,7 @@
 use crate::queue::WaitingRequest;
 use crate::routing::ServingFitness;
 use crate::routing::judge_fitness;
+use crate::selection::ChoicePass;
 use std::time::Duration;
 
 /// Reads may use the primary's slots when more than this many reads wait for each slot of the
@@ -77,7 +77,7 @@
         if self.is_avoided(request, record) {
             return None;
         }
-        if pass.urgent && pass.bounded && forecast.urgent_run >= MAX_URGENT_RUN {
+        if request.lane.urgent && pass.bounded && forecast.urgent_run >= MAX_URGENT_RUN {
             return None;
         }
         let opens = request.profile.step == RequestStep::Opens;
@@ -228,8 +228,10 @@
         if request.lane.target_missed || request.lane.urgent || !self.input.switches.targets {
             return false;
         }
-        let Some(target) = request.profile.target else {
-            return false;
+        let target = match request.profile.target {
+            Some(target) => target,
+            None if request.late_service => request.profile.deadline,
+            None => return false,
         };
         let start = match request.planned_wait {
             Some(_) => at,
@@ -261,8 +263,11 @@
     /// For a new one the planned wait is scaled by the learned factor: admitted on the edge of its
     /// deadline, it would be refused later, with little of its time left, when a run before it
     /// takes longer than expected or another request overtakes it.
+    ///
+    /// A request with late service is only refused when no room is left for it. One that would be
+    /// late with the scaled wait goes behind those that can meet their target instead.
     pub(crate) fn pessimistic_start(&self, request: &WaitingRequest, at: ClockTime) -> ClockTime {
-        if request.planned_wait.is_some() {
+        if request.planned_wait.is_some() || request.late_service {
             return at;
         }
         let now = self.input.now;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -11,7 +11,6 @@
 //! request is refused early only on the basis of the order in which requests are really served.
 
 use crate::ClockTime;
-use crate::EndpointRole;
 use crate::ExcessRule;
 use crate::RequestStep;
 use crate::customers::CustomerTable;
@@ -21,27 +20,21 @@
 use crate::forecast::ForecastOptions;
 use crate::forecast::InstanceForecast;
 use crate::forecast::SlotForecast;
-use crate::queue::LANE_COUNT;
-use crate::queue::LaneEntry;
+use crate::minimum_shares::MinimumShares;
+use crate::priority::LEVEL_COUNT;
 use crate::queue::LaneKind;
 use crate::queue::WaitingQueue;
 use crate::queue::WaitingRequest;
+use crate::scarcity::CostShares;
+use crate::selection::PlanCandidate;
+use crate::selection::PlanLane;
+use crate::selection::waiting_lanes;
 use crate::settings::ModuleSwitches;
 use crate::shares::FairClock;
 use ragwort_types::AccessMode;
 use smallvec::SmallVec;
 use std::time::Duration;
 
-/// Number of entries of a lane that are examined before the plan moves on to the next lane.
-///
-/// The request at the head of a lane may have to wait for a replica to catch up, or for another
-/// write on its key, while requests behind it can start.
-const LOOK_AHEAD: usize = 16;
-
-/// Maximum number of consecutive statements of open transactions on one instance while requests
-/// outside of transactions wait.
-const MAX_PINNED_RUN: u32 = 3;
-
 /// The state from which a plan is computed.
 #[derive(Clone, Copy)]
 pub(crate) struct PlanInput<'a> {
@@ -55,8 +48,12 @@
     pub(crate) estimates: &'a EstimateTable,
     /// The customers, with the factors by which their planned waits are scaled.
     pub(crate) customers: &'a CustomerTable,
-    /// The virtual times that decide which customer is served next.
+    /// The virtual times that decide which sharer is served next.
     pub(crate) fair_clock: &'a FairClock,
+    /// The minimum shares of the priority levels.
+    pub(crate) level_shares: &'a MinimumShares<LEVEL_COUNT>,
+    /// The shares by which operations are ordered by cost; `None` while slots aren't scarce.
+    pub(crate) cost_shares: Option<&'a CostShares>,
     /// The time that opening a connection takes.
     pub(crate) connect_time: Duration,
     /// The mean time for which a transaction holds a connection.
@@ -102,56 +99,20 @@
     pub(crate) trial: bool,
 }
 
-/// A request that can go next, with the keys by which candidates are compared.
-#[derive(Clone, Copy)]
-struct PlanCandidate {
-    entry: LaneEntry,
-    virtual_time: u64,
-    action: PlanAction,
-}
-
-/// The requests and slots that one selection pass over the queue considers.
-#[derive(Clone, Copy)]
-pub(crate) struct ChoicePass {
-    /// The simulated time of the pass.
-    pub(crate) at: ClockTime,
-    /// Whether the pass selects urgent requests, or ordinary ones.
-    pub(crate) urgent: bool,
-    /// Whether to skip instances that have served `MAX_URGENT_RUN` urgent requests in a row.
-    pub(crate) bounded: bool,
-    /// Whether reads that replicas could serve may use the primary's slots.
-    pub(crate) spill: bool,
-    /// Whether the pass selects requests that can no longer meet their target.
-    pub(crate) target_missed: bool,
-    /// Whether a slot is available to reads that replicas may serve.
-    pub(crate) reads: bool,
-    /// Whether a slot is available to requests that need the primary.
-    pub(crate) writes: bool,
-}
-
-impl ChoicePass {
-    fn includes_lane(&self, lane: LaneKind) -> bool {
-        let open = if lane.replica {
-            self.reads
-        } else {
-            self.writes
-        };
-        lane.urgent == self.urgent && lane.target_missed == self.target_missed && open
-    }
-}
-
 /// The state of the simulation.
 pub(crate) struct DispatchPlan<'a> {
     pub(crate) input: PlanInput<'a>,
     pub(crate) forecasts: SmallVec<[InstanceForecast; 4]>,
     pub(crate) fair_clock: FairClock,
+    pub(crate) level_shares: MinimumShares<LEVEL_COUNT>,
+    pub(crate) cost_shares: Option<CostShares>,
     pub(crate) planned: Vec<bool>,
-    /// The first entry of each lane that may still be unplanned, by position among the active
-    /// customers.
-    pub(crate) cursors: SmallVec<[[usize; LANE_COUNT]; 8]>,
+    /// The lanes with waiting requests, those of each sharer next to each other.
+    pub(crate) lanes: SmallVec<[PlanLane<'a>; 16]>,
     pub(crate) key_locks: SmallVec<[KeyLock; 4]>,
     pub(crate) unplanned_replica_reads: usize,
     pub(crate) unplanned_ordinary: usize,
+    pub(crate) unplanned_levels: [usize; LEVEL_COUNT],
 }
 
 /// A running write, which excludes other writes on the same key until it ends.
@@ -182,11 +143,14 @@
             input,
             forecasts: forecasts.collect(),
             fair_clock: input.fair_clock.clone(),
+            level_shares: input.level_shares.clone(),
+            cost_shares: input.cost_shares.cloned(),
             planned: vec![false; input.queue.capacity()],
-            cursors: SmallVec::from_elem([0; LANE_COUNT], input.queue.active().len()),
+            lanes: waiting_lanes(input.queue),
             key_locks: running_key_locks(records, input.now),
-            unplanned_replica_reads: input.queue.count_lanes(|lane| lane.replica),
-            unplanned_ordinary: input.queue.count_lanes(|lane| !lane.urgent),
+            unplanned_replica_reads: input.queue.count_replica_reads(),
+            unplanned_ordinary: input.queue.count_urgency(false),
+            unplanned_levels: input.queue.level_counts(),
         }
     }
 
@@ -242,168 +206,6 @@
             .min()
     }
 
-    fn choose(&mut self, at: ClockTime) -> Option<PlanCandidate> {
-        if self
-            .forecasts
-            .iter()
-            .all(|forecast| forecast.free_slot(at).is_none())
-        {
-            return None;
-        }
-        if let Some(candidate) = self.choose_pinned(at, MAX_PINNED_RUN) {
-            return Some(candidate);
-        }
-        self.choose_unpinned(at, false)
-            .or_else(|| self.choose_pinned(at, u32::MAX))
-            .or_else(|| self.choose_unpinned(at, true))
-    }
-
-    fn choose_pinned(&self, at: ClockTime, run_limit: u32) -> Option<PlanCandidate> {
-        for entry in self.input.queue.pinned() {
-            if self.planned[entry.slot] {
-                continue;
-            }
-            let request = self.input.queue.at(entry.slot);
-            let records = self.input.endpoints.records();
-            let instance = records
-                .iter()
-                .position(|record| Some(&record.state.instance) == request.pinned_to.as_ref());
-            let Some(instance) = instance else {
-                continue;
-            };
-            let forecast = &self.forecasts[instance];
-            if forecast.free_slot(at).is_none() || forecast.pinned_run >= run_limit {
-                continue;
-            }
-            if !self.length_fits(request, instance, at) || self.is_key_locked(request, at) {
-                continue;
-            }
-            let action = self.judge_start(request, instance, at, false);
-            return Some(PlanCandidate {
-                entry: *entry,
-                virtual_time: 0,
-                action,
-            });
-        }
-        None
-    }
-
-    /// Chooses among requests outside of transactions. Reads that a replica may serve go to
-    /// replicas first.
-    fn choose_unpinned(&mut self, at: ClockTime, target_missed: bool) -> Option<PlanCandidate> {
-        self.choose_spilling(at, target_missed, false)
-            .or_else(|| self.choose_spilling(at, target_missed, true))
-    }
-
-    /// Chooses an urgent request, up to the limit of consecutive ones, then an ordinary one, then
-    /// an urgent one without that limit.
-    fn choose_spilling(
-        &mut self,
-        at: ClockTime,
-        target_missed: bool,
-        spill: bool,
-    ) -> Option<PlanCandidate> {
-        let primary = self.has_opening(EndpointRole::Primary, at);
-        let replica = self.has_opening(EndpointRole::Replica, at);
-        let routing = self.input.switches.routing;
-        let pass = |urgent, bounded| ChoicePass {
-            at,
-            urgent,
-            bounded,
-            spill,
-            target_missed,
-            reads: replica || spill || (primary && !routing),
-            writes: primary,
-        };
-        self.choose_urgency(pass(true, true))
-            .or_else(|| self.choose_urgency(pass(false, true)))
-            .or_else(|| self.choose_urgency(pass(true, false)))
-    }
-
-    /// Returns whether an endpoint of this role has a slot for a request outside of a transaction.
-    fn has_opening(&self, role: EndpointRole, at: ClockTime) -> bool {
-        let records = self.input.endpoints.records().iter().zip(&self.forecasts);
-        let mut forecasts = records.filter(|(record, _)| record.state.role == role);
-        forecasts.any(|(_, forecast)| {
-            let usable = role == EndpointRole::Primary
-                || forecast.takes_shared(at)
-                || (forecast.trial && at == self.input.now);
-            usable && forecast.free_slot(at).is_some() && forecast.is_connected(at)
-        })
-    }
-
-    fn choose_urgency(&mut self, pass: ChoicePass) -> Option<PlanCandidate> {
-        let mut best: Option<PlanCandidate> = None;
-        let queue = self.input.queue;
-        for (place, customer) in queue.active().iter().copied().enumerate() {
-            let virtual_time = if self.input.switches.shares {
-                self.fair_clock.virtual_time(customer)
-            } else {
-                0
-            };
-            if best.is_some_and(|candidate| candidate.virtual_time < virtual_time) {
-                continue;
-            }
-            for lane in 0..LANE_COUNT {
-                let kind = LaneKind::from_index(lane);
-                if !pass.includes_lane(kind) || (pass.spill && !self.may_spill(kind)) {
-                    continue;
-                }
-                let entries = queue.customers()[customer].lane(lane);
-                if entries.is_empty() {
-                    continue;
-                }
-                let cursor = &mut self.cursors[place][lane];
-                while *cursor < entries.len() && self.planned[entries[*cursor].slot] {
-                    *cursor += 1;
-                }
-                let entries = &entries[*cursor..];
-                let Some(candidate) = self.choose_in_lane(entries, virtual_time, pass) else {
-                    continue;
-                };
-                if best.is_none_or(|other| goes_before(&candidate, &other)) {
-                    best = Some(candidate);
-                }
-            }
-        }
-        best
-    }
-
-    /// Chooses among the entries of one lane, the first of which isn't planned yet.
-    fn choose_in_lane(
-        &self,
-        entries: &[LaneEntry],
-        virtual_time: u64,
-        pass: ChoicePass,
-    ) -> Option<PlanCandidate> {
-        let waiting = entries.iter().filter(|entry| !self.planned[entry.slot]);
-        for entry in waiting.take(LOOK_AHEAD) {
-            let request = self.input.queue.at(entry.slot);
-            if self.cannot_meet_deadline(request, pass.at) {
-                return Some(PlanCandidate {
-                    entry: *entry,
-                    virtual_time,
-                    action: PlanAction::CannotMeetDeadline,
-                });
-            }
-            if self.cannot_meet_target(request, pass.at) {
-                return Some(PlanCandidate {
-                    entry: *entry,
-                    virtual_time,
-                    action: PlanAction::CannotMeetTarget,
-                });
-            }
-            if let Some(action) = self.place(request, pass) {
-                return Some(PlanCandidate {
-                    entry: *entry,
-                    virtual_time,
-                    action,
-                });
-            }
-        }
-        None
-    }
-
     /// Returns when the next statement may be sent for the slot that a request takes.
     fn planned_next_send(&self, request: &WaitingRequest, start: PlannedStart) -> ClockTime {
         let end = start.at + start.expected;
@@ -428,8 +230,12 @@
         if request.lane.replica {
             self.unplanned_replica_reads = self.unplanned_replica_reads.saturating_sub(1);
         }
-        if !request.lane.urgent && request.pinned_to.is_none() {
-            self.unplanned_ordinary = self.unplanned_ordinary.saturating_sub(1);
+        if request.pinned_to.is_none() {
+            let waiting = &mut self.unplanned_levels[request.lane.level.index()];
+            *waiting = waiting.saturating_sub(1);
+            if !request.lane.urgent {
+                self.unplanned_ordinary = self.unplanned_ordinary.saturating_sub(1);
+            }
         }
         let PlanAction::Start(start) = candidate.action else {
             return;
@@ -459,11 +265,21 @@
             forecast.urgent_run =
                 next_urgent_run(forecast.urgent_run, request.lane, ordinary_waits);
         }
-        self.fair_clock.charge(request.customer, start.expected);
+        self.charge(request, start.expected);
         if let Some(key) = write_key(request) {
             self.lock_key(at, KeyLock { key, until });
         }
     }
+
+    fn charge(&mut self, request: &WaitingRequest, run: Duration) {
+        let lane = request.lane;
+        let level = lane.level.index();
+        self.fair_clock.charge(request.sharer, run);
+        self.level_shares.charge(level, run);
+        if let Some(costs) = &mut self.cost_shares {
+            costs.charge(request.sharer, level, lane.cost, run);
+        }
+    }
 }
 
 /// Returns the number of consecutive urgent requests that were served while ordinary ones waited.
@@ -485,10 +301,6 @@
     Some(key ^ customer.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
-fn goes_before(candidate: &PlanCandidate, other: &PlanCandidate) -> bool {
-    (candidate.virtual_time, candidate.entry) < (other.virtual_time, other.entry)
-}
-
 fn running_key_locks(records: &[EndpointRecord], now: ClockTime) -> SmallVec<[KeyLock; 4]> {
     let running = records.iter().flat_map(|record| &record.running);
     let holds = running.filter_map(|running| {
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -167,7 +167,7 @@
         outcome: FinishOutcome,
     ) {
         let ticket = dispatched.request.profile.ticket;
-        let customer = dispatched.request.customer;
+        let request = &dispatched.request;
         let Some(record) = self.endpoints.get_mut(&dispatched.instance) else {
             return;
         };
@@ -176,10 +176,10 @@
         };
         let actual = now.since(running.started);
         let run = running.run_until(now, record.round_trip);
-        self.fair_clock
-            .correct(customer, dispatched.charged, actual);
-        self.customers.get_mut(customer).slot_micros += to_micros(actual);
-        let read = dispatched.request.profile.allows_replica();
+        if let RequestStep::Within(opener) = request.profile.step {
+            record.charge_transaction(opener, actual);
+        }
+        let read = request.profile.allows_replica();
         record.faults.end_trial(ticket);
         let slots = record.state.slots;
         match outcome {
@@ -187,7 +187,6 @@
                 let end = StatementEnd::Answered;
                 record.faults.observe(now, end, actual, read);
                 record.restarts.note_answer();
-                return self.learn_run(now, dispatched, run);
             }
             FinishOutcome::Rejected => {
                 let end = StatementEnd::Rejected;
@@ -198,7 +197,7 @@
             }
             FinishOutcome::Failed => {
                 // A read that has failed elsewhere too is to blame itself.
-                let first = unrejected_dispatches(&dispatched.request) <= 1;
+                let first = unrejected_dispatches(request) <= 1;
                 record
                     .faults
                     .observe(now, StatementEnd::Failed, actual, read && first);
@@ -209,7 +208,14 @@
             | FinishOutcome::NotSent
             | FinishOutcome::Lost => {}
         }
-        record.health.drop_trial(now, ticket);
+        if outcome != FinishOutcome::Answered {
+            record.health.drop_trial(now, ticket);
+        }
+        self.correct_charge(request, dispatched.charged, actual);
+        self.customers.get_mut(request.customer).slot_micros += to_micros(actual);
+        if outcome == FinishOutcome::Answered {
+            self.learn_run(now, dispatched, run);
+        }
     }
 
     /// Returns whether a request that ended without an answer goes back into the queue.
@@ -259,8 +265,8 @@
             customer.wait_factor_mut(&request).learn(planned, actual);
         }
         let estimate = self.estimates.get(request.kind);
-        let ordinary_waits = self.queue.count_lanes(|lane| !lane.urgent) > 0;
-        self.fair_clock.charge(request.customer, start.expected);
+        let ordinary_waits = self.queue.count_urgency(false) > 0;
+        self.charge(&request, start.expected);
         self.count_dispatch(now, &request, start);
         let record = &mut self.endpoints.records_mut()[start.instance];
         let ahead = sent_ahead(record, self.settings.excess);
@@ -287,6 +293,9 @@
                 opener: ticket,
                 customer: request.customer,
                 since: now,
+                kind: request.kind,
+                further_slot_time: Duration::ZERO,
+                cost: request.lane.cost,
             });
         }
         if start.trial {
@@ -306,11 +315,34 @@
         decisions.push(SchedulerDecision::Dispatch(order));
     }
 
+    /// Charges the expected run of a request to its sharer, level and cost class.
+    fn charge(&mut self, request: &WaitingRequest, run: Duration) {
+        let lane = request.lane;
+        self.fair_clock.charge(request.sharer, run);
+        self.level_shares.charge(lane.level.index(), run);
+        self.cost_shares
+            .charge(request.sharer, lane.level.index(), lane.cost, run);
+    }
+
+    /// Replaces the charge for an expected run by that for the actual run.
+    fn correct_charge(&mut self, request: &WaitingRequest, expected: Duration, actual: Duration) {
+        let lane = request.lane;
+        let level = lane.level.index();
+        self.level_counts[level].slot_micros += to_micros(actual);
+        self.fair_clock.correct(request.sharer, expected, actual);
+        self.level_shares.correct(level, expected, actual);
+        self.cost_shares
+            .correct(request.sharer, level, lane.cost, expected, actual);
+    }
+
     fn count_dispatch(&mut self, now: ClockTime, request: &WaitingRequest, start: PlannedStart) {
         let record = &self.endpoints.records()[start.instance];
         self.counts.dispatched += 1;
         self.counts.waited_micros += to_micros(now.since(request.arrived));
         self.counts.trials += u64::from(start.trial);
+        let level = &mut self.level_counts[request.lane.level.index()];
+        level.dispatched += 1;
+        level.dispatched_late += u64::from(request.lane.target_missed);
         if request.profile.allows_replica() {
             self.counts.permitted_reads += 1;
             let replica = record.state.role == EndpointRole::Replica;
