--- a/crates/policy/src/catch_up.rs
+++ b/crates/policy/src/catch_up.rs
@@ -35,7 +35,7 @@
 pub(crate) const MAX_CATCH_UP_READS: u32 = 8;
 
 /// The maximum number of reads that one review compares with each other, which bounds its cost.
-const MAX_COMPARED_READS: usize = 64;
+const MAX_COMPARED_READS: usize = 24;
 
 /// A review of the reads that could wait for a replica.
 #[derive(Debug)]
@@ -66,10 +66,11 @@
         now: ClockTime,
         request: &WaitingRequest,
     ) -> bool {
-        let estimate = scheduler.estimates.get(request.kind);
         let (profile, avoided) = (&request.profile, &request.rejected_by);
+        let estimate = scheduler.estimates.get(request.kind);
         let waits = self.free.is_some()
             && self.reads.len() < MAX_COMPARED_READS
+            && profile.allows_replica()
             && scheduler.can_wait_for_replica(now, profile, avoided, request.arrived, estimate);
         if waits {
             let read = (request.order, request.profile.ticket, request.lane);
--- a/crates/policy/src/forecast.rs
+++ b/crates/policy/src/forecast.rs
@@ -61,7 +61,7 @@
     pub(crate) retry_delay: Duration,
     /// Until when statements that were rejected occupy slots for work that other instances could
     /// serve.
-    occupied: SmallVec<[ClockTime; 4]>,
+    occupied: Vec<ClockTime>,
 }
 
 impl InstanceForecast {
@@ -94,7 +94,7 @@
             urgent_run: record.urgent_run,
             slowdown_percent: 100,
             retry_delay: Duration::ZERO,
-            occupied: SmallVec::new(),
+            occupied: Vec::new(),
         };
         if health {
             let usable = record.faults.usable_slots(record.state.slots);
@@ -143,6 +143,9 @@
 
     /// Returns whether a slot may be used at a moment for work that other instances could serve.
     pub(crate) fn takes_shared(&self, at: ClockTime) -> bool {
+        if self.occupied.is_empty() {
+            return self.held(at) < self.usable;
+        }
         let occupied = self.occupied.iter().filter(|until| **until > at).count();
         let occupied = u32::try_from(occupied).unwrap_or(u32::MAX);
         self.held(at).saturating_add(occupied) < self.usable
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -74,7 +74,7 @@
         if !self.is_fit(record, request, at) || !self.length_fits(request, instance, at) {
             return None;
         }
-        if self.is_avoided(request, record) {
+        if !request.rejected_by.is_empty() && self.is_avoided(request, record) {
             return None;
         }
         if pass.urgent && pass.bounded && forecast.urgent_run >= MAX_URGENT_RUN {
@@ -202,12 +202,16 @@
 
     /// Returns the expected time from the start of a request to its end, with the retries that are
     /// to be expected on an instance that rejects or fails a part of its statements.
-    fn expected_end_on(&self, request: &WaitingRequest, instance: usize) -> Duration {
-        let delay = match request.profile.step {
-            RequestStep::Single | RequestStep::Opens => self.forecasts[instance].retry_delay,
-            RequestStep::Within(_) => Duration::ZERO,
-        };
-        self.expected_on(request, instance) + delay
+    fn with_retries(
+        &self,
+        request: &WaitingRequest,
+        instance: usize,
+        expected: Duration,
+    ) -> Duration {
+        if !self.uneven || matches!(request.profile.step, RequestStep::Within(_)) {
+            return expected;
+        }
+        expected + self.forecasts[instance].retry_delay
     }
 
     /// Returns whether a request would miss its deadline on every instance that may serve it.
@@ -247,7 +251,10 @@
     fn would_miss(&self, request: &WaitingRequest, start: ClockTime, moment: ClockTime) -> bool {
         let runs = (0..self.forecasts.len())
             .filter(|instance| self.could_serve(request, *instance))
-            .map(|instance| self.expected_end_on(request, instance));
+            .map(|instance| {
+                let expected = self.expected_on(request, instance);
+                self.with_retries(request, instance, expected)
+            });
         let Some(run) = runs.min() else {
             return false;
         };
@@ -293,7 +300,7 @@
     ) -> PlanAction {
         let expected = self.expected_on(request, instance);
         let margin = self.input.estimates.get(request.kind).deviation();
-        let end = self.expected_end_on(request, instance);
+        let end = self.with_retries(request, instance, expected);
         let late = misses_deadline(at, end, margin, request.profile.deadline);
         if self.input.switches.early_refusal && late && !trial {
             return PlanAction::CannotMeetDeadline;
@@ -317,6 +324,9 @@
         if !self.input.switches.routing {
             return held < other_held;
         }
+        if !self.uneven {
+            return (start.expected, held) < (other.expected, other_held);
+        }
         let end = start.expected + self.forecasts[start.instance].retry_delay;
         let other_end = other.expected + self.forecasts[other.instance].retry_delay;
         (end, held) < (other_end, other_held)
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -144,6 +144,8 @@
 pub(crate) struct DispatchPlan<'a> {
     pub(crate) input: PlanInput<'a>,
     pub(crate) forecasts: SmallVec<[InstanceForecast; 4]>,
+    /// Whether an endpoint rejects or fails a part of its statements.
+    pub(crate) uneven: bool,
     pub(crate) fair_clock: FairClock,
     pub(crate) planned: Vec<bool>,
     /// The first entry of each lane that may still be unplanned, by position among the active
@@ -178,9 +180,11 @@
                 },
             )
         });
+        let forecasts: SmallVec<[InstanceForecast; 4]> = forecasts.collect();
         Self {
             input,
-            forecasts: forecasts.collect(),
+            uneven: forecasts.iter().any(|one| !one.retry_delay.is_zero()),
+            forecasts,
             fair_clock: input.fair_clock.clone(),
             planned: vec![false; input.queue.capacity()],
             cursors: SmallVec::from_elem([0; LANE_COUNT], input.queue.active().len()),
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -94,7 +94,7 @@
     /// The number of those that an endpoint rejected.
     pub(crate) rejections: u32,
     /// The instances that rejected or failed it and that it stays away from.
-    pub(crate) rejected_by: SmallVec<[InstanceName; 1]>,
+    pub(crate) rejected_by: Vec<InstanceName>,
 }
 
 impl WaitingRequest {
--- a/crates/policy/src/rejection_rate.rs
+++ b/crates/policy/src/rejection_rate.rs
@@ -229,7 +229,7 @@
     }
 
     /// Returns until when rejected statements occupy slots at `now`.
-    pub(crate) fn occupied_after(&self, now: ClockTime) -> SmallVec<[ClockTime; 4]> {
+    pub(crate) fn occupied_after(&self, now: ClockTime) -> Vec<ClockTime> {
         let later = self.occupied.iter().filter(|until| **until > now);
         later.copied().collect()
     }
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -24,7 +24,6 @@
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::UrgencyClass;
-use smallvec::SmallVec;
 use std::time::Duration;
 
 /// A queue of at most this many requests is reviewed and planned completely at each poll.
@@ -339,7 +338,7 @@
             planned_wait,
             attempts: 0,
             rejections: 0,
-            rejected_by: SmallVec::new(),
+            rejected_by: Vec::new(),
         })
     }
 
