--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -103,6 +103,8 @@
 pub(crate) struct DispatchPlan<'a> {
     pub(crate) input: PlanInput<'a>,
     pub(crate) forecasts: SmallVec<[InstanceForecast; 4]>,
+    /// Whether an endpoint rejects or fails a part of its statements.
+    pub(crate) uneven: bool,
     pub(crate) fair_clock: FairClock,
     pub(crate) level_shares: MinimumShares<LEVEL_COUNT>,
     pub(crate) cost_shares: Option<CostShares>,
@@ -139,9 +141,11 @@
                 },
             )
         });
+        let forecasts: SmallVec<[InstanceForecast; 4]> = forecasts.collect();
         Self {
             input,
-            forecasts: forecasts.collect(),
+            uneven: forecasts.iter().any(|one| !one.retry_delay.is_zero()),
+            forecasts,
             fair_clock: input.fair_clock.clone(),
             level_shares: input.level_shares.clone(),
             cost_shares: input.cost_shares.cloned(),
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -115,7 +115,7 @@
     /// The number of those that an endpoint rejected.
     pub(crate) rejections: u32,
     /// The instances that rejected or failed it and that it stays away from.
-    pub(crate) rejected_by: SmallVec<[InstanceName; 1]>,
+    pub(crate) rejected_by: Vec<InstanceName>,
     /// Whether it is served late from leftover slot time rather than refused, as long as it can
     /// meet its deadline.
     pub(crate) late_service: bool,
