Connections of accounts: keep by demand, prefer endpoints, wait for own ones

Of 45,415 statements at endpoints 9,564 opened a connection, 12 ms of a slot each. At most half of an endpoint's connections were opened for accounts, and the least recently used one made way for the next.

- An account prefers an endpoint by rendezvous hashing, unless its slots are nearly used up or another one has an idle connection of the account.
- A statement whose account's connections are in use waits for one that will be idle within 24 ms, and reserves it in the plan.
- The demand of each account for its n-th connection is recorded by endpoint.
The connection that saves the fewest openings is replaced.
Beyond half of the endpoint's connections, others are opened only while all idle ones pay for their validations; three connections and one for each slot stay free.
- An unused connection is kept as long as its expected use pays for its validations, on VMs that hold fewer than 1,024.

Without accounts nothing changes. The tests of account connections and the simulated fleet pass the new arguments; their assertions are unchanged.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
+use ragwort_policy::PoolMissAction;
 use ragwort_types::CatalogRevision;
 use ragwort_types::GroupName;
 use ragwort_types::GroupTerm;
@@ -58,6 +59,11 @@
     purpose: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ActionLabels {
+    action: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PointLabels {
     point: String,
@@ -84,6 +90,7 @@
     caller_connections: Gauge,
     caller_faults: Family<FaultLabels, Counter>,
     refused_announcements: Counter,
+    statement_connections: Family<ActionLabels, Counter>,
     endpoint_connections: Family<GroupLabels, Gauge>,
     lease_held: Gauge,
     groups_led: Gauge,
@@ -114,6 +121,7 @@
             caller_connections: Gauge::default(),
             caller_faults: Family::default(),
             refused_announcements: Counter::default(),
+            statement_connections: Family::default(),
             endpoint_connections: Family::default(),
             lease_held: Gauge::default(),
             groups_led: Gauge::default(),
@@ -157,6 +165,11 @@
             "Announcements that name no endpoint to use",
             self.refused_announcements.clone(),
         );
+        registry.register(
+            "statement_connections",
+            "Connections opened for statements that had none, and closed as unused by an account",
+            self.statement_connections.clone(),
+        );
         registry.register(
             "endpoint_connections",
             "Open connections to endpoints",
@@ -210,6 +223,25 @@
         self.refused_announcements.inc() + 1
     }
 
+    /// Counts a connection that is opened for a statement because its account has no idle one.
+    pub fn count_pool_miss(&self, action: PoolMissAction) {
+        let action = match action {
+            PoolMissAction::Open => "opened",
+            PoolMissAction::Replace(_) => "replaced",
+        };
+        self.count_connection_action(action);
+    }
+
+    /// Counts a connection that is closed because its account hasn't used it.
+    pub fn count_closed_unused(&self) {
+        self.count_connection_action("closed_unused");
+    }
+
+    fn count_connection_action(&self, action: &'static str) {
+        let labels = ActionLabels { action };
+        self.statement_connections.get_or_create(&labels).inc();
+    }
+
     /// Counts a request by its final verdict.
     pub fn count_request(&self, verdict: &RequestVerdict, class: UrgencyClass) {
         let (verdict, cause) = match verdict {
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -20,6 +20,7 @@
 use ragwort_policy::DispatchOrder;
 use ragwort_policy::FinishDecision;
 use ragwort_policy::FinishOutcome;
+use ragwort_policy::PoolLimits;
 use ragwort_policy::PoolMissAction;
 use ragwort_policy::ReplayStep;
 use ragwort_policy::RequestTicket;
@@ -109,6 +110,9 @@
         let link = self.choose_link(active, order);
         if unpinned {
             self.demand.note(now, account.as_ref());
+            if let Some(account) = &account {
+                self.pool.note_demand(now, &order.instance, account);
+            }
         }
         let link = link.or_else(|| match unpinned {
             true => self.open_for_account(now, &order.instance, account),
@@ -178,7 +182,13 @@
         let own = u32::try_from(held.len()).unwrap_or(u32::MAX);
         let left = self.context.descriptors.allowance().room();
         let room = room.min(own.saturating_add(left));
-        let action = choose_pool_miss_action(&held, connections, room)?;
+        let limits = PoolLimits {
+            connections,
+            slots: endpoint.announcement.slots,
+            room,
+        };
+        let action = choose_pool_miss_action(now, &held, &endpoint.demand, limits)?;
+        self.context.metrics.count_pool_miss(action);
         match action {
             PoolMissAction::Replace(id) => {
                 self.pool.remove_connection(LinkId(id));
--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -16,6 +16,7 @@
 use ragwort_control::ClockTime;
 use ragwort_control::digest_text;
 use ragwort_policy::ConnectionImage;
+use ragwort_policy::EndpointDemand;
 use ragwort_policy::HeldConnection;
 use ragwort_policy::RequestTicket;
 use ragwort_types::AccountName;
@@ -48,6 +49,8 @@
     pub(super) probe_started: Option<ClockTime>,
     /// Its last refusal of a connection because of its connection limit.
     pub(super) full: Option<FullEndpoint>,
+    /// How often each account uses connections to it.
+    pub(super) demand: EndpointDemand,
     _guard: DescriptorGuard,
 }
 
@@ -144,6 +147,11 @@
         self.open && free && !self.unusable && !self.validating
     }
 
+    /// Returns whether a caller's statement runs on it or a transaction holds it.
+    fn is_used_by_caller(&self) -> bool {
+        matches!(self.work, ConnectionWork::Statement(_)) || self.pinned.is_some()
+    }
+
     /// Queues an order at the connection's task; returns false if the task has ended or its queue
     /// is full.
     pub(super) fn send(&self, order: LinkOrder) -> bool {
@@ -234,6 +242,7 @@
                     failed_opens: 0,
                     probe_started: None,
                     full: None,
+                    demand: EndpointDemand::default(),
                     _guard: self.descriptors.count_endpoint(),
                 };
                 self.note_idle_change(&instance);
@@ -342,6 +351,22 @@
         best.map(|(id, _)| *id)
     }
 
+    /// Records a statement of an account that needs a connection to an instance.
+    pub(super) fn note_demand(
+        &mut self,
+        now: ClockTime,
+        instance: &InstanceName,
+        account: &AccountName,
+    ) {
+        let own = self.connections.values();
+        let own = own.filter(|one| one.instance == *instance);
+        let own = own.filter(|one| one.account.as_ref() == Some(account));
+        let in_use = own.filter(|one| one.is_used_by_caller()).count();
+        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+            endpoint.demand.note(now, Some(account), in_use);
+        }
+    }
+
     /// Finds any idle connection to an instance.
     pub(super) fn find_any_idle(&self, instance: &InstanceName) -> Option<LinkId> {
         let own = self.connections.iter();
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -10,6 +10,7 @@
 use super::pool::ConnectionWork;
 use ragwort_control::ReplacementState;
 use ragwort_policy::GroupCheck;
+use ragwort_policy::is_worth_keeping;
 use ragwort_policy::next_lapse;
 use ragwort_types::InstanceName;
 use ragwort_types::TransactionId;
@@ -27,10 +28,6 @@
 /// Number of rounds over which the connection validations are spread that are due at the same time.
 const VALIDATION_ROUNDS: usize = 4;
 
-/// How long an account's unused connection is kept beyond what the load needs. Its repeated
-/// validations cost the endpoint as much as a few statements in that time.
-const ACCOUNT_KEEP_TIME: Duration = Duration::from_secs(6);
-
 impl NativeTask {
     /// Makes the checks due that request their next run themselves, or have to run once.
     pub(super) fn request_initial_checks(&mut self) {
@@ -148,21 +145,27 @@
 
     fn close_or_validate(&mut self, id: LinkId, instance: &InstanceName) {
         let surplus = self.scheduler.surplus_connections(instance) > 0;
-        // Any account may be the next to call, and each needs a connection of its own, so
-        // connections are kept for longer than the total load requires.
-        let unused = self
-            .pool
-            .connection(id)
-            .map_or(Duration::ZERO, |one| self.now().since(one.last_statement));
-        let scarce = self.context.descriptors.allowance().scarce;
-        let kept = self.by_account && unused < ACCOUNT_KEEP_TIME && !scarce;
-        if surplus && !kept {
+        if surplus && !self.is_kept_for_account(id, instance) {
+            if self.by_account {
+                self.context.metrics.count_closed_unused();
+            }
             self.handle_closed(id, CloseCause::Released);
         } else if self.start_validation(id) {
             self.scheduler.connection_validation_started(instance);
         }
     }
 
+    /// Returns whether a connection that the total load doesn't need is kept, because its account may
+    /// be the next to call.
+    fn is_kept_for_account(&self, id: LinkId, instance: &InstanceName) -> bool {
+        let Some(endpoint) = self.pool.endpoint(instance).filter(|_| self.by_account) else {
+            return false;
+        };
+        let held = self.pool.list_held(instance);
+        let allowance = self.context.descriptors.allowance();
+        is_worth_keeping(self.now(), &held, id.0, &endpoint.demand, &allowance)
+    }
+
     /// Ends the transactions that were idle for longer than the limit. Each holds one of the
     /// endpoint's few connections, and its caller may be gone.
     fn end_idle_transactions(&mut self) {
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -34,6 +34,8 @@
     pub(crate) write_key: Option<u64>,
     /// Whether it runs on a connection that a transaction holds.
     pub(crate) pinned: bool,
+    /// The account that its connection belongs to.
+    pub(crate) account: Option<u64>,
 }
 
 impl RunningRequest {
@@ -138,10 +140,14 @@
         }
     }
 
-    /// Returns whether a connection must be opened for a request of this account.
-    pub(crate) fn lacks_connection(&self, account: Option<u64>) -> bool {
-        let idle = self.idle_accounts.as_ref();
-        account.is_some_and(|account| !idle.is_some_and(|idle| idle.contains(&account)))
+    /// Removes an idle connection of an account, because a request takes it.
+    pub(crate) fn take_idle_connection(&mut self, account: Option<u64>) {
+        let (Some(idle), Some(account)) = (self.idle_accounts.as_mut(), account) else {
+            return;
+        };
+        if let Some(place) = idle.iter().position(|other| *other == account) {
+            idle.swap_remove(place);
+        }
     }
 
     /// Returns whether each connection is bound to one account.
--- a/crates/policy/src/forecast.rs
+++ b/crates/policy/src/forecast.rs
@@ -3,6 +3,7 @@
 use crate::ClockTime;
 use crate::EndpointRole;
 use crate::ExcessRule;
+use crate::account_forecast::AccountForecast;
 use crate::connections::pin_limit;
 use crate::endpoints::EndpointRecord;
 use crate::endpoints::MIN_REMAINING_RUN;
@@ -41,6 +42,9 @@
     uses: SmallVec<[ClockTime; 4]>,
     /// The number of further transactions that may take a connection now.
     pub(crate) pins_left: u32,
+    /// When the connections of each account are expected to be idle; `None` where connections aren't
+    /// bound to accounts.
+    pub(crate) accounts: Option<AccountForecast>,
     /// When further connections are expected to be open.
     pub(crate) connected_at: ClockTime,
     /// When a transaction is expected to be able to take a connection, if none can now.
@@ -75,6 +79,7 @@
             uses: SmallVec::new(),
             pins_left: pin_limit(record.state.connections, record.state.slots)
                 .saturating_sub(pinned),
+            accounts: AccountForecast::from_record(record, now),
             connected_at: now + connect_time,
             pin_at: next_pin(record, now, pin_hold),
             usable: record.state.slots,
@@ -171,6 +176,16 @@
         }
     }
 
+    /// Returns whether a connection must be opened for a request of this account.
+    pub(crate) fn lacks_connection(&self, account: Option<u64>, at: ClockTime) -> bool {
+        account.is_some_and(|account| self.own_connection_at(account).is_none_or(|idle| idle > at))
+    }
+
+    /// Returns when a connection of this account is expected to be idle, if it has one.
+    pub(crate) fn own_connection_at(&self, account: u64) -> Option<ClockTime> {
+        self.accounts.as_ref()?.idle_at(account)
+    }
+
     /// Takes a slot that is free at a moment.
     pub(crate) fn take(&mut self, at: ClockTime, run: SlotForecast) {
         if let Some(index) = self.free_slot(at) {
@@ -178,6 +193,15 @@
         }
     }
 
+    /// Takes the slot that becomes free last before a later moment, so that the others can be used
+    /// until then.
+    pub(crate) fn take_later(&mut self, at: ClockTime, run: SlotForecast) {
+        let free = self.slots.iter_mut().filter(|slot| slot.free_at <= at);
+        if let Some(last) = free.max_by_key(|slot| slot.free_at) {
+            *last = run;
+        }
+    }
+
     /// Takes an idle connection until a run on it ends.
     pub(crate) fn connect(&mut self, at: ClockTime, until: ClockTime) {
         match self.uses.iter_mut().find(|end| **end <= at) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -98,6 +98,8 @@
 //! ```
 
 mod account_connections;
+mod account_demand;
+mod account_forecast;
 mod account_ledger;
 mod account_shares;
 mod admission;
@@ -132,8 +134,12 @@
 
 pub use account_connections::AccountDemand;
 pub use account_connections::HeldConnection;
+pub use account_connections::PoolLimits;
 pub use account_connections::PoolMissAction;
 pub use account_connections::choose_pool_miss_action;
+pub use account_connections::is_worth_keeping;
+pub use account_connections::kept_limit;
+pub use account_demand::EndpointDemand;
 pub use account_ledger::LedgerRequest;
 pub use account_ledger::LedgerTable;
 pub use account_ledger::LimitTolerance;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -3,6 +3,7 @@
 use crate::ClockTime;
 use crate::EndpointRole;
 use crate::RequestStep;
+use crate::account_connections::preference_of;
 use crate::admission::misses_deadline;
 use crate::admission::scaled_start;
 use crate::endpoints::EndpointRecord;
@@ -31,6 +32,15 @@
 /// slack.
 const FORCED_TRIAL_DELAY: Duration = Duration::from_millis(200);
 
+/// The time that a request may lose by the preference of its account is the time that opening a
+/// connection takes, divided by this. A connection elsewhere would cost that time at once, and
+/// again when it has been closed as unused.
+const MAX_DETOUR_DIVISOR: u32 = 2;
+
+/// The longest wait for a connection of the request's account, in times that opening one takes: a
+/// new one takes that time now, and once more when the connection that it replaces is needed again.
+const MAX_WAIT_FACTOR: u32 = 2;
+
 impl DispatchPlan<'_> {
     /// Finds the instance on which a request outside of a transaction would end first.
     pub(crate) fn place(&self, request: &WaitingRequest, pass: ChoicePass) -> Option<PlanAction> {
@@ -49,11 +59,45 @@
             if trial {
                 return Some(PlanAction::Start(start));
             }
-            if best.is_none_or(|other| self.is_better(&start, &other, at)) {
+            if best.is_none_or(|other| self.is_better(request, &start, &other, at)) {
                 best = Some(start);
             }
         }
-        best.map(PlanAction::Start)
+        let best = best?;
+        let waiting = self.wait_for_own_connection(request, best, at);
+        Some(PlanAction::Start(waiting.unwrap_or(best)))
+    }
+
+    /// Finds a start on a connection of the request's account that is expected to be idle soon, if
+    /// the start that was found needs to open one.
+    fn wait_for_own_connection(
+        &self,
+        request: &WaitingRequest,
+        best: PlannedStart,
+        at: ClockTime,
+    ) -> Option<PlannedStart> {
+        let account = self.bound_account(request)?;
+        if !self.forecasts[best.instance].lacks_connection(Some(account), at) {
+            return None;
+        }
+        let records = self.input.endpoints.records().iter().enumerate();
+        let own = records.filter_map(|(instance, record)| {
+            let forecast = &self.forecasts[instance];
+            let idle_at = forecast.own_connection_at(account)?;
+            let soon = idle_at > at && idle_at <= at + self.input.connect_time * MAX_WAIT_FACTOR;
+            let serves = self.could_serve(request, instance) && self.is_fit(record, request, at);
+            let pins = request.profile.step != RequestStep::Opens || forecast.takes_pin(at);
+            (soon && serves && pins).then_some((idle_at, instance))
+        });
+        let (idle_at, instance) = own.min()?;
+        let expected = self.expected_on(request, instance, idle_at);
+        let start = PlannedStart {
+            instance,
+            at: idle_at,
+            expected,
+            trial: false,
+        };
+        Some(start)
     }
 
     /// Returns whether an instance accepts a request now: `Some(true)` as a trial, `Some(false)` as
@@ -104,7 +148,7 @@
         instance: usize,
         at: ClockTime,
     ) -> bool {
-        let run = self.expected_on(request, instance);
+        let run = self.expected_on(request, instance, at);
         !request.lane.long && !misses_deadline(at, run, run, request.profile.deadline)
     }
 
@@ -119,7 +163,7 @@
             return false;
         }
         let record = &self.input.endpoints.records()[instance];
-        let run = self.expected_on(request, instance);
+        let run = self.expected_on(request, instance, at);
         let slack = !misses_deadline(at, run, Duration::ZERO, request.profile.deadline);
         slack || record.health.trial_due(at.before(FORCED_TRIAL_DELAY))
     }
@@ -182,12 +226,18 @@
                 .any(|hold| hold.key == key && hold.until > at)
     }
 
-    pub(crate) fn expected_on(&self, request: &WaitingRequest, instance: usize) -> Duration {
+    pub(crate) fn expected_on(
+        &self,
+        request: &WaitingRequest,
+        instance: usize,
+        at: ClockTime,
+    ) -> Duration {
         let estimate = self.input.estimates.get(request.kind);
         let record = &self.input.endpoints.records()[instance];
         let slowdown = self.forecasts[instance].slowdown_percent;
         let fresh = request.pinned_to.is_none();
-        let opening = match fresh && record.lacks_connection(request.profile.account) {
+        let lacking = self.forecasts[instance].lacks_connection(request.profile.account, at);
+        let opening = match fresh && lacking {
             true => self.input.connect_time,
             false => Duration::ZERO,
         };
@@ -231,7 +281,7 @@
     fn would_miss(&self, request: &WaitingRequest, start: ClockTime, moment: ClockTime) -> bool {
         let runs = (0..self.forecasts.len())
             .filter(|instance| self.could_serve(request, *instance))
-            .map(|instance| self.expected_on(request, instance));
+            .map(|instance| self.expected_on(request, instance, start));
         let Some(run) = runs.min() else {
             return false;
         };
@@ -275,7 +325,7 @@
         at: ClockTime,
         trial: bool,
     ) -> PlanAction {
-        let expected = self.expected_on(request, instance);
+        let expected = self.expected_on(request, instance, at);
         let margin = self.input.estimates.get(request.kind).deviation();
         let late = misses_deadline(at, expected, margin, request.profile.deadline);
         if self.input.switches.early_refusal && late && !trial {
@@ -291,6 +341,7 @@
 
     pub(crate) fn is_better(
         &self,
+        request: &WaitingRequest,
         start: &PlannedStart,
         other: &PlannedStart,
         at: ClockTime,
@@ -300,6 +351,35 @@
         if !self.input.switches.routing {
             return held < other_held;
         }
+        if let Some(account) = self.bound_account(request) {
+            let cost =
+                |start: &PlannedStart| start.expected + self.detour(account, start.instance, at);
+            return (cost(start), held) < (cost(other), other_held);
+        }
         (start.expected, held) < (other.expected, other_held)
     }
+
+    /// Returns the account to which a connection for the request must belong.
+    fn bound_account(&self, request: &WaitingRequest) -> Option<u64> {
+        let records = self.input.endpoints.records();
+        let bound = self.input.switches.account_preference
+            && records.iter().any(EndpointRecord::has_account_connections);
+        request.profile.account.filter(|_| bound)
+    }
+
+    /// Returns the time that is added to the expected run of an account's request on an instance, so
+    /// that the account's requests prefer the same instances.
+    ///
+    /// An instance with at most one free slot isn't preferred: it is left to those that have a
+    /// connection there or can run nowhere else.
+    fn detour(&self, account: u64, instance: usize, at: ClockTime) -> Duration {
+        let most = self.input.connect_time / MAX_DETOUR_DIVISOR;
+        let forecast = &self.forecasts[instance];
+        if forecast.held(at) + 1 >= forecast.usable {
+            return most;
+        }
+        let record = &self.input.endpoints.records()[instance];
+        let preference = preference_of(account, &record.state.instance);
+        most - most.mul_f64(preference as f64 / u64::MAX as f64)
+    }
 }
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -439,9 +439,21 @@
             free_at: until,
             long: request.lane.long,
         };
-        forecast.take(at, run);
+        match start.at > at {
+            true => forecast.take_later(start.at, run),
+            false => forecast.take(at, run),
+        }
         if !pinned && !opens {
-            forecast.connect(at, at + start.expected);
+            forecast.connect(start.at, start.at + start.expected);
+        }
+        if !pinned
+            && let (Some(accounts), Some(account)) =
+                (&mut forecast.accounts, request.profile.account)
+        {
+            match opens {
+                true => accounts.pin(account, start.at),
+                false => accounts.take(account, start.at, start.at + start.expected),
+            }
         }
         forecast.pinned_run = if pinned { forecast.pinned_run + 1 } else { 0 };
         if start.trial {
@@ -458,7 +470,7 @@
         }
         self.fair_clock.charge(request.customer, start.expected);
         if let Some(key) = write_key(request) {
-            self.lock_key(at, KeyLock { key, until });
+            self.lock_key(start.at, KeyLock { key, until });
         }
     }
 }
--- a/crates/policy/src/runs.rs
+++ b/crates/policy/src/runs.rs
@@ -190,7 +190,11 @@
             long: request.lane.long,
             write_key: write_key(&request),
             pinned: request.profile.step != RequestStep::Single,
+            account: request.profile.account,
         });
+        if request.pinned_to.is_none() {
+            record.take_idle_connection(request.profile.account);
+        }
         if request.profile.step == RequestStep::Opens {
             record.pins.push(ConnectionPin {
                 opener: ticket,
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -72,6 +72,9 @@
     pub retry_budget: bool,
     /// Open connections ahead of need.
     pub connections_ahead: bool,
+    /// Prefer the same endpoints for the statements of an account, where connections are bound to
+    /// accounts.
+    pub account_preference: bool,
 }
 
 impl Default for ModuleSwitches {
@@ -87,6 +90,7 @@
             health: true,
             retry_budget: true,
             connections_ahead: true,
+            account_preference: true,
         }
     }
 }
--- a/crates/policy/tests/account_connections.rs
+++ b/crates/policy/tests/account_connections.rs
@@ -2,7 +2,9 @@
 
 use ragwort_policy::AccountDemand;
 use ragwort_policy::ClockTime;
+use ragwort_policy::EndpointDemand;
 use ragwort_policy::HeldConnection;
+use ragwort_policy::PoolLimits;
 use ragwort_policy::PoolMissAction;
 use ragwort_policy::choose_pool_miss_action;
 use ragwort_types::AccountName;
@@ -14,6 +16,9 @@
 /// Number of connections that the endpoint takes from all VMs.
 const CONNECTIONS: u32 = 60;
 
+/// Number of statements that the endpoint runs at the same time.
+const SLOTS: u32 = 6;
+
 macro_rules! account_cases {
     ($($(#[$doc:meta])* $name:ident $body:block)*) => {$(
         $(#[$doc])*
@@ -33,6 +38,7 @@
 struct SimulatedEndpoint {
     now: ClockTime,
     connections: Vec<SimulatedConnection>,
+    demand: EndpointDemand,
     room: u32,
     next_id: u64,
     opened: u32,
@@ -44,6 +50,7 @@
         Self {
             now: ClockTime::from_millis(1),
             connections: Vec::new(),
+            demand: EndpointDemand::default(),
             room: CONNECTIONS,
             next_id: 0,
             opened: 0,
@@ -54,6 +61,10 @@
     /// Runs a statement of an account that takes `run`.
     fn run(&mut self, account: &str, run: Duration) {
         let (now, until) = (self.now, self.now + run);
+        let name = AccountName::from(account);
+        let busy = |one: &&SimulatedConnection| one.account == name && one.busy_until > now;
+        let in_use = self.connections.iter().filter(busy).count();
+        self.demand.note(now, Some(&name), in_use);
         let idle = |one: &&mut SimulatedConnection| one.busy_until <= now;
         let mut own = self.connections.iter_mut().filter(idle);
         if let Some(found) = own.find(|one| one.account.as_str() == account) {
@@ -71,7 +82,12 @@
                 last_used: one.last_used,
             })
             .collect();
-        match choose_pool_miss_action(&held, CONNECTIONS, self.room) {
+        let limits = PoolLimits {
+            connections: CONNECTIONS,
+            slots: SLOTS,
+            room: self.room,
+        };
+        match choose_pool_miss_action(now, &held, &self.demand, limits) {
             Some(PoolMissAction::Open) => {}
             Some(PoolMissAction::Replace(id)) => self.connections.retain(|one| one.id != id),
             None => {
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -13,17 +13,20 @@
 use ragwort_policy::AccountDemand;
 use ragwort_policy::ClockTime;
 use ragwort_policy::ConnectionAllowance;
+use ragwort_policy::EndpointDemand;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
 use ragwort_policy::ExcessRule;
 use ragwort_policy::FinishOutcome;
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::HeldConnection;
+use ragwort_policy::PoolLimits;
 use ragwort_policy::PoolMissAction;
 use ragwort_policy::RequestStep;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerDecision;
 use ragwort_policy::choose_pool_miss_action;
+use ragwort_policy::is_worth_keeping;
 use ragwort_types::AccountName;
 use ragwort_types::GroupTerm;
 use ragwort_types::InstanceName;
@@ -61,9 +64,6 @@
 /// Number of rounds over which validations that are due at the same time are spread.
 const VALIDATION_ROUNDS: usize = 4;
 
-/// How long an account's unused connection is kept beyond what the load needs.
-const ACCOUNT_KEEP_TIME: Duration = Duration::from_secs(6);
-
 /// Properties of a simulated VM and its load.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetCase {
@@ -123,6 +123,7 @@
 struct SimulatedGroup {
     scheduler: GroupScheduler,
     demand: AccountDemand,
+    endpoint_demand: [EndpointDemand; ENDPOINTS_OF_GROUP],
     connections: BTreeMap<u64, SimulatedConnection>,
     accounts: HashMap<RequestTicket, u64>,
     ticks: u64,
@@ -194,6 +195,7 @@
             self.groups.push(SimulatedGroup {
                 scheduler,
                 demand: AccountDemand::default(),
+                endpoint_demand: Default::default(),
                 connections: BTreeMap::new(),
                 accounts: HashMap::new(),
                 ticks: 0,
@@ -272,12 +274,15 @@
     }
 
     fn close_or_validate(&mut self, group: usize, endpoint: usize, id: u64) {
-        let scarce = self.read_allowance().scarce;
+        let allowance = self.read_allowance();
+        let kept = self.case.accounts > 0 && {
+            let held = self.list_held(group, endpoint);
+            let demand = &self.groups[group].endpoint_demand[endpoint];
+            is_worth_keeping(self.now, &held, id, demand, &allowance)
+        };
         let instance = InstanceName::from(NAMES[endpoint]);
         let own = &mut self.groups[group];
         let surplus = own.scheduler.surplus_connections(&instance) > 0;
-        let unused = self.now.since(own.connections[&id].last_statement);
-        let kept = self.case.accounts > 0 && unused < ACCOUNT_KEEP_TIME && !scarce;
         if surplus && !kept {
             own.connections.remove(&id);
             own.scheduler.connection_closed(&instance);
@@ -329,6 +334,15 @@
             .get(&ticket)
             .map(|number| name_account(*number));
         own.demand.note(self.now, account.as_ref());
+        let in_use = own.connections.values().filter(|one| {
+            let running = matches!(
+                one.work,
+                ConnectionWork::Running(_) | ConnectionWork::Pinned
+            );
+            running && one.endpoint == endpoint && one.account == account
+        });
+        let in_use = in_use.count();
+        own.endpoint_demand[endpoint].note(self.now, account.as_ref(), in_use);
         let idle = own.connections.iter().filter(|(_, one)| {
             let fits = one.endpoint == endpoint && one.account == account;
             fits && one.work == ConnectionWork::Idle
@@ -342,8 +356,13 @@
         let left = self.read_allowance().room();
         let held = self.list_held(group, endpoint);
         let connections = self.case.slots.max(16);
-        let room = connections.min(held.len() as u32 + left);
-        let action = choose_pool_miss_action(&held, connections, room);
+        let limits = PoolLimits {
+            connections,
+            slots: self.case.slots,
+            room: connections.min(held.len() as u32 + left),
+        };
+        let demand = &self.groups[group].endpoint_demand[endpoint];
+        let action = choose_pool_miss_action(self.now, &held, demand, limits);
         let scheduler = &mut self.groups[group].scheduler;
         match action {
             Some(PoolMissAction::Open) => scheduler.connection_added(&NAMES[endpoint].into()),
