--- a/crates/policy/src/account_connections.rs
+++ b/crates/policy/src/account_connections.rs
@@ -45,13 +45,16 @@
 /// scarce.
 const MIN_KEEP_TIME: Duration = Duration::from_secs(6);
 
-/// The time after which the validations of an idle connection have cost as much as opening it
-/// again: one a second, of half a millisecond of endpoint and leaseholder, against 12 ms of a slot.
-const BREAK_EVEN_TIME: Duration = Duration::from_secs(24);
+/// The time in which a connection must be expected to be used for its validations to pay off.
+///
+/// Validating 4,273 connections once a second took 90 % of a control VM's processor, 0.2 ms each.
+/// After 57 s that is as much as the 12 ms of a slot that opening it takes. It is shorter than
+/// that, so that the single call of an account doesn't keep a connection.
+const BREAK_EVEN_TIME: Duration = Duration::from_secs(40);
 
 /// Number of connections of a VM from which on unused ones are kept for [`MIN_KEEP_TIME`] only.
 ///
-/// Validating 4,273 connections took 90 % of a control VM's processor.
+/// Validating as many takes about a fifth of a control VM's processor.
 const MAX_HELD_FOR_KEEPING: u32 = 1_024;
 
 /// The half-life of a past statement's weight.
--- a/crates/policy/tests/account_connections.rs
+++ b/crates/policy/tests/account_connections.rs
@@ -2,11 +2,13 @@
 
 use ragwort_policy::AccountDemand;
 use ragwort_policy::ClockTime;
+use ragwort_policy::ConnectionAllowance;
 use ragwort_policy::EndpointDemand;
 use ragwort_policy::HeldConnection;
 use ragwort_policy::PoolLimits;
 use ragwort_policy::PoolMissAction;
 use ragwort_policy::choose_pool_miss_action;
+use ragwort_policy::is_worth_keeping;
 use ragwort_types::AccountName;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -170,6 +172,70 @@
         assert_eq!(endpoint.refused, 0);
     }
 
+    /// An account calls often, one statement at a time, another one seldom. The second connection of
+    /// the first, used a moment ago, must make way before the only one of the other: it would save
+    /// no opening.
+    connection_without_use_makes_way_first {
+        let now = ClockTime::from_millis(60_000);
+        let (often, seldom): (AccountName, AccountName) = ("often".into(), "seldom".into());
+        let mut demand = EndpointDemand::default();
+        for second in 0..60 {
+            demand.note(ClockTime::from_millis(second * 1_000), Some(&often), 0);
+            if second % 10 == 0 {
+                demand.note(ClockTime::from_millis(second * 1_000), Some(&seldom), 0);
+            }
+        }
+        let of = |id, account, age| HeldConnection {
+            id,
+            account: Some(account),
+            idle: true,
+            last_used: now.before(Duration::from_millis(age)),
+        };
+        let held = [of(1, &often, 0), of(2, &often, 500), of(3, &seldom, 9_000)];
+        let limits = PoolLimits { connections: 6, slots: 2, room: 6 };
+        let action = choose_pool_miss_action(now, &held, &demand, limits);
+        assert_eq!(action, Some(PoolMissAction::Replace(2)));
+    }
+
+    /// A connection is kept as long as its use pays for its validations. It must not be on a VM that
+    /// holds many connections, whose processor they used up, nor when connections are scarce.
+    connections_are_kept_by_their_expected_use {
+        let account: AccountName = "account".into();
+        let mut demand = EndpointDemand::default();
+        for second in 0..20 {
+            demand.note(ClockTime::from_millis(second * 1_000), Some(&account), 0);
+        }
+        let used = ClockTime::from_millis(19_000);
+        let held = [HeldConnection { id: 1, account: Some(&account), idle: true, last_used: used }];
+        let kept = |after, held_by_vm, scarce| {
+            let allowance = ConnectionAllowance { held: held_by_vm, scarce, ..Default::default() };
+            let now = used + Duration::from_secs(after);
+            is_worth_keeping(now, &held, 1, &demand, &allowance)
+        };
+        assert!(kept(5, 100, false) && kept(30, 100, false));
+        assert!(!kept(150, 100, false), "it hasn't been used for long");
+        assert!(kept(5, 2_000, false) && !kept(7, 2_000, false), "the VM holds many");
+        assert!(!kept(1, 100, true), "connections are scarce");
+    }
+
+    /// Ten thousand accounts call once each. What is recorded of them must stay bounded, and the
+    /// accounts that call often must stay in the record.
+    recorded_demand_is_bounded {
+        let mut demand = EndpointDemand::default();
+        let now = ClockTime::from_millis(1_000);
+        let often: AccountName = "often".into();
+        demand.note(now, Some(&often), 0);
+        demand.note(now, Some(&often), 0);
+        let names = (0..10_000).map(|number| AccountName::from(format!("once-{number}").as_str()));
+        let names: Vec<AccountName> = names.collect();
+        for name in &names {
+            demand.note(now, Some(name), 0);
+        }
+        let recorded = names.iter().filter(|name| demand.rate_of_use(now, Some(name), 1) > 0.0);
+        assert!(recorded.count() < 1_024);
+        assert!(demand.rate_of_use(now, Some(&often), 1) > 0.0);
+    }
+
     /// A connection is opened ahead for the account with the most statements for each of its
     /// connections, and for none while no account calls.
     connections_are_opened_ahead_for_those_that_call {
