Plans: forecast the connections of accounts for the next 50 ms only

Planned to the end of a queue, the connections of accounts were searched for each of its requests. Beyond 50 ms, in which every wait for a connection of the account's own falls, a plan now looks at the accounts that have an idle connection at present, as before.

--- a/crates/policy/src/account_connections.rs
+++ b/crates/policy/src/account_connections.rs
@@ -219,18 +219,22 @@
     pays_for_keeping(rate)
 }
 
+/// Returns the digest of an instance's name for [`preference_of`] (FNV-1a).
+pub(crate) fn digest_instance(instance: &InstanceName) -> u64 {
+    let bytes = instance.as_str().bytes();
+    bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
 /// Returns an account's preference for an endpoint; the endpoint with the highest one is preferred.
 ///
 /// Rendezvous hashing: if an endpoint is lost, only the accounts that preferred it move, and they
 /// spread over the others.
-pub(crate) fn preference_of(account: u64, instance: &InstanceName) -> u64 {
-    // FNV-1a, followed by the finalizer of SplitMix64: names that differ in one digit would
-    // otherwise give similar values for all accounts.
-    let bytes = instance.as_str().bytes();
-    let name = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    let mut mixed = account ^ name;
+pub(crate) fn preference_of(account: u64, instance_digest: u64) -> u64 {
+    // The finalizer of SplitMix64: names that differ in one digit would otherwise give similar
+    // values for all accounts.
+    let mut mixed = account ^ instance_digest;
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
--- a/crates/policy/src/account_forecast.rs
+++ b/crates/policy/src/account_forecast.rs
@@ -16,65 +16,84 @@
 use crate::ClockTime;
 use crate::endpoints::EndpointRecord;
 use smallvec::SmallVec;
+use std::time::Duration;
+
+/// How far ahead the use of connections is planned.
+///
+/// No statement waits that long for a connection of its account. Planned to the end of a queue of
+/// thousands, the connections would have to be searched for each request of it.
+const PLANNED_TIME: Duration = Duration::from_millis(50);
 
 /// The forecast of the connections to one endpoint that transactions don't hold.
 #[derive(Clone, Debug)]
 pub(crate) struct AccountForecast {
-    connections: SmallVec<[AccountConnection; 8]>,
+    now: ClockTime,
+    /// The accounts of the connections that are idle now.
+    idle: SmallVec<[u64; 8]>,
+    used: SmallVec<[UsedConnection; 8]>,
 }
 
+/// A connection that is in use, or is planned to be.
 #[derive(Clone, Copy, Debug)]
-struct AccountConnection {
+struct UsedConnection {
     account: u64,
     idle_at: ClockTime,
 }
 
 impl AccountForecast {
+    /// Returns whether the use of connections is planned as far ahead as `at`.
+    pub(crate) fn covers(now: ClockTime, at: ClockTime) -> bool {
+        at.since(now) <= PLANNED_TIME
+    }
+
     /// Creates the forecast of an endpoint; `None` where connections aren't bound to accounts.
     pub(crate) fn from_record(record: &EndpointRecord, now: ClockTime) -> Option<Self> {
         let idle = record.idle_accounts.as_ref()?;
-        let idle = idle.iter().map(|account| AccountConnection {
-            account: *account,
-            idle_at: now,
-        });
         let running = record.running.iter().filter(|running| !running.pinned);
         let used = running.filter_map(|running| {
-            Some(AccountConnection {
+            Some(UsedConnection {
                 account: running.account?,
                 idle_at: running.expected_end(now),
             })
         });
         Some(Self {
-            connections: idle.chain(used).collect(),
+            now,
+            idle: SmallVec::from_slice(idle),
+            used: used.collect(),
         })
     }
 
     /// Returns when a connection of the account is expected to be idle, if it has one.
     pub(crate) fn idle_at(&self, account: u64) -> Option<ClockTime> {
-        let own = self.connections.iter();
-        let own = own.filter(|one| one.account == account);
+        if self.idle.contains(&account) {
+            return Some(self.now);
+        }
+        let own = self.used.iter().filter(|one| one.account == account);
         own.map(|one| one.idle_at).min()
     }
 
     /// Takes a connection of the account until a run on it ends, or a new one if none is idle.
     pub(crate) fn take(&mut self, account: u64, at: ClockTime, until: ClockTime) {
-        let mut own = self.connections.iter_mut();
-        let idle = own.find(|one| one.account == account && one.idle_at <= at);
-        match idle {
-            Some(one) => one.idle_at = until,
-            None => self.connections.push(AccountConnection {
-                account,
-                idle_at: until,
-            }),
+        if !Self::covers(self.now, at) {
+            return;
         }
+        self.pin(account, at);
+        self.used.push(UsedConnection {
+            account,
+            idle_at: until,
+        });
     }
 
-    /// Removes a connection of the account that is idle, because a transaction takes it.
+    /// Removes an idle connection of the account, because a transaction takes it.
     pub(crate) fn pin(&mut self, account: u64, at: ClockTime) {
-        let mut own = self.connections.iter();
+        if let Some(place) = self.idle.iter().position(|other| *other == account) {
+            self.idle.swap_remove(place);
+            return;
+        }
+        let mut own = self.used.iter();
         let idle = own.position(|one| one.account == account && one.idle_at <= at);
         if let Some(place) = idle {
-            self.connections.swap_remove(place);
+            self.used.swap_remove(place);
         }
     }
 }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -4,6 +4,7 @@
 use crate::EndpointRole;
 use crate::EndpointState;
 use crate::RequestTicket;
+use crate::account_connections::digest_instance;
 use crate::connections::RecentPeak;
 use crate::health::EndpointHealth;
 use crate::health::STALL_FACTOR;
@@ -79,6 +80,8 @@
 pub(crate) struct EndpointRecord {
     /// The state reported by the leaseholder.
     pub(crate) state: EndpointState,
+    /// The digest of the instance's name.
+    pub(crate) instance_digest: u64,
     /// The network round trip time.
     pub(crate) round_trip: Duration,
     /// The log position that the instance has applied.
@@ -120,6 +123,7 @@
 impl EndpointRecord {
     fn new(state: EndpointState, round_trip: Duration) -> Self {
         Self {
+            instance_digest: digest_instance(&state.instance),
             state,
             round_trip,
             position: LogPosition::default(),
@@ -140,6 +144,12 @@
         }
     }
 
+    /// Returns whether a connection must be opened for a request of this account.
+    pub(crate) fn lacks_connection(&self, account: Option<u64>) -> bool {
+        let idle = self.idle_accounts.as_ref();
+        account.is_some_and(|account| !idle.is_some_and(|idle| idle.contains(&account)))
+    }
+
     /// Removes an idle connection of an account, because a request takes it.
     pub(crate) fn take_idle_connection(&mut self, account: Option<u64>) {
         let (Some(idle), Some(account)) = (self.idle_accounts.as_mut(), account) else {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -4,6 +4,7 @@
 use crate::EndpointRole;
 use crate::RequestStep;
 use crate::account_connections::preference_of;
+use crate::account_forecast::AccountForecast;
 use crate::admission::misses_deadline;
 use crate::admission::scaled_start;
 use crate::endpoints::EndpointRecord;
@@ -41,6 +42,9 @@
 /// new one takes that time now, and once more when the connection that it replaces is needed again.
 const MAX_WAIT_FACTOR: u32 = 2;
 
+/// The expected run with the detour of its account, and the number of slots that are held.
+type StartRank = (Duration, u32);
+
 impl DispatchPlan<'_> {
     /// Finds the instance on which a request outside of a transaction would end first.
     pub(crate) fn place(&self, request: &WaitingRequest, pass: ChoicePass) -> Option<PlanAction> {
@@ -48,7 +52,8 @@
         if self.is_key_locked(request, at) {
             return None;
         }
-        let mut best: Option<PlannedStart> = None;
+        let account = self.bound_account(request, at);
+        let mut best: Option<(StartRank, PlannedStart)> = None;
         for instance in 0..self.forecasts.len() {
             let Some(trial) = self.accepts(request, instance, pass) else {
                 continue;
@@ -59,24 +64,25 @@
             if trial {
                 return Some(PlanAction::Start(start));
             }
-            if best.is_none_or(|other| self.is_better(request, &start, &other, at)) {
-                best = Some(start);
+            let rank = self.rank(account, &start, at);
+            if best.is_none_or(|(other, _)| rank < other) {
+                best = Some((rank, start));
             }
         }
-        let best = best?;
-        let waiting = self.wait_for_own_connection(request, best, at);
-        Some(PlanAction::Start(waiting.unwrap_or(best)))
+        let (_, best) = best?;
+        let own = account.and_then(|account| self.start_on_own(request, account, best, at));
+        Some(PlanAction::Start(own.unwrap_or(best)))
     }
 
     /// Finds a start on a connection of the request's account that is expected to be idle soon, if
     /// the start that was found needs to open one.
-    fn wait_for_own_connection(
+    fn start_on_own(
         &self,
         request: &WaitingRequest,
+        account: u64,
         best: PlannedStart,
         at: ClockTime,
     ) -> Option<PlannedStart> {
-        let account = self.bound_account(request)?;
         if !self.forecasts[best.instance].lacks_connection(Some(account), at) {
             return None;
         }
@@ -236,8 +242,12 @@
         let record = &self.input.endpoints.records()[instance];
         let slowdown = self.forecasts[instance].slowdown_percent;
         let fresh = request.pinned_to.is_none();
-        let lacking = self.forecasts[instance].lacks_connection(request.profile.account, at);
-        let opening = match fresh && lacking {
+        let account = request.profile.account;
+        let lacking = || match AccountForecast::covers(self.input.now, at) {
+            true => self.forecasts[instance].lacks_connection(account, at),
+            false => record.lacks_connection(account),
+        };
+        let opening = match fresh && lacking() {
             true => self.input.connect_time,
             false => Duration::ZERO,
         };
@@ -339,32 +349,26 @@
         })
     }
 
-    pub(crate) fn is_better(
-        &self,
-        request: &WaitingRequest,
-        start: &PlannedStart,
-        other: &PlannedStart,
-        at: ClockTime,
-    ) -> bool {
+    /// Returns by what a start is compared with those on other instances; the lowest is the best.
+    fn rank(&self, account: Option<u64>, start: &PlannedStart, at: ClockTime) -> StartRank {
         let held = self.forecasts[start.instance].held(at);
-        let other_held = self.forecasts[other.instance].held(at);
         if !self.input.switches.routing {
-            return held < other_held;
-        }
-        if let Some(account) = self.bound_account(request) {
-            let cost =
-                |start: &PlannedStart| start.expected + self.detour(account, start.instance, at);
-            return (cost(start), held) < (cost(other), other_held);
+            return (Duration::ZERO, held);
         }
-        (start.expected, held) < (other.expected, other_held)
+        let detour = account.map_or(Duration::ZERO, |account| {
+            self.detour(account, start.instance, at)
+        });
+        (start.expected + detour, held)
     }
 
-    /// Returns the account to which a connection for the request must belong.
-    fn bound_account(&self, request: &WaitingRequest) -> Option<u64> {
-        let records = self.input.endpoints.records();
-        let bound = self.input.switches.account_preference
-            && records.iter().any(EndpointRecord::has_account_connections);
-        request.profile.account.filter(|_| bound)
+    /// Returns the account to which a connection for a request that starts at `at` must belong, if
+    /// that matters for its start.
+    fn bound_account(&self, request: &WaitingRequest, at: ClockTime) -> Option<u64> {
+        let account = request.profile.account?;
+        let covered = AccountForecast::covers(self.input.now, at);
+        let mut forecasts = self.forecasts.iter();
+        let bound = covered && forecasts.any(|forecast| forecast.accounts.is_some());
+        (bound && self.input.switches.account_preference).then_some(account)
     }
 
     /// Returns the time that is added to the expected run of an account's request on an instance, so
@@ -379,7 +383,7 @@
             return most;
         }
         let record = &self.input.endpoints.records()[instance];
-        let preference = preference_of(account, &record.state.instance);
+        let preference = preference_of(account, record.instance_digest);
         most - most.mul_f64(preference as f64 / u64::MAX as f64)
     }
 }
