--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -43,7 +43,7 @@
 
 /// How long an endpoint's refusal for its connection limit lowers the number of connections opened
 /// there. An endpoint still counts the connections of a lost leaseholder for some seconds.
-const FULL_ENDPOINT_TTL: Duration = Duration::from_millis(500);
+pub(super) const FULL_ENDPOINT_TTL: Duration = Duration::from_millis(500);
 
 impl NativeTask {
     /// Runs the scheduler and carries out its decisions.
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -6,6 +6,7 @@
 //! statement of an idempotent kind may be repeated when its answer is missing.
 
 use super::NativeTask;
+use super::dispatch::FULL_ENDPOINT_TTL;
 use super::link::CloseCause;
 use super::link::LinkAnswer;
 use super::link::LinkChange;
@@ -208,18 +209,7 @@
             }
             return;
         }
-        let endpoint = self.pool.endpoint(instance);
-        let limit = endpoint.map(|one| self.connection_limit_of(&one.announcement));
-        log_event!(
-            Level::Warn,
-            "endpoint_connection_failed",
-            group = self.group,
-            instance = instance,
-            cause = format!("{cause:?}"),
-            held = self.pool.links_of(instance).len(),
-            limit = limit.unwrap_or_default(),
-            led_ms = self.now().since(self.taken_over_at).as_millis(),
-        );
+        self.log_failed_open(instance, cause);
         match cause {
             // Another instance has the address now. The endpoint stays if it has announced a new
             // address since the connection was begun.
@@ -251,6 +241,32 @@
         }
     }
 
+    /// Logs that a connection could not be opened.
+    ///
+    /// An endpoint that counts the connections of a lost leaseholder refuses many in a row; of
+    /// those, the first of each time for which such a refusal is remembered is logged.
+    fn log_failed_open(&self, instance: &InstanceName, cause: CloseCause) {
+        let now = self.now();
+        let endpoint = self.pool.endpoint(instance);
+        let known_full = endpoint
+            .and_then(|one| one.full)
+            .is_some_and(|full| now.since(full.since) < FULL_ENDPOINT_TTL);
+        if cause == CloseCause::Full && known_full {
+            return;
+        }
+        let limit = endpoint.map(|one| self.connection_limit_of(&one.announcement));
+        log_event!(
+            Level::Warn,
+            "endpoint_connection_failed",
+            group = self.group,
+            instance = instance,
+            cause = format!("{cause:?}"),
+            held = self.pool.links_of(instance).len(),
+            limit = limit.unwrap_or_default(),
+            led_ms = now.since(self.taken_over_at).as_millis(),
+        );
+    }
+
     fn handle_outcome(
         &mut self,
         ticket: RequestTicket,
