--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -252,6 +252,7 @@
     pub promotions: Arc<ScriptedPromotions>,
     pub view: watch::Sender<MemberView>,
     descriptors: DescriptorBudget,
+    pub metrics: DaemonMetrics,
     notes: ProposedEndpoints,
     inbox: mpsc::Sender<GroupEvent>,
     sequence: u64,
@@ -345,7 +346,7 @@
             standby,
             handovers: HandoverPlanner::default(),
             descriptors: descriptors.clone(),
-            metrics,
+            metrics: metrics.clone(),
         });
         let promotions = Arc::new(ScriptedPromotions::default());
         let edges = NativeEdges {
@@ -361,6 +362,7 @@
             promotions,
             view,
             descriptors,
+            metrics,
             notes,
             inbox,
             sequence: 0,
--- a/crates/daemon/tests/native/connections.rs
+++ b/crates/daemon/tests/native/connections.rs
@@ -31,6 +31,9 @@
     /// of a lost leaseholder. Each statement gets a connection in place of an idle one. Without the
     /// replacement, most accounts would be refused until the endpoint drops the lost connections.
     full_endpoint_serves_more_accounts_than_connections => full_case();
+    /// Accounts call for the first time, then more of them than the endpoint takes connections.
+    /// Operators must see from the metrics how many statements had to open a connection.
+    connections_opened_for_statements_are_counted => count_case();
     /// A burst of transactions opened more connections than the process has descriptors for. None
     /// were left for the replicated log and the connections to other VMs.
     burst_of_transactions_stays_within_the_descriptors => descriptors_case();
@@ -137,6 +140,24 @@
     }
 }
 
+async fn count_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    for account in 0..20 {
+        let text = format!("write {account}");
+        let statement = TestStatement::new(WRITE, &text).account(&format!("account-{account}"));
+        let reply = bench.ask(statement).await;
+        assert!(is_served(&reply), "{reply:?}");
+    }
+    let text = bench.metrics.to_text();
+    for action in ["opened", "replaced"] {
+        let name = format!("ragwort_statement_connections_total{{action=\"{action}\"}} ");
+        let line = text.lines().find_map(|line| line.strip_prefix(&name));
+        let count: u64 = line.expect(action).parse().unwrap();
+        assert!((1..=20).contains(&count), "{action}: {count}");
+    }
+}
+
 async fn descriptors_case() {
     const ENDPOINT_CONNECTIONS: u32 = 10;
     let mut bench = NativeBench::start_with_descriptors([5, 5, 5], ENDPOINT_CONNECTIONS * 2).await;
