Plans: reads don't wait for the primary's connections

A read that replicas serve could be planned to wait for a connection of its account to the primary. When that was idle, the read wasn't sent there, and opened a connection to a replica after all. A statement also no longer waits if it would then miss its deadline, which it meets on a new connection.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -70,19 +70,21 @@
             }
         }
         let (_, best) = best?;
-        let own = account.and_then(|account| self.start_on_own(request, account, best, at));
+        let own = account.and_then(|account| self.start_on_own(request, account, best, pass));
         Some(PlanAction::Start(own.unwrap_or(best)))
     }
 
     /// Finds a start on a connection of the request's account that is expected to be idle soon, if
-    /// the start that was found needs to open one.
+    /// the start that was found needs to open one. Returns `None` if the request would then miss its
+    /// deadline.
     fn start_on_own(
         &self,
         request: &WaitingRequest,
         account: u64,
         best: PlannedStart,
-        at: ClockTime,
+        pass: ChoicePass,
     ) -> Option<PlannedStart> {
+        let at = pass.at;
         if !self.forecasts[best.instance].lacks_connection(Some(account), at) {
             return None;
         }
@@ -91,19 +93,20 @@
             let forecast = &self.forecasts[instance];
             let idle_at = forecast.own_connection_at(account)?;
             let soon = idle_at > at && idle_at <= at + self.input.connect_time * MAX_WAIT_FACTOR;
-            let serves = self.could_serve(request, instance) && self.is_fit(record, request, at);
+            // A read that waited for the primary's connection could then not be sent there.
+            let primary = record.state.role == EndpointRole::Primary;
+            let spills = pass.spill || !request.lane.replica || !self.input.switches.routing;
+            let serves = self.could_serve(request, instance)
+                && self.is_fit(record, request, at)
+                && (spills || !primary);
             let pins = request.profile.step != RequestStep::Opens || forecast.takes_pin(at);
             (soon && serves && pins).then_some((idle_at, instance))
         });
         let (idle_at, instance) = own.min()?;
-        let expected = self.expected_on(request, instance, idle_at);
-        let start = PlannedStart {
-            instance,
-            at: idle_at,
-            expected,
-            trial: false,
-        };
-        Some(start)
+        match self.judge_start(request, instance, idle_at, false) {
+            PlanAction::Start(start) => Some(start),
+            PlanAction::CannotMeetTarget | PlanAction::CannotMeetDeadline => None,
+        }
     }
 
     /// Returns whether an instance accepts a request now: `Some(true)` as a trial, `Some(false)` as
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -187,7 +187,8 @@
         }
     }
 
-    /// Plans the present moment only and returns its steps.
+    /// Plans the present moment only and returns its steps, which include the later starts of
+    /// requests that wait for a connection of their account.
     pub(crate) fn walk_present(mut self) -> Vec<PlanStep> {
         let mut steps = Vec::new();
         self.walk_moment(self.input.now, &mut steps);
