--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -5,6 +5,7 @@
 use crate::EndpointState;
 use crate::HealthLevel;
 use crate::RequestTicket;
+use crate::account_connections::digest_instance;
 use crate::connections::RecentPeak;
 use crate::health::EndpointHealth;
 use crate::health::STALL_FACTOR;
@@ -43,6 +44,8 @@
     pub(crate) write_key: Option<u64>,
     /// Whether it runs on a connection that a transaction holds.
     pub(crate) pinned: bool,
+    /// The account that its connection belongs to.
+    pub(crate) account: Option<u64>,
 }
 
 impl RunningRequest {
@@ -92,6 +95,8 @@
 pub(crate) struct EndpointRecord {
     /// The state reported by the leaseholder.
     pub(crate) state: EndpointState,
+    /// The digest of the instance's name.
+    pub(crate) instance_digest: u64,
     /// The network round trip time.
     pub(crate) round_trip: Duration,
     /// The log position that the instance has applied.
@@ -139,6 +144,7 @@
 impl EndpointRecord {
     fn new(state: EndpointState, round_trip: Duration) -> Self {
         Self {
+            instance_digest: digest_instance(&state.instance),
             state,
             round_trip,
             position: LogPosition::default(),
@@ -176,6 +182,16 @@
         account.is_some_and(|account| !idle.is_some_and(|idle| idle.contains(&account)))
     }
 
+    /// Removes an idle connection of an account, because a request takes it.
+    pub(crate) fn take_idle_connection(&mut self, account: Option<u64>) {
+        let (Some(idle), Some(account)) = (self.idle_accounts.as_mut(), account) else {
+            return;
+        };
+        if let Some(place) = idle.iter().position(|other| *other == account) {
+            idle.swap_remove(place);
+        }
+    }
+
     /// Returns whether each connection is bound to one account.
     pub(crate) fn has_account_connections(&self) -> bool {
         self.idle_accounts.is_some()
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -4,6 +4,8 @@
 use crate::EndpointRole;
 use crate::HealthLevel;
 use crate::RequestStep;
+use crate::account_connections::preference_of;
+use crate::account_forecast::AccountForecast;
 use crate::admission::misses_deadline;
 use crate::admission::scaled_start;
 use crate::endpoints::EndpointRecord;
@@ -32,6 +34,18 @@
 /// slack.
 const FORCED_TRIAL_DELAY: Duration = Duration::from_millis(200);
 
+/// The time that a request may lose by the preference of its account is the time that opening a
+/// connection takes, divided by this. A connection elsewhere would cost that time at once, and
+/// again when it has been closed as unused.
+const MAX_DETOUR_DIVISOR: u32 = 2;
+
+/// The longest wait for a connection of the request's account, in times that opening one takes: a
+/// new one takes that time now, and once more when the connection that it replaces is needed again.
+const MAX_WAIT_FACTOR: u32 = 2;
+
+/// The expected run with the detour of its account, and the number of slots that are held.
+type StartRank = (Duration, u32);
+
 impl DispatchPlan<'_> {
     /// Finds the instance on which a request outside of a transaction would end first.
     pub(crate) fn place(&self, request: &WaitingRequest, pass: ChoicePass) -> Option<PlanAction> {
@@ -39,7 +53,8 @@
         if self.is_key_locked(request, at) {
             return None;
         }
-        let mut best: Option<PlannedStart> = None;
+        let account = self.bound_account(request, at);
+        let mut best: Option<(StartRank, PlannedStart)> = None;
         for instance in 0..self.forecasts.len() {
             let Some(trial) = self.accepts(request, instance, pass) else {
                 continue;
@@ -50,11 +65,49 @@
             if trial {
                 return Some(PlanAction::Start(start));
             }
-            if best.is_none_or(|other| self.is_better(&start, &other, at)) {
-                best = Some(start);
+            let rank = self.rank_start(account, &start, at);
+            if best.is_none_or(|(other, _)| rank < other) {
+                best = Some((rank, start));
             }
         }
-        best.map(PlanAction::Start)
+        let (_, best) = best?;
+        let own = account.and_then(|account| self.start_on_own(request, account, best, pass));
+        Some(PlanAction::Start(own.unwrap_or(best)))
+    }
+
+    /// Finds a start on a connection of the request's account that is expected to be idle soon, if
+    /// the start that was found needs to open one. Returns `None` if the request would then miss its
+    /// deadline.
+    fn start_on_own(
+        &self,
+        request: &WaitingRequest,
+        account: u64,
+        best: PlannedStart,
+        pass: ChoicePass,
+    ) -> Option<PlannedStart> {
+        let at = pass.at;
+        if !self.forecasts[best.instance].lacks_connection(Some(account), at) {
+            return None;
+        }
+        let records = self.input.endpoints.records().iter().enumerate();
+        let own = records.filter_map(|(instance, record)| {
+            let forecast = &self.forecasts[instance];
+            let idle_at = forecast.own_connection_at(account)?;
+            let soon = idle_at > at && idle_at <= at + self.input.connect_time * MAX_WAIT_FACTOR;
+            // A read that waited for the primary's connection could then not be sent there.
+            let primary = record.state.role == EndpointRole::Primary;
+            let spills = pass.spill || !request.lane.replica || !self.input.switches.routing;
+            let serves = self.could_serve(request, instance)
+                && self.is_fit(record, request, at)
+                && (spills || !primary);
+            let pins = request.profile.step != RequestStep::Opens || forecast.takes_pin(at);
+            (soon && serves && pins).then_some((idle_at, instance))
+        });
+        let (idle_at, instance) = own.min()?;
+        match self.judge_start(request, instance, idle_at, false) {
+            PlanAction::Start(start) => Some(start),
+            PlanAction::CannotMeetTarget | PlanAction::CannotMeetDeadline => None,
+        }
     }
 
     /// Returns whether an instance accepts a request now: `Some(true)` as a trial, `Some(false)` as
@@ -110,7 +163,7 @@
         instance: usize,
         at: ClockTime,
     ) -> bool {
-        let run = self.expected_on(request, instance);
+        let run = self.expected_on(request, instance, at);
         !request.lane.long && !misses_deadline(at, run, run, request.profile.deadline)
     }
 
@@ -125,7 +178,7 @@
             return false;
         }
         let record = &self.input.endpoints.records()[instance];
-        let run = self.expected_on(request, instance);
+        let run = self.expected_on(request, instance, at);
         let slack = !misses_deadline(at, run, Duration::ZERO, request.profile.deadline);
         slack || record.is_trial_due(at.before(FORCED_TRIAL_DELAY))
     }
@@ -188,12 +241,22 @@
                 .any(|hold| hold.key == key && hold.until > at)
     }
 
-    pub(crate) fn expected_on(&self, request: &WaitingRequest, instance: usize) -> Duration {
+    pub(crate) fn expected_on(
+        &self,
+        request: &WaitingRequest,
+        instance: usize,
+        at: ClockTime,
+    ) -> Duration {
         let estimate = self.input.estimates.get(request.kind);
         let record = &self.input.endpoints.records()[instance];
         let slowdown = self.forecasts[instance].slowdown_percent;
         let fresh = request.pinned_to.is_none();
-        let opening = match fresh && record.lacks_connection(request.profile.account) {
+        let account = request.profile.account;
+        let lacking = || match AccountForecast::covers(self.input.now, at) {
+            true => self.forecasts[instance].lacks_connection(account, at),
+            false => record.lacks_connection(account),
+        };
+        let opening = match fresh && lacking() {
             true => self.input.connect_time,
             false => Duration::ZERO,
         };
@@ -254,7 +317,7 @@
         let runs = (0..self.forecasts.len())
             .filter(|instance| self.could_serve(request, *instance))
             .map(|instance| {
-                let expected = self.expected_on(request, instance);
+                let expected = self.expected_on(request, instance, start);
                 self.with_retries(request, instance, expected)
             });
         let Some(run) = runs.min() else {
@@ -303,7 +366,7 @@
         at: ClockTime,
         trial: bool,
     ) -> PlanAction {
-        let expected = self.expected_on(request, instance);
+        let expected = self.expected_on(request, instance, at);
         let margin = self.input.estimates.get(request.kind).deviation();
         let end = self.with_retries(request, instance, expected);
         let late = misses_deadline(at, end, margin, request.profile.deadline);
@@ -318,22 +381,45 @@
         })
     }
 
-    pub(crate) fn is_better(
-        &self,
-        start: &PlannedStart,
-        other: &PlannedStart,
-        at: ClockTime,
-    ) -> bool {
+    /// Returns by what a start is compared with those on other instances; the lowest is the best.
+    fn rank_start(&self, account: Option<u64>, start: &PlannedStart, at: ClockTime) -> StartRank {
         let held = self.forecasts[start.instance].held(at);
-        let other_held = self.forecasts[other.instance].held(at);
         if !self.input.switches.routing {
-            return held < other_held;
+            return (Duration::ZERO, held);
         }
-        if !self.uneven {
-            return (start.expected, held) < (other.expected, other_held);
+        let detour = account.map_or(Duration::ZERO, |account| {
+            self.detour(account, start.instance, at)
+        });
+        let retries = match self.uneven {
+            true => self.forecasts[start.instance].retry_delay,
+            false => Duration::ZERO,
+        };
+        (start.expected + detour + retries, held)
+    }
+
+    /// Returns the account to which a connection for a request that starts at `at` must belong, if
+    /// that matters for its start.
+    fn bound_account(&self, request: &WaitingRequest, at: ClockTime) -> Option<u64> {
+        let account = request.profile.account?;
+        let covered = AccountForecast::covers(self.input.now, at);
+        let mut forecasts = self.forecasts.iter();
+        let bound = covered && forecasts.any(|forecast| forecast.accounts.is_some());
+        (bound && self.input.switches.account_preference).then_some(account)
+    }
+
+    /// Returns the time that is added to the expected run of an account's request on an instance, so
+    /// that the account's requests prefer the same instances.
+    ///
+    /// An instance with at most one free slot isn't preferred: it is left to those that have a
+    /// connection there or can run nowhere else.
+    fn detour(&self, account: u64, instance: usize, at: ClockTime) -> Duration {
+        let most = self.input.connect_time / MAX_DETOUR_DIVISOR;
+        let forecast = &self.forecasts[instance];
+        if forecast.held(at) + 1 >= forecast.usable {
+            return most;
         }
-        let end = start.expected + self.forecasts[start.instance].retry_delay;
-        let other_end = other.expected + self.forecasts[other.instance].retry_delay;
-        (end, held) < (other_end, other_held)
+        let record = &self.input.endpoints.records()[instance];
+        let preference = preference_of(account, record.instance_digest);
+        most - most.mul_f64(preference as f64 / u64::MAX as f64)
     }
 }
