--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -99,6 +99,7 @@
 
 mod account_connections;
 mod account_ledger;
+mod account_share;
 mod account_shares;
 mod admission;
 mod announcement_batches;
