--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -40,6 +40,7 @@
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::StatementRequest;
+use ragwort_types::TransactionStep;
 use ragwort_types::VmName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -142,6 +143,31 @@
         self.state.lock().expect("no holder of this lock panics")
     }
 
+    /// Admits a statement, which may wait for a token of its account, and adds the wait to its spent
+    /// time: the leaseholder counts its deadline and target from the arrival there. Returns the
+    /// account whose operation it begins.
+    ///
+    /// A transaction counts as one operation of its account, however many statements it has.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of [`begin`](Self::begin).
+    pub async fn admit(
+        &self,
+        request: &mut StatementRequest,
+    ) -> Result<Option<AccountName>, Refusal> {
+        let begins = matches!(
+            request.step,
+            TransactionStep::Single | TransactionStep::Begin(_)
+        );
+        let Some(account) = request.account.clone().filter(|_| begins) else {
+            return Ok(None);
+        };
+        let waited = self.begin(&account, || self.find_wait(request)).await?;
+        request.spent_ms += waited.as_millis() as u64;
+        Ok(Some(account))
+    }
+
     /// Returns how long a statement may wait for a token of its account: half of the time to its
     /// latency target, so that the rest is left for its queue and its endpoint. Without a target, or
     /// past it, half of the time to its deadline.
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -74,7 +74,6 @@
 use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
-use ragwort_types::TransactionStep;
 use ragwort_types::VersionedContract;
 use std::borrow::Cow;
 use std::io;
@@ -306,22 +305,12 @@
 #[async_trait]
 impl StatementRunner for ServerRoutes {
     async fn run_locally(&self, mut request: StatementRequest) -> Option<StatementReply> {
-        // A transaction counts as one operation of its account, however many statements it has.
-        let begins = matches!(
-            request.step,
-            TransactionStep::Single | TransactionStep::Begin(_)
-        );
-        let account = request.account.clone().filter(|_| begins);
-        if let Some(account) = &account {
-            let find_wait = || self.limits.find_wait(&request);
-            match self.limits.begin(account, find_wait).await {
-                // The leaseholder counts the deadline and the target from the arrival there.
-                Ok(waited) => request.spent_ms += waited.as_millis() as u64,
-                Err(refusal) => {
-                    return Some(reply_with(&request, RequestVerdict::NotRun(refusal)));
-                }
+        let account = match self.limits.admit(&mut request).await {
+            Ok(account) => account,
+            Err(refusal) => {
+                return Some(reply_with(&request, RequestVerdict::NotRun(refusal)));
             }
-        }
+        };
         let reply = self.send_to_leaseholder(request).await;
         let not_run = |reply: &StatementReply| matches!(reply.verdict, RequestVerdict::NotRun(_));
         if let Some(account) = &account
--- a/crates/daemon/tests/components/limit_waits.rs
+++ b/crates/daemon/tests/components/limit_waits.rs
@@ -1,6 +1,7 @@
 //! Operations that wait at the account limiter for a token of their account.
 
 use crate::bench::FRESH;
+use crate::bench::GRANT;
 use crate::bench::RequestBuilder;
 use crate::bench::create_contract;
 use crate::bench::create_record;
@@ -23,6 +24,8 @@
 use ragwort_types::MemberId;
 use ragwort_types::RateShare;
 use ragwort_types::RefusalCause;
+use ragwort_types::TransactionId;
+use ragwort_types::TransactionStep;
 use ragwort_types::VersionedContract;
 use ragwort_types::VmIncarnation;
 use ragwortgated::clock::NodeClock;
@@ -41,6 +44,10 @@
     /// The ledger has nothing to lend when it is first asked, and lends at the second request. The
     /// operation must begin then; it was refused with the first answer before.
     operation_waits_for_the_next_token => waiting_case();
+    /// A statement waits for a token. The wait must count as spent, or the leaseholder would take the
+    /// time that is left of its deadline and target for longer than it is. Later statements of a
+    /// transaction and callers without an account must not be counted.
+    wait_counts_as_time_spent => spent_case();
     /// The ledger lends the next operation in twenty minutes, and the caller has ten. The caller
     /// must be told at once, not when its time is up.
     operation_whose_token_comes_late_is_refused_at_once => late_case();
@@ -189,6 +196,29 @@
     assert!(bench.counts("after_wait"), "{}", bench.metrics.to_text());
 }
 
+async fn spent_case() {
+    let bench = LimitBench::start(small_limit(), |number, request| {
+        let operations = u32::from(number > 1);
+        reply(request, operations, (operations == 0).then_some(30))
+    })
+    .await;
+    let mut request = RequestBuilder::new(GRANT, "s").into_request();
+    request.spent_ms = 7;
+    assert_eq!(bench.limiter.admit(&mut request).await, Ok(None));
+    request.account = Some(account());
+    let step = std::mem::replace(
+        &mut request.step,
+        TransactionStep::Within(TransactionId::fresh()),
+    );
+    assert_eq!(bench.limiter.admit(&mut request).await, Ok(None));
+    assert_eq!(request.spent_ms, 7);
+    request.step = step;
+    let admitted = bench.limiter.admit(&mut request).await;
+    assert_eq!(admitted, Ok(Some(account())));
+    // The ledger isn't asked again before it expects to lend.
+    assert!(request.spent_ms >= 7 + 30, "{}", request.spent_ms);
+}
+
 async fn late_case() {
     let bench = LimitBench::start(small_limit(), |_, request| {
         reply(request, 0, Some(1_200_000))
@@ -247,6 +277,6 @@
     assert_eq!(find_wait(FRESH, 0), 200);
     assert_eq!(find_wait(FRESH, 300), 50);
     assert_eq!(find_wait(FRESH, 1_000), 500);
-    assert_eq!(find_wait(crate::bench::GRANT, 0), 1_000);
-    assert_eq!(find_wait(crate::bench::GRANT, 1_500), 250);
+    assert_eq!(find_wait(GRANT, 0), 1_000);
+    assert_eq!(find_wait(GRANT, 1_500), 250);
 }
