--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -101,6 +101,7 @@
 mod account_demand;
 mod account_forecast;
 mod account_ledger;
+mod account_share;
 mod account_shares;
 mod admission;
 mod announcement_batches;
