Test: shorten the decisions about uneven endpoints

Removed are three tests that others cover as strictly: dispatches at a known share and a rejecting primary's writes (uneven::rejecting_primary), and a rejected statement of a transaction (native rejections::rejected_statement_of_a_transaction_runs_on_its_connection).

--- a/crates/policy/tests/uneven_decisions.rs
+++ b/crates/policy/tests/uneven_decisions.rs
@@ -18,7 +18,6 @@
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::HealthLevel;
 use ragwort_policy::RequestProfile;
-use ragwort_policy::RequestStep;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerDecision;
 use ragwort_types::GroupTerm;
@@ -30,16 +29,12 @@
 
 fn ready_group() -> GroupScheduler {
     let mut scheduler = create_group(1_000, "north", ExcessRule::Forbidden);
-    let position = LogPosition::new(GroupTerm(1), 1);
     for name in [PRIMARY, REPLICA, OTHER_REPLICA] {
-        let instance = InstanceName::from(name);
         for _ in 0..5 {
-            scheduler.connection_opened(&instance);
-        }
-        if name != PRIMARY {
-            scheduler.report_position(START, &instance, position, Duration::ZERO);
+            scheduler.connection_opened(&InstanceName::from(name));
         }
     }
+    report_replicas(&mut scheduler, START, 1);
     scheduler
 }
 
@@ -72,11 +67,7 @@
     let mut sent = 0;
     for ticket in 0..count {
         now = now + Duration::from_millis(10);
-        let position = LogPosition::new(GroupTerm(1), 1);
-        for name in [REPLICA, OTHER_REPLICA] {
-            let instance = InstanceName::from(name);
-            scheduler.report_position(now, &instance, position, Duration::ZERO);
-        }
+        report_replicas(scheduler, now, 1);
         scheduler.arrive(now, read(ticket, now, 0));
         let mut orders = scheduler.poll(now);
         while let [(ticket, instance)] = dispatches(&orders)[..] {
@@ -138,60 +129,6 @@
     assert_eq!(scheduler.snapshot(later).paused, 0);
 }
 
-/// The endpoint rejects a statement of an open transaction. It must run on the transaction's
-/// connection or not at all.
-#[test]
-fn rejected_statement_of_a_transaction_stays_on_its_endpoint() {
-    let mut scheduler = ready_group();
-    let begin = RequestProfile {
-        step: RequestStep::Opens,
-        ..write(1, START)
-    };
-    scheduler.arrive(START, begin);
-    scheduler.poll(START);
-    scheduler.finished(START, RequestTicket(1), FinishOutcome::Answered);
-    let within = RequestProfile {
-        step: RequestStep::Within(RequestTicket(1)),
-        ..read(2, START, 0)
-    };
-    scheduler.arrive(START, within);
-    assert_eq!(dispatches(&scheduler.poll(START)), [(2, PRIMARY)]);
-    let finish = scheduler.finished(START, RequestTicket(2), FinishOutcome::Rejected);
-    assert_eq!(finish, FinishDecision::Requeued);
-    let later = START + Duration::from_millis(10);
-    assert_eq!(dispatches(&scheduler.poll(later)), [(2, PRIMARY)]);
-    assert_eq!(scheduler.snapshot(later).endpoints[0].pinned, 1);
-}
-
-/// A primary rejects a third. With three dispatches one request in 27 would be refused, and with
-/// retries from the group's budget one in four.
-#[test]
-fn dispatches_cover_a_known_share_of_rejections() {
-    let mut scheduler = ready_group();
-    let mut now = START;
-    let (mut sent, mut refused) = (0, 0);
-    for ticket in 0..600 {
-        now = now + Duration::from_millis(20);
-        scheduler.arrive(now, write(ticket, now));
-        for _ in 0..20 {
-            for (dispatched, _) in dispatches(&scheduler.poll(now)) {
-                sent += 1;
-                let rejected = sent * 7 % 3 == 0 || sent % 31 < 6;
-                let outcome = match rejected {
-                    true => FinishOutcome::Rejected,
-                    false => FinishOutcome::Answered,
-                };
-                let finish = scheduler.finished(now, RequestTicket(dispatched), outcome);
-                refused += u64::from(matches!(finish, FinishDecision::Refused(_)));
-            }
-            now = now + Duration::from_millis(5);
-        }
-    }
-    assert!(sent > 1_000, "{sent} dispatches");
-    assert!(refused <= 3, "{refused} refused");
-    assert_eq!(scheduler.snapshot(now).retries_left, 10);
-}
-
 /// An endpoint rejects everything. Its answers earn no retries, so its load must stay within a
 /// tenth more than the requests.
 #[test]
@@ -228,11 +165,7 @@
     let mut trials = Vec::new();
     for ticket in next..next + 1_000 {
         now = now + Duration::from_millis(10);
-        let position = LogPosition::new(GroupTerm(1), 1);
-        for name in [REPLICA, OTHER_REPLICA] {
-            let instance = InstanceName::from(name);
-            scheduler.report_position(now, &instance, position, Duration::ZERO);
-        }
+        report_replicas(&mut scheduler, now, 1);
         scheduler.arrive(now, read(ticket, now, 0));
         for (dispatched, instance) in dispatches(&scheduler.poll(now)) {
             if instance == REPLICA {
@@ -257,11 +190,7 @@
     let mut now = START;
     for ticket in 0..300 {
         now = now + Duration::from_millis(10);
-        let position = LogPosition::new(GroupTerm(1), 1);
-        for name in [REPLICA, OTHER_REPLICA] {
-            let instance = InstanceName::from(name);
-            scheduler.report_position(now, &instance, position, Duration::ZERO);
-        }
+        report_replicas(&mut scheduler, now, 1);
         scheduler.arrive(now, read(ticket, now, 0));
         for _ in 0..4 {
             for (dispatched, _) in dispatches(&scheduler.poll(now)) {
@@ -278,33 +207,6 @@
     }
 }
 
-/// The primary rejects half of its statements. Nobody else can serve writes, so it gets them as
-/// before, and never as trials.
-#[test]
-fn rejecting_primary_keeps_its_writes() {
-    let mut scheduler = ready_group();
-    let mut now = START;
-    let mut sent = 0;
-    for ticket in 0..200 {
-        now = now + Duration::from_millis(20);
-        scheduler.arrive(now, write(ticket, now));
-        for _ in 0..10 {
-            for (dispatched, instance) in dispatches(&scheduler.poll(now)) {
-                assert_eq!(instance, PRIMARY);
-                sent += 1;
-                let outcome = match sent % 2 {
-                    0 => FinishOutcome::Answered,
-                    _ => FinishOutcome::Rejected,
-                };
-                scheduler.finished(now, RequestTicket(dispatched), outcome);
-            }
-            now = now + Duration::from_millis(5);
-        }
-    }
-    assert_eq!(sent, 400);
-    assert_eq!(scheduler.snapshot(now).counts.trials, 0);
-}
-
 fn wide_replica() -> EndpointState {
     EndpointState {
         slots: 4,
