--- a/crates/policy/src/link_watch.rs
+++ b/crates/policy/src/link_watch.rs
@@ -12,7 +12,8 @@
 //! A link with unanswered calls is probed when nothing at all was received for
 //! [`LINK_PROBE_AFTER`], and given up when the probe isn't answered within [`LINK_PROBE_TIMEOUT`].
 //! Statements take 3 to 110 ms and the one-way delay between failure domains is 1.5 ms, so a link
-//! with unanswered calls is rarely quiet for that long. Giving up a working link leaves the outcome
+//! with unanswered calls is rarely quiet for that long. No further calls are sent once the probe has
+//! been unanswered for [`LINK_SUSPECT_AFTER`]. Giving up a working link leaves the outcome
 //! of the writes on it unknown; that is why it is probed first. The sum of both times stays under
 //! half of the lease after which the successor takes over.
 
@@ -25,6 +26,11 @@
 /// How long the answer to a probe may take.
 pub const LINK_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long the answer to a probe may take before further calls are held back from the link. A
+/// round trip between failure domains takes 3 ms. A call that wasn't sent can take another way at
+/// once, while one that was sent to a link that is then given up may have run.
+pub const LINK_SUSPECT_AFTER: Duration = Duration::from_millis(50);
+
 /// The next step for a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkStep {
@@ -58,13 +64,23 @@
         self.probed_at = None;
     }
 
+    /// Returns whether no further calls should be sent, because a probe went unanswered for a while.
+    pub fn is_suspect(&self, now: ClockTime) -> bool {
+        self.probed_at
+            .is_some_and(|probed_at| now.since(probed_at) >= LINK_SUSPECT_AFTER)
+    }
+
     /// Returns the next step for a link whose oldest unanswered call was made at
     /// `oldest_unanswered`.
     pub fn judge(&mut self, now: ClockTime, oldest_unanswered: ClockTime) -> LinkStep {
         if let Some(probed_at) = self.probed_at {
-            return match now.since(probed_at) >= LINK_PROBE_TIMEOUT {
-                true => LinkStep::GiveUp,
-                false => LinkStep::WaitUntil(probed_at + LINK_PROBE_TIMEOUT),
+            let unanswered = now.since(probed_at);
+            return if unanswered >= LINK_PROBE_TIMEOUT {
+                LinkStep::GiveUp
+            } else if unanswered >= LINK_SUSPECT_AFTER {
+                LinkStep::WaitUntil(probed_at + LINK_PROBE_TIMEOUT)
+            } else {
+                LinkStep::WaitUntil(probed_at + LINK_SUSPECT_AFTER)
             };
         }
         let quiet_since = self.last_received.max(oldest_unanswered);
