Gateway: forward through candidates that are known to work

Statements ask the shared candidates one by one and use what others have learned. A statement waits at most 100 ms for a connection before it takes another way, and none is written to a link whose probe is unanswered. Where all other ways fail, it still waits for the leaseholder's link as before. A reply that is lost behind a relay leads to another way only if the statement may be sent again.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -11,18 +11,19 @@
 use crate::clock::NodeClock;
 use crate::log_event;
 use crate::member::MemberView;
+use crate::metrics::DaemonMetrics;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
-use crate::relay_gateways::MAX_RELAY_GATEWAYS;
-use crate::relay_gateways::list_relay_gateways;
+use crate::relay_gateways::RelayGateways;
 use crate::statements::links::CallKind;
+use crate::statements::links::LinkReadiness;
 use crate::statements::links::StatementLinks;
 use jsonrpsee_ws_client::WsClient;
 use log::Level;
 use ragwort_control::CatalogCopy;
 use ragwort_control::ClockTime;
-use ragwort_policy::IsolationWatch;
-use ragwort_policy::RelayPauses;
+use ragwort_policy::MAX_FORWARDED;
+use ragwort_policy::OwnLease;
 use ragwort_rpc::PeerApiClient;
 use ragwort_types::AccessMode;
 use ragwort_types::CustomerContract;
@@ -45,15 +46,15 @@
 use ragwort_types::StatementRequest;
 use ragwort_types::TransactionStep;
 use ragwort_types::VmName;
-use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// The pause between two attempts to hand a statement over.
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(20);
@@ -77,17 +78,23 @@
 /// heartbeats.
 const HANDOVER_LEASES: f64 = 0.5;
 
+/// How long a statement waits for a connection to be opened before it takes another way. A
+/// connection is open after two round trips between failure domains, 6 ms; a packet that is lost on
+/// the way costs the 50 ms after which another attempt is begun.
+pub(crate) const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Forwards the statements of one VM's callers.
 pub struct Gateway {
-    clock: NodeClock,
-    links: GatewayLinks,
-    view: watch::Receiver<MemberView>,
+    pub(crate) clock: NodeClock,
+    pub(crate) links: GatewayLinks,
+    pub(crate) view: watch::Receiver<MemberView>,
     lease: Duration,
     outages: Mutex<HashMap<GroupName, ClockTime>>,
-    /// The outcomes of attempts to reach other gateways while this one has no lease.
-    isolation: Mutex<IsolationWatch>,
-    /// The pauses for groups whose leaseholder other gateways couldn't reach either.
-    relay_pauses: Mutex<RelayPauses>,
+    /// The gateways through which statements go when this one is cut off.
+    pub(crate) relays: RelayGateways,
+    /// Limits the statements in flight that this gateway forwards for others.
+    forwarding: Semaphore,
+    pub(crate) metrics: DaemonMetrics,
 }
 
 /// The links from a gateway to other VMs.
@@ -103,8 +110,34 @@
     pub domain: DomainName,
 }
 
+/// A statement and what happened to it so far.
+pub(crate) struct Attempt<'t> {
+    pub(crate) request: StatementRequest,
+    terms: &'t KindTerms,
+    started: ClockTime,
+    pub(crate) deadline: ClockTime,
+    /// Whether it was handed over earlier and the reply was lost.
+    sent_before: bool,
+}
+
+impl Attempt<'_> {
+    /// Says whether the statement may be handed over again after its reply was lost.
+    pub(crate) fn is_resendable(&self) -> bool {
+        is_resendable(&self.request, self.terms)
+    }
+
+    /// Says whether the statement may go to another VM after this outcome.
+    pub(crate) fn may_go_on(&self, outcome: &HandOver) -> bool {
+        match outcome {
+            HandOver::Unreachable | HandOver::NotAccepted(_) | HandOver::NotLeading => true,
+            HandOver::ReplyLost | HandOver::LostBehindRelay => self.is_resendable(),
+            HandOver::Replied(_) => false,
+        }
+    }
+}
+
 /// The outcome of one attempt to hand a statement over.
-enum HandOver {
+pub(crate) enum HandOver {
     /// The leaseholder replied.
     Replied(StatementReply),
     /// No connection to the VM could be opened, so the statement was not handed over.
@@ -116,6 +149,8 @@
     NotLeading,
     /// The statement was handed over and the reply was lost.
     ReplyLost,
+    /// The statement was handed over to a relay, which lost the leaseholder's reply.
+    LostBehindRelay,
 }
 
 /// The VMs through which a group's statements can be handed over.
@@ -126,9 +161,9 @@
 
 /// The addresses on which a VM answers.
 #[derive(Clone, Copy)]
-struct PeerAddresses {
+pub(crate) struct PeerAddresses {
     calls: SocketAddr,
-    statements: Option<SocketAddr>,
+    pub(crate) statements: Option<SocketAddr>,
 }
 
 impl From<&MemberRecord> for PeerAddresses {
@@ -170,17 +205,25 @@
         view: watch::Receiver<MemberView>,
         lease: Duration,
     ) -> Self {
+        let relays = RelayGateways::new(links.vm.clone(), links.domain.clone());
         Self {
             clock,
             links,
             view,
             lease,
             outages: Mutex::default(),
-            isolation: Mutex::default(),
-            relay_pauses: Mutex::default(),
+            relays,
+            forwarding: Semaphore::new(MAX_FORWARDED),
+            metrics: DaemonMetrics::new(),
         }
     }
 
+    /// Replaces the metrics in which forwarded statements are counted.
+    pub fn with_metrics(mut self, metrics: DaemonMetrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
     /// Forwards a statement to its group's leaseholder and returns the reply.
     pub async fn execute(&self, request: StatementRequest) -> StatementReply {
         let started = self.clock.now();
@@ -249,38 +292,65 @@
     /// Forwards a statement to its leaseholder on behalf of a gateway that can't reach it.
     ///
     /// A gateway that is cut off itself refuses with [`RefusalCause::NoLease`], which tells the
-    /// asking gateway to try another one; any other refusal means that nobody leads the group.
+    /// asking gateway to try another one; any other refusal means that nobody leads the group. One
+    /// that forwards [`MAX_FORWARDED`] statements already refuses with the same cause, so that its
+    /// own callers aren't harmed.
     pub async fn relay(&self, request: StatementRequest) -> StatementReply {
+        let Ok(_permit) = self.forwarding.try_acquire() else {
+            self.metrics.count_relayed(false);
+            return self.refuse_relay(&request, RefusalCause::NoLease);
+        };
+        let reply = self.relay_admitted(&request).await;
+        self.metrics.count_relayed(!is_misrouted_reply(&reply));
+        reply
+    }
+
+    async fn relay_admitted(&self, request: &StatementRequest) -> StatementReply {
         let Some(target) = self.find_route(&request.group) else {
-            return self.refuse(&request, self.outage_cause());
+            return self.refuse_relay(request, self.outage_cause());
         };
+        // The asking gateway's statement can go to another gateway instead of waiting here.
+        let leaseholder = target.leaseholder;
+        if self.check_link(leaseholder, CONNECT_PATIENCE).await != LinkReadiness::Ready {
+            return self.refuse_relay(request, self.outage_cause());
+        }
         let limit = Duration::from_millis(ragwort_types::MAX_DEADLINE_MS);
-        match self
-            .hand_over(&request, target.leaseholder, limit, false)
-            .await
-        {
+        match self.hand_over(request, leaseholder, limit, false).await {
             HandOver::Replied(reply) => reply,
-            HandOver::NotAccepted(cause) => self.refuse(&request, cause),
-            HandOver::NotLeading | HandOver::Unreachable => {
-                self.refuse(&request, self.outage_cause())
+            HandOver::NotAccepted(_) | HandOver::NotLeading | HandOver::Unreachable => {
+                self.refuse_relay(request, self.outage_cause())
             }
-            HandOver::ReplyLost => may_have_run_reply(&request),
+            HandOver::ReplyLost | HandOver::LostBehindRelay => may_have_run_reply(request),
         }
     }
 
+    /// Refuses to forward a statement for another gateway. Unlike [`refuse`](Self::refuse), it
+    /// leaves the outages alone that this gateway's own statements have met.
+    fn refuse_relay(&self, request: &StatementRequest, cause: RefusalCause) -> StatementReply {
+        let after = self.leaseholder_lease(&request.group) / 4;
+        let refused = RequestVerdict::refused(cause, after.as_millis() as u64);
+        reply_with(request, refused)
+    }
+
     /// Returns the reason why no leaseholder can be reached from here.
     fn outage_cause(&self) -> RefusalCause {
-        let remaining = self.view.borrow().lease.remaining(self.clock.now());
-        match self.may_be_isolated(remaining) {
-            true => RefusalCause::NoLease,
-            false => RefusalCause::NoLeaseholder,
+        match self.own_lease() {
+            OwnLease::Held => RefusalCause::NoLeaseholder,
+            OwnLease::InDoubt | OwnLease::Ended => RefusalCause::NoLease,
         }
     }
 
-    /// Says whether several heartbeats in a row went unanswered, so that this VM may be the one
-    /// that is cut off.
-    fn may_be_isolated(&self, remaining: Duration) -> bool {
-        remaining < self.lease / 2
+    /// Returns the state of the lease. It is in doubt when several heartbeats in a row went
+    /// unanswered, so that this VM may be the one that is cut off.
+    fn own_lease(&self) -> OwnLease {
+        let remaining = self.view.borrow().lease.remaining(self.clock.now());
+        if remaining.is_zero() {
+            OwnLease::Ended
+        } else if remaining < self.lease / 2 {
+            OwnLease::InDoubt
+        } else {
+            OwnLease::Held
+        }
     }
 
     /// Forwards a request to describe a statement to the group's leaseholder.
@@ -384,163 +454,178 @@
 
     async fn forward_until(
         &self,
-        mut request: StatementRequest,
+        request: StatementRequest,
         terms: &KindTerms,
         started: ClockTime,
         deadline: ClockTime,
     ) -> StatementReply {
-        let mut sent_before = false;
+        let mut attempt = Attempt {
+            request,
+            terms,
+            started,
+            deadline,
+            sent_before: false,
+        };
         loop {
-            let now = self.clock.now();
-            let limit = deadline.since(now) + REPLY_GRACE;
-            request.spent_ms = now.since(started).as_millis() as u64;
-            let (cause, leases) = match self.try_once(&request, limit).await {
+            let outcome = self.try_once(&mut attempt).await;
+            let request = &attempt.request;
+            let sent_before = attempt.sent_before;
+            let (cause, leases) = match outcome {
                 HandOver::Replied(reply) => {
                     self.end_outage(&request.group);
-                    return reply_to_caller(&request, reply, terms, sent_before);
+                    return reply_to_caller(request, reply, terms, sent_before);
                 }
                 HandOver::NotAccepted(cause) => (cause, TAKEOVER_LEASES),
                 HandOver::Unreachable => (RefusalCause::NoLeaseholder, TAKEOVER_LEASES),
                 HandOver::NotLeading => (RefusalCause::NoLeaseholder, HANDOVER_LEASES),
-                HandOver::ReplyLost if is_resendable(&request, terms) => {
-                    sent_before = true;
+                HandOver::ReplyLost | HandOver::LostBehindRelay if attempt.is_resendable() => {
                     (RefusalCause::NoLeaseholder, TAKEOVER_LEASES)
                 }
-                HandOver::ReplyLost => return may_have_run_reply(&request),
+                HandOver::ReplyLost | HandOver::LostBehindRelay => {
+                    return may_have_run_reply(request);
+                }
             };
-            if let Some(lost) = refuse_lost_transaction(&request) {
+            if let Some(lost) = refuse_lost_transaction(request) {
                 return lost;
             }
             let end = self.record_outage(&request.group, leases);
             if end >= deadline || end <= self.clock.now() {
                 // An earlier attempt at a write may have run by now; a read changes nothing.
                 if sent_before && terms.access == AccessMode::Write {
-                    return may_have_run_reply(&request);
+                    return may_have_run_reply(request);
                 }
-                return self.refuse(&request, cause);
+                return self.refuse(request, cause);
             }
             sleep(ATTEMPT_PAUSE).await;
         }
     }
 
-    async fn try_once(&self, request: &StatementRequest, limit: Duration) -> HandOver {
-        let remaining = self.view.borrow().lease.remaining(self.clock.now());
-        if self.may_be_isolated(remaining) {
+    async fn try_once(&self, attempt: &mut Attempt<'_>) -> HandOver {
+        let lease = self.own_lease();
+        self.relays.note_lease(lease);
+        if lease != OwnLease::Held {
             self.connect_relay_gateways();
         }
-        if remaining.is_zero() {
-            return self.relay_through_gateways(request, limit).await;
+        if lease == OwnLease::Ended {
+            return self.relay_through_gateways(attempt, lease).await;
         }
-        let Some(target) = self.find_route(&request.group) else {
+        let Some(target) = self.find_route(&attempt.request.group) else {
             return HandOver::NotAccepted(RefusalCause::NoLeaseholder);
         };
-        let direct = self
-            .hand_over(request, target.leaseholder, limit, false)
-            .await;
-        let HandOver::Unreachable = direct else {
-            return direct;
-        };
-        // The network path between this VM and the leaseholder may be cut while both run. A standby
-        // in another failure domain usually still reaches it, or another gateway does.
-        for relay in target.relays {
-            let relayed = self.hand_over(request, relay, limit, true).await;
-            if !was_not_handed_over(&relayed) {
-                return relayed;
+        let leaseholder = target.leaseholder;
+        let readiness = self.check_link(leaseholder, CONNECT_PATIENCE).await;
+        let direct = match readiness {
+            LinkReadiness::Pending => HandOver::Unreachable,
+            LinkReadiness::Ready | LinkReadiness::Down => {
+                self.hand_over_attempt(attempt, leaseholder, false).await
             }
+        };
+        match direct {
+            HandOver::Unreachable => {}
+            // Where the link was given up, other ways may be open long before a takeover is over.
+            HandOver::ReplyLost
+                if attempt.is_resendable()
+                    && self.clock.now() < attempt.deadline
+                    && self.check_link(leaseholder, Duration::ZERO).await
+                        != LinkReadiness::Ready => {}
+            taken => return taken,
+        }
+        let detour = self.try_detours(attempt, &target.relays, lease).await;
+        match detour {
+            HandOver::Unreachable | HandOver::NotAccepted(_) | HandOver::NotLeading => {}
+            taken => return taken,
         }
-        match self.relay_through_gateways(request, limit).await {
-            HandOver::NotAccepted(_) => HandOver::Unreachable,
-            taken => taken,
+        if readiness != LinkReadiness::Pending {
+            return direct;
         }
+        self.await_leaseholder(attempt, leaseholder).await
     }
 
-    /// Hands a statement to another gateway, which forwards it to the leaseholder.
+    /// Hands a statement to the group's standbys, then to other gateways.
     ///
-    /// A gateway that is cut off from all control VMs and leaseholders, but not from its callers,
-    /// would otherwise refuse their statements for as long as that lasts, and the balancer keeps
-    /// sending it new callers where most gateways of a failure domain are cut off. The other
-    /// gateway uses its own catalog copy, and the leaseholder checks lease and contract, so nothing
-    /// depends on this gateway's copy.
-    async fn relay_through_gateways(
+    /// The network path between this VM and the leaseholder may be cut while both run. A standby in
+    /// another failure domain usually still reaches it, or another gateway does.
+    async fn try_detours(
         &self,
-        request: &StatementRequest,
-        limit: Duration,
+        attempt: &mut Attempt<'_>,
+        standbys: &[PeerAddresses],
+        lease: OwnLease,
     ) -> HandOver {
-        let now = self.clock.now();
-        if !self.isolation().may_try(now) {
-            return HandOver::NotAccepted(RefusalCause::NoLease);
-        }
-        if !self.relay_pauses().may_try(now, &request.group) {
-            return HandOver::NotAccepted(RefusalCause::NoLeaseholder);
+        for address in standbys.iter().filter_map(|standby| standby.statements) {
+            self.links.statements.prepare(address, true);
         }
-        let mut reached = false;
-        for peer in self.find_relay_gateways() {
-            let relayed = self.hand_over(request, peer, limit, true).await;
-            match relayed {
-                HandOver::Unreachable | HandOver::NotAccepted(RefusalCause::NoLease) => {}
-                HandOver::NotAccepted(_) | HandOver::NotLeading => reached = true,
-                taken => {
-                    self.isolation().note_reached();
-                    return taken;
-                }
+        self.connect_relay_gateways();
+        for standby in standbys {
+            if self.check_link(*standby, CONNECT_PATIENCE).await == LinkReadiness::Pending {
+                continue;
+            }
+            let relayed = self.hand_over_attempt(attempt, *standby, true).await;
+            if !attempt.may_go_on(&relayed) {
+                return relayed;
             }
         }
-        self.record_failed_relay(reached, &request.group)
+        self.relay_through_gateways(attempt, lease).await
     }
 
-    /// Records that no other gateway could forward a statement to its leaseholder.
-    ///
-    /// If one was reached that isn't cut off itself, nobody leads this group, and only its
-    /// statements pause before the next attempt. If all statements paused, half of the gateways
-    /// would refuse everything for as long as one group has no leaseholder.
-    fn record_failed_relay(&self, reached: bool, group: &GroupName) -> HandOver {
-        let now = self.clock.now();
-        if reached {
-            self.isolation().note_reached();
-            self.relay_pauses().note_failed_attempt(now, group);
-            return HandOver::NotAccepted(RefusalCause::NoLeaseholder);
+    /// Waits until a pending link to the leaseholder is open or given up, and hands the statement
+    /// over if it is open.
+    async fn await_leaseholder(
+        &self,
+        attempt: &mut Attempt<'_>,
+        leaseholder: PeerAddresses,
+    ) -> HandOver {
+        let Some(address) = leaseholder.statements else {
+            return HandOver::Unreachable;
+        };
+        let links = &self.links.statements;
+        let waiting = links.check_readiness(address, true, None);
+        let waiting = timeout(self.clock.until(attempt.deadline), waiting);
+        match waiting.await {
+            Ok(LinkReadiness::Ready) => self.hand_over_attempt(attempt, leaseholder, false).await,
+            Ok(LinkReadiness::Pending | LinkReadiness::Down) | Err(_) => HandOver::Unreachable,
         }
-        self.isolation().note_failed_attempt(now);
-        HandOver::NotAccepted(RefusalCause::NoLease)
     }
 
-    /// Opens links to other gateways in advance, so that a statement doesn't wait for a connection.
-    fn connect_relay_gateways(&self) {
-        let gateways = self.find_relay_gateways();
-        for address in gateways.into_iter().filter_map(|peer| peer.statements) {
-            self.links.statements.prepare(address);
+    /// Returns whether a statement to a VM would be sent now. Remote calls aren't known to wait.
+    async fn check_link(&self, peer: PeerAddresses, patience: Duration) -> LinkReadiness {
+        match peer.statements {
+            None => LinkReadiness::Ready,
+            Some(address) => {
+                let links = &self.links.statements;
+                links.check_readiness(address, true, Some(patience)).await
+            }
         }
     }
 
-    fn find_relay_gateways(&self) -> SmallVec<[PeerAddresses; MAX_RELAY_GATEWAYS]> {
-        let view = self.view.borrow();
-        let members = list_relay_gateways(&view, &self.links.vm, &self.links.domain);
-        members.into_iter().map(PeerAddresses::from).collect()
-    }
-
-    fn isolation(&self) -> MutexGuard<'_, IsolationWatch> {
-        self.isolation
-            .lock()
-            .expect("no holder of this lock panics")
-    }
-
-    fn relay_pauses(&self) -> MutexGuard<'_, RelayPauses> {
-        self.relay_pauses
-            .lock()
-            .expect("no holder of this lock panics")
-    }
-
     /// Says whether all statements of a new session would be refused: this gateway has no lease,
-    /// and lately reached no other gateway.
+    /// and all gateways through which it could forward have failed lately.
     pub fn is_isolated(&self) -> bool {
         let now = self.clock.now();
-        !self.view.borrow().may_serve(now) && self.isolation().is_isolated(now)
+        !self.view.borrow().may_serve(now) && self.relays.is_isolated(now)
     }
 
     /// Says whether [`is_isolated`](Self::is_isolated) has held for at least `time`.
     pub fn is_isolated_for(&self, time: Duration) -> bool {
         let now = self.clock.now();
-        !self.view.borrow().may_serve(now) && self.isolation().is_isolated_for(now, time)
+        !self.view.borrow().may_serve(now) && self.relays.is_isolated_for(now, time)
+    }
+
+    /// Hands a statement to a VM with the time that it has left, and records whether its reply was
+    /// lost.
+    pub(crate) async fn hand_over_attempt(
+        &self,
+        attempt: &mut Attempt<'_>,
+        peer: PeerAddresses,
+        relayed: bool,
+    ) -> HandOver {
+        let now = self.clock.now();
+        let limit = attempt.deadline.since(now) + REPLY_GRACE;
+        attempt.request.spent_ms = now.since(attempt.started).as_millis() as u64;
+        let outcome = self.hand_over(&attempt.request, peer, limit, relayed).await;
+        if matches!(outcome, HandOver::ReplyLost | HandOver::LostBehindRelay) {
+            attempt.sent_before = true;
+        }
+        outcome
     }
 
     async fn hand_over(
@@ -559,6 +644,9 @@
                         cause => HandOver::NotAccepted(cause),
                     }
                 }
+                RequestVerdict::MayHaveRun(DoubtCause::LeaseholderLost) if relayed => {
+                    HandOver::LostBehindRelay
+                }
                 _ => HandOver::Replied(reply),
             },
             Err(LinkError::Unreachable | LinkError::Exhausted) => HandOver::Unreachable,
@@ -605,6 +693,12 @@
         })
     }
 
+    /// Returns the addresses of a member.
+    pub(crate) fn find_member(&self, vm: &VmName) -> Option<PeerAddresses> {
+        let view = self.view.borrow();
+        view.copy.member(vm).map(PeerAddresses::from)
+    }
+
     /// Records that a group has no reachable leaseholder, and returns when the outage should be
     /// over if a replacement takes `leases` leases.
     fn record_outage(&self, group: &GroupName, leases: f64) -> ClockTime {
@@ -687,11 +781,8 @@
     Some(arrived + target.saturating_sub(spent))
 }
 
-fn was_not_handed_over(attempt: &HandOver) -> bool {
-    matches!(
-        attempt,
-        HandOver::NotAccepted(_) | HandOver::NotLeading | HandOver::Unreachable
-    )
+fn is_misrouted_reply(reply: &StatementReply) -> bool {
+    matches!(&reply.verdict, RequestVerdict::NotRun(refusal) if is_misrouted(refusal.cause))
 }
 
 fn is_misrouted(cause: RefusalCause) -> bool {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
+use ragwort_policy::RelayOutcome;
 use ragwort_types::CatalogRevision;
 use ragwort_types::GroupName;
 use ragwort_types::GroupTerm;
@@ -53,6 +54,11 @@
     fault: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PurposeLabels {
     purpose: &'static str,
@@ -93,6 +99,8 @@
     descriptors: Family<PurposeLabels, Gauge>,
     descriptor_limit: Gauge,
     shortages: Counter,
+    relay_tries: Family<OutcomeLabels, Counter>,
+    relayed: Family<OutcomeLabels, Counter>,
 }
 
 impl Default for DaemonMetrics {
@@ -123,6 +131,8 @@
             descriptors: Family::default(),
             descriptor_limit: Gauge::default(),
             shortages: Counter::default(),
+            relay_tries: Family::default(),
+            relayed: Family::default(),
         };
         metrics.registry = Arc::new(metrics.register_all());
         metrics
@@ -202,6 +212,16 @@
             "Connections that failed for want of this VM's own resources",
             self.shortages.clone(),
         );
+        registry.register(
+            "relay_tries",
+            "Tries to forward a statement through another gateway, by outcome",
+            self.relay_tries.clone(),
+        );
+        registry.register(
+            "relayed_statements",
+            "Statements that other gateways asked this one to forward, by outcome",
+            self.relayed.clone(),
+        );
         registry
     }
 
@@ -318,6 +338,23 @@
         self.invariant_failures.get_or_create(&labels).inc();
     }
 
+    /// Counts a try to forward a statement through another gateway.
+    pub(crate) fn count_relay_outcome(&self, outcome: RelayOutcome) {
+        let outcome = outcome.as_str();
+        self.relay_tries
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts a statement that another gateway asked this one to forward.
+    pub(crate) fn count_relayed(&self, forwarded: bool) {
+        let outcome = match forwarded {
+            true => "forwarded",
+            false => "refused",
+        };
+        self.relayed.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn to_text(&self) -> String {
         let seen = self.shortages.get();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -249,7 +249,7 @@
         if let Some(control) = &control_sender {
             start_formation(base, control.clone(), &mut helpers);
         }
-        let gateway = Arc::new(Gateway::new(
+        let gateway = Gateway::new(
             base.clock,
             GatewayLinks {
                 peers: base.links.clone(),
@@ -259,7 +259,8 @@
             },
             base.view.clone(),
             Duration::from_millis(base.settings.timing.lease_ms),
-        ));
+        );
+        let gateway = Arc::new(gateway.with_metrics(base.metrics.clone()));
         let (standby, standby_task) = spawn_standby(base.settings.vm.clone(), base.view.clone());
         helpers.spawn(join_quietly(standby_task));
         let (leaseholders, leaseholder_events) = mpsc::channel(LEASEHOLDER_QUEUE_CAPACITY);
--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -35,6 +35,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -75,13 +76,46 @@
         request: Box<StatementRequest>,
         reply: oneshot::Sender<CallReply>,
     },
-    /// Connects ahead of the first call.
-    Prepare,
+    /// Connects ahead of the first call; if `lasting`, again and again like after a call.
+    Prepare { lasting: bool },
+}
+
+/// Whether calls can be sent on a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkState {
+    /// There is no connection, and none is being opened.
+    Idle,
+    /// The first connection is being opened since this time.
+    Connecting(ClockTime),
+    /// Calls can be sent.
+    Open,
+    /// A ping on the connection is unanswered, so calls are held back from it.
+    Suspect,
+    /// There is no connection; new ones are attempted and calls are refused meanwhile.
+    Down,
+}
+
+/// Whether a call on a link would be sent at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkReadiness {
+    /// It would be sent.
+    Ready,
+    /// It would wait for a connection, or for the other side to break its silence.
+    Pending,
+    /// It would be refused.
+    Down,
+}
+
+/// The sender's end of a link.
+#[derive(Clone)]
+struct LinkHandle {
+    calls: mpsc::Sender<LinkCall>,
+    state: watch::Sender<LinkState>,
 }
 
 /// The links of one gateway, by the leaseholders' addresses for statement links.
 pub struct StatementLinks {
-    links: Mutex<HashMap<SocketAddr, mpsc::Sender<LinkCall>>>,
+    links: Mutex<HashMap<SocketAddr, LinkHandle>>,
     tasks: Mutex<JoinSet<()>>,
     clock: NodeClock,
     connect_timeout: Duration,
@@ -117,7 +151,7 @@
             request: Box::new(request),
             reply,
         };
-        if self.link(address).try_send(call).is_err() {
+        if self.link(address).calls.try_send(call).is_err() {
             return Err(LinkError::Unreachable);
         }
         match timeout(limit, answer).await {
@@ -127,9 +161,44 @@
     }
 
     /// Starts to connect to a VM ahead of the first call, unless there is a connection already.
-    pub fn prepare(&self, address: SocketAddr) {
-        // The queue is full only if the link is in use.
-        let _ = self.link(address).try_send(LinkCall::Prepare);
+    ///
+    /// If this fails and `lasting` is set, the link goes on trying as it does after a call.
+    pub fn prepare(&self, address: SocketAddr, lasting: bool) {
+        self.link(address).prepare(self.clock.now(), lasting);
+    }
+
+    /// Waits until a call to a VM would be sent or refused at once, but no longer than until the
+    /// attempt to connect has lasted for `patience`. Nothing is sent but what opens a connection.
+    ///
+    /// A link that is silent counts as pending at once; `None` waits for the end of its silence and
+    /// for the end of the attempt to connect.
+    pub async fn check_readiness(
+        &self,
+        address: SocketAddr,
+        lasting: bool,
+        patience: Option<Duration>,
+    ) -> LinkReadiness {
+        let link = self.link(address);
+        if *link.state.borrow() == LinkState::Open {
+            return LinkReadiness::Ready;
+        }
+        link.prepare(self.clock.now(), lasting);
+        let mut state = link.state.subscribe();
+        loop {
+            let seen = *state.borrow_and_update();
+            let wait = match (seen, patience) {
+                (LinkState::Open, _) => return LinkReadiness::Ready,
+                (LinkState::Down | LinkState::Idle, _) => return LinkReadiness::Down,
+                (LinkState::Suspect, Some(_)) => return LinkReadiness::Pending,
+                (LinkState::Connecting(since), Some(patience)) => {
+                    patience.saturating_sub(self.clock.now().since(since))
+                }
+                (LinkState::Connecting(_) | LinkState::Suspect, None) => self.connect_timeout,
+            };
+            if !matches!(timeout(wait, state.changed()).await, Ok(Ok(()))) {
+                return LinkReadiness::Pending;
+            }
+        }
     }
 
     /// Closes all links and joins their tasks.
@@ -143,28 +212,51 @@
         while tasks.join_next().await.is_some() {}
     }
 
-    fn link(&self, address: SocketAddr) -> mpsc::Sender<LinkCall> {
+    fn link(&self, address: SocketAddr) -> LinkHandle {
         let mut links = self.links.lock().expect("no holder of this lock panics");
         let link = links.entry(address).or_insert_with(|| {
             let (sender, calls) = mpsc::channel(CALL_QUEUE_CAPACITY);
+            let (state, _) = watch::channel(LinkState::Idle);
             let task = LinkTask {
                 address,
                 clock: self.clock,
                 connect_timeout: self.connect_timeout,
+                state: state.clone(),
             };
             let mut tasks = self.tasks.lock().expect("no holder of this lock panics");
             tasks.spawn(task.run(calls));
-            sender
+            LinkHandle {
+                calls: sender,
+                state,
+            }
         });
         link.clone()
     }
 }
 
+impl LinkHandle {
+    fn prepare(&self, now: ClockTime, lasting: bool) {
+        let state = *self.state.borrow();
+        match state {
+            LinkState::Open | LinkState::Suspect => return,
+            LinkState::Connecting(_) | LinkState::Down if !lasting => return,
+            LinkState::Connecting(_) | LinkState::Down | LinkState::Idle => {}
+        }
+        // Set before the task can see the call, so that it isn't set over the task's result.
+        if state == LinkState::Idle {
+            self.state.send_replace(LinkState::Connecting(now));
+        }
+        // The queue is full only if the link is in use.
+        let _ = self.calls.try_send(LinkCall::Prepare { lasting });
+    }
+}
+
 /// The task of one link, which owns its connection.
 struct LinkTask {
     address: SocketAddr,
     clock: NodeClock,
     connect_timeout: Duration,
+    state: watch::Sender<LinkState>,
 }
 
 /// The reason for which a connection ended.
@@ -208,7 +300,8 @@
                 continue;
             };
             loop {
-                let end = link.serve(&mut calls, self.clock).await;
+                self.state.send_replace(LinkState::Open);
+                let end = link.serve(&mut calls, self.clock, &self.state).await;
                 log_event!(
                     Level::Warn,
                     "statement_link_ended",
@@ -234,6 +327,8 @@
         call: LinkCall,
         calls: &mut mpsc::Receiver<LinkCall>,
     ) -> Option<OpenLink> {
+        self.state
+            .send_replace(LinkState::Connecting(self.clock.now()));
         match self.connect().await {
             Ok(mut link) => {
                 link.queue_call(call, self.clock.now());
@@ -246,8 +341,17 @@
                     peer = self.address,
                     cause = error,
                 );
+                let mut wanted = call.is_wanted();
                 refuse(call);
-                self.reconnect(calls).await
+                while let Ok(call) = calls.try_recv() {
+                    wanted |= call.is_wanted();
+                    refuse(call);
+                }
+                if wanted {
+                    return self.reconnect(calls).await;
+                }
+                self.state.send_replace(LinkState::Idle);
+                None
             }
         }
     }
@@ -257,6 +361,15 @@
     /// Held until the attempt timed out, a call would lose time in which the next leaseholder could
     /// serve it.
     async fn reconnect(&self, calls: &mut mpsc::Receiver<LinkCall>) -> Option<OpenLink> {
+        self.state.send_replace(LinkState::Down);
+        let link = self.try_reconnecting(calls).await;
+        if link.is_none() {
+            self.state.send_replace(LinkState::Idle);
+        }
+        link
+    }
+
+    async fn try_reconnecting(&self, calls: &mut mpsc::Receiver<LinkCall>) -> Option<OpenLink> {
         let mut last_wanted = Instant::now();
         while last_wanted.elapsed() < RECONNECT_WINDOW {
             let connecting = self.connect();
@@ -265,8 +378,11 @@
                 tokio::select! {
                     link = &mut connecting => break link,
                     call = calls.recv() => {
-                        refuse(call?);
-                        last_wanted = Instant::now();
+                        let call = call?;
+                        if call.is_wanted() {
+                            last_wanted = Instant::now();
+                        }
+                        refuse(call);
                     }
                 }
             };
@@ -280,8 +396,11 @@
                 tokio::select! {
                     () = &mut pause => break,
                     call = calls.recv() => {
-                        refuse(call?);
-                        last_wanted = Instant::now();
+                        let call = call?;
+                        if call.is_wanted() {
+                            last_wanted = Instant::now();
+                        }
+                        refuse(call);
                     }
                 }
             }
@@ -317,6 +436,16 @@
     }
 }
 
+impl LinkCall {
+    /// Returns whether the link should go on trying to connect for this call's sake.
+    fn is_wanted(&self) -> bool {
+        match self {
+            Self::Statement { .. } => true,
+            Self::Prepare { lasting } => *lasting,
+        }
+    }
+}
+
 /// Fails a call that was not written to any connection.
 fn refuse(call: LinkCall) {
     if let LinkCall::Statement { reply, .. } = call {
@@ -344,7 +473,12 @@
     }
 
     /// Sends calls and receives replies until the connection ends.
-    async fn serve(&mut self, calls: &mut mpsc::Receiver<LinkCall>, clock: NodeClock) -> LinkEnd {
+    async fn serve(
+        &mut self,
+        calls: &mut mpsc::Receiver<LinkCall>,
+        clock: NodeClock,
+        state: &watch::Sender<LinkState>,
+    ) -> LinkEnd {
         loop {
             if self.stopping && self.pending.is_empty() {
                 return LinkEnd::Stopped;
@@ -354,6 +488,7 @@
                 Ok(recheck_after) => recheck_after,
                 Err(end) => return end,
             };
+            self.publish_state(now, state);
             let awaits_reply = recheck_after.is_some();
             let recheck_after = recheck_after.unwrap_or_default();
             let (mut reader, mut writer) = self.stream.split();
@@ -389,6 +524,18 @@
         }
     }
 
+    /// Publishes whether further calls may be sent.
+    fn publish_state(&self, now: ClockTime, state: &watch::Sender<LinkState>) {
+        let fresh = if self.stopping {
+            LinkState::Down
+        } else if self.detector.is_suspect(now) {
+            LinkState::Suspect
+        } else {
+            LinkState::Open
+        };
+        state.send_if_modified(|held| std::mem::replace(held, fresh) != fresh);
+    }
+
     /// Checks how long the other side has been silent while it owes replies, and pings it if need
     /// be.
     ///
@@ -406,7 +553,7 @@
             LinkStep::Probe => {
                 // Encoding can't fail: the frame is far shorter than the length limit.
                 let _ = self.codec.encode(&StatementFrame::Ping, &mut self.unsent);
-                Ok(Some(ragwort_policy::LINK_PROBE_TIMEOUT))
+                Ok(Some(ragwort_policy::LINK_SUSPECT_AFTER))
             }
             LinkStep::GiveUp => Err(LinkEnd::Silent),
         }
