--- a/crates/daemon/tests/components/statements.rs
+++ b/crates/daemon/tests/components/statements.rs
@@ -10,6 +10,7 @@
 use bytes::BytesMut;
 use ragwort_lab::relay::FaultRelay;
 use ragwort_lab::relay::RelayMode;
+use ragwort_policy::MAX_FORWARDED;
 use ragwort_rpc::FrameCodec;
 use ragwort_rpc::StatementFrame;
 use ragwort_types::Refusal;
@@ -27,6 +28,7 @@
 use ragwortgated::peers::LinkError;
 use ragwortgated::peers::PeerLinks;
 use ragwortgated::statements::links::CallKind;
+use ragwortgated::statements::links::LinkReadiness;
 use ragwortgated::statements::links::StatementLinks;
 use ragwortgated::statements::server::StatementRunner;
 use ragwortgated::statements::server::serve_statements;
@@ -111,6 +113,23 @@
     /// for other groups must still be forwarded; if the gateway took itself for isolated, it would
     /// refuse them all.
     group_without_a_leaseholder_does_not_isolate_the_gateway => no_leaseholder_case();
+    /// The gateway through which a write was forwarded is lost before the reply. The write may have
+    /// run: sent through the next gateway, it could take effect twice.
+    write_lost_with_its_relay_is_not_sent_again => lost_relay_case("grant", 0);
+    /// The same with a read, which changes nothing. It goes to the next gateway at once; after the
+    /// second loss, nobody is left.
+    read_lost_with_its_relay_goes_to_the_next_one => lost_relay_case("fresh", 1);
+    /// Connections to one gateway hang, as when its VM is cut off. Its callers' statements go
+    /// through another one long before an attempt to connect times out, which takes an hour here.
+    hanging_connection_is_not_waited_for => hanging_relay_case();
+    /// The leaseholder is cut off with a write under way. While its link is still being probed,
+    /// further statements go through a standby and none is written to the silent link, where a
+    /// write would end in doubt.
+    silent_leaseholder_is_sent_nothing_more => silent_leaseholder_case();
+    /// Other gateways ask this one to forward more statements than its bound allows, all to a
+    /// leaseholder that doesn't answer. Those above the bound are refused at once with the cause
+    /// that sends the asking gateway elsewhere; its own callers' statements go on.
+    forwarding_for_others_is_bounded => bounded_forwarding_case();
 }
 
 /// A runner that answers each statement with the length of its text. The shorter the text, the
@@ -140,6 +159,7 @@
         let mut reply = answer(&request, request.text.len() as u64);
         match request.text.as_str() {
             FORWARDED => {}
+            HANGS => std::future::pending().await,
             NO_LEASEHOLDER => {
                 reply.verdict = RequestVerdict::refused(RefusalCause::NoLeaseholder, 7)
             }
@@ -447,14 +467,22 @@
 impl IsolatedGateway {
     async fn start() -> Self {
         let other = TestLeaseholder::start().await;
+        let statements = [UNREACHABLE_ADDRESS, UNREACHABLE_ADDRESS, other.address];
         let links = plain_links(PeerLinks::new(LONG));
+        Self::with_links(other, statements, links, false)
+    }
+
+    /// Creates a gateway, with a lease or without one, that knows the leaseholder and two more
+    /// gateways, its standbys, at these addresses for statement links.
+    fn with_links(
+        other: TestLeaseholder,
+        statements: [SocketAddr; 3],
+        links: GatewayLinks,
+        lease: bool,
+    ) -> Self {
         let record = create_record("vm-1", 1);
-        let statements = [
-            Some(UNREACHABLE_ADDRESS),
-            Some(UNREACHABLE_ADDRESS),
-            Some(other.address),
-        ];
-        let view = create_view_with([UNREACHABLE_ADDRESS; 3], statements, &record, false);
+        let statements = statements.map(Some);
+        let view = create_view_with([UNREACHABLE_ADDRESS; 3], statements, &record, lease);
         let (sender, views) = watch::channel(view);
         // With a lease of an hour no takeover can end before a statement's deadline.
         let gateway = Gateway::new(NodeClock::start(), links.clone(), views, HOUR);
@@ -507,3 +535,112 @@
     assert!(isolated.other.runner.received.load(Ordering::SeqCst) <= received + 2);
     isolated.stop().await;
 }
+
+/// Runs a statement of this kind that two gateways take in turn and lose, unless it is sent to one
+/// only.
+async fn lost_relay_case(kind: &str, resent: usize) {
+    let (first, first_relay) = start_relayed().await;
+    let (second, second_relay) = start_relayed().await;
+    let addresses = [
+        UNREACHABLE_ADDRESS,
+        first_relay.address(),
+        second_relay.address(),
+    ];
+    let links = plain_links(PeerLinks::new(LONG));
+    let runners = [Arc::clone(&first.runner), Arc::clone(&second.runner)];
+    let count = |index: usize| runners[index].received.load(Ordering::SeqCst);
+    let isolated = IsolatedGateway::with_links(second, addresses, links, false);
+    let request = RequestBuilder::new(kind, HANGS).into_request();
+    let (reply, ()) = tokio::join!(isolated.gateway.execute(request), async {
+        wait_until(|| count(0) + count(1) == 1).await;
+        let (chosen, next) = match count(0) {
+            1 => (first_relay, second_relay),
+            _ => (second_relay, first_relay),
+        };
+        chosen.stop().await;
+        if resent > 0 {
+            wait_until(|| count(0) + count(1) == 2).await;
+        }
+        next.stop().await;
+    });
+    assert_eq!(count(0) + count(1), 1 + resent);
+    match reply.verdict {
+        RequestVerdict::MayHaveRun(_) => assert_eq!(resent, 0),
+        RequestVerdict::NotRun(_) => assert_eq!(resent, 1),
+        verdict @ RequestVerdict::Ran(_) => panic!("{verdict:?}"),
+    }
+    isolated.stop().await;
+    first.stop().await;
+}
+
+async fn hanging_relay_case() {
+    let (hanging, relay) = start_relayed().await;
+    relay.set_mode(RelayMode::Hang);
+    let other = TestLeaseholder::start().await;
+    let addresses = [relay.address(), relay.address(), other.address];
+    let mut links = plain_links(PeerLinks::new(LONG));
+    links.statements = StatementLinks::new(NodeClock::start(), HOUR);
+    let isolated = IsolatedGateway::with_links(other, addresses, links, false);
+    let reply = isolated.gateway.execute(request(FORWARDED)).await;
+    let done = StatementAnswer::Done(FORWARDED.len() as u64);
+    assert_eq!(reply.verdict, RequestVerdict::Ran(done));
+    // The links' tasks end with their attempts to connect.
+    relay.stop().await;
+    isolated.stop().await;
+    hanging.stop().await;
+}
+
+async fn silent_leaseholder_case() {
+    let (leaseholder, relay) = start_relayed().await;
+    let other = TestLeaseholder::start().await;
+    let addresses = [relay.address(), UNREACHABLE_ADDRESS, other.address];
+    let links = plain_links(PeerLinks::new(LONG));
+    let gateway = IsolatedGateway::with_links(other, addresses, links, true);
+    let lost = gateway.gateway.execute(request(HANGS));
+    let (lost, ()) = tokio::join!(lost, async {
+        leaseholder.wait_received(1).await;
+        relay.set_mode(RelayMode::Hang);
+        relay.silence_connections();
+        let now = Some(Duration::ZERO);
+        let links = &gateway.links.statements;
+        while links.check_readiness(relay.address(), false, now).await == LinkReadiness::Ready {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let reply = gateway.gateway.execute(request(FORWARDED)).await;
+        let done = StatementAnswer::Done(FORWARDED.len() as u64);
+        assert_eq!(reply.verdict, RequestVerdict::Ran(done));
+    });
+    assert!(matches!(lost.verdict, RequestVerdict::MayHaveRun(_)));
+    assert_eq!(leaseholder.runner.received.load(Ordering::SeqCst), 1);
+    gateway.stop().await;
+    relay.stop().await;
+    leaseholder.stop().await;
+}
+
+async fn bounded_forwarding_case() {
+    let leaseholder = TestLeaseholder::start().await;
+    let other = TestLeaseholder::start().await;
+    let addresses = [leaseholder.address, UNREACHABLE_ADDRESS, other.address];
+    let links = plain_links(PeerLinks::new(LONG));
+    let gateway = IsolatedGateway::with_links(other, addresses, links, true);
+    let busy = (0..MAX_FORWARDED).map(|_| gateway.gateway.relay(request(HANGS)));
+    let busy = futures::future::select_all(busy.map(Box::pin));
+    let refused = async {
+        leaseholder.wait_received(MAX_FORWARDED).await;
+        let refused = gateway.gateway.relay(request("x")).await;
+        assert!(matches!(
+            refused.verdict,
+            RequestVerdict::NotRun(refusal) if refusal.cause == RefusalCause::NoLease
+        ));
+        let own = gateway.gateway.execute(request("x")).await;
+        assert!(matches!(own.verdict, RequestVerdict::Ran(_)));
+    };
+    tokio::select! {
+        (reply, _, _) = busy => panic!("{reply:?}"),
+        () = refused => {}
+    }
+    let reply = gateway.gateway.relay(request("x")).await;
+    assert!(matches!(reply.verdict, RequestVerdict::Ran(_)));
+    gateway.stop().await;
+    leaseholder.stop().await;
+}
