Gateway: remember failed connections in advance; report a lost relay

A candidate whose connection attempt failed or hangs was looked at again and again while another one worked. It now counts as failed, and the next one is looked at. Links are opened in advance to three candidates once one works, and to eight before that.

--- a/crates/daemon/src/relay_gateways.rs
+++ b/crates/daemon/src/relay_gateways.rs
@@ -196,19 +196,16 @@
         let Some(address) = peer.and_then(|peer| peer.statements) else {
             return LinkWait::Unreachable;
         };
-        let patience = match waits {
-            true => CONNECT_PATIENCE,
-            false => Duration::ZERO,
-        };
         let links = &self.links.statements;
+        let readiness = links.check_readiness(address, false, Some(CONNECT_PATIENCE));
         let readiness = tokio::select! {
             biased;
-            readiness = links.check_readiness(address, false, Some(patience)) => readiness,
+            readiness = readiness => readiness,
+            () = std::future::ready(()), if !waits => return LinkWait::Abandoned,
             _ = found.changed() => return LinkWait::Abandoned,
         };
         match readiness {
             LinkReadiness::Ready => LinkWait::Ready,
-            LinkReadiness::Pending if !waits => LinkWait::Abandoned,
             LinkReadiness::Pending | LinkReadiness::Down => LinkWait::Unreachable,
         }
     }
@@ -257,6 +254,13 @@
                 self.relays.found.send_modify(|count| *count += 1);
                 log_event!(Level::Info, "relay_found", relay = vm, failed = failed);
             }
+            Some(RelayNews::Lost { failed }) => log_event!(
+                Level::Info,
+                "relay_lost",
+                relay = vm,
+                cause = outcome.as_str(),
+                failed = failed,
+            ),
             Some(RelayNews::NoneLeft { failed }) => log_event!(
                 Level::Warn,
                 "no_relay_left",
--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -56,6 +56,10 @@
 /// of this time statements go to another VM.
 const RECONNECT_WINDOW: Duration = Duration::from_secs(5);
 
+/// How long a failed attempt to connect in advance counts as evidence that the VM is unreachable. It
+/// is shorter than the pause after which a failed gateway is tried again.
+const FAILURE_VALIDITY: Duration = Duration::from_millis(150);
+
 /// The result of a call.
 type CallReply = Result<StatementReply, LinkError>;
 
@@ -85,6 +89,8 @@
 enum LinkState {
     /// There is no connection, and none is being opened.
     Idle,
+    /// An attempt to connect in advance failed at this time, and none is being made now.
+    Failed(ClockTime),
     /// The first connection is being opened since this time.
     Connecting(ClockTime),
     /// Calls can be sent.
@@ -188,7 +194,9 @@
             let seen = *state.borrow_and_update();
             let wait = match (seen, patience) {
                 (LinkState::Open, _) => return LinkReadiness::Ready,
-                (LinkState::Down | LinkState::Idle, _) => return LinkReadiness::Down,
+                (LinkState::Down | LinkState::Idle | LinkState::Failed(_), _) => {
+                    return LinkReadiness::Down;
+                }
                 (LinkState::Suspect, Some(_)) => return LinkReadiness::Pending,
                 (LinkState::Connecting(since), Some(patience)) => {
                     patience.saturating_sub(self.clock.now().since(since))
@@ -240,11 +248,12 @@
         match state {
             LinkState::Open | LinkState::Suspect => return,
             LinkState::Connecting(_) | LinkState::Down if !lasting => return,
-            LinkState::Connecting(_) | LinkState::Down | LinkState::Idle => {}
-        }
-        // Set before the task can see the call, so that it isn't set over the task's result.
-        if state == LinkState::Idle {
-            self.state.send_replace(LinkState::Connecting(now));
+            LinkState::Failed(at) if !lasting && now.since(at) < FAILURE_VALIDITY => return,
+            LinkState::Connecting(_) | LinkState::Down => {}
+            // Set before the task can see the call, so that it isn't set over the task's result.
+            LinkState::Failed(_) | LinkState::Idle => {
+                self.state.send_replace(LinkState::Connecting(now));
+            }
         }
         // The queue is full only if the link is in use.
         let _ = self.calls.try_send(LinkCall::Prepare { lasting });
@@ -350,7 +359,7 @@
                 if wanted {
                     return self.reconnect(calls).await;
                 }
-                self.state.send_replace(LinkState::Idle);
+                self.state.send_replace(LinkState::Failed(self.clock.now()));
                 None
             }
         }
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -12,7 +12,9 @@
 //!
 //! After a failed attempt no statement tries again for [`RETRY_PAUSE`], in which a gateway gets a
 //! dozen statements. For [`RESULT_VALIDITY`] after a failed attempt new sessions are refused; after
-//! that one is accepted as a new attempt. Where another gateway is reached and only the statement's
+//! that one is accepted as a new attempt. Which gateways are tried, and how the pause grows while
+//! all of them fail, is decided in `relay_candidates`; an attempt has failed when all candidates
+//! have. Where another gateway is reached and only the statement's
 //! group has no leaseholder, the pause holds for that group alone.
 
 use crate::ClockTime;
--- a/crates/policy/src/relay_candidates.rs
+++ b/crates/policy/src/relay_candidates.rs
@@ -49,7 +49,7 @@
 /// are cut off and nothing is known, it finds a working one in 998 of 1,000 cases.
 pub const MAX_RELAY_TRIES: usize = 16;
 
-/// The number of candidates to which links are opened in advance.
+/// The number of candidates to which links are opened in advance while none is known to work.
 const PREPARED_LINKS: usize = 8;
 
 /// The number of witnesses that are remembered for a group.
@@ -133,6 +133,11 @@
         /// The number of candidates that have failed so far.
         failed: usize,
     },
+    /// The last working candidate has failed, and others are left to be asked.
+    Lost {
+        /// The number of candidates that have failed so far.
+        failed: usize,
+    },
     /// All candidates have failed.
     NoneLeft {
         /// The number of candidates.
@@ -434,7 +439,7 @@
             return None;
         };
         let due = match &mut self.rounds {
-            Some(rounds) => rounds.take(now),
+            Some(rounds) => rounds.take(now, self.isolation.may_try(now)),
             None => now >= retry_at,
         };
         due.then_some(failed)
@@ -526,10 +531,11 @@
         self.update_rounds(now);
         let failed = self.candidates.iter().filter(|held| held.has_failed());
         let failed = failed.count();
-        if !had_working && self.count_working() > 0 {
-            return Some(RelayNews::Found { failed });
+        match self.count_working() > 0 {
+            true => (!had_working).then_some(RelayNews::Found { failed }),
+            false if had_any && self.have_all_failed() => Some(RelayNews::NoneLeft { failed }),
+            false => had_working.then_some(RelayNews::Lost { failed }),
         }
-        (had_any && self.have_all_failed()).then_some(RelayNews::NoneLeft { failed })
     }
 
     /// Starts or ends the rounds of attempts, as all candidates have failed or one hasn't.
@@ -570,12 +576,16 @@
     }
 
     /// Returns the candidates that statements would be sent to next, to which links should be
-    /// opened in advance; at most [`PREPARED_LINKS`].
+    /// opened in advance: [`WANTED_RELAYS`] if one works, more if none is known to.
     pub fn upcoming(&self) -> Vec<VmName> {
         let wanted = |candidate: &&Candidate| !candidate.has_failed();
         let mut upcoming: Vec<&Candidate> = self.candidates.iter().filter(wanted).collect();
         upcoming.sort_by_key(|candidate| candidate.standing != Standing::Works);
-        let upcoming = upcoming.into_iter().take(PREPARED_LINKS);
+        let count = match self.count_working() {
+            0 => PREPARED_LINKS,
+            working => working.max(WANTED_RELAYS),
+        };
+        let upcoming = upcoming.into_iter().take(count);
         upcoming.map(|candidate| candidate.vm.clone()).collect()
     }
 
@@ -626,9 +636,10 @@
 }
 
 impl RetryRounds {
-    /// Takes one attempt of the present round; returns false if there is none.
-    fn take(&mut self, now: ClockTime) -> bool {
-        if now >= self.next {
+    /// Takes one attempt of the present round, or of a new one if `may_begin` is set; returns false
+    /// if there is none.
+    fn take(&mut self, now: ClockTime, may_begin: bool) -> bool {
+        if now >= self.next && may_begin {
             self.pause = (self.pause * 2).min(LONGEST_ROUND_PAUSE);
             self.next = now + self.pause;
             self.left = CANDIDATES_PER_ROUND;
--- a/crates/policy/tests/relay_candidates.rs
+++ b/crates/policy/tests/relay_candidates.rs
@@ -277,6 +277,35 @@
     }
 }
 
+/// All candidates fail; after the next outage one is found and lost again. Operators must learn of
+/// each change once, however many statements notice it.
+#[test]
+fn changes_are_reported_once() {
+    let mut state = create_state(0);
+    let mut news = Vec::new();
+    for millis in 0..200 {
+        let mut search = search(&led());
+        while let RelayStep::Try(vm) = state.next_step(at(millis), OwnLease::Ended, &mut search) {
+            let outcome = RelayOutcome::Unreachable;
+            news.extend(state.note_outcome(at(millis), &vm, &mut search, outcome));
+        }
+    }
+    assert_eq!(news, [RelayNews::NoneLeft { failed: 62 }]);
+    state.forget();
+    news.clear();
+    for outcome in [RelayOutcome::Forwarded, RelayOutcome::Unreachable] {
+        for _ in 0..5 {
+            let mut search = search(&led());
+            let RelayStep::Try(vm) = state.next_step(at(300), OwnLease::Ended, &mut search) else {
+                panic!("no candidate");
+            };
+            news.extend(state.note_outcome(at(300), &vm, &mut search, outcome));
+        }
+    }
+    let found = RelayNews::Found { failed: 0 };
+    assert_eq!(news, [found, RelayNews::Lost { failed: 1 }]);
+}
+
 /// A lost reply ends dozens of statements at one moment. They must not lengthen the pause of the
 /// candidate as often, or a short break would rule it out for seconds.
 #[test]
