Gateway: ping idle links before writing to them while a cut is suspected

A link that is idle when its other side is cut off stays open, and the first write on it ended in doubt 450 ms later. While this gateway's heartbeats go unanswered, for 2 s after any link fell silent, on detours, and when it forwards for others, a link that has received nothing for 20 ms is pinged first, which takes one round trip.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -311,7 +311,7 @@
         };
         // The asking gateway's statement can go to another gateway instead of waiting here.
         let leaseholder = target.leaseholder;
-        if self.check_link(leaseholder, CONNECT_PATIENCE).await != LinkReadiness::Ready {
+        if self.verify_link(leaseholder).await != LinkReadiness::Ready {
             return self.refuse_relay(request, self.outage_cause());
         }
         let limit = Duration::from_millis(ragwort_types::MAX_DEADLINE_MS);
@@ -513,7 +513,11 @@
             return HandOver::NotAccepted(RefusalCause::NoLeaseholder);
         };
         let leaseholder = target.leaseholder;
-        let readiness = self.check_link(leaseholder, CONNECT_PATIENCE).await;
+        let in_doubt = lease != OwnLease::Held || self.links.statements.saw_silence();
+        let readiness = match in_doubt {
+            true => self.verify_link(leaseholder).await,
+            false => self.check_link(leaseholder, CONNECT_PATIENCE).await,
+        };
         let direct = match readiness {
             LinkReadiness::Pending => HandOver::Unreachable,
             LinkReadiness::Ready | LinkReadiness::Down => {
@@ -556,7 +560,7 @@
         }
         self.connect_relay_gateways();
         for standby in standbys {
-            if self.check_link(*standby, CONNECT_PATIENCE).await == LinkReadiness::Pending {
+            if self.verify_link(*standby).await == LinkReadiness::Pending {
                 continue;
             }
             let relayed = self.hand_over_attempt(attempt, *standby, true).await;
@@ -578,9 +582,13 @@
             return HandOver::Unreachable;
         };
         let links = &self.links.statements;
-        let waiting = links.check_readiness(address, true, None);
-        let waiting = timeout(self.clock.until(attempt.deadline), waiting);
-        match waiting.await {
+        let waiting = async {
+            match links.check_readiness(address, true, None).await {
+                LinkReadiness::Ready => links.verify(address).await,
+                readiness => readiness,
+            }
+        };
+        match timeout(self.clock.until(attempt.deadline), waiting).await {
             Ok(LinkReadiness::Ready) => self.hand_over_attempt(attempt, leaseholder, false).await,
             Ok(LinkReadiness::Pending | LinkReadiness::Down) | Err(_) => HandOver::Unreachable,
         }
@@ -597,6 +605,19 @@
         }
     }
 
+    /// Returns whether a statement to a VM would be sent now and the VM has shown a sign of life
+    /// lately.
+    ///
+    /// An idle link stays open when its other side is cut off. A write that is sent on it ends in
+    /// doubt, while it could have gone another way.
+    async fn verify_link(&self, peer: PeerAddresses) -> LinkReadiness {
+        let readiness = self.check_link(peer, CONNECT_PATIENCE).await;
+        match (readiness, peer.statements) {
+            (LinkReadiness::Ready, Some(address)) => self.links.statements.verify(address).await,
+            (readiness, _) => readiness,
+        }
+    }
+
     /// Says whether all statements of a new session would be refused: this gateway has no lease,
     /// and all gateways through which it could forward have failed lately.
     pub fn is_isolated(&self) -> bool {
--- a/crates/daemon/src/relay_gateways.rs
+++ b/crates/daemon/src/relay_gateways.rs
@@ -197,7 +197,15 @@
             return LinkWait::Unreachable;
         };
         let links = &self.links.statements;
-        let readiness = links.check_readiness(address, false, Some(CONNECT_PATIENCE));
+        let readiness = async {
+            match links
+                .check_readiness(address, false, Some(CONNECT_PATIENCE))
+                .await
+            {
+                LinkReadiness::Ready if waits => links.verify(address).await,
+                readiness => readiness,
+            }
+        };
         let readiness = tokio::select! {
             biased;
             readiness = readiness => readiness,
--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -60,6 +60,15 @@
 /// is shorter than the pause after which a failed gateway is tried again.
 const FAILURE_VALIDITY: Duration = Duration::from_millis(150);
 
+/// How long ago a link must have received something to count as good without a ping: a round trip
+/// and a short statement.
+const RECENT_RECEIPT: Duration = Duration::from_millis(20);
+
+/// How long after a link fell silent all quiet links are pinged before a statement is written to
+/// them. A VM that is cut off notices it at one link after the other: without this, the first
+/// write on each of them would end in doubt.
+const SILENCE_CAUTION: Duration = Duration::from_secs(2);
+
 /// The result of a call.
 type CallReply = Result<StatementReply, LinkError>;
 
@@ -82,6 +91,8 @@
     },
     /// Connects ahead of the first call; if `lasting`, again and again like after a call.
     Prepare { lasting: bool },
+    /// Confirms that the other side has sent something lately, and pings it if it hasn't.
+    Verify(oneshot::Sender<()>),
 }
 
 /// Whether calls can be sent on a link.
@@ -125,6 +136,7 @@
     tasks: Mutex<JoinSet<()>>,
     clock: NodeClock,
     connect_timeout: Duration,
+    last_silence: watch::Sender<Option<ClockTime>>,
 }
 
 impl StatementLinks {
@@ -135,6 +147,7 @@
             tasks: Mutex::default(),
             clock,
             connect_timeout,
+            last_silence: watch::Sender::new(None),
         })
     }
 
@@ -209,6 +222,27 @@
         }
     }
 
+    /// Makes sure that an open link to a VM isn't silent: that something was received on it lately,
+    /// or that a ping is answered in time.
+    pub async fn verify(&self, address: SocketAddr) -> LinkReadiness {
+        let (confirm, confirmed) = oneshot::channel();
+        let call = LinkCall::Verify(confirm);
+        if self.link(address).calls.try_send(call).is_err() {
+            return LinkReadiness::Down;
+        }
+        match timeout(ragwort_policy::LINK_SUSPECT_AFTER, confirmed).await {
+            Ok(Ok(())) => LinkReadiness::Ready,
+            Ok(Err(_)) => LinkReadiness::Down,
+            Err(_) => LinkReadiness::Pending,
+        }
+    }
+
+    /// Says whether a link fell silent lately.
+    pub fn saw_silence(&self) -> bool {
+        let last = *self.last_silence.borrow();
+        last.is_some_and(|last| self.clock.now().since(last) < SILENCE_CAUTION)
+    }
+
     /// Closes all links and joins their tasks.
     pub async fn shut_down(&self) {
         self.links
@@ -230,6 +264,7 @@
                 clock: self.clock,
                 connect_timeout: self.connect_timeout,
                 state: state.clone(),
+                last_silence: self.last_silence.clone(),
             };
             let mut tasks = self.tasks.lock().expect("no holder of this lock panics");
             tasks.spawn(task.run(calls));
@@ -266,6 +301,7 @@
     clock: NodeClock,
     connect_timeout: Duration,
     state: watch::Sender<LinkState>,
+    last_silence: watch::Sender<Option<ClockTime>>,
 }
 
 /// The reason for which a connection ended.
@@ -290,6 +326,8 @@
     unsent: BytesMut,
     received: BytesMut,
     pending: BTreeMap<u64, PendingReply>,
+    /// Those who wait for a sign of life from the other side.
+    verifications: Vec<oneshot::Sender<()>>,
     last_call: u64,
     detector: LinkFailureDetector,
     /// Whether the other side has announced its shutdown; no further calls are sent to it then.
@@ -310,7 +348,7 @@
             };
             loop {
                 self.state.send_replace(LinkState::Open);
-                let end = link.serve(&mut calls, self.clock, &self.state).await;
+                let end = link.serve(&mut calls, &self).await;
                 log_event!(
                     Level::Warn,
                     "statement_link_ended",
@@ -435,6 +473,7 @@
             unsent: BytesMut::new(),
             received: BytesMut::with_capacity(READ_BYTES),
             pending: BTreeMap::new(),
+            verifications: Vec::new(),
             last_call: 0,
             detector: LinkFailureDetector::new(self.clock.now()),
             stopping: false,
@@ -451,6 +490,7 @@
         match self {
             Self::Statement { .. } => true,
             Self::Prepare { lasting } => *lasting,
+            Self::Verify(_) => false,
         }
     }
 }
@@ -482,12 +522,8 @@
     }
 
     /// Sends calls and receives replies until the connection ends.
-    async fn serve(
-        &mut self,
-        calls: &mut mpsc::Receiver<LinkCall>,
-        clock: NodeClock,
-        state: &watch::Sender<LinkState>,
-    ) -> LinkEnd {
+    async fn serve(&mut self, calls: &mut mpsc::Receiver<LinkCall>, task: &LinkTask) -> LinkEnd {
+        let clock = task.clock;
         loop {
             if self.stopping && self.pending.is_empty() {
                 return LinkEnd::Stopped;
@@ -497,7 +533,7 @@
                 Ok(recheck_after) => recheck_after,
                 Err(end) => return end,
             };
-            self.publish_state(now, state);
+            self.publish_state(now, task);
             let awaits_reply = recheck_after.is_some();
             let recheck_after = recheck_after.unwrap_or_default();
             let (mut reader, mut writer) = self.stream.split();
@@ -508,6 +544,9 @@
                         return LinkEnd::Broken;
                     }
                     self.detector.note_received(clock.now());
+                    for waiting in self.verifications.drain(..) {
+                        let _ = waiting.send(());
+                    }
                     if !self.handle_frames() {
                         return LinkEnd::Malformed;
                     }
@@ -534,14 +573,16 @@
     }
 
     /// Publishes whether further calls may be sent.
-    fn publish_state(&self, now: ClockTime, state: &watch::Sender<LinkState>) {
+    fn publish_state(&self, now: ClockTime, task: &LinkTask) {
         let fresh = if self.stopping {
             LinkState::Down
         } else if self.detector.is_suspect(now) {
+            task.last_silence.send_replace(Some(now));
             LinkState::Suspect
         } else {
             LinkState::Open
         };
+        let state = &task.state;
         state.send_if_modified(|held| std::mem::replace(held, fresh) != fresh);
     }
 
@@ -554,10 +595,11 @@
     ///
     /// Returns [`LinkEnd::Silent`] if the ping went unanswered.
     fn check_silence(&mut self, now: ClockTime) -> Result<Option<Duration>, LinkEnd> {
-        let Some((_, oldest)) = self.pending.first_key_value() else {
+        let oldest = self.pending.first_key_value().map(|(_, call)| call.since);
+        let Some(oldest) = oldest.or(self.detector.probed_at()) else {
             return Ok(None);
         };
-        match self.detector.judge(now, oldest.since) {
+        match self.detector.judge(now, oldest) {
             LinkStep::WaitUntil(moment) => Ok(Some(moment.since(now))),
             LinkStep::Probe => {
                 // Encoding can't fail: the frame is far shorter than the length limit.
@@ -572,13 +614,14 @@
         if self.stopping {
             return refuse(call);
         }
-        let LinkCall::Statement {
-            kind,
-            request,
-            reply,
-        } = call
-        else {
-            return;
+        let (kind, request, reply) = match call {
+            LinkCall::Statement {
+                kind,
+                request,
+                reply,
+            } => (kind, request, reply),
+            LinkCall::Verify(confirm) => return self.verify(confirm, now),
+            LinkCall::Prepare { .. } => return,
         };
         // The caller has stopped waiting, so the statement is not run.
         if reply.is_closed() {
@@ -597,6 +640,18 @@
         self.pending.insert(self.last_call, pending);
     }
 
+    fn verify(&mut self, confirm: oneshot::Sender<()>, now: ClockTime) {
+        if self.detector.is_quiet_for(now, RECENT_RECEIPT) {
+            if self.detector.begin_probe(now) {
+                // Encoding can't fail: the frame is far shorter than the length limit.
+                let _ = self.codec.encode(&StatementFrame::Ping, &mut self.unsent);
+            }
+            self.verifications.push(confirm);
+        } else {
+            let _ = confirm.send(());
+        }
+    }
+
     /// Handles all frames that have been received; false if one is invalid.
     fn handle_frames(&mut self) -> bool {
         loop {
@@ -619,6 +674,7 @@
 
     /// Fails all calls that await a reply: their statements may have run.
     fn fail_pending(&mut self) {
+        self.verifications.clear();
         for (_, waiting) in std::mem::take(&mut self.pending) {
             let _ = waiting.reply.send(Err(LinkError::Lost));
         }
--- a/crates/daemon/tests/components/statements.rs
+++ b/crates/daemon/tests/components/statements.rs
@@ -126,6 +126,10 @@
     /// further statements go through a standby and none is written to the silent link, where a
     /// write would end in doubt.
     silent_leaseholder_is_sent_nothing_more => silent_leaseholder_case();
+    /// The gateway that forwarded statements is cut off in turn while the link to it is idle. A write
+    /// must not be sent on the silent link, where it would end in doubt, but go through the other
+    /// gateway.
+    idle_link_is_verified_before_a_write => idle_link_case();
     /// Other gateways ask this one to forward more statements than its bound allows, all to a
     /// leaseholder that doesn't answer. Those above the bound are refused at once with the cause
     /// that sends the asking gateway elsewhere; its own callers' statements go on.
@@ -644,3 +648,29 @@
     gateway.stop().await;
     leaseholder.stop().await;
 }
+
+async fn idle_link_case() {
+    let (first, first_relay) = start_relayed().await;
+    let (second, second_relay) = start_relayed().await;
+    let relays = [&first_relay, &second_relay];
+    let addresses = relays.map(FaultRelay::address);
+    let addresses = [UNREACHABLE_ADDRESS, addresses[0], addresses[1]];
+    let runners = [Arc::clone(&first.runner), Arc::clone(&second.runner)];
+    let count = |index: usize| runners[index].received.load(Ordering::SeqCst);
+    let links = plain_links(PeerLinks::new(LONG));
+    let isolated = IsolatedGateway::with_links(second, addresses, links, false);
+    let done = RequestVerdict::Ran(StatementAnswer::Done(FORWARDED.len() as u64));
+    let reply = isolated.gateway.execute(request(FORWARDED)).await;
+    assert_eq!(reply.verdict, done);
+    let chosen = if count(0) == 1 { 0 } else { 1 };
+    relays[chosen].set_mode(RelayMode::Hang);
+    relays[chosen].silence_connections();
+    tokio::time::sleep(SHORT).await;
+    let reply = isolated.gateway.execute(request(FORWARDED)).await;
+    assert_eq!(reply.verdict, done);
+    assert_eq!((count(chosen), count(1 - chosen)), (1, 1));
+    first_relay.stop().await;
+    second_relay.stop().await;
+    isolated.stop().await;
+    first.stop().await;
+}
--- a/crates/policy/src/link_watch.rs
+++ b/crates/policy/src/link_watch.rs
@@ -64,6 +64,25 @@
         self.probed_at = None;
     }
 
+    /// Returns when the unanswered probe was sent.
+    pub fn probed_at(&self) -> Option<ClockTime> {
+        self.probed_at
+    }
+
+    /// Returns whether nothing was received for at least `span`.
+    pub fn is_quiet_for(&self, now: ClockTime, span: Duration) -> bool {
+        now.since(self.last_received) >= span
+    }
+
+    /// Records that a probe is sent before its time; returns false if one is unanswered already.
+    pub fn begin_probe(&mut self, now: ClockTime) -> bool {
+        let begins = self.probed_at.is_none();
+        if begins {
+            self.probed_at = Some(now);
+        }
+        begins
+    }
+
     /// Returns whether no further calls should be sent, because a probe went unanswered for a while.
     pub fn is_suspect(&self, now: ClockTime) -> bool {
         self.probed_at
--- a/crates/policy/tests/link_watch.rs
+++ b/crates/policy/tests/link_watch.rs
@@ -59,6 +59,24 @@
     assert!(!detector.is_suspect(after(260)));
 }
 
+/// A link has been idle for long when its other side is cut off. A probe that is sent before a
+/// statement must find that out as soon as one that is sent for an unanswered statement, and
+/// several statements must not send a probe each.
+#[test]
+fn idle_link_is_probed_before_it_is_used() {
+    let mut detector = LinkFailureDetector::new(START);
+    let late = after(5_000);
+    assert!(detector.is_quiet_for(late, Duration::from_millis(20)));
+    assert!(detector.begin_probe(late));
+    assert!(!detector.begin_probe(after(5_010)));
+    assert_eq!(detector.probed_at(), Some(late));
+    assert!(detector.is_suspect(after(5_050)));
+    assert_eq!(detector.judge(after(5_250), late), LinkStep::GiveUp);
+    detector.note_received(after(5_251));
+    assert!(!detector.is_quiet_for(after(5_252), Duration::from_millis(20)));
+    assert_eq!(detector.probed_at(), None);
+}
+
 /// A slow statement keeps a link quiet for a second, and the leaseholder answers the probes. If the
 /// link were given up, the outcome of writes that run well would be unknown.
 #[test]
