Gateway: describe statements through working gateways

A cut-off gateway refused every description. It now asks up to three gateways that have forwarded a statement. While the lease is held, links to three candidates are opened in advance rather than eight: the loss of one leaseholder would otherwise open eight links from every gateway.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -398,17 +398,22 @@
     }
 
     async fn try_describe(&self, request: &ShapeRequest, limit: Duration) -> Option<ShapeReply> {
-        if !self.view.borrow().may_serve(self.clock.now()) {
-            return None;
-        }
-        let target = self.find_route(&request.group)?;
-        if let Some(reply) = self.ask_shape(request, target.leaseholder, limit).await {
-            self.end_outage(&request.group);
-            return Some(reply);
-        }
         let mut relayed = request.clone();
         relayed.relay = true;
-        for relay in target.relays {
+        if self.view.borrow().may_serve(self.clock.now()) {
+            let target = self.find_route(&request.group)?;
+            if let Some(reply) = self.ask_shape(request, target.leaseholder, limit).await {
+                self.end_outage(&request.group);
+                return Some(reply);
+            }
+            for standby in target.relays {
+                if let Some(reply) = self.ask_shape(&relayed, standby, limit).await {
+                    return Some(reply);
+                }
+            }
+        }
+        // Other gateways are looked for by statements; a description uses those that they found.
+        for relay in self.find_working_relays() {
             if let Some(reply) = self.ask_shape(&relayed, relay, limit).await {
                 return Some(reply);
             }
@@ -504,7 +509,7 @@
         let lease = self.own_lease();
         self.relays.note_lease(lease);
         if lease != OwnLease::Held {
-            self.connect_relay_gateways();
+            self.connect_relay_gateways(lease);
         }
         if lease == OwnLease::Ended {
             return self.relay_through_gateways(attempt, lease).await;
@@ -558,7 +563,7 @@
         for address in standbys.iter().filter_map(|standby| standby.statements) {
             self.links.statements.prepare(address, true);
         }
-        self.connect_relay_gateways();
+        self.connect_relay_gateways(lease);
         for standby in standbys {
             if self.verify_link(*standby).await == LinkReadiness::Pending {
                 continue;
--- a/crates/daemon/src/relay_gateways.rs
+++ b/crates/daemon/src/relay_gateways.rs
@@ -20,6 +20,7 @@
 use ragwort_policy::RelayOutcome;
 use ragwort_policy::RelaySearch;
 use ragwort_policy::RelayStep;
+use ragwort_policy::WANTED_RELAYS;
 use ragwort_types::DomainName;
 use ragwort_types::MemberRecord;
 use ragwort_types::RefusalCause;
@@ -178,7 +179,7 @@
                 self.note_relay_outcome(&mut trial, &mut search, outcome);
             }
             if outcome == Some(RelayOutcome::Unreachable) {
-                self.connect_relay_gateways();
+                self.connect_relay_gateways(lease);
             }
             if !attempt.may_go_on(&taken) {
                 return taken;
@@ -280,11 +281,23 @@
         }
     }
 
+    /// Returns the addresses of some gateways that forward this gateway's statements.
+    pub(crate) fn find_working_relays(&self) -> Vec<PeerAddresses> {
+        // The view isn't borrowed under this lock, which is taken while the view is borrowed
+        // elsewhere.
+        let working: Vec<VmName> = {
+            let candidates = &self.relays.state().candidates;
+            candidates.working().take(WANTED_RELAYS).cloned().collect()
+        };
+        let addresses = working.iter().filter_map(|vm| self.find_member(vm));
+        addresses.collect()
+    }
+
     /// Opens links to the gateways that would be asked next, so that a statement doesn't wait for a
     /// connection.
-    pub(crate) fn connect_relay_gateways(&self) {
+    pub(crate) fn connect_relay_gateways(&self, lease: OwnLease) {
         self.relays.update(&self.view.borrow());
-        let upcoming = self.relays.state().candidates.upcoming();
+        let upcoming = self.relays.state().candidates.upcoming(lease);
         for vm in upcoming {
             if let Some(address) = self.find_member(&vm).and_then(|peer| peer.statements) {
                 self.links.statements.prepare(address, false);
--- a/crates/daemon/tests/components/statements.rs
+++ b/crates/daemon/tests/components/statements.rs
@@ -6,6 +6,8 @@
 use crate::bench::create_view_with;
 use crate::bench::plain_links;
 use crate::cases::wait_until;
+use crate::peer::FakePeer;
+use crate::peer::PeerScript;
 use async_trait::async_trait;
 use bytes::BytesMut;
 use ragwort_lab::relay::FaultRelay;
@@ -16,7 +18,10 @@
 use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
+use ragwort_types::ShapeOutcome;
+use ragwort_types::ShapeRequest;
 use ragwort_types::StatementAnswer;
+use ragwort_types::StatementId;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
 use ragwortgated::clock::NodeClock;
@@ -130,6 +135,9 @@
     /// must not be sent on the silent link, where it would end in doubt, but go through the other
     /// gateway.
     idle_link_is_verified_before_a_write => idle_link_case();
+    /// A driver prepares a statement at a cut-off gateway. Its description goes through a gateway that
+    /// forwarded a statement before; refused, the driver could run nothing.
+    description_goes_through_a_working_gateway => relayed_description_case();
     /// Other gateways ask this one to forward more statements than its bound allows, all to a
     /// leaseholder that doesn't answer. Those above the bound are refused at once with the cause
     /// that sends the asking gateway elsewhere; its own callers' statements go on.
@@ -674,3 +682,40 @@
     isolated.stop().await;
     first.stop().await;
 }
+
+async fn relayed_description_case() {
+    let peer = FakePeer::start(PeerScript::Reply(RequestVerdict::Ran(
+        StatementAnswer::Done(0),
+    )))
+    .await;
+    let other = TestLeaseholder::start().await;
+    let links = plain_links(PeerLinks::new(LONG));
+    let peers = [UNREACHABLE_ADDRESS, UNREACHABLE_ADDRESS, peer.address];
+    let statements = [UNREACHABLE_ADDRESS, UNREACHABLE_ADDRESS, other.address];
+    let record = create_record("vm-1", 1);
+    let view = create_view_with(peers, statements.map(Some), &record, false);
+    let (_view, views) = watch::channel(view);
+    let gateway = Gateway::new(NodeClock::start(), links.clone(), views, HOUR);
+    let describe = || {
+        gateway.describe(ShapeRequest {
+            id: StatementId::fresh(),
+            customer: "omuti".into(),
+            session: "clerk".into(),
+            group: "cases".into(),
+            text: "get $1".to_owned(),
+            transaction: None,
+            spent_ms: 0,
+            relay: false,
+        })
+    };
+    let early = describe().await;
+    assert!(matches!(early.outcome, ShapeOutcome::Refused(_)));
+    let reply = gateway.execute(request(FORWARDED)).await;
+    assert!(matches!(reply.verdict, RequestVerdict::Ran(_)));
+    let late = describe().await;
+    assert!(matches!(late.outcome, ShapeOutcome::Known(_)), "{late:?}");
+    assert!(peer.received().iter().all(|call| call.relayed));
+    links.statements.shut_down().await;
+    peer.stop().await;
+    other.stop().await;
+}
--- a/crates/policy/src/relay_candidates.rs
+++ b/crates/policy/src/relay_candidates.rs
@@ -576,22 +576,25 @@
     }
 
     /// Returns the candidates that statements would be sent to next, to which links should be
-    /// opened in advance: [`WANTED_RELAYS`] if one works, more if none is known to.
-    pub fn upcoming(&self) -> Vec<VmName> {
+    /// opened in advance: [`WANTED_RELAYS`] if one works or the lease is held, as when only one
+    /// leaseholder is lost; more if this gateway may be cut off and no candidate is known to work.
+    pub fn upcoming(&self, lease: OwnLease) -> Vec<VmName> {
         let wanted = |candidate: &&Candidate| !candidate.has_failed();
         let mut upcoming: Vec<&Candidate> = self.candidates.iter().filter(wanted).collect();
         upcoming.sort_by_key(|candidate| candidate.standing != Standing::Works);
         let count = match self.count_working() {
-            0 => PREPARED_LINKS,
+            0 if lease != OwnLease::Held => PREPARED_LINKS,
             working => working.max(WANTED_RELAYS),
         };
         let upcoming = upcoming.into_iter().take(count);
         upcoming.map(|candidate| candidate.vm.clone()).collect()
     }
 
-    /// Returns whether a candidate works.
-    pub fn has_working(&self) -> bool {
-        self.count_working() > 0
+    /// Returns the candidates that work.
+    pub fn working(&self) -> impl Iterator<Item = &VmName> {
+        let works = |candidate: &&Candidate| candidate.standing == Standing::Works;
+        let working = self.candidates.iter().filter(works);
+        working.map(|candidate| &candidate.vm)
     }
 
     /// Returns whether all statements of a new session would be refused: all candidates have
@@ -610,8 +613,7 @@
     }
 
     fn count_working(&self) -> usize {
-        let works = |candidate: &&Candidate| candidate.standing == Standing::Works;
-        self.candidates.iter().filter(works).count()
+        self.working().count()
     }
 
     fn find(&mut self, vm: &VmName) -> Option<&mut Candidate> {
--- a/crates/policy/tests/relay_candidates.rs
+++ b/crates/policy/tests/relay_candidates.rs
@@ -249,7 +249,7 @@
             .unwrap();
         assert_ne!(domain(index), domain(own));
         assert_eq!(tried.len(), 1);
-        let upcoming = state.upcoming();
+        let upcoming = state.upcoming(OwnLease::Ended);
         let domains: BTreeSet<_> = upcoming[..3]
             .iter()
             .map(|vm| vm.as_str().trim_start_matches("gateway-").parse().unwrap())
@@ -501,7 +501,7 @@
     };
     assert_eq!(left, used);
     state.set_candidates([(&used, &domain(1))].into_iter());
-    assert!(state.has_working());
+    assert!(state.working().eq([&used]));
     state.set_candidates(std::iter::empty());
     let outcome = RelayOutcome::Unreachable;
     assert_eq!(
