--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 use ragwort_policy::LevelCounts;
 use ragwort_policy::PoolMissAction;
+use ragwort_policy::RelayOutcome;
 use ragwort_types::CatalogRevision;
 use ragwort_types::GroupName;
 use ragwort_types::GroupTerm;
@@ -67,13 +68,13 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PurposeLabels {
-    purpose: &'static str,
+struct OutcomeLabels {
+    outcome: &'static str,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct OutcomeLabels {
-    outcome: &'static str,
+struct PurposeLabels {
+    purpose: &'static str,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -138,6 +139,8 @@
     descriptor_limit: Gauge,
     shortages: Counter,
     account_operations: Family<OutcomeLabels, Counter>,
+    relay_tries: Family<OutcomeLabels, Counter>,
+    relayed: Family<OutcomeLabels, Counter>,
 }
 
 impl Default for DaemonMetrics {
@@ -179,6 +182,8 @@
             descriptor_limit: Gauge::default(),
             shortages: Counter::default(),
             account_operations: Family::default(),
+            relay_tries: Family::default(),
+            relayed: Family::default(),
         };
         metrics.registry = Arc::new(metrics.register_all());
         metrics
@@ -289,6 +294,16 @@
             "Operations of accounts with a limit, by how the limit decided",
             self.account_operations.clone(),
         );
+        registry.register(
+            "relay_tries",
+            "Tries to forward a statement through another gateway, by outcome",
+            self.relay_tries.clone(),
+        );
+        registry.register(
+            "relayed_statements",
+            "Statements that other gateways asked this one to forward, by outcome",
+            self.relayed.clone(),
+        );
         registry
     }
 
@@ -509,6 +524,23 @@
         self.invariant_failures.get_or_create(&labels).inc();
     }
 
+    /// Counts a try to forward a statement through another gateway.
+    pub(crate) fn count_relay_outcome(&self, outcome: RelayOutcome) {
+        let outcome = outcome.as_str();
+        self.relay_tries
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts a statement that another gateway asked this one to forward.
+    pub(crate) fn count_relayed(&self, forwarded: bool) {
+        let outcome = match forwarded {
+            true => "forwarded",
+            false => "refused",
+        };
+        self.relayed.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn to_text(&self) -> String {
         let seen = self.shortages.get();
