--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -35,6 +35,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -55,6 +56,19 @@
 /// of this time statements go to another VM.
 const RECONNECT_WINDOW: Duration = Duration::from_secs(5);
 
+/// How long a failed attempt to connect in advance counts as evidence that the VM is unreachable. It
+/// is shorter than the pause after which a failed gateway is tried again.
+const FAILURE_VALIDITY: Duration = Duration::from_millis(150);
+
+/// How long ago a link must have received something to count as good without a ping: a round trip
+/// and a short statement.
+const RECENT_RECEIPT: Duration = Duration::from_millis(20);
+
+/// How long after a link fell silent all quiet links are pinged before a statement is written to
+/// them. A VM that is cut off notices it at one link after the other: without this, the first
+/// write on each of them would end in doubt.
+const SILENCE_CAUTION: Duration = Duration::from_secs(2);
+
 /// The result of a call.
 type CallReply = Result<StatementReply, LinkError>;
 
@@ -75,16 +89,54 @@
         request: Box<StatementRequest>,
         reply: oneshot::Sender<CallReply>,
     },
-    /// Connects ahead of the first call.
-    Prepare,
+    /// Connects ahead of the first call; if `lasting`, again and again like after a call.
+    Prepare { lasting: bool },
+    /// Confirms that the other side has sent something lately, and pings it if it hasn't.
+    Verify(oneshot::Sender<()>),
+}
+
+/// Whether calls can be sent on a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkState {
+    /// There is no connection, and none is being opened.
+    Idle,
+    /// An attempt to connect in advance failed at this time, and none is being made now.
+    Failed(ClockTime),
+    /// The first connection is being opened since this time.
+    Connecting(ClockTime),
+    /// Calls can be sent.
+    Open,
+    /// A ping on the connection is unanswered, so calls are held back from it.
+    Suspect,
+    /// There is no connection; new ones are attempted and calls are refused meanwhile.
+    Down,
+}
+
+/// Whether a call on a link would be sent at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkReadiness {
+    /// It would be sent.
+    Ready,
+    /// It would wait for a connection, or for the other side to break its silence.
+    Pending,
+    /// It would be refused.
+    Down,
+}
+
+/// The sender's end of a link.
+#[derive(Clone)]
+struct LinkHandle {
+    calls: mpsc::Sender<LinkCall>,
+    state: watch::Sender<LinkState>,
 }
 
 /// The links of one gateway, by the leaseholders' addresses for statement links.
 pub struct StatementLinks {
-    links: Mutex<HashMap<SocketAddr, mpsc::Sender<LinkCall>>>,
+    links: Mutex<HashMap<SocketAddr, LinkHandle>>,
     tasks: Mutex<JoinSet<()>>,
     clock: NodeClock,
     connect_timeout: Duration,
+    last_silence: watch::Sender<Option<ClockTime>>,
 }
 
 impl StatementLinks {
@@ -95,6 +147,7 @@
             tasks: Mutex::default(),
             clock,
             connect_timeout,
+            last_silence: watch::Sender::new(None),
         })
     }
 
@@ -117,7 +170,7 @@
             request: Box::new(request),
             reply,
         };
-        if self.link(address).try_send(call).is_err() {
+        if self.link(address).calls.try_send(call).is_err() {
             return Err(LinkError::Unreachable);
         }
         match timeout(limit, answer).await {
@@ -127,9 +180,67 @@
     }
 
     /// Starts to connect to a VM ahead of the first call, unless there is a connection already.
-    pub fn prepare(&self, address: SocketAddr) {
-        // The queue is full only if the link is in use.
-        let _ = self.link(address).try_send(LinkCall::Prepare);
+    ///
+    /// If this fails and `lasting` is set, the link goes on trying as it does after a call.
+    pub fn prepare(&self, address: SocketAddr, lasting: bool) {
+        self.link(address).prepare(self.clock.now(), lasting);
+    }
+
+    /// Waits until a call to a VM would be sent or refused at once, but no longer than until the
+    /// attempt to connect has lasted for `patience`. Nothing is sent but what opens a connection.
+    ///
+    /// A link that is silent counts as pending at once; `None` waits for the end of its silence and
+    /// for the end of the attempt to connect.
+    pub async fn check_readiness(
+        &self,
+        address: SocketAddr,
+        lasting: bool,
+        patience: Option<Duration>,
+    ) -> LinkReadiness {
+        let link = self.link(address);
+        if *link.state.borrow() == LinkState::Open {
+            return LinkReadiness::Ready;
+        }
+        link.prepare(self.clock.now(), lasting);
+        let mut state = link.state.subscribe();
+        loop {
+            let seen = *state.borrow_and_update();
+            let wait = match (seen, patience) {
+                (LinkState::Open, _) => return LinkReadiness::Ready,
+                (LinkState::Down | LinkState::Idle | LinkState::Failed(_), _) => {
+                    return LinkReadiness::Down;
+                }
+                (LinkState::Suspect, Some(_)) => return LinkReadiness::Pending,
+                (LinkState::Connecting(since), Some(patience)) => {
+                    patience.saturating_sub(self.clock.now().since(since))
+                }
+                (LinkState::Connecting(_) | LinkState::Suspect, None) => self.connect_timeout,
+            };
+            if !matches!(timeout(wait, state.changed()).await, Ok(Ok(()))) {
+                return LinkReadiness::Pending;
+            }
+        }
+    }
+
+    /// Makes sure that an open link to a VM isn't silent: that something was received on it lately,
+    /// or that a ping is answered in time.
+    pub async fn verify(&self, address: SocketAddr) -> LinkReadiness {
+        let (confirm, confirmed) = oneshot::channel();
+        let call = LinkCall::Verify(confirm);
+        if self.link(address).calls.try_send(call).is_err() {
+            return LinkReadiness::Down;
+        }
+        match timeout(ragwort_policy::LINK_SUSPECT_AFTER, confirmed).await {
+            Ok(Ok(())) => LinkReadiness::Ready,
+            Ok(Err(_)) => LinkReadiness::Down,
+            Err(_) => LinkReadiness::Pending,
+        }
+    }
+
+    /// Says whether a link fell silent lately.
+    pub fn saw_silence(&self) -> bool {
+        let last = *self.last_silence.borrow();
+        last.is_some_and(|last| self.clock.now().since(last) < SILENCE_CAUTION)
     }
 
     /// Closes all links and joins their tasks.
@@ -143,28 +254,54 @@
         while tasks.join_next().await.is_some() {}
     }
 
-    fn link(&self, address: SocketAddr) -> mpsc::Sender<LinkCall> {
+    fn link(&self, address: SocketAddr) -> LinkHandle {
         let mut links = self.links.lock().expect("no holder of this lock panics");
         let link = links.entry(address).or_insert_with(|| {
             let (sender, calls) = mpsc::channel(CALL_QUEUE_CAPACITY);
+            let (state, _) = watch::channel(LinkState::Idle);
             let task = LinkTask {
                 address,
                 clock: self.clock,
                 connect_timeout: self.connect_timeout,
+                state: state.clone(),
+                last_silence: self.last_silence.clone(),
             };
             let mut tasks = self.tasks.lock().expect("no holder of this lock panics");
             tasks.spawn(task.run(calls));
-            sender
+            LinkHandle {
+                calls: sender,
+                state,
+            }
         });
         link.clone()
     }
 }
 
+impl LinkHandle {
+    fn prepare(&self, now: ClockTime, lasting: bool) {
+        let state = *self.state.borrow();
+        match state {
+            LinkState::Open | LinkState::Suspect => return,
+            LinkState::Connecting(_) | LinkState::Down if !lasting => return,
+            LinkState::Failed(at) if !lasting && now.since(at) < FAILURE_VALIDITY => return,
+            LinkState::Connecting(_) | LinkState::Down => {}
+            // Set before the task can see the call, so that it isn't set over the task's result.
+            LinkState::Failed(_) | LinkState::Idle => {
+                self.state.send_replace(LinkState::Connecting(now));
+            }
+        }
+        // The queue is full only if the link is in use.
+        let _ = self.calls.try_send(LinkCall::Prepare { lasting });
+    }
+}
+
 /// The task of one link, which owns its connection.
 struct LinkTask {
     address: SocketAddr,
     clock: NodeClock,
     connect_timeout: Duration,
+    state: watch::Sender<LinkState>,
+    last_silence: watch::Sender<Option<ClockTime>>,
 }
 
 /// The reason for which a connection ended.
@@ -189,6 +326,8 @@
     unsent: BytesMut,
     received: BytesMut,
     pending: BTreeMap<u64, PendingReply>,
+    /// Those who wait for a sign of life from the other side.
+    verifications: Vec<oneshot::Sender<()>>,
     last_call: u64,
     detector: LinkFailureDetector,
     /// Whether the other side has announced its shutdown; no further calls are sent to it then.
@@ -208,7 +347,8 @@
                 continue;
             };
             loop {
-                let end = link.serve(&mut calls, self.clock).await;
+                self.state.send_replace(LinkState::Open);
+                let end = link.serve(&mut calls, &self).await;
                 log_event!(
                     Level::Warn,
                     "statement_link_ended",
@@ -234,6 +374,8 @@
         call: LinkCall,
         calls: &mut mpsc::Receiver<LinkCall>,
     ) -> Option<OpenLink> {
+        self.state
+            .send_replace(LinkState::Connecting(self.clock.now()));
         match self.connect().await {
             Ok(mut link) => {
                 link.queue_call(call, self.clock.now());
@@ -246,8 +388,17 @@
                     peer = self.address,
                     cause = error,
                 );
+                let mut wanted = call.is_wanted();
                 refuse(call);
-                self.reconnect(calls).await
+                while let Ok(call) = calls.try_recv() {
+                    wanted |= call.is_wanted();
+                    refuse(call);
+                }
+                if wanted {
+                    return self.reconnect(calls).await;
+                }
+                self.state.send_replace(LinkState::Failed(self.clock.now()));
+                None
             }
         }
     }
@@ -257,6 +408,15 @@
     /// Held until the attempt timed out, a call would lose time in which the next leaseholder could
     /// serve it.
     async fn reconnect(&self, calls: &mut mpsc::Receiver<LinkCall>) -> Option<OpenLink> {
+        self.state.send_replace(LinkState::Down);
+        let link = self.try_reconnecting(calls).await;
+        if link.is_none() {
+            self.state.send_replace(LinkState::Idle);
+        }
+        link
+    }
+
+    async fn try_reconnecting(&self, calls: &mut mpsc::Receiver<LinkCall>) -> Option<OpenLink> {
         let mut last_wanted = Instant::now();
         while last_wanted.elapsed() < RECONNECT_WINDOW {
             let connecting = self.connect();
@@ -265,8 +425,11 @@
                 tokio::select! {
                     link = &mut connecting => break link,
                     call = calls.recv() => {
-                        refuse(call?);
-                        last_wanted = Instant::now();
+                        let call = call?;
+                        if call.is_wanted() {
+                            last_wanted = Instant::now();
+                        }
+                        refuse(call);
                     }
                 }
             };
@@ -280,8 +443,11 @@
                 tokio::select! {
                     () = &mut pause => break,
                     call = calls.recv() => {
-                        refuse(call?);
-                        last_wanted = Instant::now();
+                        let call = call?;
+                        if call.is_wanted() {
+                            last_wanted = Instant::now();
+                        }
+                        refuse(call);
                     }
                 }
             }
@@ -307,6 +473,7 @@
             unsent: BytesMut::new(),
             received: BytesMut::with_capacity(READ_BYTES),
             pending: BTreeMap::new(),
+            verifications: Vec::new(),
             last_call: 0,
             detector: LinkFailureDetector::new(self.clock.now()),
             stopping: false,
@@ -317,6 +484,17 @@
     }
 }
 
+impl LinkCall {
+    /// Returns whether the link should go on trying to connect for this call's sake.
+    fn is_wanted(&self) -> bool {
+        match self {
+            Self::Statement { .. } => true,
+            Self::Prepare { lasting } => *lasting,
+            Self::Verify(_) => false,
+        }
+    }
+}
+
 /// Fails a call that was not written to any connection.
 fn refuse(call: LinkCall) {
     if let LinkCall::Statement { reply, .. } = call {
@@ -344,7 +522,8 @@
     }
 
     /// Sends calls and receives replies until the connection ends.
-    async fn serve(&mut self, calls: &mut mpsc::Receiver<LinkCall>, clock: NodeClock) -> LinkEnd {
+    async fn serve(&mut self, calls: &mut mpsc::Receiver<LinkCall>, task: &LinkTask) -> LinkEnd {
+        let clock = task.clock;
         loop {
             if self.stopping && self.pending.is_empty() {
                 return LinkEnd::Stopped;
@@ -354,6 +533,7 @@
                 Ok(recheck_after) => recheck_after,
                 Err(end) => return end,
             };
+            self.publish_state(now, task);
             let awaits_reply = recheck_after.is_some();
             let recheck_after = recheck_after.unwrap_or_default();
             let (mut reader, mut writer) = self.stream.split();
@@ -364,6 +544,9 @@
                         return LinkEnd::Broken;
                     }
                     self.detector.note_received(clock.now());
+                    for waiting in self.verifications.drain(..) {
+                        let _ = waiting.send(());
+                    }
                     if !self.handle_frames() {
                         return LinkEnd::Malformed;
                     }
@@ -389,6 +572,20 @@
         }
     }
 
+    /// Publishes whether further calls may be sent.
+    fn publish_state(&self, now: ClockTime, task: &LinkTask) {
+        let fresh = if self.stopping {
+            LinkState::Down
+        } else if self.detector.is_suspect(now) {
+            task.last_silence.send_replace(Some(now));
+            LinkState::Suspect
+        } else {
+            LinkState::Open
+        };
+        let state = &task.state;
+        state.send_if_modified(|held| std::mem::replace(held, fresh) != fresh);
+    }
+
     /// Checks how long the other side has been silent while it owes replies, and pings it if need
     /// be.
     ///
@@ -398,15 +595,16 @@
     ///
     /// Returns [`LinkEnd::Silent`] if the ping went unanswered.
     fn check_silence(&mut self, now: ClockTime) -> Result<Option<Duration>, LinkEnd> {
-        let Some((_, oldest)) = self.pending.first_key_value() else {
+        let oldest = self.pending.first_key_value().map(|(_, call)| call.since);
+        let Some(oldest) = oldest.or(self.detector.probed_at()) else {
             return Ok(None);
         };
-        match self.detector.judge(now, oldest.since) {
+        match self.detector.judge(now, oldest) {
             LinkStep::WaitUntil(moment) => Ok(Some(moment.since(now))),
             LinkStep::Probe => {
                 // Encoding can't fail: the frame is far shorter than the length limit.
                 let _ = self.codec.encode(&StatementFrame::Ping, &mut self.unsent);
-                Ok(Some(ragwort_policy::LINK_PROBE_TIMEOUT))
+                Ok(Some(ragwort_policy::LINK_SUSPECT_AFTER))
             }
             LinkStep::GiveUp => Err(LinkEnd::Silent),
         }
@@ -416,13 +614,14 @@
         if self.stopping {
             return refuse(call);
         }
-        let LinkCall::Statement {
-            kind,
-            request,
-            reply,
-        } = call
-        else {
-            return;
+        let (kind, request, reply) = match call {
+            LinkCall::Statement {
+                kind,
+                request,
+                reply,
+            } => (kind, request, reply),
+            LinkCall::Verify(confirm) => return self.verify(confirm, now),
+            LinkCall::Prepare { .. } => return,
         };
         // The caller has stopped waiting, so the statement is not run.
         if reply.is_closed() {
@@ -441,6 +640,18 @@
         self.pending.insert(self.last_call, pending);
     }
 
+    fn verify(&mut self, confirm: oneshot::Sender<()>, now: ClockTime) {
+        if self.detector.is_quiet_for(now, RECENT_RECEIPT) {
+            if self.detector.begin_probe(now) {
+                // Encoding can't fail: the frame is far shorter than the length limit.
+                let _ = self.codec.encode(&StatementFrame::Ping, &mut self.unsent);
+            }
+            self.verifications.push(confirm);
+        } else {
+            let _ = confirm.send(());
+        }
+    }
+
     /// Handles all frames that have been received; false if one is invalid.
     fn handle_frames(&mut self) -> bool {
         loop {
@@ -463,6 +674,7 @@
 
     /// Fails all calls that await a reply: their statements may have run.
     fn fail_pending(&mut self) {
+        self.verifications.clear();
         for (_, waiting) in std::mem::take(&mut self.pending) {
             let _ = waiting.reply.send(Err(LinkError::Lost));
         }
