--- a/crates/policy/src/operation_cost.rs
+++ b/crates/policy/src/operation_cost.rs
@@ -26,9 +26,8 @@
 /// classes up to 256 ms and more tell apart.
 const FIRST_CLASS_MICROS: u64 = 4_000;
 
-/// The assumed slot time of the rest of a transaction, in runs of its first request, before one was
-/// measured. In a trial with a primary asked for twice its capacity, counting a transaction as five
-/// statements lost fewer requests than counting it as one.
+/// The assumed slot time of the rest of a transaction, in runs of its first request, before one has
+/// ended. With a lower value, transactions would take the place of single requests until then.
 const PRIOR_REST_RUNS: u32 = 4;
 
 /// The mean moves towards each sample by the error divided by this, as that of run times does.
