Minimum shares: a shorter run lifts no class above its share

A charge is cut off at a limit, but all of it was returned when the run ended sooner than expected. After a few rejected or short runs a lower level went before the first one, for all free slots. Found in a review; the new test fails without the change.

--- a/crates/policy/src/minimum_shares.rs
+++ b/crates/policy/src/minimum_shares.rs
@@ -67,9 +67,19 @@
     }
 
     /// Replaces the charge for an expected run by that for the actual run.
+    ///
+    /// What is returned for a shorter run never lifts a class above its share: a part of the charge
+    /// may not have counted.
     pub(crate) fn correct(&mut self, class: usize, expected: Duration, actual: Duration) {
         let missing = credit_micros(actual) - credit_micros(expected);
-        self.pay(class, missing * CREDIT_PER_MICRO);
+        let amount = missing * CREDIT_PER_MICRO;
+        if amount >= 0 {
+            return self.pay(class, amount);
+        }
+        let limit = self.percent * credit_micros(RECENT_SLOT_TIME);
+        let credit = self.credits[class];
+        let most = if credit > 0 { limit } else { 0 };
+        self.credits[class] = (credit - amount).min(most.max(credit));
     }
 
     /// Takes an amount from the credit of a class.
--- a/crates/policy/tests/hard_load.rs
+++ b/crates/policy/tests/hard_load.rs
@@ -292,3 +292,29 @@
     let levels = primary.scheduler.snapshot(primary.now).levels;
     assert!(levels[1].counts.dispatched_late > 0);
 }
+
+/// Runs of a lower level end far sooner than expected while it has used more than its share. The
+/// time that is returned must not lift it above its share, where it would go before the first level.
+#[test]
+fn shorter_runs_lift_no_level_above_its_share() {
+    let mut primary = BusyPrimary::new([None; 3]);
+    let low = steady("holds", Some(1), 60);
+    primary.saturate(&[low], Duration::from_secs(3));
+    for _ in 0..6 {
+        primary.arrive(low, 1_000, 1_200);
+        for end in &mut primary.ends {
+            end.0 = primary.now;
+        }
+        primary.step();
+    }
+    let first = steady("checkout", Some(0), 10);
+    for _ in 0..40 {
+        primary.arrive(first, 1_000, 1_200);
+        primary.arrive(low, 1_000, 1_200);
+    }
+    primary.served.clear();
+    for _ in 0..4 {
+        primary.step();
+    }
+    assert_eq!(primary.served.keys().collect::<Vec<_>>(), [&"checkout"]);
+}
