Rejected requests come back to their endpoint; abandoned ones release their connections

A rejected read stayed away from its endpoint for good. With the other slots held, or the other endpoint unreachable, it was refused while the endpoint's slots were idle. It now comes back after 50 ms, and an endpoint without usable connections isn't a way out.

An opening statement whose caller had gone, and that was then rejected, kept its place among the customer's transactions until the endpoint was lost (so it was before).

--- a/crates/policy/src/catch_up.rs
+++ b/crates/policy/src/catch_up.rs
@@ -66,7 +66,7 @@
         now: ClockTime,
         request: &WaitingRequest,
     ) -> bool {
-        let (profile, avoided) = (&request.profile, &request.rejected_by);
+        let (profile, avoided) = (&request.profile, request.avoided(now));
         let estimate = scheduler.estimates.get(request.kind);
         let waits = self.free.is_some()
             && self.reads.len() < MAX_COMPARED_READS
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -9,8 +9,9 @@
 //! # Approach
 //!
 //! Each sharer's requests are kept in lanes: those of a customer, or of all contracts of a share
-//! group. Within a lane they are ordered by least slack: by the latest time at which they can start, which is the deadline less the expected run. Ordering
-//! by the deadline alone would leave a long job behind all short ones until it is too late for it.
+//! group. Within a lane they are ordered by least slack: by the latest time at which they can
+//! start, which is the deadline less the expected run. Ordering by the deadline alone would leave a
+//! long job behind all short ones until it is too late for it.
 //! While both wait, three urgent requests are served for each ordinary one: urgent work never waits
 //! for more than one ordinary run, and ordinary work keeps a quarter of the slots.
 
@@ -83,6 +84,10 @@
     }
 }
 
+/// How long a request stays away from an instance that rejected or failed it: a few short runs, in
+/// which another instance usually has a slot for it.
+const AVOIDANCE_TIME: Duration = Duration::from_millis(50);
+
 /// A waiting request.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingRequest {
@@ -114,7 +119,7 @@
     pub(crate) attempts: u32,
     /// The number of those that an endpoint rejected.
     pub(crate) rejections: u32,
-    /// The instances that rejected or failed it and that it stays away from.
+    /// The instances that rejected or failed it.
     pub(crate) rejected_by: Vec<InstanceName>,
     /// Whether it is served late from leftover slot time rather than refused, as long as it can
     /// meet its deadline.
@@ -122,6 +127,16 @@
 }
 
 impl WaitingRequest {
+    /// Returns the instances that the request stays away from at a moment.
+    ///
+    /// It comes back to them after [`AVOIDANCE_TIME`]: the others may have no slot for it.
+    pub(crate) fn avoided(&self, now: ClockTime) -> &[InstanceName] {
+        match now.since(self.arrived) < AVOIDANCE_TIME {
+            true => &self.rejected_by,
+            false => &[],
+        }
+    }
+
     /// Returns the time by which the request should end: its target while it can be met, otherwise
     /// its deadline.
     pub(crate) fn due(&self) -> ClockTime {
--- a/crates/policy/src/redispatch.rs
+++ b/crates/policy/src/redispatch.rs
@@ -21,6 +21,7 @@
 use crate::RequestTicket;
 use crate::admission::misses_deadline;
 use crate::endpoints::EndpointRecord;
+use crate::forecast::is_in_rotation;
 use crate::plan::DispatchPlan;
 use crate::queue::WaitingRequest;
 use crate::routing::ServingFitness;
@@ -188,11 +189,12 @@
     /// Returns whether a request stays away from an instance because the instance has rejected it
     /// and another one may serve it.
     pub(crate) fn is_avoided(&self, request: &WaitingRequest, record: &EndpointRecord) -> bool {
-        if !is_rejected_by(&request.rejected_by, record) {
+        let avoided = request.avoided(self.input.now);
+        if !is_rejected_by(avoided, record) {
             return false;
         }
         let records = self.input.endpoints.records().iter();
-        let mut others = records.filter(|other| !is_rejected_by(&request.rejected_by, other));
+        let mut others = records.filter(|other| !is_rejected_by(avoided, other));
         others.any(|other| may_serve(other, request, self.input.now))
     }
 }
@@ -203,5 +205,6 @@
 }
 
 fn may_serve(record: &EndpointRecord, request: &WaitingRequest, now: ClockTime) -> bool {
-    judge_fitness(record, &request.profile, now) == ServingFitness::Ready
+    let reachable = is_in_rotation(record) && record.usable_connections() > 0;
+    reachable && judge_fitness(record, &request.profile, now) == ServingFitness::Ready
 }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -289,12 +289,15 @@
         let record = self.endpoints.get(&dispatched.instance);
         let trial = record.is_some_and(|record| record.faults.is_trial(ticket));
         self.release_slot(now, &dispatched, outcome);
-        if outcome == FinishOutcome::Answered || dispatched.abandoned {
+        if outcome == FinishOutcome::Answered {
             return FinishDecision::Settled;
         }
         if dispatched.request.profile.step == RequestStep::Opens {
             self.release_pin(now, ticket);
         }
+        if dispatched.abandoned {
+            return FinishDecision::Settled;
+        }
         dispatched.request.rejections += u32::from(outcome == FinishOutcome::Rejected);
         if self.may_retry(now, &dispatched, outcome, trial) {
             match outcome {
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -151,7 +151,7 @@
         let mut catch_up = CatchUpReview::new(self);
         for request in self.queue.iter() {
             let ticket = request.profile.ticket;
-            let replica = self.prefers_replica(now, &request.profile, &request.rejected_by);
+            let replica = self.prefers_replica(now, &request.profile, request.avoided(now));
             if !replica && catch_up.examines(self, now, request) {
                 continue;
             }
--- a/crates/policy/tests/uneven_decisions.rs
+++ b/crates/policy/tests/uneven_decisions.rs
@@ -9,6 +9,7 @@
 use fixture::endpoint;
 use fixture::read;
 use fixture::write;
+use ragwort_policy::ArrivalDecision;
 use ragwort_policy::ClockTime;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
@@ -18,6 +19,7 @@
 use ragwort_policy::GroupScheduler;
 use ragwort_policy::HealthLevel;
 use ragwort_policy::RequestProfile;
+use ragwort_policy::RequestStep;
 use ragwort_policy::RequestTicket;
 use ragwort_policy::SchedulerDecision;
 use ragwort_types::GroupTerm;
@@ -385,3 +387,48 @@
         .filter(|order| order.0 >= 60 && order.1 != PRIMARY);
     assert_eq!(ready.count(), 4);
 }
+
+/// A replica rejects a read while all slots of the primary are held by long writes. The read must
+/// come back to the replica, whose slots are idle, and not be refused for want of the primary's.
+#[test]
+fn rejected_read_comes_back_where_slots_are_idle() {
+    let mut scheduler = ready_group();
+    scheduler.remove_endpoint(START, &InstanceName::from(OTHER_REPLICA));
+    for ticket in [1, 2] {
+        scheduler.arrive(START, write(ticket, START));
+    }
+    assert_eq!(dispatches(&scheduler.poll(START)).len(), 2);
+    scheduler.arrive(START, read(3, START, 0));
+    assert_eq!(dispatches(&scheduler.poll(START)), [(3, REPLICA)]);
+    scheduler.finished(START, RequestTicket(3), FinishOutcome::Rejected);
+    let mut sent = Vec::new();
+    for millis in 0..100 {
+        let now = START + Duration::from_millis(millis);
+        report_replicas(&mut scheduler, now, 1);
+        let decisions = scheduler.poll(now);
+        sent.extend(
+            dispatches(&decisions)
+                .iter()
+                .map(|(ticket, instance)| (*ticket, instance.to_string())),
+        );
+    }
+    assert_eq!(sent, [(3, REPLICA.to_string())]);
+}
+
+/// Callers disconnect while the first statements of their transactions run, and the endpoint
+/// rejects these. The connections that the transactions would have held must be free again, or the
+/// customer's next transactions are refused.
+#[test]
+fn abandoned_openers_that_are_rejected_hold_no_connections() {
+    let mut scheduler = ready_group();
+    for ticket in 0..12 {
+        let now = START + Duration::from_millis(ticket * 20);
+        let mut opener = write(ticket, now);
+        opener.step = RequestStep::Opens;
+        let arrival = scheduler.arrive(now, opener);
+        assert_eq!(arrival, ArrivalDecision::Queued, "transaction {ticket}");
+        assert_eq!(dispatches(&scheduler.poll(now)).len(), 1);
+        scheduler.abandon(RequestTicket(ticket));
+        scheduler.finished(now, RequestTicket(ticket), FinishOutcome::Rejected);
+    }
+}
