Account limits: returned operations are kept for 150 ms of the rate at most

A group that refuses admitted operations one after the other had them added to a stock that each return kept alive: after half a minute some 1,500 operations could begin at once, at a limit of 100 a second.

--- a/crates/policy/src/account_share.rs
+++ b/crates/policy/src/account_share.rs
@@ -147,6 +147,17 @@
         true
     }
 
+    /// Takes back an operation that hasn't reached an endpoint.
+    ///
+    /// No more are kept than the limit allows in [`SHARE_BUCKET_TIME`]: operations that are returned
+    /// one after the other would otherwise be kept for as long as that goes on, and begin at once.
+    pub(crate) fn take_back(&mut self, now: ClockTime) {
+        self.begun = self.begun.saturating_sub(1);
+        let most = (self.limit.rate() * SHARE_BUCKET_TIME.as_secs_f64()).ceil() as u32;
+        self.operations = (self.operations + 1).min(most.max(self.operations).max(1));
+        self.operations_until = self.operations_until.max(now + SHARE_BUCKET_TIME);
+    }
+
     /// Returns when the ledger must be asked next, if nothing happens until then.
     pub(crate) fn request_time(&self, now: ClockTime) -> Option<ClockTime> {
         if self.request_in_flight {
--- a/crates/policy/src/account_shares.rs
+++ b/crates/policy/src/account_shares.rs
@@ -154,9 +154,7 @@
     pub fn give_back(&mut self, now: ClockTime, account: &AccountName) {
         if let Some(share) = self.accounts.get_mut(account) {
             share.refill(now);
-            share.begun = share.begun.saturating_sub(1);
-            share.operations += 1;
-            share.operations_until = share.operations_until.max(now + SHARE_BUCKET_TIME);
+            share.take_back(now);
             if !share.queue.is_empty() {
                 move_entry(&mut self.queues, account, &mut share.queue_due, Some(now));
             }
--- a/crates/policy/tests/account_waits.rs
+++ b/crates/policy/tests/account_waits.rs
@@ -195,6 +195,26 @@
         assert_eq!(shares.settle_due(after(6))[0].1.admitted, [next]);
     }
 
+    /// A group refuses the operations that began, one after the other for half a minute. They are
+    /// given back, and must not be kept until another group takes all of them at once.
+    returned_operations_are_kept_for_a_moment_only {
+        let mut shares = create_shares();
+        wait(&mut shares, start(), after(200));
+        ask(&mut shares, start());
+        shares.take_grant(start(), start(), &grant(0.5, 1, None));
+        for turn in 1..=1_500 {
+            let now = after(turn * 20);
+            shares.due_share_requests(now, |_| true);
+            shares.take_grant(now, now, &grant(0.5, 0, None));
+            assert_eq!(take(&mut shares, now, now), TakeDecision::Admitted, "{turn}");
+            shares.give_back(now, &account());
+        }
+        let now = after(1_500 * 20);
+        let begun = (0..200).filter(|_| take(&mut shares, now, now) == TakeDecision::Admitted);
+        // 150 ms of the limit, and what the share brings in that time.
+        assert!(begun.count() <= 24);
+    }
+
     /// A flood far beyond the limit, for which the ledger can't lend in time. It must not be asked
     /// once for each operation.
     ledger_is_asked_seldom_while_it_has_nothing {
