--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -3,8 +3,8 @@
 //!
 //! The shares and ledgers themselves are in `ragwort_policy`. The ledger of an account is kept by
 //! the leaseholder of one group, which all VMs find by rendezvous hashing of the names of account
-//! and groups; [`LedgerIndex`](crate::ledger_index::LedgerIndex) remembers it. Most operations begin
-//! without a call.
+//! and groups; [`LedgerIndex`](crate::ledger_index::LedgerIndex) remembers it. Most operations
+//! begin without a call.
 
 use crate::clock::NodeClock;
 use crate::gateway::find_deadline;
@@ -143,9 +143,9 @@
         self.state.lock().expect("no holder of this lock panics")
     }
 
-    /// Admits a statement, which may wait for a token of its account, and adds the wait to its spent
-    /// time: the leaseholder counts its deadline and target from the arrival there. Returns the
-    /// account whose operation it begins.
+    /// Admits a statement, which may wait for a token of its account, and adds the wait to its
+    /// spent time: the leaseholder counts its deadline and target from the arrival there. Returns
+    /// the account whose operation it begins.
     ///
     /// A transaction counts as one operation of its account, however many statements it has.
     ///
@@ -169,8 +169,8 @@
     }
 
     /// Returns how long a statement may wait for a token of its account: half of the time to its
-    /// latency target, so that the rest is left for its queue and its endpoint. Without a target, or
-    /// past it, half of the time to its deadline.
+    /// latency target, so that the rest is left for its queue and its endpoint. Without a target,
+    /// or past it, half of the time to its deadline.
     pub fn find_wait(&self, request: &StatementRequest) -> Duration {
         let view = self.view.borrow();
         let contract = view.copy.contract(&request.customer);
@@ -321,8 +321,8 @@
         }
     }
 
-    /// Sends the requests that are due, with at most one call in flight to each VM. Returns the time
-    /// of the next round, unless an operation, an answer or a change of the view calls for an
+    /// Sends the requests that are due, with at most one call in flight to each VM. Returns the
+    /// time of the next round, unless an operation, an answer or a change of the view calls for an
     /// earlier one.
     fn ask_ledgers(&self, calls: &mut JoinSet<LedgerCall>) -> Option<ClockTime> {
         let mut state = self.state();
--- a/crates/daemon/src/native/faults.rs
+++ b/crates/daemon/src/native/faults.rs
@@ -3,9 +3,9 @@
 //!
 //! A statement that wasn't run and doesn't belong to an open transaction is requeued within the
 //! scheduler's retry budget, and may run on another instance. So is a single read that failed. For
-//! any other statement the fault is the answer. A statement that the endpoint rejected because it takes
-//! no more at present is sent again elsewhere or after a pause, also within a transaction that is
-//! still open.
+//! any other statement the fault is the answer. A statement that the endpoint rejected because it
+//! takes no more at present is sent again elsewhere or after a pause, also within a transaction
+//! that is still open.
 
 use super::NativeTask;
 use super::dispatch::held_transaction;
--- a/crates/daemon/src/native/ticking.rs
+++ b/crates/daemon/src/native/ticking.rs
@@ -155,8 +155,8 @@
         }
     }
 
-    /// Returns whether a connection that the total load doesn't need is kept, because its account may
-    /// be the next to call.
+    /// Returns whether a connection that the total load doesn't need is kept, because its account
+    /// may be the next to call.
     fn is_kept_for_account(&self, id: LinkId, instance: &InstanceName) -> bool {
         let Some(endpoint) = self.pool.endpoint(instance).filter(|_| self.by_account) else {
             return false;
--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -56,8 +56,8 @@
 /// of this time statements go to another VM.
 const RECONNECT_WINDOW: Duration = Duration::from_secs(5);
 
-/// How long a failed attempt to connect in advance counts as evidence that the VM is unreachable. It
-/// is shorter than the pause after which a failed gateway is tried again.
+/// How long a failed attempt to connect in advance counts as evidence that the VM is unreachable.
+/// It is shorter than the pause after which a failed gateway is tried again.
 const FAILURE_VALIDITY: Duration = Duration::from_millis(150);
 
 /// How long ago a link must have received something to count as good without a ping: a round trip
--- a/crates/daemon/tests/components/control.rs
+++ b/crates/daemon/tests/components/control.rs
@@ -64,8 +64,9 @@
     /// a thousand contracts was escaped and compressed anew for each of them, and meanwhile no
     /// heartbeat was answered.
     configuration_is_compressed_once_for_all_followers => compressed_entry_case();
-    /// Members that have reached different revisions transfer the catalog at the same time, as after
-    /// many groups were placed. One piece was packed for each member, while heartbeats waited.
+    /// Members that have reached different revisions transfer the catalog at the same time, as
+    /// after many groups were placed. One piece was packed for each member, while heartbeats
+    /// waited.
     overlapping_pieces_are_packed_once => overlapping_pieces_case();
     /// Logs that were written before entries were compressed must stay readable.
     uncompressed_entry_is_read => uncompressed_entry_case();
--- a/crates/daemon/tests/components/limit_waits.rs
+++ b/crates/daemon/tests/components/limit_waits.rs
@@ -44,15 +44,15 @@
     /// The ledger has nothing to lend when it is first asked, and lends at the second request. The
     /// operation must begin then; it was refused with the first answer before.
     operation_waits_for_the_next_token => waiting_case();
-    /// A statement waits for a token. The wait must count as spent, or the leaseholder would take the
-    /// time that is left of its deadline and target for longer than it is. Later statements of a
-    /// transaction and callers without an account must not be counted.
+    /// A statement waits for a token. The wait must count as spent, or the leaseholder would take
+    /// the time that is left of its deadline and target for longer than it is. Later statements of
+    /// a transaction and callers without an account must not be counted.
     wait_counts_as_time_spent => spent_case();
     /// The ledger lends the next operation in twenty minutes, and the caller has ten. The caller
     /// must be told at once, not when its time is up.
     operation_whose_token_comes_late_is_refused_at_once => late_case();
-    /// An account has no limit. Its operations begin as they did before there were limits: without a
-    /// wait, a request or a count.
+    /// An account has no limit. Its operations begin as they did before there were limits: without
+    /// a wait, a request or a count.
     account_without_limit_never_waits => unlimited_case();
     /// A ledger lacks this VM's declaration, because it accepted the former one before it led the
     /// group anew. The VM must declare again, or the ledger lends next to nothing for two seconds.
@@ -261,9 +261,9 @@
     crate::cases::wait_until(|| declared() == 2).await;
 }
 
-/// A statement may wait for half of the time to its latency target, which counts from its arrival at
-/// the gateway; without a target, or past it, for half of the time to its deadline. A longer wait
-/// would leave too little time for its queue and its endpoint.
+/// A statement may wait for half of the time to its latency target, which counts from its arrival
+/// at the gateway; without a target, or past it, for half of the time to its deadline. A longer
+/// wait would leave too little time for its queue and its endpoint.
 #[tokio::test]
 async fn wait_is_half_of_the_time_that_is_left() {
     let bench = LimitBench::start(small_limit(), |_, request| reply(request, 0, None)).await;
--- a/crates/daemon/tests/components/statements.rs
+++ b/crates/daemon/tests/components/statements.rs
@@ -131,12 +131,12 @@
     /// further statements go through a standby and none is written to the silent link, where a
     /// write would end in doubt.
     silent_leaseholder_is_sent_nothing_more => silent_leaseholder_case();
-    /// The gateway that forwarded statements is cut off in turn while the link to it is idle. A write
-    /// must not be sent on the silent link, where it would end in doubt, but go through the other
-    /// gateway.
+    /// The gateway that forwarded statements is cut off in turn while the link to it is idle. A
+    /// write must not be sent on the silent link, where it would end in doubt, but go through the
+    /// other gateway.
     idle_link_is_verified_before_a_write => idle_link_case();
-    /// A driver prepares a statement at a cut-off gateway. Its description goes through a gateway that
-    /// forwarded a statement before; refused, the driver could run nothing.
+    /// A driver prepares a statement at a cut-off gateway. Its description goes through a gateway
+    /// that forwarded a statement before; refused, the driver could run nothing.
     description_goes_through_a_working_gateway => relayed_description_case();
     /// Other gateways ask this one to forward more statements than its bound allows, all to a
     /// leaseholder that doesn't answer. Those above the bound are refused at once with the cause
--- a/crates/policy/examples/load_table.rs
+++ b/crates/policy/examples/load_table.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// Prints the outcomes with an uneven endpoint, without and with learning from what it rejects, fails
-/// and loses.
+/// Prints the outcomes with an uneven endpoint, without and with learning from what it rejects,
+/// fails and loses.
 fn print_uneven(seed: u64) {
     let mut names = Vec::new();
     for load in [20, 50, 100] {
--- a/crates/policy/src/account_demand.rs
+++ b/crates/policy/src/account_demand.rs
@@ -36,7 +36,7 @@
 const MAX_ACCOUNTS: usize = 1_024;
 
 /// Number of connections in use that are told apart; more count as this many.
-const LEVEL_COUNT: usize = 12;
+const MAX_TRACKED_IN_USE: usize = 12;
 
 /// The recent demand of each account for connections to one endpoint.
 #[derive(Clone, Debug, Default)]
@@ -47,7 +47,7 @@
 #[derive(Clone, Copy, Debug)]
 struct UseRecord {
     /// The decaying count of statements, by the number of connections that they met in use.
-    levels: [f32; LEVEL_COUNT],
+    levels: [f32; MAX_TRACKED_IN_USE],
     noted: ClockTime,
 }
 
@@ -69,7 +69,7 @@
         let Some(account) = account else {
             return;
         };
-        let level = in_use.min(LEVEL_COUNT - 1);
+        let level = in_use.min(MAX_TRACKED_IN_USE - 1);
         if let Some(record) = self.accounts.get_mut(account) {
             let decay = record.decay_until(now);
             for weight in &mut record.levels {
@@ -84,7 +84,7 @@
         if self.accounts.len() >= MAX_ACCOUNTS {
             self.drop_rarest(now);
         }
-        let mut levels = [0.0; LEVEL_COUNT];
+        let mut levels = [0.0; MAX_TRACKED_IN_USE];
         levels[level] = 1.0;
         let record = UseRecord { levels, noted: now };
         self.accounts.insert(account.clone(), record);
@@ -96,7 +96,7 @@
         let Some(record) = account.and_then(|account| self.accounts.get(account)) else {
             return 0.0;
         };
-        let first = number.saturating_sub(1).min(LEVEL_COUNT - 1);
+        let first = number.saturating_sub(1).min(MAX_TRACKED_IN_USE - 1);
         let weight = record.levels[first..].iter().sum::<f32>() * record.decay_until(now);
         f64::from(weight) * std::f64::consts::LN_2 / DEMAND_HALF_LIFE.as_secs_f64()
     }
--- a/crates/policy/src/account_ledger.rs
+++ b/crates/policy/src/account_ledger.rs
@@ -17,13 +17,13 @@
 //! first.
 //!
 //! A new ledger doesn't know what its predecessor lent. Until every VM that leads a group has
-//! declared its shares, or all shares must have expired, it renews declared shares and lends no more
-//! than a part of the tolerance beyond the limit. VMs that lead no group can't begin operations, so
-//! a lost VM isn't waited for once its groups are placed elsewhere. An account whose shares would
-//! be too small to be lent has none, so its whole rate is available from the start.
+//! declared its shares, or all shares must have expired, it renews declared shares and lends no
+//! more than a part of the tolerance beyond the limit. VMs that lead no group can't begin
+//! operations, so a lost VM isn't waited for once its groups are placed elsewhere. An account whose
+//! shares would be too small to be lent has none, so its whole rate is available from the start.
 //!
-//! If all VMs have just been restarted, no operation can have begun between the start of the last of
-//! them and what their processes report to have begun. What the limit allows for that time is
+//! If all VMs have just been restarted, no operation can have begun between the start of the last
+//! of them and what their processes report to have begun. What the limit allows for that time is
 //! available at once, less what they report.
 //!
 //! While VMs wait for operations that can't be lent, more of the rate is lent as single operations,
--- a/crates/policy/src/account_share.rs
+++ b/crates/policy/src/account_share.rs
@@ -149,8 +149,9 @@
 
     /// Takes back an operation that hasn't reached an endpoint.
     ///
-    /// No more are kept than the limit allows in [`SHARE_BUCKET_TIME`]: operations that are returned
-    /// one after the other would otherwise be kept for as long as that goes on, and begin at once.
+    /// No more are kept than the limit allows in [`SHARE_BUCKET_TIME`]: operations that are
+    /// returned one after the other would otherwise be kept for as long as that goes on, and begin
+    /// at once.
     pub(crate) fn take_back(&mut self, now: ClockTime) {
         self.begun = self.begun.saturating_sub(1);
         let most = (self.limit.rate() * SHARE_BUCKET_TIME.as_secs_f64()).ceil() as u32;
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -264,7 +264,8 @@
         self.health.level().max(self.faults.level()).max(ramp)
     }
 
-    /// Returns whether its level has changed since it was last reported, and records it as reported.
+    /// Returns whether its level has changed since it was last reported, and records it as
+    /// reported.
     ///
     /// A level that goes back and forth is reported once in [`LEVEL_REPORT_INTERVAL`].
     pub(crate) fn take_level_change(&mut self, now: ClockTime) -> bool {
--- a/crates/policy/src/forecast.rs
+++ b/crates/policy/src/forecast.rs
@@ -44,8 +44,8 @@
     uses: SmallVec<[ClockTime; 4]>,
     /// The number of further transactions that may take a connection now.
     pub(crate) pins_left: u32,
-    /// When the connections of each account are expected to be idle; `None` where connections aren't
-    /// bound to accounts.
+    /// When the connections of each account are expected to be idle; `None` where connections
+    /// aren't bound to accounts.
     pub(crate) accounts: Option<AccountForecast>,
     /// When further connections are expected to be open.
     pub(crate) connected_at: ClockTime,
--- a/crates/policy/src/link_watch.rs
+++ b/crates/policy/src/link_watch.rs
@@ -12,10 +12,10 @@
 //! A link with unanswered calls is probed when nothing at all was received for
 //! [`LINK_PROBE_AFTER`], and given up when the probe isn't answered within [`LINK_PROBE_TIMEOUT`].
 //! Statements take 3 to 110 ms and the one-way delay between failure domains is 1.5 ms, so a link
-//! with unanswered calls is rarely quiet for that long. No further calls are sent once the probe has
-//! been unanswered for [`LINK_SUSPECT_AFTER`]. Giving up a working link leaves the outcome
-//! of the writes on it unknown; that is why it is probed first. The sum of both times stays under
-//! half of the lease after which the successor takes over.
+//! with unanswered calls is rarely quiet for that long. No further calls are sent once the probe
+//! has been unanswered for [`LINK_SUSPECT_AFTER`]. Giving up a working link leaves the outcome of
+//! the writes on it unknown; that is why it is probed first. The sum of both times stays under half
+//! of the lease after which the successor takes over.
 
 use crate::ClockTime;
 use std::time::Duration;
@@ -83,7 +83,8 @@
         begins
     }
 
-    /// Returns whether no further calls should be sent, because a probe went unanswered for a while.
+    /// Returns whether no further calls should be sent, because a probe went unanswered for a
+    /// while.
     pub fn is_suspect(&self, now: ClockTime) -> bool {
         self.probed_at
             .is_some_and(|probed_at| now.since(probed_at) >= LINK_SUSPECT_AFTER)
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -76,8 +76,8 @@
     }
 
     /// Finds a start on a connection of the request's account that is expected to be idle soon, if
-    /// the start that was found needs to open one. Returns `None` if the request would then miss its
-    /// deadline.
+    /// the start that was found needs to open one. Returns `None` if the request would then miss
+    /// its deadline.
     fn start_on_own(
         &self,
         request: &WaitingRequest,
@@ -407,8 +407,8 @@
         (bound && self.input.switches.account_preference).then_some(account)
     }
 
-    /// Returns the time that is added to the expected run of an account's request on an instance, so
-    /// that the account's requests prefer the same instances.
+    /// Returns the time that is added to the expected run of an account's request on an instance,
+    /// so that the account's requests prefer the same instances.
     ///
     /// An instance with at most one free slot isn't preferred: it is left to those that have a
     /// connection there or can run nowhere else.
--- a/crates/policy/src/priority.rs
+++ b/crates/policy/src/priority.rs
@@ -9,9 +9,9 @@
 //! # Approach
 //!
 //! Requests of the lowest level number go first: those that can meet their target, then those that
-//! can only meet their deadline, before any request of the next level. A request of a lower level is
-//! therefore the one that waits, is served late or is refused. Each level below another one keeps a
-//! minimum share of slot time ([`MinimumShares`]).
+//! can only meet their deadline, before any request of the next level. A request of a lower level
+//! is therefore the one that waits, is served late or is refused. Each level below another one
+//! keeps a minimum share of slot time ([`MinimumShares`]).
 //!
 //! Requests without a level keep the order by urgency. Where they share a group with requests that
 //! have one, urgent ones are served with level 0 and ordinary ones with level 1.
--- a/crates/policy/src/rejection_rate.rs
+++ b/crates/policy/src/rejection_rate.rs
@@ -61,8 +61,8 @@
 /// so that the noise of few trials doesn't bring the endpoint back and forth.
 const RESTORED_SHARE: f64 = 0.1;
 
-/// An endpoint whose share exceeds that of its best peer by this is cut off even if its peers have no room, because it relieves them
-/// of next to nothing.
+/// An endpoint whose share exceeds that of its best peer by this is cut off even if its peers have
+/// no room, because it relieves them of next to nothing.
 const USELESS_SHARE: f64 = 0.9;
 
 /// The peers have room for an endpoint's work if they use at most this part of their slots with it.
--- a/crates/policy/src/relay_candidates.rs
+++ b/crates/policy/src/relay_candidates.rs
@@ -29,7 +29,8 @@
 //! A group whose leaseholder isn't known to several candidates pauses by itself; see
 //! [`RelayPauses`].
 //!
-//! The state is bounded by [`MAX_RELAY_CANDIDATES`], and losing it costs a few statements an attempt.
+//! The state is bounded by [`MAX_RELAY_CANDIDATES`], and losing it costs a few statements an
+//! attempt.
 
 use crate::ClockTime;
 use crate::IsolationWatch;
--- a/crates/policy/src/restart_ramp.rs
+++ b/crates/policy/src/restart_ramp.rs
@@ -10,9 +10,9 @@
 //! After an outage the endpoint gets one slot for work that others can do, and more in proportion
 //! to the time since the last sign of the outage, until it has all of them again. Each further
 //! outage within a short time doubles that time, so a flapping endpoint soon gets one statement at
-//! a time. A primary's own work isn't limited, since no other endpoint can do it. Nor are reads when
-//! more than two wait for each slot of the others: at full capacity the limit costs more timely
-//! answers than it saves lost reads, which are sent again.
+//! a time. A primary's own work isn't limited, since no other endpoint can do it. Nor are reads
+//! when more than two wait for each slot of the others: at full capacity the limit costs more
+//! timely answers than it saves lost reads, which are sent again.
 //!
 //! Signs of an outage are a refused or unanswered connection, the removal of the endpoint, and
 //! connections that break shortly after each other. A single broken connection says little about
--- a/crates/policy/src/steps.rs
+++ b/crates/policy/src/steps.rs
@@ -461,8 +461,8 @@
         Ok(())
     }
 
-    /// Returns the waiting request of the same customer that would be served last, and its level, if
-    /// that is after a new request.
+    /// Returns the waiting request of the same customer that would be served last, and its level,
+    /// if that is after a new request.
     fn find_displaced(
         &self,
         now: ClockTime,
--- a/crates/policy/tests/account_connections.rs
+++ b/crates/policy/tests/account_connections.rs
@@ -172,9 +172,9 @@
         assert_eq!(endpoint.refused, 0);
     }
 
-    /// An account calls often, one statement at a time, another one seldom. The second connection of
-    /// the first, used a moment ago, must make way before the only one of the other: it would save
-    /// no opening.
+    /// An account calls often, one statement at a time, another one seldom. The second connection
+    /// of the first, used a moment ago, must make way before the only one of the other: it would
+    /// save no opening.
     connection_without_use_makes_way_first {
         let now = ClockTime::from_millis(60_000);
         let (often, seldom): (AccountName, AccountName) = ("often".into(), "seldom".into());
@@ -197,8 +197,8 @@
         assert_eq!(action, Some(PoolMissAction::Replace(2)));
     }
 
-    /// A connection is kept as long as its use pays for its validations. It must not be on a VM that
-    /// holds many connections, whose processor they used up, nor when connections are scarce.
+    /// A connection is kept as long as its use pays for its validations. It must not be on a VM
+    /// that holds many connections, whose processor they used up, nor when connections are scarce.
     connections_are_kept_by_their_expected_use {
         let account: AccountName = "account".into();
         let mut demand = EndpointDemand::default();
--- a/crates/policy/tests/account_recovery.rs
+++ b/crates/policy/tests/account_recovery.rs
@@ -1,8 +1,9 @@
-//! Callers below their accounts' limits, in calm and while VMs restart or the keepers of ledgers are
-//! lost, frozen or handed over.
+//! Callers below their accounts' limits, in calm and while VMs restart or the keepers of ledgers
+//! are lost, frozen or handed over.
 //!
-//! A refused caller repeats an operation twice within its deadline, so a refusal adds to the demand.
-//! Some losses are due: callers come at random, so small accounts exceed their burst now and then.
+//! A refused caller repeats an operation twice within its deadline, so a refusal adds to the
+//! demand. Some losses are due: callers come at random, so small accounts exceed their burst now
+//! and then.
 
 #[path = "limit_fleet/mod.rs"]
 mod limit_fleet;
--- a/crates/policy/tests/account_rounds.rs
+++ b/crates/policy/tests/account_rounds.rs
@@ -109,8 +109,8 @@
     }
 
     /// A share is given back once the demand, which halves in 693 ms, is less than half of it: here
-    /// 20 a second against 30 of the share, so ln(20 / 15) = 288 ms after the last use. A share that
-    /// is kept for longer is missing where the callers have moved to.
+    /// 20 a second against 30 of the share, so ln(20 / 15) = 288 ms after the last use. A share
+    /// that is kept for longer is missing where the callers have moved to.
     next_round_is_due_when_a_share_exceeds_the_demand {
         let start = ClockTime::from_millis(20_000);
         let mut shares = create_shares(start, 1, 20, 0.3);
--- a/crates/policy/tests/account_waits.rs
+++ b/crates/policy/tests/account_waits.rs
@@ -94,8 +94,8 @@
         assert_eq!(shares.next_settling(), None);
     }
 
-    /// The ledger says when it will lend, and that is too late for the last operations. They must be
-    /// refused with the answer, not at their latest time, and so must those that arrive next.
+    /// The ledger says when it will lend, and that is too late for the last operations. They must
+    /// be refused with the answer, not at their latest time, and so must those that arrive next.
     operation_is_refused_as_soon_as_its_token_is_known_to_be_late {
         let mut shares = create_shares();
         let tickets: Vec<WaitTicket> = (0..4)
@@ -110,8 +110,8 @@
         wait(&mut shares, after(3), after(400));
     }
 
-    /// An operation that may wait for long stands behind one that may not. When the first one's time
-    /// is up, the other must keep waiting and get the next token.
+    /// An operation that may wait for long stands behind one that may not. When the first one's
+    /// time is up, the other must keep waiting and get the next token.
     expired_operation_leaves_those_behind_it {
         let mut shares = create_shares();
         let hurried = wait(&mut shares, start(), after(20));
@@ -127,8 +127,8 @@
     }
 
     /// An account asks for more than its limit, with one kind that may wait 700 ms and one that may
-    /// wait 95 ms. In order of arrival the first kind filled the queue and the second one, which has
-    /// the shorter target, was refused; it must get its tokens first.
+    /// wait 95 ms. In order of arrival the first kind filled the queue and the second one, which
+    /// has the shorter target, was refused; it must get its tokens first.
     kinds_that_may_wait_long_leave_tokens_to_the_others {
         let mut shares = create_shares();
         let mut hurried = Vec::new();
@@ -172,7 +172,8 @@
         assert_eq!((end.admitted.len(), end.refused.len()), (0, 0));
     }
 
-    /// Thousands of operations arrive while the ledger is silent. The queue must not grow with them.
+    /// Thousands of operations arrive while the ledger is silent. The queue must not grow with
+    /// them.
     queue_is_bounded {
         let mut shares = create_shares();
         for _ in 0..MAX_WAITING_OPERATIONS {
--- a/crates/policy/tests/hard_load.rs
+++ b/crates/policy/tests/hard_load.rs
@@ -294,7 +294,8 @@
 }
 
 /// Runs of a lower level end far sooner than expected while it has used more than its share. The
-/// time that is returned must not lift it above its share, where it would go before the first level.
+/// time that is returned must not lift it above its share, where it would go before the first
+/// level.
 #[test]
 fn shorter_runs_lift_no_level_above_its_share() {
     let mut primary = BusyPrimary::new([None; 3]);
--- a/crates/policy/tests/link_watch.rs
+++ b/crates/policy/tests/link_watch.rs
@@ -43,8 +43,8 @@
     assert!(lost < Duration::from_millis(500));
 }
 
-/// A leaseholder is cut off. Calls must be held back from its link soon after the probe, long before
-/// the link is given up, or each of them would be in doubt; an answer must end that.
+/// A leaseholder is cut off. Calls must be held back from its link soon after the probe, long
+/// before the link is given up, or each of them would be in doubt; an answer must end that.
 #[test]
 fn unanswered_probe_makes_a_link_suspect() {
     let mut detector = LinkFailureDetector::new(START);
--- a/crates/policy/tests/relay_candidates.rs
+++ b/crates/policy/tests/relay_candidates.rs
@@ -102,9 +102,9 @@
     forwarded: BTreeMap<VmName, usize>,
 }
 
-/// Cuts off two thirds of the gateways at once and runs a statement every `interval` milliseconds on
-/// each for four seconds. A candidate that is cut off too refuses after 6 ms; one that works answers after 30 ms.
-/// Every other statement may be repeated.
+/// Cuts off two thirds of the gateways at once and runs a statement every `interval` milliseconds
+/// on each for four seconds. A candidate that is cut off too refuses after 6 ms; one that works
+/// answers after 30 ms. Every other statement may be repeated.
 fn simulate_load(interval: u64) -> LoadResult {
     // 20 of 21 gateways of one failure domain, 15 and 7 of the others.
     let is_cut = |index: &usize| index / 3 < [20, 15, 7][index % 3];
@@ -171,10 +171,10 @@
     result
 }
 
-/// Two thirds of 63 gateways are cut off at once, with 350 or 16 statements a second each. Each must
-/// find a working candidate within the time of a few statements, none of its statements be refused,
-/// and the 21 working gateways share the load of 42: if all used the same few, these would harm
-/// their own callers.
+/// Two thirds of 63 gateways are cut off at once, with 350 or 16 statements a second each. Each
+/// must find a working candidate within the time of a few statements, none of its statements be
+/// refused, and the 21 working gateways share the load of 42: if all used the same few, these would
+/// harm their own callers.
 #[test]
 fn cut_off_gateways_find_working_ones_and_spread_over_them() {
     for (interval, most_asked, all_found) in [(3, 48, 100), (60, 16, 120)] {
--- a/crates/policy/tests/uneven_decisions.rs
+++ b/crates/policy/tests/uneven_decisions.rs
@@ -184,8 +184,8 @@
     assert_eq!(level_of(&scheduler, now, REPLICA), HealthLevel::Full);
 }
 
-/// All endpoints that serve a read fail the same part. None is worse than the others, so none may be
-/// cut off.
+/// All endpoints that serve a read fail the same part. None is worse than the others, so none may
+/// be cut off.
 #[test]
 fn failures_that_all_share_cut_off_none() {
     let mut scheduler = ready_group();
