--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -81,7 +81,7 @@
 /// How long a statement waits for a connection to be opened before it takes another way. A
 /// connection is open after two round trips between failure domains, 6 ms; a packet that is lost on
 /// the way costs the 50 ms after which another attempt is begun.
-pub(crate) const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
+pub(crate) const CONNECT_WAIT_LIMIT: Duration = Duration::from_millis(100);
 
 /// Forwards the statements of one VM's callers.
 pub struct Gateway {
@@ -521,7 +521,7 @@
         let in_doubt = lease != OwnLease::Held || self.links.statements.saw_silence();
         let readiness = match in_doubt {
             true => self.verify_link(leaseholder).await,
-            false => self.check_link(leaseholder, CONNECT_PATIENCE).await,
+            false => self.check_link(leaseholder, CONNECT_WAIT_LIMIT).await,
         };
         let direct = match readiness {
             LinkReadiness::Pending => HandOver::Unreachable,
@@ -600,12 +600,12 @@
     }
 
     /// Returns whether a statement to a VM would be sent now. Remote calls aren't known to wait.
-    async fn check_link(&self, peer: PeerAddresses, patience: Duration) -> LinkReadiness {
+    async fn check_link(&self, peer: PeerAddresses, wait_limit: Duration) -> LinkReadiness {
         match peer.statements {
             None => LinkReadiness::Ready,
             Some(address) => {
                 let links = &self.links.statements;
-                links.check_readiness(address, true, Some(patience)).await
+                links.check_readiness(address, true, Some(wait_limit)).await
             }
         }
     }
@@ -616,7 +616,7 @@
     /// An idle link stays open when its other side is cut off. A write that is sent on it ends in
     /// doubt, while it could have gone another way.
     async fn verify_link(&self, peer: PeerAddresses) -> LinkReadiness {
-        let readiness = self.check_link(peer, CONNECT_PATIENCE).await;
+        let readiness = self.check_link(peer, CONNECT_WAIT_LIMIT).await;
         match (readiness, peer.statements) {
             (LinkReadiness::Ready, Some(address)) => self.links.statements.verify(address).await,
             (readiness, _) => readiness,
--- a/crates/daemon/src/relay_gateways.rs
+++ b/crates/daemon/src/relay_gateways.rs
@@ -4,7 +4,7 @@
 //! and reports the outcomes.
 
 use crate::gateway::Attempt;
-use crate::gateway::CONNECT_PATIENCE;
+use crate::gateway::CONNECT_WAIT_LIMIT;
 use crate::gateway::Gateway;
 use crate::gateway::HandOver;
 use crate::gateway::PeerAddresses;
@@ -16,7 +16,7 @@
 use ragwort_control::ClockTime;
 use ragwort_policy::OwnLease;
 use ragwort_policy::RelayCandidates;
-use ragwort_policy::RelayNews;
+use ragwort_policy::RelayChange;
 use ragwort_policy::RelayOutcome;
 use ragwort_policy::RelaySearch;
 use ragwort_policy::RelayStep;
@@ -200,7 +200,7 @@
         let links = &self.links.statements;
         let readiness = async {
             match links
-                .check_readiness(address, false, Some(CONNECT_PATIENCE))
+                .check_readiness(address, false, Some(CONNECT_WAIT_LIMIT))
                 .await
             {
                 LinkReadiness::Ready if waits => links.verify(address).await,
@@ -234,8 +234,8 @@
                 let links = &self.links.statements;
                 let readiness = match peer.statements {
                     Some(address) => {
-                        let patience = Some(Duration::ZERO);
-                        links.check_readiness(address, false, patience).await
+                        let wait_limit = Some(Duration::ZERO);
+                        links.check_readiness(address, false, wait_limit).await
                     }
                     None => LinkReadiness::Down,
                 };
@@ -254,23 +254,23 @@
             return;
         };
         self.metrics.count_relay_outcome(outcome);
-        let news = {
+        let change = {
             let candidates = &mut self.relays.state().candidates;
             candidates.note_outcome(self.clock.now(), &vm, search, outcome)
         };
-        match news {
-            Some(RelayNews::Found { failed }) => {
+        match change {
+            Some(RelayChange::Found { failed }) => {
                 self.relays.found.send_modify(|count| *count += 1);
                 log_event!(Level::Info, "relay_found", relay = vm, failed = failed);
             }
-            Some(RelayNews::Lost { failed }) => log_event!(
+            Some(RelayChange::Lost { failed }) => log_event!(
                 Level::Info,
                 "relay_lost",
                 relay = vm,
                 cause = outcome.as_str(),
                 failed = failed,
             ),
-            Some(RelayNews::NoneLeft { failed }) => log_event!(
+            Some(RelayChange::NoneLeft { failed }) => log_event!(
                 Level::Warn,
                 "no_relay_left",
                 last = vm,
--- a/crates/daemon/src/statements/links.rs
+++ b/crates/daemon/src/statements/links.rs
@@ -67,7 +67,7 @@
 /// How long after a link fell silent all quiet links are pinged before a statement is written to
 /// them. A VM that is cut off notices it at one link after the other: without this, the first
 /// write on each of them would end in doubt.
-const SILENCE_CAUTION: Duration = Duration::from_secs(2);
+const VERIFY_AFTER_SILENCE: Duration = Duration::from_secs(2);
 
 /// The result of a call.
 type CallReply = Result<StatementReply, LinkError>;
@@ -187,7 +187,7 @@
     }
 
     /// Waits until a call to a VM would be sent or refused at once, but no longer than until the
-    /// attempt to connect has lasted for `patience`. Nothing is sent but what opens a connection.
+    /// attempt to connect has lasted for `wait_limit`. Nothing is sent but what opens a connection.
     ///
     /// A link that is silent counts as pending at once; `None` waits for the end of its silence and
     /// for the end of the attempt to connect.
@@ -195,7 +195,7 @@
         &self,
         address: SocketAddr,
         lasting: bool,
-        patience: Option<Duration>,
+        wait_limit: Option<Duration>,
     ) -> LinkReadiness {
         let link = self.link(address);
         if *link.state.borrow() == LinkState::Open {
@@ -205,14 +205,14 @@
         let mut state = link.state.subscribe();
         loop {
             let seen = *state.borrow_and_update();
-            let wait = match (seen, patience) {
+            let wait = match (seen, wait_limit) {
                 (LinkState::Open, _) => return LinkReadiness::Ready,
                 (LinkState::Down | LinkState::Idle | LinkState::Failed(_), _) => {
                     return LinkReadiness::Down;
                 }
                 (LinkState::Suspect, Some(_)) => return LinkReadiness::Pending,
-                (LinkState::Connecting(since), Some(patience)) => {
-                    patience.saturating_sub(self.clock.now().since(since))
+                (LinkState::Connecting(since), Some(wait_limit)) => {
+                    wait_limit.saturating_sub(self.clock.now().since(since))
                 }
                 (LinkState::Connecting(_) | LinkState::Suspect, None) => self.connect_timeout,
             };
@@ -240,7 +240,7 @@
     /// Says whether a link fell silent lately.
     pub fn saw_silence(&self) -> bool {
         let last = *self.last_silence.borrow();
-        last.is_some_and(|last| self.clock.now().since(last) < SILENCE_CAUTION)
+        last.is_some_and(|last| self.clock.now().since(last) < VERIFY_AFTER_SILENCE)
     }
 
     /// Closes all links and joins their tasks.
--- a/crates/policy/src/account_ledger.rs
+++ b/crates/policy/src/account_ledger.rs
@@ -101,7 +101,7 @@
     /// Whether VMs wait for operations that can't be lent.
     scarce: bool,
     /// What is available after a restart of all VMs, less what was begun since.
-    restart: Option<f64>,
+    restart_operations_left: Option<f64>,
     /// The operations that the VMs had begun before they first asked this ledger.
     begun_before: f64,
     /// The VMs that have asked it while it was new.
@@ -123,7 +123,7 @@
         }
         let begun = f64::from(begun);
         self.begun_before += begun;
-        if let Some(left) = &mut self.restart {
+        if let Some(left) = &mut self.restart_operations_left {
             let taken = begun.min(*left);
             *left -= taken;
             self.operations -= taken;
@@ -133,11 +133,11 @@
     /// Adds what the limit allows since the last VM has started, less what was lent since by
     /// another ledger.
     fn add_restart(&mut self, allowed: f64, burst: f64) {
-        if self.restart.is_some() {
+        if self.restart_operations_left.is_some() {
             return;
         }
         let left = (allowed - self.begun_before).max(0.0);
-        self.restart = Some(left);
+        self.restart_operations_left = Some(left);
         self.operations = (self.operations + left).min(burst);
     }
 
@@ -386,7 +386,7 @@
             },
             refilled: ClockTime::default(),
             scarce: false,
-            restart: None,
+            restart_operations_left: None,
             begun_before: 0.0,
             reported: BTreeSet::new(),
         });
@@ -406,8 +406,8 @@
         if let Some(last) = known.and_then(|known| known.restarted)
             && age < LIMIT_WINDOW
         {
-            let dead = place.since.since(last).as_secs_f64();
-            let allowed = limit.rate() * dead + self.tolerance.restart_operations(limit);
+            let idle_time = place.since.since(last).as_secs_f64();
+            let allowed = limit.rate() * idle_time + self.tolerance.restart_operations(limit);
             ledger.add_restart(allowed, limit.burst as f64);
         }
         ledger.note_scarcity(share_request.wants, limit);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -188,7 +188,7 @@
 pub use relay_candidates::MAX_RELAY_TRIES;
 pub use relay_candidates::OwnLease;
 pub use relay_candidates::RelayCandidates;
-pub use relay_candidates::RelayNews;
+pub use relay_candidates::RelayChange;
 pub use relay_candidates::RelayOutcome;
 pub use relay_candidates::RelaySearch;
 pub use relay_candidates::RelayStep;
--- a/crates/policy/src/relay_candidates.rs
+++ b/crates/policy/src/relay_candidates.rs
@@ -127,7 +127,7 @@
 
 /// A change that operators should know of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RelayNews {
+pub enum RelayChange {
     /// The first candidate works.
     Found {
         /// The number of candidates that have failed so far.
@@ -457,7 +457,7 @@
         let witnesses = self.witnesses.get(&search.group);
         let witnesses = witnesses.filter(|held| now.since(held.last) < WITNESS_VALIDITY);
         let is_witness = |vm| witnesses.is_some_and(|held| held.vms.contains(vm));
-        self.untried_by(search)
+        self.not_yet_assigned(search)
             .filter(|(_, candidate)| candidate.standing == standing)
             .min_by_key(|(_, candidate)| {
                 let witness = is_witness(&candidate.vm);
@@ -467,14 +467,14 @@
     }
 
     fn find_untried(&self, search: &RelaySearch) -> Option<usize> {
-        self.untried_by(search)
+        self.not_yet_assigned(search)
             .filter(|(_, candidate)| candidate.standing == Standing::Untried)
             .min_by_key(|(_, candidate)| candidate.under_way)
             .map(|(index, _)| index)
     }
 
     fn find_failed(&self, search: &RelaySearch) -> Option<usize> {
-        self.untried_by(search)
+        self.not_yet_assigned(search)
             .filter_map(|(index, candidate)| match candidate.standing {
                 Standing::Failed { retry_at, .. } => Some(((candidate.under_way, retry_at), index)),
                 Standing::Untried | Standing::Works | Standing::Reached => None,
@@ -484,7 +484,7 @@
     }
 
     /// Returns the candidates that the statement was not assigned to.
-    fn untried_by<'s>(
+    fn not_yet_assigned<'s>(
         &'s self,
         search: &'s RelaySearch,
     ) -> impl Iterator<Item = (usize, &'s Candidate)> {
@@ -507,7 +507,7 @@
         vm: &VmName,
         search: &mut RelaySearch,
         outcome: RelayOutcome,
-    ) -> Option<RelayNews> {
+    ) -> Option<RelayChange> {
         self.release(vm);
         let had_working = self.count_working() > 0;
         let had_any = !self.have_all_failed();
@@ -533,9 +533,9 @@
         let failed = self.candidates.iter().filter(|held| held.has_failed());
         let failed = failed.count();
         match self.count_working() > 0 {
-            true => (!had_working).then_some(RelayNews::Found { failed }),
-            false if had_any && self.have_all_failed() => Some(RelayNews::NoneLeft { failed }),
-            false => had_working.then_some(RelayNews::Lost { failed }),
+            true => (!had_working).then_some(RelayChange::Found { failed }),
+            false if had_any && self.have_all_failed() => Some(RelayChange::NoneLeft { failed }),
+            false => had_working.then_some(RelayChange::Lost { failed }),
         }
     }
 
--- a/crates/policy/tests/account_limits.rs
+++ b/crates/policy/tests/account_limits.rs
@@ -35,7 +35,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How long an operation may wait for a token.
-const PATIENCE: Duration = Duration::from_millis(200);
+const MAX_WAIT: Duration = Duration::from_millis(200);
 
 const VMS: usize = 5;
 
@@ -167,7 +167,7 @@
         while expected > 0.0 {
             if self.random.random_bool(expected.min(1.0)) {
                 let vm = &mut self.vms[number];
-                let latest = self.now + PATIENCE;
+                let latest = self.now + MAX_WAIT;
                 match vm.shares.take(self.now, &account(), self.limit, latest) {
                     TakeDecision::Admitted => {
                         vm.begun += 1;
--- a/crates/policy/tests/account_rounds.rs
+++ b/crates/policy/tests/account_rounds.rs
@@ -18,7 +18,7 @@
 const ROUND: Duration = Duration::from_millis(50);
 
 /// How long an operation may wait for a token.
-const PATIENCE: Duration = Duration::from_millis(200);
+const MAX_WAIT: Duration = Duration::from_millis(200);
 
 macro_rules! round_cases {
     ($($(#[$doc:meta])* $name:ident $body:block)*) => {$(
@@ -48,7 +48,7 @@
     shares.set_holders(LimitTolerance::default(), 5);
     for number in 0..count {
         for _ in 0..operations {
-            let decision = shares.take(now, &account(number), LIMIT, now + PATIENCE);
+            let decision = shares.take(now, &account(number), LIMIT, now + MAX_WAIT);
             assert!(matches!(decision, TakeDecision::Waits(_)));
         }
     }
@@ -84,7 +84,7 @@
         for round in 1..=80 {
             let now = start + ROUND * round;
             for _ in 0..2 {
-                shares.take(now, &busy, LIMIT, now + PATIENCE);
+                shares.take(now, &busy, LIMIT, now + MAX_WAIT);
             }
             for request in shares.due_share_requests(now, |_| true) {
                 assert_eq!(request.account, busy);
@@ -127,7 +127,7 @@
         let start = ClockTime::from_millis(20_000);
         let mut shares = create_shares(start, 1, 1, 0.0);
         let now = start + Duration::from_secs(1);
-        let decision = shares.take(now, &account(0), LIMIT, now + PATIENCE);
+        let decision = shares.take(now, &account(0), LIMIT, now + MAX_WAIT);
         assert!(matches!(decision, TakeDecision::Waits(_)));
         assert!(shares.due_share_requests(now, |_| false).is_empty());
         assert!(shares.next_due().is_some_and(|due| due <= now));
--- a/crates/policy/tests/relay_candidates.rs
+++ b/crates/policy/tests/relay_candidates.rs
@@ -6,7 +6,7 @@
 use ragwort_policy::MAX_RELAY_TRIES;
 use ragwort_policy::OwnLease;
 use ragwort_policy::RelayCandidates;
-use ragwort_policy::RelayNews;
+use ragwort_policy::RelayChange;
 use ragwort_policy::RelayOutcome;
 use ragwort_policy::RelaySearch;
 use ragwort_policy::RelayStep;
@@ -228,8 +228,8 @@
     };
     let found = next(&mut state, &mut first);
     let useless = next(&mut state, &mut second);
-    let news = state.note_outcome(at(6), &found, &mut first, RelayOutcome::Forwarded);
-    assert_eq!(news, Some(RelayNews::Found { failed: 0 }));
+    let change = state.note_outcome(at(6), &found, &mut first, RelayOutcome::Forwarded);
+    assert_eq!(change, Some(RelayChange::Found { failed: 0 }));
     state.note_outcome(at(6), &useless, &mut second, RelayOutcome::NoLease);
     assert_eq!(next(&mut state, &mut second), found);
 }
@@ -282,28 +282,28 @@
 #[test]
 fn changes_are_reported_once() {
     let mut state = create_state(0);
-    let mut news = Vec::new();
+    let mut change = Vec::new();
     for millis in 0..200 {
         let mut search = search(&led());
         while let RelayStep::Try(vm) = state.next_step(at(millis), OwnLease::Ended, &mut search) {
             let outcome = RelayOutcome::Unreachable;
-            news.extend(state.note_outcome(at(millis), &vm, &mut search, outcome));
+            change.extend(state.note_outcome(at(millis), &vm, &mut search, outcome));
         }
     }
-    assert_eq!(news, [RelayNews::NoneLeft { failed: 62 }]);
+    assert_eq!(change, [RelayChange::NoneLeft { failed: 62 }]);
     state.forget();
-    news.clear();
+    change.clear();
     for outcome in [RelayOutcome::Forwarded, RelayOutcome::Unreachable] {
         for _ in 0..5 {
             let mut search = search(&led());
             let RelayStep::Try(vm) = state.next_step(at(300), OwnLease::Ended, &mut search) else {
                 panic!("no candidate");
             };
-            news.extend(state.note_outcome(at(300), &vm, &mut search, outcome));
+            change.extend(state.note_outcome(at(300), &vm, &mut search, outcome));
         }
     }
-    let found = RelayNews::Found { failed: 0 };
-    assert_eq!(news, [found, RelayNews::Lost { failed: 1 }]);
+    let found = RelayChange::Found { failed: 0 };
+    assert_eq!(change, [found, RelayChange::Lost { failed: 1 }]);
 }
 
 /// A lost reply ends dozens of statements at one moment. They must not lengthen the pause of the
