--- a/crates/policy/src/customers.rs
+++ b/crates/policy/src/customers.rs
@@ -5,7 +5,7 @@
 use crate::RequestProfile;
 use crate::admission::WaitFactor;
 use crate::caller_pacing::PacingTable;
-use crate::queue::LANE_SORTS;
+use crate::queue::LANE_SHAPES;
 use crate::queue::LaneKind;
 use crate::queue::WaitingRequest;
 use ragwort_types::CustomerName;
@@ -31,7 +31,7 @@
     own_sharer: Option<usize>,
     sessions: PacingTable,
     keys: PacingTable,
-    wait_factors: [WaitFactor; LANE_SORTS * 2],
+    wait_factors: [WaitFactor; LANE_SHAPES * 2],
 }
 
 impl CustomerRecord {
@@ -72,9 +72,9 @@
     let delayed = if request.delay.is_zero() {
         0
     } else {
-        LANE_SORTS
+        LANE_SHAPES
     };
-    request.lane.sort() + delayed
+    request.lane.shape() + delayed
 }
 
 /// All customers that a group has seen. An index never changes.
@@ -174,7 +174,7 @@
             sessions: PacingTable::default(),
             keys: PacingTable::default(),
             wait_factors: std::array::from_fn(|index| {
-                WaitFactor::new(LaneKind::from_sort(index % LANE_SORTS))
+                WaitFactor::new(LaneKind::from_shape(index % LANE_SHAPES))
             }),
         });
     }
--- a/crates/policy/src/minimum_shares.rs
+++ b/crates/policy/src/minimum_shares.rs
@@ -20,7 +20,7 @@
 /// The slot time over which use beyond a minimum share is remembered.
 ///
 /// A primary with four slots uses it within a quarter of a second, which is less than the time
-/// that a caller has left after its latency target (0.7 s or more in both users' contracts).
+/// that a caller has left after its latency target (usually 0.5 s or more).
 const RECENT_SLOT_TIME: Duration = Duration::from_secs(1);
 
 /// The unit of credit is the hundredth part of a microsecond of slot time, so that a share in
--- a/crates/policy/src/operation_cost.rs
+++ b/crates/policy/src/operation_cost.rs
@@ -22,7 +22,7 @@
 
 /// Operations below this cost are in the first class; each further class is twice as wide.
 ///
-/// The cheapest operations of the two users take 5 ms, the costliest about 350 ms, which the eight
+/// The cheapest operations known take 5 ms, the costliest about 350 ms, which the eight
 /// classes up to 256 ms and more tell apart.
 const FIRST_CLASS_MICROS: u64 = 4_000;
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -30,8 +30,8 @@
 /// Maximum number of consecutive urgent requests while ordinary ones wait.
 pub(crate) const MAX_URGENT_RUN: u32 = 3;
 
-/// The number of sorts of lanes, apart from levels and cost classes.
-pub(crate) const LANE_SORTS: usize = 16;
+/// The number of lanes of one level and cost class.
+pub(crate) const LANE_SHAPES: usize = 16;
 
 /// The number of entries for which an empty lane keeps memory. A sharer may have some hundred lanes
 /// that are full at different times.
@@ -58,20 +58,20 @@
 }
 
 impl LaneKind {
-    /// Returns a lane of the sort with an index below [`LANE_SORTS`].
-    pub(crate) fn from_sort(sort: usize) -> Self {
+    /// Returns the lane of the first level and cost class with an index below [`LANE_SHAPES`].
+    pub(crate) fn from_shape(shape: usize) -> Self {
         Self {
-            target_missed: sort & 8 != 0,
-            urgent: sort & 4 != 0,
-            long: sort & 2 != 0,
-            replica: sort & 1 != 0,
+            target_missed: shape & 8 != 0,
+            urgent: shape & 4 != 0,
+            long: shape & 2 != 0,
+            replica: shape & 1 != 0,
             level: ServiceLevel::default(),
             cost: CostClass::default(),
         }
     }
 
-    /// Returns the index of the lane's sort, which is below [`LANE_SORTS`].
-    pub(crate) fn sort(self) -> usize {
+    /// Returns the index of the lane among those of its level and cost class.
+    pub(crate) fn shape(self) -> usize {
         usize::from(self.target_missed) << 3
             | usize::from(self.urgent) << 2
             | usize::from(self.long) << 1
@@ -80,7 +80,7 @@
 
     /// Returns a key that differs between all lanes of a sharer, and that grows with the cost.
     fn key(self) -> (CostClass, ServiceLevel, usize) {
-        (self.cost, self.level, self.sort())
+        (self.cost, self.level, self.shape())
     }
 }
 
--- a/crates/policy/src/scarcity.rs
+++ b/crates/policy/src/scarcity.rs
@@ -34,7 +34,7 @@
 
 /// The minimum share of slot time of each cost class but the cheapest, in percent of its sharer's.
 ///
-/// At four slots an operation of 170 ms, the costliest usual one of the two users, then starts
+/// At four slots an operation of 170 ms, the costliest usual one, then starts
 /// every 1.4 s at least, which is within its callers' deadline of 5 s.
 const COST_SHARE_PERCENT: u8 = 3;
 
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -8,7 +8,8 @@
 //!
 //! # Approach
 //!
-//! Each customer has a virtual time: the slot time that it has received, divided by its contract's
+//! The customers of this module are sharers: a customer without a share group, or all contracts of
+//! one. Each has a virtual time: the slot time that it has received, divided by its contract's
 //! share. The customer with the lowest virtual time is served next. Deficit round robin would
 //! approximate the same shares, but at two slots for each endpoint a round with a quantum of one
 //! long job would serve fifty short requests of one customer in a row.
