--- a/crates/policy/tests/account_waits.rs
+++ b/crates/policy/tests/account_waits.rs
@@ -76,7 +76,7 @@
 
 wait_cases! {
     /// The ledger lends nothing more, but the VM's share brings a token each 100 ms. The operations
-    /// must begin with these tokens, in order of arrival; they were refused before.
+    /// must begin with these tokens, in order of arrival, and not be refused.
     operations_begin_as_the_share_brings_tokens {
         let mut shares = create_shares();
         let tickets: Vec<WaitTicket> = (0..2)
--- a/crates/policy/tests/patterns.rs
+++ b/crates/policy/tests/patterns.rs
@@ -352,8 +352,8 @@
 
 macro_rules! unchanged_cases {
     ($($name:ident($pattern:expr, $user:ident, $digest:expr);)*) => {$(
-        /// Contracts without priority levels and share groups must be decided on as before these
-        /// were added: the digest was measured on commit 964995d.
+        /// Contracts without priority levels and share groups must be decided on as by a scheduler
+        /// that has neither, whose digest this is.
         #[test]
         fn $name() {
             let outcome = run_scheduler($pattern, UserSize::$user);
--- a/crates/policy/tests/uneven/mod.rs
+++ b/crates/policy/tests/uneven/mod.rs
@@ -149,7 +149,7 @@
 }
 
 /// Without rejections, failures and outages each caller must receive what it received before the
-/// scheduler learned from them. The digests were recorded on commit 964995d.
+/// scheduler learned from them. The digests are those of a scheduler without it.
 #[test]
 fn without_faults_decisions_are_as_before() {
     let recorded = [
