Refusals say which revision and which lease they go by; documents say their revision

Of a refusal "no such database" the logs showed neither the revision of the copy that it went by nor the rest of the lease, and control VMs' logs didn't say which version of the configuration a revision brought. Refusals of a session, of a statement at the gateway and of a statement at a native group's leaseholder now say both; the gateway's and the leaseholder's early refusals of a statement had no line at all. document_committed and document_answered name the version, the one in force and the revisions.

--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod changes;
 mod charts;
+mod convergence;
 mod copies;
 mod detector;
 mod documents;
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -127,11 +127,34 @@
             command = name_command(&command),
             outcome = name_outcome(&outcome),
         );
+        self.log_document(revision, &command);
         answer_command(waiting, mark, Some(CommandReply::Committed(outcome)));
         Ok(())
     }
 }
 
+impl ControlTask {
+    /// Logs a committed document, from which an operator learns at which revision a version came
+    /// into force.
+    fn log_document(&self, revision: CatalogRevision, command: &CatalogCommand) {
+        let (document, removed) = match command {
+            CatalogCommand::ApplyDocument(document) => (&**document, 0),
+            CatalogCommand::UpdateDocument(update) => (&update.changed, update.removed.len()),
+            _ => return,
+        };
+        let in_force = self.catalog.document().map(|held| held.version);
+        log_event!(
+            Level::Info,
+            "document_committed",
+            revision = revision,
+            version = document.version,
+            in_force = in_force.unwrap_or_default(),
+            changed = document.contracts.len(),
+            removed = removed,
+        );
+    }
+}
+
 fn answer_command(waiting: Option<WaitingCommand>, mark: EntryMark, reply: Option<CommandReply>) {
     let Some(waiting) = waiting else {
         return;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -233,6 +233,11 @@
         reply
     }
 
+    /// Logs a statement that this gateway refused without forwarding it.
+    pub(crate) fn log_refusal(&self, request: &StatementRequest, reply: &StatementReply) {
+        self.log_failure(&RequestLogFields::from(request), reply, self.clock.now());
+    }
+
     /// Logs the outcome of a statement that no endpoint answered.
     ///
     /// The leaseholder logs the statement as well if it got there; this line shows what the gateway
@@ -266,6 +271,7 @@
             epoch = placement.map_or(0, |placement| placement.epoch.0),
             revision = view.copy.revision(),
             lease_held = view.may_serve(self.clock.now()),
+            lease_left_ms = view.lease.remaining(self.clock.now()).as_millis(),
         );
     }
 
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -70,6 +70,14 @@
         self.lease.is_valid(now)
     }
 
+    /// Returns what a decision made now is based on.
+    pub fn standing(&self, now: ClockTime) -> CatalogStanding {
+        CatalogStanding {
+            revision: self.copy.revision(),
+            lease_left: self.lease.remaining(now),
+        }
+    }
+
     /// Says whether this view differs from `former` by the end of a lease that is valid in both, at
     /// most.
     pub fn is_renewal_of(&self, former: &Self, now: ClockTime) -> bool {
@@ -90,6 +98,15 @@
     }
 }
 
+/// What a decision about a caller is based on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CatalogStanding {
+    /// The revision of the catalog copy.
+    pub revision: CatalogRevision,
+    /// The remaining time of the lease; without one, the copy may be out of date.
+    pub lease_left: Duration,
+}
+
 /// The state of the heartbeat task.
 pub struct MemberTask {
     /// The daemon's settings.
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -11,6 +11,8 @@
 use crate::gateway::is_caller_admitted;
 use crate::gateway::reply_with;
 use crate::group::hash_text;
+use crate::log_event;
+use log::Level;
 use ragwort_control::ClockTime;
 use ragwort_policy::AbandonEffect;
 use ragwort_policy::ArrivalDecision;
@@ -74,6 +76,20 @@
         let verdict = RequestVerdict::refused(cause, 0);
         let metrics = &self.context.metrics;
         metrics.count_request(&verdict, UrgencyClass::Ordinary);
+        let standing = self.view.borrow().standing(self.now());
+        let context = request.context.as_ref();
+        log_event!(
+            Level::Info,
+            "statement",
+            id = context.map_or("none", |context| context.caller_id.as_str()),
+            customer = request.customer,
+            group = self.group,
+            outcome = "refused",
+            cause = cause,
+            epoch = self.record.placement.epoch,
+            revision = standing.revision,
+            lease_left_ms = standing.lease_left.as_millis(),
+        );
         // The gateway's connection may be gone.
         let _ = reply.send(reply_with(request, verdict));
     }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -12,6 +12,7 @@
 use crate::gateway::reply_with;
 use crate::leaseholders::LeaseholderEvent;
 use crate::limits::AccountLimiter;
+use crate::log_event;
 use crate::member::MemberView;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
@@ -26,6 +27,7 @@
 use jsonrpsee::server::ServerHandle;
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee_ws_client::WsClient;
+use log::Level;
 use ragwort_rpc::AgentApiClient;
 use ragwort_rpc::AnnounceApiServer;
 use ragwort_rpc::CompactJson;
@@ -49,6 +51,7 @@
 use ragwort_types::DocumentCopy;
 use ragwort_types::DocumentReadReply;
 use ragwort_types::DocumentReply;
+use ragwort_types::DocumentVersion;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::FormReply;
 use ragwort_types::GroupName;
@@ -229,18 +232,34 @@
         }
         document.seal = Some(DigestSecret(rand::random()));
         document.source = compact_text(document.source.to_string()).into();
+        let version = document.version;
         let copy = Arc::clone(&self.view.borrow().copy);
         let update = copy.compare_document(&document);
+        let mut reply = CommandReply::Committed(CatalogOutcome::Stale);
         if let Some(update) = update {
             let command = CatalogCommand::UpdateDocument(Box::new(update));
-            let reply = self.propose_to_control_vms(&command).await;
-            // The configuration has changed since the copy's revision.
-            if reply != CommandReply::Committed(CatalogOutcome::Stale) {
-                return to_document_reply(reply);
-            }
+            reply = self.propose_to_control_vms(&command).await;
+        }
+        // The configuration has changed since the copy's revision.
+        if reply == CommandReply::Committed(CatalogOutcome::Stale) {
+            let command = CatalogCommand::ApplyDocument(Box::new(document));
+            reply = self.propose_to_control_vms(&command).await;
         }
-        let command = CatalogCommand::ApplyDocument(Box::new(document));
-        to_document_reply(self.propose_to_control_vms(&command).await)
+        let reply = to_document_reply(reply);
+        let (outcome, in_force) = match &reply {
+            DocumentReply::Accepted(acceptance) => ("accepted", acceptance.in_force),
+            DocumentReply::Invalid(_) => ("invalid", DocumentVersion::default()),
+            DocumentReply::Unknown => ("unknown", DocumentVersion::default()),
+        };
+        log_event!(
+            Level::Info,
+            "document_answered",
+            version = version,
+            outcome = outcome,
+            in_force = in_force,
+            base = copy.revision(),
+        );
+        reply
     }
 
     /// Returns the whole configuration document, as confirmed by a majority.
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::find_terms;
 use crate::gateway::reply_with;
+use crate::member::CatalogStanding;
 use crate::member::MemberView;
 use crate::sessions::SessionCaller;
 use crate::sessions::SessionService;
@@ -238,6 +239,10 @@
         self.view.borrow().admission_changes
     }
 
+    fn standing(&self) -> CatalogStanding {
+        self.view.borrow().standing(self.clock.now())
+    }
+
     fn release(&self, database: &CustomerName) {
         self.uncount_session(database);
     }
@@ -287,7 +292,9 @@
     async fn execute(&self, request: StatementRequest) -> StatementReply {
         let (id, group, customer) = (request.id, request.group.clone(), request.customer.clone());
         if let Err(refusal) = self.admit(&group, &customer, &request.marks) {
-            return reply_with(&request, RequestVerdict::NotRun(refusal));
+            let reply = reply_with(&request, RequestVerdict::NotRun(refusal));
+            self.gateway.log_refusal(&request, &reply);
+            return reply;
         }
         self.tables().running.insert(id, group.clone());
         let reply = self.gateway.execute(request).await;
--- a/crates/daemon/src/sessions/mod.rs
+++ b/crates/daemon/src/sessions/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::callers::DrainStage;
 use crate::callers::SessionRefusal;
+use crate::member::CatalogStanding;
 use async_trait::async_trait;
 use ragwort_types::AccountKey;
 use ragwort_types::AccountName;
@@ -71,6 +72,9 @@
     /// Returns the number of changes so far of the accounts and contracts that decide on admission.
     fn admission_changes(&self) -> u64;
 
+    /// Returns what admissions are based on at present.
+    fn standing(&self) -> CatalogStanding;
+
     /// Records the end of an admitted session; called exactly once for each.
     fn release(&self, database: &CustomerName);
 
--- a/crates/daemon/src/sessions/session.rs
+++ b/crates/daemon/src/sessions/session.rs
@@ -131,11 +131,14 @@
 
     async fn refuse(&mut self, database: &CustomerName, refusal: SessionRefusal) {
         self.metrics.count_caller_fault("refused");
+        let standing = self.service.standing();
         log_event!(
             Level::Info,
             "session_refused",
             customer = database,
             cause = format!("{refusal:?}"),
+            revision = standing.revision,
+            lease_left_ms = standing.lease_left.as_millis(),
         );
         let (sort, after, text) = match refusal {
             SessionRefusal::NoContract | SessionRefusal::UnknownGroup => {
@@ -317,6 +320,7 @@
     async fn execute(&self, admitted: &AdmittedSession, draft: &StatementDraft) -> StatementReply {
         let id = StatementId::fresh();
         let Some(group) = self.service.find_group(&admitted.database) else {
+            self.log_unknown_database(admitted, draft);
             return StatementReply {
                 id,
                 verdict: RequestVerdict::refused(RefusalCause::Contract, 0),
@@ -327,6 +331,21 @@
         self.service.run(request).await
     }
 
+    /// Logs a statement whose database was removed after the session was admitted.
+    fn log_unknown_database(&self, admitted: &AdmittedSession, draft: &StatementDraft) {
+        let standing = self.service.standing();
+        log_event!(
+            Level::Info,
+            "request_failed",
+            id = draft.context.caller_id,
+            customer = admitted.database,
+            outcome = "refused",
+            cause = RefusalCause::Contract,
+            revision = standing.revision,
+            lease_left_ms = standing.lease_left.as_millis(),
+        );
+    }
+
     fn make_request(
         &self,
         id: StatementId,
