A missing database is reported only from a copy under a lease

Callers of a gateway that was cut off from the control VMs got "no such database" for a database that an acknowledged configuration had added, up to 8 s after the acknowledgement, while other gateways served it. Callers take that answer for final.

Cause: a session's opening asks for a lease before it says so, the statements behind it didn't. Three places concluded absence from a copy that may be outdated: the session looked its group up in the copy, the gateway's limit of statements in flight looked up the contract there, and a refusal of the leaseholder was passed on, although the group that it was asked for came from the outdated copy: a database that had been removed and added again to another group is unknown to its former group's leaseholder. With a lease the last one also happened for some 100 ms after each change, when the leaseholder was behind the gateway: READY, then "no such database".

Tests before the change: leaseholder_that_lacks_a_new_contract_is_asked_again, contract_that_the_gateway_holds_is_not_reported_missing, removed_contract_is_reported_once_the_gateway_lacks_it and cut_off_gateway_reports_no_missing_database fail; those in admission.rs need the new signature of find_group and had no run before.

Now absence is reported only by a gateway whose own copy lacks the contract under a lease. Without a lease the statement is refused with a time to come back. If the gateway has the contract and the leaseholder doesn't, it is asked again for half a lease. Descriptions and the PostgreSQL edge's sessions ask for the lease too.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -78,6 +78,10 @@
 /// heartbeats.
 const HANDOVER_LEASES: f64 = 0.5;
 
+/// The time in which a leaseholder applies a change of a contract that this gateway has applied, in
+/// leases: within its next heartbeats.
+const CATCH_UP_LEASES: f64 = HANDOVER_LEASES;
+
 /// How long a statement waits for a connection to be opened before it takes another way. A
 /// connection is open after two round trips between failure domains, 6 ms; a packet that is lost on
 /// the way costs the 50 ms after which another attempt is begun.
@@ -153,6 +157,17 @@
     LostBehindRelay,
 }
 
+/// What a gateway knows of a contract that a leaseholder lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ContractStanding {
+    /// The catalog copy lacks it too, under a lease.
+    Missing,
+    /// The catalog copy has it, under a lease: one of the two VMs is behind.
+    Held,
+    /// Without a lease the catalog copy proves nothing.
+    Unknown,
+}
+
 /// The VMs through which a group's statements can be handed over.
 struct GroupRoute {
     leaseholder: PeerAddresses,
@@ -369,7 +384,10 @@
         let contract = view.copy.contract(&request.customer);
         let marks = RequestMarks::default();
         let Some(terms) = contract.and_then(|held| find_terms(&held.contract, &marks)) else {
-            return shape_reply(&request, ShapeOutcome::refused(RefusalCause::Contract, 0));
+            return match view.may_serve(started) {
+                true => shape_reply(&request, ShapeOutcome::refused(RefusalCause::Contract, 0)),
+                false => self.refuse_describe(&request),
+            };
         };
         let deadline = started + find_deadline(&terms, &marks);
         loop {
@@ -477,6 +495,7 @@
             deadline,
             sent_before: false,
         };
+        let mut doubted_since = None;
         loop {
             let outcome = self.try_once(&mut attempt).await;
             let request = &attempt.request;
@@ -484,7 +503,26 @@
             let (cause, leases) = match outcome {
                 HandOver::Replied(reply) => {
                     self.end_outage(&request.group);
-                    return reply_to_caller(request, reply, terms, sent_before);
+                    let standing = match lacks_contract(&reply) && !sent_before {
+                        true => self.find_contract_standing(request),
+                        false => ContractStanding::Missing,
+                    };
+                    let since = *doubted_since.get_or_insert(self.clock.now());
+                    match standing {
+                        ContractStanding::Missing => {
+                            return reply_to_caller(request, reply, terms, sent_before);
+                        }
+                        ContractStanding::Held if self.may_ask_again(request, since, deadline) => {
+                            sleep(ATTEMPT_PAUSE).await;
+                            continue;
+                        }
+                        ContractStanding::Held => {
+                            return self.refuse_doubted(request, RefusalCause::NoLeaseholder);
+                        }
+                        ContractStanding::Unknown => {
+                            return self.refuse_doubted(request, RefusalCause::NoLease);
+                        }
+                    }
                 }
                 HandOver::NotAccepted(cause) => (cause, TAKEOVER_LEASES),
                 HandOver::Unreachable => (RefusalCause::NoLeaseholder, TAKEOVER_LEASES),
@@ -511,6 +549,50 @@
         }
     }
 
+    /// Returns what this gateway knows of the contract that a leaseholder lacks for a statement.
+    ///
+    /// The group to which the statement was sent comes from this gateway's catalog copy, and the
+    /// contract may have moved to another group. So the leaseholder's answer alone doesn't show that
+    /// the database doesn't exist.
+    fn find_contract_standing(&self, request: &StatementRequest) -> ContractStanding {
+        let view = self.view.borrow();
+        if !view.may_serve(self.clock.now()) {
+            return ContractStanding::Unknown;
+        }
+        let contracts = view.copy.contract_table();
+        let held = contracts.get_for_group(&request.customer, &request.group);
+        let terms = held.and_then(|held| find_terms(&held.contract, &request.marks));
+        match terms {
+            Some(_) => ContractStanding::Held,
+            None => ContractStanding::Missing,
+        }
+    }
+
+    /// Says whether a statement that its leaseholder refused for want of a contract may be sent
+    /// again: one of a transaction may not, and the leaseholder must have time to catch up.
+    fn may_ask_again(
+        &self,
+        request: &StatementRequest,
+        since: ClockTime,
+        deadline: ClockTime,
+    ) -> bool {
+        let opens = matches!(
+            request.step,
+            TransactionStep::Single | TransactionStep::Begin(_)
+        );
+        let limit = self
+            .leaseholder_lease(&request.group)
+            .mul_f64(CATCH_UP_LEASES);
+        opens && self.clock.now() < deadline.min(since + limit)
+    }
+
+    /// Refuses a statement whose contract only one of this gateway and the leaseholder has.
+    fn refuse_doubted(&self, request: &StatementRequest, cause: RefusalCause) -> StatementReply {
+        let after = self.leaseholder_lease(&request.group) / 4;
+        let refused = RequestVerdict::refused(cause, after.as_millis() as u64);
+        reply_with(request, refused)
+    }
+
     async fn try_once(&self, attempt: &mut Attempt<'_>) -> HandOver {
         let lease = self.own_lease();
         self.relays.note_lease(lease);
@@ -813,6 +895,10 @@
     Some(arrived + target.saturating_sub(spent))
 }
 
+fn lacks_contract(reply: &StatementReply) -> bool {
+    matches!(&reply.verdict, RequestVerdict::NotRun(refusal) if refusal.cause == RefusalCause::Contract)
+}
+
 fn is_misrouted_reply(reply: &StatementReply) -> bool {
     matches!(&reply.verdict, RequestVerdict::NotRun(refusal) if is_misrouted(refusal.cause))
 }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -50,6 +50,10 @@
 /// milliseconds.
 const NO_LEASE_RETRY_MS: u64 = 500;
 
+/// The time after which a caller whose contract has moved to another group should come back, in
+/// milliseconds.
+const MOVED_CONTRACT_RETRY_MS: u64 = 20;
+
 /// The time after which a caller that exceeded its customer's session limit should come back, in
 /// milliseconds.
 const SESSION_LIMIT_RETRY_MS: u64 = 1_000;
@@ -116,14 +120,11 @@
         customer: &CustomerName,
         marks: &RequestMarks,
     ) -> Result<(), Refusal> {
-        const NO_CONTRACT: Refusal = Refusal {
-            cause: RefusalCause::Contract,
-            come_back_after_ms: 0,
-        };
         let view = self.view.borrow();
-        let contract = view.copy.contract(customer).ok_or(NO_CONTRACT)?;
+        let missing = || self.refuse_without_contract(&view);
+        let contract = view.copy.contract(customer).ok_or_else(missing)?;
         let contract = &contract.contract;
-        let kind = find_terms(contract, marks).ok_or(NO_CONTRACT)?;
+        let kind = find_terms(contract, marks).ok_or_else(missing)?;
         let terms = CustomerTerms::from(contract);
         self.tables()
             .in_flight_limiter
@@ -132,6 +133,36 @@
 }
 
 impl GatewayService {
+    /// Returns the refusal of a statement whose contract the catalog copy lacks.
+    ///
+    /// Without a lease the copy may be outdated. A caller that is told that its database doesn't
+    /// exist gives up, although the database may have been added since.
+    fn refuse_without_contract(&self, view: &MemberView) -> Refusal {
+        match view.may_serve(self.clock.now()) {
+            true => Refusal {
+                cause: RefusalCause::Contract,
+                come_back_after_ms: 0,
+            },
+            false => Refusal {
+                cause: RefusalCause::NoLease,
+                come_back_after_ms: NO_LEASE_RETRY_MS,
+            },
+        }
+    }
+
+    /// Returns the refusal of a statement that was refused for want of a contract, although the
+    /// session was admitted.
+    fn explain_missing_contract(&self, database: &CustomerName) -> Refusal {
+        match self.find_group(database) {
+            // The contract names another group by now; the next statement goes there.
+            Ok(_) => Refusal {
+                cause: RefusalCause::NoLeaseholder,
+                come_back_after_ms: MOVED_CONTRACT_RETRY_MS,
+            },
+            Err(refusal) => refusal,
+        }
+    }
+
     /// Counts one more session of a customer if its contract allows it.
     fn count_session(&self, contract: &CustomerContract) -> Result<(), SessionRefusal> {
         let mut tables = self.tables();
@@ -251,10 +282,13 @@
         self.gateway.is_isolated_for(notice)
     }
 
-    fn find_group(&self, database: &CustomerName) -> Option<GroupName> {
+    fn find_group(&self, database: &CustomerName) -> Result<GroupName, Refusal> {
         let view = self.view.borrow();
-        let contract = view.copy.contract(database)?;
-        contract.contract.groups.first().cloned()
+        let contract = view.copy.contract(database);
+        let group = contract.and_then(|held| held.contract.groups.first());
+        group
+            .cloned()
+            .ok_or_else(|| self.refuse_without_contract(&view))
     }
 
     async fn run(&self, mut request: StatementRequest) -> StatementReply {
@@ -262,7 +296,14 @@
         if self.view.borrow().may_serve(self.clock.now()) {
             request.proof = None;
         }
-        StatementService::execute(self, request).await
+        let database = request.customer.clone();
+        let mut reply = StatementService::execute(self, request).await;
+        if let RequestVerdict::NotRun(refusal) = &mut reply.verdict
+            && refusal.cause == RefusalCause::Contract
+        {
+            *refusal = self.explain_missing_contract(&database);
+        }
+        reply
     }
 }
 
@@ -272,15 +313,21 @@
         let view = self.view.borrow();
         let contract = self.find_contract(&view, &identity.customer)?;
         let contracts = view.copy.contract_table();
-        if contracts
-            .get_for_group(&identity.customer, &identity.group)
-            .is_none()
-        {
-            return Err(SessionRefusal::UnknownGroup);
-        }
+        let allowed = contracts.get_for_group(&identity.customer, &identity.group);
         // This protocol carries no account key.
-        if !contract.callers.is_open() {
-            return Err(SessionRefusal::UnknownKey);
+        let refusal = match (allowed, contract.callers.is_open()) {
+            (None, _) => Some(SessionRefusal::UnknownGroup),
+            (Some(_), false) => Some(SessionRefusal::UnknownKey),
+            (Some(_), true) => None,
+        };
+        if let Some(refusal) = refusal {
+            // Without a lease the catalog copy may lack a change of the contract.
+            return Err(match view.may_serve(self.clock.now()) {
+                true => refusal,
+                false => SessionRefusal::NotReady {
+                    come_back_after_ms: NO_LEASE_RETRY_MS,
+                },
+            });
         }
         self.count_session(contract)
     }
--- a/crates/daemon/src/sessions/mod.rs
+++ b/crates/daemon/src/sessions/mod.rs
@@ -19,6 +19,7 @@
 use ragwort_types::CustomerName;
 use ragwort_types::GroupName;
 use ragwort_types::KeyDigest;
+use ragwort_types::Refusal;
 use ragwort_types::StatementReply;
 use ragwort_types::StatementRequest;
 use std::time::Duration;
@@ -83,7 +84,11 @@
     fn should_move_sessions(&self, notice: Duration) -> bool;
 
     /// Returns the group that serves a database at present.
-    fn find_group(&self, database: &CustomerName) -> Option<GroupName>;
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a statement if no contract is known for the database.
+    fn find_group(&self, database: &CustomerName) -> Result<GroupName, Refusal>;
 
     /// Runs a statement to its final verdict.
     async fn run(&self, request: StatementRequest) -> StatementReply;
--- a/crates/daemon/src/sessions/session.rs
+++ b/crates/daemon/src/sessions/session.rs
@@ -23,7 +23,7 @@
 use ragwort_types::AccountKey;
 use ragwort_types::CustomerName;
 use ragwort_types::GroupName;
-use ragwort_types::RefusalCause;
+use ragwort_types::Refusal;
 use ragwort_types::RequestMarks;
 use ragwort_types::RequestVerdict;
 use ragwort_types::SessionName;
@@ -319,20 +319,28 @@
 
     async fn execute(&self, admitted: &AdmittedSession, draft: &StatementDraft) -> StatementReply {
         let id = StatementId::fresh();
-        let Some(group) = self.service.find_group(&admitted.database) else {
-            self.log_unknown_database(admitted, draft);
-            return StatementReply {
-                id,
-                verdict: RequestVerdict::refused(RefusalCause::Contract, 0),
-                served_by: None,
-            };
+        let group = match self.service.find_group(&admitted.database) {
+            Ok(group) => group,
+            Err(refusal) => {
+                self.log_unknown_database(admitted, draft, refusal);
+                return StatementReply {
+                    id,
+                    verdict: RequestVerdict::NotRun(refusal),
+                    served_by: None,
+                };
+            }
         };
         let request = self.make_request(id, admitted, group, draft);
         self.service.run(request).await
     }
 
     /// Logs a statement whose database was removed after the session was admitted.
-    fn log_unknown_database(&self, admitted: &AdmittedSession, draft: &StatementDraft) {
+    fn log_unknown_database(
+        &self,
+        admitted: &AdmittedSession,
+        draft: &StatementDraft,
+        refusal: Refusal,
+    ) {
         let standing = self.service.standing();
         log_event!(
             Level::Info,
@@ -340,7 +348,7 @@
             id = draft.context.caller_id,
             customer = admitted.database,
             outcome = "refused",
-            cause = RefusalCause::Contract,
+            cause = refusal.cause,
             revision = standing.revision,
             lease_left_ms = standing.lease_left.as_millis(),
         );
--- /dev/null
+++ b/crates/daemon/tests/components/admission.rs
@@ -0,0 +1,75 @@
+//! Sessions and statements of databases that the gateway's catalog copy lacks.
+
+use crate::bench::UNREACHABLE_ADDRESS;
+use crate::bench::create_record;
+use crate::bench::create_view;
+use crate::bench::plain_links;
+use ragwort_types::AccountKey;
+use ragwort_types::CustomerName;
+use ragwort_types::RefusalCause;
+use ragwort_types::RequestVerdict;
+use ragwortgated::callers::SessionRefusal;
+use ragwortgated::clock::NodeClock;
+use ragwortgated::gateway::Gateway;
+use ragwortgated::member::MemberView;
+use ragwortgated::peers::PeerLinks;
+use ragwortgated::service::GatewayService;
+use ragwortgated::sessions::SessionService;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+failure_cases! {
+    /// A session was admitted, and the database was removed and added again while the gateway was
+    /// cut off. Its copy lacks the database, but that is no reason to report it missing.
+    statement_is_not_refused_by_an_outdated_copy => outdated_copy_case();
+    /// A database was removed after a session was admitted. A gateway with a lease reports that at
+    /// the next statement.
+    statement_of_a_removed_database_is_refused => removed_database_case();
+}
+
+/// The database that the bench's catalog has no contract for.
+const UNKNOWN: &str = "removed";
+
+/// Creates the service of a gateway with or without a lease.
+fn create_service(lease: bool) -> (GatewayService, watch::Sender<MemberView>) {
+    let view = create_view([UNREACHABLE_ADDRESS; 3], &create_record("vm-1", 1), lease);
+    let (sender, view) = watch::channel(view);
+    let clock = NodeClock::start();
+    let links = plain_links(PeerLinks::new(Duration::from_secs(5)));
+    let gateway = Gateway::new(clock, links, view.clone(), Duration::from_secs(1));
+    let (_, closing) = watch::channel(false);
+    let (service, _) = GatewayService::start(Arc::new(gateway), clock, view, closing);
+    (service, sender)
+}
+
+async fn outdated_copy_case() {
+    let (service, _view) = create_service(false);
+    let database = CustomerName::from(UNKNOWN);
+    let refused = service.admit(&database, &AccountKey::new("")).unwrap_err();
+    assert!(
+        matches!(refused, SessionRefusal::NotReady { .. }),
+        "{refused:?}"
+    );
+    let refusal = service.find_group(&database).unwrap_err();
+    assert_eq!(refusal.cause, RefusalCause::NoLease);
+    assert!(refusal.come_back_after_ms > 0);
+    let request = crate::bench::RequestBuilder::new("grant", "append case-7 grant");
+    let mut request = request.into_request();
+    request.customer = database;
+    let reply = service.run(request).await;
+    let RequestVerdict::NotRun(refusal) = reply.verdict else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(refusal.cause, RefusalCause::NoLease);
+    assert!(refusal.come_back_after_ms > 0);
+}
+
+async fn removed_database_case() {
+    let (service, _view) = create_service(true);
+    let database = CustomerName::from(UNKNOWN);
+    let refused = service.admit(&database, &AccountKey::new("")).unwrap_err();
+    assert_eq!(refused, SessionRefusal::NoContract);
+    let refusal = service.find_group(&database).unwrap_err();
+    assert_eq!(refusal.cause, RefusalCause::Contract);
+}
--- a/crates/daemon/tests/components/gateway.rs
+++ b/crates/daemon/tests/components/gateway.rs
@@ -12,7 +12,11 @@
 use crate::peer::FakePeer;
 use crate::peer::PeerScript;
 use ragwort_lab::relay::FaultRelay;
+use ragwort_types::CatalogDelta;
+use ragwort_types::CatalogItem;
+use ragwort_types::CatalogRevision;
 use ragwort_types::DoubtCause;
+use ragwort_types::Refusal;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestKey;
 use ragwort_types::RequestVerdict;
@@ -90,6 +94,15 @@
     statement_lost_with_its_relay_leaves_doubt => lost_relay_case();
     /// This VM's lease has ended, so its catalog may be outdated. It accepts no statements.
     gateway_without_a_lease_refuses => no_lease_case();
+    /// A contract reaches the gateway before the leaseholder. The statement of a session that was
+    /// admitted under it waits until the leaseholder has it too.
+    leaseholder_that_lacks_a_new_contract_is_asked_again => lagging_leaseholder_case();
+    /// A leaseholder goes on lacking a contract that the gateway has under a lease. One of them is
+    /// outdated, so the statement isn't refused as one of an unknown database.
+    contract_that_the_gateway_holds_is_not_reported_missing => doubted_contract_case();
+    /// A contract is removed, and the leaseholder learns of it before the gateway. Once the gateway
+    /// lacks the contract too, the caller is told.
+    removed_contract_is_reported_once_the_gateway_lacks_it => removed_contract_case();
     /// A driver prepares a statement while the leaseholder is being replaced. The description is
     /// requested again from the successor after a short wait.
     description_is_asked_of_the_successor => describe_successor_case();
@@ -304,6 +317,51 @@
     peer.stop().await;
 }
 
+const NO_CONTRACT: RequestVerdict = RequestVerdict::NotRun(Refusal {
+    cause: RefusalCause::Contract,
+    come_back_after_ms: 0,
+});
+
+async fn lagging_leaseholder_case() {
+    let peer = FakePeer::start(PeerScript::Reply(NO_CONTRACT)).await;
+    let bench = GatewayBench::new([peer.address; 3], USUAL_LEASE);
+    let running = bench.start(grant());
+    peer.wait_received(2).await;
+    peer.set_script(PeerScript::Reply(DONE));
+    assert_eq!(running.await.unwrap().verdict, DONE);
+    peer.stop().await;
+}
+
+async fn doubted_contract_case() {
+    let peer = FakePeer::start(PeerScript::Reply(NO_CONTRACT)).await;
+    let bench = GatewayBench::new([peer.address; 3], Duration::from_millis(200));
+    let verdict = bench.execute(grant()).await;
+    let RequestVerdict::NotRun(refusal) = verdict else {
+        panic!("{verdict:?}");
+    };
+    assert_eq!(refusal.cause, RefusalCause::NoLeaseholder);
+    assert!(refusal.come_back_after_ms > 0);
+    peer.stop().await;
+}
+
+async fn removed_contract_case() {
+    let peer = FakePeer::start(PeerScript::Reply(NO_CONTRACT)).await;
+    let bench = GatewayBench::new([peer.address; 3], USUAL_LEASE);
+    let running = bench.start(grant());
+    peer.wait_received(2).await;
+    bench.view.send_modify(|view| {
+        let revision = view.copy.revision();
+        let gone = CatalogDelta {
+            from: Some(revision),
+            to: CatalogRevision(revision.0 + 1),
+            items: vec![CatalogItem::ContractGone("omuti".into())],
+        };
+        Arc::make_mut(&mut view.copy).apply_delta(&gone).unwrap();
+    });
+    assert_eq!(running.await.unwrap().verdict, NO_CONTRACT);
+    peer.stop().await;
+}
+
 async fn describe_successor_case() {
     let (peer, relay) = start_breakable_peer().await;
     let successor = FakePeer::start(PeerScript::Reply(DONE)).await;
--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -2,6 +2,8 @@
 
 #[macro_use]
 mod cases;
+
+mod admission;
 mod announcements;
 mod bench;
 mod compaction;
--- a/crates/daemon/tests/components/statements.rs
+++ b/crates/daemon/tests/components/statements.rs
@@ -67,6 +67,9 @@
 /// The text of a statement whose group has no leaseholder.
 const NO_LEASEHOLDER: &str = "unled";
 
+/// The text of a statement whose group's leaseholder has no contract of the customer.
+const NO_CONTRACT: &str = "gone";
+
 /// The text of a statement whose reply is lost at the leaseholder.
 const LOST_REPLY: &str = "loses";
 
@@ -118,6 +121,10 @@
     /// for other groups must still be forwarded; if the gateway took itself for isolated, it would
     /// refuse them all.
     group_without_a_leaseholder_does_not_isolate_the_gateway => no_leaseholder_case();
+    /// A gateway that is cut off sends a statement to the group that its outdated catalog names. The
+    /// database has moved to another group, so that the leaseholder has no contract for it; that
+    /// doesn't show that the database doesn't exist.
+    cut_off_gateway_reports_no_missing_database => unknown_contract_case();
     /// The gateway through which a write was forwarded is lost before the reply. The write may have
     /// run: sent through the next gateway, it could take effect twice.
     write_lost_with_its_relay_is_not_sent_again => lost_relay_case("grant", 0);
@@ -175,6 +182,7 @@
             NO_LEASEHOLDER => {
                 reply.verdict = RequestVerdict::refused(RefusalCause::NoLeaseholder, 7)
             }
+            NO_CONTRACT => reply.verdict = RequestVerdict::refused(RefusalCause::Contract, 0),
             // The refusal by a gateway that is cut off too.
             _ => reply.verdict = RequestVerdict::refused(RefusalCause::NoLease, 7),
         }
@@ -585,6 +593,20 @@
     first.stop().await;
 }
 
+async fn unknown_contract_case() {
+    let other = TestLeaseholder::start().await;
+    let addresses = [UNREACHABLE_ADDRESS, UNREACHABLE_ADDRESS, other.address];
+    let links = plain_links(PeerLinks::new(LONG));
+    let isolated = IsolatedGateway::with_links(other, addresses, links, false);
+    let reply = isolated.gateway.execute(request(NO_CONTRACT)).await;
+    let RequestVerdict::NotRun(refusal) = reply.verdict else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(refusal.cause, RefusalCause::NoLease);
+    assert!(refusal.come_back_after_ms > 0);
+    isolated.stop().await;
+}
+
 async fn hanging_relay_case() {
     let (hanging, relay) = start_relayed().await;
     relay.set_mode(RelayMode::Hang);
