The scheduler knows a contract before the contract's first statement

A group's task takes statements and changes of the catalog from two queues in either order, and its check of a statement read the newest contracts while the scheduler had those of the last change that was handled. The first statement under a new contract could be refused as one of an unknown database although the check had just accepted it.

Both kinds of groups pass changed contracts to the scheduler before they check a statement.

--- a/crates/daemon/src/group/intake.rs
+++ b/crates/daemon/src/group/intake.rs
@@ -81,6 +81,9 @@
         reply: oneshot::Sender<StatementReply>,
     ) {
         let now = self.context.clock.now();
+        // The statement may come before the view's change is handled, and the check below reads
+        // the newest contracts.
+        self.apply_contracts();
         let origin = StatementOrigin {
             customer: &request.customer,
             marks: &request.marks,
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -42,6 +42,9 @@
         reply: oneshot::Sender<StatementReply>,
     ) {
         let now = self.now();
+        // The statement may come before the view's change is handled, and the check below reads
+        // the newest contracts.
+        self.apply_contracts();
         let terms = self.check_statement(&request);
         let context = request.context.take();
         let (terms, context) = match (terms, context) {
--- a/crates/daemon/tests/components/admission.rs
+++ b/crates/daemon/tests/components/admission.rs
@@ -1,22 +1,33 @@
 //! Sessions and statements of databases that the gateway's catalog copy lacks.
 
+use crate::bench::FRESH;
+use crate::bench::GroupBench;
+use crate::bench::RequestBuilder;
 use crate::bench::UNREACHABLE_ADDRESS;
+use crate::bench::create_contract;
 use crate::bench::create_record;
 use crate::bench::create_view;
 use crate::bench::plain_links;
 use ragwort_types::AccountKey;
+use ragwort_types::CatalogDelta;
+use ragwort_types::CatalogItem;
+use ragwort_types::ChangeId;
+use ragwort_types::ContractVersion;
 use ragwort_types::CustomerName;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
+use ragwort_types::VersionedContract;
 use ragwortgated::callers::SessionRefusal;
 use ragwortgated::clock::NodeClock;
 use ragwortgated::gateway::Gateway;
+use ragwortgated::group::GroupEvent;
 use ragwortgated::member::MemberView;
 use ragwortgated::peers::PeerLinks;
 use ragwortgated::service::GatewayService;
 use ragwortgated::sessions::SessionService;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 failure_cases! {
@@ -26,6 +37,10 @@
     /// A database was removed after a session was admitted. A gateway with a lease reports that at
     /// the next statement.
     statement_of_a_removed_database_is_refused => removed_database_case();
+    /// A contract is added, and its customer's first statement arrives before the group's task has
+    /// handled the change of the catalog. If the scheduler didn't know the contract yet, it would
+    /// refuse the statement.
+    first_statement_under_a_new_contract_is_admitted => first_statement_case();
 }
 
 /// The database that the bench's catalog has no contract for.
@@ -54,7 +69,7 @@
     let refusal = service.find_group(&database).unwrap_err();
     assert_eq!(refusal.cause, RefusalCause::NoLease);
     assert!(refusal.come_back_after_ms > 0);
-    let request = crate::bench::RequestBuilder::new("grant", "append case-7 grant");
+    let request = RequestBuilder::new("grant", "append case-7 grant");
     let mut request = request.into_request();
     request.customer = database;
     let reply = service.run(request).await;
@@ -73,3 +88,37 @@
     let refusal = service.find_group(&database).unwrap_err();
     assert_eq!(refusal.cause, RefusalCause::Contract);
 }
+
+/// The number of contracts that are added; the task handles either event first.
+const CONTRACTS: usize = 40;
+
+async fn first_statement_case() {
+    let bench = GroupBench::start().await;
+    for number in 0..CONTRACTS {
+        let mut contract = create_contract();
+        contract.customer = format!("customer-{number}").into();
+        let mut request = RequestBuilder::new(FRESH, "get case-7").into_request();
+        request.customer = contract.customer.clone();
+        let held = VersionedContract {
+            version: ContractVersion(1),
+            change_id: ChangeId::fresh(),
+            contract,
+        };
+        bench.view.send_modify(|view| {
+            let revision = view.copy.revision();
+            let added = CatalogDelta {
+                from: Some(revision),
+                to: revision.next(),
+                items: vec![CatalogItem::Contract(Box::new(held))],
+            };
+            Arc::make_mut(&mut view.copy).apply_delta(&added).unwrap();
+        });
+        let (reply, answer) = oneshot::channel();
+        let event = GroupEvent::Statement(Box::new(request), reply);
+        bench.inbox.try_send(event).unwrap();
+        let verdict = answer.await.unwrap().verdict;
+        let refused = RequestVerdict::refused(RefusalCause::Contract, 0);
+        assert_ne!(verdict, refused, "statement {number}");
+    }
+    bench.stop().await;
+}
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -25,6 +25,7 @@
 use ragwort_types::CommandRequest;
 use ragwort_types::ContractVersion;
 use ragwort_types::CustomerContract;
+use ragwort_types::CustomerName;
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupPlacement;
 use ragwort_types::GroupRecord;
@@ -146,6 +147,7 @@
 /// A statement to be sent to the leaseholder.
 #[derive(Clone, Debug)]
 pub struct TestStatement {
+    customer: CustomerName,
     kind: &'static str,
     text: String,
     act: StatementOperation,
@@ -164,6 +166,7 @@
             _ => AccessMode::Read,
         };
         Self {
+            customer: "omuti".into(),
             kind,
             text: text.to_owned(),
             act: StatementOperation::Text(access),
@@ -176,6 +179,11 @@
         }
     }
 
+    pub fn customer(mut self, name: &str) -> Self {
+        self.customer = name.into();
+        self
+    }
+
     pub fn account(mut self, name: &str) -> Self {
         self.account = Some(name.into());
         self
@@ -218,7 +226,7 @@
     fn into_request(self) -> StatementRequest {
         StatementRequest {
             id: StatementId::fresh(),
-            customer: "omuti".into(),
+            customer: self.customer,
             session: "clerk".into(),
             group: "cases".into(),
             marks: RequestMarks {
@@ -555,6 +563,26 @@
         });
     }
 
+    /// Adds a customer with the bench's contract.
+    pub fn add_customer(&self, name: &str) {
+        let mut contract = create_contract();
+        contract.customer = name.into();
+        let contract = VersionedContract {
+            version: ContractVersion(1),
+            change_id: ChangeId::fresh(),
+            contract,
+        };
+        self.view.send_modify(|view| {
+            let revision = view.copy.revision();
+            let delta = CatalogDelta {
+                from: Some(revision),
+                to: revision.next(),
+                items: vec![CatalogItem::Contract(Box::new(contract))],
+            };
+            Arc::make_mut(&mut view.copy).apply_delta(&delta).unwrap();
+        });
+    }
+
     /// Changes the configured connection limit of the group's endpoints.
     pub fn limit_connections(&self, connections: u32) {
         let terms = GroupTerms {
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -6,6 +6,7 @@
 mod bench;
 mod codec;
 mod connections;
+mod contracts;
 mod endpoint;
 mod failover;
 mod freshness;
