Sessions aren't ended by a copy without a lease

A gateway without a lease ended sessions whose key its outdated catalog copy lacked. The key may have been given back since. The statements of such a gateway carry the key's digest, and the leaseholder checks it under its lease, so the session goes on.

--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -254,6 +254,11 @@
 
     fn still_admits(&self, database: &CustomerName, caller: &SessionCaller) -> bool {
         let view = self.view.borrow();
+        // Without a lease the catalog copy may lack a key that was given back. The statements carry
+        // its digest then, and the leaseholder checks it.
+        if !view.may_serve(self.clock.now()) {
+            return true;
+        }
         match (&caller.account, &caller.digest) {
             (Some(account), Some(digest)) => {
                 view.copy.accounts().find_holder(digest) == Some(account)
--- a/crates/daemon/tests/components/admission.rs
+++ b/crates/daemon/tests/components/admission.rs
@@ -14,6 +14,7 @@
 use ragwort_types::ChangeId;
 use ragwort_types::ContractVersion;
 use ragwort_types::CustomerName;
+use ragwort_types::KeyDigest;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::VersionedContract;
@@ -24,6 +25,7 @@
 use ragwortgated::member::MemberView;
 use ragwortgated::peers::PeerLinks;
 use ragwortgated::service::GatewayService;
+use ragwortgated::sessions::SessionCaller;
 use ragwortgated::sessions::SessionService;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +39,9 @@
     /// A database was removed after a session was admitted. A gateway with a lease reports that at
     /// the next statement.
     statement_of_a_removed_database_is_refused => removed_database_case();
+    /// A key was taken away and given back while the gateway was cut off. Its copy lacks the key,
+    /// but the leaseholder checks it, so the session goes on.
+    session_is_not_ended_by_an_outdated_copy => outdated_key_case();
     /// A contract is added, and its customer's first statement arrives before the group's task has
     /// handled the change of the catalog. If the scheduler didn't know the contract yet, it would
     /// refuse the statement.
@@ -89,6 +94,22 @@
     assert_eq!(refusal.cause, RefusalCause::Contract);
 }
 
+async fn outdated_key_case() {
+    let database = CustomerName::from("omuti");
+    let caller = SessionCaller {
+        account: Some("directorate".into()),
+        digest: Some(KeyDigest([7; 16])),
+    };
+    for (lease, admits) in [(true, false), (false, true)] {
+        let (service, _view) = create_service(lease);
+        assert_eq!(
+            service.still_admits(&database, &caller),
+            admits,
+            "lease {lease}"
+        );
+    }
+}
+
 /// The number of contracts that are added; the task handles either event first.
 const CONTRACTS: usize = 40;
 
