Lines of refusals only where the catalog decides; one place that answers operators

Refusals by a gateway's limits and statements that meet a handover come by the hundred; their lines would cost processor time under overload, so only those for want of a contract or of a lease are written. document_answered also covers documents that are refused for their content. A session of the PostgreSQL edge without a lease is tested too.

--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -131,9 +131,7 @@
         answer_command(waiting, mark, Some(CommandReply::Committed(outcome)));
         Ok(())
     }
-}
 
-impl ControlTask {
     /// Logs a committed document, from which an operator learns at which revision a version came
     /// into force.
     fn log_document(&self, revision: CatalogRevision, command: &CatalogCommand) {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -249,7 +249,7 @@
     }
 
     /// Logs a statement that this gateway refused without forwarding it.
-    pub(crate) fn log_refusal(&self, request: &StatementRequest, reply: &StatementReply) {
+    pub(crate) fn log_unforwarded(&self, request: &StatementRequest, reply: &StatementReply) {
         self.log_failure(&RequestLogFields::from(request), reply, self.clock.now());
     }
 
@@ -507,22 +507,21 @@
                         true => self.find_contract_standing(request),
                         false => ContractStanding::Missing,
                     };
-                    let since = *doubted_since.get_or_insert(self.clock.now());
                     match standing {
                         ContractStanding::Missing => {
                             return reply_to_caller(request, reply, terms, sent_before);
                         }
-                        ContractStanding::Held if self.may_ask_again(request, since, deadline) => {
-                            sleep(ATTEMPT_PAUSE).await;
-                            continue;
-                        }
-                        ContractStanding::Held => {
-                            return self.refuse_doubted(request, RefusalCause::NoLeaseholder);
-                        }
                         ContractStanding::Unknown => {
                             return self.refuse_doubted(request, RefusalCause::NoLease);
                         }
+                        ContractStanding::Held => {}
+                    }
+                    let since = *doubted_since.get_or_insert_with(|| self.clock.now());
+                    if !self.may_ask_again(request, since, deadline) {
+                        return self.refuse_doubted(request, RefusalCause::NoLeaseholder);
                     }
+                    sleep(ATTEMPT_PAUSE).await;
+                    continue;
                 }
                 HandOver::NotAccepted(cause) => (cause, TAKEOVER_LEASES),
                 HandOver::Unreachable => (RefusalCause::NoLeaseholder, TAKEOVER_LEASES),
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -79,6 +79,15 @@
         let verdict = RequestVerdict::refused(cause, 0);
         let metrics = &self.context.metrics;
         metrics.count_request(&verdict, UrgencyClass::Ordinary);
+        if cause == RefusalCause::Contract {
+            self.log_missing_contract(request);
+        }
+        // The gateway's connection may be gone.
+        let _ = reply.send(reply_with(request, verdict));
+    }
+
+    /// Logs a statement for which no contract is known here.
+    fn log_missing_contract(&self, request: &StatementRequest) {
         let standing = self.view.borrow().standing(self.now());
         let context = request.context.as_ref();
         log_event!(
@@ -88,13 +97,11 @@
             customer = request.customer,
             group = self.group,
             outcome = "refused",
-            cause = cause,
+            cause = RefusalCause::Contract,
             epoch = self.record.placement.epoch,
             revision = standing.revision,
             lease_left_ms = standing.lease_left.as_millis(),
         );
-        // The gateway's connection may be gone.
-        let _ = reply.send(reply_with(request, verdict));
     }
 
     /// Returns the contract's terms for a statement.
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -223,29 +223,9 @@
     }
 
     /// Proposes a whole configuration document.
-    pub async fn replace_document(&self, mut document: ContractDocument) -> DocumentReply {
-        // A faulty document needs no entry in the log, since its faults follow from its content
-        // alone.
-        let faults = document.find_faults();
-        if !faults.is_empty() {
-            return DocumentReply::Invalid(faults.iter().map(ToString::to_string).collect());
-        }
-        document.seal = Some(DigestSecret(rand::random()));
-        document.source = compact_text(document.source.to_string()).into();
+    pub async fn replace_document(&self, document: ContractDocument) -> DocumentReply {
         let version = document.version;
-        let copy = Arc::clone(&self.view.borrow().copy);
-        let update = copy.compare_document(&document);
-        let mut reply = CommandReply::Committed(CatalogOutcome::Stale);
-        if let Some(update) = update {
-            let command = CatalogCommand::UpdateDocument(Box::new(update));
-            reply = self.propose_to_control_vms(&command).await;
-        }
-        // The configuration has changed since the copy's revision.
-        if reply == CommandReply::Committed(CatalogOutcome::Stale) {
-            let command = CatalogCommand::ApplyDocument(Box::new(document));
-            reply = self.propose_to_control_vms(&command).await;
-        }
-        let reply = to_document_reply(reply);
+        let reply = self.propose_document(document).await;
         let (outcome, in_force) = match &reply {
             DocumentReply::Accepted(acceptance) => ("accepted", acceptance.in_force),
             DocumentReply::Invalid(_) => ("invalid", DocumentVersion::default()),
@@ -257,11 +237,33 @@
             version = version,
             outcome = outcome,
             in_force = in_force,
-            base = copy.revision(),
         );
         reply
     }
 
+    async fn propose_document(&self, mut document: ContractDocument) -> DocumentReply {
+        // A faulty document needs no entry in the log, since its faults follow from its content
+        // alone.
+        let faults = document.find_faults();
+        if !faults.is_empty() {
+            return DocumentReply::Invalid(faults.iter().map(ToString::to_string).collect());
+        }
+        document.seal = Some(DigestSecret(rand::random()));
+        document.source = compact_text(document.source.to_string()).into();
+        let copy = Arc::clone(&self.view.borrow().copy);
+        let update = copy.compare_document(&document);
+        if let Some(update) = update {
+            let command = CatalogCommand::UpdateDocument(Box::new(update));
+            let reply = self.propose_to_control_vms(&command).await;
+            // The configuration has changed since the copy's revision.
+            if reply != CommandReply::Committed(CatalogOutcome::Stale) {
+                return to_document_reply(reply);
+            }
+        }
+        let command = CatalogCommand::ApplyDocument(Box::new(document));
+        to_document_reply(self.propose_to_control_vms(&command).await)
+    }
+
     /// Returns the whole configuration document, as confirmed by a majority.
     pub async fn find_document(&self) -> DocumentReadReply {
         match self.find_stored_document().await {
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -345,7 +345,13 @@
         let (id, group, customer) = (request.id, request.group.clone(), request.customer.clone());
         if let Err(refusal) = self.admit(&group, &customer, &request.marks) {
             let reply = reply_with(&request, RequestVerdict::NotRun(refusal));
-            self.gateway.log_refusal(&request, &reply);
+            // Refusals by the limits come by the hundred under overload, and are counted.
+            if matches!(
+                refusal.cause,
+                RefusalCause::Contract | RefusalCause::NoLease
+            ) {
+                self.gateway.log_unforwarded(&request, &reply);
+            }
             return reply;
         }
         self.tables().running.insert(id, group.clone());
--- a/crates/daemon/tests/components/admission.rs
+++ b/crates/daemon/tests/components/admission.rs
@@ -18,7 +18,9 @@
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::VersionedContract;
+use ragwortgated::callers::SessionIdentity;
 use ragwortgated::callers::SessionRefusal;
+use ragwortgated::callers::StatementService;
 use ragwortgated::clock::NodeClock;
 use ragwortgated::gateway::Gateway;
 use ragwortgated::group::GroupEvent;
@@ -74,6 +76,16 @@
     let refusal = service.find_group(&database).unwrap_err();
     assert_eq!(refusal.cause, RefusalCause::NoLease);
     assert!(refusal.come_back_after_ms > 0);
+    let identity = SessionIdentity {
+        customer: "omuti".into(),
+        group: "removed".into(),
+        session: "clerk".into(),
+    };
+    let refused = service.open_session(&identity).unwrap_err();
+    assert!(
+        matches!(refused, SessionRefusal::NotReady { .. }),
+        "{refused:?}"
+    );
     let request = RequestBuilder::new("grant", "append case-7 grant");
     let mut request = request.into_request();
     request.customer = database;
