--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -567,7 +567,7 @@
         }
     }
 
-    /// Says whether a statement that its leaseholder refused for want of a contract may be sent
+    /// Returns whether a statement that its leaseholder refused for want of a contract may be sent
     /// again: one of a transaction may not, and the leaseholder must have time to catch up.
     fn may_ask_again(
         &self,
