Control: a log line for each planning of placements

The logs couldn't tell whether members really fell silent or a new leader only hadn't heard them: the entries name no reason, and no remove_member was committed. The line names the members with a recent heartbeat and the time since the election.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -227,6 +227,11 @@
         live.map(|member| member.id.vm.clone()).collect()
     }
 
+    /// Returns the time since this leader's election.
+    pub fn led_for(&self, now: ClockTime) -> Duration {
+        now.since(self.elected_at)
+    }
+
     /// Returns the revision that a member has confirmed.
     pub fn confirmed(&self, vm: &VmName) -> Option<CatalogRevision> {
         self.records.get(vm).map(|record| record.confirmed)
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -371,6 +371,7 @@
         };
         let mut commands = ledger.due_commands(now, &self.catalog);
         let live = ledger.live_members(now, &self.catalog);
+        let led_for = ledger.led_for(now);
         self.propose_voter_change(&live);
         self.unplaced
             .retain(|group| self.catalog.group(group).is_none());
@@ -383,6 +384,17 @@
         if self.last_input_without_plans.as_ref() != Some(&input) {
             let plans = plan_placements(&self.catalog, &input.live, &input.unplaced);
             let without_plans = plans.is_empty();
+            if !without_plans {
+                log_event!(
+                    Level::Info,
+                    "placements_planned",
+                    plans = plans.len(),
+                    unplaced = input.unplaced.len(),
+                    live = input.live.len(),
+                    members = self.catalog.members().count(),
+                    led_for_ms = led_for.as_millis(),
+                );
+            }
             commands.extend(plans.into_iter().map(CatalogCommand::PlaceGroup));
             self.last_input_without_plans = without_plans.then_some(input);
         }
