Placement: a new leader keeps the standbys of members that it hasn't heard yet

Cause: a standby that wasn't live was replaced. Live means a recent heartbeat to this leader, and right after an election there is none, so the first check, some milliseconds after the election, took the standbys from all groups, and a later one gave them back: up to two entries for each group, each applied by all control VMs and sent to all members. With 1,000 groups and little processor, this work keeps the leader from its heartbeats; it steps down, and the next election begins the same.

Change: a standby stays while its lease may be valid, as a leaseholder does, which a new leader must assume of everybody for one lease. Only live members get further groups.

Tests: new_leader_keeps_standbys_that_it_has_not_heard failed before (100 of 100 groups planned anew with nobody heard); standbys_that_stay_silent_are_replaced and expected_members_get_no_groups hold the limits of the change.

--- a/crates/control/examples/catalog_slopes.rs
+++ b/crates/control/examples/catalog_slopes.rs
@@ -99,8 +99,9 @@
     fn place_groups(&mut self) {
         let groups: Vec<GroupName> = (0..GROUPS).map(group_name).collect();
         let live: BTreeSet<VmName> = (0..VMS).map(vm_name).collect();
+        let presence = live.into();
         let began = Instant::now();
-        let plans = plan_placements(&self.state, &live, &groups);
+        let plans = plan_placements(&self.state, &presence, &groups);
         println!(
             "plan_first groups={GROUPS} ms={}",
             began.elapsed().as_millis()
@@ -120,7 +121,7 @@
             }
         });
         let began = Instant::now();
-        let plans = plan_placements(&self.state, &live, &[]);
+        let plans = plan_placements(&self.state, &presence, &[]);
         let micros = began.elapsed().as_micros();
         println!(
             "plan_settled groups={GROUPS} us={micros} plans={}",
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -95,6 +95,28 @@
     }
 }
 
+/// The members that a control leader may plan with.
+///
+/// A new leader has heard nobody. If it took all members for lost, it would replace the standbys of
+/// every group, and again when the members' heartbeats arrive.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberPresence {
+    /// The members with a recent heartbeat, which can be given groups.
+    pub live: BTreeSet<VmName>,
+    /// The other members whose lease may be valid, which keep the groups that they have.
+    pub expected: BTreeSet<VmName>,
+}
+
+impl From<BTreeSet<VmName>> for MemberPresence {
+    /// Returns the presence of `live` members, with nobody else expected.
+    fn from(live: BTreeSet<VmName>) -> Self {
+        Self {
+            live,
+            expected: BTreeSet::new(),
+        }
+    }
+}
+
 /// The control leader's answer to a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseDecision {
@@ -215,16 +237,20 @@
         commands
     }
 
-    /// Returns the members with a recent heartbeat, which can be given groups.
-    pub fn live_members(&self, now: ClockTime, catalog: &CatalogState) -> BTreeSet<VmName> {
-        let members = catalog.members();
-        let live = members.filter(|member| match self.records.get(&member.id.vm) {
-            Some(record) => {
-                record.is_live(now, self.lease_length(member)) && record.member.id == member.id
+    /// Returns which members are live, and which may be although this leader hasn't heard them yet.
+    pub fn presence(&self, now: ClockTime, catalog: &CatalogState) -> MemberPresence {
+        let mut presence = MemberPresence::default();
+        for member in catalog.members() {
+            let vm = &member.id.vm;
+            let record = self.records.get(vm);
+            let own = record.filter(|record| record.member.id == member.id);
+            if own.is_some_and(|record| record.is_live(now, self.lease_length(member))) {
+                presence.live.insert(vm.clone());
+            } else if !self.has_ended(now, member) {
+                presence.expected.insert(vm.clone());
             }
-            None => false,
-        });
-        live.map(|member| member.id.vm.clone()).collect()
+        }
+        presence
     }
 
     /// Returns the time since this leader's election.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -137,6 +137,7 @@
 pub use lease::LeaseDecision;
 pub use lease::LeaseLedger;
 pub use lease::MemberLease;
+pub use lease::MemberPresence;
 pub use native_roles::InstanceRoles;
 pub use native_roles::RoleReport;
 pub use pace::HEARTBEATS_PER_LEASE;
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -11,6 +11,7 @@
 
 use crate::CatalogCopy;
 use crate::CatalogState;
+use crate::MemberPresence;
 use crate::digest::digest_bytes;
 use crate::digest::mix_bits;
 use crate::proximity::EndpointProximity;
@@ -36,20 +37,24 @@
 ///
 /// - A group whose leaseholder left the catalog moves to one of its live standbys, which hold its
 ///   journal, or else to another VM.
-/// - A standby that isn't live, is draining, or needlessly shares a failure domain is replaced.
+/// - A standby that is neither live nor expected, is draining, or needlessly shares a failure domain
+///   is replaced.
 /// - An unplaced group gets its first placement.
 ///
 /// A leaseholder that is still in the catalog keeps its groups, live or not, because its lease may
-/// be valid. A draining leaseholder hands its groups over itself, see [`plan_handovers`].
+/// be valid. Only live members get further groups. A draining leaseholder hands its groups over
+/// itself, see [`plan_handovers`].
 pub fn plan_placements(
     catalog: &CatalogState,
-    live: &BTreeSet<VmName>,
+    presence: &MemberPresence,
     unplaced: &[GroupName],
 ) -> Vec<GroupPlacement> {
-    let usable = |member: &&MemberRecord| can_lead(member) && live.contains(&member.id.vm);
-    let members: Vec<&MemberRecord> = catalog.members().filter(usable).collect();
-    let mut planner = PlacementPlanner::new(&members, catalog.groups(), unplaced.len());
+    let able = || catalog.members().filter(|member| can_lead(member));
+    let live = able().filter(|member| presence.live.contains(&member.id.vm));
+    let live: Vec<&MemberRecord> = live.collect();
+    let mut planner = PlacementPlanner::new(&live, catalog.groups(), unplaced.len());
     planner.add_domains(catalog.members());
+    planner.expect_members(able().filter(|member| presence.expected.contains(&member.id.vm)));
     let mut plans = Vec::new();
     for record in catalog.groups() {
         let kept = catalog.member(&record.placement.leaseholder).is_some();
@@ -127,6 +132,8 @@
 
 struct PlacementPlanner<'a> {
     usable: BTreeMap<&'a VmName, &'a MemberRecord>,
+    /// The members that may keep what they have, but get nothing more.
+    expected: BTreeMap<&'a VmName, &'a MemberRecord>,
     /// The failure domains of all members, because an unusable leaseholder may keep its groups.
     domains: BTreeMap<&'a VmName, &'a DomainName>,
     led_counts: BTreeMap<VmName, usize>,
@@ -146,6 +153,7 @@
                 .iter()
                 .map(|member| (&member.id.vm, *member))
                 .collect(),
+            expected: BTreeMap::new(),
             domains: BTreeMap::new(),
             led_counts: BTreeMap::new(),
             standby_counts: BTreeMap::new(),
@@ -175,6 +183,16 @@
         self.domains.extend(named);
     }
 
+    fn expect_members(&mut self, members: impl Iterator<Item = &'a MemberRecord>) {
+        let named = members.map(|member| (&member.id.vm, member));
+        self.expected.extend(named);
+    }
+
+    /// Returns whether a VM that is a group's standby may stay so.
+    fn may_keep(&self, vm: &VmName) -> bool {
+        self.usable.contains_key(vm) || self.expected.contains_key(vm)
+    }
+
     fn count_placement(&mut self, placement: &GroupPlacement) {
         *self
             .led_counts
@@ -218,8 +236,8 @@
     ///
     /// Ranking 630 VMs for each of 710 groups at every tick would take noticeable time.
     fn is_settled(&self, present: &GroupPlacement) -> bool {
-        let usable = |vm: &VmName| self.usable.contains_key(vm);
-        if present.standbys.len() < STANDBY_COUNT || !present.standbys.iter().all(usable) {
+        let may_stay = present.standbys.iter().all(|vm| self.may_keep(vm));
+        if present.standbys.len() < STANDBY_COUNT || !may_stay {
             return false;
         }
         let vms = present.standbys.iter().chain([&present.leaseholder]);
@@ -324,10 +342,12 @@
         let mut domains: Vec<&DomainName> = Vec::new();
         domains.extend(self.domains.get(&leaseholder).copied());
         let kept = present.standbys.iter().filter(|vm| **vm != leaseholder);
-        let kept: Vec<&VmName> = kept.filter(|vm| self.usable.contains_key(vm)).collect();
+        let kept: Vec<&VmName> = kept.filter(|vm| self.may_keep(vm)).collect();
+        let expected = kept.iter().filter_map(|vm| self.expected.get(vm));
+        let candidates: Vec<_> = self.usable.values().chain(expected).collect();
         while standbys.len() < STANDBY_COUNT {
             let chosen = |vm: &VmName| standbys.contains(vm) || *vm == leaseholder;
-            let open = self.usable.values().filter(|member| !chosen(&member.id.vm));
+            let open = candidates.iter().filter(|member| !chosen(&member.id.vm));
             let best = open.max_by_key(|member| {
                 let vm = &member.id.vm;
                 let load = self.standby_counts.get(vm).copied().unwrap_or(0);
--- a/crates/control/tests/state/leases.rs
+++ b/crates/control/tests/state/leases.rs
@@ -249,8 +249,8 @@
     fn propose(&mut self) {
         let due = self.ledger.due_commands(self.now, &self.script.state);
         self.proposals.extend(due);
-        let live = self.ledger.live_members(self.now, &self.script.state);
-        let plans = plan_placements(&self.script.state, &live, &Self::groups());
+        let presence = self.ledger.presence(self.now, &self.script.state);
+        let plans = plan_placements(&self.script.state, &presence, &Self::groups());
         self.proposals
             .extend(plans.into_iter().map(CatalogCommand::PlaceGroup));
     }
--- a/crates/control/tests/state/membership.rs
+++ b/crates/control/tests/state/membership.rs
@@ -5,6 +5,7 @@
 use ragwort_control::LeaseDecision;
 use ragwort_control::LeaseLedger;
 use ragwort_control::MemberLease;
+use ragwort_control::MemberPresence;
 use ragwort_control::RequestedLease;
 use ragwort_control::load_cap;
 use ragwort_control::plan_handovers;
@@ -57,9 +58,10 @@
     script
 }
 
-fn live_members(script: &CatalogScript) -> BTreeSet<VmName> {
+fn live_members(script: &CatalogScript) -> MemberPresence {
     let members = script.state.members();
-    members.map(|member| member.id.vm.clone()).collect()
+    let live: BTreeSet<VmName> = members.map(|member| member.id.vm.clone()).collect();
+    live.into()
 }
 
 fn leaseholders(script: &CatalogScript) -> BTreeMap<GroupName, GroupPlacement> {
@@ -281,6 +283,58 @@
     }
 }
 
+/// Returns the groups that a leader elected at 100 ms would place anew at `now`, after a heartbeat
+/// from the first `heard` of 5 VMs at 110 ms.
+fn replanned_after_election(heard: u64, now: ClockTime) -> usize {
+    let script = placed_catalog(5, 100);
+    let mut ledger = LeaseLedger::new(at(100), LEASE);
+    for number in 1..=heard {
+        ledger.receive(at(110), &heartbeat(number, 1, 0), &script.state);
+    }
+    let presence = ledger.presence(now, &script.state);
+    plan_placements(&script.state, &presence, &[]).len()
+}
+
+case! {
+    /// A new control leader hasn't heard any member yet. If it replaced the standbys of every group,
+    /// and again when the members are heard, this work would cost it the leadership in turn.
+    new_leader_keeps_standbys_that_it_has_not_heard {
+        for heard in 0..=5 {
+            let replanned = replanned_after_election(heard, at(111));
+            assert_eq!(replanned, 0, "{heard} VMs are heard");
+        }
+    }
+}
+
+case! {
+    /// A member that was lost with the former leader sends no heartbeat. Its groups must get another
+    /// standby once its lease has ended.
+    standbys_that_stay_silent_are_replaced {
+        let last = at(100) + LEASE;
+        assert_eq!(replanned_after_election(4, last), 0);
+        assert!(replanned_after_election(4, last + LEASE / 50) > 0);
+    }
+}
+
+case! {
+    /// A VM that is only expected may be lost. A group whose leaseholder has left must go to a live
+    /// VM, or its callers would wait for another lease.
+    expected_members_get_no_groups {
+        let mut script = placed_catalog(5, 100);
+        script.expect_done(CatalogCommand::RemoveMember(member(1, 1).id));
+        let mut ledger = LeaseLedger::new(at(100), LEASE);
+        ledger.receive(at(110), &heartbeat(2, 1, 0), &script.state);
+        let presence = ledger.presence(at(111), &script.state);
+        let placed = plan_placements(&script.state, &presence, &["late".into()]);
+        let before = leaseholders(&script);
+        for plan in placed {
+            let former = before.get(&plan.group);
+            let moved = former.is_none_or(|former| former.leaseholder != plan.leaseholder);
+            assert!(!moved || plan.leaseholder == VmName::from("vm-2"), "{plan:?}");
+        }
+    }
+}
+
 case! {
     /// The first VM to join gets every group because there is no other yet. After others have
     /// joined, it must hand over all but its share, or it would carry the whole load.
--- a/crates/control/tests/state/proximity.rs
+++ b/crates/control/tests/state/proximity.rs
@@ -165,7 +165,7 @@
         let mut script = distant_group("vm-1");
         script.expect_done(CatalogCommand::RemoveMember(member(1, 1).id));
         let live: BTreeSet<VmName> = ["vm-2", "vm-3", "vm-4"].map(VmName::from).into();
-        let plans = plan_placements(&script.state, &live, &[]);
+        let plans = plan_placements(&script.state, &live.into(), &[]);
         assert_eq!(plans.len(), 1);
         assert_eq!(plans[0].leaseholder, VmName::from("vm-2"));
     }
--- a/crates/daemon/src/control/event.rs
+++ b/crates/daemon/src/control/event.rs
@@ -2,6 +2,7 @@
 
 use ragwort_control::ClockTime;
 use ragwort_control::EntryMark;
+use ragwort_control::MemberPresence;
 use ragwort_types::AgreementEnvelope;
 use ragwort_types::CatalogRevision;
 use ragwort_types::CommandReply;
@@ -18,8 +19,6 @@
 use ragwort_types::LeaseGrant;
 use ragwort_types::MemberId;
 use ragwort_types::PieceRequest;
-use ragwort_types::VmName;
-use std::collections::BTreeSet;
 use std::fmt;
 use std::io;
 use std::sync::Arc;
@@ -128,6 +127,6 @@
 #[derive(PartialEq, Eq)]
 pub(super) struct PlacementInput {
     pub(super) revision: CatalogRevision,
-    pub(super) live: BTreeSet<VmName>,
+    pub(super) presence: MemberPresence,
     pub(super) unplaced: Vec<GroupName>,
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -370,19 +370,19 @@
             return;
         };
         let mut commands = ledger.due_commands(now, &self.catalog);
-        let live = ledger.live_members(now, &self.catalog);
+        let presence = ledger.presence(now, &self.catalog);
         let led_for = ledger.led_for(now);
-        self.propose_voter_change(&live);
+        self.propose_voter_change(&presence.live);
         self.unplaced
             .retain(|group| self.catalog.group(group).is_none());
         let unplaced: Vec<GroupName> = self.unplaced.iter().cloned().collect();
         let input = PlacementInput {
             revision: self.catalog.revision(),
-            live,
+            presence,
             unplaced,
         };
         if self.last_input_without_plans.as_ref() != Some(&input) {
-            let plans = plan_placements(&self.catalog, &input.live, &input.unplaced);
+            let plans = plan_placements(&self.catalog, &input.presence, &input.unplaced);
             let without_plans = plans.is_empty();
             if !without_plans {
                 log_event!(
@@ -390,7 +390,8 @@
                     "placements_planned",
                     plans = plans.len(),
                     unplaced = input.unplaced.len(),
-                    live = input.live.len(),
+                    live = input.presence.live.len(),
+                    expected = input.presence.expected.len(),
                     members = self.catalog.members().count(),
                     led_for_ms = led_for.as_millis(),
                 );
