Control: messages of the replicated log that wait for a peer share a call

Cause: each message to another control VM had a call of its own, and the next one began when it was answered. A leader sends its followers more than eighty messages a second (a confirmation of its leadership each tick, batches of entries, news of commits). As soon as a round trip takes longer than the share of each, here some ten milliseconds, the queue grows, up to 256 messages. The heartbeats in it come late; after 300 ms without answers the leader steps down, and votes and the next leader's messages queue behind what is out of date. So each election is followed by the next one, with the leases, placements and catalogs that it renews, for as long as the load lasts.

Change: all that waits while a call is under way goes into the next one, up to 256 KB. A control VM of an earlier version gets its messages one by one.

Tests: messages_that_wait_for_a_slow_peer_share_a_call failed before (a call for each of 100 messages that wait), large_messages_are_sent_apart holds the limit, peer_of_an_earlier_version_takes_messages_one_by_one the mixed set.

--- a/crates/daemon/src/control/peers.rs
+++ b/crates/daemon/src/control/peers.rs
@@ -7,16 +7,15 @@
 
 use super::ControlTask;
 use super::decode_command;
+use crate::agreement_messages::QueuedMessage;
+use crate::agreement_messages::send_messages;
 use crate::log_event;
-use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
-use jsonrpsee_ws_client::WsClient;
 use log::Level;
 use ragwort_control::AgreementMessage;
 use ragwort_control::CatalogState;
 use ragwort_control::DurableState;
 use ragwort_control::agreement::EntryPayload;
-use ragwort_rpc::PeerApiClient;
 use ragwort_rpc::compact_text;
 use ragwort_rpc::expand_text;
 use ragwort_types::AgreementEnvelope;
@@ -26,7 +25,6 @@
 use ragwort_types::VmName;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -43,7 +41,7 @@
 struct PeerEntry {
     address: SocketAddr,
     /// The queue of the task that sends to this address; `None` before the first message.
-    queue: Option<mpsc::Sender<AgreementEnvelope>>,
+    queue: Option<mpsc::Sender<QueuedMessage>>,
 }
 
 impl PeerTable {
@@ -189,7 +187,7 @@
             sender
         });
         // A full queue drops the newest message, which the replicated log repeats.
-        let _ = queue.try_send(envelope);
+        let _ = queue.try_send(QueuedMessage::new(envelope));
     }
 
     /// Returns the leader's address, if the leader is another VM and its address is known.
@@ -198,20 +196,3 @@
         self.peers.address(&leader.vm)
     }
 }
-
-/// Sends one peer's messages in order; a peer that doesn't answer delays only its own queue.
-async fn send_messages(
-    links: PeerLinks,
-    address: SocketAddr,
-    limit: Duration,
-    mut queue: mpsc::Receiver<AgreementEnvelope>,
-) {
-    while let Some(envelope) = queue.recv().await {
-        let call = |client: Arc<WsClient>| async move { client.agree(envelope).await };
-        if links.call(address, limit, call).await.is_err() {
-            // The messages queued meanwhile are obsolete: the peer needs the present state, not a
-            // replay of the time in which it did not answer.
-            while queue.try_recv().is_ok() {}
-        }
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 //! assert!(faults.iter().any(|fault| fault.to_string().contains("port: unknown setting")));
 //! ```
 
+pub mod agreement_messages;
 pub mod announcements;
 pub mod callers;
 mod catalog_fetch;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -408,9 +408,16 @@
     }
 
     async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()> {
+        self.agree_all(vec![envelope]).await
+    }
+
+    async fn agree_all(&self, envelopes: Vec<AgreementEnvelope>) -> RpcResult<()> {
         let control = self.control.as_ref().ok_or_else(not_control)?;
-        let sent = control.send(ControlEvent::PeerMessage(envelope)).await;
-        sent.map_err(|_| stopping())
+        for envelope in envelopes {
+            let sent = control.send(ControlEvent::PeerMessage(envelope)).await;
+            sent.map_err(|_| stopping())?;
+        }
+        Ok(())
     }
 
     async fn control_identity(&self) -> RpcResult<Option<ControlIdentity>> {
--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 
 mod admission;
+mod agreement_messages;
 mod announcements;
 mod bench;
 mod compaction;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -109,6 +109,10 @@
     #[method(name = "agree")]
     async fn agree(&self, envelope: AgreementEnvelope) -> RpcResult<()>;
 
+    /// Receives consensus messages in their order.
+    #[method(name = "agreeAll")]
+    async fn agree_all(&self, envelopes: Vec<AgreementEnvelope>) -> RpcResult<()>;
+
     /// Returns the propagation state of an accepted change, if this VM is the control leader.
     #[method(name = "leaderForce")]
     async fn leader_in_force_status(
