Membership: a grant that comes late is taken, and no heartbeat is repeated before

Cause: a member dropped a heartbeat's call after a third of its lease, 200 ms for a leaseholder. A grant that came later was lost, although control had renewed the lease. The member then asked all control VMs, 50 ms apart, and again as soon as it had given up on those, while they still worked on the former heartbeats. With up to five heartbeats in place of one from each of 305 members the answers took longer than the limit for good. Only answers within the limit counted for the longer lease that a member with slow heartbeats asks for, so that it never asked for one.

Change: an answer is awaited for as long as its lease could last. The member still asks another control VM after a third of the lease, takes the late grant when it comes, counts its time for the lease that it asks for, and sends nothing to a control VM that owes it an answer. A lease counts from the sending of its heartbeat, so a late grant is as safe as another. A new line, heartbeat_late.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod gateway;
 pub mod group;
 pub mod handover_plans;
+mod heartbeat_calls;
 pub mod leaseholders;
 pub mod ledger_index;
 pub mod limits;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -8,11 +8,13 @@
 use crate::catalog_fetch::FetchContext;
 use crate::clock::NodeClock;
 use crate::directory::ControlDirectory;
+use crate::directory::ControlList;
+use crate::heartbeat_calls::HeartbeatAnswer;
+use crate::heartbeat_calls::HeartbeatCalls;
+use crate::heartbeat_calls::HeartbeatPurpose;
 use crate::log_event;
 use crate::peers::PeerLinks;
 use crate::settings::DaemonSettings;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use log::Level;
 use ragwort_control::CatalogCopy;
 use ragwort_control::ClockTime;
@@ -40,10 +42,11 @@
 use std::time::Duration;
 use std::time::SystemTime;
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
-/// How many control VMs can be tried in vain before the lease ends; each call may take this part of
+/// How many control VMs can be tried in vain before the lease ends; each is waited for this part of
 /// the lease. A VM that has lost power doesn't answer at all, not even with a refused connection.
 const ATTEMPTS_IN_LEASE: u32 = 3;
 
@@ -175,52 +178,45 @@
     }
 
     async fn run_heartbeats(&mut self, mut id: MemberId, fetch: &mut CatalogFetch) -> bool {
+        let mut calls = HeartbeatCalls::new(self.clock, self.links.clone());
         let mut cursor = 0;
-        let mut attached = false;
+        // The control VM that granted the present lease; `None` once it has failed to renew it.
+        let mut attached: Option<SocketAddr> = None;
         let mut ever_attached = false;
         loop {
             let addresses = self.directory.addresses();
-            let Some(address) = addresses.get(cursor % addresses.len().max(1)).copied() else {
+            if addresses.is_empty() {
                 // No control address is known; new settings may bring one.
-                if !self.wait_next(false, self.clock.now(), fetch).await {
-                    return true;
+                let now = self.clock.now();
+                match self.wait_next(None, now, fetch, &mut calls).await {
+                    WaitEnd::Stopped => return true,
+                    WaitEnd::Due | WaitEnd::Granted(_) => continue,
                 }
-                continue;
-            };
-            let sent = self.clock.now();
-            let mut due = self.next_heartbeat_time(sent);
-            let reply = match attached {
-                true => self.send_heartbeat(&id, address).await,
-                false => self.seek_grant(&id, &addresses, &mut cursor).await,
+            }
+            attached = attached.filter(|address| addresses.contains(address));
+            let started = self.clock.now();
+            let mut due = self.next_heartbeat_time(started);
+            let answer = match attached {
+                Some(address) => self.renew_lease(&id, address, fetch, &mut calls).await,
+                None => self.seek_grant(&id, &addresses, cursor, &mut calls).await,
             };
-            if let Some(SentReply { sent, reply }) = &reply
-                && let HeartbeatReply::Granted(grant) = reply
-            {
-                self.apply_grant(*sent, grant);
+            if let Some(answer) = &answer {
+                self.take_grant(answer, fetch);
             }
-            match reply.map(|answered| answered.reply) {
+            let answered = answer.as_ref().map(|answer| answer.address);
+            match answer.and_then(|answer| answer.reply) {
                 Some(HeartbeatReply::Granted(grant)) => {
                     // Sends the next heartbeat at once, since an operator waits for the
                     // confirmation of the change.
                     if grant.delta.as_ref().is_some_and(must_be_confirmed) {
-                        due = sent;
-                    }
-                    if let Some(missing) = self.missing_revision(&grant) {
-                        fetch.ask_for(missing);
+                        due = started;
                     }
-                    // The time to find a control VM that grants says nothing about the delays of a
-                    // heartbeat.
-                    if attached {
-                        self.record_heartbeat_time(sent);
-                    }
-                    if !attached {
-                        log_event!(Level::Info, "lease_granted", vm = id.vm, control = address);
-                    }
-                    attached = true;
+                    log_attachment(&id, attached, answered);
+                    attached = answered;
                     ever_attached = true;
                 }
                 Some(HeartbeatReply::NotYet) => {
-                    attached = false;
+                    attached = None;
                     // A control VM that was removed from the voters never learns of a leader again.
                     cursor += 1;
                 }
@@ -230,6 +226,8 @@
                 Some(HeartbeatReply::Superseded(latest)) if !ever_attached => {
                     log_event!(Level::Warn, "clock_went_back", vm = id.vm, known = latest);
                     id.incarnation = latest.next();
+                    // Answers to the former incarnation say that it was superseded.
+                    calls = HeartbeatCalls::new(self.clock, self.links.clone());
                 }
                 Some(HeartbeatReply::Superseded(_)) => {
                     log_event!(
@@ -242,16 +240,27 @@
                     return false;
                 }
                 None => {
-                    if attached {
+                    if let Some(address) = attached.take() {
                         log_event!(Level::Warn, "heartbeat_lost", vm = id.vm, control = address);
                     }
-                    attached = false;
                     cursor += 1;
                 }
             }
-            if !self.wait_next(attached, due, fetch).await {
-                self.leave(&id).await;
-                return true;
+            match self.wait_next(attached, due, fetch, &mut calls).await {
+                WaitEnd::Stopped => {
+                    self.leave(&id).await;
+                    return true;
+                }
+                WaitEnd::Due => {}
+                WaitEnd::Granted(address) => {
+                    log_attachment(&id, attached, Some(address));
+                    attached = Some(address);
+                    ever_attached = true;
+                }
+            }
+            if let Some(address) = attached {
+                let index = addresses.iter().position(|known| *known == address);
+                cursor = index.unwrap_or(cursor);
             }
         }
     }
@@ -277,9 +286,34 @@
         }
     }
 
+    /// Sends a heartbeat to the control VM that granted the present lease; returns `None` if it
+    /// doesn't answer in time, so that another one is asked while the lease is still valid.
+    async fn renew_lease(
+        &mut self,
+        id: &MemberId,
+        address: SocketAddr,
+        fetch: &CatalogFetch,
+        calls: &mut HeartbeatCalls,
+    ) -> Option<HeartbeatAnswer> {
+        self.send_heartbeat(id, address, HeartbeatPurpose::Renewal, calls);
+        let patience = sleep(self.answer_patience());
+        tokio::pin!(patience);
+        loop {
+            tokio::select! {
+                answer = calls.next() => {
+                    let superseded = matches!(answer.reply, Some(HeartbeatReply::Superseded(_)));
+                    if answer.address == address || superseded {
+                        return Some(answer);
+                    }
+                    self.take_grant(&answer, fetch);
+                }
+                () = &mut patience => return None,
+            }
+        }
+    }
+
     /// Asks the control VMs one after the other, starting at index `cursor` and [`ASK_STAGGER`]
-    /// apart, without waiting for earlier answers; `cursor` becomes the index of the one that
-    /// grants.
+    /// apart, without waiting for earlier answers.
     ///
     /// After a restart of many VMs some control VMs hang, start late or have no leader yet. Asked
     /// strictly one at a time, they would delay the grant of another one, and with it this VM's
@@ -288,34 +322,42 @@
         &mut self,
         id: &MemberId,
         addresses: &[SocketAddr],
-        cursor: &mut usize,
-    ) -> Option<SentReply> {
-        let request = self.describe_heartbeat(id);
-        let this = &*self;
-        let asked = (0..addresses.len()).map(|step| {
-            let index = (*cursor + step) % addresses.len();
-            let request = request.clone();
-            async move {
-                sleep(ASK_STAGGER * u32::try_from(step).unwrap_or(u32::MAX)).await;
-                let reply = this.call_heartbeat(request, addresses[index]).await;
-                (index, reply)
-            }
-        });
-        let mut asked: FuturesUnordered<_> = asked.collect();
+        cursor: usize,
+        calls: &mut HeartbeatCalls,
+    ) -> Option<HeartbeatAnswer> {
+        let mut rotated: ControlList = addresses.into();
+        rotated.rotate_left(cursor % addresses.len());
+        let mut unasked: ControlList = rotated.into_iter().rev().collect();
+        unasked.retain(|address| !calls.is_unanswered(*address));
+        let asking_time = ASK_STAGGER * u32::try_from(unasked.len()).unwrap_or(u32::MAX);
+        let patience = sleep(asking_time + self.answer_patience());
+        tokio::pin!(patience);
+        let mut turns = interval(ASK_STAGGER);
+        turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut asked = ControlList::new();
         let mut fallback = None;
-        while let Some((index, reply)) = asked.next().await {
-            match reply {
-                Some(not_yet) if not_yet.reply == HeartbeatReply::NotYet => {
-                    fallback = Some(not_yet)
+        loop {
+            tokio::select! {
+                _ = turns.tick(), if !unasked.is_empty() => {
+                    if let Some(address) = unasked.pop() {
+                        self.send_heartbeat(id, address, HeartbeatPurpose::Search, calls);
+                        asked.push(address);
+                    }
                 }
-                Some(decisive) => {
-                    *cursor = index;
-                    return Some(decisive);
+                answer = calls.next() => {
+                    asked.retain(|address| *address != answer.address);
+                    match answer.reply {
+                        Some(HeartbeatReply::NotYet) => fallback = Some(answer),
+                        Some(_) => return Some(answer),
+                        None => {}
+                    }
+                    if unasked.is_empty() && asked.is_empty() {
+                        return fallback;
+                    }
                 }
-                None => {}
+                () = &mut patience => return fallback,
             }
         }
-        fallback
     }
 
     fn describe_heartbeat(&mut self, id: &MemberId) -> HeartbeatRequest {
@@ -326,24 +368,46 @@
         }
     }
 
-    async fn send_heartbeat(&mut self, id: &MemberId, address: SocketAddr) -> Option<SentReply> {
+    fn send_heartbeat(
+        &mut self,
+        id: &MemberId,
+        address: SocketAddr,
+        purpose: HeartbeatPurpose,
+        calls: &mut HeartbeatCalls,
+    ) {
         let request = self.describe_heartbeat(id);
-        self.call_heartbeat(request, address).await
+        // A grant that comes later is of no use, since its lease has ended.
+        let limit = self.requested_lease.lease();
+        calls.send(address, purpose, request, limit);
     }
 
-    async fn call_heartbeat(
-        &self,
-        request: HeartbeatRequest,
-        address: SocketAddr,
-    ) -> Option<SentReply> {
-        let sent = self.clock.now();
-        let limit = self.requested_lease.lease() / ATTEMPTS_IN_LEASE;
-        let call = |client: Arc<jsonrpsee_ws_client::WsClient>| async move {
-            client.heartbeat(request).await
+    /// Returns how long one control VM is waited for before the next one is asked.
+    fn answer_patience(&self) -> Duration {
+        self.requested_lease.lease() / ATTEMPTS_IN_LEASE
+    }
+
+    /// Applies the grant of an answer, if there is one.
+    fn take_grant(&mut self, answer: &HeartbeatAnswer, fetch: &CatalogFetch) {
+        let Some(HeartbeatReply::Granted(grant)) = &answer.reply else {
+            return;
         };
-        let calling = timeout(limit, self.links.call(address, limit, call));
-        let reply = calling.await.ok()?.ok()?.0;
-        Some(SentReply { sent, reply })
+        let took = self.clock.now().since(answer.sent);
+        if took >= self.answer_patience() {
+            log_event!(
+                Level::Warn,
+                "heartbeat_late",
+                control = answer.address,
+                took_ms = took.as_millis(),
+            );
+        }
+        self.apply_grant(answer.sent, grant);
+        if let Some(missing) = self.missing_revision(grant) {
+            fetch.ask_for(missing);
+        }
+        // The time to find a control VM that grants says nothing about the delays of a heartbeat.
+        if answer.purpose == HeartbeatPurpose::Renewal {
+            self.record_heartbeat_time(answer.sent);
+        }
     }
 
     /// Publishes the new view: the delta always, the lease only if the copy has reached the grant's
@@ -356,7 +420,9 @@
     fn apply_grant(&mut self, sent: ClockTime, grant: &LeaseGrant) {
         let mut copy = Arc::clone(&self.view.borrow().copy);
         let mut callers = false;
-        if let Some(delta) = &grant.delta {
+        // A later answer may have come first, with all that this delta holds.
+        let delta = grant.delta.as_ref();
+        if let Some(delta) = delta.filter(|delta| delta.to >= copy.revision()) {
             match Arc::make_mut(&mut copy).apply_delta(delta) {
                 Ok(changes) => callers = changes.callers,
                 Err(error) => {
@@ -377,7 +443,10 @@
             delta: None,
             ..grant.clone()
         };
-        self.pending_grant = (!renewed).then_some(PendingGrant { sent, grant });
+        let pending_grant = self.pending_grant.as_ref();
+        if pending_grant.is_none_or(|pending_grant| pending_grant.sent <= sent) {
+            self.pending_grant = (!renewed).then_some(PendingGrant { sent, grant });
+        }
     }
 
     /// Publishes a fetched copy, and renews the lease if a grant waited for it.
@@ -430,36 +499,55 @@
         sent + Duration::from_millis(self.settings.timing.heartbeat_ms)
     }
 
-    /// Waits until the next heartbeat is due; returns false if this VM is to stop.
+    /// Waits until the next heartbeat is due, and takes late answers meanwhile.
     async fn wait_next(
         &mut self,
-        attached: bool,
+        attached: Option<SocketAddr>,
         due: ClockTime,
         fetch: &mut CatalogFetch,
-    ) -> bool {
+        calls: &mut HeartbeatCalls,
+    ) -> WaitEnd {
         let timing = &self.settings.timing;
-        let pause = if attached {
-            self.clock.until(due)
-        } else {
-            Duration::from_millis(timing.heartbeat_ms / 4)
+        let pause = match attached {
+            Some(_) => self.clock.until(due),
+            None => Duration::from_millis(timing.heartbeat_ms / 4),
         };
-        tokio::select! {
-            () = sleep(pause) => {}
-            changed = self.stop.changed() => {
-                if changed.is_err() || *self.stop.borrow() {
-                    return false;
+        let pausing = sleep(pause);
+        tokio::pin!(pausing);
+        let mut end = WaitEnd::Due;
+        loop {
+            tokio::select! {
+                () = &mut pausing => {}
+                changed = self.stop.changed() => {
+                    if changed.is_err() {
+                        return WaitEnd::Stopped;
+                    }
                 }
-            }
-            _ = self.draining.changed() => {}
-            // The next heartbeat confirms the copy and gets the lease for which it was fetched.
-            copy = fetch.next_copy() => self.apply_copy(copy),
-            changed = self.unplaced.changed() => {
-                if changed.is_err() {
-                    sleep(pause).await;
+                _ = self.draining.changed() => {}
+                // The next heartbeat confirms the copy and gets the lease for which it was fetched.
+                copy = fetch.next_copy() => self.apply_copy(copy),
+                changed = self.unplaced.changed() => {
+                    if changed.is_err() {
+                        sleep(pause).await;
+                    }
+                }
+                answer = calls.next() => {
+                    self.take_grant(&answer, fetch);
+                    match &answer.reply {
+                        Some(HeartbeatReply::Granted(_)) if attached.is_none() => {
+                            end = WaitEnd::Granted(answer.address);
+                        }
+                        Some(HeartbeatReply::Granted(grant))
+                            if grant.delta.as_ref().is_some_and(must_be_confirmed) => {}
+                        Some(_) | None => continue,
+                    }
                 }
             }
+            return match *self.stop.borrow() {
+                true => WaitEnd::Stopped,
+                false => end,
+            };
         }
-        !*self.stop.borrow()
     }
 
     /// Leaves the membership, so that control needn't wait for this VM's lease to end.
@@ -483,10 +571,21 @@
     }
 }
 
-/// A reply and the time at which its heartbeat was sent, from which the lease counts.
-struct SentReply {
-    sent: ClockTime,
-    reply: HeartbeatReply,
+/// Why the wait for the next heartbeat has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitEnd {
+    /// The next heartbeat is due.
+    Due,
+    /// The control VM at this address has granted a lease to a member that had found none.
+    Granted(SocketAddr),
+    /// This VM is to stop.
+    Stopped,
+}
+
+fn log_attachment(id: &MemberId, former: Option<SocketAddr>, granted: Option<SocketAddr>) {
+    if let (None, Some(address)) = (former, granted) {
+        log_event!(Level::Info, "lease_granted", vm = id.vm, control = address);
+    }
 }
 
 /// Says whether control waits for the confirmation of a delta, as for every change but those of
--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -12,6 +12,7 @@
 mod control;
 mod disk;
 mod gateway;
+mod late_heartbeats;
 mod leaseholder;
 mod leases;
 mod ledger_index;
