Control: a leader of the replicated log that drains transfers its leadership

Cause: a draining VM hands its groups over and leaves the membership, but kept the leadership of the replicated log until its process ended. The others elect a leader when it has been silent for an election timeout, and nobody grants leases meanwhile; where that takes as long as the rest of a lease, leases end at VMs that have nothing to do with the restart. In the entry's test the drained VM seldom leads the log, and a former leader that returns early is elected again at once.

Evidence: the kept lines: the statement was in doubt 880 ms after group_left, at the next leaseholder, as its lease had ended; leader_elected came 648 ms after the last entry of the drained leader. Reproduced without luck: log_leader_drains drains the leader with an election timeout of 3 to 6 s and starts it 1.5 s after its end.

Ruled out: the handover of the group (over 660 ms before) and the queues of tasks that end (the statement was at the next leaseholder).

Change: leadership transfer as in Raft. The leader refuses proposals, completes the log of a voter that isn't draining and tells it to start an election; the request for votes says that the leader has asked for it, so the voters grant it although they had recent contact with that leader. No promise rests on that contact: leases and reads need a confirmed round. The process ends when another VM leads, after 1 s at most. Control VMs of an earlier version ignore the request and elect a leader as before.

Not shown: that this is what the entry first saw, a statement in doubt 5 ms after group_left.

--- a/crates/control/src/agreement/election.rs
+++ b/crates/control/src/agreement/election.rs
@@ -66,6 +66,7 @@
         {
             state.begin_round(tick);
         }
+        self.expire_transfer();
         self.advance_repair();
     }
 
@@ -122,6 +123,7 @@
         let question = VoteQuestion {
             term: self.hard_state.term.next(),
             last: self.log.last(),
+            by_leader: false,
         };
         self.send_to_other_voters(&MessageBody::PreVoteRequest(question));
         self.check_tally();
@@ -129,11 +131,16 @@
 
     /// Starts an election in the next term.
     pub(super) fn ask_for_votes(&mut self) {
-        self.ask_for_votes_in(self.hard_state.term.next());
+        self.ask_for_votes_in(self.hard_state.term.next(), false);
+    }
+
+    /// Starts an election in the next term, for which the leader has asked.
+    pub(super) fn ask_for_votes_as_successor(&mut self) {
+        self.ask_for_votes_in(self.hard_state.term.next(), true);
     }
 
     /// Enters `term` as a candidate, votes for itself and sends vote requests.
-    pub(super) fn ask_for_votes_in(&mut self, term: ElectionTerm) {
+    fn ask_for_votes_in(&mut self, term: ElectionTerm, by_leader: bool) {
         self.write_hard_state(HardState {
             term,
             vote: Some(self.id.clone()),
@@ -144,6 +151,7 @@
         let question = VoteQuestion {
             term,
             last: self.log.last(),
+            by_leader,
         };
         self.send_to_other_voters(&MessageBody::VoteRequest(question));
         self.check_tally();
@@ -179,7 +187,7 @@
     }
 
     /// Answers a vote request and enters its term if that is later, unless this node had recent
-    /// contact with another leader.
+    /// contact with another leader that has not asked for the election.
     pub(super) fn handle_vote_request(&mut self, from: &VoterId, question: VoteQuestion) {
         if !self.may_vote() {
             return;
@@ -187,7 +195,7 @@
         if question.term > self.hard_state.term {
             // Otherwise a candidate that collected its pre-votes just before a partition healed
             // would depose the leader that the other voters have elected meanwhile.
-            if self.has_recent_leader_other_than(from) {
+            if !question.by_leader && self.has_recent_leader_other_than(from) {
                 return;
             }
             self.follow_term(question.term, None);
@@ -274,6 +282,7 @@
                 tick: self.tick,
             },
             reads: Vec::new(),
+            transfer: None,
         };
         if let Some(configuration) = self.log.configuration() {
             state.update_peers(&self.id, configuration, next, self.tick);
@@ -329,7 +338,8 @@
         self.leader_contact_tick = Some(self.tick);
     }
 
-    /// Starts an election in the term after `term`, the higher term of a follower.
+    /// Starts an election in the term after `term`, the higher term of a follower, unless this
+    /// leader is transferring its leadership.
     ///
     /// A follower with a higher term can't accept entries of this leader's term. It can't be
     /// elected either while the other voters have contact with their leader, so it would stay
@@ -337,8 +347,14 @@
     /// election timeout. Instead the leader requests votes in a higher term at once, and its
     /// followers grant them, because it is the leader that they had recent contact with.
     pub(super) fn campaign_above(&mut self, term: ElectionTerm) {
-        if self.is_leader() && term > self.hard_state.term {
-            self.ask_for_votes_in(term.next());
+        if !self.is_leader() || term <= self.hard_state.term {
+            return;
+        }
+        // The follower has voted for the successor, whose own request may still be on its way.
+        if self.is_transferring_leadership() {
+            self.follow_term(term, None);
+        } else {
+            self.ask_for_votes_in(term.next(), false);
         }
     }
 }
--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -55,7 +55,8 @@
 pub enum MembershipError {
     /// This node isn't the leader, and only the leader changes members.
     NotLeader(NotLeader),
-    /// An earlier change isn't committed yet, or the leader hasn't committed an entry of its term.
+    /// An earlier change isn't committed yet, the leader hasn't committed an entry of its term, or
+    /// it is transferring the leadership.
     ChangePending,
     /// The VM is already a member.
     AlreadyMember,
@@ -335,6 +336,9 @@
         if !self.is_leader() {
             return Err(MembershipError::NotLeader(self.not_leader_error()));
         }
+        if self.is_transferring_leadership() {
+            return Err(MembershipError::ChangePending);
+        }
         let settled = self.log.configuration_index() <= self.commit && self.has_committed_in_term();
         if !settled && self.enforces(AgreementGuard::OneChangeAtATime) {
             return Err(MembershipError::ChangePending);
@@ -361,7 +365,7 @@
     }
 
     /// Returns the last index that a member is known to have stored; zero if unknown.
-    fn matched_by(&self, id: &VoterId) -> LogIndex {
+    pub(super) fn matched_by(&self, id: &VoterId) -> LogIndex {
         let state = self.leader_state();
         let progress = state.and_then(|state| state.peers.get(id));
         progress.map(|peer| peer.matched).unwrap_or_default()
@@ -369,14 +373,14 @@
 
     /// Returns whether a member has answered a heartbeat round that began within the last `ticks`
     /// ticks.
-    fn answered_within(&self, id: &VoterId, ticks: u64) -> bool {
+    pub(super) fn answered_within(&self, id: &VoterId, ticks: u64) -> bool {
         let state = self.leader_state();
         let progress = state.and_then(|state| state.peers.get(id));
         progress.is_some_and(|peer| peer.round.tick + ticks >= self.tick)
     }
 
     /// Returns the minimum election timeout, in ticks.
-    fn election_timeout_ticks(&self) -> u64 {
+    pub(super) fn election_timeout_ticks(&self) -> u64 {
         u64::from(self.settings.election_ticks)
     }
 }
--- a/crates/control/src/agreement/message.rs
+++ b/crates/control/src/agreement/message.rs
@@ -115,6 +115,8 @@
     Join,
     /// Notifies the receiver that the log has a later incarnation of its VM.
     Outdated(OutdatedNotice),
+    /// Tells a voter to start an election, because the leader is about to stop.
+    StartElection,
 }
 
 /// The content of a vote or pre-vote request.
@@ -124,6 +126,9 @@
     pub term: ElectionTerm,
     /// The candidate's last entry.
     pub last: EntryMark,
+    /// Whether the leader has asked for this election, so that its followers grant their votes.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub by_leader: bool,
 }
 
 /// Answers a [`VoteQuestion`].
--- a/crates/control/src/agreement/mod.rs
+++ b/crates/control/src/agreement/mod.rs
@@ -10,12 +10,13 @@
 //!
 //! Each module states its rules and the failure that each rule prevents: `election` has elections,
 //! pre-vote and the quorum check; `replication` has log replication and the commit rule; `reads`
-//! has linearizable reads; `snapshot` has log compaction and snapshot transfer; `membership` has
-//! the replacement of lost disks and changes of voters.
+//! has linearizable reads; `leadership` has leadership transfer; `snapshot` has log compaction and
+//! snapshot transfer; `membership` has the replacement of lost disks and changes of voters.
 
 mod durable;
 mod election;
 mod entry;
+mod leadership;
 mod log;
 mod membership;
 mod message;
@@ -168,6 +169,7 @@
             MessageBody::SnapshotReply(answer) => self.handle_snapshot_answer(&from, term, answer),
             MessageBody::Join => self.handle_join(&from),
             MessageBody::Outdated(notice) => self.handle_outdated_notice(notice),
+            MessageBody::StartElection => self.handle_start_election(&from, term),
         }
     }
 
@@ -177,10 +179,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`NotLeader`], with the leader if one is known, when this node isn't the leader. The
-    /// command was not appended.
+    /// Returns [`NotLeader`], with the leader if one is known, when this node isn't the leader or
+    /// is transferring the leadership. The command was not appended.
     pub fn propose(&mut self, data: String) -> Result<EntryMark, NotLeader> {
-        if !self.is_leader() {
+        if !self.is_leader() || self.is_transferring_leadership() {
             return Err(self.not_leader_error());
         }
         Ok(self.append_as_leader(EntryPayload::Data(data)))
@@ -193,6 +195,7 @@
             self.begin_read_round();
             self.confirm_answered_reads();
             self.send_due_messages();
+            self.send_due_election_request();
         }
         self.deliver_committed();
         mem::take(&mut self.output)
--- a/crates/control/src/agreement/role.rs
+++ b/crates/control/src/agreement/role.rs
@@ -4,6 +4,7 @@
 use super::entry::LogIndex;
 use super::entry::VoterConfiguration;
 use super::entry::VoterId;
+use super::leadership::LeadershipTransfer;
 use super::message::HeartbeatRound;
 use super::progress::PeerProgress;
 use super::reads::PendingRead;
@@ -80,6 +81,8 @@
     pub(super) round: HeartbeatRound,
     /// Reads that wait for a majority to confirm the leader.
     pub(super) reads: Vec<PendingRead>,
+    /// The transfer of the leadership that is under way, if any.
+    pub(super) transfer: Option<LeadershipTransfer>,
 }
 
 impl LeaderState {
--- a/crates/control/tests/agreement_network/mod.rs
+++ b/crates/control/tests/agreement_network/mod.rs
@@ -243,13 +243,24 @@
     pub fn propose_everywhere(&mut self) -> Vec<EntryMark> {
         let mut marks = Vec::new();
         for number in 0..self.vms.len() {
-            if self.vms[number].is_running() && self.vms[number].node().is_leader() {
+            let node = self.vms[number]
+                .is_running()
+                .then(|| self.vms[number].node());
+            if node.is_some_and(|node| node.is_leader() && !node.is_transferring_leadership()) {
                 marks.push(self.propose_at(number));
             }
         }
         marks
     }
 
+    /// Makes the latest leader transfer its leadership; returns the successor's number.
+    pub fn transfer_leadership(&mut self) -> Option<usize> {
+        let leader = self.find_latest_leader()?;
+        let successor = self.vms[leader].node_mut().transfer_leadership(|_| true);
+        self.process_output(leader);
+        self.number_of(&successor?)
+    }
+
     /// Proposes a new command at a leader.
     pub fn propose_at(&mut self, number: usize) -> EntryMark {
         self.proposals += 1;
--- a/crates/control/tests/agreement_network/scenario.rs
+++ b/crates/control/tests/agreement_network/scenario.rs
@@ -287,6 +287,9 @@
     pub guards: GuardSet,
     /// Whether an empty disk gets the previous incarnation again, which is a fault.
     pub reuses_incarnation: bool,
+    /// The number of actions after each of which the leader transfers its leadership; `None` if it
+    /// never does.
+    pub transfer_interval: Option<usize>,
 }
 
 impl RandomRun {
@@ -299,6 +302,7 @@
             limit,
             guards: GuardSet::all(),
             reuses_incarnation: false,
+            transfer_interval: None,
         }
     }
 
@@ -311,8 +315,12 @@
         }
         network.limit_batches(self.choose_limits());
         network.run(30);
-        for _ in 0..self.steps {
+        for step in 0..self.steps {
             network.apply_action(&NetworkAction::arbitrary(&mut source), self.limit);
+            let interval = self.transfer_interval;
+            if interval.is_some_and(|interval| step.is_multiple_of(interval)) {
+                network.transfer_leadership();
+            }
         }
         if self.limit == LossLimit::Repairable {
             network.expect_recovery();
--- a/crates/daemon/src/control/event.rs
+++ b/crates/daemon/src/control/event.rs
@@ -48,6 +48,9 @@
     ReadDocument(DocumentRequest, oneshot::Sender<DocumentReadReply>),
     /// Forms the first voter set.
     Form(Vec<MemberId>, oneshot::Sender<bool>),
+    /// Transfers the leadership, as this VM is about to stop. The reply is sent once another VM
+    /// leads or the transfer has failed.
+    TransferLeadership(oneshot::Sender<()>),
     /// Returns the role's state for an operator's dump.
     Dump(oneshot::Sender<serde_json::Value>),
     /// The leader's replies to heartbeats that this follower forwarded; `None` if it did not
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod entry_text;
 mod event;
 mod heartbeats;
+mod leadership;
 mod peers;
 mod pieces;
 mod voters;
@@ -64,6 +65,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
@@ -123,6 +125,8 @@
     /// The granted heartbeats whose replies are held for changes of the catalog.
     held_replies: Vec<HeldReply>,
     piece_cache: PieceCache,
+    /// The callers that wait until this VM has transferred the leadership.
+    waiting_transfers: Vec<oneshot::Sender<()>>,
     events: mpsc::Sender<ControlEvent>,
     inbox: mpsc::Receiver<ControlEvent>,
     peers: PeerTable,
@@ -188,6 +192,7 @@
             last_confirmation_tick: 0,
             held_replies: Vec::new(),
             piece_cache: PieceCache::default(),
+            waiting_transfers: Vec::new(),
             events: events.clone(),
             inbox,
             peers,
@@ -272,6 +277,7 @@
             ControlEvent::Form(voters, reply) => {
                 let _ = reply.send(self.form(&voters));
             }
+            ControlEvent::TransferLeadership(reply) => self.begin_transfer(reply),
             ControlEvent::Dump(reply) => {
                 let _ = reply.send(self.dump());
             }
@@ -295,6 +301,7 @@
             self.apply_output(output)?;
         }
         self.handle_role_change();
+        self.finish_transfer();
         self.begin_compaction();
         self.send_due_replies();
         Ok(())
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,8 @@
 //!
 //! On a drain the VM first reports that it isn't ready and still accepts callers for
 //! `drain_notice_ms`, until the balancer has seen it. Then the caller edges stop, the groups are
-//! handed over, the VM leaves the membership, and the remaining tasks end.
+//! handed over, the VM leaves the membership and transfers the leadership of the replicated log,
+//! and the remaining tasks end.
 
 use crate::announcements::AnnouncementRelay;
 use crate::announcements::RelayContext;
@@ -62,6 +63,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
@@ -76,6 +78,10 @@
 /// as soon as it arrives.
 const LEASEHOLDER_QUEUE_CAPACITY: usize = 8_192;
 
+/// Time limit for another control VM to take the leadership of the replicated log at shutdown. An
+/// election takes two round trips and the sync of two records.
+const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Interval at which the seeds in the settings are read again without a signal. They matter only to
 /// a VM that can reach no other known control VM.
 const SEED_READ_INTERVAL: Duration = Duration::from_secs(5);
@@ -175,7 +181,7 @@
 /// The running tasks, which are joined at shutdown.
 struct NodeTasks {
     server: ServerHandle,
-    control: Option<JoinHandle<Result<(), ControlFault>>>,
+    control: Option<ControlHandle>,
     manager: JoinHandle<()>,
     member: JoinHandle<bool>,
     callers: Option<JoinHandle<()>>,
@@ -242,10 +248,8 @@
         view_sender: watch::Sender<MemberView>,
     ) -> Result<Self, NodeFault> {
         let mut helpers = JoinSet::new();
-        let (control_sender, control) = match start_control(base)? {
-            Some((sender, task)) => (Some(sender), Some(task)),
-            None => (None, None),
-        };
+        let control = start_control(base)?;
+        let control_sender = control.as_ref().map(|(sender, _)| sender.clone());
         if let Some(control) = &control_sender {
             start_formation(base, control.clone(), &mut helpers);
         }
@@ -342,6 +346,9 @@
         if !self.member.is_finished() {
             let _ = self.member.await;
         }
+        if let Some((control, _)) = &self.control {
+            transfer_leadership(control).await;
+        }
         base.switches.rest.send_replace(true);
         let services_finished = match self.services {
             Some(services) => end_services(services).await,
@@ -356,7 +363,7 @@
         }
         while self.helpers.join_next().await.is_some() {}
         match self.control {
-            Some(task) => task.await.unwrap_or(Ok(())),
+            Some((_, task)) => task.await.unwrap_or(Ok(())),
             None => Ok(()),
         }
     }
@@ -397,6 +404,29 @@
     sleep(Duration::from_millis(settings.timing.drain_notice_ms)).await;
 }
 
+/// Waits until another control VM leads the replicated log, if this one does, for at most
+/// [`LEADERSHIP_TRANSFER_TIMEOUT`].
+async fn transfer_leadership(control: &mpsc::Sender<ControlEvent>) {
+    let (reply, transferred) = oneshot::channel();
+    let transferring = async {
+        if control
+            .send(ControlEvent::TransferLeadership(reply))
+            .await
+            .is_ok()
+        {
+            // The control task has ended by a fault if it drops the reply.
+            let _ = transferred.await;
+        }
+    };
+    if timeout(LEADERSHIP_TRANSFER_TIMEOUT, transferring)
+        .await
+        .is_err()
+    {
+        let limit_ms = LEADERSHIP_TRANSFER_TIMEOUT.as_millis();
+        log_event!(Level::Warn, "leadership_transfer_cut", limit_ms = limit_ms);
+    }
+}
+
 /// Waits at most [`SERVICES_STOP_TIMEOUT`] for the services to answer open requests; returns false
 /// if they had to be aborted.
 ///
--- a/crates/daemon/tests/components/late_heartbeats.rs
+++ b/crates/daemon/tests/components/late_heartbeats.rs
@@ -33,8 +33,8 @@
     /// The lease that a member asks for covers the time that its heartbeats take. Heartbeats that
     /// slow control VMs answered late didn't count, and the member's lease ended again and again.
     late_grants_lengthen_the_lease => longer_lease_case();
-    /// Members repeated their heartbeats to control VMs that had yet to answer the ones before, which
-    /// kept the control VMs as busy as they were.
+    /// Members repeated their heartbeats to control VMs that had yet to answer the ones before,
+    /// which kept the control VMs as busy as they were.
     unanswered_heartbeat_is_not_repeated => unanswered_case();
 }
 
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -49,6 +49,7 @@
         groups: 1,
         binaries: binaries.clone(),
         keep_folder: false,
+        election_ticks: None,
     };
     println!("Starting {DEMO_VMS} daemons and 3 endpoints of one database group.");
     let mut set = LabSet::start_processes(settings).await?;
--- a/crates/lab/src/lab_set.rs
+++ b/crates/lab/src/lab_set.rs
@@ -45,6 +45,8 @@
     pub binaries: PathBuf,
     /// Whether to keep the folder with logs when the set is dropped.
     pub keep_folder: bool,
+    /// The election timeout of the control VMs in ticks, if it isn't the default.
+    pub election_ticks: Option<u64>,
 }
 
 /// A daemon of the set.
@@ -364,6 +366,9 @@
         if let Some(folder) = &daemon.data_folder {
             text += &format!("data_folder: {}\n", folder.display());
         }
+        if let Some(ticks) = self.settings.election_ticks {
+            text += &format!("timing: {{ election_ticks: {ticks} }}\n");
+        }
         text
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -485,6 +485,7 @@
         groups: 1,
         binaries: find_binaries()?,
         keep_folder,
+        election_ticks: None,
     })
 }
 
--- a/crates/lab/tests/whole.rs
+++ b/crates/lab/tests/whole.rs
@@ -32,6 +32,12 @@
 /// The duration of the load before the fault and after the recovery.
 const WORK_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long a drained leader of the replicated log stays away: longer than a lease.
+const ABSENCE_TIME: Duration = Duration::from_millis(1_500);
+
+/// An election timeout that is longer than a lease, in ticks.
+const LONG_ELECTION_TICKS: u64 = 150;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WholeFault {
     KillPrimary,
@@ -41,6 +47,7 @@
     KillLeaseholder,
     FreezeLeaseholder,
     DrainLeaseholder,
+    DrainLogLeader,
     KillLeaseholderAndPrimary,
     LeavePrimaryAndKillLeaseholder,
 }
@@ -78,6 +85,10 @@
     /// The leaseholder drains: it hands its groups over, and no request in flight gets an uncertain
     /// outcome.
     leaseholder_drains => (DrainLeaseholder, 107);
+    /// The VM that leads the replicated log drains, and the others would take longer than a lease
+    /// to elect another leader. No lease may end meanwhile, and no request in flight gets an
+    /// uncertain outcome.
+    log_leader_drains => (DrainLogLeader, 110);
     /// The leaseholder and the primary are killed at the same time.
     leaseholder_and_primary_are_killed => (KillLeaseholderAndPrimary, 108);
     /// Guards against a group that stays without a primary. The primary announces that it is
@@ -100,7 +111,7 @@
 }
 
 async fn prepare_case() {
-    let set = start_set().await;
+    let set = start_set(None).await;
     for (index, gateway) in set.gateways().into_iter().enumerate() {
         let mut config = Config::new();
         config.hostaddr(gateway.ip()).port(gateway.port());
@@ -125,7 +136,7 @@
 static CASE_LOCK: Mutex<()> = Mutex::const_new(());
 
 /// Starts five VMs and one group, and waits until the group is whole.
-async fn start_set() -> LabSet {
+async fn start_set(election_ticks: Option<u64>) -> LabSet {
     let settings = SetSettings {
         size: SiteSize {
             vms: 5,
@@ -134,6 +145,7 @@
         groups: 1,
         binaries: build_binaries(),
         keep_folder: false,
+        election_ticks,
     };
     let set = LabSet::start(settings).await.unwrap();
     let group = set.group_names()[0];
@@ -142,7 +154,8 @@
 }
 
 async fn run_case(fault: WholeFault, seed: u64) {
-    let mut set = start_set().await;
+    let election_ticks = (fault == WholeFault::DrainLogLeader).then_some(LONG_ELECTION_TICKS);
+    let mut set = start_set(election_ticks).await;
     let group = set.group_names()[0];
     let load = load_settings(&set, seed);
     let stop = StopFlag::default();
@@ -154,7 +167,7 @@
     });
     assert_eq!(report.violations, Vec::<String>::new(), "{report}");
     assert!(report.checked_appends > 0, "{report}");
-    if fault == WholeFault::DrainLeaseholder {
+    if let WholeFault::DrainLeaseholder | WholeFault::DrainLogLeader = fault {
         assert!(!is_any_in_doubt(&report), "{report}");
     }
     set.stop().await.unwrap();
@@ -205,17 +218,39 @@
             set.start_daemon(leaseholder).unwrap();
         }
         WholeFault::DrainLeaseholder => {
-            let child = set.daemon_child(leaseholder).unwrap();
-            child.terminate().unwrap();
-            let status = child.wait_for_end(RECOVERY_TIMEOUT).await.unwrap();
-            assert!(status.is_some_and(|status| status.success()), "{status:?}");
+            drain_daemon(set, leaseholder).await;
             set.start_daemon(leaseholder).unwrap();
         }
+        WholeFault::DrainLogLeader => {
+            let former = find_log_leader(set, 0).await.expect("the log has a leader");
+            drain_daemon(set, former).await;
+            let other = (former + 1) % set.size().control_vms();
+            let leader = find_log_leader(set, other).await;
+            assert!(leader.is_some_and(|leader| leader != former), "{leader:?}");
+            // A former leader that returns before the others elect one is elected again.
+            sleep(ABSENCE_TIME).await;
+            set.start_daemon(former).unwrap();
+        }
     }
     set.wait_until_ready(RECOVERY_TIMEOUT).await.unwrap();
     set.wait_until_whole(group, RECOVERY_TIMEOUT).await.unwrap();
 }
 
+/// Drains a daemon and waits until it has ended.
+async fn drain_daemon(set: &mut LabSet, index: usize) {
+    let child = set.daemon_child(index).unwrap();
+    child.terminate().unwrap();
+    let status = child.wait_for_end(RECOVERY_TIMEOUT).await.unwrap();
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+}
+
+/// Returns the leader of the replicated log that a control VM knows.
+async fn find_log_leader(set: &LabSet, index: usize) -> Option<usize> {
+    let leader = set.daemon_status(index).await?.control_leader?;
+    let mut daemons = set.daemons.iter();
+    daemons.position(|daemon| daemon.vm == leader.as_str())
+}
+
 async fn wait_for_successor(set: &LabSet, group: &str, old: usize) {
     let found = timeout(RECOVERY_TIMEOUT, async {
         while set
