--- a/crates/daemon/tests/components/late_heartbeats.rs
+++ b/crates/daemon/tests/components/late_heartbeats.rs
@@ -1,8 +1,6 @@
 //! Control VMs that grant leases late.
 
-use crate::bench::create_record;
-use crate::bench::create_settings;
-use crate::bench::create_view;
+use crate::running_member::RunningMember;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::server::Server;
@@ -10,20 +8,10 @@
 use ragwort_types::HeartbeatReply;
 use ragwort_types::HeartbeatRequest;
 use ragwort_types::LeaseGrant;
-use ragwortgated::clock::NodeClock;
-use ragwortgated::directory::ControlDirectory;
-use ragwortgated::member::MemberTask;
-use ragwortgated::member::MemberView;
-use ragwortgated::member::create_member_id;
-use ragwortgated::member::initial_requested_lease;
-use ragwortgated::peers::PeerLinks;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 failure_cases! {
@@ -77,62 +65,6 @@
     }
 }
 
-/// A member whose control VMs are at the given addresses.
-struct RunningMember {
-    clock: NodeClock,
-    view: watch::Receiver<MemberView>,
-    stop: watch::Sender<bool>,
-    task: JoinHandle<bool>,
-    _senders: (
-        watch::Sender<Vec<SocketAddr>>,
-        watch::Sender<Vec<ragwort_types::GroupName>>,
-        watch::Sender<bool>,
-    ),
-}
-
-impl RunningMember {
-    fn start(timing: &str, control: &[SocketAddr]) -> Self {
-        let settings = Arc::new(create_settings(timing, control[0]));
-        let clock = NodeClock::start();
-        let view = create_view([control[0]; 3], &create_record("vm-1", 1), false);
-        let (view, receiver) = watch::channel(view);
-        let (seeds_sender, seeds) = watch::channel(control.to_vec());
-        let (unplaced_sender, unplaced) = watch::channel(Vec::new());
-        let (drain_sender, draining) = watch::channel(false);
-        let (stop, stopped) = watch::channel(false);
-        let member = MemberTask {
-            settings: Arc::clone(&settings),
-            clock,
-            links: PeerLinks::new(Duration::from_secs(5)),
-            directory: ControlDirectory::new(Arc::clone(&settings), seeds, receiver.clone()),
-            view,
-            unplaced,
-            draining,
-            stop: stopped,
-            requested_lease: initial_requested_lease(&settings),
-            pending_grant: None,
-        };
-        Self {
-            clock,
-            view: receiver,
-            stop,
-            task: tokio::spawn(member.run(create_member_id(&settings))),
-            _senders: (seeds_sender, unplaced_sender, drain_sender),
-        }
-    }
-
-    async fn wait_for_lease(&mut self) {
-        let clock = self.clock;
-        let held = self.view.wait_for(|view| view.may_serve(clock.now()));
-        held.await.unwrap();
-    }
-
-    async fn stop(self) {
-        self.stop.send_replace(true);
-        self.task.await.unwrap();
-    }
-}
-
 fn grant(request: &HeartbeatRequest) -> HeartbeatReply {
     HeartbeatReply::Granted(LeaseGrant {
         lease_ms: LONG_LEASE_MS,
@@ -147,8 +79,8 @@
     let timing = "heartbeat_ms: 2000, lease_ms: 60000";
     let mut member = RunningMember::start(timing, &[first.address, second.address]);
     let (request, reply) = first.receive().await;
-    // The member has given up on the first control VM when it asks the second one a second time.
     let _held = second.receive().await;
+    // The member waits for each control VM for a third of its lease of 8 s.
     sleep(Duration::from_millis(4_000)).await;
     reply.send(grant(&request)).unwrap();
     member.wait_for_lease().await;
--- a/crates/daemon/tests/components/main.rs
+++ b/crates/daemon/tests/components/main.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod plans;
 mod renewals;
+mod running_member;
 mod scripted;
 mod shapes;
 mod statements;
