--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -25,6 +25,7 @@
 use std::time::Duration;
 use std::time::Instant;
 use system::System;
+use world::BusyEffect;
 use world::Group;
 use world::Ledger;
 use world::WhenFull;
@@ -58,6 +59,10 @@
 
 impl Bench {
     fn start(folder: &Path, when_full: WhenFull, sync: u32, max_conns: u32) -> Fallible<Self> {
+        let busy_effect = match std::env::var("VARIANT").as_deref() {
+            Ok("reset") => BusyEffect::KeepsTransaction,
+            _ => BusyEffect::FailsTransaction,
+        };
         let text = |error: std::io::Error| error.to_string();
         let record = Arc::new(Record::create(folder).map_err(text)?);
         let root = std::env::current_dir().map_err(text)?;
@@ -72,7 +77,15 @@
             };
             let addresses: Vec<_> = (0..3).map(address).collect();
             let controls = system.controls();
-            let group = Group::new(name, &addresses, &record, &ledger, when_full, controls);
+            let group = Group::new(
+                name,
+                &addresses,
+                &record,
+                &ledger,
+                when_full,
+                busy_effect,
+                controls,
+            );
             group.service.lock().unwrap().sync = sync;
             group.service.lock().unwrap().max_conns = max_conns;
             groups.push(group);
@@ -324,15 +337,25 @@
 /// LOST: with `sync-replicas` 1 one replica receives nothing for a while, and the primary crashes
 /// meanwhile. The other replica holds all acknowledged commits, and is busy with reads. This is
 /// done for one service after the other, twice.
+///
+/// With `VARIANT=draining` slots are waited for, and the other replica is draining instead of busy.
+/// That is done once for each service.
 fn run_sync(folder: &Path) -> Fallible<i32> {
-    let mut bench = Bench::start(folder, WhenFull::Refuse, 1, 16)?;
-    for place in (0..SERVICES.len()).chain(0..SERVICES.len()) {
-        disturb_synced(&mut bench, place)?;
+    let drains = std::env::var("VARIANT").as_deref() == Ok("draining");
+    let (when_full, rounds) = match drains {
+        true => (WhenFull::Wait, 1),
+        false => (WhenFull::Refuse, 2),
+    };
+    let mut bench = Bench::start(folder, when_full, 1, 16)?;
+    for _ in 0..rounds {
+        for place in 0..SERVICES.len() {
+            disturb_synced(&mut bench, place, drains)?;
+        }
     }
     Ok(bench.finish())
 }
 
-fn disturb_synced(bench: &mut Bench, place: usize) -> Fallible<()> {
+fn disturb_synced(bench: &mut Bench, place: usize, drains: bool) -> Fallible<()> {
     for number in 0..6 {
         let write = move |session: &mut Session| {
             let data = format!("WRITE item{number} data");
@@ -362,6 +385,13 @@
     let group = Arc::clone(&bench.groups[place]);
     let primary = group.service.lock().unwrap().lead;
     let deaf = (primary + 2) % 3;
+    if bench.trouble && drains {
+        let drained = (primary + 1) % 3;
+        bench
+            .record
+            .note(&format!("trouble: i-{}-{drained} drains", SERVICES[place]));
+        group.service.lock().unwrap().nodes[drained].leaving = true;
+    }
     if bench.trouble {
         bench.record.note(&format!(
             "trouble: i-{}-{deaf} receives nothing",
@@ -415,13 +445,15 @@
             Duration::from_millis(30),
         );
     }
-    thread::sleep(Duration::from_millis(6_500));
+    thread::sleep(Duration::from_millis(3_800));
     bench.stop_clients();
+    bench.record.note("the sessions with values have ended");
+    thread::sleep(Duration::from_millis(3_500));
     if bench.trouble {
         bench.record.note("trouble ends");
         group.service.lock().unwrap().nodes[0].shed = 0;
     }
-    thread::sleep(Duration::from_millis(4_500));
+    thread::sleep(Duration::from_millis(300));
     bench.record.note("sessions without values begin");
     for _ in 0..12 {
         let transaction =
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -36,6 +36,15 @@
     Refuse,
 }
 
+/// What a refusal as `BUSY` does, where the pages are silent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum BusyEffect {
+    /// It fails an open transaction, as any other error does.
+    FailsTransaction,
+    /// An open transaction goes on. A grey instance refuses `RESET` like other requests.
+    KeepsTransaction,
+}
+
 /// A committed write.
 #[derive(Clone)]
 pub struct Commit {
@@ -54,6 +63,8 @@
     pub alive: bool,
     /// Receives nothing from the primary.
     pub deaf: bool,
+    /// Says `draining` in its heartbeats, and goes on receiving and serving.
+    pub leaving: bool,
     pub received: u64,
     pub busy: u32,
     pub connections: u32,
@@ -97,6 +108,7 @@
     pub ledger: Arc<Mutex<Ledger>>,
     pub record: Arc<Record>,
     pub when_full: WhenFull,
+    pub busy_effect: BusyEffect,
     pub controls: Vec<String>,
     pub promote_time: Duration,
 }
@@ -150,6 +162,7 @@
         record: &Arc<Record>,
         ledger: &Arc<Mutex<Ledger>>,
         when_full: WhenFull,
+        busy_effect: BusyEffect,
         controls: Vec<String>,
     ) -> Arc<Self> {
         let nodes = addresses
@@ -161,6 +174,7 @@
                 zone: zone.clone(),
                 alive: false,
                 deaf: false,
+                leaving: false,
                 received: 0,
                 busy: 0,
                 connections: 0,
@@ -185,6 +199,7 @@
             ledger: Arc::clone(ledger),
             record: Arc::clone(record),
             when_full,
+            busy_effect,
             controls,
             promote_time: Duration::from_millis(600),
         })
@@ -237,11 +252,11 @@
     }
 
     fn send_heartbeats(&self, node: usize, life: u64) {
-        let mut last_role = "";
+        let mut last_said = ("", "");
         let mut last_sent = Instant::now() - Duration::from_secs(10);
         let mut target = node;
         while self.is_life(node, life) {
-            let (role, body, id) = {
+            let (said, body, id) = {
                 let mut service = self.service.lock().unwrap();
                 let role = if service.lead == node {
                     "primary"
@@ -252,21 +267,22 @@
                 let name = service.name.clone();
                 let one = &mut service.nodes[node];
                 one.sequence += 1;
+                let state = if one.leaving { "draining" } else { "ready" };
                 let body = format!(
                     "{{\"service\":\"{name}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                     \"capacity\":{slots},\"state\":\"ready\",\"cold-remaining-ms\":0,\
+                     \"capacity\":{slots},\"state\":\"{state}\",\"cold-remaining-ms\":0,\
                      \"db-role\":\"{role}\",\"sequence\":{}}}",
                     one.address, one.zone, one.sequence
                 );
-                (role, body, one.id.clone())
+                ((role, state), body, one.id.clone())
             };
-            if role != last_role || last_sent.elapsed() >= Duration::from_millis(1_200) {
+            if said != last_said || last_sent.elapsed() >= Duration::from_millis(1_200) {
                 for _ in 0..self.controls.len() {
                     let control = &self.controls[target % self.controls.len()];
                     let path = format!("/v1/instances/{id}");
                     let answer = crate::http::call(control, "PUT", &path, &[], &body);
                     if answer.is_some_and(|(status, _)| status / 100 == 2) {
-                        last_role = role;
+                        last_said = said;
                         break;
                     }
                     target += 1;
@@ -339,17 +355,15 @@
                 .filter(|commit| ledger.acknowledged.contains(&commit.id))
                 .map(|commit| format!("{} (commit {})", commit.id, commit.number))
                 .collect();
-            for one in &lost {
-                if ledger.violations.is_empty() {
-                    self.record.note(&format!(
-                        "LOST: acknowledged write {one} isn't in the promoted log"
-                    ));
-                }
+            for one in lost.iter().take(3) {
+                self.record.note(&format!(
+                    "LOST: acknowledged write {one} isn't in the promoted log"
+                ));
             }
             if !lost.is_empty() {
-                ledger
-                    .violations
-                    .push(format!("LOST: {} acknowledged writes", lost.len()));
+                let line = format!("LOST: {} acknowledged writes in all", lost.len());
+                self.record.note(&line);
+                ledger.violations.push(line);
             }
         }
         service.log.truncate(held as usize);
@@ -441,7 +455,9 @@
                         }
                     }
                     Err(code) => {
-                        if let Some(open) = &mut self.transaction {
+                        let goes_on = code.starts_with("BUSY")
+                            && self.group.busy_effect == BusyEffect::KeepsTransaction;
+                        if let Some(open) = self.transaction.as_mut().filter(|_| !goes_on) {
                             open.failed = true;
                         }
                         answer += &format!("ERROR {code}\r\n");
@@ -572,6 +588,11 @@
         }
         match word {
             "RESET" => {
+                let refusable = self.group.busy_effect == BusyEffect::KeepsTransaction;
+                if refusable && self.sheds() {
+                    self.group.record.note("RESET is refused with BUSY");
+                    return Err("BUSY shed".to_owned());
+                }
                 self.values.clear();
                 self.prepared.clear();
                 complete()
@@ -707,6 +728,11 @@
     }
 
     fn commit(&mut self, id: &str) -> Answer {
+        let writes = self.transaction.as_ref();
+        let writes = writes.is_some_and(|open| !open.failed && !open.writes.is_empty());
+        if writes && self.group.busy_effect == BusyEffect::KeepsTransaction && self.sheds() {
+            return Err("BUSY shed".to_owned());
+        }
         let Some(open) = self.transaction.take() else {
             return Err("MALFORMED no transaction".to_owned());
         };
@@ -719,7 +745,7 @@
         if !self.leads() {
             return Err("READONLY lost the lead".to_owned());
         }
-        if self.sheds() {
+        if self.group.busy_effect == BusyEffect::FailsTransaction && self.sheds() {
             return Err("BUSY shed".to_owned());
         }
         self.note_run(id, "COMMIT");
