Native: log lines for the reports and the choice in a replacement

The log said when a replacement began and what was ordered, but not what the choice rested on: whether the newest acknowledged position was unknown, wrong, or known and passed over.

replacement_report has each instance's position or its fault, replacement_candidate the choice, both with the newest acknowledged position.

--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -206,15 +206,27 @@
     /// Handles the outcome of a report request.
     pub(super) fn handle_report(&mut self, instance: &InstanceName, result: LinkResult) {
         let now = self.now();
-        let report = match result {
+        let (report, fault) = match result {
             LinkResult::Answered(answer) => {
                 let row = answer.rows.first();
-                row.and_then(|row| self.edges.endpoints.read_report(row))
-            }
-            LinkResult::Fault(_) | LinkResult::NotSent | LinkResult::Lost | LinkResult::Silent => {
-                None
+                let report = row.and_then(|row| self.edges.endpoints.read_report(row));
+                (report, None)
             }
+            LinkResult::Fault(fault) => (None, Some(fault.sort)),
+            LinkResult::NotSent | LinkResult::Lost | LinkResult::Silent => (None, None),
         };
+        if self.replacement.state() == ReplacementState::Asking {
+            let received = report.as_ref().map(|report| report.received.to_string());
+            log_event!(
+                Level::Info,
+                "replacement_report",
+                group = self.group,
+                instance = instance,
+                received = received.as_deref().unwrap_or("unknown"),
+                fault = fault.map_or("none".to_owned(), |fault| format!("{fault:?}")),
+                newest = self.history.newest(),
+            );
+        }
         let report = report.map(|report| RoleReport {
             role: report.role,
             term: report.term,
@@ -558,6 +570,13 @@
             match action {
                 ReplacementAction::AskInstances => self.ask_instances(),
                 ReplacementAction::ProposeNumber(instance) => {
+                    log_event!(
+                        Level::Info,
+                        "replacement_candidate",
+                        group = self.group,
+                        instance = instance,
+                        newest = self.history.newest(),
+                    );
                     self.propose(CatalogCommand::IssueToken(TokenRequest {
                         group: self.group.clone(),
                         epoch: self.record.placement.epoch,
