Native: promote no instance that may lack a synchronously acknowledged write

Cause: the leaseholder waited 200 ms for an instance that had reached the newest acknowledged position, then took the best of those that had reported. STATUS takes a slot, so the replica that holds everything and serves the reads answers BUSY, and the one that lacks the writes reports. Nothing read synchronous_replicas.

With synchronous replicas the candidate must have reached the newest acknowledged position, or have received the most of all instances but as many as there are synchronous replicas, which holds every acknowledged write. There is no time limit. The applied position in any answer counts as a lower bound, with and without synchronous replicas, so a busy replica needs no report.

The same cause nearby, fixed with it: leaving replicas weren't asked; a successor of a lost leaseholder, which knows no position, took the first report; an acknowledgement by the replaced primary after the choice was passed on (now in doubt unless the candidate holds it).

--- a/crates/control/src/replacement.rs
+++ b/crates/control/src/replacement.rs
@@ -7,6 +7,8 @@
 
 use crate::ClockTime;
 use crate::native_roles::RoleReport;
+use crate::promotion_evidence::PromotionEvidence;
+use crate::promotion_evidence::WriteGuarantee;
 use crate::replacement_chart::ReplacementEvent;
 use crate::replacement_chart::ReplacementGuard;
 use crate::replacement_chart::ReplacementState;
@@ -15,7 +17,6 @@
 use ragwort_types::InstanceName;
 use ragwort_types::LogPosition;
 use smallvec::SmallVec;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -50,14 +51,18 @@
     state: ReplacementState,
     replaced: Option<InstanceName>,
     pending_reports: BTreeSet<InstanceName>,
-    reports: BTreeMap<InstanceName, RoleReport>,
+    evidence: PromotionEvidence,
     candidate: Option<InstanceName>,
     token: Option<u64>,
+    begun_at: ClockTime,
     reports_requested_at: ClockTime,
     retry_at: Option<ClockTime>,
-    /// The position that the candidate should have received.
-    required_position: LogPosition,
-    /// When a candidate that has received less is accepted nevertheless.
+    guarantee: WriteGuarantee,
+    /// The newest acknowledged position, which the candidate should have received; `None` if it
+    /// isn't known.
+    required_position: Option<LogPosition>,
+    /// When a candidate that has received less is accepted nevertheless, unless all acknowledged
+    /// writes are guaranteed to be kept.
     catch_up_deadline: ClockTime,
 }
 
@@ -67,12 +72,14 @@
             state: ReplacementState::Steady,
             replaced: None,
             pending_reports: BTreeSet::new(),
-            reports: BTreeMap::new(),
+            evidence: PromotionEvidence::default(),
             candidate: None,
             token: None,
+            begun_at: ClockTime::default(),
             reports_requested_at: ClockTime::default(),
             retry_at: None,
-            required_position: LogPosition::default(),
+            guarantee: WriteGuarantee::default(),
+            required_position: None,
             catch_up_deadline: ClockTime::default(),
         }
     }
@@ -84,7 +91,7 @@
         self.state
     }
 
-    /// Returns the instance to promote.
+    /// Returns the instance that was chosen for promotion.
     pub fn candidate(&self) -> Option<&InstanceName> {
         self.candidate.as_ref()
     }
@@ -94,33 +101,59 @@
         self.replaced.as_ref()
     }
 
+    /// Returns when the replacement began.
+    pub fn begun_at(&self) -> ClockTime {
+        self.begun_at
+    }
+
+    /// Returns the newest acknowledged position; `None` if it isn't known.
+    pub fn required_position(&self) -> Option<LogPosition> {
+        self.required_position
+    }
+
+    /// Returns the positions that the instances are known to have reached.
+    pub fn known_positions(&self) -> impl Iterator<Item = (&InstanceName, LogPosition)> {
+        self.evidence.bounds()
+    }
+
     /// Begins to replace an instance, unless a replacement is in progress.
     ///
-    /// If no instance has received all acknowledged writes, the replacement waits up to
-    /// `catch_up_time` for one that has. The writes that the candidate then lacks are lost.
+    /// `required_position` is the newest acknowledged position; `None` if it isn't known. While no
+    /// instance is known to hold all acknowledged writes, a replacement with a guarantee waits.
+    /// Without one it waits up to `catch_up_time`, and the writes that the candidate then lacks are
+    /// lost.
     pub fn begin(
         &mut self,
         now: ClockTime,
         replaced: Option<&InstanceName>,
-        required_position: LogPosition,
+        required_position: Option<LogPosition>,
+        guarantee: WriteGuarantee,
         catch_up_time: Duration,
     ) -> ReplacementActions {
         if self.state == ReplacementState::Steady {
             self.replaced = replaced.cloned();
+            self.begun_at = now;
+            self.candidate = None;
+            self.evidence = PromotionEvidence::default();
+            self.guarantee = guarantee;
             self.required_position = required_position;
             self.catch_up_deadline = now + catch_up_time;
         }
         self.handle(now, ReplacementEvent::Wanted)
     }
 
-    /// Records the instances that the caller has asked for a report.
+    /// Records the instances that the caller has asked for a report, those that are leaving, and
+    /// the number of instances that may have received acknowledged writes.
     pub fn note_requested(
         &mut self,
         now: ClockTime,
         asked: impl IntoIterator<Item = InstanceName>,
+        leaving: impl IntoIterator<Item = InstanceName>,
+        holder_count: usize,
     ) {
         self.pending_reports = asked.into_iter().collect();
-        self.reports.clear();
+        self.evidence
+            .note_requested(holder_count, leaving.into_iter().collect());
         self.reports_requested_at = now;
     }
 
@@ -134,14 +167,51 @@
         if !self.pending_reports.remove(instance) {
             return ReplacementActions::new();
         }
-        self.reports
-            .extend(report.map(|report| (instance.clone(), report)));
+        if let Some(report) = report {
+            self.evidence.note_report(instance, report.received);
+        }
         match self.pending_reports.is_empty() {
             true => self.handle(now, ReplacementEvent::AskedEnough),
             false => ReplacementActions::new(),
         }
     }
 
+    /// Records that an instance has answered, and the position that it has applied if the answer
+    /// contained one.
+    pub fn note_answer(&mut self, instance: &InstanceName, applied: Option<LogPosition>) {
+        if self.state != ReplacementState::Steady {
+            self.evidence.note_answer(instance, applied);
+        }
+    }
+
+    /// Records that the replaced primary has acknowledged a position, and returns whether its
+    /// caller may be told.
+    ///
+    /// Once a candidate was chosen, that is so only if the candidate holds the position or no
+    /// guarantee was given.
+    pub fn note_acknowledged(&mut self, position: LogPosition) -> bool {
+        match self.state {
+            ReplacementState::Steady => true,
+            ReplacementState::Asking => {
+                self.required_position = self.required_position.max(Some(position));
+                self.evidence.note_acknowledged();
+                true
+            }
+            ReplacementState::Numbering
+            | ReplacementState::Ordering
+            | ReplacementState::Watching => {
+                let candidate = self.candidate.as_ref();
+                self.guarantee == WriteGuarantee::BestEffort
+                    || candidate.is_some_and(|name| self.evidence.is_held(name, position))
+            }
+        }
+    }
+
+    /// Removes an instance that is gone or has started again.
+    pub fn forget(&mut self, instance: &InstanceName) {
+        self.evidence.forget(instance);
+    }
+
     /// Processes the fencing token that the replicated log has issued.
     pub fn receive_token(&mut self, now: ClockTime, token: u64) -> ReplacementActions {
         self.token = Some(token);
@@ -224,16 +294,22 @@
         }
     }
 
-    /// Chooses the instance that has received the most; the writes that it lacks are lost.
+    /// Chooses the instance to promote.
     fn choose_candidate(&self, now: ClockTime) -> Option<InstanceName> {
-        let others = self
-            .reports
-            .iter()
-            .filter(|(instance, _)| self.replaced.as_ref() != Some(instance));
-        let best = others.max_by_key(|(_, report)| report.received);
-        let may_wait = now < self.catch_up_deadline;
-        let eligible =
-            best.filter(|(_, report)| report.received >= self.required_position || !may_wait);
-        eligible.map(|(instance, _)| instance.clone())
+        let replaced = self.replaced.as_ref();
+        let chosen = match self.guarantee {
+            WriteGuarantee::SynchronousReplicas(count) => {
+                let required = self.required_position;
+                self.evidence.choose_complete(replaced, required, count)
+            }
+            WriteGuarantee::BestEffort => {
+                let best = self.evidence.choose_any(replaced);
+                let required = self.required_position.unwrap_or_default();
+                let may_wait = now < self.catch_up_deadline;
+                let eligible = best.filter(|(_, bound)| *bound >= required || !may_wait);
+                eligible.map(|(instance, _)| instance)
+            }
+        };
+        chosen.cloned()
     }
 }
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -76,6 +76,7 @@
 use request::NativeTransaction;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -142,6 +143,11 @@
     history: PositionHistory,
     replicas: BTreeMap<InstanceName, ReplicaEstimate>,
     replacement: PrimaryReplacement,
+    /// The instances that may have received acknowledged writes, by address. An instance that is
+    /// gone stays until another one has its address, and with it its log.
+    log_holders: BTreeMap<SocketAddr, InstanceName>,
+    /// When it was last logged that no instance may be promoted.
+    wait_logged_at: ClockTime,
     /// The primary that was found unresponsive and is kept out of use.
     suspect: Option<InstanceName>,
     /// Tracks how long the group has had no usable primary.
@@ -218,6 +224,8 @@
         history: PositionHistory::default(),
         replicas: BTreeMap::new(),
         replacement: PrimaryReplacement::default(),
+        log_holders: BTreeMap::new(),
+        wait_logged_at: ClockTime::default(),
         suspect: None,
         promotion_ordered_at: None,
         promotion_time: primary::INITIAL_PROMOTION_TIME,
--- a/crates/daemon/src/native/notes.rs
+++ b/crates/daemon/src/native/notes.rs
@@ -59,6 +59,7 @@
                 instance = instance,
                 address = announcement.data_address,
             );
+            self.note_log_holder(announcement.data_address, &instance);
             self.pool.record_announcement(now, announcement);
             self.roles.add_expected(now, &instance, leaving);
             self.open_connection(now, &instance);
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -88,6 +88,7 @@
         if self.suspect.as_ref() == Some(instance) {
             self.clear_suspicion();
         }
+        self.replacement.note_answer(instance, position);
         let leads = self.is_leading(instance);
         if let Some(position) = position.filter(|_| !leads) {
             let replica = self.replicas.entry(instance.clone()).or_default();
@@ -389,8 +390,10 @@
         self.update_transaction(ticket, step, link, state);
         let position = end.and_then(|end| end.position).unwrap_or_default();
         let leads = self.is_leading(instance);
+        let mut kept = true;
         if commits && leads {
             self.history.note(now, position);
+            kept = self.replacement.note_acknowledged(position);
         }
         let served = ServedBy {
             instance: instance.clone(),
@@ -406,6 +409,11 @@
         if !self.may_serve() || handed_over {
             return self.withhold_answer(ticket, step, commits);
         }
+        // The instance that is being promoted may lack this write.
+        if !kept {
+            let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
+            return self.settle(ticket, doubt);
+        }
         self.context.metrics.count_read(&served);
         let rows = TaggedRows {
             rows: answer.rows,
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -15,6 +15,9 @@
 //! control VMs and orders the promotion. This module performs its actions. A replacement has
 //! succeeded only when an instance reports that it is the primary, since an order may also take
 //! effect late or not at all.
+//!
+//! In a group with synchronous replicas, no instance is promoted that may lack an acknowledged
+//! write. If none is known to hold all of them, the group has no primary until one returns.
 
 use super::NativeNotice;
 use super::NativeTask;
@@ -38,6 +41,7 @@
 use ragwort_control::ReplacementEvent;
 use ragwort_control::ReplacementState;
 use ragwort_control::RoleReport;
+use ragwort_control::WriteGuarantee;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
 use ragwort_policy::GroupCheck;
@@ -47,6 +51,7 @@
 use ragwort_types::EndpointAnnouncement;
 use ragwort_types::InstanceName;
 use ragwort_types::TokenRequest;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -79,6 +84,10 @@
 /// Estimated duration of a promotion before one was measured. Databases take 600 to 1,000 ms.
 pub(super) const INITIAL_PROMOTION_TIME: Duration = Duration::from_millis(1_000);
 
+/// Interval of the log lines of a replacement that waits for an instance with all acknowledged
+/// writes.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time limit for an instance's report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -114,6 +123,7 @@
             && self.replacement.state() == ReplacementState::Steady
             && self.roles.is_known_as(&instance, role, leaving)
             && !self.roles.needs_report(&instance);
+        self.note_log_holder(announcement.data_address, &instance);
         self.pool.record_announcement(now, announcement);
         self.roles.note_announcement(now, &instance, role, leaving);
         self.primary_absence.count_announcement(&instance);
@@ -140,6 +150,17 @@
         true
     }
 
+    /// Records an instance that may have received acknowledged writes. It holds the log of an
+    /// earlier instance with the same address.
+    pub(super) fn note_log_holder(&mut self, address: SocketAddr, instance: &InstanceName) {
+        self.log_holders
+            .retain(|held, name| name != instance || *held == address);
+        let former = self.log_holders.insert(address, instance.clone());
+        if let Some(former) = former.filter(|former| former != instance) {
+            self.replacement.forget(&former);
+        }
+    }
+
     /// Requests the report of an instance that claims to be the primary in an unknown term. Opens a
     /// connection if it has none.
     pub(super) fn request_report_if_needed(&mut self, instance: &InstanceName) {
@@ -557,14 +578,26 @@
             cause = cause,
             newest = self.history.newest(),
         );
-        let wanted = self.history.newest();
+        // The writes that a former leaseholder acknowledged aren't known before a primary is found.
+        let required = self.leading.is_some().then(|| self.history.newest());
+        let guarantee = self.write_guarantee();
         let actions = self
             .replacement
-            .begin(now, replaced, wanted, catch_up_limit);
+            .begin(now, replaced, required, guarantee, catch_up_limit);
         self.refresh_endpoints();
         self.perform_replacement(actions);
     }
 
+    /// Returns which acknowledged writes must survive the loss of the primary.
+    fn write_guarantee(&self) -> WriteGuarantee {
+        let view = self.view.borrow();
+        let terms = view.copy.group_terms(&self.group);
+        match terms.map_or(0, |terms| terms.synchronous_replicas) {
+            0 => WriteGuarantee::BestEffort,
+            count => WriteGuarantee::SynchronousReplicas(count as usize),
+        }
+    }
+
     fn perform_replacement(&mut self, actions: ReplacementActions) {
         for action in actions {
             match action {
@@ -590,13 +623,52 @@
         }
     }
 
+    /// Logs that no instance may be promoted, since each may lack an acknowledged write.
+    fn log_wait(&mut self, now: ClockTime) {
+        let since = self.replacement.begun_at().max(self.wait_logged_at);
+        if now.since(since) < WAIT_LOG_INTERVAL {
+            return;
+        }
+        self.wait_logged_at = now;
+        let required = self.replacement.required_position();
+        let known = self.replacement.known_positions();
+        let known: Vec<String> = known
+            .map(|(instance, position)| format!("{instance}:{position}"))
+            .collect();
+        log_event!(
+            Level::Warn,
+            "replacement_waits",
+            group = self.group,
+            waited_ms = now.since(self.replacement.begun_at()).as_millis(),
+            required = required.map_or("unknown".to_owned(), |required| required.to_string()),
+            known = known.join(","),
+            holders = self.log_holders.len(),
+        );
+    }
+
     fn ask_instances(&mut self) {
         let now = self.now();
         let replaced = self.replacement.replaced().cloned();
+        let guaranteed = self.write_guarantee() != WriteGuarantee::BestEffort;
+        if guaranteed && self.replacement.candidate().is_none() {
+            self.log_wait(now);
+        }
         let mut asked = Vec::new();
+        let mut leaving = Vec::new();
         for instance in self.pool.names() {
             let leaves = self.roles.is_leaving(&instance);
-            if Some(&instance) == replaced.as_ref() || leaves {
+            if leaves {
+                leaving.push(instance.clone());
+            }
+            if Some(&instance) == replaced.as_ref() {
+                // If no other instance holds all writes, the group waits for the return of this one.
+                if guaranteed && self.pool.links_of(&instance).is_empty() {
+                    self.open_connection(now, &instance);
+                }
+                continue;
+            }
+            // A leaving instance receives writes until it ends, and counts as a replica for them.
+            if leaves && !guaranteed {
                 continue;
             }
             if self.send_report_request(&instance) {
@@ -605,7 +677,9 @@
                 self.open_connection(now, &instance);
             }
         }
-        self.replacement.note_requested(now, asked);
+        let holders = self.log_holders.len();
+        self.replacement
+            .note_requested(now, asked, leaving, holders);
     }
 
     /// Handles the reply to a token request. The token is the revision at which the request was
@@ -718,6 +792,7 @@
         self.pool.remove_endpoint(instance);
         self.roles.forget(instance);
         self.primary_absence.forget(instance);
+        self.replacement.forget(instance);
         self.replicas.remove(instance);
         self.scheduler.remove_endpoint(now, instance);
         for id in self.pool.links_of(instance) {
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -301,12 +301,25 @@
     /// Starts with noted endpoints, of which the primary has failed together with the former
     /// leaseholder.
     pub async fn start_with_dead_primary(lengths: [u64; 3]) -> Self {
-        Self::start_after(lengths, u32::MAX, LONG_TIMING, |endpoints| {
-            let mut record = note_endpoints(endpoints, 1);
-            // No process listens on port 1.
-            record.endpoints[0].data_address = "127.0.0.1:1".parse().unwrap();
-            record.primary = Some("cases-1".into());
-            record
+        Self::start_after(lengths, u32::MAX, LONG_TIMING, note_dead_primary).await
+    }
+
+    /// Starts as [`start`](Self::start) does, with one synchronous replica.
+    pub async fn start_synchronous(lengths: [u64; 3]) -> Self {
+        let terms = create_synchronous_terms();
+        Self::start_in(terms, lengths, u32::MAX, LONG_TIMING, |_| create_record()).await
+    }
+
+    /// Starts as [`start_with_dead_primary`](Self::start_with_dead_primary) does, with one
+    /// synchronous replica, after the endpoints were prepared.
+    pub async fn start_synchronous_with_dead_primary(
+        lengths: [u64; 3],
+        prepare: impl FnOnce(&[ScriptedEndpoint]),
+    ) -> Self {
+        let terms = create_synchronous_terms();
+        Self::start_in(terms, lengths, u32::MAX, LONG_TIMING, |endpoints| {
+            prepare(endpoints);
+            note_dead_primary(endpoints)
         })
         .await
     }
@@ -327,6 +340,16 @@
         limit: u32,
         timing: &str,
         create: impl FnOnce(&[ScriptedEndpoint]) -> GroupRecord,
+    ) -> Self {
+        Self::start_in(create_terms(), lengths, limit, timing, create).await
+    }
+
+    async fn start_in(
+        terms: GroupTerms,
+        lengths: [u64; 3],
+        limit: u32,
+        timing: &str,
+        create: impl FnOnce(&[ScriptedEndpoint]) -> GroupRecord,
     ) -> Self {
         let mut endpoints = Vec::new();
         for (index, length) in lengths.into_iter().enumerate() {
@@ -341,7 +364,7 @@
         let (control_address, control) = start_control(Arc::clone(&notes)).await;
         let settings = Arc::new(create_settings(control_address, timing));
         let record = create(&endpoints);
-        let (view, _) = watch::channel(create_view(&record));
+        let (view, _) = watch::channel(create_view_in(terms, &record, CatalogRevision(1), false));
         let (_, seeds) = watch::channel(Vec::new());
         let metrics = DaemonMetrics::new();
         let descriptors = DescriptorBudget::new(limit, &metrics);
@@ -708,6 +731,16 @@
     record
 }
 
+/// Creates a group's record in which a former leaseholder has noted the endpoints and a primary
+/// that is out of reach by now.
+fn note_dead_primary(endpoints: &[ScriptedEndpoint]) -> GroupRecord {
+    let mut record = note_endpoints(endpoints, 1);
+    // No process listens on port 1.
+    record.endpoints[0].data_address = "127.0.0.1:1".parse().unwrap();
+    record.primary = Some("cases-1".into());
+    record
+}
+
 /// Returns whether a verdict is the endpoint's own answer.
 pub fn is_served(reply: &StatementReply) -> bool {
     matches!(
@@ -819,12 +852,28 @@
     }
 }
 
+fn create_synchronous_terms() -> GroupTerms {
+    GroupTerms {
+        synchronous_replicas: 1,
+        ..create_terms()
+    }
+}
+
 fn create_view(record: &GroupRecord) -> MemberView {
     create_view_at(record, CatalogRevision(1), false)
 }
 
-/// Creates a view with a second member, to which the first one hands its groups over if it drains.
 fn create_view_at(record: &GroupRecord, revision: CatalogRevision, draining: bool) -> MemberView {
+    create_view_in(create_terms(), record, revision, draining)
+}
+
+/// Creates a view with a second member, to which the first one hands its groups over if it drains.
+fn create_view_in(
+    terms: GroupTerms,
+    record: &GroupRecord,
+    revision: CatalogRevision,
+    draining: bool,
+) -> MemberView {
     let contract = VersionedContract {
         version: ContractVersion(1),
         change_id: ChangeId::fresh(),
@@ -855,7 +904,7 @@
         CatalogItem::Group(Box::new(record.clone())),
         CatalogItem::Member(member),
         CatalogItem::Member(other),
-        CatalogItem::GroupTerms(create_terms()),
+        CatalogItem::GroupTerms(terms),
     ];
     let mut copy = CatalogCopy::new();
     let delta = CatalogDelta {
--- a/crates/daemon/tests/native/endpoint.rs
+++ b/crates/daemon/tests/native/endpoint.rs
@@ -27,6 +27,8 @@
     pub position: LogPosition,
     /// Whether it withholds answers to report requests.
     pub withholds_reports: bool,
+    /// Whether it refuses report requests because its slots are taken.
+    pub busy: bool,
     /// Whether it withholds all answers, on every connection.
     pub silent: bool,
     /// Faults of coming statements by their text; each is used once.
@@ -66,6 +68,7 @@
             role,
             position,
             withholds_reports: false,
+            busy: false,
             silent: false,
             faults: Vec::new(),
             ran: Vec::new(),
@@ -87,6 +90,13 @@
         self.script.lock().unwrap()
     }
 
+    /// Starts the endpoint again at its address after it was stopped.
+    pub async fn restart(&mut self) {
+        let listener = TcpListener::bind(self.address).await.unwrap();
+        self.script().open.clear();
+        self.task = Some(tokio::spawn(serve(listener, Arc::clone(&self.script))));
+    }
+
     /// Stops the endpoint: its connections break, and its port refuses new ones.
     pub async fn kill(&mut self) {
         if let Some(task) = self.task.take() {
@@ -149,6 +159,9 @@
                 self.open.insert(connection);
                 "done -\n".to_owned()
             }
+            "describe" if self.busy => {
+                format!("fault {}\n", fault_word(EndpointFaultKind::Busy))
+            }
             "describe" => {
                 let role = match self.role {
                     InstanceRole::Primary => "primary",
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -15,4 +15,5 @@
 mod lapses;
 mod rejections;
 mod scarcity;
+mod synchronous;
 mod takeover;
