Native: repeat a refused report request as soon as a statement frees a slot

Seen by callers: writes refused for up to 2.6 s after a promotion had taken effect.

Cause: an instance counts as the primary once it reports its term. STATUS takes a slot, and each slot that came free went to the next read at once, so a busy instance refused the requests with BUSY, up to 40 in a row. With the candidate chosen by what it holds, the busy replica is the one that is promoted. Evidence: replacement_report lines with fault=Busy each 50 ms from the order to primary_found, while the stand-in says it leads.

A refused request is repeated when a statement ends on that instance, before the scheduler is run. Ruled out: a slot held free for reports, which would cost statements.

--- a/crates/control/src/replacement.rs
+++ b/crates/control/src/replacement.rs
@@ -158,18 +158,21 @@
     }
 
     /// Processes an instance's report; `None` if it failed to give one.
+    ///
+    /// A report that comes after the time for it counts from the next request on.
     pub fn take_report(
         &mut self,
         now: ClockTime,
         instance: &InstanceName,
         report: Option<RoleReport>,
     ) -> ReplacementActions {
-        if !self.pending_reports.remove(instance) {
-            return ReplacementActions::new();
-        }
-        if let Some(report) = report {
+        let pending = self.pending_reports.remove(instance);
+        if let Some(report) = report.filter(|_| pending || self.state == ReplacementState::Asking) {
             self.evidence.note_report(instance, report.received);
         }
+        if !pending {
+            return ReplacementActions::new();
+        }
         match self.pending_reports.is_empty() {
             true => self.handle(now, ReplacementEvent::AskedEnough),
             false => ReplacementActions::new(),
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -75,6 +75,7 @@
 use request::NativeRequest;
 use request::NativeTransaction;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -146,6 +147,8 @@
     /// The instances that may have received acknowledged writes, by address. An instance that is
     /// gone stays until another one has its address, and with it its log.
     log_holders: BTreeMap<SocketAddr, InstanceName>,
+    /// The instances that refused the last report request because all their slots were taken.
+    refused_reports: BTreeSet<InstanceName>,
     /// When it was last logged that no instance may be promoted.
     wait_logged_at: ClockTime,
     /// The primary that was found unresponsive and is kept out of use.
@@ -225,6 +228,7 @@
         replicas: BTreeMap::new(),
         replacement: PrimaryReplacement::default(),
         log_holders: BTreeMap::new(),
+        refused_reports: BTreeSet::new(),
         wait_logged_at: ClockTime::default(),
         suspect: None,
         promotion_ordered_at: None,
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -111,6 +111,7 @@
             outcome.result,
             LinkResult::Answered(_) | LinkResult::Fault(_)
         );
+        let freed = matches!(outcome.result, LinkResult::Answered(_));
         let was_open = connection.open;
         connection.unusable |= !answered;
         if answered {
@@ -120,6 +121,9 @@
         match (purpose, work) {
             (LinkPurpose::Statement(_), ConnectionWork::Statement(ticket)) => {
                 self.handle_outcome(ticket, id, &instance, outcome);
+                if freed {
+                    self.repeat_refused_report(&instance);
+                }
             }
             (LinkPurpose::Report, _) => self.handle_report(&instance, outcome.result),
             (LinkPurpose::ConnectionValidation, _) => self.handle_validation_result(id, answered),
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -49,6 +49,7 @@
 use ragwort_types::CatalogOutcome;
 use ragwort_types::CommandReply;
 use ragwort_types::EndpointAnnouncement;
+use ragwort_types::EndpointFaultKind;
 use ragwort_types::InstanceName;
 use ragwort_types::TokenRequest;
 use std::net::SocketAddr;
@@ -185,6 +186,24 @@
         )
     }
 
+    /// Repeats a report request that an instance refused, now that a statement has freed a slot. The
+    /// scheduler would give the slot to the next statement, and later requests be refused as well.
+    pub(super) fn repeat_refused_report(&mut self, instance: &InstanceName) {
+        if !self.refused_reports.remove(instance) {
+            return;
+        }
+        let wanted = match self.replacement.state() {
+            ReplacementState::Asking => self.replacement.replaced() != Some(instance),
+            ReplacementState::Watching => self.replacement.candidate() == Some(instance),
+            ReplacementState::Steady | ReplacementState::Numbering | ReplacementState::Ordering => {
+                false
+            }
+        };
+        if wanted || self.roles.needs_report(instance) {
+            self.send_report_request(instance);
+        }
+    }
+
     /// Starts the validation of a connection by a reset, which takes no slot of the endpoint. It
     /// clears the connection's session state.
     pub(super) fn start_validation(&mut self, id: LinkId) -> bool {
@@ -236,6 +255,11 @@
             LinkResult::Fault(fault) => (None, Some(fault.sort)),
             LinkResult::NotSent | LinkResult::Lost | LinkResult::Silent => (None, None),
         };
+        if fault == Some(EndpointFaultKind::Busy) {
+            self.refused_reports.insert(instance.clone());
+        } else {
+            self.refused_reports.remove(instance);
+        }
         if self.replacement.state() == ReplacementState::Asking {
             let received = report.as_ref().map(|report| report.received.to_string());
             log_event!(
@@ -790,6 +814,7 @@
             instance = instance,
         );
         self.pool.remove_endpoint(instance);
+        self.refused_reports.remove(instance);
         self.roles.forget(instance);
         self.primary_absence.forget(instance);
         self.replacement.forget(instance);
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -3,6 +3,7 @@
 
 use crate::cases::wait_until;
 use crate::codec::LineProtocol;
+use crate::endpoint::SLOTS;
 use crate::endpoint::ScriptedEndpoint;
 use async_trait::async_trait;
 use jsonrpsee::RpcModule;
@@ -542,14 +543,17 @@
 
     /// Makes an instance the primary of the next term, and announces it.
     pub async fn promote(&mut self, index: usize) {
-        {
-            let mut script = self.endpoints[index].script();
-            script.role = InstanceRole::Primary;
-            script.position = LogPosition::new(GroupTerm(2), script.position.index);
-        }
+        self.lead(index);
         self.announce(index, false).await;
     }
 
+    /// Makes an instance the primary of the next term.
+    pub fn lead(&self, index: usize) {
+        let mut script = self.endpoints[index].script();
+        script.role = InstanceRole::Primary;
+        script.position = LogPosition::new(GroupTerm(2), script.position.index);
+    }
+
     /// Places the group at another VM in the leaseholder's view.
     pub fn place_elsewhere(&self) {
         let mut record = create_record();
@@ -709,7 +713,7 @@
         domain: "north".into(),
         data_address: endpoint.address,
         agent_address: endpoint.address,
-        slots: 2,
+        slots: SLOTS as u32,
         connections: 16,
         status: InstanceStatus {
             role: script.role,
--- a/crates/daemon/tests/native/endpoint.rs
+++ b/crates/daemon/tests/native/endpoint.rs
@@ -20,6 +20,9 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+/// The number of statements that run at the same time. Announcements name the same number.
+pub const SLOTS: usize = 2;
+
 /// The behaviour of a scripted endpoint, and a record of what it received.
 pub struct EndpointScript {
     pub name: String,
@@ -29,6 +32,13 @@
     pub withholds_reports: bool,
     /// Whether it refuses report requests because its slots are taken.
     pub busy: bool,
+    /// How long a statement runs. While all slots are taken by statements, report requests are
+    /// refused.
+    pub run_time: Duration,
+    /// The number of refused report requests.
+    pub refused_reports: usize,
+    /// The number of statements that run.
+    running: usize,
     /// Whether it withholds all answers, on every connection.
     pub silent: bool,
     /// Faults of coming statements by their text; each is used once.
@@ -69,6 +79,9 @@
             position,
             withholds_reports: false,
             busy: false,
+            run_time: Duration::ZERO,
+            refused_reports: 0,
+            running: 0,
             silent: false,
             faults: Vec::new(),
             ran: Vec::new(),
@@ -130,6 +143,9 @@
         while is_withheld(&script, &line) {
             sleep(Duration::from_millis(2)).await;
         }
+        if line.starts_with("run") {
+            run_for_a_while(&script).await;
+        }
         let reply = script.lock().unwrap().reply(number, &line, &mut state);
         if writing.write_all(reply.as_bytes()).await.is_err() {
             break;
@@ -138,6 +154,15 @@
     script.lock().unwrap().open.remove(&number);
 }
 
+async fn run_for_a_while(script: &Mutex<EndpointScript>) {
+    let run_time = script.lock().unwrap().run_time;
+    if run_time > Duration::ZERO {
+        script.lock().unwrap().running += 1;
+        sleep(run_time).await;
+        script.lock().unwrap().running -= 1;
+    }
+}
+
 fn is_withheld(script: &Mutex<EndpointScript>, line: &str) -> bool {
     let script = script.lock().unwrap();
     script.silent || (script.withholds_reports && line == "describe")
@@ -159,7 +184,8 @@
                 self.open.insert(connection);
                 "done -\n".to_owned()
             }
-            "describe" if self.busy => {
+            "describe" if self.busy || self.running >= SLOTS => {
+                self.refused_reports += 1;
                 format!("fault {}\n", fault_word(EndpointFaultKind::Busy))
             }
             "describe" => {
--- a/crates/daemon/tests/native/synchronous.rs
+++ b/crates/daemon/tests/native/synchronous.rs
@@ -1,5 +1,6 @@
 //! Replacement of a primary whose writes are acknowledged once one replica has received them.
 
+use crate::bench::AGED;
 use crate::bench::NativeBench;
 use crate::bench::TestStatement;
 use crate::bench::WRITE;
@@ -8,6 +9,11 @@
 use crate::cases::wait_until;
 use ragwort_types::DoubtCause;
 use ragwort_types::RequestVerdict;
+use std::time::Duration;
+
+/// The number of report requests that a busy instance may refuse before it is found to lead. One
+/// that is repeated when a statement ends is refused only if the next statement overtakes it.
+const MAX_REFUSED_REPORTS: usize = 10;
 
 failure_cases! {
     /// The only replica that holds all acknowledged writes is too busy for a report. The other one
@@ -22,6 +28,9 @@
     /// The primary and the replica that holds all acknowledged writes fail together. The group waits
     /// for one of them, and is served again by the primary when that returns.
     returning_primary_ends_the_wait => returning_case();
+    /// All slots of the promoted instance are always taken by reads, so it refused the report
+    /// requests that show that it leads. Writes waited until one met a free slot by chance.
+    busy_instance_is_found_to_lead => busy_leader_case();
     /// A write was under way at a leaving primary when its successor was chosen, which may lack it.
     /// Its caller was told that it is saved.
     write_under_way_at_a_replaced_primary_is_in_doubt => late_write_case();
@@ -89,6 +98,37 @@
     assert_eq!(count_orders(&bench), 0);
 }
 
+/// Repeats reads that accept old data until the test ends.
+async fn read_on(bench: &NativeBench) {
+    loop {
+        bench.ask(TestStatement::new(AGED, "read shelf")).await;
+    }
+}
+
+async fn busy_leader_case() {
+    let mut bench = start_uneven().await;
+    bench.endpoints[2].kill().await;
+    bench.endpoints[0].kill().await;
+    assert_eq!(bench.wait_for_order().await, 1);
+    bench.endpoints[1].script().run_time = Duration::from_millis(100);
+    let promotion = async {
+        let busy = || bench.endpoints[1].script().refused_reports > 0;
+        wait_until(busy).await;
+        bench.lead(1);
+        let reply = bench.ask(TestStatement::new(WRITE, "write after")).await;
+        assert!(is_served(&reply), "{reply:?}");
+    };
+    tokio::select! {
+        () = promotion => {}
+        () = read_on(&bench) => {}
+        () = read_on(&bench) => {}
+        () = read_on(&bench) => {}
+        () = read_on(&bench) => {}
+    }
+    let refused = bench.endpoints[1].script().refused_reports;
+    assert!(refused <= MAX_REFUSED_REPORTS, "{refused} were refused");
+}
+
 async fn late_write_case() {
     let mut bench = start_uneven().await;
     bench.endpoints[0].script().silent = true;
