Native: keep endpoints noted that may hold synchronously acknowledged writes

Seen by callers: nothing yet; found by reading while the promotions were mended. A replica that alone has received the last acknowledged write may fall silent before the primary and the leaseholder fail. Endpoints that are silent leave the catalog, so the successor counted one instance fewer and promoted another replica.

With synchronous replicas the leaseholder notes all instances that may hold acknowledged writes, also those that are gone, until another instance announces itself at the address. Without the setting notes are as before.

The bench's views keep the terms that a case has started with.

--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -66,6 +66,7 @@
 use ragwort_policy::SchedulerSettings;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CommandReply;
+use ragwort_types::EndpointAnnouncement;
 use ragwort_types::GroupName;
 use ragwort_types::GroupRecord;
 use ragwort_types::GroupTerm;
@@ -146,7 +147,7 @@
     replacement: PrimaryReplacement,
     /// The instances that may have received acknowledged writes, by address. An instance that is
     /// gone stays until another one has its address, and with it its log.
-    log_holders: BTreeMap<SocketAddr, InstanceName>,
+    log_holders: BTreeMap<SocketAddr, EndpointAnnouncement>,
     /// The instances that refused the last report request because all their slots were taken.
     refused_reports: BTreeSet<InstanceName>,
     /// When it was last logged that no instance may be promoted.
--- a/crates/daemon/src/native/notes.rs
+++ b/crates/daemon/src/native/notes.rs
@@ -20,6 +20,7 @@
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_control::WriteGuarantee;
 use ragwort_policy::GroupCheck;
 use ragwort_types::CatalogCommand;
 use ragwort_types::CommandReply;
@@ -27,7 +28,6 @@
 use ragwort_types::GroupTerm;
 use ragwort_types::InstanceName;
 use ragwort_types::InstanceRole;
-use ragwort_types::InstanceStatus;
 use ragwort_types::LogPosition;
 use ragwort_types::RecordedEndpoints;
 use std::time::Duration;
@@ -59,7 +59,7 @@
                 instance = instance,
                 address = announcement.data_address,
             );
-            self.note_log_holder(announcement.data_address, &instance);
+            self.note_log_holder(&announcement);
             self.pool.record_announcement(now, announcement);
             self.roles.add_expected(now, &instance, leaving);
             self.open_connection(now, &instance);
@@ -112,20 +112,24 @@
     }
 
     /// Returns the endpoints' announcements without the values that change with each one.
+    ///
+    /// With synchronous replicas an endpoint that is gone stays noted. A successor that didn't know
+    /// of it could promote another one that lacks the writes that only this one has received.
     fn endpoints_to_note(&self) -> Vec<EndpointAnnouncement> {
-        let known = self.pool.endpoints().map(|endpoint| {
-            let announcement = endpoint.announcement.clone();
-            EndpointAnnouncement {
-                status: InstanceStatus {
-                    role: InstanceRole::Replica,
-                    position: LogPosition::default(),
-                    ..announcement.status
-                },
-                sequence: 0,
-                ..announcement
+        let mut noted: Vec<EndpointAnnouncement> = match self.write_guarantee() {
+            WriteGuarantee::SynchronousReplicas(_) => self.log_holders.values().cloned().collect(),
+            WriteGuarantee::BestEffort => {
+                let known = self.pool.endpoints();
+                known.map(|one| one.announcement.clone()).collect()
             }
-        });
-        known.collect()
+        };
+        for announcement in &mut noted {
+            announcement.status.role = InstanceRole::Replica;
+            announcement.status.position = LogPosition::default();
+            announcement.sequence = 0;
+        }
+        noted.sort_by(|one, other| one.instance.cmp(&other.instance));
+        noted
     }
 
     /// Handles the reply to a proposed note. A remaining difference is noted after another
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -52,7 +52,6 @@
 use ragwort_types::EndpointFaultKind;
 use ragwort_types::InstanceName;
 use ragwort_types::TokenRequest;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -124,7 +123,7 @@
             && self.replacement.state() == ReplacementState::Steady
             && self.roles.is_known_as(&instance, role, leaving)
             && !self.roles.needs_report(&instance);
-        self.note_log_holder(announcement.data_address, &instance);
+        self.note_log_holder(&announcement);
         self.pool.record_announcement(now, announcement);
         self.roles.note_announcement(now, &instance, role, leaving);
         self.primary_absence.count_announcement(&instance);
@@ -153,12 +152,14 @@
 
     /// Records an instance that may have received acknowledged writes. It holds the log of an
     /// earlier instance with the same address.
-    pub(super) fn note_log_holder(&mut self, address: SocketAddr, instance: &InstanceName) {
+    pub(super) fn note_log_holder(&mut self, announcement: &EndpointAnnouncement) {
+        let address = announcement.data_address;
+        let instance = &announcement.instance;
         self.log_holders
-            .retain(|held, name| name != instance || *held == address);
-        let former = self.log_holders.insert(address, instance.clone());
-        if let Some(former) = former.filter(|former| former != instance) {
-            self.replacement.forget(&former);
+            .retain(|held, holder| holder.instance != *instance || *held == address);
+        let former = self.log_holders.insert(address, announcement.clone());
+        if let Some(former) = former.filter(|former| former.instance != *instance) {
+            self.replacement.forget(&former.instance);
         }
     }
 
@@ -613,7 +614,7 @@
     }
 
     /// Returns which acknowledged writes must survive the loss of the primary.
-    fn write_guarantee(&self) -> WriteGuarantee {
+    pub(super) fn write_guarantee(&self) -> WriteGuarantee {
         let view = self.view.borrow();
         let terms = view.copy.group_terms(&self.group);
         match terms.map_or(0, |terms| terms.synchronous_replicas) {
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -98,7 +98,7 @@
 const LONG_MS: u64 = 30_000;
 
 /// Settings with which no endpoint counts as silent and no connection as idle during a case.
-const LONG_TIMING: &str = "announce_lost_ms: 60000, idle_ping_ms: 60000";
+pub const LONG_TIMING: &str = "announce_lost_ms: 60000, idle_ping_ms: 60000";
 
 /// The kinds of the contract: reads that allow old data, reads that see all acknowledged writes,
 /// and writes.
@@ -263,6 +263,7 @@
     pub metrics: DaemonMetrics,
     descriptors: DescriptorBudget,
     notes: ProposedEndpoints,
+    terms: GroupTerms,
     inbox: mpsc::Sender<GroupEvent>,
     sequence: u64,
     _control: ServerHandle,
@@ -305,10 +306,11 @@
         Self::start_after(lengths, u32::MAX, LONG_TIMING, note_dead_primary).await
     }
 
-    /// Starts as [`start`](Self::start) does, with one synchronous replica.
-    pub async fn start_synchronous(lengths: [u64; 3]) -> Self {
+    /// Starts as [`start`](Self::start) does, with one synchronous replica and these settings of
+    /// `timing`.
+    pub async fn start_synchronous(lengths: [u64; 3], timing: &str) -> Self {
         let terms = create_synchronous_terms();
-        Self::start_in(terms, lengths, u32::MAX, LONG_TIMING, |_| create_record()).await
+        Self::start_in(terms, lengths, u32::MAX, timing, |_| create_record()).await
     }
 
     /// Starts as [`start_with_dead_primary`](Self::start_with_dead_primary) does, with one
@@ -365,7 +367,7 @@
         let (control_address, control) = start_control(Arc::clone(&notes)).await;
         let settings = Arc::new(create_settings(control_address, timing));
         let record = create(&endpoints);
-        let (view, _) = watch::channel(create_view_in(terms, &record, CatalogRevision(1), false));
+        let (view, _) = watch::channel(create_view(&terms, &record));
         let (_, seeds) = watch::channel(Vec::new());
         let metrics = DaemonMetrics::new();
         let descriptors = DescriptorBudget::new(limit, &metrics);
@@ -396,6 +398,7 @@
             metrics,
             descriptors,
             notes,
+            terms,
             inbox,
             sequence: 0,
             _control: control,
@@ -559,7 +562,7 @@
         let mut record = create_record();
         record.placement.leaseholder = "vm-2".into();
         record.placement.epoch = PlacementEpoch(2);
-        self.view.send_replace(create_view(&record));
+        self.view.send_replace(create_view(&self.terms, &record));
     }
 
     /// Changes the contract so that only callers with an account's key are admitted.
@@ -646,7 +649,7 @@
     pub fn change_epoch(&self, epoch: u64) {
         let mut record = create_record();
         record.placement.epoch = PlacementEpoch(epoch);
-        let view = create_view_at(&record, CatalogRevision(epoch), false);
+        let view = create_view_at(&self.terms, &record, CatalogRevision(epoch), false);
         self.view.send_replace(view);
     }
 
@@ -663,12 +666,13 @@
 
     /// Grants the VM a new lease.
     pub fn renew_lease(&self) {
-        self.view.send_replace(create_view(&create_record()));
+        self.view
+            .send_replace(create_view(&self.terms, &create_record()));
     }
 
     /// Makes the VM drain, so that it hands its groups over.
     pub fn drain(&self) {
-        let view = create_view_at(&create_record(), CatalogRevision(2), true);
+        let view = create_view_at(&self.terms, &create_record(), CatalogRevision(2), true);
         self.view.send_replace(view);
     }
 
@@ -680,7 +684,7 @@
         record.term = last.term;
         record.primary = last.primary;
         record.endpoints = last.endpoints;
-        self.view.send_replace(create_view(&record));
+        self.view.send_replace(create_view(&self.terms, &record));
     }
 
     /// Counts the connections to endpoints, open or opening.
@@ -688,6 +692,14 @@
         self.descriptors.count(DescriptorUse::Endpoints)
     }
 
+    /// Returns the names of the endpoints in the last proposed note.
+    pub fn list_noted(&self) -> Vec<String> {
+        let notes = self.notes.lock().unwrap();
+        let endpoints = notes.last().map(|note| note.endpoints.as_slice());
+        let names = endpoints.unwrap_or_default().iter();
+        names.map(|one| one.instance.to_string()).collect()
+    }
+
     /// Counts the proposed notes, without those that equal the one before.
     pub fn count_notes(&self) -> usize {
         let mut notes = self.notes.lock().unwrap().clone();
@@ -863,17 +875,13 @@
     }
 }
 
-fn create_view(record: &GroupRecord) -> MemberView {
-    create_view_at(record, CatalogRevision(1), false)
-}
-
-fn create_view_at(record: &GroupRecord, revision: CatalogRevision, draining: bool) -> MemberView {
-    create_view_in(create_terms(), record, revision, draining)
+fn create_view(terms: &GroupTerms, record: &GroupRecord) -> MemberView {
+    create_view_at(terms, record, CatalogRevision(1), false)
 }
 
 /// Creates a view with a second member, to which the first one hands its groups over if it drains.
-fn create_view_in(
-    terms: GroupTerms,
+fn create_view_at(
+    terms: &GroupTerms,
     record: &GroupRecord,
     revision: CatalogRevision,
     draining: bool,
@@ -908,7 +916,7 @@
         CatalogItem::Group(Box::new(record.clone())),
         CatalogItem::Member(member),
         CatalogItem::Member(other),
-        CatalogItem::GroupTerms(terms),
+        CatalogItem::GroupTerms(terms.clone()),
     ];
     let mut copy = CatalogCopy::new();
     let delta = CatalogDelta {
--- a/crates/daemon/tests/native/synchronous.rs
+++ b/crates/daemon/tests/native/synchronous.rs
@@ -1,6 +1,7 @@
 //! Replacement of a primary whose writes are acknowledged once one replica has received them.
 
 use crate::bench::AGED;
+use crate::bench::LONG_TIMING;
 use crate::bench::NativeBench;
 use crate::bench::TestStatement;
 use crate::bench::WRITE;
@@ -10,6 +11,7 @@
 use ragwort_types::DoubtCause;
 use ragwort_types::RequestVerdict;
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// The number of report requests that a busy instance may refuse before it is found to lead. One
 /// that is repeated when a statement ends is refused only if the next statement overtakes it.
@@ -25,6 +27,9 @@
     /// The primary fails together with the leaseholder. The next leaseholder promoted the first
     /// replica that reported, which may lack acknowledged writes.
     successor_awaits_all_replicas => successor_case();
+    /// The only replica with the last writes has failed before the primary and the leaseholder. A
+    /// successor that doesn't know of it promoted another one.
+    endpoint_that_is_gone_stays_noted => gone_case();
     /// The primary and the replica that holds all acknowledged writes fail together. The group waits
     /// for one of them, and is served again by the primary when that returns.
     returning_primary_ends_the_wait => returning_case();
@@ -38,7 +43,7 @@
 
 /// Starts a group in which the first replica has received one write more than the second.
 async fn start_uneven() -> NativeBench {
-    let mut bench = NativeBench::start_synchronous([5, 5, 5]).await;
+    let mut bench = NativeBench::start_synchronous([5, 5, 5], LONG_TIMING).await;
     bench.settle().await;
     bench.endpoints[1].script().position = position(6);
     bench
@@ -86,6 +91,22 @@
     assert_eq!(bench.wait_for_order().await, 2);
 }
 
+async fn gone_case() {
+    let mut bench = NativeBench::start_synchronous([5, 5, 5], "announce_lost_ms: 1500").await;
+    bench.settle().await;
+    bench.wait_for_notes(1).await;
+    bench.endpoints[1].kill().await;
+    while bench.dump().await["lag_ms"]["cases-2"] != serde_json::Value::Null {
+        bench.announce(0, false).await;
+        bench.announce(2, false).await;
+        sleep(Duration::from_millis(5)).await;
+    }
+    // Another change has the endpoints noted again.
+    bench.announce(2, true).await;
+    bench.wait_for_notes(2).await;
+    assert_eq!(bench.list_noted(), ["cases-1", "cases-2", "cases-3"]);
+}
+
 async fn returning_case() {
     let mut bench = start_uneven().await;
     bench.endpoints[1].kill().await;
