Native: an order that was due without a lease is given once it is back

Cause: the lease lapsed for 130 ms between the request for a fencing token and the order. Without a lease no order is given, but the replacement waited for the outcome of one, with no retry due. Ruled out: the rule for synchronous replicas, as the candidate had been chosen; the path is older than it.

The order counts as not taken, which schedules a retry.

Test: native failover::order_that_was_due_without_a_lease_is_given_later hung before. The bench's control VM can withhold tokens.

--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -733,9 +733,12 @@
     }
 
     fn order_promotion(&mut self, instance: InstanceName, token: u64) {
-        // Without a lease another VM may lead the group and send orders of its own.
+        // Without a lease another VM may lead the group and send orders of its own. If this one gets
+        // its lease back, the order is due again.
         if !self.may_serve() {
-            return;
+            let now = self.now();
+            let actions = self.replacement.handle(now, ReplacementEvent::OrderUntaken);
+            return self.perform_replacement(actions);
         }
         let order = PromotionOrder {
             group: self.group.clone(),
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -86,6 +86,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -263,6 +264,8 @@
     pub metrics: DaemonMetrics,
     descriptors: DescriptorBudget,
     notes: ProposedEndpoints,
+    /// Whether the control VM withholds its replies to requests for fencing tokens.
+    withholds_tokens: Arc<AtomicBool>,
     terms: GroupTerms,
     inbox: mpsc::Sender<GroupEvent>,
     sequence: u64,
@@ -364,7 +367,9 @@
             endpoints.push(ScriptedEndpoint::start(&name, role, position(length)).await);
         }
         let notes = ProposedEndpoints::default();
-        let (control_address, control) = start_control(Arc::clone(&notes)).await;
+        let withholds_tokens = Arc::new(AtomicBool::new(false));
+        let (control_address, control) =
+            start_control(Arc::clone(&notes), Arc::clone(&withholds_tokens)).await;
         let settings = Arc::new(create_settings(control_address, timing));
         let record = create(&endpoints);
         let (view, _) = watch::channel(create_view(&terms, &record));
@@ -398,6 +403,7 @@
             metrics,
             descriptors,
             notes,
+            withholds_tokens,
             terms,
             inbox,
             sequence: 0,
@@ -664,6 +670,11 @@
             .send_modify(|view| view.lease = MemberLease::new());
     }
 
+    /// Lets the control VM withhold its replies to requests for fencing tokens, or send them.
+    pub fn withhold_tokens(&self, withheld: bool) {
+        self.withholds_tokens.store(withheld, Ordering::Relaxed);
+    }
+
     /// Grants the VM a new lease.
     pub fn renew_lease(&self) {
         self.view
@@ -766,21 +777,28 @@
 }
 
 /// Starts a stand-in for the control VM that commits every command at the next revision.
-async fn start_control(notes: ProposedEndpoints) -> (SocketAddr, ServerHandle) {
+async fn start_control(
+    notes: ProposedEndpoints,
+    withholds_tokens: Arc<AtomicBool>,
+) -> (SocketAddr, ServerHandle) {
     let mut module = RpcModule::new(AtomicU64::new(100));
     module
-        .register_method(
-            "peer_propose",
-            move |params, revision, _| -> RpcResult<serde_json::Value> {
+        .register_async_method("peer_propose", move |params, revision, _| {
+            let (notes, withholds_tokens) = (Arc::clone(&notes), Arc::clone(&withholds_tokens));
+            async move {
                 let request: CommandRequest = params.one()?;
-                if let CatalogCommand::RecordEndpoints(note) = request.command {
-                    notes.lock().unwrap().push(*note);
+                match request.command {
+                    CatalogCommand::RecordEndpoints(note) => notes.lock().unwrap().push(*note),
+                    CatalogCommand::IssueToken(_) => {
+                        wait_until(|| !withholds_tokens.load(Ordering::Relaxed)).await;
+                    }
+                    _ => {}
                 }
                 let next = revision.fetch_add(1, Ordering::Relaxed);
                 let outcome = CatalogOutcome::Done(CatalogRevision(next));
-                Ok(serde_json::to_value(CommandReply::Committed(outcome)).unwrap())
-            },
-        )
+                RpcResult::Ok(serde_json::to_value(CommandReply::Committed(outcome)).unwrap())
+            }
+        })
         .unwrap();
     let server = Server::builder().build("127.0.0.1:0").await.unwrap();
     let address = server.local_addr().unwrap();
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -19,6 +19,9 @@
     /// The promotion service is unavailable for the first order. The order is repeated; without
     /// that the group would stay without a primary.
     unavailable_promotion_order_is_repeated => unavailable_order_case();
+    /// The leaseholder's lease lapses for a moment just when a promotion is due. The order was never
+    /// given, and the group had no primary until another VM led it.
+    order_that_was_due_without_a_lease_is_given_later => lapsed_order_case();
     /// The primary announces that its VM is to be shut down. A replica is promoted before that, and
     /// no write is sent to the old primary after the replacement has begun: it would be lost.
     leaving_primary_is_replaced_before_it_goes => leaving_primary_case();
@@ -72,6 +75,26 @@
     assert!(is_served(&reply), "{reply:?}");
 }
 
+async fn lapsed_order_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    bench.withhold_tokens(true);
+    bench.endpoints[0].kill().await;
+    bench
+        .wait_for(|dump| dump["replacement"] == "Numbering")
+        .await;
+    bench.end_lease();
+    bench.withhold_tokens(false);
+    bench
+        .wait_for(|dump| dump["replacement"] == "Ordering")
+        .await;
+    bench.renew_lease();
+    let index = bench.wait_for_order().await;
+    bench.promote(index).await;
+    let reply = bench.ask(TestStatement::new(WRITE, "write after")).await;
+    assert!(is_served(&reply), "{reply:?}");
+}
+
 async fn leaving_primary_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
