Control: remove lost voters in pairs from a set of odd size

Cause: both successors are admitted, which makes seven voters. Lost voters were removed from sets of even size only, so both stayed, and four of seven are needed where five live. Ruled out: the repair of lost disks, which works once the lost voters are gone.

From a set of odd size a lost voter is now removed if a second removal may follow: the first leaves the majority as it is, the second lowers it.

Tests: configuration two_replaced_control_vms_leave_the_voters (real processes) failed before with nothing read back, passes now. state voters::* goes through all sets of up to nine voters.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -83,6 +83,7 @@
 mod sessions;
 mod transfer;
 pub mod vocabulary;
+mod voter_removal;
 
 pub use accounts::AccountTable;
 pub use accounts::digest_key;
@@ -193,3 +194,4 @@
 pub use transfer::CatalogTransfer;
 pub use transfer::PIECE_BYTES;
 pub use transfer::TransferStep;
+pub use voter_removal::is_removal_worthwhile;
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -23,3 +23,4 @@
 mod quorum;
 mod replacement;
 mod transfer;
+mod voters;
--- a/crates/daemon/src/control/voters.rs
+++ b/crates/daemon/src/control/voters.rs
@@ -5,7 +5,9 @@
 use crate::log_event;
 use log::Level;
 use ragwort_control::VoterId;
+use ragwort_control::is_removal_worthwhile;
 use ragwort_types::VmName;
+use smallvec::SmallVec;
 use std::collections::BTreeSet;
 
 /// The maximum number of voters. Each further voter makes every change wait for one more disk, and
@@ -42,21 +44,20 @@
         admissible.map(|member| member.id.vm.clone())
     }
 
-    /// Finds a voter whose VM has left the catalog, if the set survives as many losses without it.
-    ///
-    /// A set of even size survives no more losses than a set that is smaller by one, so a lost
-    /// voter that was replaced only enlarges the majority. In a set of odd size it stays and may
-    /// return.
+    /// Finds a voter whose VM has left the catalog, if its removal lets the set survive more losses.
     fn find_voter_to_remove(&self, live: &BTreeSet<VmName>) -> Option<VmName> {
-        let voters = self.node.voters();
-        let even = voters.len().is_multiple_of(2);
-        if !even || voters.len() <= self.settings.least_voters() || !self.node.learners().is_empty()
-        {
+        if !self.node.learners().is_empty() {
             return None;
         }
+        let voters = self.node.voters();
         let lost = |voter: &&VoterId| {
             !live.contains(&voter.vm) && self.catalog.member(&voter.vm).is_none()
         };
-        voters.iter().find(lost).map(|voter| voter.vm.clone())
+        let lost: SmallVec<[&VoterId; MAX_VOTERS]> = voters.iter().filter(lost).collect();
+        let surplus = voters.len().saturating_sub(self.settings.least_voters());
+        let removed = lost
+            .first()
+            .filter(|_| is_removal_worthwhile(voters.len(), lost.len(), surplus));
+        removed.map(|voter| voter.vm.clone())
     }
 }
