Native: a late answer to a write that a promotion has dropped is in doubt

Seen by callers: a write is confirmed although the promotion has dropped it. Found by reading the answers that a replaced primary may still give.

Cause: a primary that was only slow or cut off commits, loses the lead, and its answer comes when the new primary has been found. It was passed on, whatever the new primary holds. With synchronous replicas that is an acknowledged write that the promoted log lacks; without them it is a success that is known to be untrue.

The position in the answer tells: a write of an earlier term beyond the position at which the new primary began was dropped, and its caller is told that it is in doubt. Others are confirmed as before.

--- a/crates/control/src/positions.rs
+++ b/crates/control/src/positions.rs
@@ -97,10 +97,17 @@
 
     /// Limits the position of a session's last write to what is still held.
     ///
-    /// A promotion drops the writes that the promoted instance lacked. No instance holds such a
-    /// position any more, and reads of its session would wait for it forever.
+    /// No instance holds a dropped position any more, and reads of its session would wait for it
+    /// forever.
     pub fn clamp(&self, position: LogPosition) -> LogPosition {
-        let dropped = position.term < self.start.term && position.index > self.start.index;
-        if dropped { self.start } else { position }
+        match self.is_dropped(position) {
+            true => self.start,
+            false => position,
+        }
+    }
+
+    /// Returns whether a promotion has dropped a position that the promoted instance lacked.
+    pub fn is_dropped(&self, position: LogPosition) -> bool {
+        position.term < self.start.term && position.index > self.start.index
     }
 }
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -394,11 +394,15 @@
         self.update_transaction(ticket, step, link, state);
         let position = end.and_then(|end| end.position).unwrap_or_default();
         let leads = self.is_leading(instance);
-        let mut kept = true;
-        if commits && leads {
-            self.history.note(now, position);
-            kept = self.replacement.note_acknowledged(position);
-        }
+        let kept = match leads {
+            _ if !commits => true,
+            true => {
+                self.history.note(now, position);
+                self.replacement.note_acknowledged(position)
+            }
+            // The answer of a replaced primary has come after its successor was found.
+            false => !self.history.is_dropped(position),
+        };
         let served = ServedBy {
             instance: instance.clone(),
             replica: !leads,
@@ -413,7 +417,7 @@
         if !self.may_serve() || handed_over {
             return self.withhold_answer(ticket, step, commits);
         }
-        // The instance that is being promoted may lack this write.
+        // The instance that is being promoted may lack this write, or the new primary lacks it.
         if !kept {
             let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
             return self.settle(ticket, doubt);
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -7,6 +7,7 @@
 use crate::bench::is_served;
 use crate::bench::position;
 use ragwort_control::MAX_PRIMARY_ABSENCE;
+use ragwort_types::DoubtCause;
 use ragwort_types::EndpointFaultKind;
 use ragwort_types::RequestVerdict;
 use ragwortgated::edges::PromotionReply;
@@ -16,6 +17,9 @@
     /// The primary's process dies, and only one of two replicas holds all acknowledged writes.
     /// Promoting the other one would lose a write that its caller was told is saved.
     dead_primary_is_followed_by_the_replica_that_holds_all => dead_primary_case();
+    /// A primary that was only slow commits a write, and is replaced by an instance that lacks it. Its
+    /// answer comes after that, and the caller was told that the write is saved.
+    late_answer_of_a_dropped_write_is_in_doubt => dropped_write_case();
     /// The promotion service is unavailable for the first order. The order is repeated; without
     /// that the group would stay without a primary.
     unavailable_promotion_order_is_repeated => unavailable_order_case();
@@ -62,6 +66,21 @@
     assert_eq!(bench.count_runs("write after"), 1);
 }
 
+async fn dropped_write_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    bench.endpoints[0].script().silent = true;
+    let write = bench.send(TestStatement::new(WRITE, "write late")).await;
+    bench.wait_for_withheld(0, "run - write late").await;
+    let index = bench.wait_for_order().await;
+    bench.promote(index).await;
+    let reply = bench.ask(TestStatement::new(WRITE, "write after")).await;
+    assert!(is_served(&reply), "{reply:?}");
+    bench.endpoints[0].script().silent = false;
+    let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
+    assert_eq!(write.await.unwrap().verdict, doubt);
+}
+
 async fn unavailable_order_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
