Control: only a voter that answers nothing counts as lost

The VM that was asked, vm-1, was no voter: 12 ms after its election the leader wrote voter_removed vm=vm-1, and 20 ms later voter_expected vm=vm-1. Voters that aren't in the catalog were taken for lost, and VMs that have just started aren't there yet. Since lost voters are removed in pairs, that also concerned sets of odd size; sets of even size had it before. Sets that were formed with a smallest size, as on the platform, were not concerned at their start.

A voter must also have answered nothing for ten election timeouts, which a restart doesn't take.

--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -44,11 +44,11 @@
 const PLACEHOLDER_INCARNATION: VmIncarnation = VmIncarnation(0);
 
 /// The number of election timeouts after which a learner that doesn't answer is dropped, if another
-/// incarnation of its VM is still a voter.
+/// incarnation of its VM is still a voter, and after which a voter counts as silent.
 ///
 /// That is long enough for a restart, and short enough that a VM whose old disk reappeared doesn't
 /// stay reported as under repair.
-const LEARNER_TIMEOUT_FACTOR: u64 = 10;
+const SILENCE_FACTOR: u64 = 10;
 
 /// The reason why a change of members is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -308,8 +308,7 @@
         let old = configuration.find_voter(&learner.vm);
         let mut next = configuration.clone();
         if !self.answered_within(learner, self.election_timeout_ticks()) {
-            let learner_timeout = LEARNER_TIMEOUT_FACTOR * self.election_timeout_ticks();
-            let dropped = old.is_some() && !self.answered_within(learner, learner_timeout);
+            let dropped = old.is_some() && self.is_silent(learner);
             next.learners.retain(|other| other != learner);
             return dropped.then_some(next);
         }
@@ -379,6 +378,14 @@
         progress.is_some_and(|peer| peer.round.tick + ticks >= self.tick)
     }
 
+    /// Returns whether a member has answered nothing for so long that a restart doesn't explain it.
+    ///
+    /// Only the leader's answer is reliable, and silence counts from its election.
+    pub fn is_silent(&self, id: &VoterId) -> bool {
+        let limit = SILENCE_FACTOR * self.election_timeout_ticks();
+        !self.answered_within(id, limit)
+    }
+
     /// Returns the minimum election timeout, in ticks.
     pub(super) fn election_timeout_ticks(&self) -> u64 {
         u64::from(self.settings.election_ticks)
--- a/crates/control/tests/agreement_leadership.rs
+++ b/crates/control/tests/agreement_leadership.rs
@@ -14,6 +14,9 @@
 /// election timeout, which is 10 ticks.
 const ELECTION_TICKS: u64 = 6;
 
+/// The minimum election timeout.
+const MIN_ELECTION_TICKS: u64 = 10;
+
 macro_rules! failure_tests {
     ($($(#[$doc:meta])* $name:ident => $case:expr;)*) => {$(
         $(#[$doc])*
@@ -41,6 +44,9 @@
     /// A voter that is told to start an election by a leader that was replaced meanwhile would end
     /// the healthy leader's term.
     late_request_starts_no_election => late_request_case;
+    /// VMs that have just started aren't in the catalog yet. If a new leader took them for lost, it
+    /// would remove them from the voters.
+    voter_is_silent_only_after_a_restart_would_be_over => silence_case;
     /// Control VMs are replaced one after the other. Requests for votes of those of the earlier
     /// version must be read, or none of them could be elected meanwhile.
     vote_request_of_an_earlier_version_is_read => earlier_version_case;
@@ -59,6 +65,24 @@
     }
 }
 
+fn silence_case() {
+    for seed in 0..20 {
+        let (mut network, leader) = TestNetwork::with_leader(3, seed);
+        let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        let ids = [lost, other].map(|number| network.vms[number].node().id().clone());
+        let list_silent = |network: &TestNetwork| {
+            let node = network.vms[leader].node();
+            ids.each_ref().map(|id| node.is_silent(id))
+        };
+        assert_eq!(list_silent(&network), [false, false], "seed {seed}");
+        network.crash(lost);
+        network.run(MIN_ELECTION_TICKS);
+        assert_eq!(list_silent(&network), [false, false], "seed {seed}");
+        network.run(MIN_ELECTION_TICKS * 20);
+        assert_eq!(list_silent(&network), [true, false], "seed {seed}");
+    }
+}
+
 fn complete_log_case() {
     for seed in 0..20 {
         let mut network = TestNetwork::formed(3, seed, &GuardSet::all());
--- a/crates/daemon/src/control/voters.rs
+++ b/crates/daemon/src/control/voters.rs
@@ -45,13 +45,16 @@
     }
 
     /// Finds a voter whose VM has left the catalog, if its removal lets the set survive more losses.
+    ///
+    /// A VM that has just started isn't in the catalog either, but takes part in the log.
     fn find_voter_to_remove(&self, live: &BTreeSet<VmName>) -> Option<VmName> {
         if !self.node.learners().is_empty() {
             return None;
         }
         let voters = self.node.voters();
         let lost = |voter: &&VoterId| {
-            !live.contains(&voter.vm) && self.catalog.member(&voter.vm).is_none()
+            let absent = !live.contains(&voter.vm) && self.catalog.member(&voter.vm).is_none();
+            absent && self.node.is_silent(voter)
         };
         let lost: SmallVec<[&VoterId; MAX_VOTERS]> = voters.iter().filter(lost).collect();
         let surplus = voters.len().saturating_sub(self.settings.least_voters());
