Native: reports and replacements in files of their own

primary.rs held the detection of a failed primary, the requests to instances and the actions of a replacement, in some 850 lines. The three are separate files now, without a change of behaviour.

Two functions did two things: note_acknowledged also said whether a caller may be told (may_confirm), and ask_instances also reconnected the replaced primary. The comment of choose_complete counted one report fewer than the code requires; it is put right.

--- a/crates/control/src/promotion_evidence.rs
+++ b/crates/control/src/promotion_evidence.rs
@@ -96,11 +96,14 @@
 
     /// Returns an instance that holds all acknowledged writes, except the replaced one.
     ///
-    /// `required` is the newest position that was acknowledged; `None` if it isn't known. Without
-    /// it, and if no instance has reached it, `synchronous` replicas are known to hold each
-    /// acknowledged write. So if all but that many of the other instances have reported, the one
-    /// that has received the most holds all. A position that the primary has stated also counts
-    /// writes that it hadn't acknowledged yet, and which no other instance may have received.
+    /// An instance qualifies if it has reached `required`, the newest acknowledged position, if that
+    /// is known.
+    ///
+    /// Otherwise the reports are compared: each acknowledged write is on the primary and on
+    /// `synchronous` replicas, so of any `holder_count - synchronous` instances one holds it. If as
+    /// many have reported, the one that has received the most holds all. That also covers a
+    /// `required` position that no instance will reach, because the primary counted a write in it
+    /// that it hadn't acknowledged yet.
     ///
     /// An instance that is leaving is returned if no other one qualifies, unless the replaced one
     /// is leaving as well.
@@ -110,8 +113,8 @@
         required: Option<LogPosition>,
         synchronous: usize,
     ) -> Option<&InstanceName> {
-        let reported_enough = self.received.len() + synchronous >= self.holder_count;
-        let most = self.received.values().max().filter(|_| reported_enough);
+        let enough_reports = self.received.len() + synchronous >= self.holder_count;
+        let most = self.received.values().max().filter(|_| enough_reports);
         let replaced_leaves = replaced.is_some_and(|name| self.leaving.contains(name));
         let others = self.list_candidates(replaced);
         let complete = others.filter(|(_, bound)| {
--- a/crates/control/src/replacement.rs
+++ b/crates/control/src/replacement.rs
@@ -187,25 +187,27 @@
         }
     }
 
-    /// Records that the replaced primary has acknowledged a position, and returns whether its
-    /// caller may be told.
+    /// Records that the replaced primary has acknowledged a position.
+    pub fn note_acknowledged(&mut self, position: LogPosition) {
+        if self.state == ReplacementState::Asking {
+            self.required_position = self.required_position.max(Some(position));
+            self.evidence.note_acknowledged();
+        }
+    }
+
+    /// Returns whether a caller may be told that the replaced primary has acknowledged a position.
     ///
     /// Once a candidate was chosen, that is so only if the candidate holds the position or no
     /// guarantee was given.
-    pub fn note_acknowledged(&mut self, position: LogPosition) -> bool {
+    pub fn may_confirm(&self, position: LogPosition) -> bool {
+        let is_held = |name| self.evidence.is_held(name, position);
         match self.state {
-            ReplacementState::Steady => true,
-            ReplacementState::Asking => {
-                self.required_position = self.required_position.max(Some(position));
-                self.evidence.note_acknowledged();
-                true
-            }
+            ReplacementState::Steady | ReplacementState::Asking => true,
             ReplacementState::Numbering
             | ReplacementState::Ordering
             | ReplacementState::Watching => {
-                let candidate = self.candidate.as_ref();
                 self.guarantee == WriteGuarantee::BestEffort
-                    || candidate.is_some_and(|name| self.evidence.is_held(name, position))
+                    || self.candidate.as_ref().is_some_and(is_held)
             }
         }
     }
--- a/crates/control/tests/state/replacement.rs
+++ b/crates/control/tests/state/replacement.rs
@@ -300,14 +300,15 @@
     /// The caller must not be told that the write is saved.
     late_acknowledgement_is_withheld {
         let mut replacement = guaranteed_replacement(Some(position(50)));
-        assert!(replacement.note_acknowledged(position(51)));
+        replacement.note_acknowledged(position(51));
+        assert!(replacement.may_confirm(position(51)));
         replacement.take_report(at(5), &name(2), replica(51));
         replacement.take_report(at(6), &name(3), replica(40));
-        assert!(replacement.note_acknowledged(position(51)));
-        assert!(!replacement.note_acknowledged(position(52)));
+        assert!(replacement.may_confirm(position(51)));
+        assert!(!replacement.may_confirm(position(52)));
         // The promoted instance begins its own term without that write.
         replacement.note_answer(&name(2), Some(LogPosition::new(GroupTerm(2), 51)));
-        assert!(!replacement.note_acknowledged(position(52)));
+        assert!(!replacement.may_confirm(position(52)));
     }
 }
 
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -18,8 +18,9 @@
 //! - `outcomes` derives the verdict that the caller gets, and `faults` retries or settles a
 //!   statement for which the endpoint reported a fault.
 //!
-//! `primary` tracks the instances' roles and replaces a failed or leaving primary, `handover` moves
-//! the group to another VM, and `notes` keeps the endpoints in the catalog for a successor.
+//! `primary` tracks the instances' roles and detects a failed primary, `reports` asks the instances,
+//! and `replacing` has another one promoted. `handover` moves the group to another VM, and `notes`
+//! keeps the endpoints in the catalog for a successor.
 
 mod dispatch;
 mod faults;
@@ -30,6 +31,8 @@
 mod outcomes;
 mod pool;
 mod primary;
+mod replacing;
+mod reports;
 mod request;
 mod ticking;
 
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -111,7 +111,7 @@
             outcome.result,
             LinkResult::Answered(_) | LinkResult::Fault(_)
         );
-        let freed = matches!(outcome.result, LinkResult::Answered(_));
+        let slot_freed = matches!(outcome.result, LinkResult::Answered(_));
         let was_open = connection.open;
         connection.unusable |= !answered;
         if answered {
@@ -121,7 +121,7 @@
         match (purpose, work) {
             (LinkPurpose::Statement(_), ConnectionWork::Statement(ticket)) => {
                 self.handle_outcome(ticket, id, &instance, outcome);
-                if freed {
+                if slot_freed {
                     self.repeat_refused_report(&instance);
                 }
             }
@@ -394,15 +394,10 @@
         self.update_transaction(ticket, step, link, state);
         let position = end.and_then(|end| end.position).unwrap_or_default();
         let leads = self.is_leading(instance);
-        let kept = match leads {
-            _ if !commits => true,
-            true => {
-                self.history.note(now, position);
-                self.replacement.note_acknowledged(position)
-            }
-            // The answer of a replaced primary has come after its successor was found.
-            false => !self.history.is_dropped(position),
-        };
+        if commits && leads {
+            self.history.note(now, position);
+            self.replacement.note_acknowledged(position);
+        }
         let served = ServedBy {
             instance: instance.clone(),
             replica: !leads,
@@ -417,8 +412,7 @@
         if !self.may_serve() || handed_over {
             return self.withhold_answer(ticket, step, commits);
         }
-        // The instance that is being promoted may lack this write, or the new primary lacks it.
-        if !kept {
+        if commits && !self.may_confirm_commit(leads, position) {
             let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
             return self.settle(ticket, doubt);
         }
@@ -431,6 +425,17 @@
         self.settle_served(ticket, verdict, Some(served));
     }
 
+    /// Returns whether a caller may be told that its commit is saved.
+    ///
+    /// The instance that is being promoted may lack it. So may a primary that was found before the
+    /// answer of the replaced one came.
+    fn may_confirm_commit(&self, leads: bool, position: LogPosition) -> bool {
+        match leads {
+            true => self.replacement.may_confirm(position),
+            false => !self.history.is_dropped(position),
+        }
+    }
+
     /// Settles a statement whose answer this VM may not give any more.
     ///
     /// A single read is refused with `NoLease`, and its gateway sends it to the next leaseholder. A
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -1,60 +1,27 @@
-//! Tracks the instances' roles, detects a failed primary and replaces it.
-//!
-//! # Failure detection
+//! Tracks the instances' roles, and detects a failed primary.
 //!
 //! A primary that runs long statements on all its slots answers nothing for a while, and must not
 //! be replaced for it. So an overdue answer or a failed connection only starts a probe, which is a
 //! new connection. The primary is suspected when it has answered nothing for
 //! [`PRIMARY_SILENCE_LIMIT`] and either the probe isn't open within [`PROBE_TIMEOUT`] or
 //! [`FAILED_OPENS_LIMIT`] connections in a row have failed.
-//!
-//! # Replacement
-//!
-//! The state machine is [`PrimaryReplacement`](ragwort_control::PrimaryReplacement): it collects
-//! the instances' reports, chooses the one that has received most, obtains a fencing token from the
-//! control VMs and orders the promotion. This module performs its actions. A replacement has
-//! succeeded only when an instance reports that it is the primary, since an order may also take
-//! effect late or not at all.
-//!
-//! In a group with synchronous replicas, no instance is promoted that may lack an acknowledged
-//! write. If none is known to hold all of them, the group has no primary until one returns.
 
-use super::NativeNotice;
 use super::NativeTask;
 use super::TICK;
-use super::link::CommandList;
 use super::link::LinkId;
-use super::link::LinkOrder;
-use super::link::LinkPurpose;
-use super::link::LinkResult;
 use super::pool::AnnouncementKind;
 use super::pool::ConnectionWork;
-use crate::edges::EndpointCommand;
-use crate::edges::PromotionOrder;
-use crate::edges::PromotionReply;
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
 use ragwort_control::EndpointKnowledge;
-use ragwort_control::ReplacementAction;
-use ragwort_control::ReplacementActions;
-use ragwort_control::ReplacementEvent;
 use ragwort_control::ReplacementState;
-use ragwort_control::RoleReport;
-use ragwort_control::WriteGuarantee;
 use ragwort_policy::EndpointRole;
 use ragwort_policy::EndpointState;
 use ragwort_policy::GroupCheck;
-use ragwort_types::CatalogCommand;
-use ragwort_types::CatalogOutcome;
-use ragwort_types::CommandReply;
 use ragwort_types::EndpointAnnouncement;
-use ragwort_types::EndpointFaultKind;
 use ragwort_types::InstanceName;
-use ragwort_types::TokenRequest;
 use std::time::Duration;
-use tokio::time::Instant;
-use tokio::time::timeout;
 
 /// A primary with outstanding answers that has sent nothing for this long is probed by a new
 /// connection. A statement runs for 3 to 110 ms, so several slow ones in a row usually stay below
@@ -76,21 +43,9 @@
 /// primary is leaving and can still send what is missing.
 const CATCH_UP_LIMIT_LEAVING: Duration = Duration::from_millis(1_500);
 
-/// Time limit for the reply to a promotion order. Orders are answered within 20 ms or not at all,
-/// and an unanswered one may take effect many seconds later. Waiting longer would leave the group
-/// without a primary until the next order, 2.5 s later.
-const PROMOTION_ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Estimated duration of a promotion before one was measured. Databases take 600 to 1,000 ms.
 pub(super) const INITIAL_PROMOTION_TIME: Duration = Duration::from_millis(1_000);
 
-/// Interval of the log lines of a replacement that waits for an instance with all acknowledged
-/// writes.
-const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Time limit for an instance's report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-
 impl NativeTask {
     /// Handles an endpoint's announcement; returns whether it has changed anything but the time of
     /// the last one.
@@ -163,129 +118,6 @@
         }
     }
 
-    /// Requests the report of an instance that claims to be the primary in an unknown term. Opens a
-    /// connection if it has none.
-    pub(super) fn request_report_if_needed(&mut self, instance: &InstanceName) {
-        if !self.roles.needs_report(instance) || self.send_report_request(instance) {
-            return;
-        }
-        if self.pool.links_of(instance).is_empty() {
-            self.open_connection(self.now(), instance);
-        }
-    }
-
-    /// Requests an instance's report on an idle connection; returns false if there is none.
-    fn send_report_request(&mut self, instance: &InstanceName) -> bool {
-        let Some(id) = self.pool.find_any_idle(instance) else {
-            return false;
-        };
-        self.send_internal(
-            id,
-            LinkPurpose::Report,
-            EndpointCommand::Describe,
-            REPORT_TIMEOUT,
-        )
-    }
-
-    /// Repeats a report request that an instance refused, now that a statement has freed a slot. The
-    /// scheduler would give the slot to the next statement, and later requests be refused as well.
-    pub(super) fn repeat_refused_report(&mut self, instance: &InstanceName) {
-        if !self.refused_reports.remove(instance) {
-            return;
-        }
-        let wanted = match self.replacement.state() {
-            ReplacementState::Asking => self.replacement.replaced() != Some(instance),
-            ReplacementState::Watching => self.replacement.candidate() == Some(instance),
-            ReplacementState::Steady | ReplacementState::Numbering | ReplacementState::Ordering => {
-                false
-            }
-        };
-        if wanted || self.roles.needs_report(instance) {
-            self.send_report_request(instance);
-        }
-    }
-
-    /// Starts the validation of a connection by a reset, which takes no slot of the endpoint. It
-    /// clears the connection's session state.
-    pub(super) fn start_validation(&mut self, id: LinkId) -> bool {
-        let limit = Duration::from_millis(self.context.settings.timing.probe_timeout_ms * 2);
-        let ordered = self.send_internal(
-            id,
-            LinkPurpose::ConnectionValidation,
-            EndpointCommand::Reset,
-            limit,
-        );
-        if ordered && let Some(connection) = self.pool.connection_mut(id) {
-            connection.validating = true;
-        }
-        ordered
-    }
-
-    fn send_internal(
-        &mut self,
-        id: LinkId,
-        purpose: LinkPurpose,
-        command: EndpointCommand,
-        limit: Duration,
-    ) -> bool {
-        let now = self.now();
-        let Some(connection) = self.pool.connection_mut(id) else {
-            return false;
-        };
-        let sent = connection.send(LinkOrder {
-            purpose,
-            commands: CommandList::from_iter([command]),
-            deadline: Instant::now() + limit,
-        });
-        if sent {
-            connection.work = ConnectionWork::Internal;
-            connection.ordered_at = now;
-        }
-        sent
-    }
-
-    /// Handles the outcome of a report request.
-    pub(super) fn handle_report(&mut self, instance: &InstanceName, result: LinkResult) {
-        let now = self.now();
-        let (report, fault) = match result {
-            LinkResult::Answered(answer) => {
-                let row = answer.rows.first();
-                let report = row.and_then(|row| self.edges.endpoints.read_report(row));
-                (report, None)
-            }
-            LinkResult::Fault(fault) => (None, Some(fault.sort)),
-            LinkResult::NotSent | LinkResult::Lost | LinkResult::Silent => (None, None),
-        };
-        if fault == Some(EndpointFaultKind::Busy) {
-            self.refused_reports.insert(instance.clone());
-        } else {
-            self.refused_reports.remove(instance);
-        }
-        if self.replacement.state() == ReplacementState::Asking {
-            let received = report.as_ref().map(|report| report.received.to_string());
-            log_event!(
-                Level::Info,
-                "replacement_report",
-                group = self.group,
-                instance = instance,
-                received = received.as_deref().unwrap_or("unknown"),
-                fault = fault.map_or("none".to_owned(), |fault| format!("{fault:?}")),
-                newest = self.history.newest(),
-            );
-        }
-        let report = report.map(|report| RoleReport {
-            role: report.role,
-            term: report.term,
-            received: report.received,
-        });
-        if let Some(report) = report {
-            self.roles.take_report(now, instance, report);
-        }
-        let actions = self.replacement.take_report(now, instance, report);
-        self.perform_replacement(actions);
-        self.apply_roles();
-    }
-
     /// Returns whether an instance is the last primary that was found.
     pub(super) fn is_leading(&self, instance: &InstanceName) -> bool {
         let leading = self.leading.as_ref();
@@ -588,208 +420,6 @@
         }
     }
 
-    fn begin_replacement(
-        &mut self,
-        replaced: Option<&InstanceName>,
-        cause: &str,
-        catch_up_limit: Duration,
-    ) {
-        let now = self.now();
-        log_event!(
-            Level::Warn,
-            "replacement_begun",
-            group = self.group,
-            instance = replaced.map_or("none", |instance| instance.as_str()),
-            cause = cause,
-            newest = self.history.newest(),
-        );
-        // The writes that a former leaseholder acknowledged aren't known before a primary is found.
-        let required = self.leading.is_some().then(|| self.history.newest());
-        let guarantee = self.write_guarantee();
-        let actions = self
-            .replacement
-            .begin(now, replaced, required, guarantee, catch_up_limit);
-        self.refresh_endpoints();
-        self.perform_replacement(actions);
-    }
-
-    /// Returns which acknowledged writes must survive the loss of the primary.
-    pub(super) fn write_guarantee(&self) -> WriteGuarantee {
-        let view = self.view.borrow();
-        let terms = view.copy.group_terms(&self.group);
-        match terms.map_or(0, |terms| terms.synchronous_replicas) {
-            0 => WriteGuarantee::BestEffort,
-            count => WriteGuarantee::SynchronousReplicas(count as usize),
-        }
-    }
-
-    fn perform_replacement(&mut self, actions: ReplacementActions) {
-        for action in actions {
-            match action {
-                ReplacementAction::AskInstances => self.ask_instances(),
-                ReplacementAction::ProposeNumber(instance) => {
-                    log_event!(
-                        Level::Info,
-                        "replacement_candidate",
-                        group = self.group,
-                        instance = instance,
-                        newest = self.history.newest(),
-                    );
-                    self.propose(CatalogCommand::IssueToken(TokenRequest {
-                        group: self.group.clone(),
-                        epoch: self.record.placement.epoch,
-                        instance,
-                    }));
-                }
-                ReplacementAction::GiveOrder(instance, token) => {
-                    self.order_promotion(instance, token);
-                }
-            }
-        }
-    }
-
-    /// Logs that no instance may be promoted, since each may lack an acknowledged write.
-    fn log_wait(&mut self, now: ClockTime) {
-        let since = self.replacement.begun_at().max(self.wait_logged_at);
-        if now.since(since) < WAIT_LOG_INTERVAL {
-            return;
-        }
-        self.wait_logged_at = now;
-        let required = self.replacement.required_position();
-        let known = self.replacement.known_positions();
-        let known: Vec<String> = known
-            .map(|(instance, position)| format!("{instance}:{position}"))
-            .collect();
-        log_event!(
-            Level::Warn,
-            "replacement_waits",
-            group = self.group,
-            waited_ms = now.since(self.replacement.begun_at()).as_millis(),
-            required = required.map_or("unknown".to_owned(), |required| required.to_string()),
-            known = known.join(","),
-            holders = self.log_holders.len(),
-        );
-    }
-
-    fn ask_instances(&mut self) {
-        let now = self.now();
-        let replaced = self.replacement.replaced().cloned();
-        let guaranteed = self.write_guarantee() != WriteGuarantee::BestEffort;
-        if guaranteed && self.replacement.candidate().is_none() {
-            self.log_wait(now);
-        }
-        let mut asked = Vec::new();
-        let mut leaving = Vec::new();
-        for instance in self.pool.names() {
-            let leaves = self.roles.is_leaving(&instance);
-            if leaves {
-                leaving.push(instance.clone());
-            }
-            if Some(&instance) == replaced.as_ref() {
-                // If no other instance holds all writes, the group waits for the return of this one.
-                if guaranteed && self.pool.links_of(&instance).is_empty() {
-                    self.open_connection(now, &instance);
-                }
-                continue;
-            }
-            // A leaving instance receives writes until it ends, and counts as a replica for them.
-            if leaves && !guaranteed {
-                continue;
-            }
-            if self.send_report_request(&instance) {
-                asked.push(instance);
-            } else {
-                self.open_connection(now, &instance);
-            }
-        }
-        let holders = self.log_holders.len();
-        self.replacement
-            .note_requested(now, asked, leaving, holders);
-    }
-
-    /// Handles the reply to a token request. The token is the revision at which the request was
-    /// committed.
-    pub(super) fn handle_number_reply(&mut self, request: &TokenRequest, reply: &CommandReply) {
-        let now = self.now();
-        let actions = match reply {
-            CommandReply::Committed(CatalogOutcome::Done(revision)) => {
-                self.replacement.receive_token(now, revision.0)
-            }
-            CommandReply::Committed(_) => self
-                .replacement
-                .handle(now, ReplacementEvent::NumberRefused),
-            CommandReply::NoLeader | CommandReply::Unknown => self
-                .replacement
-                .handle(now, ReplacementEvent::NumberUnknown),
-        };
-        log_event!(
-            Level::Info,
-            "promotion_numbered",
-            group = self.group,
-            instance = request.instance,
-            reply = format!("{reply:?}"),
-        );
-        self.perform_replacement(actions);
-    }
-
-    fn order_promotion(&mut self, instance: InstanceName, token: u64) {
-        // Without a lease another VM may lead the group and send orders of its own. If this one gets
-        // its lease back, the order is due again.
-        if !self.may_serve() {
-            let now = self.now();
-            let actions = self.replacement.handle(now, ReplacementEvent::OrderUntaken);
-            return self.perform_replacement(actions);
-        }
-        let order = PromotionOrder {
-            group: self.group.clone(),
-            instance,
-            holder: self.context.settings.vm.clone(),
-            token,
-        };
-        let promotions = std::sync::Arc::clone(&self.edges.promotions);
-        let notices = self.notices.clone();
-        self.children.spawn(async move {
-            let reply = timeout(PROMOTION_ORDER_TIMEOUT, promotions.promote(&order)).await;
-            let reply = reply.unwrap_or(PromotionReply::Unknown);
-            // The group's task may have ended.
-            let _ = notices.send(NativeNotice::Ordered(order, reply)).await;
-        });
-    }
-
-    /// Handles the promotion service's reply to an order.
-    pub(super) fn handle_promotion_reply(&mut self, order: &PromotionOrder, reply: PromotionReply) {
-        let now = self.now();
-        log_event!(
-            Level::Info,
-            "promotion_ordered",
-            group = self.group,
-            instance = order.instance,
-            token = order.token,
-            reply = format!("{reply:?}"),
-        );
-        let event = match reply {
-            PromotionReply::Accepted => {
-                self.promotion_ordered_at = Some(now);
-                ReplacementEvent::OrderAccepted
-            }
-            PromotionReply::Overtaken => ReplacementEvent::OrderOvertaken,
-            PromotionReply::Unavailable => ReplacementEvent::OrderUntaken,
-            PromotionReply::Unknown => ReplacementEvent::OrderUnknown,
-        };
-        let actions = self.replacement.handle(now, event);
-        self.perform_replacement(actions);
-    }
-
-    /// Requests a report of the instance whose promotion was ordered, to find out when it leads.
-    pub(super) fn poll_promotion(&mut self) {
-        if self.replacement.state() != ReplacementState::Watching {
-            return;
-        }
-        if let Some(candidate) = self.replacement.candidate().cloned() {
-            self.send_report_request(&candidate);
-        }
-    }
-
     /// Clears the suspicion of a primary that answers again, unless a promotion was ordered
     /// already.
     pub(super) fn clear_suspicion(&mut self) {
