--- a/crates/daemon/tests/native/connections.rs
+++ b/crates/daemon/tests/native/connections.rs
@@ -1,12 +1,12 @@
 //! Choice of a statement's connection, and the session state that is restored on it.
 
 use crate::bench::AGED;
-use crate::bench::KNOWN_ACCOUNT;
-use crate::bench::KNOWN_KEY;
 use crate::bench::NativeBench;
 use crate::bench::TestStatement;
 use crate::bench::WRITE;
 use crate::bench::is_served;
+use crate::catalog::KNOWN_ACCOUNT;
+use crate::catalog::KNOWN_KEY;
 use ragwort_types::KeyDigest;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
--- a/crates/daemon/tests/native/idle_accounts.rs
+++ b/crates/daemon/tests/native/idle_accounts.rs
@@ -1,9 +1,9 @@
 //! Reports to the scheduler of the accounts that have an idle connection.
 
-use crate::bench::KNOWN_ACCOUNT;
 use crate::bench::NativeBench;
 use crate::bench::TestStatement;
 use crate::bench::is_served;
+use crate::catalog::KNOWN_ACCOUNT;
 
 failure_cases! {
     /// A group's task runs the scheduler after each of its events, many times a second. When each
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -4,6 +4,7 @@
 #[macro_use]
 mod cases;
 mod bench;
+mod catalog;
 mod codec;
 mod connections;
 mod contracts;
--- a/crates/daemon/tests/shortage/main.rs
+++ b/crates/daemon/tests/shortage/main.rs
@@ -7,6 +7,8 @@
 #[expect(dead_code, reason = "few of its helpers are used here")]
 #[path = "../native/bench.rs"]
 mod bench;
+#[path = "../native/catalog.rs"]
+mod catalog;
 #[path = "../native/codec.rs"]
 mod codec;
 #[expect(dead_code, reason = "no endpoint dies here")]
