--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -4,6 +4,7 @@
 //! couldn't run. With `TROUBLE=0` the case runs without its disruptions.
 
 mod clients;
+mod held_answer;
 mod http;
 mod late_order;
 mod record;
@@ -37,6 +38,7 @@
     };
     let result = match case.as_str() {
         "late-order" => late_order::run(&record, trouble),
+        "held-answer" => held_answer::run(&record, trouble),
         _ => Err(format!("no such case: {case}")),
     };
     match result {
--- a/review/lab-2/src/record.rs
+++ b/review/lab-2/src/record.rs
@@ -31,7 +31,7 @@
 
     /// Notes a line, and prints it as well.
     pub fn say(&self, text: &str) {
-        println!("{text}");
+        let _ = writeln!(std::io::stdout(), "{text}");
         self.note(text);
         let _ = self.file.lock().unwrap().flush();
     }
--- a/review/lab-2/src/service.rs
+++ b/review/lab-2/src/service.rs
@@ -33,7 +33,6 @@
 const HANDSHAKE: Duration = Duration::from_millis(12);
 const NETWORK: Duration = Duration::from_millis(1);
 const APPLY_LAG: Duration = Duration::from_millis(20);
-const PROMOTION: Duration = Duration::from_millis(600);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const POLL: Duration = Duration::from_millis(1);
 
@@ -51,6 +50,8 @@
     /// Receives nothing from the primary.
     deaf: bool,
     leaving: bool,
+    /// Partitioned from the core: what is sent in either direction is held up.
+    cut: bool,
     received: usize,
     running: usize,
     waiting: usize,
@@ -88,6 +89,8 @@
 }
 
 struct State {
+    /// The time from an order until the instance leads.
+    promotion: Duration,
     term: u64,
     primary: usize,
     fence: u64,
@@ -126,6 +129,7 @@
             controls,
             record: record.clone(),
             state: Arc::new(Mutex::new(State {
+                promotion: Duration::from_millis(600),
                 term: 1,
                 primary: 0,
                 fence: 0,
@@ -177,6 +181,38 @@
         self.record.note(&format!("instance  {id} {word}"));
     }
 
+    /// Waits until the primary runs something on all its slots, a second at most.
+    pub fn wait_until_busy(&self) {
+        for _ in 0..4_000 {
+            let state = self.lock();
+            if state.instances[state.primary].running == SLOTS {
+                return;
+            }
+            drop(state);
+            sleep(Duration::from_micros(250));
+        }
+    }
+
+    pub fn set_promotion_time(&self, time: Duration) {
+        self.lock().promotion = time;
+    }
+
+    /// Partitions an instance from the core, or heals the partition.
+    pub fn set_cut(&self, id: &str, cut: bool) {
+        let Some(place) = (0..INSTANCES).find(|place| self.id(*place) == id) else {
+            return;
+        };
+        self.lock().instances[place].cut = cut;
+        let word = if cut { "is cut off from" } else { "reaches" };
+        self.record.note(&format!("network   {id} {word} the core"));
+    }
+
+    /// Returns the instances' ids, the primary's first.
+    pub fn ids(&self) -> [String; INSTANCES] {
+        let primary = self.primary();
+        std::array::from_fn(|step| self.id((primary + step) % INSTANCES))
+    }
+
     pub fn plan_orders(&self, treatments: &[Treatment]) {
         self.lock().treatments = treatments.to_vec();
     }
@@ -340,7 +376,8 @@
             http::respond(stream, status);
         }
         if let Some(place) = place.filter(|_| runs) {
-            sleep(PROMOTION);
+            let promotion = self.lock().promotion;
+            sleep(promotion);
             self.promote(place, token);
         }
     }
@@ -363,7 +400,7 @@
                 let leads = state.primary == place;
                 let instance = &mut state.instances[place];
                 let now = (leads, instance.leaving);
-                if said == Some(now) && said_at.elapsed() < HEARTBEAT {
+                if instance.cut || (said == Some(now) && said_at.elapsed() < HEARTBEAT) {
                     drop(state);
                     sleep(Duration::from_millis(10));
                     continue;
@@ -394,6 +431,13 @@
         }
     }
 
+    /// Waits while the instance is partitioned from the core.
+    fn wait_for_path(&self, place: usize, life: u64) {
+        while self.is_life(place, life) && self.lock().instances[place].cut {
+            sleep(POLL);
+        }
+    }
+
     fn serve(&self, place: usize, life: u64) {
         let address = format!("{}:{PORT}", self.addresses[place]);
         let listener = loop {
@@ -441,6 +485,7 @@
         let Some(Ok(opening)) = lines.next() else {
             return;
         };
+        self.wait_for_path(place, life);
         let words: Vec<&str> = opening.split(' ').collect();
         let named = words.get(1) == Some(&self.name.as_str());
         let expected = words.get(3).is_none_or(|id| *id == self.id(place));
@@ -454,6 +499,7 @@
         }
         sleep(HANDSHAKE);
         let ready = format!("READY I {}\r\n", self.write_position(place));
+        self.wait_for_path(place, life);
         if stream.write_all(ready.as_bytes()).is_err() {
             return;
         }
@@ -465,6 +511,7 @@
             let Some(query) = line.strip_prefix("QUERY ") else {
                 return;
             };
+            self.wait_for_path(place, life);
             let Some(answer) = self.run_query(query, place, life, &mut open) else {
                 return;
             };
@@ -474,6 +521,7 @@
             let letter = if open.is_some() { "T" } else { "I" };
             let position = self.write_position(place);
             let answer = format!("{answer}READY {letter} {position}\r\n");
+            self.wait_for_path(place, life);
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
