--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod service;
 mod set;
+mod texts;
 mod vms;
 
 use record::Record;
@@ -39,6 +40,8 @@
     let result = match case.as_str() {
         "late-order" => late_order::run(&record, trouble),
         "held-answer" => held_answer::run(&record, trouble),
+        "prepared-names" => texts::run_prepared(&record, trouble),
+        "changed-text" => texts::run_changed(&record, trouble),
         _ => Err(format!("no such case: {case}")),
     };
     match result {
--- a/review/lab-2/src/service.rs
+++ b/review/lab-2/src/service.rs
@@ -6,6 +6,7 @@
 
 use crate::http;
 use crate::record::Record;
+use std::collections::BTreeMap;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
@@ -81,6 +82,14 @@
     pub dropped: Vec<String>,
 }
 
+/// A statement that an instance ran.
+#[derive(Clone)]
+pub struct Run {
+    pub id: String,
+    /// The text as it arrived; for a prepared statement, its shape and its item and data.
+    pub text: String,
+}
+
 /// An order to promote.
 #[derive(Clone)]
 pub struct Order {
@@ -97,6 +106,7 @@
     log: Vec<Entry>,
     instances: [Instance; INSTANCES],
     promotions: Vec<Promotion>,
+    runs: Vec<Run>,
     /// Treatments of the next orders.
     treatments: Vec<Treatment>,
     last_order: Option<Order>,
@@ -136,6 +146,7 @@
                 log: Vec::new(),
                 instances: Default::default(),
                 promotions: Vec::new(),
+                runs: Vec::new(),
                 treatments: Vec::new(),
                 last_order: None,
             })),
@@ -221,6 +232,10 @@
         self.lock().last_order.clone()
     }
 
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
     pub fn promotions(&self) -> Vec<Promotion> {
         self.lock().promotions.clone()
     }
@@ -504,6 +519,7 @@
             return;
         }
         let mut open = None::<Vec<String>>;
+        let mut prepared = BTreeMap::new();
         for line in lines {
             let Ok(line) = line else {
                 return;
@@ -512,7 +528,7 @@
                 return;
             };
             self.wait_for_path(place, life);
-            let Some(answer) = self.run_query(query, place, life, &mut open) else {
+            let Some(answer) = self.run_query(query, place, life, &mut open, &mut prepared) else {
                 return;
             };
             if !self.is_life(place, life) {
@@ -535,6 +551,7 @@
         place: usize,
         life: u64,
         open: &mut Option<Vec<String>>,
+        prepared: &mut BTreeMap<String, (String, String)>,
     ) -> Option<String> {
         let (id, mut text) = query.split_once(' ').unwrap_or((query, ""));
         let mut lags = false;
@@ -543,17 +560,50 @@
             text = statement;
             lags = !self.holds(place, position);
         }
-        let words: Vec<&str> = text.split(' ').collect();
+        let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
         let done = Some("COMPLETE -\r\n".to_owned());
         let leads = self.lock().primary == place;
-        if words[0] == "STATUS" {
+        if verb == "STATUS" {
             return Some(self.describe(place));
         }
         if lags {
             return Some("ERROR LAGGING behind\r\n".to_owned());
         }
-        match words[0] {
-            "BEGIN" if words.len() == 1 && !leads => {
+        let mut verb = verb;
+        let mut run = text.to_owned();
+        match verb {
+            "PREPARE" => {
+                let mut words = rest.splitn(3, ' ');
+                let name = words.next().unwrap_or_default().to_owned();
+                let access = words.next().unwrap_or_default().to_owned();
+                let shape = words.next().unwrap_or_default().to_owned();
+                let known = prepared.contains_key(&name);
+                if known || !matches!(access.as_str(), "READ" | "WRITE") || shape.is_empty() {
+                    return Some("ERROR MALFORMED not a prepare\r\n".to_owned());
+                }
+                prepared.insert(name, (access, shape));
+                return done;
+            }
+            "DEALLOC" => {
+                prepared.remove(rest);
+                return done;
+            }
+            "RESET" => {
+                prepared.clear();
+                return done;
+            }
+            "EXECUTE" => {
+                let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
+                let Some((access, shape)) = prepared.get(name) else {
+                    return Some("ERROR NOSTMT no such name\r\n".to_owned());
+                };
+                run = format!("[{shape}] {arguments}");
+                verb = if access == "READ" { "READ" } else { "WRITE" };
+            }
+            _ => {}
+        }
+        match verb {
+            "BEGIN" if rest.is_empty() && !leads => {
                 return Some("ERROR READONLY replica\r\n".to_owned());
             }
             "BEGIN" => {
@@ -571,9 +621,13 @@
         if !self.take_slot(place, life)? {
             return Some("ERROR BUSY no slot\r\n".to_owned());
         }
-        let work = if words[0] == "READ" { 9 } else { 3 };
+        let work = if verb == "READ" { 9 } else { 3 };
         sleep(Duration::from_millis(work));
-        let answer = match words[0] {
+        self.lock().runs.push(Run {
+            id: id.to_owned(),
+            text: run,
+        });
+        let answer = match verb {
             "READ" => Some(self.sign(place, "ROW data\r\n")),
             "WRITE" => match open.as_mut() {
                 Some(writes) => {
