--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 lab=target/review-2/release/review-lab-2
 [ -x "$lab" ] && [ -x target/release/ragwort-platform ] || exit 2
-exec "$lab" changed-text review/6/record.txt
+exec "$lab" foreign-values review/6/record.txt
--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -11,6 +11,7 @@
 mod service;
 mod set;
 mod texts;
+mod values;
 mod vms;
 
 use record::Record;
@@ -42,6 +43,7 @@
         "held-answer" => held_answer::run(&record, trouble),
         "prepared-names" => texts::run_prepared(&record, trouble),
         "changed-text" => texts::run_changed(&record, trouble),
+        "foreign-values" => values::run(&record, trouble),
         _ => Err(format!("no such case: {case}")),
     };
     match result {
--- a/review/lab-2/src/service.rs
+++ b/review/lab-2/src/service.rs
@@ -7,6 +7,8 @@
 use crate::http;
 use crate::record::Record;
 use std::collections::BTreeMap;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
@@ -51,6 +53,8 @@
     /// Receives nothing from the primary.
     deaf: bool,
     leaving: bool,
+    /// The share of requests that it rejects as BUSY.
+    grey: f64,
     /// Partitioned from the core: what is sent in either direction is held up.
     cut: bool,
     received: usize,
@@ -88,6 +92,19 @@
     pub id: String,
     /// The text as it arrived; for a prepared statement, its shape and its item and data.
     pub text: String,
+    /// The connection's values, as NAME=VALUE.
+    pub values: String,
+}
+
+/// The state of a connection to an instance.
+#[derive(Default)]
+struct Connection {
+    /// The ids of the writes of an open transaction.
+    open: Option<Vec<String>>,
+    /// Whether the open transaction has failed.
+    failed: bool,
+    prepared: BTreeMap<String, (String, String)>,
+    values: BTreeMap<String, String>,
 }
 
 /// An order to promote.
@@ -192,6 +209,16 @@
         self.record.note(&format!("instance  {id} {word}"));
     }
 
+    /// Has the primary reject a share of its requests as BUSY.
+    pub fn set_grey(&self, share: f64) {
+        let mut state = self.lock();
+        let primary = state.primary;
+        state.instances[primary].grey = share;
+        let id = self.id(primary);
+        self.record
+            .note(&format!("instance  {id} rejects {share} of its requests"));
+    }
+
     /// Waits until the primary runs something on all its slots, a second at most.
     pub fn wait_until_busy(&self) {
         for _ in 0..4_000 {
@@ -518,8 +545,7 @@
         if stream.write_all(ready.as_bytes()).is_err() {
             return;
         }
-        let mut open = None::<Vec<String>>;
-        let mut prepared = BTreeMap::new();
+        let mut connection = Connection::default();
         for line in lines {
             let Ok(line) = line else {
                 return;
@@ -528,13 +554,20 @@
                 return;
             };
             self.wait_for_path(place, life);
-            let Some(answer) = self.run_query(query, place, life, &mut open, &mut prepared) else {
+            let Some(answer) = self.run_query(query, place, life, &mut connection) else {
                 return;
             };
+            if connection.open.is_some() && answer.starts_with("ERROR") {
+                connection.failed = true;
+            }
             if !self.is_life(place, life) {
                 return;
             }
-            let letter = if open.is_some() { "T" } else { "I" };
+            let letter = match (&connection.open, connection.failed) {
+                (None, _) => "I",
+                (Some(_), false) => "T",
+                (Some(_), true) => "E",
+            };
             let position = self.write_position(place);
             let answer = format!("{answer}READY {letter} {position}\r\n");
             self.wait_for_path(place, life);
@@ -550,8 +583,7 @@
         query: &str,
         place: usize,
         life: u64,
-        open: &mut Option<Vec<String>>,
-        prepared: &mut BTreeMap<String, (String, String)>,
+        connection: &mut Connection,
     ) -> Option<String> {
         let (id, mut text) = query.split_once(' ').unwrap_or((query, ""));
         let mut lags = false;
@@ -563,6 +595,16 @@
         let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
         let done = Some("COMPLETE -\r\n".to_owned());
         let leads = self.lock().primary == place;
+        if connection.failed {
+            if matches!(verb, "ROLLBACK" | "COMMIT") {
+                (connection.open, connection.failed) = (None, false);
+                return match verb {
+                    "ROLLBACK" => done,
+                    _ => Some("ERROR ABORTED failed before\r\n".to_owned()),
+                };
+            }
+            return Some("ERROR MALFORMED transaction has failed\r\n".to_owned());
+        }
         if verb == "STATUS" {
             return Some(self.describe(place));
         }
@@ -577,24 +619,30 @@
                 let name = words.next().unwrap_or_default().to_owned();
                 let access = words.next().unwrap_or_default().to_owned();
                 let shape = words.next().unwrap_or_default().to_owned();
-                let known = prepared.contains_key(&name);
+                let known = connection.prepared.contains_key(&name);
                 if known || !matches!(access.as_str(), "READ" | "WRITE") || shape.is_empty() {
                     return Some("ERROR MALFORMED not a prepare\r\n".to_owned());
                 }
-                prepared.insert(name, (access, shape));
+                connection.prepared.insert(name, (access, shape));
                 return done;
             }
             "DEALLOC" => {
-                prepared.remove(rest);
+                connection.prepared.remove(rest);
+                return done;
+            }
+            "SET" => {
+                let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+                connection.values.insert(name.to_owned(), value.to_owned());
                 return done;
             }
             "RESET" => {
-                prepared.clear();
+                connection.prepared.clear();
+                connection.values.clear();
                 return done;
             }
             "EXECUTE" => {
                 let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
-                let Some((access, shape)) = prepared.get(name) else {
+                let Some((access, shape)) = connection.prepared.get(name) else {
                     return Some("ERROR NOSTMT no such name\r\n".to_owned());
                 };
                 run = format!("[{shape}] {arguments}");
@@ -607,17 +655,21 @@
                 return Some("ERROR READONLY replica\r\n".to_owned());
             }
             "BEGIN" => {
-                *open = Some(Vec::new());
+                connection.open = Some(Vec::new());
                 return done;
             }
             "ROLLBACK" => {
-                *open = None;
+                connection.open = None;
                 return done;
             }
             "WRITE" if !leads => return Some("ERROR READONLY replica\r\n".to_owned()),
             "READ" | "WRITE" | "COMMIT" => {}
             _ => return done,
         }
+        let grey = self.lock().instances[place].grey;
+        if grey > 0.0 && draw() < grey {
+            return Some("ERROR BUSY rejected\r\n".to_owned());
+        }
         if !self.take_slot(place, life)? {
             return Some("ERROR BUSY no slot\r\n".to_owned());
         }
@@ -626,10 +678,16 @@
         self.lock().runs.push(Run {
             id: id.to_owned(),
             text: run,
+            values: connection
+                .values
+                .iter()
+                .map(|(name, value)| format!("{name}={value}"))
+                .collect::<Vec<_>>()
+                .join(" "),
         });
         let answer = match verb {
             "READ" => Some(self.sign(place, "ROW data\r\n")),
-            "WRITE" => match open.as_mut() {
+            "WRITE" => match connection.open.as_mut() {
                 Some(writes) => {
                     writes.push(id.to_owned());
                     Some(self.sign(place, ""))
@@ -637,7 +695,7 @@
                 None => self.commit(place, life, &[id.to_owned()]),
             },
             _ => {
-                let writes = open.take().unwrap_or_default();
+                let writes = connection.open.take().unwrap_or_default();
                 self.commit(place, life, &writes)
             }
         };
@@ -769,3 +827,9 @@
     });
     Ok(())
 }
+
+/// Draws a number from 0 to 1.
+fn draw() -> f64 {
+    let random = RandomState::new().hash_one(0);
+    (random >> 11) as f64 / (1_u64 << 53) as f64
+}
