--- a/review/lab-2/src/held_answer.rs
+++ b/review/lab-2/src/held_answer.rs
@@ -15,7 +15,9 @@
 const SERVICES: [&str; 3] = ["records", "rulings", "edits"];
 const PROMOTION: Duration = Duration::from_millis(300);
 const ROUTE_MS: u64 = 1_200;
-const CUT: Duration = Duration::from_millis(1_140);
+const MAX_CUT: Duration = Duration::from_secs(3);
+/// How long the partition goes on once the new primary has reported itself.
+const CUT_AFTER_REPORT: Duration = Duration::from_millis(20);
 
 pub fn run(record: &Record, trouble: bool) -> Result<Outcome, String> {
     let routes = SERVICES.map(|service| Route {
@@ -50,7 +52,8 @@
         service.set_deaf(&other, true);
         service.set_cut(&primary, true);
         service.set_cut(&replica, true);
-        sleep(CUT);
+        service.wait_for_new_primary(MAX_CUT);
+        sleep(CUT_AFTER_REPORT);
         service.set_cut(&primary, false);
         service.set_cut(&replica, false);
         service.set_deaf(&other, false);
--- a/review/lab-2/src/service.rs
+++ b/review/lab-2/src/service.rs
@@ -81,7 +81,6 @@
 pub struct Promotion {
     pub at: Instant,
     pub to: String,
-    pub token: u64,
     /// The log that the promotion dropped, as it was not received by the new primary.
     pub dropped: Vec<String>,
 }
@@ -123,6 +122,8 @@
     log: Vec<Entry>,
     instances: [Instance; INSTANCES],
     promotions: Vec<Promotion>,
+    /// The newest term in which an instance has reported itself as the primary.
+    reported_term: u64,
     runs: Vec<Run>,
     /// Treatments of the next orders.
     treatments: Vec<Treatment>,
@@ -163,6 +164,7 @@
                 log: Vec::new(),
                 instances: Default::default(),
                 promotions: Vec::new(),
+                reported_term: 1,
                 runs: Vec::new(),
                 treatments: Vec::new(),
                 last_order: None,
@@ -209,6 +211,14 @@
         self.record.note(&format!("instance  {id} {word}"));
     }
 
+    /// Waits until an instance has reported itself as the primary of a later term than the first.
+    pub fn wait_for_new_primary(&self, limit: Duration) {
+        let begun = Instant::now();
+        while begun.elapsed() < limit && self.lock().reported_term < 2 {
+            sleep(POLL);
+        }
+    }
+
     /// Has the primary reject a share of its requests as BUSY.
     pub fn set_grey(&self, share: f64) {
         let mut state = self.lock();
@@ -368,7 +378,6 @@
         state.promotions.push(Promotion {
             at,
             to,
-            token,
             dropped,
         });
     }
@@ -798,6 +807,9 @@
         let received = state.instances[place].received;
         let (term, number) = self.position(&state, received);
         let held = state.term;
+        if state.primary == place {
+            state.reported_term = held;
+        }
         let (busy, connections) = (
             state.instances[place].running,
             state.instances[place].connections.len(),
--- a/review/lab-2/src/vms.rs
+++ b/review/lab-2/src/vms.rs
@@ -75,12 +75,6 @@
             .collect()
     }
 
-    pub fn ready_addresses(&self) -> Vec<String> {
-        (1..=self.fronts)
-            .map(|n| format!("{}:8785", self.address(20 + n)))
-            .collect()
-    }
-
     /// The names of the machines: those of the core, then the fronts.
     pub fn names(&self) -> Vec<String> {
         let cores = (1..=self.cores).map(|n| format!("core-{n}"));
@@ -239,18 +233,6 @@
         text
     }
 
-    /// Sends a signal to a machine's process.
-    pub fn signal(&self, name: &str, signal: &str) {
-        let children = self.inner.children.lock().unwrap();
-        if let Some(child) = children.get(name) {
-            let order = format!("kill -{signal} {}", child.id());
-            let _ = Command::new("sh").args(["-c", &order]).status();
-            self.inner
-                .record
-                .note(&format!("platform  SIG{signal} to {name}"));
-        }
-    }
-
     /// Kills a machine's process and reaps it.
     pub fn kill(&self, name: &str) {
         let child = self.inner.children.lock().unwrap().remove(name);
@@ -263,21 +245,6 @@
         }
     }
 
-    /// Removes a process that has ended by itself, and returns how.
-    pub fn take_ended(&self, name: &str) -> Option<String> {
-        let mut children = self.inner.children.lock().unwrap();
-        let status = children.get_mut(name)?.try_wait().ok()??;
-        children.remove(name);
-        Some(status.to_string())
-    }
-
-    pub fn is_running(&self, name: &str) -> bool {
-        let mut children = self.inner.children.lock().unwrap();
-        children
-            .get_mut(name)
-            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Returns the lines of the machines' logs that hold a text.
     pub fn find_log_lines(&self, text: &str) -> Vec<String> {
         let mut found = Vec::new();
