Control: a leader is not silent towards itself

Seen by callers: none by itself; lost voters stay in the set for longer.

Cause: is_silent looked for the leader's own progress, which a leader doesn't keep, and took the missing entry for silence. A leader that has just started isn't in the catalog either, so it counted as a lost voter and was the first to be removed, which is refused.

Test: agreement_leadership leader_is_never_silent, failed before.

--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -380,10 +380,11 @@
 
     /// Returns whether a member has answered nothing for so long that a restart doesn't explain it.
     ///
-    /// Only the leader's answer is reliable, and silence counts from its election.
+    /// Only the leader's answer is reliable, and silence counts from its election. The leader itself
+    /// is never silent.
     pub fn is_silent(&self, id: &VoterId) -> bool {
         let limit = SILENCE_FACTOR * self.election_timeout_ticks();
-        !self.answered_within(id, limit)
+        *id != self.id && !self.answered_within(id, limit)
     }
 
     /// Returns the minimum election timeout, in ticks.
--- a/crates/control/tests/agreement_leadership.rs
+++ b/crates/control/tests/agreement_leadership.rs
@@ -47,6 +47,9 @@
     /// VMs that have just started aren't in the catalog yet. If a new leader took them for lost, it
     /// would remove them from the voters.
     voter_is_silent_only_after_a_restart_would_be_over => silence_case;
+    /// A leader that has just started isn't in the catalog yet. It took itself for lost and kept
+    /// asking for its own removal, so no lost voter was removed.
+    leader_is_never_silent => silent_leader_case;
     /// Control VMs are replaced one after the other. Requests for votes of those of the earlier
     /// version must be read, or none of them could be elected meanwhile.
     vote_request_of_an_earlier_version_is_read => earlier_version_case;
@@ -83,6 +86,13 @@
     }
 }
 
+fn silent_leader_case() {
+    let (mut network, leader) = TestNetwork::with_leader(3, 1);
+    network.run(MIN_ELECTION_TICKS * 20);
+    let node = network.vms[leader].node();
+    assert!(!node.is_silent(node.id()));
+}
+
 fn complete_log_case() {
     for seed in 0..20 {
         let mut network = TestNetwork::formed(3, seed, &GuardSet::all());
