Control: decide on lost voters without I/O, and log why one stays

The survey of the log's members and the decision on their removal move from the daemon to ragwort_control::MemberSurvey, so that tests can state each case.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -194,4 +194,7 @@
 pub use transfer::CatalogTransfer;
 pub use transfer::PIECE_BYTES;
 pub use transfer::TransferStep;
+pub use voter_removal::AbsentMember;
+pub use voter_removal::MemberStanding;
+pub use voter_removal::MemberSurvey;
 pub use voter_removal::is_removal_worthwhile;
--- a/crates/control/src/voter_removal.rs
+++ b/crates/control/src/voter_removal.rs
@@ -1,4 +1,76 @@
-//! Decides whether a lost voter is worth removing from the replicated log.
+//! Decides which member of the replicated log is lost for good and worth removing.
+
+use crate::VoterId;
+use std::fmt;
+
+/// The number of election timeouts without an answer after which a member is lost, unless the
+/// catalog says that its VM has left. That is longer than a restart takes.
+const LOST_AFTER_TIMEOUTS: u64 = 10;
+
+/// Whether a member of the replicated log votes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberStanding {
+    /// It votes.
+    Voter,
+    /// It receives the log without a vote.
+    Learner,
+}
+
+/// A member of the replicated log whose VM isn't in the catalog and sends no heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AbsentMember {
+    /// The member.
+    pub id: VoterId,
+    /// Whether it votes.
+    pub standing: MemberStanding,
+    /// The number of whole election timeouts for which it hasn't answered this leader.
+    pub silent_timeouts: u64,
+}
+
+impl AbsentMember {
+    fn is_lost(&self) -> bool {
+        self.silent_timeouts >= LOST_AFTER_TIMEOUTS
+    }
+}
+
+impl fmt::Display for AbsentMember {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let standing = match self.standing {
+            MemberStanding::Voter => "voter",
+            MemberStanding::Learner => "learner",
+        };
+        write!(formatter, "{}/{standing}", self.id)
+    }
+}
+
+/// The members of the replicated log as its leader sees them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberSurvey {
+    /// The number of voters.
+    pub voters: usize,
+    /// The number of learners.
+    pub learners: usize,
+    /// The smallest number of voters allowed.
+    pub least_voters: usize,
+    /// The members whose VM isn't in the catalog.
+    pub absent: Vec<AbsentMember>,
+}
+
+impl MemberSurvey {
+    /// Finds a lost voter whose removal lets the set survive more losses.
+    pub fn find_removable(&self) -> Option<&AbsentMember> {
+        if self.learners > 0 {
+            return None;
+        }
+        let lost = || {
+            let voters = self.absent.iter();
+            voters.filter(|member| member.standing == MemberStanding::Voter && member.is_lost())
+        };
+        let surplus = self.voters.saturating_sub(self.least_voters);
+        let removable = is_removal_worthwhile(self.voters, lost().count(), surplus);
+        lost().next().filter(|_| removable)
+    }
+}
 
 /// Returns whether the removal of one of `lost` voters from a set of `voters` lets it survive more
 /// losses, at once or together with a second removal.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -45,6 +45,7 @@
 use ragwort_control::CatalogState;
 use ragwort_control::DurableState;
 use ragwort_control::LeaseLedger;
+use ragwort_control::MemberSurvey;
 use ragwort_control::PieceCache;
 use ragwort_control::ReadTicket;
 use ragwort_control::VoterId;
@@ -114,6 +115,8 @@
     /// Planning takes 1.7 ms with 630 VMs and 710 groups, and would run 25 times a second
     /// otherwise.
     last_input_without_plans: Option<PlacementInput>,
+    /// The survey of the log's members that was last logged.
+    logged_survey: Option<MemberSurvey>,
     /// The heartbeats that wait to be granted here or to be forwarded to the leader.
     gathered_heartbeats: Vec<WaitingHeartbeat>,
     /// The heartbeats for which no confirmation of the leadership has been requested yet.
@@ -186,6 +189,7 @@
             unplaced: BTreeSet::new(),
             admission_due: false,
             last_input_without_plans: None,
+            logged_survey: None,
             gathered_heartbeats: Vec::new(),
             unconfirmed_batches: Vec::new(),
             pending_reads: BTreeMap::new(),
--- a/crates/daemon/src/control/voters.rs
+++ b/crates/daemon/src/control/voters.rs
@@ -4,10 +4,10 @@
 use super::ControlTask;
 use crate::log_event;
 use log::Level;
-use ragwort_control::VoterId;
-use ragwort_control::is_removal_worthwhile;
+use ragwort_control::AbsentMember;
+use ragwort_control::MemberStanding;
+use ragwort_control::MemberSurvey;
 use ragwort_types::VmName;
-use smallvec::SmallVec;
 use std::collections::BTreeSet;
 
 /// The maximum number of voters. Each further voter makes every change wait for one more disk, and
@@ -21,9 +21,22 @@
         if let Some(vm) = self.find_voter_to_admit(live) {
             let admitted = self.node.admit_vm(vm.clone()).is_ok();
             log_event!(Level::Info, "voter_expected", vm = vm, proposed = admitted);
-        } else if let Some(vm) = self.find_voter_to_remove(live) {
-            let removed = self.node.remove_vm(&vm).is_ok();
-            log_event!(Level::Warn, "voter_removed", vm = vm, proposed = removed);
+            return;
+        }
+        let survey = self.survey_members(live);
+        match survey.find_removable() {
+            Some(member) => {
+                let removed = self.node.remove_vm(&member.id.vm).is_ok();
+                let (vm, silence) = (&member.id.vm, member.silent_timeouts);
+                log_event!(
+                    Level::Warn,
+                    "voter_removed",
+                    vm = vm,
+                    proposed = removed,
+                    silent_timeouts = silence,
+                );
+            }
+            None => self.log_absent_members(survey),
         }
     }
 
@@ -44,23 +57,55 @@
         admissible.map(|member| member.id.vm.clone())
     }
 
-    /// Finds a voter whose VM has left the catalog, if its removal lets the set survive more losses.
+    /// Surveys the members of the replicated log, as leader.
     ///
-    /// A VM that has just started isn't in the catalog either, but takes part in the log.
-    fn find_voter_to_remove(&self, live: &BTreeSet<VmName>) -> Option<VmName> {
-        if !self.node.learners().is_empty() {
-            return None;
-        }
+    /// A VM that has just started isn't in the catalog either, but answers.
+    fn survey_members(&self, live: &BTreeSet<VmName>) -> MemberSurvey {
         let voters = self.node.voters();
-        let lost = |voter: &&VoterId| {
-            let absent = !live.contains(&voter.vm) && self.catalog.member(&voter.vm).is_none();
-            absent && self.node.is_silent(voter)
-        };
-        let lost: SmallVec<[&VoterId; MAX_VOTERS]> = voters.iter().filter(lost).collect();
-        let surplus = voters.len().saturating_sub(self.settings.least_voters());
-        let removed = lost
-            .first()
-            .filter(|_| is_removal_worthwhile(voters.len(), lost.len(), surplus));
-        removed.map(|voter| voter.vm.clone())
+        let election_ticks = self.settings.timing.election_ticks.max(1);
+        let absent = self.node.member_progress().into_iter().filter(|member| {
+            let vm = &member.id.vm;
+            !live.contains(vm) && self.catalog.member(vm).is_none()
+        });
+        let absent = absent.map(|member| AbsentMember {
+            standing: match voters.contains(&member.id) {
+                true => MemberStanding::Voter,
+                false => MemberStanding::Learner,
+            },
+            silent_timeouts: member.silent_ticks / election_ticks,
+            id: member.id,
+        });
+        MemberSurvey {
+            voters: voters.len(),
+            learners: self.node.learners().len(),
+            least_voters: self.settings.least_voters(),
+            absent: absent.collect(),
+        }
+    }
+
+    /// Logs the members that are absent and stay, once for each change of the survey other than the
+    /// length of their silence.
+    fn log_absent_members(&mut self, survey: MemberSurvey) {
+        let mut kept = survey;
+        for member in &mut kept.absent {
+            member.silent_timeouts = 0;
+        }
+        if kept.absent.is_empty() {
+            self.logged_survey = None;
+            return;
+        }
+        if self.logged_survey.as_ref() == Some(&kept) {
+            return;
+        }
+        let members = kept.absent.iter().map(ToString::to_string);
+        log_event!(
+            Level::Info,
+            "absent_members_kept",
+            members = members.collect::<Vec<_>>().join(","),
+            voters = kept.voters,
+            learners = kept.learners,
+            least_voters = kept.least_voters,
+        );
+        self.logged_survey = Some(kept);
     }
 }
