Control: lost learners leave the log, and voters don't wait for learners

Seen by callers: two control VMs of five are lost, one of them a successor that had just started, and both are replaced. When two more disks are lost seconds or minutes later, no statement is served any more, and the acknowledged configuration can't be read, by anybody.

Cause: a control VM that has sent a heartbeat is admitted as a learner. If it is lost before it has joined, nothing removes the learner: a repair drops only learners that have an older incarnation among the voters. While there is any learner no lost voter was removed, so from then on the set only grew; the learner also took one of the seven places, so that later control VMs weren't admitted.

Fix: a learner whose VM is absent from the catalog and has answered nothing for ten election timeouts is removed, and lost voters no longer wait for learners. That never costs a majority: a learner doesn't vote, and a lost voter is removed only where the set survives at least as many losses without it. Changes of the set still follow one after the other.

--- a/crates/control/src/agreement/membership.rs
+++ b/crates/control/src/agreement/membership.rs
@@ -180,6 +180,20 @@
         Ok(self.append_configuration(configuration))
     }
 
+    /// Removes a learner; an earlier incarnation of its VM stays a voter.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MembershipError`] when this node can't make the change now.
+    pub fn remove_learner(&mut self, learner: &VoterId) -> Result<EntryMark, MembershipError> {
+        let mut configuration = self.changeable_configuration()?;
+        if !configuration.is_learner(learner) {
+            return Err(MembershipError::NotMember);
+        }
+        configuration.learners.retain(|other| other != learner);
+        Ok(self.append_configuration(configuration))
+    }
+
     /// Sends a join request to all peers.
     pub(super) fn ask_to_join(&mut self) {
         self.become_follower(None);
--- a/crates/control/src/voter_removal.rs
+++ b/crates/control/src/voter_removal.rs
@@ -3,8 +3,8 @@
 use crate::VoterId;
 use std::fmt;
 
-/// The number of election timeouts without an answer after which a member is lost, unless the
-/// catalog says that its VM has left. That is longer than a restart takes.
+/// The number of election timeouts without an answer after which a member is lost. That is longer
+/// than a restart takes.
 const LOST_AFTER_TIMEOUTS: u64 = 10;
 
 /// Whether a member of the replicated log votes.
@@ -48,7 +48,7 @@
 pub struct MemberSurvey {
     /// The number of voters.
     pub voters: usize,
-    /// The number of learners.
+    /// The number of learners, lost ones included.
     pub learners: usize,
     /// The smallest number of voters allowed.
     pub least_voters: usize,
@@ -57,18 +57,21 @@
 }
 
 impl MemberSurvey {
-    /// Finds a lost voter whose removal lets the set survive more losses.
+    /// Finds a lost learner, or a lost voter whose removal lets the set survive more losses.
+    ///
+    /// A lost learner never becomes a voter and takes the place of its successor. Lost voters don't
+    /// wait for other learners, which may need long to catch up.
     pub fn find_removable(&self) -> Option<&AbsentMember> {
-        if self.learners > 0 {
-            return None;
-        }
-        let lost = || {
-            let voters = self.absent.iter();
-            voters.filter(|member| member.standing == MemberStanding::Voter && member.is_lost())
+        let lost = |standing| {
+            let members = self.absent.iter();
+            members.filter(move |member| member.standing == standing && member.is_lost())
         };
         let surplus = self.voters.saturating_sub(self.least_voters);
-        let removable = is_removal_worthwhile(self.voters, lost().count(), surplus);
-        lost().next().filter(|_| removable)
+        let lost_voters = lost(MemberStanding::Voter).count();
+        let voter_removable = is_removal_worthwhile(self.voters, lost_voters, surplus);
+        let voter = || lost(MemberStanding::Voter).next();
+        let learner = lost(MemberStanding::Learner).next();
+        learner.or_else(|| voter().filter(|_| voter_removable))
     }
 }
 
--- a/crates/control/tests/state/voters.rs
+++ b/crates/control/tests/state/voters.rs
@@ -1,7 +1,12 @@
 //! Tests of the removal of voters that are lost for good.
 
+use ragwort_control::AbsentMember;
+use ragwort_control::MemberStanding;
+use ragwort_control::MemberSurvey;
+use ragwort_control::VoterId;
 use ragwort_control::is_removal_worthwhile;
 use ragwort_control::majority;
+use ragwort_types::VmIncarnation;
 
 /// The largest set of voters that is looked at.
 const MAX_VOTERS: usize = 9;
@@ -11,6 +16,54 @@
     (voters - lost).saturating_sub(majority(voters))
 }
 
+/// The number of election timeouts after which any member that is absent counts as lost.
+const LONG_SILENCE: u64 = 100;
+
+fn absent_member(vm: &str, standing: MemberStanding) -> AbsentMember {
+    AbsentMember {
+        id: VoterId::new(vm.into(), VmIncarnation(1)),
+        standing,
+        silent_timeouts: LONG_SILENCE,
+    }
+}
+
+/// Surveys a set of which at least five must vote.
+fn survey_set(voters: usize, learners: usize, absent: Vec<AbsentMember>) -> MemberSurvey {
+    MemberSurvey {
+        voters,
+        learners,
+        least_voters: 5,
+        absent,
+    }
+}
+
+fn find_removable(survey: &MemberSurvey) -> Option<&str> {
+    let member = survey.find_removable();
+    member.map(|member| member.id.vm.as_str())
+}
+
+case! {
+    /// A control VM was lost before it had joined. It stayed a learner for good, and no lost voter was
+    /// removed any more.
+    lost_learner_is_removed {
+        let learner = absent_member("vm-6", MemberStanding::Learner);
+        let voter = absent_member("vm-5", MemberStanding::Voter);
+        let survey = survey_set(6, 1, vec![voter.clone(), learner.clone()]);
+        assert_eq!(find_removable(&survey), Some("vm-6"));
+        let survey = survey_set(5, 1, vec![voter, learner]);
+        assert_eq!(find_removable(&survey), Some("vm-6"));
+    }
+}
+
+case! {
+    /// A control VM takes long to catch up. Lost voters stayed in the set meanwhile.
+    lost_voter_does_not_wait_for_a_learner {
+        let voter = absent_member("vm-5", MemberStanding::Voter);
+        let survey = survey_set(6, 1, vec![voter]);
+        assert_eq!(find_removable(&survey), Some("vm-5"));
+    }
+}
+
 case! {
     /// Lost voters that were replaced enlarged the majority for good, or were removed where the set
     /// survived fewer losses without them.
--- a/crates/daemon/src/control/voters.rs
+++ b/crates/daemon/src/control/voters.rs
@@ -1,5 +1,5 @@
-//! Maintains the voters of the replicated log: admits control VMs up to a limit, and removes voters
-//! that are lost for good where that makes the majority smaller.
+//! Maintains the members of the replicated log: admits control VMs up to a limit, and removes
+//! learners that are lost for good, and lost voters where that makes the majority smaller.
 
 use super::ControlTask;
 use crate::log_event;
@@ -15,8 +15,7 @@
 const MAX_VOTERS: usize = 7;
 
 impl ControlTask {
-    /// As leader, admits a control VM that isn't a voter, or else removes a lost voter that was
-    /// replaced.
+    /// As leader, admits a control VM that isn't a member, or else removes a lost member.
     pub(super) fn propose_voter_change(&mut self, live: &BTreeSet<VmName>) {
         if let Some(vm) = self.find_voter_to_admit(live) {
             let admitted = self.node.admit_vm(vm.clone()).is_ok();
@@ -26,13 +25,18 @@
         let survey = self.survey_members(live);
         match survey.find_removable() {
             Some(member) => {
-                let removed = self.node.remove_vm(&member.id.vm).is_ok();
                 let (vm, silence) = (&member.id.vm, member.silent_timeouts);
+                let (event, removal) = match member.standing {
+                    MemberStanding::Voter => ("voter_removed", self.node.remove_vm(vm)),
+                    MemberStanding::Learner => {
+                        ("learner_removed", self.node.remove_learner(&member.id))
+                    }
+                };
                 log_event!(
                     Level::Warn,
-                    "voter_removed",
+                    event,
                     vm = vm,
-                    proposed = removed,
+                    proposed = removal.is_ok(),
                     silent_timeouts = silence,
                 );
             }
