Control: a VM that has left the catalog is soon taken for a lost voter

Cause: a voter is removed once it has answered the leader nothing for ten election timeouts, and that counts from the leader's election. Each change of the leader within three seconds starts it anew, so a lost voter stays in the set for longer than the time after which it no longer counts as lost.

A member with such a record is lost after two election timeouts. VMs that have just started have no record, so a new leader still doesn't take them for lost.

Ruled out: a shorter limit for all members, as a new leader would remove VMs that are starting (log_leader_drains).

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -18,6 +18,11 @@
 const MAX_DEPARTURES: usize = 1_024;
 
 impl CatalogState {
+    /// Returns whether a VM was a member, was removed and hasn't been admitted again.
+    pub fn has_departed(&self, vm: &VmName) -> bool {
+        self.departures.contains_key(vm)
+    }
+
     pub(crate) fn admit_member(
         &mut self,
         revision: CatalogRevision,
--- a/crates/control/src/voter_removal.rs
+++ b/crates/control/src/voter_removal.rs
@@ -7,6 +7,10 @@
 /// than a restart takes.
 const LOST_AFTER_TIMEOUTS: u64 = 10;
 
+/// The number of election timeouts without an answer after which a member is lost whose VM has left
+/// the catalog. Voters that run answer a new leader within a fraction of that.
+const DEPARTED_AFTER_TIMEOUTS: u64 = 2;
+
 /// Whether a member of the replicated log votes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemberStanding {
@@ -23,13 +27,23 @@
     pub id: VoterId,
     /// Whether it votes.
     pub standing: MemberStanding,
+    /// Whether its VM was in the catalog and has been removed from it.
+    pub departed: bool,
     /// The number of whole election timeouts for which it hasn't answered this leader.
     pub silent_timeouts: u64,
 }
 
 impl AbsentMember {
+    /// Returns whether the member is lost for good.
+    ///
+    /// Silence counts from the leader's election, so each change of the leader starts it anew. That
+    /// a VM has left the catalog was established by an earlier leader and is not forgotten.
     fn is_lost(&self) -> bool {
-        self.silent_timeouts >= LOST_AFTER_TIMEOUTS
+        let limit = match self.departed {
+            true => DEPARTED_AFTER_TIMEOUTS,
+            false => LOST_AFTER_TIMEOUTS,
+        };
+        self.silent_timeouts >= limit
     }
 }
 
--- a/crates/control/tests/state/voters.rs
+++ b/crates/control/tests/state/voters.rs
@@ -23,6 +23,7 @@
     AbsentMember {
         id: VoterId::new(vm.into(), VmIncarnation(1)),
         standing,
+        departed: false,
         silent_timeouts: LONG_SILENCE,
     }
 }
@@ -55,6 +56,28 @@
     }
 }
 
+case! {
+    /// The leader changed every few seconds, and each one waited as long as for a restart. Voters
+    /// that had left the catalog before stayed in the set.
+    departed_voter_is_removed_soon_after_an_election {
+        let departed = AbsentMember {
+            departed: true,
+            silent_timeouts: 2,
+            ..absent_member("vm-5", MemberStanding::Voter)
+        };
+        let starting = AbsentMember { departed: false, ..departed.clone() };
+        let answering = AbsentMember { silent_timeouts: 0, ..departed.clone() };
+        for (absent, removable) in [
+            (departed, Some("vm-5")),
+            (starting, None),
+            (answering, None),
+        ] {
+            let survey = survey_set(6, 0, vec![absent]);
+            assert_eq!(find_removable(&survey), removable);
+        }
+    }
+}
+
 case! {
     /// A control VM takes long to catch up. Lost voters stayed in the set meanwhile.
     lost_voter_does_not_wait_for_a_learner {
--- a/crates/daemon/src/control/voters.rs
+++ b/crates/daemon/src/control/voters.rs
@@ -76,6 +76,7 @@
                 true => MemberStanding::Voter,
                 false => MemberStanding::Learner,
             },
+            departed: self.catalog.has_departed(&member.id.vm),
             silent_timeouts: member.silent_ticks / election_ticks,
             id: member.id,
         });
