Control: lost voters don't take the places of their successors

Seen by callers: with seven control VMs of which three may be lost at once, no statement is served any more after some have been lost and replaced one or two at a time.

Cause: seven members are admitted at most, and lost voters counted. A set whose smallest size is seven can't remove a lost voter before another one has joined, and none was let in. Each loss was final. No site has this tolerance; it was found by searching for the same cause, lost members that count.

Fix: a set is full if it has seven members that aren't lost. The decision moves to MemberSurvey. A successor makes eight voters for a moment; then the set is of even size and the lost voter is removed.

--- a/crates/control/src/voter_removal.rs
+++ b/crates/control/src/voter_removal.rs
@@ -11,6 +11,11 @@
 /// the catalog. Voters that run answer a new leader within a fraction of that.
 const DEPARTED_AFTER_TIMEOUTS: u64 = 2;
 
+/// The maximum number of members of the replicated log, lost ones aside. Each further voter makes
+/// every change wait for one more disk, and in practice nine voters survive no loss that seven don't
+/// survive.
+const MAX_MEMBERS: usize = 7;
+
 /// Whether a member of the replicated log votes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemberStanding {
@@ -71,6 +76,15 @@
 }
 
 impl MemberSurvey {
+    /// Returns whether the set has no place for another member.
+    ///
+    /// Lost members don't count: the successor of a voter that can't be removed without falling
+    /// below the minimum would never be admitted.
+    pub fn is_full(&self) -> bool {
+        let lost = self.absent.iter().filter(|member| member.is_lost()).count();
+        (self.voters + self.learners).saturating_sub(lost) >= MAX_MEMBERS
+    }
+
     /// Finds a lost learner, or a lost voter whose removal lets the set survive more losses.
     ///
     /// A lost learner never becomes a voter and takes the place of its successor. Lost voters don't
--- a/crates/control/tests/state/voters.rs
+++ b/crates/control/tests/state/voters.rs
@@ -78,6 +78,21 @@
     }
 }
 
+case! {
+    /// A voter of a full set was lost, and none may be removed from a set of the smallest size. Its
+    /// successor was never admitted.
+    lost_member_leaves_its_place_to_a_successor {
+        let lost = absent_member("vm-7", MemberStanding::Voter);
+        let starting = AbsentMember { silent_timeouts: 0, ..lost.clone() };
+        let is_full = |absent: &AbsentMember| {
+            let survey = MemberSurvey { least_voters: 7, ..survey_set(7, 0, vec![absent.clone()]) };
+            survey.is_full()
+        };
+        assert!(!is_full(&lost));
+        assert!(is_full(&starting));
+    }
+}
+
 case! {
     /// A control VM takes long to catch up. Lost voters stayed in the set meanwhile.
     lost_voter_does_not_wait_for_a_learner {
--- a/crates/daemon/src/control/voters.rs
+++ b/crates/daemon/src/control/voters.rs
@@ -10,19 +10,17 @@
 use ragwort_types::VmName;
 use std::collections::BTreeSet;
 
-/// The maximum number of voters. Each further voter makes every change wait for one more disk, and
-/// in practice nine voters survive no loss that seven don't survive.
-const MAX_VOTERS: usize = 7;
-
 impl ControlTask {
     /// As leader, admits a control VM that isn't a member, or else removes a lost member.
     pub(super) fn propose_voter_change(&mut self, live: &BTreeSet<VmName>) {
-        if let Some(vm) = self.find_voter_to_admit(live) {
+        let survey = self.survey_members(live);
+        if !survey.is_full()
+            && let Some(vm) = self.find_voter_to_admit(live)
+        {
             let admitted = self.node.admit_vm(vm.clone()).is_ok();
             log_event!(Level::Info, "voter_expected", vm = vm, proposed = admitted);
             return;
         }
-        let survey = self.survey_members(live);
         match survey.find_removable() {
             Some(member) => {
                 let (vm, silence) = (&member.id.vm, member.silent_timeouts);
@@ -44,12 +42,8 @@
         }
     }
 
-    /// Finds a live control VM outside the set, unless the set is full.
+    /// Finds a live control VM outside the set.
     fn find_voter_to_admit(&self, live: &BTreeSet<VmName>) -> Option<VmName> {
-        let count = self.node.voters().len() + self.node.learners().len();
-        if count >= MAX_VOTERS {
-            return None;
-        }
         let mut members = self
             .catalog
             .members()
