--- a/crates/control/src/voter_removal.rs
+++ b/crates/control/src/voter_removal.rs
@@ -58,7 +58,11 @@
             MemberStanding::Voter => "voter",
             MemberStanding::Learner => "learner",
         };
-        write!(formatter, "{}/{standing}", self.id)
+        let presence = match self.departed {
+            true => "departed",
+            false => "unlisted",
+        };
+        write!(formatter, "{}/{standing}/{presence}", self.id)
     }
 }
 
