Stand-ins of native instances: a position has its entry's term

An instance writes a position as the term and the number of its log's last entry, and the term of an entry is that of the primary that wrote it. Both stand-ins, that of the soak of promotions and the scripted endpoint of the native tests, wrote the term of the instance instead.

Positions now have the entry's term, and the scripted endpoint reports its own term beside its position.

--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -553,10 +553,14 @@
     }
 
     /// Makes an instance the primary of the next term.
+    ///
+    /// Its position keeps the term of its last entry until it commits a write.
     pub fn lead(&self, index: usize) {
+        let terms = self.endpoints.iter().map(|one| one.script().term);
+        let term = terms.max().unwrap().next();
         let mut script = self.endpoints[index].script();
         script.role = InstanceRole::Primary;
-        script.position = LogPosition::new(GroupTerm(2), script.position.index);
+        script.term = term;
     }
 
     /// Places the group at another VM in the leaseholder's view.
--- a/crates/daemon/tests/native/codec.rs
+++ b/crates/daemon/tests/native/codec.rs
@@ -125,10 +125,11 @@
             "primary" => InstanceRole::Primary,
             _ => InstanceRole::Replica,
         };
+        let term = GroupTerm(words.next()?.parse().ok()?);
         let received = read_position(words.next()?)?;
         Some(EndpointReport {
             role,
-            term: received.term,
+            term,
             received,
         })
     }
--- a/crates/daemon/tests/native/endpoint.rs
+++ b/crates/daemon/tests/native/endpoint.rs
@@ -3,6 +3,7 @@
 use crate::codec::fault_word;
 use crate::codec::read_position;
 use ragwort_types::EndpointFaultKind;
+use ragwort_types::GroupTerm;
 use ragwort_types::InstanceRole;
 use ragwort_types::LogPosition;
 use std::collections::HashSet;
@@ -27,6 +28,9 @@
 pub struct EndpointScript {
     pub name: String,
     pub role: InstanceRole,
+    /// The term that it belongs to. Its writes are of this term.
+    pub term: GroupTerm,
+    /// The position of its last log entry, with the term of the primary that wrote the entry.
     pub position: LogPosition,
     /// Whether it withholds answers to report requests.
     pub withholds_reports: bool,
@@ -76,6 +80,7 @@
         let script = Arc::new(Mutex::new(EndpointScript {
             name: name.to_owned(),
             role,
+            term: position.term,
             position,
             withholds_reports: false,
             busy: false,
@@ -193,7 +198,7 @@
                     InstanceRole::Primary => "primary",
                     InstanceRole::Replica => "replica",
                 };
-                format!("row {role} {}\ndone -\n", self.position)
+                format!("row {role} {} {}\ndone -\n", self.term, self.position)
             }
             "begin" => {
                 *state = "open";
@@ -225,7 +230,7 @@
             return format!("fault {}\n", fault_word(EndpointFaultKind::ReadOnly));
         }
         if writes {
-            self.position.index += 1;
+            self.position = LogPosition::new(self.term, self.position.index + 1);
         }
         self.ran.push(RanStatement {
             connection,
--- a/crates/daemon/tests/native/takeover.rs
+++ b/crates/daemon/tests/native/takeover.rs
@@ -7,8 +7,6 @@
 use crate::bench::is_served;
 use crate::cases::wait_until;
 use ragwort_types::DoubtCause;
-use ragwort_types::GroupTerm;
-use ragwort_types::LogPosition;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
 use ragwort_types::TransactionId;
@@ -116,7 +114,6 @@
     let mut bench = NativeBench::start_with_notes([5, 5, 5], 2).await;
     bench.wait_for_command(0, "describe").await;
     let write = bench.send(TestStatement::new(WRITE, "write record")).await;
-    bench.endpoints[1].script().position = LogPosition::new(GroupTerm(2), 5);
     bench.promote(1).await;
     let reply = write.await.unwrap();
     assert!(is_served(&reply), "{reply:?}");
