Native: orders to promote that may still be carried out are fenced

Cause: an order without a reply may be carried out seconds later, and nobody kept it. The replicated log issued its fencing token without recording the order, so a successor of a killed leaseholder couldn't know of it (the claim says that the catalog has the token; issue_token only returned the log index). Within one leaseholder the replacement forgot it when the primary returned.

Change: the catalog records each order with the issue of its token, and forgets it when it can't take effect any more. A leaseholder that goes on with a primary while an order is outstanding orders the promotion of that primary with a higher token, which makes the service refuse the outstanding one. With synchronous replicas, writes are refused meanwhile, with a time to come back, and until a promotion that had begun just before has ended; commits of open transactions aren't run, and one that is under way is in doubt unless every instance that may be promoted holds it. Replies and tokens are matched to what awaits them.

Ruled out: raising the fence at every take-over (calls are limited, and hundreds of groups may be taken over at once); the fence without the wait (an order that began just before it is still carried out).

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -13,6 +13,7 @@
 use ragwort_types::PlacementEpoch;
 use ragwort_types::PrimaryRecord;
 use ragwort_types::RecordedEndpoints;
+use ragwort_types::RecordedOrder;
 use ragwort_types::TermStart;
 use ragwort_types::TokenRequest;
 use smallvec::SmallVec;
@@ -63,6 +64,7 @@
             instances: SmallVec::new(),
             journal_epoch: PlacementEpoch(0),
             endpoints: Vec::new(),
+            orders: Vec::new(),
         };
         self.groups.insert(
             placement.group.clone(),
@@ -99,17 +101,27 @@
     ///
     /// A former leaseholder gets none. Its order to promote would otherwise count as newer than its
     /// successor's, and the group would end up with a primary that receives no writes.
+    ///
+    /// The order is recorded, so that a successor knows of it while it may still take effect.
     pub(crate) fn issue_token(
-        &self,
+        &mut self,
         revision: CatalogRevision,
         request: &TokenRequest,
     ) -> CatalogOutcome {
-        match self.group(&request.group) {
-            Some(record) if record.placement.epoch == request.epoch => {
-                CatalogOutcome::Done(revision)
-            }
-            _ => CatalogOutcome::Stale,
+        let record = self.group(&request.group);
+        if record.is_none_or(|record| record.placement.epoch != request.epoch) {
+            return CatalogOutcome::Stale;
         }
+        self.change_group(revision, &request.group, |record| {
+            record
+                .orders
+                .retain(|order| order.instance != request.instance);
+            record.orders.push(RecordedOrder {
+                instance: request.instance.clone(),
+                token: revision.0,
+            });
+        });
+        CatalogOutcome::Done(revision)
     }
 
     /// Records a leaseholder's view of its endpoints. That of a former leaseholder is refused.
@@ -126,11 +138,16 @@
         }
         let same_primary =
             former.item.term == recorded.term && former.item.primary == recorded.primary;
-        if same_primary && former.item.endpoints == recorded.endpoints {
+        let mut orders = former.item.orders.iter();
+        let same_orders = orders.all(|order| order.token > recorded.settled_token);
+        if same_primary && same_orders && former.item.endpoints == recorded.endpoints {
             return CatalogOutcome::Done(former.stamp);
         }
         self.change_group(revision, &recorded.group, |record| {
             record.endpoints = recorded.endpoints.clone();
+            record
+                .orders
+                .retain(|order| order.token > recorded.settled_token);
             // The recorded term never falls.
             if recorded.term >= record.term {
                 record.term = recorded.term;
--- a/crates/control/src/promotion_evidence.rs
+++ b/crates/control/src/promotion_evidence.rs
@@ -80,7 +80,7 @@
     /// Returns whether an instance is known to hold a position.
     pub(crate) fn is_held(&self, instance: &InstanceName, position: LogPosition) -> bool {
         let bound = self.bounds.get(instance);
-        bound.is_some_and(|bound| covers(*bound, position))
+        bound.is_some_and(|bound| bound.covers_in_term(position))
     }
 
     /// Returns the instance with the highest known position, except the replaced one and those that
@@ -118,7 +118,7 @@
         let replaced_leaves = replaced.is_some_and(|name| self.leaving.contains(name));
         let others = self.list_candidates(replaced);
         let complete = others.filter(|(_, bound)| {
-            let reached = required.is_some_and(|required| covers(*bound, required));
+            let reached = required.is_some_and(|required| bound.covers_in_term(required));
             reached || most.is_some_and(|most| bound >= most)
         });
         let usable = complete.filter(|(instance, _)| {
@@ -141,9 +141,3 @@
         })
     }
 }
-
-/// Returns whether a log that reaches `bound` holds the position of its own term. A log of a later
-/// term may lack the end of an earlier one.
-fn covers(bound: LogPosition, position: LogPosition) -> bool {
-    bound.term == position.term && bound.index >= position.index
-}
--- a/crates/control/src/replacement.rs
+++ b/crates/control/src/replacement.rs
@@ -7,6 +7,7 @@
 
 use crate::ClockTime;
 use crate::native_roles::RoleReport;
+use crate::outstanding_orders::PROMOTION_LIMIT;
 use crate::promotion_evidence::PromotionEvidence;
 use crate::promotion_evidence::WriteGuarantee;
 use crate::replacement_chart::ReplacementEvent;
@@ -27,10 +28,6 @@
 /// Delay before a step is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Time after an accepted order until the instances are asked again. Promotions take 600 to 1,000
-/// ms; a slower one is only ordered again, which doesn't disturb it.
-const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// An action for the caller to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplacementAction {
@@ -96,6 +93,16 @@
         self.candidate.as_ref()
     }
 
+    /// Returns whether a fencing token for the promotion of this instance is awaited.
+    pub fn awaits_token(&self, instance: &InstanceName) -> bool {
+        self.state == ReplacementState::Numbering && self.candidate.as_ref() == Some(instance)
+    }
+
+    /// Returns whether the reply to the order with this fencing token is awaited.
+    pub fn awaits_order(&self, token: u64) -> bool {
+        self.state == ReplacementState::Ordering && self.token == Some(token)
+    }
+
     /// Returns the instance that is being replaced; `None` if the group had no primary.
     pub fn replaced(&self) -> Option<&InstanceName> {
         self.replaced.as_ref()
@@ -187,7 +194,7 @@
         }
     }
 
-    /// Records that the replaced primary has acknowledged a position.
+    /// Records that a caller is told that the replaced primary has acknowledged a position.
     pub fn note_acknowledged(&mut self, position: LogPosition) {
         if self.state == ReplacementState::Asking {
             self.required_position = self.required_position.max(Some(position));
@@ -293,7 +300,8 @@
                 None
             }
             ReplacementStep::ScheduleLook => {
-                self.retry_at = Some(now + PROMOTION_TIMEOUT);
+                // A slower promotion is only ordered again, which doesn't disturb it.
+                self.retry_at = Some(now + PROMOTION_LIMIT);
                 None
             }
         }
--- a/crates/control/src/replica_estimate.rs
+++ b/crates/control/src/replica_estimate.rs
@@ -91,6 +91,11 @@
         self.lag.div_f64(2_f64.powf(halvings)).max(LAG_MARGIN)
     }
 
+    /// Returns whether the replica's last answer showed that it holds a position.
+    pub fn is_known_to_hold(&self, position: LogPosition) -> bool {
+        self.reported_position.covers_in_term(position)
+    }
+
     /// Returns the position that the replica is assumed to hold.
     pub fn assumed_position(&self, now: ClockTime, history: &PositionHistory) -> LogPosition {
         let assumed = history.required(now, self.lag(now));
--- a/crates/control/src/transfer.rs
+++ b/crates/control/src/transfer.rs
@@ -183,12 +183,13 @@
             }
             CatalogKey::Group(group) => {
                 let record = self.group(group)?;
-                // Only the group's leaseholder uses its endpoints.
+                // Only the group's leaseholder uses its endpoints and orders.
                 Some(CatalogItem::Group(Box::new(GroupRecord {
                     placement: record.placement.clone(),
                     primary: record.primary.clone(),
                     instances: SmallVec::new(),
                     endpoints: Vec::new(),
+                    orders: Vec::new(),
                     ..*record
                 })))
             }
@@ -219,7 +220,8 @@
     match item {
         CatalogItem::Contract(held) => 256 + 160 * held.contract.kinds.len(),
         CatalogItem::Group(record) => {
-            256 + 256 * record.endpoints.len() + NAME * record.instances.len()
+            let named = record.instances.len() + record.orders.len();
+            256 + 256 * record.endpoints.len() + NAME * named
         }
         CatalogItem::Member(_) => 256,
         CatalogItem::GroupTerms(_) => 96,
--- a/crates/control/tests/state/catalog.rs
+++ b/crates/control/tests/state/catalog.rs
@@ -13,6 +13,7 @@
 use ragwort_types::GroupTerm;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::RecordedEndpoints;
+use ragwort_types::TokenRequest;
 use ragwort_types::VmName;
 use std::collections::BTreeMap;
 
@@ -168,6 +169,18 @@
     }
 }
 
+/// Returns notes that say nothing but that orders up to this fencing token are settled.
+fn settling_notes(settled_token: u64) -> CatalogCommand {
+    CatalogCommand::RecordEndpoints(Box::new(RecordedEndpoints {
+        group: "cases".into(),
+        epoch: PlacementEpoch(2),
+        term: GroupTerm(1),
+        primary: Some("a".into()),
+        endpoints: Vec::new(),
+        settled_token,
+    }))
+}
+
 fn endpoint_notes(epoch: u64, term: u64, primary: &str) -> CatalogCommand {
     CatalogCommand::RecordEndpoints(Box::new(RecordedEndpoints {
         group: "cases".into(),
@@ -175,9 +188,48 @@
         term: GroupTerm(term),
         primary: Some(primary.into()),
         endpoints: Vec::new(),
+        settled_token: 0,
     }))
 }
 
+fn token_request(epoch: u64, instance: &str) -> CatalogCommand {
+    CatalogCommand::IssueToken(TokenRequest {
+        group: "cases".into(),
+        epoch: PlacementEpoch(epoch),
+        instance: instance.into(),
+    })
+}
+
+fn recorded_orders(script: &CatalogScript) -> Vec<(String, u64)> {
+    let group = script.state.group(&"cases".into()).unwrap();
+    let orders = group.orders.iter();
+    orders
+        .map(|order| (order.instance.to_string(), order.token))
+        .collect()
+}
+
+case! {
+    /// A leaseholder was killed after it had ordered a promotion. Its successor didn't know of the
+    /// order, which was carried out seconds later.
+    order_is_recorded_until_it_is_settled {
+        let mut script = formed_group(&["a", "b"]);
+        let CatalogOutcome::Done(first) = script.apply(token_request(1, "b")) else {
+            panic!("the token is refused");
+        };
+        let CatalogOutcome::Done(second) = script.apply(token_request(1, "b")) else {
+            panic!("the token is refused");
+        };
+        let next = placement("cases", 2, "vm-2", &["vm-3"]);
+        script.expect_done(CatalogCommand::PlaceGroup(next));
+        script.expect_stale(token_request(1, "a"));
+        assert_eq!(recorded_orders(&script), [("b".to_owned(), second.0)]);
+        script.expect_done(settling_notes(first.0));
+        assert_eq!(recorded_orders(&script), [("b".to_owned(), second.0)]);
+        script.expect_done(settling_notes(second.0));
+        assert_eq!(recorded_orders(&script), []);
+    }
+}
+
 case! {
     /// A partitioned leaseholder records the endpoints that it knew after its successor recorded a
     /// later primary. The next leaseholder must start with the later one.
--- a/crates/control/tests/state/charts.rs
+++ b/crates/control/tests/state/charts.rs
@@ -2,6 +2,7 @@
 
 use ragwort_control::ChartName;
 use ragwort_control::StateChart;
+use ragwort_control::order_fence_chart;
 use ragwort_control::promotion_chart;
 use ragwort_control::replacement_chart;
 use ragwort_control::vocabulary::ConnectionAction;
@@ -23,6 +24,7 @@
         assert_eq!(drain_chart().find_gaps(), none);
         assert_eq!(connection_chart().find_gaps(), none);
         assert_eq!(replacement_chart().find_gaps(), none);
+        assert_eq!(order_fence_chart().find_gaps(), none);
     }
 }
 
--- a/crates/control/tests/state/copies.rs
+++ b/crates/control/tests/state/copies.rs
@@ -147,6 +147,7 @@
         instances: SmallVec::new(),
         journal_epoch: PlacementEpoch(0),
         endpoints: Vec::new(),
+        orders: Vec::new(),
     }))
 }
 
--- a/crates/control/tests/state/main.rs
+++ b/crates/control/tests/state/main.rs
@@ -16,6 +16,7 @@
 mod leases;
 mod membership;
 mod native_roles;
+mod outstanding_orders;
 mod pieces;
 mod positions;
 mod promotion;
--- a/crates/control/tests/state/pieces.rs
+++ b/crates/control/tests/state/pieces.rs
@@ -189,6 +189,7 @@
                 term: GroupTerm(0),
                 primary: None,
                 endpoints: endpoints.into(),
+                settled_token: 0,
             },
         )));
     }
--- a/crates/control/tests/state/proximity.rs
+++ b/crates/control/tests/state/proximity.rs
@@ -45,6 +45,7 @@
             term: GroupTerm(1),
             primary: Some("a".into()),
             endpoints: vec![endpoint("a", "domain-2"), endpoint("b", "domain-3")],
+            settled_token: 0,
         },
     )));
     script
@@ -115,6 +116,7 @@
                 term: GroupTerm(1),
                 primary: Some("0".into()),
                 endpoints: endpoints.collect(),
+                settled_token: 0,
             },
         )));
     }
--- a/crates/control/tests/state/transfer.rs
+++ b/crates/control/tests/state/transfer.rs
@@ -85,6 +85,7 @@
                     announcement(name.as_str(), &instance, "domain-1")
                 })
                 .collect(),
+            settled_token: 0,
         };
         script.expect_done(CatalogCommand::RecordEndpoints(Box::new(notes)));
     }
--- a/crates/daemon/src/native/dispatch.rs
+++ b/crates/daemon/src/native/dispatch.rs
@@ -6,6 +6,7 @@
 //! after the commands that restore its session's state.
 
 use super::NativeTask;
+use super::intake::may_write_unpinned;
 use super::link::CommandList;
 use super::link::LinkId;
 use super::link::LinkOrder;
@@ -119,6 +120,21 @@
             self.scheduler.finished(now, ticket, FinishOutcome::NotSent);
             return self.lose_transaction(ticket, step);
         }
+        // The order may have become known after the statement was queued.
+        if self.holds_writes() {
+            if may_write_unpinned(step, &active.context) {
+                let outcome = FinishOutcome::NotRun;
+                return self.requeue_or_refuse(ticket, outcome, RefusalCause::NoPrimary);
+            }
+            if self.commits_writes(step) {
+                self.scheduler.abandon(ticket);
+                self.scheduler.finished(now, ticket, FinishOutcome::NotSent);
+                return self.lose_transaction(ticket, step);
+            }
+        }
+        let Some(active) = self.requests.get(&ticket) else {
+            return;
+        };
         let account = active.request.account.clone();
         let unpinned = held_transaction(active.request.step).is_none();
         let link = self.choose_link(active, order);
@@ -175,6 +191,15 @@
         }
     }
 
+    /// Returns whether a step commits a transaction that may have written.
+    pub(super) fn commits_writes(&self, step: TransactionStep) -> bool {
+        let TransactionStep::Commit(id) = step else {
+            return false;
+        };
+        let transaction = self.transactions.get(&id);
+        transaction.is_some_and(|transaction| transaction.may_write)
+    }
+
     /// Opens a connection for a statement whose account has no idle one to the instance, in place
     /// of another account's idle one if the limits leave no room. The statement is sent once it is
     /// open.
--- a/crates/daemon/src/native/intake.rs
+++ b/crates/daemon/src/native/intake.rs
@@ -54,6 +54,10 @@
                 return self.refuse_at_once(&request, reply, RefusalCause::Contract);
             }
         };
+        if may_write_unpinned(request.step, &context) && self.holds_writes() {
+            let verdict = self.refuse_held_write();
+            return self.reply_at_once(&request, reply, verdict);
+        }
         let full = find_deadline(&terms, &request.marks);
         let left = full.saturating_sub(Duration::from_millis(request.spent_ms));
         let min_position = self.find_min_position(now, &context, &terms);
@@ -76,12 +80,20 @@
         reply: oneshot::Sender<StatementReply>,
         cause: RefusalCause,
     ) {
-        let verdict = RequestVerdict::refused(cause, 0);
-        let metrics = &self.context.metrics;
-        metrics.count_request(&verdict, UrgencyClass::Ordinary);
         if cause == RefusalCause::Contract {
             self.log_missing_contract(request);
         }
+        self.reply_at_once(request, reply, RequestVerdict::refused(cause, 0));
+    }
+
+    fn reply_at_once(
+        &self,
+        request: &StatementRequest,
+        reply: oneshot::Sender<StatementReply>,
+        verdict: RequestVerdict,
+    ) {
+        let metrics = &self.context.metrics;
+        metrics.count_request(&verdict, UrgencyClass::Ordinary);
         // The gateway's connection may be gone.
         let _ = reply.send(reply_with(request, verdict));
     }
@@ -254,6 +266,18 @@
     }
 }
 
+/// Returns whether a statement outside of an open transaction may write, or opens a transaction that
+/// may.
+pub(super) fn may_write_unpinned(step: TransactionStep, context: &SessionContext) -> bool {
+    match step {
+        TransactionStep::Single => context.act.access() == AccessMode::Write,
+        TransactionStep::Begin(_) => context.opens != Some(TransactionMode::ReadOnly),
+        TransactionStep::Within(_) | TransactionStep::Commit(_) | TransactionStep::Rollback(_) => {
+            false
+        }
+    }
+}
+
 /// Returns the maximum age of data that is passed to the scheduler: zero, or no limit.
 ///
 /// The minimum position already expresses a read's allowed age, so a replica that holds it may
--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -19,11 +19,12 @@
 //!   statement for which the endpoint reported a fault.
 //!
 //! `primary` tracks the instances' roles and detects a failed primary, `reports` asks the instances,
-//! and `replacing` has another one promoted. `handover` moves the group to another VM, and `notes`
+//! `replacing` has another one promoted, and `fencing` keeps late orders from doing so. `handover` moves the group to another VM, and `notes`
 //! keeps the endpoints in the catalog for a successor.
 
 mod dispatch;
 mod faults;
+mod fencing;
 mod handover;
 mod intake;
 mod link;
@@ -55,6 +56,8 @@
 use ragwort_control::ClockTime;
 use ragwort_control::ContractTable;
 use ragwort_control::InstanceRoles;
+use ragwort_control::OrderFence;
+use ragwort_control::OutstandingOrders;
 use ragwort_control::PositionHistory;
 use ragwort_control::PrimaryAbsence;
 use ragwort_control::PrimaryReplacement;
@@ -148,6 +151,9 @@
     history: PositionHistory,
     replicas: BTreeMap<InstanceName, ReplicaEstimate>,
     replacement: PrimaryReplacement,
+    /// The orders to promote that may still take effect.
+    orders: OutstandingOrders,
+    fence: OrderFence,
     /// The instances that may have received acknowledged writes, by address. An instance that is
     /// gone stays until another one has its address, and with it its log.
     log_holders: BTreeMap<SocketAddr, EndpointAnnouncement>,
@@ -204,6 +210,7 @@
     let open_limit = Duration::from_millis(context.settings.timing.connect_timeout_ms);
     let protocol = Arc::clone(&edges.endpoints);
     let reached = record.term;
+    let orders = OutstandingOrders::from_record(&record.orders);
     let mut primary_absence = PrimaryAbsence::default();
     primary_absence.begin(context.clock.now());
     let task = NativeTask {
@@ -231,6 +238,8 @@
         history: PositionHistory::default(),
         replicas: BTreeMap::new(),
         replacement: PrimaryReplacement::default(),
+        orders,
+        fence: OrderFence::default(),
         log_holders: BTreeMap::new(),
         refused_reports: BTreeSet::new(),
         wait_logged_at: ClockTime::default(),
@@ -264,6 +273,7 @@
     ) {
         self.apply_contracts();
         self.load_notes();
+        self.log_recorded_orders();
         self.request_initial_checks();
         let mut batch = Vec::with_capacity(MAX_EVENT_BATCH);
         loop {
@@ -438,7 +448,8 @@
         // Without an endpoint there is nothing to watch until one announces itself.
         let watched = self.pool.endpoints().next().is_some()
             && (!self.is_steady() || self.roles.needs_any_report() || self.is_primary_watched());
-        used || replaced || self.handover.is_begun() || watched
+        let ordered = !self.orders.is_empty();
+        used || replaced || ordered || self.handover.is_begun() || watched
     }
 
     /// Proposes a command to the control VMs; the reply arrives as a [`NativeNotice::Command`].
@@ -479,6 +490,9 @@
             "lag_ms": lags.collect::<serde_json::Map<String, serde_json::Value>>(),
             "replacement": format!("{:?}", self.replacement.state()),
             "replaced": self.replacement.replaced(),
+            "fence": format!("{:?}", self.fence.state()),
+            "outstanding_orders": self.orders.list().count(),
+            "holds_writes": self.holds_writes(),
             "handing_over": self.handover.is_begun(),
             "handed_over": self.handover.successor_may_serve(),
             "scheduler": self.scheduler.snapshot(now),
--- a/crates/daemon/src/native/notes.rs
+++ b/crates/daemon/src/native/notes.rs
@@ -72,8 +72,12 @@
         let now = self.now();
         let (term, primary) = self.primary_to_note();
         let endpoints = self.endpoints_to_note();
+        let settled_token = self.settled_token();
         let noted = &self.record;
-        let same = noted.endpoints == endpoints && noted.term == term && noted.primary == primary;
+        let mut orders = noted.orders.iter();
+        let settles = orders.any(|order| order.token <= settled_token);
+        let same_primary = noted.term == term && noted.primary == primary;
+        let same = noted.endpoints == endpoints && same_primary && !settles;
         if same || self.leading.is_none() {
             self.notes.differs_since = None;
             return;
@@ -100,6 +104,7 @@
                 term,
                 primary,
                 endpoints,
+                settled_token,
             },
         )));
     }
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -39,6 +39,7 @@
 use ragwort_types::StatementOperation;
 use ragwort_types::TaggedRows;
 use ragwort_types::TransactionId;
+use ragwort_types::TransactionMode;
 use ragwort_types::TransactionStep;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -390,13 +391,17 @@
         };
         let step = active.request.step;
         let commits = active.commits();
+        let saves = commits && (step == TransactionStep::Single || self.commits_writes(step));
         let state = end.map_or(SessionState::Failed, |end| end.state);
         self.update_transaction(ticket, step, link, state);
         let position = end.and_then(|end| end.position).unwrap_or_default();
         let leads = self.is_leading(instance);
+        let confirmed = !saves || self.may_confirm_commit(leads, position);
         if commits && leads {
             self.history.note(now, position);
-            self.replacement.note_acknowledged(position);
+            if confirmed {
+                self.replacement.note_acknowledged(position);
+            }
         }
         let served = ServedBy {
             instance: instance.clone(),
@@ -412,7 +417,7 @@
         if !self.may_serve() || handed_over {
             return self.withhold_answer(ticket, step, commits);
         }
-        if commits && !self.may_confirm_commit(leads, position) {
+        if !confirmed {
             let doubt = RequestVerdict::MayHaveRun(DoubtCause::NotConfirmed);
             return self.settle(ticket, doubt);
         }
@@ -427,13 +432,14 @@
 
     /// Returns whether a caller may be told that its commit is saved.
     ///
-    /// The instance that is being promoted may lack it. So may a primary that was found before the
-    /// answer of the replaced one came.
+    /// The instance that is being promoted may lack it, or one whose promotion was ordered earlier.
+    /// So may a primary that was found before the answer of the replaced one came.
     fn may_confirm_commit(&self, leads: bool, position: LogPosition) -> bool {
-        match leads {
+        let survives = match leads {
             true => self.replacement.may_confirm(position),
             false => !self.history.is_dropped(position),
-        }
+        };
+        survives && self.is_held_by_ordered(position)
     }
 
     /// Settles a statement whose answer this VM may not give any more.
@@ -481,9 +487,12 @@
                 if let Some(connection) = self.pool.connection_mut(link) {
                     connection.pinned = Some(id);
                 }
+                let opened = self.requests.get(&ticket);
+                let mode = opened.and_then(|active| active.context.opens);
                 let transaction = NativeTransaction {
                     opener: ticket,
                     link,
+                    may_write: mode != Some(TransactionMode::ReadOnly),
                     last_used: now,
                 };
                 self.transactions.insert(id, transaction);
--- a/crates/daemon/src/native/primary.rs
+++ b/crates/daemon/src/native/primary.rs
@@ -150,6 +150,7 @@
             // Replicas serve no reads before the start position is known: they could lack writes
             // that a former leaseholder acknowledged.
             self.history.begin(start);
+            self.abandon_fence(now);
             self.update_promotion_time(now);
             // The promotion may have rolled back positions that replicas had reported.
             self.replicas.clear();
@@ -278,6 +279,7 @@
         if !self.may_serve() || self.handover.is_begun() {
             return;
         }
+        self.remove_ended_orders(now);
         let actions = self.replacement.tick(now);
         self.perform_replacement(actions);
         if self.replacement.state() != ReplacementState::Steady {
@@ -289,7 +291,12 @@
                     self.begin_replacement(Some(&primary), "leaving", CATCH_UP_LIMIT_LEAVING);
                 }
             }
-            Some(primary) => self.check_primary(now, &primary),
+            Some(primary) => {
+                self.check_primary(now, &primary);
+                if self.replacement.state() == ReplacementState::Steady {
+                    self.raise_fence(now, &primary);
+                }
+            }
             None => self.replace_missing(now),
         }
     }
--- a/crates/daemon/src/native/replacing.rs
+++ b/crates/daemon/src/native/replacing.rs
@@ -15,6 +15,7 @@
 use crate::log_event;
 use log::Level;
 use ragwort_control::ClockTime;
+use ragwort_control::FenceEvent;
 use ragwort_control::ReplacementAction;
 use ragwort_control::ReplacementActions;
 use ragwort_control::ReplacementEvent;
@@ -53,6 +54,7 @@
             cause = cause,
             newest = self.history.newest(),
         );
+        self.abandon_fence(now);
         // The writes that a former leaseholder acknowledged aren't known before a primary is found.
         let required = self.leading.is_some().then(|| self.history.newest());
         let guarantee = self.write_guarantee();
@@ -169,16 +171,32 @@
     /// committed.
     pub(super) fn handle_number_reply(&mut self, request: &TokenRequest, reply: &CommandReply) {
         let now = self.now();
-        let actions = match reply {
-            CommandReply::Committed(CatalogOutcome::Done(revision)) => {
-                self.replacement.receive_token(now, revision.0)
+        let token = match reply {
+            CommandReply::Committed(CatalogOutcome::Done(revision)) => Some(revision.0),
+            CommandReply::Committed(_) | CommandReply::NoLeader | CommandReply::Unknown => None,
+        };
+        // The catalog may have forgotten an order with a settled token.
+        let token = token.filter(|token| !self.orders.is_settled(*token));
+        let refused = matches!(reply, CommandReply::Committed(CatalogOutcome::Stale));
+        let actions = match token {
+            Some(token) if self.replacement.awaits_token(&request.instance) => {
+                self.replacement.receive_token(now, token)
+            }
+            None if self.replacement.awaits_token(&request.instance) => {
+                let event = match refused {
+                    true => ReplacementEvent::NumberRefused,
+                    false => ReplacementEvent::NumberUnknown,
+                };
+                self.replacement.handle(now, event)
+            }
+            Some(token) if self.fence.awaits_token(&request.instance) => {
+                self.fence.receive_token(now, token)
             }
-            CommandReply::Committed(_) => self
-                .replacement
-                .handle(now, ReplacementEvent::NumberRefused),
-            CommandReply::NoLeader | CommandReply::Unknown => self
-                .replacement
-                .handle(now, ReplacementEvent::NumberUnknown),
+            None if self.fence.awaits_token(&request.instance) => {
+                self.fence.handle(now, FenceEvent::NumberMissing)
+            }
+            // The request was given up meanwhile. Its token is never used.
+            Some(_) | None => ReplacementActions::new(),
         };
         log_event!(
             Level::Info,
@@ -194,10 +212,9 @@
         // Without a lease another VM may lead the group and send orders of its own. If this one gets
         // its lease back, the order is due again.
         if !self.may_serve() {
-            let now = self.now();
-            let actions = self.replacement.handle(now, ReplacementEvent::OrderUntaken);
-            return self.perform_replacement(actions);
+            return self.advance_by_reply(token, PromotionReply::Unavailable);
         }
+        self.orders.note_sent(&instance, token);
         let order = PromotionOrder {
             group: self.group.clone(),
             instance,
@@ -225,16 +242,41 @@
             token = order.token,
             reply = format!("{reply:?}"),
         );
-        let event = match reply {
-            PromotionReply::Accepted => {
+        match reply {
+            PromotionReply::Accepted => self.orders.note_accepted(now, order.token),
+            PromotionReply::Overtaken | PromotionReply::Unavailable => {
+                self.orders.note_refused(order.token);
+            }
+            PromotionReply::Unknown => self.orders.note_unanswered(order.token),
+        }
+        self.advance_by_reply(order.token, reply);
+    }
+
+    /// Advances what awaits the reply to the order with this fencing token: the replacement or the
+    /// fence.
+    fn advance_by_reply(&mut self, token: u64, reply: PromotionReply) {
+        let now = self.now();
+        let actions = if self.replacement.awaits_order(token) {
+            if reply == PromotionReply::Accepted {
                 self.promotion_ordered_at = Some(now);
-                ReplacementEvent::OrderAccepted
             }
-            PromotionReply::Overtaken => ReplacementEvent::OrderOvertaken,
-            PromotionReply::Unavailable => ReplacementEvent::OrderUntaken,
-            PromotionReply::Unknown => ReplacementEvent::OrderUnknown,
+            let event = match reply {
+                PromotionReply::Accepted => ReplacementEvent::OrderAccepted,
+                PromotionReply::Overtaken => ReplacementEvent::OrderOvertaken,
+                PromotionReply::Unavailable => ReplacementEvent::OrderUntaken,
+                PromotionReply::Unknown => ReplacementEvent::OrderUnknown,
+            };
+            self.replacement.handle(now, event)
+        } else if self.fence.awaits_order(token) {
+            let event = match reply {
+                PromotionReply::Accepted => FenceEvent::OrderAccepted,
+                PromotionReply::Overtaken => FenceEvent::OrderOvertaken,
+                PromotionReply::Unavailable | PromotionReply::Unknown => FenceEvent::OrderMissing,
+            };
+            self.fence.handle(now, event)
+        } else {
+            ReplacementActions::new()
         };
-        let actions = self.replacement.handle(now, event);
         self.perform_replacement(actions);
     }
 
--- a/crates/daemon/src/native/request.rs
+++ b/crates/daemon/src/native/request.rs
@@ -70,6 +70,8 @@
     pub(super) opener: RequestTicket,
     /// The connection that it is pinned to.
     pub(super) link: LinkId,
+    /// Whether it was opened for writes.
+    pub(super) may_write: bool,
     /// Time at which its last statement ended.
     pub(super) last_used: ClockTime,
 }
--- a/crates/daemon/tests/components/bench.rs
+++ b/crates/daemon/tests/components/bench.rs
@@ -153,6 +153,7 @@
         instances: (1..=3).map(|one| format!("cases-{one}").into()).collect(),
         journal_epoch: PlacementEpoch(epoch.saturating_sub(1)),
         endpoints: Vec::new(),
+        orders: Vec::new(),
     }
 }
 
--- a/crates/daemon/tests/components/plans.rs
+++ b/crates/daemon/tests/components/plans.rs
@@ -61,6 +61,7 @@
         instances: Default::default(),
         journal_epoch: PlacementEpoch(0),
         endpoints: Vec::new(),
+        orders: Vec::new(),
     }))
 }
 
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -43,6 +43,7 @@
 use ragwort_types::LogPosition;
 use ragwort_types::PlacementEpoch;
 use ragwort_types::RecordedEndpoints;
+use ragwort_types::RecordedOrder;
 use ragwort_types::RequestMarks;
 use ragwort_types::RequestVerdict;
 use ragwort_types::SessionContext;
@@ -326,6 +327,28 @@
         .await
     }
 
+    /// Starts with endpoints that a former leaseholder has noted. It has ordered the promotion of
+    /// the second one with this fencing token, and the outcome isn't known.
+    pub async fn start_after_an_order(
+        lengths: [u64; 3],
+        synchronous_replicas: u32,
+        token: u64,
+    ) -> Self {
+        let terms = GroupTerms {
+            synchronous_replicas,
+            ..create_terms()
+        };
+        Self::start_in(terms, lengths, u32::MAX, LONG_TIMING, |endpoints| {
+            let mut record = note_endpoints(endpoints, 1);
+            record.orders.push(RecordedOrder {
+                instance: "cases-2".into(),
+                token,
+            });
+            record
+        })
+        .await
+    }
+
     /// Starts with the two replicas that a former leaseholder noted in the catalog before it found
     /// a primary.
     pub async fn start_with_noted_replicas(lengths: [u64; 3]) -> Self {
@@ -621,10 +644,21 @@
 
     /// Changes the configured connection limit of the group's endpoints.
     pub fn limit_connections(&self, connections: u32) {
-        let terms = GroupTerms {
+        self.change_terms(GroupTerms {
             connections,
             ..create_terms()
-        };
+        });
+    }
+
+    /// Changes the configured number of synchronous replicas.
+    pub fn require_replicas(&self, synchronous_replicas: u32) {
+        self.change_terms(GroupTerms {
+            synchronous_replicas,
+            ..create_terms()
+        });
+    }
+
+    fn change_terms(&self, terms: GroupTerms) {
         let delta = CatalogDelta {
             from: Some(CatalogRevision(1)),
             to: CatalogRevision(2),
@@ -711,6 +745,13 @@
         names.map(|one| one.instance.to_string()).collect()
     }
 
+    /// Returns the fencing token up to which the catalog may forget orders, by the last proposed
+    /// note.
+    pub fn settled_token(&self) -> u64 {
+        let notes = self.notes.lock().unwrap();
+        notes.last().map_or(0, |note| note.settled_token)
+    }
+
     /// Counts the proposed notes, without those that equal the one before.
     pub fn count_notes(&self) -> usize {
         let mut notes = self.notes.lock().unwrap().clone();
--- a/crates/daemon/tests/native/catalog.rs
+++ b/crates/daemon/tests/native/catalog.rs
@@ -49,6 +49,7 @@
         instances: Default::default(),
         journal_epoch: PlacementEpoch(0),
         endpoints: Vec::new(),
+        orders: Vec::new(),
     }
 }
 
--- a/crates/daemon/tests/native/main.rs
+++ b/crates/daemon/tests/native/main.rs
@@ -14,6 +14,7 @@
 mod idle;
 mod idle_accounts;
 mod lapses;
+mod orders;
 mod rejections;
 mod scarcity;
 mod synchronous;
--- a/crates/rpc/tests/pieces.rs
+++ b/crates/rpc/tests/pieces.rs
@@ -59,6 +59,7 @@
         instances: Default::default(),
         journal_epoch: PlacementEpoch(0),
         endpoints: Vec::new(),
+        orders: Vec::new(),
     }))
 }
 
--- a/crates/types/src/catalog.rs
+++ b/crates/types/src/catalog.rs
@@ -213,6 +213,18 @@
     pub primary: Option<InstanceName>,
     /// The last announcement of each endpoint.
     pub endpoints: Vec<EndpointAnnouncement>,
+    /// Orders to promote with a fencing token up to this one can't take effect any more.
+    #[serde(default)]
+    pub settled_token: u64,
+}
+
+/// An order to promote whose fencing token was issued and which may take effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedOrder {
+    /// The instance to promote.
+    pub instance: InstanceName,
+    /// The fencing token.
+    pub token: u64,
 }
 
 /// Identifies an epoch in which every standby holds the group's whole journal.
@@ -278,6 +290,10 @@
     /// terms.
     #[serde(default)]
     pub endpoints: Vec<EndpointAnnouncement>,
+    /// The orders to promote that may still take effect, one for each instance, where the database
+    /// platform keeps its own terms.
+    #[serde(default)]
+    pub orders: Vec<RecordedOrder>,
 }
 
 /// A changed item of the catalog, as it is sent to members.
--- a/crates/types/src/position.rs
+++ b/crates/types/src/position.rs
@@ -29,6 +29,12 @@
     pub fn covers(self, wanted: LogPosition) -> bool {
         self >= wanted
     }
+
+    /// Returns whether a log that reaches `self` is known to hold a position of the same term. A log
+    /// of a later term may lack the end of an earlier one.
+    pub fn covers_in_term(self, wanted: LogPosition) -> bool {
+        self.term == wanted.term && self.index >= wanted.index
+    }
 }
 
 impl fmt::Display for LogPosition {
