Control: a write confirmed during an order is required of the next candidate

Seen by callers, with synchronous replicas: an acknowledged write may be gone after an order without a reply that is followed by one for another instance.

Cause: while a promotion is being ordered, a write is confirmed if the candidate holds it, but it raised the required position only in the state asking. If the candidate then falls silent, an instance that lacks the write qualifies.

Change: a confirmed write raises the required position in every state of a replacement.

Test: state replacement::write_confirmed_during_an_order_is_required_of_the_ next_candidate failed before.

--- a/crates/control/src/replacement.rs
+++ b/crates/control/src/replacement.rs
@@ -196,7 +196,7 @@
 
     /// Records that a caller is told that the replaced primary has acknowledged a position.
     pub fn note_acknowledged(&mut self, position: LogPosition) {
-        if self.state == ReplacementState::Asking {
+        if self.state != ReplacementState::Steady {
             self.required_position = self.required_position.max(Some(position));
             self.evidence.note_acknowledged();
         }
--- a/crates/control/tests/state/replacement.rs
+++ b/crates/control/tests/state/replacement.rs
@@ -312,6 +312,23 @@
     }
 }
 
+case! {
+    /// A write is confirmed while a promotion is ordered, as the candidate holds it. The order gets no
+    /// reply, and an instance that lacks the write was ordered next.
+    write_confirmed_during_an_order_is_required_of_the_next_candidate {
+        let mut replacement = guaranteed_replacement(Some(position(50)));
+        replacement.take_report(at(5), &name(2), replica(51));
+        replacement.take_report(at(6), &name(3), replica(50));
+        replacement.receive_token(at(7), 7);
+        assert!(replacement.may_confirm(position(51)));
+        replacement.note_acknowledged(position(51));
+        let again = replacement.handle(at(400), ReplacementEvent::OrderUnknown);
+        assert_eq!(first(again), Some(ReplacementAction::AskInstances));
+        replacement.note_requested(at(400), [name(3)], [], 3);
+        assert!(replacement.take_report(at(401), &name(3), replica(50)).is_empty());
+    }
+}
+
 case! {
     /// A write is acknowledged while the instances are asked. A report from before it doesn't show
     /// which instance holds it.
