Native: a session's dropped write isn't required of its reads

Cause: the position of a session's last write is limited to what is held by a comparison with the term of the new primary's position, which is the former term until that primary commits a write.

Change: the limit uses the starts of the terms. Where a later term's start isn't known, reads must cover the position at which the primary was found.

Tests: failover::session_whose_last_write_was_dropped_reads_on and positions:: dropped_position_is_no_longer_required, with positions as instances write them, failed before; two others of the position history ask for the same.

--- a/crates/control/src/positions.rs
+++ b/crates/control/src/positions.rs
@@ -140,15 +140,16 @@
         }
     }
 
-    /// Limits the position of a session's last write to what is still held.
+    /// Limits the position of a session's last write to what the primary is known to hold.
     ///
     /// No instance holds a dropped position any more, and reads of its session would wait for it
-    /// forever.
+    /// until the next write. If its fate is unknown, the position at which the primary was found
+    /// covers what may be left of it.
     pub fn clamp(&self, position: LogPosition) -> LogPosition {
-        let dropped = position.term < self.start.term && position.index > self.start.index;
-        match dropped {
-            true => self.start,
-            false => position,
+        match self.fate(position) {
+            PositionFate::Held => position,
+            PositionFate::Unknown if position.term > self.term => position,
+            PositionFate::Dropped | PositionFate::Unknown => self.start,
         }
     }
 
--- a/crates/control/tests/state/positions.rs
+++ b/crates/control/tests/state/positions.rs
@@ -55,11 +55,12 @@
 
 case! {
     /// A promotion dropped the last writes of a session. Its reads must not wait for a position
-    /// that no instance holds.
+    /// that no instance holds, also while the new primary has committed nothing, and its position
+    /// has the term of an earlier entry.
     dropped_position_is_no_longer_required {
         let mut history = steady_history(50);
-        history.begin(GroupTerm(2), position(2, 140));
-        assert_eq!(history.clamp(position(1, 150)), position(2, 140));
+        history.begin(GroupTerm(2), position(1, 140));
+        assert_eq!(history.clamp(position(1, 150)), position(1, 140));
         assert_eq!(history.clamp(position(1, 130)), position(1, 130));
         assert_eq!(history.clamp(position(2, 141)), position(2, 141));
     }
@@ -101,6 +102,7 @@
         history.begin(GroupTerm(3), position(2, 147));
         assert_eq!(history.fate(position(1, 130)), PositionFate::Unknown);
         assert_eq!(history.fate(position(1, 148)), PositionFate::Dropped);
+        assert_eq!(history.clamp(position(1, 145)), position(2, 147));
         // The unseen term left no entry in the log, so the log ends with those of term 1.
         let mut history = steady_history(50);
         history.begin(GroupTerm(3), position(1, 140));
@@ -120,6 +122,7 @@
         assert_eq!(history.fate(position(1, 148)), PositionFate::Dropped);
         assert_eq!(history.fate(position(2, 140)), PositionFate::Held);
         assert_eq!(history.fate(position(3, 140)), PositionFate::Unknown);
+        assert_eq!(history.clamp(position(1, 130)), position(2, 147));
     }
 }
 
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -31,6 +31,9 @@
     /// A write was received by the promoted instance, and its answer is held up until that leads. The
     /// caller needn't be told that it is in doubt.
     late_answer_of_a_kept_write_is_confirmed => kept_write_case();
+    /// A promotion dropped the last write of a session, and nobody writes after that. Its reads were
+    /// refused for as long, as no instance holds the position of that write.
+    session_whose_last_write_was_dropped_reads_on => dropped_session_case();
     /// The promotion service is unavailable for the first order. The order is repeated; without
     /// that the group would stay without a primary.
     unavailable_promotion_order_is_repeated => unavailable_order_case();
@@ -156,6 +159,20 @@
     expect_doubt(&bench, write).await;
 }
 
+async fn dropped_session_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    let reply = bench.ask(TestStatement::new(WRITE, "write own")).await;
+    let own = reply.served_by.unwrap().position;
+    bench.endpoints[0].kill().await;
+    let index = bench.wait_for_order().await;
+    bench.promote(index).await;
+    wait_for_primary(&bench, index).await;
+    let read = TestStatement::new(AGED, "read own").last_write(own);
+    let reply = bench.ask(read).await;
+    assert!(is_served(&reply), "{reply:?}");
+}
+
 async fn unavailable_order_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
