Native: a connection left in a failed transaction is rolled back before use

Cause: a transaction whose first statement is rejected fails and stays open on the idle connection until the next statement. Each internal command gets MALFORMED until then. The validation's reset was one of them, and any answer counted as a completed reset, so the pool took the values for cleared.

Change: internal commands are preceded by a rollback if the connection was left in a transaction. A reset counts only if it was carried out; a connection that rejected it for want of capacity keeps its known values, and one with any other fault is closed. The session state of each answer is noted.

Weighed: closing such connections at once.

Same cause: reports on such connections were malformed, so a group whose promoted instance had them waited for a primary; and a validation that was answered with BUSY counted as done. Both are fixed by this change.

--- a/crates/daemon/src/native/faults.rs
+++ b/crates/daemon/src/native/faults.rs
@@ -112,7 +112,7 @@
         let state = end.map_or(SessionState::Failed, |end| end.state);
         let unpinned = held_transaction(step).is_none();
         if unpinned && (fault.sort.has_not_run() || self.may_run_again(ticket)) {
-            return self.requeue_after_fault(ticket, link, state, fault);
+            return self.requeue_after_fault(ticket, fault);
         }
         let now = self.now();
         let outcome = self.outcome_of(ticket, fault.sort, end);
@@ -185,19 +185,8 @@
 
     /// Requeues a statement that did not run, or changed nothing, within the retry budget, and
     /// settles it if the budget is spent.
-    fn requeue_after_fault(
-        &mut self,
-        ticket: RequestTicket,
-        link: LinkId,
-        state: SessionState,
-        fault: EndpointFault,
-    ) {
+    fn requeue_after_fault(&mut self, ticket: RequestTicket, fault: EndpointFault) {
         let now = self.now();
-        if let Some(connection) = self.pool.connection_mut(link) {
-            connection
-                .image
-                .set_in_transaction(state != SessionState::Idle);
-        }
         let ran = !fault.sort.has_not_run();
         let outcome = match fault.sort {
             // The caller's text is at fault, which says nothing about the endpoint.
--- a/crates/daemon/src/native/outcomes.rs
+++ b/crates/daemon/src/native/outcomes.rs
@@ -113,6 +113,7 @@
             outcome.result,
             LinkResult::Answered(_) | LinkResult::Fault(_)
         );
+        let end = outcome.end;
         let slot_freed = matches!(outcome.result, LinkResult::Answered(_));
         let was_open = connection.open;
         connection.unusable |= !answered;
@@ -128,29 +129,58 @@
                 }
             }
             (LinkPurpose::Report, _) => self.handle_report(&instance, outcome.result),
-            (LinkPurpose::ConnectionValidation, _) => self.handle_validation_result(id, answered),
+            (LinkPurpose::ConnectionValidation, _) => self.handle_validation_result(id, &outcome),
             (LinkPurpose::Statement(_), _) => {}
         }
+        if let Some(end) = end {
+            self.note_session_state(id, end.state);
+        }
         if !answered && was_open {
             self.scheduler.connection_broke(now, &instance);
             self.validate_idle_connections(&instance);
         }
     }
 
-    /// Ends a connection's validation. A connection that answered may be used again, without the
-    /// session state that the validation's reset has cleared; one that did not answer is marked
-    /// unusable.
-    fn handle_validation_result(&mut self, id: LinkId, answered: bool) {
+    /// Ends a connection's validation.
+    ///
+    /// A connection whose reset was carried out may be used again, without the session state that it
+    /// had. So may one that rejected the reset for want of capacity, with that state. After any other
+    /// fault the state isn't known, and the connection is closed.
+    fn handle_validation_result(&mut self, id: LinkId, outcome: &LinkOutcome) {
         let Some(connection) = self.pool.connection_mut(id) else {
             return;
         };
-        connection.image.clear();
+        match &outcome.result {
+            LinkResult::Answered(_) => connection.image.clear(),
+            LinkResult::Fault(fault) if fault.sort.has_not_run() => {}
+            LinkResult::Fault(fault) => {
+                connection.unusable = true;
+                log_event!(
+                    Level::Warn,
+                    "connection_not_reset",
+                    group = self.group,
+                    instance = connection.instance,
+                    fault = format!("{:?}", fault.sort),
+                );
+            }
+            LinkResult::NotSent | LinkResult::Lost | LinkResult::Silent => {
+                connection.unusable = true;
+            }
+        }
         if std::mem::take(&mut connection.validating) {
             let instance = connection.instance.clone();
             self.scheduler.connection_validation_ended(&instance);
         }
-        if !answered && let Some(connection) = self.pool.connection_mut(id) {
-            connection.unusable = true;
+    }
+
+    /// Records whether a connection that no caller's transaction holds has been left in a
+    /// transaction, as the endpoint's last answer shows.
+    fn note_session_state(&mut self, id: LinkId, state: SessionState) {
+        if let Some(connection) = self.pool.connection_mut(id)
+            && connection.pinned.is_none()
+        {
+            let open = state != SessionState::Idle;
+            connection.image.set_in_transaction(open);
         }
     }
 
@@ -285,10 +315,12 @@
         instance: &InstanceName,
         outcome: LinkOutcome,
     ) {
-        let Some(active) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        let Some(prelude) = active.running.take() else {
+        let active = self.requests.get_mut(&ticket);
+        let Some(prelude) = active.and_then(|active| active.running.take()) else {
+            // What was replayed for it isn't known any more.
+            if let Some(connection) = self.pool.connection_mut(link) {
+                connection.unusable = true;
+            }
             return;
         };
         self.note_replay(link, &prelude, outcome.done);
@@ -490,7 +522,7 @@
         let now = self.now();
         let open = state != SessionState::Idle;
         match step {
-            TransactionStep::Single => self.note_left_open(link, open),
+            TransactionStep::Single => {}
             // The statement that opened the transaction also ended it.
             TransactionStep::Begin(_) if !open => self.scheduler.unpin(now, ticket),
             TransactionStep::Begin(id) => {
@@ -519,17 +551,10 @@
                 if let Some(connection) = self.pool.connection_mut(link) {
                     connection.pinned = None;
                 }
-                self.note_left_open(link, open);
             }
         }
     }
 
-    fn note_left_open(&mut self, link: LinkId, open: bool) {
-        if let Some(connection) = self.pool.connection_mut(link) {
-            connection.image.set_in_transaction(open);
-        }
-    }
-
     /// Ends a transaction by closing its connection, so that the endpoint rolls it back.
     pub(super) fn end_transaction(&mut self, id: TransactionId) {
         let Some(transaction) = self.transactions.remove(&id) else {
--- a/crates/daemon/src/native/reports.rs
+++ b/crates/daemon/src/native/reports.rs
@@ -5,7 +5,6 @@
 //! in use, so a request that was refused is repeated when a statement ends there.
 
 use super::NativeTask;
-use super::link::CommandList;
 use super::link::LinkId;
 use super::link::LinkOrder;
 use super::link::LinkPurpose;
@@ -94,9 +93,12 @@
         let Some(connection) = self.pool.connection_mut(id) else {
             return false;
         };
+        // An endpoint rejects all other commands within a transaction that has failed.
+        let rollback = connection.image.is_in_transaction();
+        let rollback = rollback.then_some(EndpointCommand::Rollback);
         let sent = connection.send(LinkOrder {
             purpose,
-            commands: CommandList::from_iter([command]),
+            commands: rollback.into_iter().chain([command]).collect(),
             deadline: Instant::now() + limit,
         });
         if sent {
--- a/crates/daemon/tests/native/bench.rs
+++ b/crates/daemon/tests/native/bench.rs
@@ -214,6 +214,12 @@
         self
     }
 
+    /// Lets the transaction that the statement opens be read-only.
+    pub fn read_only(mut self) -> Self {
+        self.opens = Some(TransactionMode::ReadOnly);
+        self
+    }
+
     /// Returns whether the statement belongs to a transaction that is open already.
     pub fn is_within_transaction(&self) -> bool {
         !matches!(
--- a/crates/daemon/tests/native/codec.rs
+++ b/crates/daemon/tests/native/codec.rs
@@ -17,13 +17,15 @@
 use ragwortgated::edges::SessionState;
 
 /// The faults that scripts use, and their words on the wire.
-const FAULTS: [(&str, EndpointFaultKind); 6] = [
+const FAULTS: [(&str, EndpointFaultKind); 8] = [
     ("lagging", EndpointFaultKind::Lagging),
     ("readonly", EndpointFaultKind::ReadOnly),
     ("wrong", EndpointFaultKind::WrongInstance),
     ("busy", EndpointFaultKind::Busy),
     ("failed", EndpointFaultKind::Failed),
     ("full", EndpointFaultKind::ConnectionLimit),
+    ("aborted", EndpointFaultKind::Aborted),
+    ("malformed", EndpointFaultKind::Malformed),
 ];
 
 pub struct LineProtocol;
--- a/crates/daemon/tests/native/connections.rs
+++ b/crates/daemon/tests/native/connections.rs
@@ -5,8 +5,10 @@
 use crate::bench::TestStatement;
 use crate::bench::WRITE;
 use crate::bench::is_served;
+use crate::cases::wait_until;
 use crate::catalog::KNOWN_ACCOUNT;
 use crate::catalog::KNOWN_KEY;
+use ragwort_types::EndpointFaultKind;
 use ragwort_types::KeyDigest;
 use ragwort_types::RefusalCause;
 use ragwort_types::RequestVerdict;
@@ -23,6 +25,16 @@
     /// A session has set its language. Its statements need the value on whichever connection they
     /// run, and statements of other sessions must not run with it.
     values_of_a_session_reach_its_statements_and_no_others => values_case();
+    /// An endpoint rejected the first statement of a transaction, which failed with it. The reset of
+    /// its idle connection was rejected too and counted as done, and a statement of another session
+    /// ran with the values that were still there.
+    connection_left_in_a_failed_transaction_keeps_no_values => failed_transaction_case();
+    /// As above, with an endpoint that has no capacity for the reset. The connection stays in use, and
+    /// its values must not count as cleared.
+    rejected_reset_clears_no_values => rejected_reset_case();
+    /// The promoted instance had left connections in failed transactions. On these, the requests for
+    /// its report were malformed, and the group had no primary until they were closed.
+    report_on_a_connection_in_a_failed_transaction_is_answered => failed_report_case();
     /// Callers of two accounts take turns. Each connection is opened for an account, whose rights
     /// the endpoint applies to all statements on it. A statement on another account's connection
     /// would run with that account's rights.
@@ -45,6 +57,96 @@
     address_of_another_instance_gets_no_statements => wrong_instance_case();
 }
 
+/// The number of times that a statement is rejected: more than it is sent again.
+const REJECTIONS: usize = 1_000;
+
+/// Lets all endpoints take a single connection, on which all statements run then.
+fn limit_to_one_connection(bench: &NativeBench) {
+    for endpoint in &bench.endpoints {
+        endpoint.script().connection_limit = 1;
+    }
+}
+
+/// Lets an endpoint reject a statement each time.
+fn reject(bench: &NativeBench, index: usize, text: &str) {
+    let mut script = bench.endpoints[index].script();
+    script.fails_transactions = true;
+    script.faults = vec![(text.to_owned(), EndpointFaultKind::Busy); REJECTIONS];
+}
+
+/// Starts a group whose idle connections are validated often. The primary rejects each first
+/// statement of a transaction, whose session has set a value.
+async fn leave_failed_transaction() -> NativeBench {
+    let timing = "announce_lost_ms: 60000, idle_ping_ms: 200";
+    let mut bench = NativeBench::start_with_timing([5, 5, 5], timing).await;
+    limit_to_one_connection(&bench);
+    bench.settle().await;
+    reject(&bench, 0, "write one");
+    let open = TransactionStep::Begin(TransactionId::fresh());
+    let begin = TestStatement::new(WRITE, "write one")
+        .value("lang", "gu")
+        .step(open);
+    assert!(!is_served(&bench.ask(begin).await));
+    bench
+}
+
+/// Counts the resets that the primary has answered.
+fn count_resets(bench: &NativeBench) -> usize {
+    let script = bench.endpoints[0].script();
+    let resets = script.commands.iter().filter(|(_, line)| line == "reset");
+    resets.count()
+}
+
+/// Runs statements of a session without values, and checks that none of them had any.
+async fn expect_no_values(bench: &NativeBench) {
+    for round in 0..20 {
+        let text = format!("write plain {round}");
+        let reply = bench.ask(TestStatement::new(WRITE, &text)).await;
+        assert!(is_served(&reply), "{reply:?}");
+    }
+    let script = bench.endpoints[0].script();
+    let plain = script
+        .ran
+        .iter()
+        .filter(|ran| ran.text.starts_with("write plain"));
+    let foreign: Vec<_> = plain.filter(|ran| !ran.values.is_empty()).collect();
+    assert!(foreign.is_empty(), "{foreign:?}");
+}
+
+async fn failed_transaction_case() {
+    let bench = leave_failed_transaction().await;
+    let before = count_resets(&bench);
+    wait_until(|| count_resets(&bench) >= before + 4).await;
+    expect_no_values(&bench).await;
+}
+
+async fn rejected_reset_case() {
+    let bench = leave_failed_transaction().await;
+    let resets = ("reset".to_owned(), EndpointFaultKind::Busy);
+    bench.endpoints[0].script().faults = vec![resets; REJECTIONS];
+    let before = count_resets(&bench);
+    wait_until(|| count_resets(&bench) >= before + 4).await;
+    bench.endpoints[0].script().faults.clear();
+    expect_no_values(&bench).await;
+}
+
+async fn failed_report_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    limit_to_one_connection(&bench);
+    bench.settle().await;
+    for index in 0..3 {
+        reject(&bench, index, "read one");
+    }
+    let open = TransactionStep::Begin(TransactionId::fresh());
+    let begin = TestStatement::new(AGED, "read one").step(open).read_only();
+    assert!(!is_served(&bench.ask(begin).await));
+    bench.endpoints[0].kill().await;
+    let index = bench.wait_for_order().await;
+    bench.lead(index);
+    let reply = bench.ask(TestStatement::new(WRITE, "write after")).await;
+    assert!(is_served(&reply), "{reply:?}");
+}
+
 async fn transaction_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
--- a/crates/daemon/tests/native/endpoint.rs
+++ b/crates/daemon/tests/native/endpoint.rs
@@ -6,6 +6,7 @@
 use ragwort_types::GroupTerm;
 use ragwort_types::InstanceRole;
 use ragwort_types::LogPosition;
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -47,6 +48,9 @@
     pub silent: bool,
     /// Faults of coming statements by their text; each is used once.
     pub faults: Vec<(String, EndpointFaultKind)>,
+    /// Whether a fault within a transaction makes it fail. Until its end, all other commands are
+    /// malformed.
+    pub fails_transactions: bool,
     /// All statements that ran.
     pub ran: Vec<RanStatement>,
     /// All answered commands, each with the number of its connection.
@@ -57,14 +61,17 @@
     pub connection_limit: usize,
     open: HashSet<usize>,
     connections: usize,
+    /// The session values of each connection.
+    values: BTreeMap<usize, BTreeMap<String, String>>,
 }
 
-/// A statement that ran, with its connection and the log position after it.
+/// A statement that ran, with its connection, the log position after it and the session values.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RanStatement {
     pub connection: usize,
     pub text: String,
     pub position: LogPosition,
+    pub values: BTreeMap<String, String>,
 }
 
 pub struct ScriptedEndpoint {
@@ -89,12 +96,14 @@
             running: 0,
             silent: false,
             faults: Vec::new(),
+            fails_transactions: false,
             ran: Vec::new(),
             commands: Vec::new(),
             withheld: Vec::new(),
             connection_limit: usize::MAX,
             open: HashSet::new(),
             connections: 0,
+            values: BTreeMap::new(),
         }));
         let task = tokio::spawn(serve(listener, Arc::clone(&script)));
         Self {
@@ -177,7 +186,15 @@
     fn reply(&mut self, connection: usize, line: &str, state: &mut &'static str) -> String {
         self.commands.push((connection, line.to_owned()));
         let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let ends = matches!(word, "commit" | "rollback");
         let body = match word {
+            _ if *state == "failed" && !ends => {
+                format!("fault {}\n", fault_word(EndpointFaultKind::Malformed))
+            }
+            "commit" if *state == "failed" => {
+                *state = "idle";
+                format!("fault {}\n", fault_word(EndpointFaultKind::Aborted))
+            }
             "open" => {
                 if rest.split(' ').next() != Some(&self.name) {
                     return "fault wrong\n".to_owned();
@@ -212,17 +229,37 @@
                 let (after, text) = rest.split_once(' ').unwrap_or(("-", rest));
                 self.run(connection, after, text)
             }
+            "set" => {
+                let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+                let values = self.values.entry(connection).or_default();
+                values.insert(name.to_owned(), value.to_owned());
+                "done -\n".to_owned()
+            }
+            "reset" if self.take_fault("reset").is_some() => {
+                format!("fault {}\n", fault_word(EndpointFaultKind::Busy))
+            }
+            "reset" => {
+                self.values.remove(&connection);
+                "done -\n".to_owned()
+            }
             _ => "done -\n".to_owned(),
         };
+        if self.fails_transactions && *state == "open" && body.starts_with("fault") {
+            *state = "failed";
+        }
         format!("{body}ready {state} {}\n", self.position)
     }
 
+    fn take_fault(&mut self, text: &str) -> Option<EndpointFaultKind> {
+        let place = self.faults.iter().position(|(known, _)| known == text)?;
+        Some(self.faults.remove(place).1)
+    }
+
     fn run(&mut self, connection: usize, after: &str, text: &str) -> String {
         if read_position(after).is_some_and(|after| after > self.position) {
             return format!("fault {}\n", fault_word(EndpointFaultKind::Lagging));
         }
-        if let Some(place) = self.faults.iter().position(|(known, _)| known == text) {
-            let (_, sort) = self.faults.remove(place);
+        if let Some(sort) = self.take_fault(text) {
             return format!("fault {}\n", fault_word(sort));
         }
         let writes = text.starts_with("write") || text == "commit";
@@ -236,6 +273,7 @@
             connection,
             text: text.to_owned(),
             position: self.position,
+            values: self.values.get(&connection).cloned().unwrap_or_default(),
         });
         format!("row {text}\ndone {}\n", self.name)
     }
--- a/crates/policy/src/replay.rs
+++ b/crates/policy/src/replay.rs
@@ -119,6 +119,11 @@
         self.prepared.remove(definition);
     }
 
+    /// Returns whether a transaction without an owner may have to be rolled back first.
+    pub fn is_in_transaction(&self) -> bool {
+        self.in_transaction
+    }
+
     /// Sets whether a transaction without an owner is open.
     pub fn set_in_transaction(&mut self, open: bool) {
         self.in_transaction = open;
