--- a/crates/daemon/src/native/mod.rs
+++ b/crates/daemon/src/native/mod.rs
@@ -19,8 +19,8 @@
 //!   statement for which the endpoint reported a fault.
 //!
 //! `primary` tracks the instances' roles and detects a failed primary, `reports` asks the instances,
-//! `replacing` has another one promoted, and `fencing` keeps late orders from doing so. `handover` moves the group to another VM, and `notes`
-//! keeps the endpoints in the catalog for a successor.
+//! `replacing` has another one promoted, and `fencing` keeps late orders from doing so. `handover`
+//! moves the group to another VM, and `notes` keeps the endpoints in the catalog for a successor.
 
 mod dispatch;
 mod faults;
--- a/crates/daemon/src/native/replacing.rs
+++ b/crates/daemon/src/native/replacing.rs
@@ -3,7 +3,8 @@
 //! The state machine is [`PrimaryReplacement`](ragwort_control::PrimaryReplacement): it collects
 //! the instances' reports, chooses the one that has received most, obtains a fencing token from the
 //! control VMs and orders the promotion. A replacement has succeeded only when an instance reports
-//! that it is the primary, since an order may also take effect late or not at all.
+//! that it is the primary, since an order may also take effect late or not at all. The actions of
+//! the [`OrderFence`](ragwort_control::OrderFence) are performed here as well.
 //!
 //! In a group with synchronous replicas, no instance is promoted that may lack an acknowledged
 //! write. If none is known to hold all of them, the group has no primary until one returns.
@@ -80,13 +81,15 @@
             match action {
                 ReplacementAction::AskInstances => self.ask_instances(),
                 ReplacementAction::ProposeNumber(instance) => {
-                    log_event!(
-                        Level::Info,
-                        "replacement_candidate",
-                        group = self.group,
-                        instance = instance,
-                        newest = self.history.newest(),
-                    );
+                    if self.replacement.awaits_token(&instance) {
+                        log_event!(
+                            Level::Info,
+                            "replacement_candidate",
+                            group = self.group,
+                            instance = instance,
+                            newest = self.history.newest(),
+                        );
+                    }
                     self.propose(CatalogCommand::IssueToken(TokenRequest {
                         group: self.group.clone(),
                         epoch: self.record.placement.epoch,
