--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -4,7 +4,6 @@
 use crate::document::apply_document;
 use crate::document::show_document;
 use crate::options::AddressList;
-use crate::options::CommandOptions;
 use crate::options::ContractAction;
 use crate::options::DocumentAction;
 use crate::options::OperatorCommand;
@@ -22,9 +21,8 @@
 use std::fmt::Write;
 
 /// Runs a command and returns its outcome.
-pub async fn run_command(options: CommandOptions) -> CommandOutcome {
-    let addresses = &options.address;
-    let outcome = match options.command {
+pub async fn run_command(addresses: &AddressList, command: OperatorCommand) -> CommandOutcome {
+    let outcome = match command {
         OperatorCommand::Form(_) => form(addresses).await,
         OperatorCommand::Status(_) => status(addresses).await,
         OperatorCommand::Dump(_) => dump(addresses).await,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -21,6 +21,7 @@
 use crate::options::CommandOptions;
 use crate::outcome::CommandOutcome;
 use argh::FromArgs;
+use ragwort_types::BuildInfo;
 use std::process::ExitCode;
 
 #[tokio::main(flavor = "current_thread")]
@@ -38,8 +39,15 @@
             return CommandOutcome::usage("").exit_code();
         }
     };
+    if options.version {
+        println!("{}", BuildInfo::of_program().to_line("ragwortctl"));
+        return ExitCode::SUCCESS;
+    }
     let json = options.json;
-    let outcome = commands::run_command(options).await;
+    let outcome = match options.command {
+        Some(command) => commands::run_command(&options.address, command).await,
+        None => CommandOutcome::usage("no command: see --help"),
+    };
     outcome.print(json);
     outcome.exit_code()
 }
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -23,9 +23,13 @@
     #[argh(switch)]
     pub json: bool,
 
+    /// print the version and the sources of this program
+    #[argh(switch)]
+    pub version: bool,
+
     /// what to do
     #[argh(subcommand)]
-    pub command: OperatorCommand,
+    pub command: Option<OperatorCommand>,
 }
 
 /// The peer addresses of the daemons to call, in order of preference.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use log::Level;
+use ragwort_types::BuildInfo;
 use ragwortgated::edges::NodeEdges;
 use ragwortgated::log_event;
 use ragwortgated::logs::log_panics;
@@ -17,26 +18,38 @@
 struct DaemonArguments {
     /// the settings file (YAML)
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 
     /// only check the settings and print every fault
     #[argh(switch)]
     check: bool,
+
+    /// print the version and the sources of this program
+    #[argh(switch)]
+    version: bool,
 }
 
 fn main() -> ExitCode {
     let arguments: DaemonArguments = argh::from_env();
-    let settings = match DaemonSettings::read_file(&arguments.settings) {
+    if arguments.version {
+        println!("{}", BuildInfo::of_program().to_line("ragwortgated"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = arguments.settings else {
+        eprintln!("ragwortgated: no settings file: expected --settings");
+        return ExitCode::from(2);
+    };
+    let settings = match DaemonSettings::read_file(&path) {
         Ok(settings) => settings,
         Err(faults) => {
             for fault in faults {
-                eprintln!("{}: {fault}", arguments.settings.display());
+                eprintln!("{}: {fault}", path.display());
             }
             return ExitCode::from(2);
         }
     };
     if arguments.check {
-        println!("{}: settings are in order", arguments.settings.display());
+        println!("{}: settings are in order", path.display());
         return ExitCode::SUCCESS;
     }
     if let Err(fault) = set_up_log(&settings.log) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -12,10 +12,12 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 use ragwort_policy::LevelCounts;
 use ragwort_policy::PoolMissAction;
 use ragwort_policy::RelayOutcome;
+use ragwort_types::BuildInfo;
 use ragwort_types::CatalogRevision;
 use ragwort_types::GroupName;
 use ragwort_types::GroupTerm;
@@ -191,6 +193,12 @@
 
     fn register_all(&self) -> Registry {
         let mut registry = Registry::with_prefix("ragwort");
+        let build = BuildInfo::of_program();
+        registry.register(
+            "build",
+            "Version and sources of this program",
+            Info::new([("version", build.version), ("sources", build.sources)]),
+        );
         registry.register("requests", "Requests by verdict", self.requests.clone());
         registry.register("reads", "Reads by who served them", self.reads.clone());
         registry.register(
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -52,6 +52,7 @@
 use ragwort_control::CatalogCopy;
 use ragwort_control::MemberLease;
 use ragwort_policy::LimitTolerance;
+use ragwort_types::BuildInfo;
 use ragwort_types::GroupName;
 use ragwort_types::MemberId;
 use std::fmt;
@@ -225,11 +226,14 @@
     };
     let mut tasks = NodeTasks::start(&base, listeners, view_sender).await?;
     start_seed_watch(&base, seed_sender, &mut tasks.helpers);
+    let build = BuildInfo::of_program();
     log_event!(
         Level::Info,
         "started",
         vm = base.settings.vm,
         peers = base.settings.listen.peers,
+        version = build.version,
+        sources = build.sources,
     );
     let ended = wait_for_end(&base.switches.drain, &mut tasks.member).await;
     let control_end = tasks.shut_down(&base, &ended).await;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -30,6 +30,7 @@
 //! ```
 
 mod account;
+mod build_info;
 mod catalog;
 mod clock;
 mod contract;
@@ -43,6 +44,7 @@
 mod verdict;
 
 pub use account::*;
+pub use build_info::BuildInfo;
 pub use catalog::*;
 pub use clock::ClockTime;
 pub use contract::*;
