--- a/crates/ctl/tests/release_build.rs
+++ b/crates/ctl/tests/release_build.rs
@@ -11,6 +11,9 @@
 /// A time before that of any build.
 const OLD_TIME: Duration = Duration::from_secs(1_000_000_000);
 
+const BUILD_INFO: &str = "crates/types/src/build_info.rs";
+const PROGRAM: &str = "target/release/ragwortctl";
+
 /// A copy of the workspace, removed when dropped.
 struct WorkspaceCopy {
     folder: PathBuf,
@@ -37,10 +40,14 @@
         set_old_time(&path);
     }
 
-    /// Builds `ragwortctl`, and returns what the build has printed.
+    /// Builds `ragwortctl` by the release build, and returns what the build has printed.
     fn build(&self) -> String {
-        let output = Command::new("sh")
-            .args(["scripts/build-release", "-p", "ragwortctl"])
+        self.run_build("sh", &["scripts/build-release", "-p", "ragwortctl"])
+    }
+
+    fn run_build(&self, program: &str, arguments: &[&str]) -> String {
+        let output = Command::new(program)
+            .args(arguments)
             .current_dir(&self.folder)
             .env("CARGO_TARGET_DIR", self.folder.join("target"))
             .env("CARGO_PROFILE_RELEASE_OPT_LEVEL", "0")
@@ -93,23 +100,30 @@
 #[test]
 fn change_with_an_old_file_time_reaches_the_program() {
     let copy = WorkspaceCopy::create();
+    // The build folder of former sources, which recorded no digest.
+    let recorded = r#"option_env!("RAGWORT_SOURCES")"#;
+    copy.change(BUILD_INFO, recorded, "None");
+    copy.change("crates/ctl/src/main.rs", "no command:", "nothing given:");
+    copy.run_build("cargo", &["build", "--release", "-p", "ragwortctl"]);
+    copy.change(BUILD_INFO, "None;", &format!("{recorded};"));
+    copy.change("crates/ctl/src/main.rs", "nothing given:", "no command:");
     copy.build();
-    let program = "target/release/ragwortctl";
-    let before = copy.run(program, &["--version"]);
+    assert!(copy.run(PROGRAM, &[]).starts_with("no command:"));
+    let before = copy.run(PROGRAM, &["--version"]);
     let digest = copy.run("scripts/source-digest", &[]);
     assert!(before.ends_with(&format!("(sources {digest})")), "{before}");
 
     copy.change("crates/ctl/src/main.rs", "no command:", "nothing to do:");
-    copy.change("crates/types/src/build_info.rs", "(sources", "(built from");
+    copy.change(BUILD_INFO, "(sources", "(built from");
     copy.build();
     let digest = copy.run("scripts/source-digest", &[]);
-    let after = copy.run(program, &["--version"]);
+    let after = copy.run(PROGRAM, &["--version"]);
     assert!(
         after.ends_with(&format!("(built from {digest})")),
         "{after}"
     );
     assert!(!before.contains(&digest), "{before}");
-    assert!(copy.run(program, &[]).starts_with("nothing to do:"));
+    assert!(copy.run(PROGRAM, &[]).starts_with("nothing to do:"));
 
     let printed = copy.build();
     assert!(!printed.contains("Compiling"), "{printed}");
