Native: a primary whose reports take long is found

Callers saw writes refused for as long as a group's instances answered reports in more than 400 ms, from the start of a set or after a promotion: the leaseholder gives up each report after that time, closes the connection and asks again with the same limit, so it never learns who leads.

The limit doubles with each report of an instance in a row that isn't there in time, up to 3.2 s. Ruled out: a longer limit for all. A replica that hangs would hold a connection for as long during each replacement.

Test: failover::slow_reports_show_who_leads hung for its 60 s before.

--- a/crates/daemon/src/native/pool.rs
+++ b/crates/daemon/src/native/pool.rs
@@ -47,6 +47,8 @@
     pub(super) failed_opens: u32,
     /// Start time of the probe under way: a connection opened to check that the endpoint is alive.
     pub(super) probe_started: Option<ClockTime>,
+    /// Number of report requests in a row that it didn't answer in time.
+    pub(super) silent_reports: u32,
     /// Its last refusal of a connection because of its connection limit.
     pub(super) full: Option<FullEndpoint>,
     /// How often each account uses connections to it.
@@ -241,6 +243,7 @@
                     answered_at: now,
                     failed_opens: 0,
                     probe_started: None,
+                    silent_reports: 0,
                     full: None,
                     demand: EndpointDemand::default(),
                     _guard: self.descriptors.count_endpoint(),
--- a/crates/daemon/src/native/reports.rs
+++ b/crates/daemon/src/native/reports.rs
@@ -20,9 +20,13 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time limit for an instance's report.
+/// Time limit for an instance's report. It doubles with each report in a row that isn't there in
+/// time, since the next one of an instance that is short of processor time won't be either.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum number of times that [`REPORT_TIMEOUT`] is doubled.
+const MAX_REPORT_DOUBLINGS: u32 = 3;
+
 impl NativeTask {
     /// Requests the report of an instance that claims to be the primary in an unknown term. Opens a
     /// connection if it has none.
@@ -40,11 +44,13 @@
         let Some(id) = self.pool.find_any_idle(instance) else {
             return false;
         };
+        let endpoint = self.pool.endpoint(instance);
+        let silent = endpoint.map_or(0, |endpoint| endpoint.silent_reports);
         self.send_internal(
             id,
             LinkPurpose::Report,
             EndpointCommand::Describe,
-            REPORT_TIMEOUT,
+            REPORT_TIMEOUT * 2_u32.pow(silent.min(MAX_REPORT_DOUBLINGS)),
         )
     }
 
@@ -111,6 +117,13 @@
     /// Handles the outcome of a report request.
     pub(super) fn handle_report(&mut self, instance: &InstanceName, result: LinkResult) {
         let now = self.now();
+        if let Some(endpoint) = self.pool.endpoint_mut(instance) {
+            endpoint.silent_reports = match result {
+                LinkResult::Silent => endpoint.silent_reports.saturating_add(1),
+                LinkResult::Answered(_) | LinkResult::Fault(_) => 0,
+                LinkResult::NotSent | LinkResult::Lost => endpoint.silent_reports,
+            };
+        }
         let (report, fault) = match result {
             LinkResult::Answered(answer) => {
                 let row = answer.rows.first();
--- a/crates/daemon/tests/native/endpoint.rs
+++ b/crates/daemon/tests/native/endpoint.rs
@@ -35,6 +35,8 @@
     pub position: LogPosition,
     /// Whether it withholds answers to report requests.
     pub withholds_reports: bool,
+    /// How long it takes to answer a report request.
+    pub report_time: Duration,
     /// Whether it refuses report requests because its slots are taken.
     pub busy: bool,
     /// How long a statement runs. While all slots are taken by statements, report requests are
@@ -90,6 +92,7 @@
             term: position.term,
             position,
             withholds_reports: false,
+            report_time: Duration::ZERO,
             busy: false,
             run_time: Duration::ZERO,
             refused_reports: 0,
@@ -160,6 +163,10 @@
         if line.starts_with("run") {
             run_for_a_while(&script).await;
         }
+        if line == "describe" {
+            let time = script.lock().unwrap().report_time;
+            sleep(time).await;
+        }
         let reply = script.lock().unwrap().reply(number, &line, &mut state);
         if writing.write_all(reply.as_bytes()).await.is_err() {
             break;
--- a/crates/daemon/tests/native/failover.rs
+++ b/crates/daemon/tests/native/failover.rs
@@ -13,10 +13,17 @@
 use ragwort_types::RequestVerdict;
 use ragwort_types::StatementReply;
 use ragwortgated::edges::PromotionReply;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
+/// How long an instance takes to report while its host is short of processor time.
+const SLOW_REPORT: Duration = Duration::from_millis(900);
+
 failure_cases! {
+    /// Each report of the promoted instance takes longer than the first time limit for one. The
+    /// group had no primary for as long as that lasted.
+    slow_reports_show_who_leads => slow_report_case();
     /// The primary's process dies, and only one of two replicas holds all acknowledged writes.
     /// Promoting the other one would lose a write that its caller was told is saved.
     dead_primary_is_followed_by_the_replica_that_holds_all => dead_primary_case();
@@ -66,6 +73,22 @@
     write_under_way_at_a_takeover_is_answered => takeover_case();
 }
 
+async fn slow_report_case() {
+    let mut bench = NativeBench::start([5, 5, 5]).await;
+    bench.settle().await;
+    bench.endpoints[0].kill().await;
+    let chosen = bench.wait_for_order().await;
+    let name = {
+        let mut script = bench.endpoints[chosen].script();
+        script.report_time = SLOW_REPORT;
+        script.name.clone()
+    };
+    bench.promote(chosen).await;
+    bench.wait_for(|dump| dump["primary"] == name).await;
+    let reply = bench.ask(TestStatement::new(WRITE, "write later")).await;
+    assert!(is_served(&reply), "{reply:?}");
+}
+
 async fn dead_primary_case() {
     let mut bench = NativeBench::start([5, 5, 5]).await;
     bench.settle().await;
